--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/core/src/ids/mod.rs
@@ -0,0 +1,13 @@
+//! Names and identifiers of the things that the fleet state records.
+
+mod generation;
+mod names;
+mod operation_id;
+mod session_id;
+
+pub use generation::Generation;
+pub use names::{
+    ImageName, InstanceName, KeyId, PoolName, QueueName, RackName, RequestId, TeamName, ZoneName,
+};
+pub use operation_id::OperationId;
+pub use session_id::SessionId;
--- /dev/null
+++ b/crates/core/src/time.rs
@@ -0,0 +1,46 @@
+//! Monotonic time as passed to the decision library.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// A point on a process's monotonic clock, counted from an arbitrary origin.
+///
+/// Points of two processes cannot be compared; messages carry ages instead.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TimePoint(Duration);
+
+impl TimePoint {
+    /// The origin of the clock.
+    pub const ORIGIN: Self = Self(Duration::ZERO);
+
+    /// Creates a point from the time since the origin.
+    #[must_use]
+    pub const fn new(since_origin: Duration) -> Self {
+        Self(since_origin)
+    }
+
+    /// Creates a point from milliseconds since the origin.
+    #[must_use]
+    pub const fn with_millis(millis: u64) -> Self {
+        Self(Duration::from_millis(millis))
+    }
+
+    /// Time since the origin.
+    #[must_use]
+    pub const fn since_origin(self) -> Duration {
+        self.0
+    }
+
+    /// The point that lies `delay` later; saturates at the end of the clock.
+    #[must_use]
+    pub const fn after(self, delay: Duration) -> Self {
+        Self(self.0.saturating_add(delay))
+    }
+
+    /// Time from `earlier` to this point; zero if `earlier` lies later.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Duration {
+        self.0.saturating_sub(earlier.0)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
