--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,67 @@
+//! Encoding of messages between entry instances.
+
+use bytes::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::{ResultExt, Snafu, ensure};
+
+/// Largest message between entry instances, in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 64 * 1024;
+
+/// Reason why a message cannot be encoded or decoded.
+#[derive(Debug, Snafu)]
+pub enum CodecError {
+    /// The message exceeds the size bound.
+    #[snafu(display("message of {size} bytes exceeds the bound of {limit} bytes"))]
+    TooLarge {
+        /// Size of the message.
+        size: usize,
+        /// Largest size allowed.
+        limit: usize,
+    },
+    /// The message cannot be encoded.
+    #[snafu(display("message cannot be encoded: {source}"))]
+    Encode {
+        /// Error of the codec.
+        source: rmp_serde::encode::Error,
+    },
+    /// The bytes are not a message of this type.
+    #[snafu(display("message cannot be decoded: {source}"))]
+    Decode {
+        /// Error of the codec.
+        source: rmp_serde::decode::Error,
+    },
+}
+
+/// Encodes a message of at most `limit` bytes. Fields are named, so that readers can skip new ones.
+///
+/// # Errors
+///
+/// Fails when the message is too large or has a type that the codec does not know.
+pub fn encode<T: Serialize>(message: &T, limit: usize) -> Result<Bytes, CodecError> {
+    let encoded = rmp_serde::to_vec_named(message).context(EncodeSnafu)?;
+    ensure!(
+        encoded.len() <= limit,
+        TooLargeSnafu {
+            size: encoded.len(),
+            limit
+        }
+    );
+    Ok(encoded.into())
+}
+
+/// Decodes a message of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Fails when the bytes are too many or not a message of this type.
+pub fn decode<T: DeserializeOwned>(encoded: &[u8], limit: usize) -> Result<T, CodecError> {
+    ensure!(
+        encoded.len() <= limit,
+        TooLargeSnafu {
+            size: encoded.len(),
+            limit
+        }
+    );
+    rmp_serde::from_slice(encoded).context(DecodeSnafu)
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder.
+//! Headers and message encoding shared by sesamedeal's processes.
+
+pub mod codec;
+pub mod header;
