--- a/crates/platform/src/change_log.rs
+++ b/crates/platform/src/change_log.rs
@@ -1,32 +1,33 @@
 use compact_str::CompactString;
-use serde::Serialize;
 use serde::de::DeserializeOwned;
-use serde_json::Value;
 use sesamedeal_core::fleet::{ChangeRecord, FleetChange};
 use sesamedeal_core::ids::{Generation, OperationId};
-use snafu::ResultExt;
 
-use crate::error::{ContentSnafu, Result};
-use crate::protocol::{RowCondition, RowPut, TableRow, WriteReply, WriteRequest};
+use crate::error::{LogGapSnafu, Result};
+use crate::protocol::{RowCondition, TableRow, WriteReply, WriteRequest};
 use crate::rows::{CHANGE_PREFIX, HEAD, HeadRecord, SETTLED, SettledRecord, change_key};
-use crate::{PlatformClient, PlatformError};
+use crate::typed_rows::parse;
+use crate::{PlatformClient, PlatformError, row_put};
 
 /// Most records that one scan returns.
 const SCAN_LIMIT: usize = 256;
+/// Most writes of one append when snapshots write the head row at the same time.
+const APPEND_ATTEMPTS: usize = 3;
 
 /// Outcome of an append to the change log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AppendOutcome {
     /// The record is in the log.
     Accepted(Generation),
-    /// The log has moved on from the expected generation.
+    /// The record is not in the log and will not be: the log has moved on from the expected
+    /// generation, or another condition does not hold.
     Conflict,
 }
 
 /// The change log in the table service.
 #[derive(Debug, Clone)]
 pub struct ChangeLog {
-    client: PlatformClient,
+    pub(crate) client: PlatformClient,
 }
 
 impl ChangeLog {
@@ -62,11 +63,36 @@
             .collect()
     }
 
+    /// Reads all records after `generation`, page by page, and checks that none is missing.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the service does not answer, or with [`PlatformError::LogGap`] when a record has
+    /// been removed.
+    pub async fn all_records_after(&self, generation: Generation) -> Result<Vec<ChangeRecord>> {
+        let mut records: Vec<ChangeRecord> = Vec::new();
+        let mut last = generation;
+        loop {
+            let page = self.records_after(last).await?;
+            let is_last = page.len() < SCAN_LIMIT;
+            for record in page {
+                if record.generation != last.next() {
+                    return Err(PlatformError::LogGap { generation: last.0 });
+                }
+                last = record.generation;
+                records.push(record);
+            }
+            if is_last {
+                return Ok(records);
+            }
+        }
+    }
+
     /// Appends a record after `expected`.
     ///
     /// # Errors
     ///
-    /// Fails when the outcome cannot be found out.
+    /// See [`Self::append_with`].
     pub async fn append(
         &self,
         expected: Generation,
@@ -74,76 +100,102 @@
         author: &str,
         changes: Vec<FleetChange>,
     ) -> Result<AppendOutcome> {
-        let rows = self.client.read(&[HEAD]).await?;
-        let head: HeadRecord = row_value(&rows, HEAD)?;
-        if head.generation != expected {
-            return Ok(AppendOutcome::Conflict);
-        }
+        self.append_with(expected, operation, author, changes, &[])
+            .await
+    }
+
+    /// Appends a record after `expected` if the further conditions hold, in one transaction.
+    ///
+    /// The controller passes the version of its lease row, so that a paused former holder cannot
+    /// write.
+    ///
+    /// # Errors
+    ///
+    /// After [`PlatformError::NoAnswer`] the record may be in the log or may still enter it; a
+    /// call with the same arguments finds out. After [`PlatformError::LogGap`] it is no longer
+    /// known who wrote that generation. After other errors the record is not in the log.
+    pub async fn append_with(
+        &self,
+        expected: Generation,
+        operation: OperationId,
+        author: &str,
+        changes: Vec<FleetChange>,
+        conditions: &[RowCondition],
+    ) -> Result<AppendOutcome> {
         let record = ChangeRecord {
             generation: expected.next(),
             operation,
             author: author.into(),
             changes,
         };
+        for _ in 0..APPEND_ATTEMPTS {
+            match self.try_append(&record, conditions).await? {
+                // A snapshot also writes the head row; the generation is then still the expected.
+                Some(key) if key == HEAD => {}
+                Some(_) => return Ok(AppendOutcome::Conflict),
+                None => return Ok(AppendOutcome::Accepted(record.generation)),
+            }
+        }
+        Ok(AppendOutcome::Conflict)
+    }
+
+    /// Key of the row that conflicts, or none if the record is in the log.
+    async fn try_append(
+        &self,
+        record: &ChangeRecord,
+        conditions: &[RowCondition],
+    ) -> Result<Option<CompactString>> {
         let key = change_key(record.generation);
+        let rows = self.client.read(&[HEAD, &key]).await?;
+        let head: HeadRecord = row_value(&rows, HEAD)?;
+        if let Some(row) = rows.iter().find(|row| row.key == key) {
+            return Ok((row.operation != record.operation).then_some(key));
+        }
+        if head.generation >= record.generation {
+            // The record's row was removed by a cleanup, so its writer is no longer known.
+            return LogGapSnafu {
+                generation: record.generation.0 - 1,
+            }
+            .fail();
+        }
+        if head.generation.next() != record.generation {
+            return Ok(Some(key));
+        }
         let next = HeadRecord {
             generation: record.generation,
             ..head
         };
+        let mut conditions = conditions.to_vec();
+        conditions.push(head_condition(&rows));
+        conditions.push(RowCondition {
+            key: key.clone(),
+            version: None,
+        });
         let request = WriteRequest {
-            operation,
-            conditions: vec![
-                RowCondition {
-                    key: HEAD.into(),
-                    version: rows.first().map(|row| row.version),
-                },
-                RowCondition {
-                    key: key.clone(),
-                    version: None,
-                },
-            ],
-            puts: vec![put(HEAD, &next)?, put(&key, &record)?],
+            operation: record.operation,
+            conditions,
+            puts: vec![row_put(HEAD, &next)?, row_put(&key, record)?],
             deletes: Vec::new(),
         };
-        match self.client.write(&request).await {
-            Ok(WriteReply::Committed) => Ok(AppendOutcome::Accepted(record.generation)),
-            Ok(WriteReply::Conflict { .. }) => Ok(AppendOutcome::Conflict),
-            Err(PlatformError::NoAnswer { .. }) => self.recognise(&key, operation, record).await,
-            Err(error) => Err(error),
-        }
-    }
-
-    /// Finds out whether a write without an answer took effect.
-    async fn recognise(
-        &self,
-        key: &CompactString,
-        operation: OperationId,
-        record: ChangeRecord,
-    ) -> Result<AppendOutcome> {
-        let rows = self.client.read(&[key]).await?;
-        match rows.first() {
-            Some(row) if row.operation == operation => {
-                Ok(AppendOutcome::Accepted(record.generation))
-            }
-            _ => Ok(AppendOutcome::Conflict),
-        }
+        Ok(match self.client.write(&request).await? {
+            WriteReply::Committed => None,
+            WriteReply::Conflict { key, .. } => Some(key),
+        })
     }
 }
 
-fn put<T: Serialize>(key: &str, value: &T) -> Result<RowPut> {
-    Ok(RowPut {
-        key: key.into(),
-        value: serde_json::to_value(value).context(ContentSnafu { what: key })?,
-    })
+/// Condition that the head row is the one in `rows`.
+pub(crate) fn head_condition(rows: &[TableRow]) -> RowCondition {
+    let head = rows.iter().find(|row| row.key == HEAD);
+    RowCondition {
+        key: HEAD.into(),
+        version: head.map(|row| row.version),
+    }
 }
 
-fn row_value<T: DeserializeOwned + Default>(rows: &[TableRow], key: &str) -> Result<T> {
+pub(crate) fn row_value<T: DeserializeOwned + Default>(rows: &[TableRow], key: &str) -> Result<T> {
     match rows.iter().find(|row| row.key == key) {
         Some(row) => parse(key, row.value.clone()),
         None => Ok(T::default()),
     }
 }
-
-fn parse<T: DeserializeOwned>(key: &str, value: Value) -> Result<T> {
-    serde_json::from_value(value).context(ContentSnafu { what: key })
-}
--- a/crates/platform/src/rows.rs
+++ b/crates/platform/src/rows.rs
@@ -2,7 +2,7 @@
 
 use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
-use sesamedeal_core::ids::{Generation, SessionId};
+use sesamedeal_core::ids::{Generation, OperationId, SessionId};
 
 /// Row that holds the head of the change log.
 pub const HEAD: &str = "head";
@@ -48,3 +48,33 @@
     /// Highest settled generation.
     pub generation: Generation,
 }
+
+/// Prefix of the rows that record the outcome of writes.
+pub const OPERATION_PREFIX: &str = "operation/";
+/// Prefix of the objects that hold snapshots.
+pub const SNAPSHOT_PREFIX: &str = "snapshot/";
+
+/// Key of the row that records the outcome of a write.
+#[must_use]
+pub fn operation_key(operation: OperationId) -> CompactString {
+    format_compact!("{OPERATION_PREFIX}{operation}")
+}
+
+/// Outcome of a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum OperationMark {
+    /// The write took effect.
+    Written,
+    /// The write was withdrawn before it took effect.
+    Withdrawn,
+}
+
+/// Content of a row `operation/<id>`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OperationRecord {
+    /// Outcome of the write.
+    pub mark: OperationMark,
+    /// Unix time of the write in milliseconds, for the cleanup.
+    pub at_ms: u64,
+}
