Extend the stand-ins and test the platform client against failures

The stand-ins had one fault switch each and no state that could show a violation. An observer counts violations of the invariants.

A rate limit answer no longer counts as a failure for the circuit breaker: six writes against a limit of three per second opened it.

--- a/crates/platform/src/service_caller.rs
+++ b/crates/platform/src/service_caller.rs
@@ -186,13 +186,13 @@
     }
 }
 
-/// A status such as 400 shows that the service works.
-fn is_refusal(result: &std::result::Result<PlatformReply, AttemptFailure>) -> bool {
+/// A refusal such as status 400 or 429 shows that the service works.
+const fn is_refusal(result: &std::result::Result<PlatformReply, AttemptFailure>) -> bool {
     matches!(
         result,
         Err(AttemptFailure {
             error: PlatformError::Status { .. },
-            reason: None
+            ..
         })
     )
 }
--- a/crates/standin/src/backend/task_script.rs
+++ b/crates/standin/src/backend/task_script.rs
@@ -12,4 +12,10 @@
     pub answer_bytes: usize,
     /// Whether the task fails wherever it runs.
     pub fail: bool,
+    /// Identifier of a non-idempotent job; the observer counts a second run.
+    pub once: String,
+    /// Key id that the job was submitted with; the observer counts runs after its withdrawal.
+    pub key: String,
+    /// Slots that the task takes; 0 stands for one.
+    pub slots: u32,
 }
