--- a/crates/standin/src/http_server.rs
+++ b/crates/standin/src/http_server.rs
@@ -2,9 +2,10 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use futures::stream;
+use futures::{StreamExt, stream};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -18,6 +19,10 @@
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
 use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::sleep;
+
+/// Time in which the first part of a body is sent.
+const FLUSH_TIME: Duration = Duration::from_millis(20);
 
 /// Body of a stand-in's answer.
 pub(crate) type AnswerBody = BoxBody<Bytes, Infallible>;
@@ -162,8 +167,13 @@
 pub(crate) fn truncated(code: StatusCode, body: Bytes) -> Response<AnswerBody> {
     let announced = body.len().max(1);
     let half = body.slice(..body.len() / 2);
-    let frames = stream::iter([Ok(Frame::data(half))]);
-    let mut response = Response::new(StreamBody::new(frames).boxed());
+    // The pause lets the server send the first half before it finds that the rest is missing.
+    let pause = stream::once(async {
+        sleep(FLUSH_TIME).await;
+        Ok(Frame::data(Bytes::new()))
+    });
+    let frames = stream::iter([Ok(Frame::data(half))]).chain(pause);
+    let mut response = Response::new(BodyExt::boxed(StreamBody::new(frames)));
     *response.status_mut() = code;
     let headers = response.headers_mut();
     headers.insert(CONTENT_LENGTH, announced.into());
