--- /dev/null
+++ b/crates/daemon/src/error.rs
@@ -0,0 +1,43 @@
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use snafu::Snafu;
+
+/// Reason why the entry instance cannot run.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum DaemonError {
+    /// The settings file cannot be read.
+    #[snafu(display("cannot read settings file {}: {source}", path.display()))]
+    ReadSettings {
+        /// Path of the file.
+        path: PathBuf,
+        /// Error of the operating system.
+        source: std::io::Error,
+    },
+    /// The settings file has an error.
+    #[snafu(display("settings file {}: {source}", path.display()))]
+    ParseSettings {
+        /// Path of the file.
+        path: PathBuf,
+        /// Error of the parser, with line and column.
+        source: toml::de::Error,
+    },
+    /// The listening address cannot be bound.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Error of the operating system.
+        source: std::io::Error,
+    },
+    /// Signals cannot be received.
+    #[snafu(display("cannot receive signals: {source}"))]
+    Signal {
+        /// Error of the operating system.
+        source: std::io::Error,
+    },
+}
+
+/// Result of the daemon's functions.
+pub type Result<T> = std::result::Result<T, DaemonError>;
