Check every setting and report all errors at once

A settings file stopped at its first error and named three values only. The file is now checked against one list of keys, units, ranges and defaults, and the report names every wrong value. docs/settings.md repeats the list; a test compares the page with the code.

--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -3,6 +3,8 @@
 
 use snafu::Snafu;
 
+use crate::settings::SettingProblem;
+
 /// Reason why the entry instance cannot run.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -23,6 +25,19 @@
         /// Error of the parser, with line and column.
         source: toml::de::Error,
     },
+    /// The settings file has values that are not allowed.
+    #[snafu(display(
+        "settings file {} has {} errors:{}",
+        path.display(),
+        problems.len(),
+        list(problems)
+    ))]
+    InvalidSettings {
+        /// Path of the file.
+        path: PathBuf,
+        /// All errors of the file.
+        problems: Vec<SettingProblem>,
+    },
     /// The listening address cannot be bound.
     #[snafu(display("cannot listen on {address}: {source}"))]
     Listen {
@@ -41,3 +56,10 @@
 
 /// Result of the daemon's functions.
 pub type Result<T> = std::result::Result<T, DaemonError>;
+
+fn list(problems: &[SettingProblem]) -> String {
+    problems
+        .iter()
+        .map(|problem| format!("\n  {problem}"))
+        .collect()
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,4 +12,7 @@
 
 pub use entry::EntryInstance;
 pub use error::{DaemonError, Result};
-pub use settings::DaemonSettings;
+pub use settings::{
+    DaemonSettings, LogFormat, LogLevel, PlanWeights, SETTINGS, SettingDefault, SettingKind,
+    SettingProblem, SettingSpec,
+};
--- /dev/null
+++ b/crates/daemon/src/settings/daemon_settings.rs
@@ -0,0 +1,264 @@
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, hex::Hex, serde_as, skip_serializing_none};
+use sesamedeal_core::ids::ZoneName;
+use snafu::ResultExt;
+use toml::Table;
+
+use super::setting_check::check;
+use super::{LogFormat, LogLevel, PlanWeights};
+use crate::error::{InvalidSettingsSnafu, ParseSettingsSnafu, ReadSettingsSnafu, Result};
+
+/// Settings of an entry instance. [`crate::SETTINGS`] describes the keys of the file.
+#[serde_as]
+#[skip_serializing_none]
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DaemonSettings {
+    /// IP address and port for callers, operators and peers. Port 0 takes any free port.
+    pub listen: SocketAddr,
+    /// Availability zone of this entry instance.
+    pub zone: ZoneName,
+    /// IP address and port of the platform's service.
+    pub platform: SocketAddr,
+    /// IP address and port that the platform lists; the listening address if none.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
+    /// SHA-256 of the operators' key.
+    #[serde_as(as = "Option<Hex>")]
+    #[serde(default)]
+    pub operator_key_sha256: Option<[u8; 32]>,
+    /// Least severe log records that are written.
+    #[serde(default = "defaults::log_level")]
+    pub log_level: LogLevel,
+    /// Form of the log records.
+    #[serde(default = "defaults::log_format")]
+    pub log_format: LogFormat,
+    /// Longest time by which the platform's list of instances lags.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "list_lag_ms", default = "defaults::list_lag")]
+    pub list_lag: Duration,
+    /// Longest time that a task may run on a worker.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "task_lease_ms", default = "defaults::task_lease")]
+    pub task_lease: Duration,
+    /// Allowance for clock differences between machines.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "clock_margin_ms", default = "defaults::clock_margin")]
+    pub clock_margin: Duration,
+    /// Time within which a graceful shutdown ends.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(
+        rename = "shutdown_deadline_ms",
+        default = "defaults::shutdown_deadline"
+    )]
+    pub shutdown_deadline: Duration,
+    /// Least time between two writes of the own session row.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "heartbeat_ms", default = "defaults::heartbeat")]
+    pub heartbeat: Duration,
+    /// Time after which the session row is written even when nothing changed.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "idle_heartbeat_ms", default = "defaults::idle_heartbeat")]
+    pub idle_heartbeat: Duration,
+    /// Time between two reads of the head of the change log.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "head_period_ms", default = "defaults::head_period")]
+    pub head_period: Duration,
+    /// Time between two exchanges with peers.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "exchange_period_ms", default = "defaults::exchange_period")]
+    pub exchange_period: Duration,
+    /// Deadline of one exchange with a peer.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "peer_deadline_ms", default = "defaults::peer_deadline")]
+    pub peer_deadline: Duration,
+    /// Deadline of one call to the platform.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "store_deadline_ms", default = "defaults::store_deadline")]
+    pub store_deadline: Duration,
+    /// Age up to which evidence of the head shows that the state is current.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "evidence_ms", default = "defaults::evidence")]
+    pub evidence: Duration,
+    /// Gap between timer ticks above which the process counts as paused.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "pause_ms", default = "defaults::pause")]
+    pub pause: Duration,
+    /// Time between two steps of the controller.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(
+        rename = "controller_period_ms",
+        default = "defaults::controller_period"
+    )]
+    pub controller_period: Duration,
+    /// Time without renewal after which the controller's lease is taken over.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(
+        rename = "controller_takeover_ms",
+        default = "defaults::controller_takeover"
+    )]
+    pub controller_takeover: Duration,
+    /// Deadline of a request that names none.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "caller_deadline_ms", default = "defaults::caller_deadline")]
+    pub caller_deadline: Duration,
+    /// Time within which urgent work should start.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "urgent_start_ms", default = "defaults::urgent_start")]
+    pub urgent_start: Duration,
+    /// Half-life of the usage that shares are computed from.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "share_half_life_ms", default = "defaults::share_half_life")]
+    pub share_half_life: Duration,
+    /// Slot time by which a newly backlogged team may be ahead.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "share_credit_ms", default = "defaults::share_credit")]
+    pub share_credit: Duration,
+    /// Time after which an idle borrowed unit is returned.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "unit_return_ms", default = "defaults::unit_return")]
+    pub unit_return: Duration,
+    /// Most jobs queued per pool and team.
+    #[serde(default = "defaults::max_queued")]
+    pub max_queued: usize,
+    /// Retries allowed, in percent of the requests.
+    #[serde(default = "defaults::retry_budget_percent")]
+    pub retry_budget_percent: u32,
+    /// Retries allowed in addition to the share.
+    #[serde(default = "defaults::retry_budget_floor")]
+    pub retry_budget_floor: u32,
+    /// Generations between two snapshots of the state.
+    #[serde(default = "defaults::snapshot_generations")]
+    pub snapshot_generations: u64,
+    /// Weight of a move of an instance between pools.
+    #[serde(default = "defaults::plan_moves_weight")]
+    pub plan_moves_weight: f64,
+    /// Weight of the time until a sheet is in force.
+    #[serde(default = "defaults::plan_rollout_weight")]
+    pub plan_rollout_weight: f64,
+    /// Weight of an instance-hour in the spare pool or out of service.
+    #[serde(default = "defaults::plan_buffer_weight")]
+    pub plan_buffer_weight: f64,
+    /// Weight of the distance between usage and share.
+    #[serde(default = "defaults::plan_fairness_weight")]
+    pub plan_fairness_weight: f64,
+}
+
+impl DaemonSettings {
+    /// Creates settings with the defaults.
+    #[must_use]
+    pub const fn new(listen: SocketAddr, zone: ZoneName, platform: SocketAddr) -> Self {
+        Self {
+            listen,
+            zone,
+            platform,
+            advertise: None,
+            operator_key_sha256: None,
+            log_level: defaults::log_level(),
+            log_format: defaults::log_format(),
+            list_lag: defaults::list_lag(),
+            task_lease: defaults::task_lease(),
+            clock_margin: defaults::clock_margin(),
+            shutdown_deadline: defaults::shutdown_deadline(),
+            heartbeat: defaults::heartbeat(),
+            idle_heartbeat: defaults::idle_heartbeat(),
+            head_period: defaults::head_period(),
+            exchange_period: defaults::exchange_period(),
+            peer_deadline: defaults::peer_deadline(),
+            store_deadline: defaults::store_deadline(),
+            evidence: defaults::evidence(),
+            pause: defaults::pause(),
+            controller_period: defaults::controller_period(),
+            controller_takeover: defaults::controller_takeover(),
+            caller_deadline: defaults::caller_deadline(),
+            urgent_start: defaults::urgent_start(),
+            share_half_life: defaults::share_half_life(),
+            share_credit: defaults::share_credit(),
+            unit_return: defaults::unit_return(),
+            max_queued: defaults::max_queued(),
+            retry_budget_percent: defaults::retry_budget_percent(),
+            retry_budget_floor: defaults::retry_budget_floor(),
+            snapshot_generations: defaults::snapshot_generations(),
+            plan_moves_weight: defaults::plan_moves_weight(),
+            plan_rollout_weight: defaults::plan_rollout_weight(),
+            plan_buffer_weight: defaults::plan_buffer_weight(),
+            plan_fairness_weight: defaults::plan_fairness_weight(),
+        }
+    }
+
+    /// Loads settings from a TOML file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read or is no TOML, or with all values that are not allowed.
+    pub fn load(path: &Path) -> Result<Self> {
+        let text = std::fs::read_to_string(path).context(ReadSettingsSnafu { path })?;
+        let table: Table = toml::from_str(&text).context(ParseSettingsSnafu { path })?;
+        let problems = check(&table);
+        if !problems.is_empty() {
+            return InvalidSettingsSnafu { path, problems }.fail();
+        }
+        table.try_into().context(ParseSettingsSnafu { path })
+    }
+
+    /// Weights of the plan's measures.
+    #[must_use]
+    pub const fn plan_weights(&self) -> PlanWeights {
+        PlanWeights {
+            moves: self.plan_moves_weight,
+            rollout: self.plan_rollout_weight,
+            buffer: self.plan_buffer_weight,
+            fairness: self.plan_fairness_weight,
+        }
+    }
+}
+
+mod defaults {
+    use std::time::Duration;
+
+    use super::{LogFormat, LogLevel};
+
+    macro_rules! defaults {
+        ($($name:ident: $kind:ty = $value:expr;)*) => {
+            $(pub(super) const fn $name() -> $kind {
+                $value
+            })*
+        };
+    }
+
+    defaults! {
+        log_level: LogLevel = LogLevel::Info;
+        log_format: LogFormat = LogFormat::Text;
+        list_lag: Duration = Duration::from_millis(10_000);
+        task_lease: Duration = Duration::from_millis(10_000);
+        clock_margin: Duration = Duration::from_millis(500);
+        shutdown_deadline: Duration = Duration::from_millis(30_000);
+        heartbeat: Duration = Duration::from_millis(2_000);
+        idle_heartbeat: Duration = Duration::from_millis(10_000);
+        head_period: Duration = Duration::from_millis(1_000);
+        exchange_period: Duration = Duration::from_millis(500);
+        peer_deadline: Duration = Duration::from_millis(500);
+        store_deadline: Duration = Duration::from_millis(1_000);
+        evidence: Duration = Duration::from_millis(2_500);
+        pause: Duration = Duration::from_millis(1_000);
+        controller_period: Duration = Duration::from_millis(1_000);
+        controller_takeover: Duration = Duration::from_millis(5_000);
+        caller_deadline: Duration = Duration::from_millis(30_000);
+        urgent_start: Duration = Duration::from_millis(7_300);
+        share_half_life: Duration = Duration::from_millis(10_000);
+        share_credit: Duration = Duration::from_millis(1_000);
+        unit_return: Duration = Duration::from_millis(2_000);
+        max_queued: usize = 1_000;
+        retry_budget_percent: u32 = 10;
+        retry_budget_floor: u32 = 10;
+        snapshot_generations: u64 = 256;
+        plan_moves_weight: f64 = 1.0;
+        plan_rollout_weight: f64 = 1.0;
+        plan_buffer_weight: f64 = 1.0;
+        plan_fairness_weight: f64 = 1.0;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/setting_list.rs
@@ -0,0 +1,279 @@
+use super::SettingDefault::{Absent, Required, Value};
+use super::SettingKind::{Address, Choice, Hash, Name, Number, Whole};
+use super::{SettingDefault, SettingKind, SettingSpec};
+
+const fn spec(
+    key: &'static str,
+    unit: &'static str,
+    kind: SettingKind,
+    default: SettingDefault,
+    meaning: &'static str,
+) -> SettingSpec {
+    SettingSpec {
+        key,
+        unit,
+        kind,
+        default,
+        meaning,
+    }
+}
+
+const fn millis(
+    key: &'static str,
+    min: i64,
+    max: i64,
+    default: &'static str,
+    meaning: &'static str,
+) -> SettingSpec {
+    spec(key, "ms", Whole { min, max }, Value(default), meaning)
+}
+
+const fn weight(key: &'static str, meaning: &'static str) -> SettingSpec {
+    let kind = Number {
+        min: 0.0,
+        max: 1000.0,
+    };
+    spec(key, "", kind, Value("1.0"), meaning)
+}
+
+const LEVELS: &[&str] = &["error", "warning", "info", "debug"];
+const FORMATS: &[&str] = &["text", "json"];
+
+/// All settings, in the order of the page `docs/settings.md`.
+pub const SETTINGS: &[SettingSpec] = &[
+    spec(
+        "listen",
+        "",
+        Address,
+        Required,
+        "Address for callers, operators and peers. Port 0 takes any free port.",
+    ),
+    spec(
+        "zone",
+        "",
+        Name,
+        Required,
+        "Availability zone of this entry instance.",
+    ),
+    spec(
+        "platform",
+        "",
+        Address,
+        Required,
+        "Address of the platform's service.",
+    ),
+    spec(
+        "advertise",
+        "",
+        Address,
+        Absent,
+        "Address under which the platform and the peers know this entry instance. Without it, the listening address.",
+    ),
+    spec(
+        "operator_key_sha256",
+        "",
+        Hash,
+        Absent,
+        "SHA-256 of the operators' key. Without it, operator calls are accepted from loopback addresses only.",
+    ),
+    spec(
+        "log_level",
+        "",
+        Choice(LEVELS),
+        Value("\"info\""),
+        "Least severe log records that are written.",
+    ),
+    spec(
+        "log_format",
+        "",
+        Choice(FORMATS),
+        Value("\"text\""),
+        "Form of the log records on standard error.",
+    ),
+    millis(
+        "list_lag_ms",
+        100,
+        600_000,
+        "10000",
+        "Longest time by which the platform's list of instances lags.",
+    ),
+    millis(
+        "task_lease_ms",
+        100,
+        3_600_000,
+        "10000",
+        "Longest time that a task may run on a worker.",
+    ),
+    millis(
+        "clock_margin_ms",
+        0,
+        60_000,
+        "500",
+        "Allowance for clock differences between machines.",
+    ),
+    millis(
+        "shutdown_deadline_ms",
+        100,
+        3_600_000,
+        "30000",
+        "Time within which a graceful shutdown ends.",
+    ),
+    millis(
+        "heartbeat_ms",
+        100,
+        60_000,
+        "2000",
+        "Least time between two writes of the own session row.",
+    ),
+    millis(
+        "idle_heartbeat_ms",
+        100,
+        600_000,
+        "10000",
+        "Time after which the own session row is written even when nothing changed.",
+    ),
+    millis(
+        "head_period_ms",
+        50,
+        60_000,
+        "1000",
+        "Time between two reads of the head of the change log.",
+    ),
+    millis(
+        "exchange_period_ms",
+        50,
+        60_000,
+        "500",
+        "Time between two exchanges with peers.",
+    ),
+    millis(
+        "peer_deadline_ms",
+        10,
+        60_000,
+        "500",
+        "Deadline of one exchange with a peer.",
+    ),
+    millis(
+        "store_deadline_ms",
+        10,
+        60_000,
+        "1000",
+        "Deadline of one call to the platform.",
+    ),
+    millis(
+        "evidence_ms",
+        100,
+        60_000,
+        "2500",
+        "Age up to which evidence of the head shows that the state is current.",
+    ),
+    millis(
+        "pause_ms",
+        100,
+        60_000,
+        "1000",
+        "Gap between timer ticks above which the process counts as paused.",
+    ),
+    millis(
+        "controller_period_ms",
+        50,
+        60_000,
+        "1000",
+        "Time between two steps of the controller.",
+    ),
+    millis(
+        "controller_takeover_ms",
+        200,
+        600_000,
+        "5000",
+        "Time without renewal after which the controller's lease is taken over.",
+    ),
+    millis(
+        "caller_deadline_ms",
+        1,
+        3_600_000,
+        "30000",
+        "Deadline of a request that names none.",
+    ),
+    millis(
+        "urgent_start_ms",
+        1,
+        600_000,
+        "7300",
+        "Time within which urgent work should start.",
+    ),
+    millis(
+        "share_half_life_ms",
+        100,
+        600_000,
+        "10000",
+        "Half-life of the usage that shares are computed from.",
+    ),
+    millis(
+        "share_credit_ms",
+        0,
+        600_000,
+        "1000",
+        "Slot time by which a newly backlogged team may be ahead, per unit of weight fraction.",
+    ),
+    millis(
+        "unit_return_ms",
+        100,
+        600_000,
+        "2000",
+        "Time after which an idle borrowed unit is returned.",
+    ),
+    spec(
+        "max_queued",
+        "jobs",
+        Whole {
+            min: 1,
+            max: 1_000_000,
+        },
+        Value("1000"),
+        "Most jobs queued per pool and team.",
+    ),
+    spec(
+        "retry_budget_percent",
+        "%",
+        Whole { min: 0, max: 100 },
+        Value("10"),
+        "Retries allowed, as a share of the requests.",
+    ),
+    spec(
+        "retry_budget_floor",
+        "retries",
+        Whole {
+            min: 0,
+            max: 10_000,
+        },
+        Value("10"),
+        "Retries allowed in addition to the share.",
+    ),
+    spec(
+        "snapshot_generations",
+        "generations",
+        Whole {
+            min: 1,
+            max: 100_000,
+        },
+        Value("256"),
+        "Generations between two snapshots of the state.",
+    ),
+    weight(
+        "plan_moves_weight",
+        "Weight of a move of an instance between pools.",
+    ),
+    weight(
+        "plan_rollout_weight",
+        "Weight of the time until a sheet is in force.",
+    ),
+    weight(
+        "plan_buffer_weight",
+        "Weight of an instance-hour in the spare pool or out of service.",
+    ),
+    weight(
+        "plan_fairness_weight",
+        "Weight of the distance between each team's usage and its share.",
+    ),
+];
