--- /dev/null
+++ b/crates/wire/src/admin/mod.rs
@@ -0,0 +1,11 @@
+//! Messages of the operators' interface (`/status` and `/admin`), in JSON.
+
+mod append_messages;
+mod history_reply;
+mod in_force_reply;
+mod status_reply;
+
+pub use append_messages::{AppendReply, AppendRequest};
+pub use history_reply::HistoryReply;
+pub use in_force_reply::InForceReply;
+pub use status_reply::{InstanceStatus, PoolStatus, SessionStatus, StatusReply};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,4 +1,5 @@
 //! Headers and message encoding shared by sesamedeal's processes.
 
+pub mod admin;
 pub mod codec;
 pub mod header;
