--- a/crates/core/src/fleet/fleet_change.rs
+++ b/crates/core/src/fleet/fleet_change.rs
@@ -1,9 +1,11 @@
+use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
 use super::{
-    InstanceRecord, InstanceState, KeyRecord, PoolRecord, QueueRecord, SessionView, TeamRecord,
+    DayTime, InstanceRecord, InstanceState, KeyRecord, MemberStep, PoolRecord, QueueRecord,
+    SessionView, SheetRow, TeamRecord,
 };
-use crate::ids::{InstanceName, KeyId, PoolName, QueueName, TeamName};
+use crate::ids::{InstanceName, KeyId, PoolName, QueueName, TeamName, WaveName};
 
 /// A change of the agreed state.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,7 +18,12 @@
         /// New settings.
         pool: PoolRecord,
     },
-    /// Removes a pool without instances.
+    /// Sets the size of a pool to zero and marks it for removal once it has no instances.
+    ClosePool {
+        /// Name of the pool.
+        name: PoolName,
+    },
+    /// Removes a pool without instances and queues.
     RemovePool {
         /// Name of the pool.
         name: PoolName,
@@ -57,7 +64,7 @@
         /// Identifier of the key.
         id: KeyId,
     },
-    /// Registers an instance or replaces its description.
+    /// Registers an instance, or replaces the description of one whose pool and state are equal.
     PutInstance {
         /// Platform name of the instance.
         name: InstanceName,
@@ -78,7 +85,14 @@
         /// Its new pool.
         pool: PoolName,
     },
-    /// Removes an instance that the platform no longer lists.
+    /// Records that an instance was maintained.
+    MarkMaintained {
+        /// Platform name of the instance.
+        name: InstanceName,
+        /// Days since 1970-01-01.
+        day: u32,
+    },
+    /// Removes a failed instance that the platform no longer lists.
     RemoveInstance {
         /// Platform name of the instance.
         name: InstanceName,
@@ -88,4 +102,56 @@
         /// The new view.
         view: SessionView,
     },
+    /// Puts a sheet in force. The changes that hold at this time are in the same record.
+    PutSheet {
+        /// Rows of the whole day.
+        rows: Vec<SheetRow>,
+        /// Time up to which the rows are applied.
+        applied: DayTime,
+    },
+    /// Records that the rows of the sheet are applied up to a later time.
+    AdvanceSheet {
+        /// Time up to which the rows are applied.
+        to: DayTime,
+    },
+    /// Starts a maintenance wave.
+    StartWave {
+        /// Name of the wave.
+        wave: WaveName,
+        /// When it starts.
+        started: DayTime,
+        /// Instances to maintain.
+        members: Vec<InstanceName>,
+    },
+    /// Stops a wave from taking further instances.
+    HaltWave {
+        /// Name of the wave.
+        wave: WaveName,
+        /// Why it is halted.
+        reason: CompactString,
+    },
+    /// Lets a halted wave continue. Its failed members are skipped.
+    ResumeWave {
+        /// Name of the wave.
+        wave: WaveName,
+    },
+    /// Records the progress of one instance in a wave.
+    SetWaveMember {
+        /// Name of the wave.
+        wave: WaveName,
+        /// Platform name of the instance.
+        name: InstanceName,
+        /// Its progress.
+        step: MemberStep,
+    },
+    /// Marks a wave without pending, working or failed members as finished.
+    FinishWave {
+        /// Name of the wave.
+        wave: WaveName,
+    },
+    /// Removes a wave without working members.
+    RemoveWave {
+        /// Name of the wave.
+        wave: WaveName,
+    },
 }
--- a/crates/core/src/fleet/instance_record.rs
+++ b/crates/core/src/fleet/instance_record.rs
@@ -2,7 +2,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::InstanceState;
-use crate::ids::{ImageName, PoolName, RackName, ZoneName};
+use crate::ids::{Generation, ImageName, PoolName, RackName, ZoneName};
 
 /// Description of an instance and its place in the fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,4 +27,10 @@
     pub slots: u32,
     /// Boot identifier that the platform last reported.
     pub boot: u64,
+    /// Generation in which pool or state last changed. Set when a record is applied.
+    #[serde(default)]
+    pub since: Generation,
+    /// Day of the last maintenance, in days since 1970-01-01; the day of registration before that.
+    #[serde(default)]
+    pub maintained: u32,
 }
--- a/crates/core/src/fleet/instance_state.rs
+++ b/crates/core/src/fleet/instance_state.rs
@@ -29,4 +29,43 @@
     pub const fn is_active(&self) -> bool {
         matches!(self, Self::Active)
     }
+
+    /// Whether a change from this state to `next` is a planned action, which the availability
+    /// budget must allow.
+    #[must_use]
+    pub const fn is_planned(&self, next: &Self) -> bool {
+        self.is_active()
+            && matches!(
+                next,
+                Self::Draining | Self::Quarantined | Self::Moving { .. }
+            )
+    }
+
+    /// Whether the state may change to `next`.
+    ///
+    /// `Draining` and `Moving` may be given up. A move ends with `FleetChange::AssignInstance`.
+    #[must_use]
+    pub const fn can_become(&self, next: &Self) -> bool {
+        match (self, next) {
+            (Self::Active, Self::Draining | Self::Quarantined | Self::Moving { .. })
+            | (Self::Draining, Self::Rebooting)
+            | (Self::Quarantined, Self::Draining) => true,
+            (Self::Active, Self::Active) | (Self::Failed, Self::Failed) => false,
+            (_, Self::Active | Self::Failed) => true,
+            _ => false,
+        }
+    }
+
+    /// Lower-case name of the state.
+    #[must_use]
+    pub const fn label(&self) -> &'static str {
+        match self {
+            Self::Active => "active",
+            Self::Draining => "draining",
+            Self::Rebooting => "rebooting",
+            Self::Quarantined => "quarantined",
+            Self::Failed => "failed",
+            Self::Moving { .. } => "moving",
+        }
+    }
 }
--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -7,7 +7,8 @@
 
 pub use generation::Generation;
 pub use names::{
-    ImageName, InstanceName, KeyId, PoolName, QueueName, RackName, RequestId, TeamName, ZoneName,
+    ImageName, InstanceName, KeyId, PoolName, QueueName, RackName, RequestId, TeamName, WaveName,
+    ZoneName,
 };
 pub use operation_id::OperationId;
 pub use session_id::SessionId;
--- a/crates/core/src/ids/names.rs
+++ b/crates/core/src/ids/names.rs
@@ -69,6 +69,10 @@
     /// Name of the machine image that an instance runs.
     ImageName
 );
+text_name!(
+    /// Name of a maintenance wave.
+    WaveName
+);
 text_name!(
     /// Public part of a team key. It is used once and never granted again.
     KeyId
