Add types and interfaces of sessions, lease, control, keys, claims and evidence

Cause: the daemon and the command line build on these types. Change: session rows and the platform's list with the view and the settled rule, the lease candidate, key minting and verification, claims with the claimant's steps, the evidence rule with pause detection, and the input and result of the controller's step. The controller's step only follows sessions so far.

--- /dev/null
+++ b/crates/core/src/claims/mod.rs
@@ -0,0 +1,11 @@
+//! At-most-once execution of requests that must not be repeated.
+
+mod claim_decision;
+mod claim_holder;
+mod claim_record;
+
+pub use claim_decision::{ClaimDecision, SessionPresence, decide_claim};
+pub use claim_holder::{ClaimHolder, ClaimStep, ClaimWrite, WriteOutcome};
+pub use claim_record::{
+    ClaimRecord, ClaimState, RecordedResponse, ResponseBody, request_fingerprint,
+};
--- /dev/null
+++ b/crates/core/src/lease/lease_record.rs
@@ -0,0 +1,14 @@
+use serde::{Deserialize, Serialize};
+
+use crate::ids::SessionId;
+
+/// Row `lease/controller` of the table service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRecord {
+    /// Session that holds the lease.
+    pub holder: SessionId,
+    /// Number of times that the lease changed hands.
+    pub epoch: u64,
+    /// Number of renewals in this epoch.
+    pub renewals: u64,
+}
--- /dev/null
+++ b/crates/core/src/lease/mod.rs
@@ -0,0 +1,7 @@
+//! Lease of the controller: which process may write planned changes.
+
+mod lease_candidate;
+mod lease_record;
+
+pub use lease_candidate::{LeaseAction, LeaseCandidate, LeasePolicy};
+pub use lease_record::LeaseRecord;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,9 +3,15 @@
 //! The library does no I/O and has no clock. Time ([`time::TimePoint`]) and random numbers are
 //! arguments, so that a caller can run every decision on a virtual clock with a fixed seed.
 
+pub mod claims;
 pub mod code;
+pub mod control;
+pub mod evidence;
 pub mod exchange;
 pub mod fleet;
 pub mod ids;
+pub mod keys;
+pub mod lease;
+pub mod membership;
 pub mod scheduler;
 pub mod time;
--- /dev/null
+++ b/crates/core/src/membership/session_tracker.rs
@@ -0,0 +1,235 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::{EntryRole, ListedInstance, SessionRecord, SessionState};
+use crate::fleet::SessionView;
+use crate::ids::{Generation, InstanceName, SessionId};
+use crate::time::TimePoint;
+
+/// Bounds by which the absence of a session is judged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MembershipPolicy {
+    /// Longest time by which the platform's list lags behind.
+    pub list_lag: Duration,
+    /// Longest time that a task may run on a worker.
+    pub task_lease: Duration,
+    /// Allowance for clock differences between machines.
+    pub clock_margin: Duration,
+}
+
+impl MembershipPolicy {
+    /// Creates the default policy: 10 s, 10 s and 500 ms.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            list_lag: Duration::from_secs(10),
+            task_lease: Duration::from_secs(10),
+            clock_margin: Duration::from_millis(500),
+        }
+    }
+
+    /// Absence after which nothing that a session started can still be running.
+    #[must_use]
+    pub fn stopped_after(&self) -> Duration {
+        self.list_lag + self.task_lease + self.clock_margin
+    }
+}
+
+impl Default for MembershipPolicy {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Highest settled generation and what keeps it from being higher.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SettledReport {
+    /// The generation.
+    pub settled: Generation,
+    /// Sessions whose quiesced generation is below the current one.
+    pub outstanding: Vec<SessionId>,
+    /// Listed entry instances without a session row.
+    pub unknown: Vec<InstanceName>,
+}
+
+#[derive(Debug)]
+struct SessionTrack {
+    renewals: u64,
+    renewed_at: TimePoint,
+    has_renewed: bool,
+    absent_since: Option<TimePoint>,
+    is_listed: bool,
+}
+
+/// Follows session rows and the platform's list on the controller's own clock.
+///
+/// A new controller creates a new tracker and thereby starts to count absences again.
+#[derive(Debug)]
+pub struct SessionTracker {
+    policy: MembershipPolicy,
+    tracks: BTreeMap<SessionId, SessionTrack>,
+}
+
+impl SessionTracker {
+    /// Creates a tracker that has seen nothing.
+    #[must_use]
+    pub const fn new(policy: MembershipPolicy) -> Self {
+        Self {
+            policy,
+            tracks: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in the rows and the list as read at `now`.
+    pub fn observe(&mut self, sessions: &[SessionRecord], list: &[ListedInstance], now: TimePoint) {
+        let known: BTreeSet<SessionId> = sessions.iter().map(|record| record.session).collect();
+        self.tracks.retain(|session, _| known.contains(session));
+        let listed: BTreeSet<&InstanceName> = entries(list).map(|entry| &entry.name).collect();
+        for record in sessions {
+            self.note_renewal(record, now);
+        }
+        for record in sessions {
+            let is_listed = listed.contains(&record.instance);
+            let is_absent = !is_listed || self.is_superseded(record, sessions);
+            if let Some(track) = self.tracks.get_mut(&record.session) {
+                track.is_listed = !is_absent;
+                track.absent_since = if is_absent {
+                    track.absent_since.or(Some(now))
+                } else {
+                    None
+                };
+            }
+        }
+    }
+
+    fn note_renewal(&mut self, record: &SessionRecord, now: TimePoint) {
+        let track = self
+            .tracks
+            .entry(record.session)
+            .or_insert_with(|| SessionTrack {
+                renewals: record.renewals,
+                renewed_at: now,
+                has_renewed: false,
+                absent_since: None,
+                is_listed: false,
+            });
+        if track.renewals != record.renewals {
+            track.renewals = record.renewals;
+            track.renewed_at = now;
+            track.has_renewed = true;
+        }
+    }
+
+    /// Whether another session at the same address was renewed after this one last was.
+    ///
+    /// Two processes cannot listen at one address, so the older session's process has ended or
+    /// has lost its address.
+    fn is_superseded(&self, record: &SessionRecord, sessions: &[SessionRecord]) -> bool {
+        let Some(own) = self.tracks.get(&record.session) else {
+            return false;
+        };
+        sessions
+            .iter()
+            .filter(|other| {
+                other.session != record.session
+                    && other.address == record.address
+                    && other.state == SessionState::Active
+            })
+            .filter_map(|other| self.tracks.get(&other.session))
+            .any(|other| other.has_renewed && other.renewed_at > own.renewed_at)
+    }
+
+    /// Time for which the session has been absent, if it is.
+    #[must_use]
+    pub fn absence(&self, session: SessionId, now: TimePoint) -> Option<Duration> {
+        let since = self.tracks.get(&session)?.absent_since?;
+        Some(now.since(since))
+    }
+
+    /// Whether nothing that the session started can still be running.
+    #[must_use]
+    pub fn is_stopped(&self, session: SessionId, now: TimePoint) -> bool {
+        self.absence(session, now)
+            .is_some_and(|absence| absence > self.policy.stopped_after())
+    }
+
+    /// View that follows from the rows and the list.
+    ///
+    /// A session that is not in the current view is added only when it is listed or was seen to
+    /// renew its row, so that a new controller does not add the sessions of dead processes.
+    #[must_use]
+    pub fn view(
+        &self,
+        current: &SessionView,
+        sessions: &[SessionRecord],
+        now: TimePoint,
+    ) -> SessionView {
+        let members = sessions.iter().filter(|record| {
+            let Some(track) = self.tracks.get(&record.session) else {
+                return false;
+            };
+            let is_gone = self
+                .absence(record.session, now)
+                .is_some_and(|absence| absence > self.policy.list_lag);
+            match record.state {
+                SessionState::Left => false,
+                SessionState::Leaving => !is_gone && current.contains(record.session),
+                SessionState::Active => {
+                    !is_gone
+                        && (current.contains(record.session)
+                            || track.is_listed
+                            || track.has_renewed)
+                }
+            }
+        });
+        SessionView::new(members.map(|record| record.session).collect())
+    }
+
+    /// Highest generation up to `current` that every entry instance has quiesced.
+    ///
+    /// A session that has left the view still counts until it has left or is known to have
+    /// stopped. A session of the view without a row, and a listed entry instance without any
+    /// session, block: what they act under is not known.
+    #[must_use]
+    pub fn settled(
+        &self,
+        current: Generation,
+        view: &SessionView,
+        sessions: &[SessionRecord],
+        list: &[ListedInstance],
+        now: TimePoint,
+    ) -> SettledReport {
+        let mut report = SettledReport {
+            settled: current,
+            ..SettledReport::default()
+        };
+        for record in sessions {
+            let is_over =
+                record.state == SessionState::Left || self.is_stopped(record.session, now);
+            if !is_over && record.quiesced < current {
+                report.settled = report.settled.min(record.quiesced);
+                report.outstanding.push(record.session);
+            }
+        }
+        let known: BTreeSet<SessionId> = sessions.iter().map(|record| record.session).collect();
+        for &session in &view.sessions {
+            if !known.contains(&session) {
+                report.settled = Generation::ZERO;
+                report.outstanding.push(session);
+            }
+        }
+        let named: BTreeSet<&InstanceName> =
+            sessions.iter().map(|record| &record.instance).collect();
+        for entry in entries(list) {
+            if !named.contains(&entry.name) {
+                report.settled = Generation::ZERO;
+                report.unknown.push(entry.name.clone());
+            }
+        }
+        report
+    }
+}
+
+fn entries(list: &[ListedInstance]) -> impl Iterator<Item = &ListedInstance> {
+    list.iter().filter(|entry| entry.role == EntryRole::Entry)
+}
