--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -1,10 +1,20 @@
 //! Arguments of the command line.
 
+mod config_args;
 mod dev_args;
+mod fleet_args;
+mod key_args;
+mod operator_args;
 mod submit_args;
 
+use std::net::SocketAddr;
+
 use argh::FromArgs;
+pub(crate) use config_args::{ConfigArgs, ConfigCommand, LimitArgs, LimitCommand};
 pub(crate) use dev_args::{DevArgs, DevCommand};
+pub(crate) use fleet_args::{InstanceArgs, InstanceCommand, PoolArgs, PoolCommand, StatusArgs};
+pub(crate) use key_args::{KeyArgs, KeyCommand, KeyGrantArgs, KeyWithdrawArgs};
+pub(crate) use operator_args::OperatorArgs;
 pub(crate) use submit_args::SubmitArgs;
 
 /// Fleet capacity and maintenance manager: commands for operators and callers.
@@ -18,11 +28,17 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 pub(crate) enum SesameCommand {
-    Submit(SubmitArgs),
+    Config(ConfigArgs),
     Dev(DevArgs),
+    Instance(InstanceArgs),
+    Key(KeyArgs),
+    Limit(LimitArgs),
+    Pool(PoolArgs),
+    Status(StatusArgs),
+    Submit(SubmitArgs),
 }
 
 /// Address that an entry instance listens on by default.
-pub(crate) fn default_entry() -> std::net::SocketAddr {
-    std::net::SocketAddr::from(([127, 0, 0, 1], 8080))
+pub(crate) fn default_entry() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 8080))
 }
--- /dev/null
+++ b/crates/cli/src/commands/in_force.rs
@@ -0,0 +1,35 @@
+use serde::Serialize;
+use sesamedeal_core::ids::Generation;
+
+use crate::error::Result;
+use crate::operator_client::OperatorClient;
+use crate::output::print_json;
+
+#[derive(Debug, Serialize)]
+struct InForceResult {
+    generation: Generation,
+    in_force: bool,
+}
+
+/// Waits until a change is in force at every entry instance and says so.
+pub(crate) async fn report_in_force(
+    client: &OperatorClient,
+    generation: Generation,
+    json: bool,
+) -> Result<()> {
+    eprintln!("accepted as generation {generation}");
+    client
+        .wait_in_force(generation, |reply| {
+            eprintln!("waiting for {}", reply.outstanding.join(", "));
+        })
+        .await?;
+    if json {
+        print_json(&InForceResult {
+            generation,
+            in_force: true,
+        });
+    } else {
+        println!("generation {generation} is in force on every entry instance");
+    }
+    Ok(())
+}
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -1,7 +1,20 @@
 //! The commands, one file each.
 
+mod config;
 mod dev;
+mod in_force;
+mod instance;
+mod key;
+mod limit;
+mod pool;
+mod status;
 mod submit;
 
+pub(crate) use config::config;
 pub(crate) use dev::dev;
+pub(crate) use instance::instance;
+pub(crate) use key::key;
+pub(crate) use limit::limit;
+pub(crate) use pool::pool;
+pub(crate) use status::status;
 pub(crate) use submit::submit;
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,6 +4,8 @@
 mod commands;
 mod entry_client;
 mod error;
+mod operator_client;
+mod output;
 
 pub use args::SesameArgs;
 pub use error::{CliError, Result};
@@ -17,7 +19,13 @@
 /// Returns the reason why the command failed; [`CliError::exit_code`] gives the exit code.
 pub async fn run(args: SesameArgs) -> Result<()> {
     match args.command {
-        SesameCommand::Submit(args) => commands::submit(args).await,
+        SesameCommand::Config(args) => commands::config(args).await,
         SesameCommand::Dev(args) => commands::dev(args).await,
+        SesameCommand::Instance(args) => commands::instance(args).await,
+        SesameCommand::Key(args) => commands::key(args).await,
+        SesameCommand::Limit(args) => commands::limit(args).await,
+        SesameCommand::Pool(args) => commands::pool(args).await,
+        SesameCommand::Status(args) => commands::status(args).await,
+        SesameCommand::Submit(args) => commands::submit(args).await,
     }
 }
