Verify answers of backend servers, bound callers and claim keyed requests

Cause: the thin entry instance compared one header of an answer, pooled connections without a bound, let hyper answer malformed requests without a result code, and had no claims, metrics or logs. Change: own pool of http1 connections (at most 48 / (n + 1) idle per worker with n sessions) that are closed when an exchange is abandoned; request id and attempt id (session and attempt key) have to be echoed and the end of the answer has to be delimited; answers above 64 KB are streamed and broken off on an error; headers, bodies and slow callers are bounded, each with a code; callers that have gone are removed in batches and their attempts stopped until the end is confirmed; claims of keyed requests; counters, histograms and structured logs; graceful drain.

--- a/crates/daemon/src/dispatch/dispatch_actor.rs
+++ b/crates/daemon/src/dispatch/dispatch_actor.rs
@@ -1,104 +1,271 @@
+use std::time::Duration;
+
+use sesamedeal_core::code::ResultCode;
+use sesamedeal_core::evidence::PauseDetector;
+use sesamedeal_core::ids::SessionId;
 use sesamedeal_core::scheduler::{
-    FinishOutcome, JobKey, JobRefusal, JobScheduler, SchedulerAction,
+    AttemptKey, DispatchOrder, JobKey, JobRefusal, JobScheduler, SchedulerAction,
 };
+use sesamedeal_core::time::TimePoint;
+use slog::{Logger, warn};
 use slotmap::SecondaryMap;
 use tokio::sync::oneshot;
-use xtra::{Actor, Context, Handler};
+use tokio::time::Instant;
+use xtra::{Actor, Mailbox, WeakAddress};
 
-use super::dispatch_messages::{
-    ApplyState, CancelJob, DriveQueue, FinishAttempt, JobEvent, SubmitJob,
-};
-use crate::clock::ProcessClock;
+use super::attempt_ender::AttemptEnder;
+use super::dispatch_messages::{AttemptEnded, DispatchTicket, JobEvent, NextEvent};
+use super::{CancelList, EvidenceFlag};
+use crate::backend::{AttemptId, BackendClient};
+use crate::clock::{ProcessClock, unix_millis};
+use crate::metrics::RequestMetrics;
+
+/// Time after dispatch within which a backend server may start the attempt.
+const START_ALLOWANCE: Duration = Duration::from_secs(2);
+
+/// Delay after which a caller may come back when the evidence was not current.
+const STALE_RETRY: Duration = Duration::from_secs(1);
+
+/// Time between two searches for idle connections that backend servers have closed.
+const PRUNE_PERIOD: Duration = Duration::from_secs(10);
+
+/// What the dispatcher knows of a job beyond the scheduler.
+#[derive(Debug)]
+pub(super) struct JobEntry {
+    pub needs_key: bool,
+    pub events: Option<oneshot::Sender<JobEvent>>,
+    /// An event that came before the job's submission was answered.
+    pub early: Option<JobEvent>,
+    pub attempt: Option<AttemptKey>,
+}
+
+/// What the dispatcher knows of an attempt that holds units.
+#[derive(Debug)]
+struct RunningEntry {
+    address: compact_str::CompactString,
+    starts_by: Instant,
+    ends_by: Instant,
+    is_ending: bool,
+}
+
+/// Things that the dispatcher shares with the rest of the request path.
+#[derive(Debug, Clone)]
+pub(crate) struct DispatchParts {
+    pub session: SessionId,
+    pub clock: ProcessClock,
+    pub backend: BackendClient,
+    pub cancels: CancelList,
+    pub evidence: EvidenceFlag,
+    pub metrics: RequestMetrics,
+    pub logger: Logger,
+    /// Allowance for clock differences between machines.
+    pub clock_margin: Duration,
+}
 
 /// Owns the scheduler of this entry instance.
 #[derive(Debug, Actor)]
 pub(crate) struct DispatchActor {
-    scheduler: JobScheduler,
-    clock: ProcessClock,
-    waiting: SecondaryMap<JobKey, oneshot::Sender<JobEvent>>,
+    pub(super) scheduler: JobScheduler,
+    pub(super) parts: DispatchParts,
+    pub(super) jobs: SecondaryMap<JobKey, JobEntry>,
+    running: SecondaryMap<AttemptKey, RunningEntry>,
+    /// Attempts in `running` that were given up.
+    ending: usize,
+    pause: PauseDetector,
+    pruned: TimePoint,
+    address: WeakAddress<Self>,
 }
 
 impl DispatchActor {
-    pub(crate) fn new(scheduler: JobScheduler, clock: ProcessClock) -> Self {
-        Self {
+    /// Starts the actor.
+    pub(crate) fn start(
+        scheduler: JobScheduler,
+        parts: DispatchParts,
+        mailbox_size: usize,
+    ) -> xtra::Address<Self> {
+        let (address, mailbox) = Mailbox::bounded(mailbox_size);
+        let actor = Self {
             scheduler,
-            clock,
-            waiting: SecondaryMap::new(),
-        }
+            parts,
+            jobs: SecondaryMap::new(),
+            running: SecondaryMap::new(),
+            ending: 0,
+            pause: PauseDetector::new(),
+            pruned: TimePoint::ORIGIN,
+            address: address.downgrade(),
+        };
+        tokio::spawn(xtra::run(mailbox, actor));
+        address
     }
 
-    fn drive(&mut self) {
-        let now = self.clock.now();
+    /// Carries out what the scheduler asks for. Nothing is dispatched between a pause of the
+    /// process and the renewal of the evidence.
+    pub(super) fn drive(&mut self) {
+        self.check_pause();
+        if !self.parts.evidence.allows_dispatch() {
+            return;
+        }
+        let now = self.parts.clock.now();
         while let Some(action) = self.scheduler.next_action(now) {
             match action {
-                SchedulerAction::Dispatch(order) => {
-                    self.notify(order.job, JobEvent::Dispatch(order));
-                }
+                SchedulerAction::Dispatch(order) => self.dispatch(order),
                 SchedulerAction::Refuse { job, refusal } => {
                     self.notify(job, JobEvent::Refuse(refusal));
                 }
-                SchedulerAction::Stop { .. } | SchedulerAction::Exchange { .. } => {}
+                SchedulerAction::Stop { attempt, .. } => self.confirm_end(attempt),
+                SchedulerAction::Exchange { .. } => {}
             }
         }
+        self.parts.metrics.set_running(self.scheduler.running());
+        let sent = self.running.len() - self.ending;
+        self.parts
+            .metrics
+            .set_queued(self.jobs.len().saturating_sub(sent));
     }
 
-    fn notify(&mut self, job: JobKey, event: JobEvent) {
-        if let Some(events) = self.waiting.remove(job) {
-            // A receiver that has gone cancels its job through its guard.
-            drop(events.send(event));
+    /// Takes note of a tick of the timer.
+    pub(super) fn tick(&mut self) {
+        self.check_pause();
+        let now = self.parts.clock.now();
+        self.pause.tick(now);
+        if now.since(self.pruned) > PRUNE_PERIOD {
+            self.pruned = now;
+            self.parts.backend.prune(|_| true);
         }
     }
-}
 
-impl Handler<SubmitJob> for DispatchActor {
-    type Return = Result<JobKey, JobRefusal>;
+    fn check_pause(&mut self) {
+        let now = self.parts.clock.now();
+        if self.pause.is_paused(now) {
+            self.pause.tick(now);
+            self.parts.evidence.note_pause(now);
+            warn!(
+                self.parts.logger,
+                "process was paused; dispatch waits for new evidence"
+            );
+        }
+    }
 
-    async fn handle(&mut self, message: SubmitJob, _: &mut Context<Self>) -> Self::Return {
-        let job = self.scheduler.submit(message.spec, self.clock.now())?;
-        self.waiting.insert(job, message.events);
-        self.drive();
-        Ok(job)
+    fn dispatch(&mut self, order: DispatchOrder) {
+        let now = Instant::now();
+        let job = order.job;
+        let needs_key = self.jobs.get(job).is_some_and(|entry| entry.needs_key);
+        if needs_key && !self.parts.evidence.allows_keyed(self.parts.clock.now()) {
+            self.withdraw(job, order.attempt);
+            let refusal = JobRefusal::new(ResultCode::StaleState).with_retry_after(STALE_RETRY);
+            self.notify(job, JobEvent::Refuse(refusal));
+            return;
+        }
+        let starts_by = now + START_ALLOWANCE + self.parts.clock_margin;
+        let entry = RunningEntry {
+            address: order.address.clone(),
+            starts_by,
+            ends_by: starts_by + order.lease,
+            is_ending: false,
+        };
+        let attempt = order.attempt;
+        let ticket = DispatchTicket {
+            start_by_ms: unix_millis() + millis(START_ALLOWANCE),
+            send_by: now + START_ALLOWANCE,
+            ends_by: entry.ends_by,
+            order,
+        };
+        self.running.insert(attempt, entry);
+        if let Some(job) = self.jobs.get_mut(job) {
+            job.attempt = Some(attempt);
+        }
+        if !self.notify(job, JobEvent::Dispatch(ticket)) {
+            self.withdraw(job, attempt);
+        }
     }
-}
 
-impl Handler<FinishAttempt> for DispatchActor {
-    type Return = FinishOutcome;
+    /// Takes back an attempt that was not sent.
+    fn withdraw(&mut self, job: JobKey, attempt: AttemptKey) {
+        let now = self.parts.clock.now();
+        self.forget(attempt);
+        self.scheduler.cancel(job, now);
+        self.scheduler.ended(attempt, now);
+    }
 
-    async fn handle(&mut self, message: FinishAttempt, _: &mut Context<Self>) -> Self::Return {
-        let now = self.clock.now();
-        let outcome = self.scheduler.finish(message.attempt, message.outcome, now);
-        if outcome == FinishOutcome::Retry {
-            self.waiting.insert(message.job, message.events);
+    /// Passes an event on; returns whether somebody waits for it.
+    fn notify(&mut self, job: JobKey, event: JobEvent) -> bool {
+        let is_last = matches!(event, JobEvent::Refuse(_));
+        let Some(entry) = self.jobs.get_mut(job) else {
+            return false;
+        };
+        let is_heard = match entry.events.take() {
+            Some(events) => events.send(event).is_ok(),
+            None => {
+                entry.early = Some(event);
+                true
+            }
+        };
+        if is_last && entry.early.is_none() {
+            self.jobs.remove(job);
         }
-        self.drive();
-        outcome
+        is_heard
     }
-}
 
-impl Handler<CancelJob> for DispatchActor {
-    type Return = ();
+    /// The event of a job that was queued just now, or a channel through which it will come.
+    pub(super) fn next_event(&mut self, job: JobKey) -> NextEvent {
+        let Some(entry) = self.jobs.get_mut(job) else {
+            return NextEvent::Now(JobEvent::Refuse(JobRefusal::new(ResultCode::CallerGone)));
+        };
+        if let Some(event) = entry.early.take() {
+            if matches!(event, JobEvent::Refuse(_)) {
+                self.jobs.remove(job);
+            }
+            return NextEvent::Now(event);
+        }
+        let (sender, receiver) = oneshot::channel();
+        entry.events = Some(sender);
+        NextEvent::Later(receiver)
+    }
 
-    async fn handle(&mut self, message: CancelJob, _: &mut Context<Self>) {
-        self.waiting.remove(message.job);
-        self.scheduler.cancel(message.job, self.clock.now());
-        self.drive();
+    /// Removes a job whose caller has gone; an attempt of it is stopped.
+    pub(super) fn cancel(&mut self, job: JobKey) {
+        self.scheduler.cancel(job, self.parts.clock.now());
+        let attempt = self.jobs.remove(job).and_then(|entry| entry.attempt);
+        if let Some(attempt) = attempt {
+            self.confirm_end(attempt);
+        }
     }
-}
 
-impl Handler<ApplyState> for DispatchActor {
-    type Return = ();
+    /// Forgets an attempt whose end is known.
+    pub(super) fn forget(&mut self, attempt: AttemptKey) {
+        let entry = self.running.remove(attempt);
+        self.ending -= usize::from(entry.is_some_and(|entry| entry.is_ending));
+    }
 
-    async fn handle(&mut self, message: ApplyState, _: &mut Context<Self>) {
-        let now = self.clock.now();
-        self.scheduler.apply(&message.state, message.settled, now);
-        self.drive();
+    /// Stops an attempt and reports its end to the scheduler once it is confirmed.
+    pub(super) fn confirm_end(&mut self, attempt: AttemptKey) {
+        let Some(entry) = self.running.get_mut(attempt) else {
+            return;
+        };
+        if entry.is_ending {
+            return;
+        }
+        entry.is_ending = true;
+        self.ending += 1;
+        self.parts.metrics.count_stop();
+        let ender = AttemptEnder {
+            backend: self.parts.backend.clone(),
+            address: entry.address.clone(),
+            attempt: AttemptId::new(self.parts.session, attempt),
+            starts_by: entry.starts_by,
+            ends_by: entry.ends_by,
+        };
+        let address = self.address.clone();
+        tokio::spawn(async move {
+            ender.run().await;
+            if let Some(address) = address.try_upgrade() {
+                // An actor that has ended holds no units.
+                drop(address.send(AttemptEnded { attempt }).await);
+            }
+        });
     }
 }
 
-impl Handler<DriveQueue> for DispatchActor {
-    type Return = ();
-
-    async fn handle(&mut self, _: DriveQueue, _: &mut Context<Self>) {
-        self.drive();
-    }
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/daemon/src/dispatch/dispatch_messages.rs
+++ b/crates/daemon/src/dispatch/dispatch_messages.rs
@@ -6,36 +6,73 @@
     AttemptKey, AttemptOutcome, DispatchOrder, JobKey, JobRefusal, JobSpec,
 };
 use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// An order to send a job, with the times that bound the attempt.
+#[derive(Debug)]
+pub(crate) struct DispatchTicket {
+    pub order: DispatchOrder,
+    /// Unix time in milliseconds by which the backend server has to start the attempt.
+    pub start_by_ms: u64,
+    /// Point after which the attempt must not be sent any more.
+    pub send_by: Instant,
+    /// Point by which the attempt has ended in any case: its lease and the margins have passed.
+    pub ends_by: Instant,
+}
 
 /// What happens to a queued job.
 #[derive(Debug)]
 pub(crate) enum JobEvent {
     /// Send it to a worker.
-    Dispatch(DispatchOrder),
+    Dispatch(DispatchTicket),
     /// Give it up.
     Refuse(JobRefusal),
 }
 
-/// Queues a job; its event comes through `events`.
+/// Where a job stands after it was queued.
+#[derive(Debug)]
+pub(crate) enum NextEvent {
+    /// Its event is known already.
+    Now(JobEvent),
+    /// Its event will come through the channel.
+    Later(oneshot::Receiver<JobEvent>),
+}
+
+/// Queues a job.
 #[derive(Debug)]
 pub(crate) struct SubmitJob {
     pub spec: JobSpec,
-    pub events: oneshot::Sender<JobEvent>,
 }
 
-/// Reports an attempt. If the job is tried again, its next event comes through `events`.
+/// Reports an attempt.
 #[derive(Debug)]
 pub(crate) struct FinishAttempt {
     pub job: JobKey,
     pub attempt: AttemptKey,
     pub outcome: AttemptOutcome,
-    pub events: oneshot::Sender<JobEvent>,
+    /// Whether the job may be tried again. An answer that has been passed on in part may not.
+    pub may_retry: bool,
 }
 
-/// Removes a job whose caller has gone.
+/// What becomes of a job after an attempt.
 #[derive(Debug)]
-pub(crate) struct CancelJob {
-    pub job: JobKey,
+pub(crate) enum FinishReply {
+    /// The backend server's answer goes to the caller.
+    Answer,
+    /// The job is queued again.
+    Retry(NextEvent),
+    /// The caller gets the refusal.
+    Refuse(JobRefusal),
+}
+
+/// Removes the jobs whose callers have gone.
+#[derive(Debug)]
+pub(crate) struct CancelJobs;
+
+/// Reports that an attempt has ended at its backend server.
+#[derive(Debug)]
+pub(crate) struct AttemptEnded {
+    pub attempt: AttemptKey,
 }
 
 /// Acts under a new state of the fleet.
@@ -48,3 +85,7 @@
 /// Handles deadlines that have passed.
 #[derive(Debug)]
 pub(crate) struct DriveQueue;
+
+/// Takes no further jobs, ahead of a shutdown.
+#[derive(Debug)]
+pub(crate) struct StopTaking;
--- a/crates/daemon/src/dispatch/job_guard.rs
+++ b/crates/daemon/src/dispatch/job_guard.rs
@@ -1,20 +1,18 @@
 use sesamedeal_core::scheduler::JobKey;
-use xtra::{Address, WeakAddress};
 
-use super::dispatch_actor::DispatchActor;
-use super::dispatch_messages::CancelJob;
+use super::CancelList;
 
 /// Cancels a job when the future that waits for it is dropped.
 #[derive(Debug)]
 pub(crate) struct JobGuard {
-    address: WeakAddress<DispatchActor>,
+    cancels: CancelList,
     job: Option<JobKey>,
 }
 
 impl JobGuard {
-    pub(crate) fn new(address: &Address<DispatchActor>, job: JobKey) -> Self {
+    pub(crate) const fn new(cancels: CancelList, job: JobKey) -> Self {
         Self {
-            address: address.downgrade(),
+            cancels,
             job: Some(job),
         }
     }
@@ -27,12 +25,8 @@
 
 impl Drop for JobGuard {
     fn drop(&mut self) {
-        let (Some(job), Some(address)) = (self.job, self.address.try_upgrade()) else {
-            return;
-        };
-        tokio::spawn(async move {
-            // An actor that has ended holds no jobs.
-            drop(address.send(CancelJob { job }).await);
-        });
+        if let Some(job) = self.job {
+            self.cancels.add(job);
+        }
     }
 }
--- a/crates/daemon/src/dispatch/job_runner.rs
+++ b/crates/daemon/src/dispatch/job_runner.rs
@@ -1,112 +1,287 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
 use bytes::Bytes;
-use hyper::StatusCode;
-use hyper::header::{HeaderMap, HeaderValue};
-use sesamedeal_core::code::ResultCode;
-use sesamedeal_core::scheduler::{DispatchOrder, FinishOutcome, JobRefusal, JobSpec};
+use hyper::header::{HOST, HeaderMap, HeaderValue};
+use sesamedeal_core::code::{ResultCode, RunState};
+use sesamedeal_core::scheduler::{AttemptOutcome, JobKey, JobRefusal, JobSpec};
+use sesamedeal_core::time::TimePoint;
 use sesamedeal_wire::header;
-use slotmap::Key;
-use tokio::sync::oneshot;
+use slog::debug;
+use tokio::time::{Instant, sleep};
 use xtra::Address;
 
-use super::backend_call::{BackendClient, BackendRequest};
-use super::dispatch_actor::DispatchActor;
-use super::dispatch_messages::{FinishAttempt, JobEvent, SubmitJob};
+use super::dispatch_actor::{DispatchActor, DispatchParts};
+use super::dispatch_messages::{
+    DispatchTicket, FinishAttempt, FinishReply, JobEvent, NextEvent, SubmitJob,
+};
+use super::job_body::{OpenAttempt, StreamedBody};
 use super::job_guard::JobGuard;
-use crate::clock::{ProcessClock, unix_millis};
+use super::{JobAnswer, JobBody, ShutdownSignal};
+use crate::backend::{AnswerBytes, AttemptCall, AttemptId, AttemptResult, BackendAnswer};
+
+/// Time past a job's deadline after which its caller is answered even if the dispatcher, which
+/// checks deadlines, is not allowed to act.
+const DEADLINE_GRACE: Duration = Duration::from_millis(50);
 
-/// A backend server's whole answer.
+/// A job with everything that is sent to the backend server.
 #[derive(Debug)]
-pub(crate) struct JobAnswer {
-    pub status: StatusCode,
+pub(crate) struct JobInput {
+    pub spec: JobSpec,
+    /// Value of the request id header.
+    pub request: HeaderValue,
+    /// Headers of the caller that are passed on.
+    pub headers: HeaderMap,
     pub body: Bytes,
+    /// Largest answer that is read into memory before it is passed on, in bytes.
+    pub inline_bytes: usize,
+    /// Set before the job is first sent to a backend server.
+    pub sent: Arc<AtomicBool>,
 }
 
 /// Takes a job from its queue to a backend server and back.
 #[derive(Debug, Clone)]
 pub(crate) struct JobRunner {
     pub dispatcher: Address<DispatchActor>,
-    pub backend: BackendClient,
-    pub clock: ProcessClock,
+    pub parts: DispatchParts,
+    pub shutdown: ShutdownSignal,
+}
+
+/// What is known of the attempts of a job so far.
+#[derive(Debug, Default)]
+struct JobHistory {
+    may_have_run: bool,
+    failed: Option<BackendAnswer>,
+}
+
+impl JobHistory {
+    /// Makes sure that a refusal does not deny an attempt that may have run the job.
+    fn final_answer(self, refusal: JobRefusal) -> Result<JobAnswer, JobRefusal> {
+        if refusal.code.run_state() != RunState::NotRun {
+            return Err(refusal);
+        }
+        match self.failed {
+            Some(answer) => Ok(JobAnswer {
+                status: answer.status,
+                headers: answer.headers,
+                body: match answer.body {
+                    AnswerBytes::Whole(bytes) => JobBody::Whole(bytes),
+                    AnswerBytes::Stream(_) => return Err(refusal_unknown(refusal)),
+                },
+            }),
+            None if self.may_have_run => Err(refusal_unknown(refusal)),
+            None => Err(refusal),
+        }
+    }
+}
+
+const fn refusal_unknown(refusal: JobRefusal) -> JobRefusal {
+    JobRefusal {
+        code: ResultCode::OutcomeUnknown,
+        ..refusal
+    }
 }
 
 impl JobRunner {
-    /// Runs a job to its final answer.
-    pub(crate) async fn run(&self, spec: JobSpec, body: Bytes) -> Result<JobAnswer, JobRefusal> {
-        let (events, mut next) = oneshot::channel();
-        let submit = SubmitJob {
-            spec: spec.clone(),
-            events,
-        };
-        let job = self
-            .dispatcher
-            .send(submit)
-            .await
-            .map_err(|_error| ended())??;
-        let mut guard = JobGuard::new(&self.dispatcher, job);
+    /// Current time on the clock of the process.
+    pub(crate) fn now(&self) -> TimePoint {
+        self.parts.clock.now()
+    }
+
+    /// Runs a job to its final answer. Dropping the future cancels the job.
+    pub(crate) async fn run(&self, input: &JobInput) -> Result<JobAnswer, JobRefusal> {
+        let begin = Instant::now();
+        let spec = input.spec.clone();
+        let deadline = begin + spec.deadline.since(self.now());
+        let submitted = self.dispatcher.send(SubmitJob { spec }).await;
+        let (job, mut next) = submitted.map_err(|_error| shutting_down())??;
+        let mut guard = JobGuard::new(self.parts.cancels.clone(), job);
+        let mut history = JobHistory::default();
+        let mut is_first = true;
         loop {
-            let order = match next.await {
-                Ok(JobEvent::Dispatch(order)) => order,
+            let ticket = match self.event(next, deadline).await {
+                Ok(JobEvent::Dispatch(ticket)) => ticket,
                 Ok(JobEvent::Refuse(refusal)) => {
                     guard.disarm();
-                    return Err(refusal);
+                    return history.final_answer(refusal);
                 }
-                Err(_) => return Err(ended()),
-            };
-            let request = backend_request(&spec, &order, body.clone());
-            let wait = spec.deadline.since(self.clock.now());
-            let (outcome, answer) = self.backend.run(&order, &request, wait).await;
-            let (events, receiver) = oneshot::channel();
-            next = receiver;
-            let finish = FinishAttempt {
-                job,
-                attempt: order.attempt,
-                outcome,
-                events,
+                // The guard removes the job from its queue.
+                Err(refusal) => return history.final_answer(refusal),
             };
-            match self
-                .dispatcher
-                .send(finish)
-                .await
-                .map_err(|_error| ended())?
-            {
-                FinishOutcome::Answer => {
+            if is_first {
+                self.parts.metrics.observe_queue(begin.elapsed());
+                is_first = false;
+            }
+            let result = self.attempt(input, &ticket, deadline).await;
+            let outcome = result.outcome;
+            if let Some(answer) = result.answer {
+                match answer.body {
+                    AnswerBytes::Stream(stream) => {
+                        let open = self.open_attempt(guard, job, &ticket, outcome);
+                        return Ok(JobAnswer {
+                            status: answer.status,
+                            headers: answer.headers,
+                            body: JobBody::Stream(Box::new(StreamedBody {
+                                stream: *stream,
+                                open: Some(open),
+                            })),
+                        });
+                    }
+                    AnswerBytes::Whole(bytes) if outcome == AttemptOutcome::Answered => {
+                        guard.disarm();
+                        self.report(job, &ticket, outcome).await;
+                        return Ok(JobAnswer {
+                            status: answer.status,
+                            headers: answer.headers,
+                            body: JobBody::Whole(bytes),
+                        });
+                    }
+                    body => history.failed = Some(BackendAnswer { body, ..answer }),
+                }
+            }
+            history.may_have_run |=
+                matches!(outcome, AttemptOutcome::Lost | AttemptOutcome::BadAnswer);
+            match self.finish(job, &ticket, outcome).await? {
+                FinishReply::Retry(event) => next = event,
+                FinishReply::Answer => {
                     guard.disarm();
-                    return answer.ok_or(JobRefusal::new(ResultCode::BadAnswer));
+                    return history.final_answer(JobRefusal::new(ResultCode::NoWorker));
                 }
-                FinishOutcome::Retry => {}
-                FinishOutcome::Refuse(refusal) => {
+                FinishReply::Refuse(refusal) => {
                     guard.disarm();
-                    return Err(refusal);
+                    return history.final_answer(refusal);
                 }
             }
         }
     }
-}
 
-const fn ended() -> JobRefusal {
-    JobRefusal::new(ResultCode::ShuttingDown)
-}
+    /// Waits for the event of a queued job.
+    async fn event(&self, next: NextEvent, deadline: Instant) -> Result<JobEvent, JobRefusal> {
+        let receiver = match next {
+            NextEvent::Now(event) => return Ok(event),
+            NextEvent::Later(receiver) => receiver,
+        };
+        tokio::select! {
+            biased;
+            event = receiver => event.map_err(|_error| shutting_down()),
+            () = self.shutdown.closing() => Err(shutting_down()),
+            () = sleep((deadline + DEADLINE_GRACE).saturating_duration_since(Instant::now())) => {
+                Err(JobRefusal::new(ResultCode::DeadlinePassed))
+            }
+        }
+    }
+
+    /// Runs one attempt.
+    async fn attempt(
+        &self,
+        input: &JobInput,
+        ticket: &DispatchTicket,
+        deadline: Instant,
+    ) -> AttemptResult {
+        let now = Instant::now();
+        if now > ticket.send_by {
+            // The process was paused between the decision and this point.
+            return AttemptResult {
+                outcome: AttemptOutcome::NotStarted,
+                answer: None,
+            };
+        }
+        let wait = deadline.min(ticket.ends_by).saturating_duration_since(now);
+        let call = self.call(input, ticket, wait);
+        input.sent.store(true, Ordering::Release);
+        let result = tokio::select! {
+            biased;
+            result = self.parts.backend.run(&call) => result,
+            () = self.shutdown.closing() => AttemptResult {
+                outcome: AttemptOutcome::Lost,
+                answer: None,
+            },
+        };
+        self.parts.metrics.observe_backend(now.elapsed());
+        debug!(self.parts.logger, "attempt ended";
+            "request" => input.spec.request.as_str(),
+            "worker" => ticket.order.worker.as_str(),
+            "outcome" => ?result.outcome);
+        result
+    }
+
+    fn call(&self, input: &JobInput, ticket: &DispatchTicket, wait: Duration) -> AttemptCall {
+        let spec = &input.spec;
+        let attempt = AttemptId::new(self.parts.session, ticket.order.attempt);
+        let attempt = value(&attempt.to_string());
+        let lease_ms = ticket.order.lease.as_millis();
+        let mut headers = input.headers.clone();
+        headers.insert(HOST, value(&ticket.order.address));
+        headers.insert(header::REQUEST_ID, input.request.clone());
+        headers.insert(header::ATTEMPT, attempt.clone());
+        headers.insert(header::POOL, value(spec.pool.as_str()));
+        headers.insert(header::TEAM, value(spec.team.as_str()));
+        headers.insert(header::START_BY_MS, HeaderValue::from(ticket.start_by_ms));
+        headers.insert(header::LEASE_MS, value(&lease_ms.to_string()));
+        AttemptCall {
+            address: ticket.order.address.clone(),
+            request: input.request.clone(),
+            attempt,
+            headers,
+            body: input.body.clone(),
+            inline_bytes: input.inline_bytes,
+            wait,
+        }
+    }
+
+    async fn finish(
+        &self,
+        job: JobKey,
+        ticket: &DispatchTicket,
+        outcome: AttemptOutcome,
+    ) -> Result<FinishReply, JobRefusal> {
+        let message = FinishAttempt {
+            job,
+            attempt: ticket.order.attempt,
+            outcome,
+            may_retry: true,
+        };
+        let reply = self.dispatcher.send(message).await;
+        reply.map_err(|_error| JobRefusal::new(ResultCode::OutcomeUnknown))
+    }
 
-fn backend_request(spec: &JobSpec, order: &DispatchOrder, body: Bytes) -> BackendRequest {
-    let lease_ms = order.lease.as_millis().to_string();
-    let start_by = unix_millis() + START_ALLOWANCE_MS;
-    let attempt = format!("{:016x}", order.attempt.data().as_ffi());
-    let fields = [
-        (header::REQUEST_ID, spec.request.as_str().to_owned()),
-        (header::ATTEMPT, attempt),
-        (header::POOL, spec.pool.as_str().to_owned()),
-        (header::TEAM, spec.team.as_str().to_owned()),
-        (header::START_BY_MS, start_by.to_string()),
-        (header::LEASE_MS, lease_ms),
-    ];
-    let mut headers = HeaderMap::new();
-    for (name, value) in fields {
-        if let Ok(value) = HeaderValue::from_str(&value) {
-            headers.insert(name, value);
+    /// Reports an attempt without waiting until the report has been handled.
+    async fn report(&self, job: JobKey, ticket: &DispatchTicket, outcome: AttemptOutcome) {
+        let message = FinishAttempt {
+            job,
+            attempt: ticket.order.attempt,
+            outcome,
+            may_retry: false,
+        };
+        // An actor that has ended holds no units.
+        drop(self.dispatcher.send(message).detach().await);
+    }
+
+    fn open_attempt(
+        &self,
+        guard: JobGuard,
+        job: JobKey,
+        ticket: &DispatchTicket,
+        outcome: AttemptOutcome,
+    ) -> OpenAttempt {
+        OpenAttempt {
+            guard,
+            dispatcher: self.dispatcher.clone(),
+            job,
+            attempt: ticket.order.attempt,
+            outcome,
+            metrics: self.parts.metrics.clone(),
+            logger: self.parts.logger.clone(),
         }
     }
-    BackendRequest { headers, body }
 }
 
-/// Time after dispatch within which a backend server may start the attempt, in milliseconds.
-const START_ALLOWANCE_MS: u64 = 2_000;
+const fn shutting_down() -> JobRefusal {
+    JobRefusal::new(ResultCode::ShuttingDown)
+}
+
+/// Header value of a name or number. Names that were validated contain no control characters.
+fn value(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static("invalid"))
+}
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -1,12 +1,22 @@
-//! The actor that owns the scheduler, and the calls to backend servers.
+//! The actor that owns the scheduler, and the way of a job through it.
 
-mod backend_call;
+mod attempt_ender;
+mod cancel_list;
 mod dispatch_actor;
+mod dispatch_handlers;
 mod dispatch_messages;
+mod evidence_flag;
+mod job_answer;
+mod job_body;
 mod job_guard;
 mod job_runner;
+mod shutdown_signal;
 
-pub(crate) use backend_call::BackendClient;
-pub(crate) use dispatch_actor::DispatchActor;
-pub(crate) use dispatch_messages::{ApplyState, DriveQueue};
-pub(crate) use job_runner::{JobAnswer, JobRunner};
+pub(crate) use cancel_list::CancelList;
+pub(crate) use dispatch_actor::{DispatchActor, DispatchParts};
+pub(crate) use dispatch_messages::{ApplyState, CancelJobs, DriveQueue, StopTaking};
+pub(crate) use evidence_flag::EvidenceFlag;
+pub(crate) use job_answer::JobAnswer;
+pub(crate) use job_body::{AnswerBroken, JobBody};
+pub(crate) use job_runner::{JobInput, JobRunner};
+pub(crate) use shutdown_signal::ShutdownSignal;
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -6,33 +6,28 @@
 use rand::RngExt;
 use sesamedeal_core::fleet::FleetState;
 use sesamedeal_core::ids::SessionId;
-use sesamedeal_core::scheduler::{JobScheduler, SchedulerPolicy};
 use sesamedeal_platform::{ChangeLog, PlatformClient, PlatformSettings};
 use snafu::ResultExt;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use xtra::{Address, Mailbox};
+use tokio::time::{Instant, timeout_at};
 
 use crate::clock::ProcessClock;
-use crate::dispatch::{BackendClient, DispatchActor, DriveQueue, JobRunner};
 use crate::error::{ListenSnafu, Result, SignalSnafu};
-use crate::http::{Router, serve};
+use crate::http::{PathParts, RequestPath, serve};
+use crate::logging::root_logger;
 use crate::settings::DaemonSettings;
 use crate::store::{FleetView, StateFollower};
 use crate::timer::TimerService;
 
-/// Most messages that wait for the dispatcher; senders beyond it wait.
-const MAILBOX_SIZE: usize = 65_536;
-
-/// Time between two checks for deadlines that have passed.
-const DRIVE_PERIOD: Duration = Duration::from_millis(10);
-
 /// A running entry instance.
 #[derive(Debug)]
 pub struct EntryInstance {
     address: SocketAddr,
+    shutdown_deadline: Duration,
+    path: RequestPath,
     stop: watch::Sender<bool>,
     server: JoinHandle<()>,
 }
@@ -51,24 +46,31 @@
         let address = listener.local_addr().context(ListenSnafu { address })?;
         let clock = ProcessClock::new();
         let timer = TimerService::new(rand::rng().random());
-        let dispatcher = start_dispatcher(clock, &timer);
         let view = FleetView::new(ArcSwap::from_pointee(FleetState::default()));
         let client = PlatformClient::new(PlatformSettings::new(settings.platform.to_string()));
+        let path = RequestPath::start(PathParts {
+            settings: &settings,
+            session: SessionId(rand::rng().random()),
+            clock,
+            timer: &timer,
+            view: Arc::clone(&view),
+            client: client.clone(),
+            logger: root_logger(settings.log_level, settings.log_format),
+        });
         let follower = StateFollower {
             log: ChangeLog::new(client),
-            view: Arc::clone(&view),
-            dispatcher: dispatcher.clone(),
-        };
-        tokio::spawn(follower.run(timer));
-        let runner = JobRunner {
-            dispatcher,
-            backend: BackendClient::new(),
+            view,
+            dispatcher: path.dispatcher(),
+            evidence: path.evidence(),
             clock,
         };
+        tokio::spawn(follower.run(timer));
         let (stop, stopped) = watch::channel(false);
-        let server = tokio::spawn(serve(listener, Router { view, runner }, stopped));
+        let server = tokio::spawn(serve(listener, path.router(), stopped));
         Ok(Self {
             address,
+            shutdown_deadline: settings.shutdown_deadline,
+            path,
             stop,
             server,
         })
@@ -80,11 +82,13 @@
         self.address
     }
 
-    /// Stops accepting requests and waits until open ones have ended.
+    /// Takes no more jobs, and ends when open ones have ended or the deadline has passed.
     pub async fn shut_down(self) {
+        let ends_by = Instant::now() + self.shutdown_deadline;
+        self.path.drain(self.shutdown_deadline).await;
         self.stop.send_replace(true);
         // A panic of the server task has already been reported by the runtime.
-        drop(self.server.await);
+        drop(timeout_at(ends_by, self.server).await);
     }
 
     /// Runs until the process is asked to stop.
@@ -103,23 +107,3 @@
         Ok(())
     }
 }
-
-fn start_dispatcher(clock: ProcessClock, timer: &TimerService) -> Address<DispatchActor> {
-    let session = SessionId(rand::rng().random());
-    let scheduler = JobScheduler::new(session, SchedulerPolicy::new(), rand::rng().random());
-    let actor = DispatchActor::new(scheduler, clock);
-    let dispatcher = xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX_SIZE));
-    let mut ticks = timer.every(DRIVE_PERIOD);
-    let weak = dispatcher.downgrade();
-    tokio::spawn(async move {
-        while ticks.next().await.is_some() {
-            let Some(address) = weak.try_upgrade() else {
-                return;
-            };
-            if address.send(DriveQueue).await.is_err() {
-                return;
-            }
-        }
-    });
-    dispatcher
-}
--- /dev/null
+++ b/crates/daemon/src/http/request_path.rs
@@ -0,0 +1,161 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use rand::RngExt;
+use sesamedeal_core::ids::SessionId;
+use sesamedeal_core::scheduler::{JobScheduler, SchedulerPolicy};
+use sesamedeal_platform::PlatformClient;
+use slog::{Logger, info};
+use tokio::time::{Instant, sleep};
+use xtra::{Address, WeakAddress};
+
+use super::{BodyBudget, JobService, Router};
+use crate::backend::BackendClient;
+use crate::claims::ClaimDesk;
+use crate::clock::ProcessClock;
+use crate::dispatch::{
+    CancelJobs, CancelList, DispatchActor, DispatchParts, DriveQueue, EvidenceFlag, JobRunner,
+    ShutdownSignal, StopTaking,
+};
+use crate::metrics::RequestMetrics;
+use crate::settings::DaemonSettings;
+use crate::store::FleetView;
+use crate::timer::TimerService;
+
+/// Most messages that wait for the dispatcher; senders beyond it wait.
+const MAILBOX_SIZE: usize = 65_536;
+
+/// Time between two checks for deadlines that have passed.
+const DRIVE_PERIOD: Duration = Duration::from_millis(10);
+
+/// Time between two looks at the jobs that are still open during a shutdown.
+const DRAIN_PERIOD: Duration = Duration::from_millis(10);
+
+/// Part of the shutdown deadline that is kept for the last answers to be written.
+const CLOSE_SHARE: f64 = 0.2;
+
+/// What the request path needs from the rest of the process.
+#[derive(Debug)]
+pub(crate) struct PathParts<'a> {
+    pub settings: &'a DaemonSettings,
+    pub session: SessionId,
+    pub clock: ProcessClock,
+    pub timer: &'a TimerService,
+    pub view: FleetView,
+    pub client: PlatformClient,
+    pub logger: Logger,
+}
+
+/// The way of jobs from callers to backend servers and back.
+#[derive(Debug, Clone)]
+pub(crate) struct RequestPath {
+    jobs: JobService,
+}
+
+impl RequestPath {
+    /// Starts the dispatcher.
+    pub(crate) fn start(parts: PathParts<'_>) -> Self {
+        let settings = parts.settings;
+        let dispatch = DispatchParts {
+            session: parts.session,
+            clock: parts.clock,
+            backend: BackendClient::new(),
+            cancels: CancelList::default(),
+            evidence: EvidenceFlag::default(),
+            metrics: RequestMetrics::new(),
+            logger: parts.logger,
+            clock_margin: settings.clock_margin,
+        };
+        let policy = SchedulerPolicy {
+            max_queued: settings.max_queued,
+            task_lease: settings.task_lease,
+            clock_margin: settings.clock_margin,
+        };
+        let scheduler = JobScheduler::new(parts.session, policy, rand::rng().random());
+        let dispatcher = DispatchActor::start(scheduler, dispatch.clone(), MAILBOX_SIZE);
+        tokio::spawn(drive(dispatcher.downgrade(), parts.timer.clone()));
+        tokio::spawn(cancel(dispatcher.downgrade(), dispatch.cancels.clone()));
+        let claims = ClaimDesk {
+            client: parts.client,
+            session: parts.session,
+            view: Arc::clone(&parts.view),
+        };
+        let jobs = JobService {
+            view: parts.view,
+            runner: JobRunner {
+                dispatcher,
+                parts: dispatch,
+                shutdown: ShutdownSignal::new(),
+            },
+            claims,
+            budget: BodyBudget::default(),
+            default_deadline: settings.caller_deadline,
+            open: Arc::new(AtomicUsize::new(0)),
+        };
+        Self { jobs }
+    }
+
+    /// Address of the actor that owns the scheduler.
+    pub(crate) fn dispatcher(&self) -> Address<DispatchActor> {
+        self.jobs.runner.dispatcher.clone()
+    }
+
+    /// Flag by which the judgement of the evidence reaches the request path.
+    pub(crate) fn evidence(&self) -> EvidenceFlag {
+        self.jobs.runner.parts.evidence.clone()
+    }
+
+    /// Router for the connections of callers.
+    pub(crate) fn router(&self) -> Router {
+        Router {
+            jobs: self.jobs.clone(),
+        }
+    }
+
+    /// Takes no more jobs and waits until all callers have their answers. Callers whose jobs are
+    /// open shortly before the deadline get their final answers then.
+    pub(crate) async fn drain(&self, deadline: Duration) {
+        let runner = &self.jobs.runner;
+        let close_at = Instant::now() + deadline.mul_f64(1.0 - CLOSE_SHARE);
+        runner.shutdown.start_draining();
+        // An actor that has ended holds no jobs.
+        drop(runner.dispatcher.send(StopTaking).await);
+        let mut open = self.jobs.open.load(Ordering::Acquire);
+        info!(runner.parts.logger, "shutdown began"; "open jobs" => open);
+        while open > 0 && Instant::now() < close_at {
+            sleep(DRAIN_PERIOD).await;
+            open = self.jobs.open.load(Ordering::Acquire);
+        }
+        info!(runner.parts.logger, "jobs have ended"; "given up" => open);
+        runner.shutdown.close();
+    }
+}
+
+/// Lets the dispatcher handle deadlines that have passed.
+async fn drive(dispatcher: WeakAddress<DispatchActor>, timer: TimerService) {
+    let mut ticks = timer.every(DRIVE_PERIOD);
+    while ticks.next().await.is_some() {
+        let Some(address) = dispatcher.try_upgrade() else {
+            return;
+        };
+        if address.send(DriveQueue).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Lets the dispatcher remove the jobs whose callers have gone, one batch after another.
+async fn cancel(dispatcher: WeakAddress<DispatchActor>, cancels: CancelList) {
+    loop {
+        cancels.wait().await;
+        while !cancels.is_empty() {
+            let Some(address) = dispatcher.try_upgrade() else {
+                return;
+            };
+            if address.send(CancelJobs).await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/crates/daemon/src/http/router.rs
+++ b/crates/daemon/src/http/router.rs
@@ -1,86 +1,78 @@
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
-use rand::RngExt;
 use sesamedeal_core::code::ResultCode;
-use sesamedeal_core::ids::{Generation, RequestId};
+use sesamedeal_core::ids::Generation;
 use sesamedeal_core::scheduler::JobRefusal;
-use sesamedeal_wire::header;
 
-use super::answers::{job_answer, plain, refusal_answer};
-use super::job_request::job_spec;
-use crate::dispatch::JobRunner;
-use crate::store::FleetView;
-
-/// Largest body of a job, in bytes.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+use super::JobService;
+use super::answers::{plain, refusal_answer};
+use super::caller_body::CallerBody;
+use super::request_head::{check_single, request_id};
 
 /// Answers requests of callers.
 #[derive(Debug, Clone)]
 pub(crate) struct Router {
-    pub view: FleetView,
-    pub runner: JobRunner,
+    pub jobs: JobService,
 }
 
 impl Router {
     /// Answers one request.
-    pub(crate) async fn answer(self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let path = request.uri().path().to_owned();
+    pub(crate) async fn answer(self, request: Request<Incoming>) -> Response<CallerBody> {
+        let path = request.uri().path();
         let queue = path
             .strip_prefix("/v1/queues/")
-            .and_then(|rest| rest.strip_suffix("/jobs"));
-        match (request.method(), path.as_str(), queue) {
-            (&Method::POST, _, Some(queue)) => self.run_job(queue, request).await,
+            .and_then(|rest| rest.strip_suffix("/jobs"))
+            .filter(|queue| !queue.is_empty() && !queue.contains('/'));
+        match (request.method(), path, queue) {
+            (&Method::POST, _, Some(queue)) => {
+                let queue = compact_str::CompactString::from(queue);
+                self.run_job(&queue, request).await
+            }
             (&Method::GET, "/live", _) => plain(200, "live\n"),
             (&Method::GET, "/ready", _) => self.ready(),
-            _ => plain(404, "not found\n"),
+            (&Method::GET, "/metrics", _) => plain(200, self.jobs.metrics().render()),
+            (_, _, Some(_)) => self.refuse_path(request.headers(), 405),
+            _ => self.refuse_path(request.headers(), 404),
         }
     }
 
-    fn ready(&self) -> Response<Full<Bytes>> {
-        if self.view.load().generation > Generation::ZERO {
+    fn ready(&self) -> Response<CallerBody> {
+        if self.jobs.runner.shutdown.is_draining() {
+            plain(503, "shutting down\n")
+        } else if self.jobs.view.load().generation > Generation::ZERO {
             plain(200, "ready\n")
         } else {
             plain(503, "no configuration yet\n")
         }
     }
 
-    async fn run_job(&self, queue: &str, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let id = request_id(&request);
-        match self.try_job(queue, &id, request).await {
-            Ok(response) => response,
-            Err(refusal) => refusal_answer(&id, refusal),
+    async fn run_job(&self, queue: &str, request: Request<Incoming>) -> Response<CallerBody> {
+        let headers = request.headers();
+        match check_single(headers).and_then(|()| request_id(headers)) {
+            Ok(id) => self.jobs.answer(queue, id, request).await,
+            Err(refusal) => self.refuse_head(refusal),
         }
     }
 
-    async fn try_job(
-        &self,
-        queue: &str,
-        id: &RequestId,
-        request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, JobRefusal> {
-        let state = self.view.load_full();
-        if state.generation == Generation::ZERO {
-            return Err(JobRefusal::new(ResultCode::NotReady));
+    fn refuse_head(&self, refusal: JobRefusal) -> Response<CallerBody> {
+        self.count_refusal(refusal.code);
+        let id = super::request_head::random_value();
+        refusal_answer(id, refusal)
+    }
+
+    /// Refuses a path or method that does not exist.
+    fn refuse_path(&self, headers: &hyper::HeaderMap, status: u16) -> Response<CallerBody> {
+        self.count_refusal(ResultCode::BadRequest);
+        let id = request_id(headers).unwrap_or_else(|_| super::request_head::random_value());
+        let mut response = refusal_answer(id, JobRefusal::new(ResultCode::BadRequest));
+        if let Ok(status) = hyper::StatusCode::from_u16(status) {
+            *response.status_mut() = status;
         }
-        let now = self.runner.clock.now();
-        let spec = job_spec(request.headers(), queue, id, &state, now)?;
-        let body = Limited::new(request.into_body(), MAX_BODY_BYTES);
-        let body = body
-            .collect()
-            .await
-            .map_err(|_error| JobRefusal::new(ResultCode::TooLarge))?;
-        let answer = self.runner.run(spec, body.to_bytes()).await?;
-        Ok(job_answer(id, answer))
+        response
     }
-}
 
-/// The caller's request id, or a random one.
-fn request_id(request: &Request<Incoming>) -> RequestId {
-    let given = request.headers().get(header::REQUEST_ID);
-    match given.and_then(|value| value.to_str().ok()) {
-        Some(text) if !text.is_empty() && text.len() <= 64 => RequestId::new(text),
-        _ => RequestId::new(format!("{:032x}", rand::rng().random::<u128>())),
+    /// Counts an answer that is given outside of the HTTP library.
+    pub(crate) fn count_refusal(&self, code: ResultCode) {
+        self.jobs.metrics().count_answer(code);
     }
 }
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -1,47 +1,37 @@
-use std::convert::Infallible;
-use std::time::Duration;
-
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Duration, sleep};
 
 use super::Router;
+use super::caller_connection::serve_caller;
 
-/// Time within which a caller must send its headers.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Largest size of a request's headers, in bytes.
-const MAX_HEADER_BYTES: usize = 16 * 1024;
+/// Delay after a failure to accept, for example when no file descriptors are left.
+const ACCEPT_DELAY: Duration = Duration::from_millis(10);
 
 /// Serves callers until `stop` is set, then lets open requests end.
 pub(crate) async fn serve(listener: TcpListener, router: Router, mut stop: watch::Receiver<bool>) {
-    let graceful = GracefulShutdown::new();
+    // The channel closes when the last connection has dropped its sender.
+    let (open, mut ended) = mpsc::channel::<()>(1);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stopped| *stopped) => break,
         };
         let Ok((stream, _)) = accepted else {
+            sleep(ACCEPT_DELAY).await;
             continue;
         };
-        let router = router.clone();
-        let service = service_fn(move |request| {
-            let reply = router.clone().answer(request);
-            async move { Ok::<_, Infallible>(reply.await) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEADER_TIMEOUT)
-            .max_buf_size(MAX_HEADER_BYTES)
-            .serve_connection(TokioIo::new(stream), service);
-        let watched = graceful.watch(connection);
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        let (router, stop, open) = (router.clone(), stop.clone(), open.clone());
         tokio::spawn(async move {
-            // A caller that goes away is an ordinary end of its connection.
-            drop(watched.await);
+            serve_caller(stream, router, stop).await;
+            drop(open);
         });
     }
-    graceful.shutdown().await;
+    drop(listener);
+    drop(open);
+    // Nothing is sent; the end of the channel is what counts.
+    let _: Option<()> = ended.recv().await;
 }
--- a/crates/daemon/src/store/state_follower.rs
+++ b/crates/daemon/src/store/state_follower.rs
@@ -7,7 +7,8 @@
 use sesamedeal_platform::ChangeLog;
 use xtra::Address;
 
-use crate::dispatch::{ApplyState, DispatchActor};
+use crate::clock::ProcessClock;
+use crate::dispatch::{ApplyState, DispatchActor, EvidenceFlag};
 use crate::timer::TimerService;
 
 /// Time between two reads of the head.
@@ -22,6 +23,8 @@
     pub log: ChangeLog,
     pub view: FleetView,
     pub dispatcher: Address<DispatchActor>,
+    pub evidence: EvidenceFlag,
+    pub clock: ProcessClock,
 }
 
 impl StateFollower {
@@ -35,6 +38,7 @@
     }
 
     async fn follow(&self) -> sesamedeal_platform::Result<()> {
+        let sent = self.clock.now();
         let (head, settled) = self.log.head().await?;
         let mut state = FleetState::clone(&self.view.load());
         while state.generation < head.generation {
@@ -49,6 +53,9 @@
             }
         }
         self.install(state, settled.generation).await;
+        if self.view.load().generation >= head.generation {
+            self.evidence.set(true, sent);
+        }
         Ok(())
     }
 
