--- a/crates/daemon/src/backend/answer_stream.rs
+++ b/crates/daemon/src/backend/answer_stream.rs
@@ -26,6 +26,7 @@
     links: LinkPool,
     address: CompactString,
     bytes: u64,
+    is_whole: bool,
     stall: Pin<Box<Sleep>>,
 }
 
@@ -47,6 +48,7 @@
             links,
             address,
             bytes: 0,
+            is_whole: false,
             stall: Box::pin(sleep(STALL_TIMEOUT)),
         }
     }
@@ -95,13 +97,27 @@
         self.poll_read(context)
     }
 
+    /// Whether the whole body was read and taken. An answer of stated length is complete with its
+    /// last byte, after which the HTTP library does not ask for more.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.is_whole && self.read.is_empty()
+    }
+
+    fn complete(&mut self) {
+        self.is_whole = true;
+        if let Some(link) = self.link.take() {
+            self.links.put_back(&self.address, link);
+        }
+    }
+
     /// Reads the next part from the connection, past the parts that are kept.
     pub(super) fn poll_read(
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, BrokenAnswer>>> {
         let Some(link) = &mut self.link else {
-            return Poll::Ready(None);
+            let end = (!self.is_whole).then_some(Err(BrokenAnswer));
+            return Poll::Ready(end);
         };
         loop {
             match link.poll_frame(&mut self.body, context) {
@@ -116,6 +132,9 @@
                         return Poll::Ready(Some(Err(BrokenAnswer)));
                     }
                     self.stall.as_mut().reset(Instant::now() + STALL_TIMEOUT);
+                    if self.body.is_end_stream() {
+                        self.complete();
+                    }
                     return Poll::Ready(Some(Ok(part)));
                 }
                 Poll::Ready(Some(Err(_))) => {
@@ -123,9 +142,7 @@
                     return Poll::Ready(Some(Err(BrokenAnswer)));
                 }
                 Poll::Ready(None) => {
-                    if let Some(link) = self.link.take() {
-                        self.links.put_back(&self.address, link);
-                    }
+                    self.complete();
                     return Poll::Ready(None);
                 }
                 Poll::Pending => break,
--- a/crates/daemon/src/dispatch/job_body.rs
+++ b/crates/daemon/src/dispatch/job_body.rs
@@ -30,6 +30,16 @@
     pub(super) open: Option<OpenAttempt>,
 }
 
+impl StreamedBody {
+    /// Reports the end of the attempt.
+    fn finish(&mut self) {
+        if let Some(open) = self.open.take() {
+            let outcome = open.outcome;
+            open.finish(outcome);
+        }
+    }
+}
+
 /// Attempt whose answer is still arriving. When it is dropped, the job is cancelled.
 #[derive(Debug)]
 pub(super) struct OpenAttempt {
@@ -92,7 +102,12 @@
             Self::Stream(streamed) => streamed,
         };
         match ready!(streamed.stream.poll_part(context)) {
-            Some(Ok(part)) => Poll::Ready(Some(Ok(Frame::data(part)))),
+            Some(Ok(part)) => {
+                if streamed.stream.is_complete() {
+                    streamed.finish();
+                }
+                Poll::Ready(Some(Ok(Frame::data(part))))
+            }
             Some(Err(_)) => {
                 if let Some(open) = streamed.open.take() {
                     open.break_off();
@@ -100,10 +115,7 @@
                 Poll::Ready(Some(Err(AnswerBroken)))
             }
             None => {
-                if let Some(open) = streamed.open.take() {
-                    let outcome = open.outcome;
-                    open.finish(outcome);
-                }
+                streamed.finish();
                 Poll::Ready(None)
             }
         }
