Read the state of an attempt whatever the status of its answer

Cause: a backend server answers a stop request for an attempt that it does not know with 404 and the text unknown; the status was taken for no answer, and the units were held until the lease had passed.

--- a/crates/daemon/src/backend/backend_client.rs
+++ b/crates/daemon/src/backend/backend_client.rs
@@ -151,7 +151,7 @@
         };
         let exchange = async {
             let (response, link) = self.send(address, request).await.ok()?;
-            let is_success = response.status().is_success();
+
             let mut stream = AnswerStream::new(
                 response.into_body(),
                 link,
@@ -159,7 +159,7 @@
                 address.clone(),
             );
             let is_whole = read_inline(&mut stream, MAX_STATUS_BYTES).await;
-            (is_success && matches!(is_whole, Ok(true))).then(|| stream.into_whole())
+            matches!(is_whole, Ok(true)).then(|| stream.into_whole())
         };
         match timeout(STATUS_TIMEOUT, exchange).await {
             Ok(Some(text)) => AttemptStatus::with_text(&text),
