Add peer messages and the evidence gate

Cause: the age of evidence has to be known on the request path and must not be shortened by a pause. Change: the process clock starts at 24 h, so that relayed evidence can be older than the process; the gate counts news of peers from the time at which the own request was sent.

--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -1,8 +1,12 @@
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use sesamedeal_core::time::TimePoint;
 use tokio::time::Instant;
 
+/// Reading of the clock when the process starts. Evidence that a peer relays can be older than
+/// the process, and `TimePoint` cannot lie before its origin.
+const START: Duration = Duration::from_hours(24);
+
 /// Clock of the process. It follows `tokio`'s clock, so that tests can pause it.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ProcessClock {
@@ -17,7 +21,7 @@
     }
 
     pub(crate) fn now(&self) -> TimePoint {
-        TimePoint::new(self.origin.elapsed())
+        TimePoint::new(START + self.origin.elapsed())
     }
 }
 
--- /dev/null
+++ b/crates/daemon/src/store/evidence_gate.rs
@@ -0,0 +1,178 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use sesamedeal_core::evidence::{
+    EvidencePolicy, EvidenceTracker, EvidenceVerdict, PeerEvidence, check_evidence,
+};
+use sesamedeal_core::ids::{Generation, SessionId};
+use sesamedeal_core::time::TimePoint;
+use sesamedeal_wire::peer::PeerNews;
+
+use super::FleetView;
+use crate::clock::ProcessClock;
+
+/// News older than this is not relayed and is dropped when newer news comes in.
+const NEWS_LIFETIME: Duration = Duration::from_secs(10);
+
+/// Most sessions that one message tells about. It bounds the size of an exchange.
+const MAX_NEWS: usize = 64;
+
+#[derive(Debug, Clone, Copy)]
+struct PeerEntry {
+    heard: TimePoint,
+    evidence: Option<TimePoint>,
+    generation: Generation,
+}
+
+#[derive(Debug, Default)]
+struct GateState {
+    tracker: EvidenceTracker,
+    peers: BTreeMap<SessionId, PeerEntry>,
+}
+
+/// Tells whether the state in force is current enough for work that needs a key.
+#[derive(Debug, Clone)]
+pub(crate) struct EvidenceGate {
+    session: SessionId,
+    policy: EvidencePolicy,
+    clock: ProcessClock,
+    view: FleetView,
+    state: Arc<Mutex<GateState>>,
+}
+
+impl EvidenceGate {
+    pub(crate) fn new(
+        session: SessionId,
+        max_age: Duration,
+        clock: ProcessClock,
+        view: FleetView,
+    ) -> Self {
+        Self {
+            session,
+            policy: EvidencePolicy { max_age },
+            clock,
+            view,
+            state: Arc::default(),
+        }
+    }
+
+    /// Takes note of an own read of the head that was sent at `sent`.
+    pub(crate) fn note_read(&self, head: Generation, sent: TimePoint) {
+        self.state.lock().tracker.note_head(head, sent);
+    }
+
+    /// Takes note that the state in force has this generation.
+    pub(crate) fn note_applied(&self, generation: Generation) {
+        self.state.lock().tracker.note_applied(generation);
+    }
+
+    /// Takes note of a timer tick; returns whether the process was paused before it.
+    pub(crate) fn tick(&self) -> bool {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        let is_paused = state.tracker.tick(now);
+        if is_paused {
+            state.peers.clear();
+        }
+        is_paused
+    }
+
+    /// Takes in the news of a peer's answer to a request that was sent at `sent`.
+    ///
+    /// Only answers count: the news of a peer's own request may have waited in a socket while
+    /// this process was paused, and its age would be wrong by the length of the pause.
+    pub(crate) fn note_answer(&self, news: &[PeerNews], sent: TimePoint) {
+        let mut state = self.state.lock();
+        let state = &mut *state;
+        for item in news.iter().filter(|item| item.session != self.session) {
+            let entry = PeerEntry {
+                heard: before(sent, item.heard),
+                evidence: item.evidence.map(|age| before(sent, age)),
+                generation: item.generation,
+            };
+            if let Some(at) = entry.evidence {
+                state.tracker.note_head(entry.generation, at);
+            }
+            let known = state.peers.entry(item.session).or_insert(entry);
+            if known.heard < entry.heard {
+                *known = entry;
+            }
+        }
+        state
+            .peers
+            .retain(|_, entry| sent.since(entry.heard) < NEWS_LIFETIME);
+    }
+
+    /// News for a peer: this entry instance first, then the sessions heard from last.
+    pub(crate) fn news(&self) -> Vec<PeerNews> {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let own = PeerNews {
+            session: self.session,
+            heard: Duration::ZERO,
+            evidence: state.tracker.age(now),
+            generation: self.view.load().generation,
+        };
+        let mut others: Vec<PeerNews> = state
+            .peers
+            .iter()
+            .map(|(session, entry)| PeerNews {
+                session: *session,
+                heard: now.since(entry.heard),
+                evidence: entry.evidence.map(|at| now.since(at)),
+                generation: entry.generation,
+            })
+            .filter(|news| news.heard < self.policy.max_age)
+            .collect();
+        others.sort_by_key(|news| news.heard);
+        others.truncate(MAX_NEWS);
+        std::iter::once(own).chain(others).collect()
+    }
+
+    /// Age of the newest evidence for the state in force.
+    pub(crate) fn age(&self) -> Option<Duration> {
+        self.state.lock().tracker.age(self.clock.now())
+    }
+
+    /// Highest generation that a peer acts under, with the peer.
+    pub(crate) fn newest_peer(&self) -> Option<(SessionId, Generation)> {
+        let state = self.state.lock();
+        let newest = state.peers.iter().max_by_key(|(_, entry)| entry.generation);
+        newest.map(|(session, entry)| (*session, entry.generation))
+    }
+
+    /// Decides whether work that needs a key may be accepted and dispatched now.
+    pub(crate) fn verdict(&self) -> EvidenceVerdict {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let age = state.tracker.age(now);
+        if age.is_some_and(|age| age < self.policy.max_age) {
+            return EvidenceVerdict::Current;
+        }
+        let peers: Vec<PeerEvidence> = state
+            .peers
+            .iter()
+            .map(|(session, entry)| PeerEvidence {
+                session: *session,
+                heard: now.since(entry.heard),
+                evidence: entry.evidence.map(|at| now.since(at)),
+                generation: entry.generation,
+            })
+            .collect();
+        let fleet = self.view.load();
+        check_evidence(
+            &self.policy,
+            self.session,
+            fleet.generation,
+            age,
+            &fleet.view,
+            &peers,
+        )
+    }
+}
+
+fn before(point: TimePoint, age: Duration) -> TimePoint {
+    TimePoint::new(point.since_origin().saturating_sub(age))
+}
--- a/crates/daemon/tests/thin_path.rs
+++ b/crates/daemon/tests/thin_path.rs
@@ -62,6 +62,8 @@
                 memory_mb: 128_000,
                 slots: 8,
                 boot: 1,
+                since: Generation::ZERO,
+                maintained: 0,
             },
         },
     ]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod admin;
 pub mod codec;
 pub mod header;
+pub mod peer;
