--- /dev/null
+++ b/crates/daemon/src/admin/status_report.rs
@@ -0,0 +1,110 @@
+use std::sync::atomic::Ordering;
+
+use compact_str::CompactString;
+use sesamedeal_core::fleet::{FleetState, MemberStep, WaveStatus};
+use sesamedeal_core::membership::{SessionRecord, SessionState};
+use sesamedeal_platform::Result;
+use sesamedeal_platform::rows::SESSION_PREFIX;
+use sesamedeal_wire::admin::{InstanceStatus, PoolStatus, SessionStatus, StatusReply};
+
+use crate::entry_context::EntryContext;
+
+/// Most session rows read at once.
+const MAX_SESSIONS: usize = 1_000;
+
+/// Reads the rows of all sessions.
+pub(super) async fn session_rows(context: &EntryContext) -> Result<Vec<SessionRecord>> {
+    let rows = context
+        .client
+        .scan_rows::<SessionRecord>(SESSION_PREFIX, None, MAX_SESSIONS);
+    Ok(rows.await?.into_iter().map(|(_, row)| row.value).collect())
+}
+
+/// Status of this entry instance and of the fleet as far as it knows. Without the table service
+/// the sessions are left out.
+pub(super) async fn status(context: &EntryContext) -> StatusReply {
+    let sessions = session_rows(context).await.unwrap_or_default();
+    let state = context.keeper.state();
+    let age = context.gate.age();
+    StatusReply {
+        session: context.session,
+        generation: state.generation,
+        settled: context.keeper.settled(),
+        evidence_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        keyed_work: context.gate.verdict().allows_work(),
+        store_reachable: context.store_up.load(Ordering::Acquire),
+        controller: context.controller(),
+        sessions: sessions.into_iter().map(session_status).collect(),
+        pools: pools(&state),
+        instances: instances(&state),
+        wave: waves(&state),
+    }
+}
+
+fn session_status(row: SessionRecord) -> SessionStatus {
+    let state = match row.state {
+        SessionState::Active => "active",
+        SessionState::Leaving => "leaving",
+        SessionState::Left => "left",
+    };
+    SessionStatus {
+        session: row.session,
+        address: row.address,
+        zone: row.zone,
+        state: state.into(),
+        applied: row.applied,
+        quiesced: row.quiesced,
+    }
+}
+
+fn pools(state: &FleetState) -> Vec<PoolStatus> {
+    let pools = state.pools.iter().map(|(name, pool)| {
+        let mut members = 0;
+        let mut available = 0;
+        for instance in state.instances.values().filter(|one| one.pool == *name) {
+            members += 1;
+            available += u32::from(instance.state.is_active());
+        }
+        PoolStatus {
+            name: name.clone(),
+            size: pool.size,
+            instances: members,
+            available,
+            max_unavailable: pool.max_unavailable,
+            spare: pool.spare,
+        }
+    });
+    pools.collect()
+}
+
+fn instances(state: &FleetState) -> Vec<InstanceStatus> {
+    let instances = state
+        .instances
+        .iter()
+        .map(|(name, instance)| InstanceStatus {
+            name: name.clone(),
+            pool: instance.pool.clone(),
+            state: instance.state.label().into(),
+            address: instance.address.clone(),
+            zone: instance.zone.clone(),
+            rack: instance.rack.clone(),
+        });
+    instances.collect()
+}
+
+/// State of the unfinished waves, if there are any.
+fn waves(state: &FleetState) -> Option<CompactString> {
+    let waves = state.waves.iter().filter_map(|(name, wave)| {
+        let done = wave.count(MemberStep::Done);
+        let all = wave.members.len();
+        match &wave.status {
+            WaveStatus::Running => Some(format!("{name}: running, {done} of {all} done")),
+            WaveStatus::Halted { reason } => {
+                Some(format!("{name}: halted ({reason}), {done} of {all} done"))
+            }
+            WaveStatus::Finished => None,
+        }
+    });
+    let text: Vec<String> = waves.collect();
+    (!text.is_empty()).then(|| text.join("; ").into())
+}
--- /dev/null
+++ b/crates/daemon/src/control/control_round.rs
@@ -0,0 +1,247 @@
+use std::time::Duration;
+
+use compact_str::format_compact;
+use sesamedeal_core::control::{ControlInput, ControlStep, LogExtent, RebootOrder};
+use sesamedeal_core::fleet::{ChangeRecord, FleetState};
+use sesamedeal_core::ids::Generation;
+use sesamedeal_core::lease::{LeaseAction, LeaseRecord};
+use sesamedeal_core::membership::SessionRecord;
+use sesamedeal_core::time::TimePoint;
+use sesamedeal_platform::protocol::{RowCondition, TableRow, WriteReply, WriteRequest};
+use sesamedeal_platform::rows::{
+    CONTROLLER_LEASE, HEAD, HeadRecord, SESSION_PREFIX, SETTLED, SettledRecord, change_key,
+};
+use sesamedeal_platform::{KEPT_RECORDS, Result, row_put};
+use slog::{error, info, warn};
+
+use super::controller_actor::{ControllerActor, new_operation};
+use super::platform_list::listed;
+use crate::clock::day_time;
+
+/// Most session rows read at once.
+const MAX_SESSIONS: usize = 1_000;
+
+/// Time after which a reboot whose effect is not seen in the list is asked for again.
+const REBOOT_REPEAT: Duration = Duration::from_secs(60);
+
+/// The rows that a step is based on.
+#[derive(Debug)]
+pub(super) struct RoundRows {
+    rows: Vec<TableRow>,
+    pub head: HeadRecord,
+    settled: SettledRecord,
+}
+
+impl RoundRows {
+    /// Condition that a row has not changed since it was read.
+    pub(super) fn unchanged(&self, key: &str) -> RowCondition {
+        let row = self.rows.iter().find(|row| row.key == key);
+        RowCondition {
+            key: key.into(),
+            version: row.map(|row| row.version),
+        }
+    }
+}
+
+impl ControllerActor {
+    /// Renews the lease, decides and carries the decision out.
+    pub(super) async fn round(&mut self) -> Result<()> {
+        let sent = self.context.clock.now();
+        let rows = self.read_rows().await?;
+        let lease: Option<LeaseRecord> = value(&rows.rows, CONTROLLER_LEASE);
+        let renewal = match self.candidate.step(lease.as_ref(), sent) {
+            LeaseAction::Renew(record) => Some(record),
+            LeaseAction::Hold => None,
+            LeaseAction::Wait | LeaseAction::Acquire(_) => {
+                self.step_down();
+                return Ok(());
+            }
+        };
+        let Some(state) = self.state_at(rows.head.generation).await? else {
+            return Ok(());
+        };
+        let step = self.decide(&state, &rows).await?;
+        if self.commit(&state, &rows, &step, renewal, sent).await? {
+            self.reboot(&step.reboots).await;
+            self.upkeep(&state, &step).await?;
+        }
+        Ok(())
+    }
+
+    pub(super) async fn read_rows(&self) -> Result<RoundRows> {
+        let keys = [CONTROLLER_LEASE, HEAD, SETTLED];
+        let rows = self.context.client.read(&keys).await?;
+        Ok(RoundRows {
+            head: value(&rows, HEAD).unwrap_or_default(),
+            settled: value(&rows, SETTLED).unwrap_or_default(),
+            rows,
+        })
+    }
+
+    /// The state at the head; none while the log has records that cannot be applied.
+    async fn state_at(&self, head: Generation) -> Result<Option<FleetState>> {
+        let context = &self.context;
+        let current = context.keeper.state();
+        if current.generation >= head {
+            return Ok((current.generation == head).then(|| FleetState::clone(&current)));
+        }
+        let missing = context.log.missing_after(current.generation).await?;
+        let settled = context.keeper.settled();
+        let advanced = context
+            .keeper
+            .advance(missing.snapshot, &missing.records, settled);
+        if let Err(failure) = advanced.await {
+            error!(context.logger, "record cannot be applied"; "error" => %failure);
+            return Ok(None);
+        }
+        let state = context.keeper.state();
+        Ok((state.generation == head).then(|| FleetState::clone(&state)))
+    }
+
+    async fn decide(&mut self, state: &FleetState, rows: &RoundRows) -> Result<ControlStep> {
+        let context = &self.context;
+        let sessions =
+            context
+                .client
+                .scan_rows::<SessionRecord>(SESSION_PREFIX, None, MAX_SESSIONS);
+        let (sessions, list) = tokio::join!(sessions, context.client.instances());
+        let sessions: Vec<SessionRecord> =
+            sessions?.into_iter().map(|(_, row)| row.value).collect();
+        let list = list.ok().map(listed);
+        let oldest = rows.head.snapshot.0.saturating_sub(KEPT_RECORDS);
+        let input = ControlInput {
+            now: context.clock.now(),
+            day_time: day_time(context.settings.utc_offset_minutes),
+            state,
+            settled: rows.settled.generation,
+            sessions: &sessions,
+            list: list.as_deref(),
+            health: &[],
+            log: LogExtent {
+                snapshot: rows.head.snapshot,
+                oldest_change: Generation(oldest),
+            },
+        };
+        let step = match &mut self.controller {
+            Some(controller) => controller.step(input),
+            None => ControlStep::default(),
+        };
+        if step.notes != self.notes {
+            for note in &step.notes {
+                warn!(self.context.logger, "controller"; "note" => ?note);
+            }
+            self.notes.clone_from(&step.notes);
+        }
+        Ok(step)
+    }
+
+    /// Writes a step in one transaction, on the condition that the lease row has not changed.
+    /// Returns whether the step is in force.
+    async fn commit(
+        &mut self,
+        state: &FleetState,
+        rows: &RoundRows,
+        step: &ControlStep,
+        renewal: Option<LeaseRecord>,
+        sent: TimePoint,
+    ) -> Result<bool> {
+        let mut request = WriteRequest {
+            operation: new_operation(),
+            conditions: vec![rows.unchanged(CONTROLLER_LEASE)],
+            puts: Vec::new(),
+            deletes: Vec::new(),
+        };
+        if let Some(record) = &renewal {
+            request.puts.push(row_put(CONTROLLER_LEASE, record)?);
+        }
+        if !step.changes.is_empty() {
+            self.add_changes(&mut request, state, rows, step)?;
+        }
+        if step.settled > rows.settled.generation {
+            request.conditions.push(rows.unchanged(SETTLED));
+            let generation = step.settled;
+            request
+                .puts
+                .push(row_put(SETTLED, &SettledRecord { generation })?);
+        }
+        if request.puts.is_empty() {
+            return Ok(true);
+        }
+        match self.context.client.write(&request).await? {
+            WriteReply::Committed => {
+                if let Some(record) = &renewal {
+                    self.candidate.confirm(record, sent);
+                }
+                if request.puts.len() > usize::from(renewal.is_some()) {
+                    self.context.changed.notify_one();
+                }
+                Ok(true)
+            }
+            WriteReply::Conflict { key, .. } => {
+                info!(self.context.logger, "controller's step superseded"; "row" => key.as_str());
+                if key == CONTROLLER_LEASE {
+                    self.step_down();
+                }
+                Ok(false)
+            }
+        }
+    }
+
+    fn add_changes(
+        &self,
+        request: &mut WriteRequest,
+        state: &FleetState,
+        rows: &RoundRows,
+        step: &ControlStep,
+    ) -> Result<()> {
+        let record = ChangeRecord {
+            generation: state.generation.next(),
+            operation: request.operation,
+            author: format_compact!("controller {}", self.context.session),
+            changes: step.changes.clone(),
+        };
+        // A record that cannot be applied would stop every entry instance at its generation.
+        if let Err(failure) = state.clone().apply(&record) {
+            error!(self.context.logger, "controller's changes rejected"; "error" => %failure);
+            return Ok(());
+        }
+        let head = HeadRecord {
+            generation: record.generation,
+            ..rows.head
+        };
+        let key = change_key(record.generation);
+        request.conditions.push(rows.unchanged(HEAD));
+        request.conditions.push(RowCondition {
+            key: key.clone(),
+            version: None,
+        });
+        request.puts.push(row_put(HEAD, &head)?);
+        request.puts.push(row_put(&key, &record)?);
+        Ok(())
+    }
+
+    /// Asks the platform for reboots while the lease certainly holds.
+    async fn reboot(&mut self, orders: &[RebootOrder]) {
+        let now = self.context.clock.now();
+        self.reboots
+            .retain(|(_, asked)| now.since(*asked) < REBOOT_REPEAT);
+        for order in orders {
+            let is_asked = self.reboots.iter().any(|(asked, _)| asked == order);
+            if is_asked || self.candidate.epoch(self.context.clock.now()).is_none() {
+                continue;
+            }
+            self.reboots.push((order.clone(), now));
+            match self.context.client.reboot(&order.instance).await {
+                Ok(()) => info!(self.context.logger, "reboot";
+                    "instance" => order.instance.as_str(), "boot" => order.boot),
+                Err(failure) => warn!(self.context.logger, "reboot not confirmed";
+                    "instance" => order.instance.as_str(), "error" => %failure),
+            }
+        }
+    }
+}
+
+fn value<T: serde::de::DeserializeOwned>(rows: &[TableRow], key: &str) -> Option<T> {
+    let row = rows.iter().find(|row| row.key == key)?;
+    serde_json::from_value(row.value.clone()).ok()
+}
--- /dev/null
+++ b/crates/daemon/src/control/controller_actor.rs
@@ -0,0 +1,137 @@
+use std::sync::Arc;
+
+use rand::RngExt;
+use sesamedeal_core::control::{ControlNote, ControlPolicy, Controller, RebootOrder};
+use sesamedeal_core::ids::OperationId;
+use sesamedeal_core::lease::{LeaseAction, LeaseCandidate, LeasePolicy, LeaseRecord};
+use sesamedeal_core::membership::{MembershipPolicy, SessionState};
+use sesamedeal_core::time::TimePoint;
+use sesamedeal_platform::PutCondition;
+use sesamedeal_platform::protocol::WriteReply;
+use sesamedeal_platform::rows::CONTROLLER_LEASE;
+use slog::{info, warn};
+use xtra::{Actor, Context, Handler};
+
+use crate::entry_context::EntryContext;
+
+/// Renewals of the lease within its expiry. Two may be lost before another candidate takes over.
+const RENEWALS_PER_EXPIRY: u32 = 3;
+
+/// Contends for the controller's lease, and runs the controller while it holds the lease.
+#[derive(Debug, Actor)]
+pub(crate) struct ControllerActor {
+    pub(super) context: Arc<EntryContext>,
+    pub(super) candidate: LeaseCandidate,
+    /// Present while this session holds the lease.
+    pub(super) controller: Option<Controller>,
+    pub(super) reboots: Vec<(RebootOrder, TimePoint)>,
+    pub(super) notes: Vec<ControlNote>,
+}
+
+/// Runs one step.
+#[derive(Debug)]
+pub(crate) struct ControlTick;
+
+impl ControllerActor {
+    pub(crate) fn new(context: Arc<EntryContext>) -> Self {
+        let expiry = context.settings.controller_takeover;
+        let policy = LeasePolicy {
+            expiry,
+            renewal: expiry / RENEWALS_PER_EXPIRY,
+        };
+        Self {
+            candidate: LeaseCandidate::new(context.session, policy),
+            context,
+            controller: None,
+            reboots: Vec::new(),
+            notes: Vec::new(),
+        }
+    }
+
+    /// Decides on the newest read of the lease row by the follower.
+    async fn contend(&mut self) {
+        if *self.context.phase.borrow() != SessionState::Active {
+            return;
+        }
+        let Some(sighting) = *self.context.lease.lock() else {
+            return;
+        };
+        let lease = sighting.row.as_ref().map(|(lease, _)| lease);
+        match self.candidate.step(lease, sighting.sent) {
+            LeaseAction::Wait => {}
+            LeaseAction::Acquire(record) => {
+                let version = sighting.row.map(|(_, version)| version);
+                self.acquire(record, version).await;
+            }
+            // The answer to the write that took or renewed the lease was lost.
+            LeaseAction::Renew(_) | LeaseAction::Hold => {
+                if let Some(&record) = lease {
+                    self.take_office(record);
+                }
+            }
+        }
+    }
+
+    async fn acquire(&mut self, record: LeaseRecord, version: Option<u64>) {
+        let context = &self.context;
+        let sent = context.clock.now();
+        let condition = version.map_or(PutCondition::Absent, PutCondition::Version);
+        let operation = new_operation();
+        let reply = context
+            .client
+            .put_row(CONTROLLER_LEASE, &record, condition, operation);
+        match reply.await {
+            Ok(WriteReply::Committed) => {
+                self.candidate.confirm(&record, sent);
+                self.take_office(record);
+            }
+            Ok(WriteReply::Conflict { .. }) => self.candidate.lose(),
+            Err(failure) => {
+                warn!(context.logger, "lease not taken"; "error" => %failure);
+            }
+        }
+    }
+
+    fn take_office(&mut self, record: LeaseRecord) {
+        let settings = &self.context.settings;
+        let membership = MembershipPolicy {
+            list_lag: settings.list_lag,
+            task_lease: settings.task_lease,
+            clock_margin: settings.clock_margin,
+        };
+        let policy = ControlPolicy {
+            membership,
+            ..ControlPolicy::new()
+        };
+        self.controller = Some(Controller::new(policy));
+        self.reboots.clear();
+        info!(self.context.logger, "role"; "controller" => true, "epoch" => record.epoch);
+    }
+
+    pub(super) fn step_down(&mut self) {
+        self.candidate.lose();
+        if self.controller.take().is_some() {
+            info!(self.context.logger, "role"; "controller" => false);
+        }
+    }
+}
+
+impl Handler<ControlTick> for ControllerActor {
+    type Return = ();
+
+    async fn handle(&mut self, _: ControlTick, _: &mut Context<Self>) {
+        if self.controller.is_none() {
+            self.contend().await;
+        }
+        if self.controller.is_some()
+            && let Err(failure) = self.round().await
+        {
+            warn!(self.context.logger, "controller's step failed"; "error" => %failure);
+        }
+    }
+}
+
+/// A random operation id.
+pub(super) fn new_operation() -> OperationId {
+    OperationId(rand::rng().random())
+}
--- /dev/null
+++ b/crates/daemon/src/control/mod.rs
@@ -0,0 +1,8 @@
+//! The controller: contends for the lease, decides for the fleet and carries the decisions out.
+
+mod control_round;
+mod control_upkeep;
+mod controller_actor;
+mod platform_list;
+
+pub(crate) use controller_actor::{ControlTick, ControllerActor};
--- /dev/null
+++ b/crates/daemon/src/dispatch/control_handlers.rs
@@ -0,0 +1,71 @@
+use sesamedeal_core::exchange::ExchangeMessage;
+use sesamedeal_core::ids::{Generation, SessionId};
+use xtra::{Context, Handler};
+
+use super::dispatch_actor::DispatchActor;
+
+/// Asks how far this entry instance has got with the state in force.
+#[derive(Debug)]
+pub(crate) struct ReadProgress;
+
+/// How far this entry instance has got.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct WorkProgress {
+    /// Highest generation that nothing running contradicts.
+    pub quiesced: Generation,
+    /// Attempts that still hold units.
+    pub running: usize,
+}
+
+/// Builds the message to a peer.
+#[derive(Debug)]
+pub(crate) struct BuildExchange {
+    pub peer: SessionId,
+}
+
+/// Takes in the message of a peer.
+#[derive(Debug)]
+pub(crate) struct TakeExchange {
+    pub message: ExchangeMessage,
+}
+
+/// Rejects queued jobs and all further ones, ahead of a shutdown.
+#[derive(Debug)]
+pub(crate) struct BeginShutdown;
+
+impl Handler<ReadProgress> for DispatchActor {
+    type Return = WorkProgress;
+
+    async fn handle(&mut self, _: ReadProgress, _: &mut Context<Self>) -> WorkProgress {
+        WorkProgress {
+            quiesced: self.scheduler.quiesced(),
+            running: self.scheduler.running(),
+        }
+    }
+}
+
+impl Handler<BuildExchange> for DispatchActor {
+    type Return = ExchangeMessage;
+
+    async fn handle(&mut self, message: BuildExchange, _: &mut Context<Self>) -> ExchangeMessage {
+        self.scheduler.exchange_with(message.peer, self.clock.now())
+    }
+}
+
+impl Handler<TakeExchange> for DispatchActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: TakeExchange, _: &mut Context<Self>) {
+        self.scheduler.receive(&message.message, self.clock.now());
+        self.drive();
+    }
+}
+
+impl Handler<BeginShutdown> for DispatchActor {
+    type Return = ();
+
+    async fn handle(&mut self, _: BeginShutdown, _: &mut Context<Self>) {
+        self.scheduler.shut_down(self.clock.now());
+        self.drive();
+    }
+}
--- a/crates/daemon/src/dispatch/dispatch_actor.rs
+++ b/crates/daemon/src/dispatch/dispatch_actor.rs
@@ -1,8 +1,9 @@
+use sesamedeal_core::ids::SessionId;
 use sesamedeal_core::scheduler::{
     FinishOutcome, JobKey, JobRefusal, JobScheduler, SchedulerAction,
 };
 use slotmap::SecondaryMap;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 use xtra::{Actor, Context, Handler};
 
 use super::dispatch_messages::{
@@ -13,21 +14,28 @@
 /// Owns the scheduler of this entry instance.
 #[derive(Debug, Actor)]
 pub(crate) struct DispatchActor {
-    scheduler: JobScheduler,
-    clock: ProcessClock,
+    pub(super) scheduler: JobScheduler,
+    pub(super) clock: ProcessClock,
+    wanted: mpsc::Sender<SessionId>,
     waiting: SecondaryMap<JobKey, oneshot::Sender<JobEvent>>,
 }
 
 impl DispatchActor {
-    pub(crate) fn new(scheduler: JobScheduler, clock: ProcessClock) -> Self {
+    /// Creates the actor. Peers that the scheduler wants to exchange messages with go to `wanted`.
+    pub(crate) fn new(
+        scheduler: JobScheduler,
+        clock: ProcessClock,
+        wanted: mpsc::Sender<SessionId>,
+    ) -> Self {
         Self {
             scheduler,
             clock,
+            wanted,
             waiting: SecondaryMap::new(),
         }
     }
 
-    fn drive(&mut self) {
+    pub(super) fn drive(&mut self) {
         let now = self.clock.now();
         while let Some(action) = self.scheduler.next_action(now) {
             match action {
@@ -37,11 +45,18 @@
                 SchedulerAction::Refuse { job, refusal } => {
                     self.notify(job, JobEvent::Refuse(refusal));
                 }
-                SchedulerAction::Stop { .. } | SchedulerAction::Exchange { .. } => {}
+                SchedulerAction::Exchange { peer } => self.want_exchange(peer),
+                SchedulerAction::Stop { .. } => {}
             }
         }
     }
 
+    fn want_exchange(&self, peer: SessionId) {
+        if self.wanted.try_send(peer).is_err() {
+            // The peer loop is behind; the regular turn reaches the peer.
+        }
+    }
+
     fn notify(&mut self, job: JobKey, event: JobEvent) {
         if let Some(events) = self.waiting.remove(job) {
             // A receiver that has gone cancels its job through its guard.
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -46,6 +46,22 @@
         /// Error of the operating system.
         source: std::io::Error,
     },
+    /// A call to another entry instance failed.
+    #[snafu(display("no answer from the entry instance at {address}: {reason}"))]
+    PeerCall {
+        /// Its address.
+        address: String,
+        /// What failed.
+        reason: String,
+    },
+    /// A message from or to another entry instance cannot be used.
+    #[snafu(display("message of the entry instance at {address}: {source}"))]
+    PeerMessage {
+        /// Its address.
+        address: String,
+        /// Error of the codec.
+        source: sesamedeal_wire::codec::CodecError,
+    },
     /// Signals cannot be received.
     #[snafu(display("cannot receive signals: {source}"))]
     Signal {
--- a/crates/daemon/src/http/router.rs
+++ b/crates/daemon/src/http/router.rs
@@ -8,9 +8,13 @@
 use sesamedeal_core::scheduler::JobRefusal;
 use sesamedeal_wire::header;
 
+use std::net::SocketAddr;
+
 use super::answers::{job_answer, plain, refusal_answer};
 use super::job_request::job_spec;
+use crate::admin::AdminService;
 use crate::dispatch::JobRunner;
+use crate::peer::PeerService;
 use crate::store::FleetView;
 
 /// Largest body of a job, in bytes.
@@ -21,6 +25,10 @@
 pub(crate) struct Router {
     pub view: FleetView,
     pub runner: JobRunner,
+    pub peers: PeerService,
+    pub admin: AdminService,
+    /// Address of the connection's other end.
+    pub remote: Option<SocketAddr>,
 }
 
 impl Router {
@@ -32,6 +40,8 @@
             .and_then(|rest| rest.strip_suffix("/jobs"));
         match (request.method(), path.as_str(), queue) {
             (&Method::POST, _, Some(queue)) => self.run_job(queue, request).await,
+            _ if path.starts_with("/peer/") => self.peers.answer(request).await,
+            _ if AdminService::serves(&path) => self.admin.answer(request, self.remote).await,
             (&Method::GET, "/live", _) => plain(200, "live\n"),
             (&Method::GET, "/ready", _) => self.ready(),
             _ => plain(404, "not found\n"),
@@ -39,7 +49,7 @@
     }
 
     fn ready(&self) -> Response<Full<Bytes>> {
-        if self.view.load().generation > Generation::ZERO {
+        if self.admin.context.is_ready() {
             plain(200, "ready\n")
         } else {
             plain(503, "no configuration yet\n")
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -7,6 +7,7 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 use super::Router;
 
@@ -19,15 +20,21 @@
 /// Serves callers until `stop` is set, then lets open requests end.
 pub(crate) async fn serve(listener: TcpListener, router: Router, mut stop: watch::Receiver<bool>) {
     let graceful = GracefulShutdown::new();
+    // Connections end with this task, so that an aborted server leaves none behind.
+    let mut connections = JoinSet::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stopped| *stopped) => break,
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, remote)) = accepted else {
             continue;
         };
-        let router = router.clone();
+        while connections.try_join_next().is_some() {}
+        let router = Router {
+            remote: Some(remote),
+            ..router.clone()
+        };
         let service = service_fn(move |request| {
             let reply = router.clone().answer(request);
             async move { Ok::<_, Infallible>(reply.await) }
@@ -38,7 +45,7 @@
             .max_buf_size(MAX_HEADER_BYTES)
             .serve_connection(TokioIo::new(stream), service);
         let watched = graceful.watch(connection);
-        tokio::spawn(async move {
+        connections.spawn(async move {
             // A caller that goes away is an ordinary end of its connection.
             drop(watched.await);
         });
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,15 +1,22 @@
 //! The entry instance: takes jobs from callers, places them on backend servers and keeps the
 //! agreed state of the fleet.
 
+mod admin;
 mod clock;
+mod control;
+mod control_traffic;
 mod dispatch;
 mod entry;
+mod entry_context;
 mod error;
 mod http;
+mod peer;
+mod session;
 mod settings;
 mod store;
 mod timer;
 
+pub use control_traffic::ControlTraffic;
 pub use entry::EntryInstance;
 pub use error::{DaemonError, Result};
 pub use settings::{
--- /dev/null
+++ b/crates/daemon/src/peer/peer_loop.rs
@@ -0,0 +1,133 @@
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use sesamedeal_core::fleet::SessionView;
+use sesamedeal_core::ids::SessionId;
+use sesamedeal_core::membership::{SessionRecord, SessionState};
+use sesamedeal_platform::rows::SESSION_PREFIX;
+use sesamedeal_wire::peer::PeerMessage;
+use slog::debug;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+use super::PeerClient;
+use crate::dispatch::{BuildExchange, TakeExchange};
+use crate::entry_context::EntryContext;
+
+/// Most exchanges under way at once.
+const MAX_CALLS: usize = 16;
+
+/// Most session rows read at once; the agreed state has at most as many sessions.
+const MAX_SESSIONS: usize = 1_000;
+
+/// Exchanges messages with one peer after the other, and with those that the scheduler names.
+#[derive(Debug)]
+pub(crate) struct PeerLoop {
+    pub context: Arc<EntryContext>,
+    pub client: PeerClient,
+    pub wanted: mpsc::Receiver<SessionId>,
+}
+
+impl PeerLoop {
+    /// Exchanges until the timer service ends.
+    pub(crate) async fn run(mut self) {
+        let period = self.context.settings.exchange_period;
+        let mut ticks = self.context.timer.every(period);
+        let mut calls = JoinSet::new();
+        let mut last = self.context.session;
+        let mut read_view: Option<SessionView> = None;
+        loop {
+            let peer = tokio::select! {
+                tick = ticks.next() => {
+                    if tick.is_none() {
+                        return;
+                    }
+                    self.refresh(&mut read_view).await;
+                    let next = self.context.peers.next_after(last);
+                    last = next.unwrap_or(last);
+                    next
+                }
+                Some(peer) = self.wanted.recv() => Some(peer),
+            };
+            while calls.try_join_next().is_some() {}
+            if let Some(peer) = peer
+                && calls.len() < MAX_CALLS
+            {
+                calls.spawn(exchange(
+                    Arc::clone(&self.context),
+                    self.client.clone(),
+                    peer,
+                ));
+            }
+        }
+    }
+
+    /// Reads the session rows when the view has changed or an address is missing.
+    async fn refresh(&self, read_view: &mut Option<SessionView>) {
+        let state = self.context.keeper.state();
+        let peers = &self.context.peers;
+        if read_view.as_ref() == Some(&state.view) && peers.covers(&state.view) {
+            return;
+        }
+        let rows =
+            self.context
+                .client
+                .scan_rows::<SessionRecord>(SESSION_PREFIX, None, MAX_SESSIONS);
+        let Ok(rows) = rows.await else {
+            return;
+        };
+        for (_, row) in rows {
+            if row.value.state != SessionState::Left {
+                peers.note(row.value.session, &row.value.address);
+            }
+        }
+        peers.trim(&state.view);
+        *read_view = Some(state.view.clone());
+    }
+}
+
+/// One push-pull exchange. A failure needs no repetition, because the next turn replaces it.
+async fn exchange(context: Arc<EntryContext>, client: PeerClient, peer: SessionId) {
+    let Some(address) = context.peers.address(peer) else {
+        return;
+    };
+    let sent = context.clock.now();
+    let Some(message) = message_to(&context, peer).await else {
+        return;
+    };
+    match client.exchange(&address, &message).await {
+        Ok(answer) => take_answer(&context, answer, sent).await,
+        Err(failure) => {
+            debug!(context.logger, "no exchange with a peer"; "error" => %failure);
+            let state = context.keeper.state();
+            context.peers.drop_outsider(peer, &state.view);
+        }
+    }
+}
+
+async fn take_answer(
+    context: &EntryContext,
+    answer: PeerMessage,
+    sent: sesamedeal_core::time::TimePoint,
+) {
+    note_sender(context, &answer.exchange.from, &answer.address);
+    context.gate.note_answer(&answer.exchange, sent);
+    let message = answer.exchange;
+    // An actor that has ended holds no units.
+    drop(context.dispatcher.send(TakeExchange { message }).await);
+}
+
+/// Builds the message to a peer; none after the dispatcher has ended.
+pub(super) async fn message_to(context: &EntryContext, peer: SessionId) -> Option<PeerMessage> {
+    let mut exchange = context.dispatcher.send(BuildExchange { peer }).await.ok()?;
+    exchange.evidence_age = context.gate.age();
+    Some(PeerMessage {
+        address: context.address_text(),
+        exchange,
+    })
+}
+
+/// Takes note of where the sender of a message is reached.
+pub(super) fn note_sender(context: &EntryContext, session: &SessionId, address: &CompactString) {
+    context.peers.note(*session, address);
+}
--- /dev/null
+++ b/crates/daemon/src/peer/peer_service.rs
@@ -0,0 +1,120 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::HeaderValue;
+use hyper::{Method, Request, Response, StatusCode};
+use sesamedeal_core::code::ResultCode;
+use sesamedeal_core::exchange::MESSAGE_VERSION;
+use sesamedeal_core::ids::Generation;
+use sesamedeal_wire::codec::{
+    CodecError, FieldNames, MAX_MESSAGE_BYTES, decode_versioned, encode_versioned,
+};
+use sesamedeal_wire::header;
+use sesamedeal_wire::peer::{MAX_STATE_BYTES, PeerAddress, PeerMessage, PeerState};
+
+use super::peer_loop::{message_to, note_sender};
+use crate::dispatch::TakeExchange;
+use crate::entry_context::EntryContext;
+
+/// Answers requests of other entry instances.
+#[derive(Debug, Clone)]
+pub(crate) struct PeerService {
+    pub context: Arc<EntryContext>,
+}
+
+impl PeerService {
+    /// Answers a request below `/peer/`.
+    pub(crate) async fn answer<B>(&self, request: Request<B>) -> Response<Full<Bytes>>
+    where
+        B: hyper::body::Body<Data = Bytes>,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        match (request.method(), request.uri().path()) {
+            (&Method::POST, "/peer/exchange") => self.exchange(request).await,
+            (&Method::GET, "/peer/state") => self.state(),
+            _ => empty(StatusCode::NOT_FOUND),
+        }
+    }
+
+    async fn exchange<B>(&self, request: Request<B>) -> Response<Full<Bytes>>
+    where
+        B: hyper::body::Body<Data = Bytes>,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES);
+        let Ok(body) = body.collect().await else {
+            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        };
+        let body = body.to_bytes();
+        self.context.traffic.note_received(body.len());
+        if self.context.gate.was_paused() {
+            // The request may have waited during the pause, and its ages would be wrong.
+            return empty(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let message: PeerMessage = match decode_versioned(&body, MESSAGE_VERSION, MAX_MESSAGE_BYTES)
+        {
+            Ok(message) => message,
+            Err(CodecError::Version { .. }) => return refused(ResultCode::VersionMismatch),
+            Err(_) => return refused(ResultCode::BadRequest),
+        };
+        let peer = message.exchange.from;
+        note_sender(&self.context, &peer, &message.address);
+        let message = message.exchange;
+        let taken = self.context.dispatcher.send(TakeExchange { message }).await;
+        let answer = message_to(&self.context, peer).await;
+        let (Ok(()), Some(answer)) = (taken, answer) else {
+            return refused(ResultCode::ShuttingDown);
+        };
+        self.encoded(&answer, FieldNames::Omitted, MAX_MESSAGE_BYTES)
+    }
+
+    fn state(&self) -> Response<Full<Bytes>> {
+        let context = &self.context;
+        let state = context.keeper.state();
+        if state.generation == Generation::ZERO {
+            return refused(ResultCode::NotReady);
+        }
+        let own = PeerAddress {
+            session: context.session,
+            address: context.address_text(),
+        };
+        let mut peers = context.peers.entries();
+        peers.push(own);
+        let reply = PeerState {
+            state: (*state).clone(),
+            settled: context.keeper.settled(),
+            peers,
+        };
+        self.encoded(&reply, FieldNames::Kept, MAX_STATE_BYTES)
+    }
+
+    fn encoded<T: serde::Serialize>(
+        &self,
+        message: &T,
+        names: FieldNames,
+        limit: usize,
+    ) -> Response<Full<Bytes>> {
+        match encode_versioned(message, names, MESSAGE_VERSION, limit) {
+            Ok(body) => {
+                self.context.traffic.note_sent(body.len());
+                Response::new(Full::new(body))
+            }
+            Err(_) => empty(StatusCode::INTERNAL_SERVER_ERROR),
+        }
+    }
+}
+
+fn refused(code: ResultCode) -> Response<Full<Bytes>> {
+    let status = StatusCode::from_u16(code.http_status());
+    let mut response = empty(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
+    let value = HeaderValue::from(code.number());
+    response.headers_mut().insert(header::CODE, value);
+    response
+}
+
+fn empty(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- a/crates/daemon/src/settings/daemon_settings.rs
+++ b/crates/daemon/src/settings/daemon_settings.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, hex::Hex, serde_as, skip_serializing_none};
-use sesamedeal_core::ids::ZoneName;
+use sesamedeal_core::ids::{InstanceName, ZoneName};
 use snafu::ResultExt;
 use toml::Table;
 
@@ -27,6 +27,12 @@
     /// IP address and port that the platform lists; the listening address if none.
     #[serde(default)]
     pub advertise: Option<SocketAddr>,
+    /// Name of this machine in the platform's list; the advertised address if none.
+    #[serde(default)]
+    pub instance: Option<InstanceName>,
+    /// Entry instances that are asked for the state when the platform does not answer.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
     /// SHA-256 of the operators' key.
     #[serde_as(as = "Option<Hex>")]
     #[serde(default)]
@@ -37,6 +43,9 @@
     /// Form of the log records.
     #[serde(default = "defaults::log_format")]
     pub log_format: LogFormat,
+    /// Difference of local time, by which sheets go, from UTC, in minutes.
+    #[serde(default = "defaults::utc_offset_minutes")]
+    pub utc_offset_minutes: i32,
     /// Longest time by which the platform's list of instances lags.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "list_lag_ms", default = "defaults::list_lag")]
@@ -84,10 +93,6 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "evidence_ms", default = "defaults::evidence")]
     pub evidence: Duration,
-    /// Gap between timer ticks above which the process counts as paused.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[serde(rename = "pause_ms", default = "defaults::pause")]
-    pub pause: Duration,
     /// Time between two steps of the controller.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(
@@ -110,30 +115,9 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "urgent_start_ms", default = "defaults::urgent_start")]
     pub urgent_start: Duration,
-    /// Half-life of the usage that shares are computed from.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[serde(rename = "share_half_life_ms", default = "defaults::share_half_life")]
-    pub share_half_life: Duration,
-    /// Slot time by which a newly backlogged team may be ahead.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[serde(rename = "share_credit_ms", default = "defaults::share_credit")]
-    pub share_credit: Duration,
-    /// Time after which an idle borrowed unit is returned.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[serde(rename = "unit_return_ms", default = "defaults::unit_return")]
-    pub unit_return: Duration,
     /// Most jobs queued per pool and team.
     #[serde(default = "defaults::max_queued")]
     pub max_queued: usize,
-    /// Retries allowed, in percent of the requests.
-    #[serde(default = "defaults::retry_budget_percent")]
-    pub retry_budget_percent: u32,
-    /// Retries allowed in addition to the share.
-    #[serde(default = "defaults::retry_budget_floor")]
-    pub retry_budget_floor: u32,
-    /// Generations between two snapshots of the state.
-    #[serde(default = "defaults::snapshot_generations")]
-    pub snapshot_generations: u64,
     /// Weight of a move of an instance between pools.
     #[serde(default = "defaults::plan_moves_weight")]
     pub plan_moves_weight: f64,
@@ -157,9 +141,12 @@
             zone,
             platform,
             advertise: None,
+            instance: None,
+            peers: Vec::new(),
             operator_key_sha256: None,
             log_level: defaults::log_level(),
             log_format: defaults::log_format(),
+            utc_offset_minutes: defaults::utc_offset_minutes(),
             list_lag: defaults::list_lag(),
             task_lease: defaults::task_lease(),
             clock_margin: defaults::clock_margin(),
@@ -171,18 +158,11 @@
             peer_deadline: defaults::peer_deadline(),
             store_deadline: defaults::store_deadline(),
             evidence: defaults::evidence(),
-            pause: defaults::pause(),
             controller_period: defaults::controller_period(),
             controller_takeover: defaults::controller_takeover(),
             caller_deadline: defaults::caller_deadline(),
             urgent_start: defaults::urgent_start(),
-            share_half_life: defaults::share_half_life(),
-            share_credit: defaults::share_credit(),
-            unit_return: defaults::unit_return(),
             max_queued: defaults::max_queued(),
-            retry_budget_percent: defaults::retry_budget_percent(),
-            retry_budget_floor: defaults::retry_budget_floor(),
-            snapshot_generations: defaults::snapshot_generations(),
             plan_moves_weight: defaults::plan_moves_weight(),
             plan_rollout_weight: defaults::plan_rollout_weight(),
             plan_buffer_weight: defaults::plan_buffer_weight(),
@@ -233,6 +213,7 @@
     defaults! {
         log_level: LogLevel = LogLevel::Info;
         log_format: LogFormat = LogFormat::Text;
+        utc_offset_minutes: i32 = 0;
         list_lag: Duration = Duration::from_millis(10_000);
         task_lease: Duration = Duration::from_millis(10_000);
         clock_margin: Duration = Duration::from_millis(500);
@@ -244,18 +225,11 @@
         peer_deadline: Duration = Duration::from_millis(500);
         store_deadline: Duration = Duration::from_millis(1_000);
         evidence: Duration = Duration::from_millis(2_500);
-        pause: Duration = Duration::from_millis(1_000);
         controller_period: Duration = Duration::from_millis(1_000);
         controller_takeover: Duration = Duration::from_millis(5_000);
         caller_deadline: Duration = Duration::from_millis(30_000);
         urgent_start: Duration = Duration::from_millis(7_300);
-        share_half_life: Duration = Duration::from_millis(10_000);
-        share_credit: Duration = Duration::from_millis(1_000);
-        unit_return: Duration = Duration::from_millis(2_000);
         max_queued: usize = 1_000;
-        retry_budget_percent: u32 = 10;
-        retry_budget_floor: u32 = 10;
-        snapshot_generations: u64 = 256;
         plan_moves_weight: f64 = 1.0;
         plan_rollout_weight: f64 = 1.0;
         plan_buffer_weight: f64 = 1.0;
--- a/crates/daemon/src/settings/setting_check.rs
+++ b/crates/daemon/src/settings/setting_check.rs
@@ -5,6 +5,9 @@
 
 use super::{SETTINGS, SettingDefault, SettingKind, SettingSpec};
 
+/// Most addresses in one setting.
+const MAX_ADDRESSES: usize = 16;
+
 /// One error in a settings file.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SettingProblem {
@@ -58,7 +61,10 @@
 fn is_allowed(kind: SettingKind, value: &Value) -> bool {
     let text = value.as_str();
     match kind {
-        SettingKind::Address => text.is_some_and(|text| text.parse::<SocketAddr>().is_ok()),
+        SettingKind::Address => is_address(value),
+        SettingKind::Addresses => value
+            .as_array()
+            .is_some_and(|list| list.len() <= MAX_ADDRESSES && list.iter().all(is_address)),
         SettingKind::Name => text.is_some_and(is_name),
         SettingKind::Hash => text.is_some_and(|text| {
             text.len() == 64 && text.bytes().all(|byte| byte.is_ascii_hexdigit())
@@ -73,6 +79,11 @@
     }
 }
 
+fn is_address(value: &Value) -> bool {
+    let text = value.as_str();
+    text.is_some_and(|text| text.parse::<SocketAddr>().is_ok())
+}
+
 fn is_name(text: &str) -> bool {
     let allowed = |byte: u8| {
         byte.is_ascii_lowercase() || byte.is_ascii_digit() || matches!(byte, b'-' | b'_' | b'.')
--- a/crates/daemon/src/settings/setting_list.rs
+++ b/crates/daemon/src/settings/setting_list.rs
@@ -1,5 +1,5 @@
 use super::SettingDefault::{Absent, Required, Value};
-use super::SettingKind::{Address, Choice, Hash, Name, Number, Whole};
+use super::SettingKind::{Address, Addresses, Choice, Hash, Name, Number, Whole};
 use super::{SettingDefault, SettingKind, SettingSpec};
 
 const fn spec(
@@ -69,6 +69,20 @@
         Absent,
         "Address under which the platform and the peers know this entry instance. Without it, the listening address.",
     ),
+    spec(
+        "instance",
+        "",
+        Name,
+        Absent,
+        "Name of this machine in the platform's list. Without it, the address in `advertise`.",
+    ),
+    spec(
+        "peers",
+        "",
+        Addresses,
+        Value("[]"),
+        "Entry instances that are asked for the state when the platform does not answer.",
+    ),
     spec(
         "operator_key_sha256",
         "",
@@ -90,6 +104,16 @@
         Value("\"text\""),
         "Form of the log records on standard error.",
     ),
+    spec(
+        "utc_offset_minutes",
+        "min",
+        Whole {
+            min: -840,
+            max: 840,
+        },
+        Value("0"),
+        "Difference of local time, by which sheets go, from UTC.",
+    ),
     millis(
         "list_lag_ms",
         100,
@@ -167,13 +191,6 @@
         "2500",
         "Age up to which evidence of the head shows that the state is current.",
     ),
-    millis(
-        "pause_ms",
-        100,
-        60_000,
-        "1000",
-        "Gap between timer ticks above which the process counts as paused.",
-    ),
     millis(
         "controller_period_ms",
         50,
@@ -202,27 +219,6 @@
         "7300",
         "Time within which urgent work should start.",
     ),
-    millis(
-        "share_half_life_ms",
-        100,
-        600_000,
-        "10000",
-        "Half-life of the usage that shares are computed from.",
-    ),
-    millis(
-        "share_credit_ms",
-        0,
-        600_000,
-        "1000",
-        "Slot time by which a newly backlogged team may be ahead, per unit of weight fraction.",
-    ),
-    millis(
-        "unit_return_ms",
-        100,
-        600_000,
-        "2000",
-        "Time after which an idle borrowed unit is returned.",
-    ),
     spec(
         "max_queued",
         "jobs",
@@ -233,33 +229,6 @@
         Value("1000"),
         "Most jobs queued per pool and team.",
     ),
-    spec(
-        "retry_budget_percent",
-        "%",
-        Whole { min: 0, max: 100 },
-        Value("10"),
-        "Retries allowed, as a share of the requests.",
-    ),
-    spec(
-        "retry_budget_floor",
-        "retries",
-        Whole {
-            min: 0,
-            max: 10_000,
-        },
-        Value("10"),
-        "Retries allowed in addition to the share.",
-    ),
-    spec(
-        "snapshot_generations",
-        "generations",
-        Whole {
-            min: 1,
-            max: 100_000,
-        },
-        Value("256"),
-        "Generations between two snapshots of the state.",
-    ),
     weight(
         "plan_moves_weight",
         "Weight of a move of an instance between pools.",
--- a/crates/daemon/src/settings/setting_spec.rs
+++ b/crates/daemon/src/settings/setting_spec.rs
@@ -5,6 +5,8 @@
 pub enum SettingKind {
     /// IP address and port.
     Address,
+    /// List of at most 16 IP addresses and ports.
+    Addresses,
     /// Text of 1 to 64 characters from `a-z`, `0-9`, `-`, `_` and `.`.
     Name,
     /// SHA-256 as 64 hexadecimal digits.
@@ -31,6 +33,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Address => f.write_str("IP address and port"),
+            Self::Addresses => f.write_str("at most 16 IP addresses and ports"),
             Self::Name => f.write_str("1 to 64 characters from a-z, 0-9, `-`, `_` and `.`"),
             Self::Hash => f.write_str("64 hexadecimal digits"),
             Self::Choice(words) => write!(f, "one of {}", words.join(", ")),
--- a/crates/daemon/src/store/evidence_gate.rs
+++ b/crates/daemon/src/store/evidence_gate.rs
@@ -4,20 +4,20 @@
 
 use parking_lot::Mutex;
 use sesamedeal_core::evidence::{
-    EvidencePolicy, EvidenceTracker, EvidenceVerdict, PeerEvidence, check_evidence,
+    EvidencePolicy, EvidenceTracker, EvidenceVerdict, PauseDetector, PeerEvidence, check_evidence,
 };
+use sesamedeal_core::exchange::ExchangeMessage;
 use sesamedeal_core::ids::{Generation, SessionId};
 use sesamedeal_core::time::TimePoint;
-use sesamedeal_wire::peer::PeerNews;
 
 use super::FleetView;
 use crate::clock::ProcessClock;
 
-/// News older than this is not relayed and is dropped when newer news comes in.
-const NEWS_LIFETIME: Duration = Duration::from_secs(10);
+/// Time after which a silent peer is forgotten.
+const PEER_LIFETIME: Duration = Duration::from_secs(60);
 
-/// Most sessions that one message tells about. It bounds the size of an exchange.
-const MAX_NEWS: usize = 64;
+/// Time after a pause within which the messages that came in during the pause have been read.
+const BACKLOG_TIME: Duration = Duration::from_secs(1);
 
 #[derive(Debug, Clone, Copy)]
 struct PeerEntry {
@@ -29,6 +29,8 @@
 #[derive(Debug, Default)]
 struct GateState {
     tracker: EvidenceTracker,
+    pause: PauseDetector,
+    resumed: Option<TimePoint>,
     peers: BTreeMap<SessionId, PeerEntry>,
 }
 
@@ -73,62 +75,44 @@
         let now = self.clock.now();
         let mut state = self.state.lock();
         let is_paused = state.tracker.tick(now);
+        state.pause.tick(now);
         if is_paused {
             state.peers.clear();
+            state.resumed = Some(now);
         }
         is_paused
     }
 
-    /// Takes in the news of a peer's answer to a request that was sent at `sent`.
+    /// Whether messages that are read now may have waited while the process was paused.
+    pub(crate) fn was_paused(&self) -> bool {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let is_recent = |resumed| now.since(resumed) < BACKLOG_TIME;
+        state.pause.is_paused(now) || state.resumed.is_some_and(is_recent)
+    }
+
+    /// Takes in a peer's answer to a request that was sent at `sent`.
     ///
-    /// Only answers count: the news of a peer's own request may have waited in a socket while
-    /// this process was paused, and its age would be wrong by the length of the pause.
-    pub(crate) fn note_answer(&self, news: &[PeerNews], sent: TimePoint) {
+    /// Only answers count: a peer's own request may have waited in a socket while this process
+    /// was paused, and its ages would be wrong by the length of the pause.
+    pub(crate) fn note_answer(&self, message: &ExchangeMessage, sent: TimePoint) {
         let mut state = self.state.lock();
         let state = &mut *state;
-        for item in news.iter().filter(|item| item.session != self.session) {
-            let entry = PeerEntry {
-                heard: before(sent, item.heard),
-                evidence: item.evidence.map(|age| before(sent, age)),
-                generation: item.generation,
-            };
+        for (session, entry) in heard_in(message, sent) {
+            if session == self.session {
+                continue;
+            }
             if let Some(at) = entry.evidence {
                 state.tracker.note_head(entry.generation, at);
             }
-            let known = state.peers.entry(item.session).or_insert(entry);
+            let known = state.peers.entry(session).or_insert(entry);
             if known.heard < entry.heard {
                 *known = entry;
             }
         }
         state
             .peers
-            .retain(|_, entry| sent.since(entry.heard) < NEWS_LIFETIME);
-    }
-
-    /// News for a peer: this entry instance first, then the sessions heard from last.
-    pub(crate) fn news(&self) -> Vec<PeerNews> {
-        let now = self.clock.now();
-        let state = self.state.lock();
-        let own = PeerNews {
-            session: self.session,
-            heard: Duration::ZERO,
-            evidence: state.tracker.age(now),
-            generation: self.view.load().generation,
-        };
-        let mut others: Vec<PeerNews> = state
-            .peers
-            .iter()
-            .map(|(session, entry)| PeerNews {
-                session: *session,
-                heard: now.since(entry.heard),
-                evidence: entry.evidence.map(|at| now.since(at)),
-                generation: entry.generation,
-            })
-            .filter(|news| news.heard < self.policy.max_age)
-            .collect();
-        others.sort_by_key(|news| news.heard);
-        others.truncate(MAX_NEWS);
-        std::iter::once(own).chain(others).collect()
+            .retain(|_, entry| sent.since(entry.heard) < PEER_LIFETIME);
     }
 
     /// Age of the newest evidence for the state in force.
@@ -173,6 +157,19 @@
     }
 }
 
+/// What a message tells about its sender.
+fn heard_in(
+    message: &ExchangeMessage,
+    sent: TimePoint,
+) -> impl Iterator<Item = (SessionId, PeerEntry)> {
+    let sender = PeerEntry {
+        heard: sent,
+        evidence: message.evidence_age.map(|age| before(sent, age)),
+        generation: message.applied,
+    };
+    std::iter::once((message.from, sender))
+}
+
 fn before(point: TimePoint, age: Duration) -> TimePoint {
     TimePoint::new(point.since_origin().saturating_sub(age))
 }
--- a/crates/daemon/src/store/state_follower.rs
+++ b/crates/daemon/src/store/state_follower.rs
@@ -1,64 +1,118 @@
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::Ordering;
 
-use arc_swap::ArcSwap;
-use sesamedeal_core::fleet::FleetState;
+use serde::de::DeserializeOwned;
 use sesamedeal_core::ids::Generation;
-use sesamedeal_platform::ChangeLog;
-use xtra::Address;
+use sesamedeal_core::lease::LeaseRecord;
+use sesamedeal_core::time::TimePoint;
+use sesamedeal_platform::protocol::TableRow;
+use sesamedeal_platform::rows::{CONTROLLER_LEASE, HEAD, HeadRecord, SETTLED, SettledRecord};
+use slog::{error, info, warn};
 
-use crate::dispatch::{ApplyState, DispatchActor};
-use crate::timer::TimerService;
+use crate::entry_context::{EntryContext, LeaseSighting};
+use crate::peer::PeerClient;
 
-/// Time between two reads of the head.
-const HEAD_PERIOD: Duration = Duration::from_secs(1);
-
-/// The state that the entry instance acts under.
-pub(crate) type FleetView = Arc<ArcSwap<FleetState>>;
-
-/// Reads the head of the change log and applies the records that are missing.
+/// Reads the head of the change log and puts the records that are missing in force.
 #[derive(Debug)]
 pub(crate) struct StateFollower {
-    pub log: ChangeLog,
-    pub view: FleetView,
-    pub dispatcher: Address<DispatchActor>,
+    pub context: Arc<EntryContext>,
+    pub peers: PeerClient,
 }
 
 impl StateFollower {
     /// Follows the log until the timer service ends.
-    pub(crate) async fn run(self, timer: TimerService) {
-        let mut ticks = timer.every(HEAD_PERIOD);
-        while ticks.next().await.is_some() {
-            // A failed read is repeated at the next tick; the state in force stays.
-            drop(self.follow().await);
+    pub(crate) async fn run(self) {
+        let mut ticks = self.context.timer.every(self.context.settings.head_period);
+        loop {
+            tokio::select! {
+                tick = ticks.next() => if tick.is_none() { return },
+                () = self.context.changed.notified() => {}
+            }
+            let result = self.follow().await;
+            self.note_store(result.is_ok());
+            if let Err(failure) = result {
+                warn!(self.context.logger, "head not read"; "error" => %failure);
+                self.follow_peers().await;
+            }
         }
     }
 
     async fn follow(&self) -> sesamedeal_platform::Result<()> {
-        let (head, settled) = self.log.head().await?;
-        let mut state = FleetState::clone(&self.view.load());
-        while state.generation < head.generation {
-            let records = self.log.records_after(state.generation).await?;
-            if records.is_empty() {
-                break;
+        let context = &self.context;
+        let sent = context.clock.now();
+        let keys = [HEAD, SETTLED, CONTROLLER_LEASE];
+        let rows = context.client.read(&keys).await?;
+        let head = value::<HeadRecord>(&rows, HEAD).unwrap_or_default();
+        let settled = value::<SettledRecord>(&rows, SETTLED).unwrap_or_default();
+        context.gate.note_read(head.generation, sent);
+        self.note_lease(&rows, sent);
+        let current = context.keeper.state().generation;
+        let missing = if head.generation > current {
+            context.log.missing_after(current).await?
+        } else {
+            sesamedeal_platform::MissingChanges::default()
+        };
+        let advanced =
+            context
+                .keeper
+                .advance(missing.snapshot, &missing.records, settled.generation);
+        if let Err(failure) = advanced.await {
+            error!(context.logger, "record cannot be applied"; "error" => %failure);
+        }
+        Ok(())
+    }
+
+    /// Keeps the lease row for the controller, which saves candidates a read of their own.
+    fn note_lease(&self, rows: &[TableRow], sent: TimePoint) {
+        let row = rows.iter().find(|row| row.key == CONTROLLER_LEASE);
+        let lease: Option<LeaseRecord> = value(rows, CONTROLLER_LEASE);
+        let row = lease.zip(row).map(|(lease, row)| (lease, row.version));
+        *self.context.lease.lock() = Some(LeaseSighting { row, sent });
+    }
+
+    /// Takes a newer state from a peer while the store cannot be read.
+    async fn follow_peers(&self) {
+        let context = &self.context;
+        let current = context.keeper.state().generation;
+        let addresses = match context.gate.newest_peer() {
+            Some((peer, generation)) if generation > current => {
+                context.peers.address(peer).into_iter().collect()
             }
-            for record in &records {
-                if state.apply(record).is_err() {
-                    return Ok(());
+            _ if current == Generation::ZERO => context.peers.addresses(),
+            _ => return,
+        };
+        for address in addresses {
+            match self.peers.state(&address).await {
+                Ok(reply) => {
+                    let generation = reply.state.generation;
+                    context.peers.note_all(&reply.peers);
+                    let advanced = context
+                        .keeper
+                        .advance(Some(reply.state), &[], reply.settled);
+                    if advanced.await.is_ok() && generation > current {
+                        info!(context.logger, "state taken from a peer";
+                            "peer" => address.as_str(), "generation" => generation.0);
+                        return;
+                    }
+                }
+                Err(failure) => {
+                    warn!(context.logger, "no state from a peer"; "error" => %failure);
                 }
             }
         }
-        self.install(state, settled.generation).await;
-        Ok(())
     }
 
-    async fn install(&self, state: FleetState, settled: Generation) {
-        if state.generation <= self.view.load().generation {
-            return;
+    fn note_store(&self, is_reachable: bool) {
+        let was = self.context.store_up.swap(is_reachable, Ordering::AcqRel);
+        if was != is_reachable {
+            info!(self.context.logger, "table service"; "reachable" => is_reachable);
         }
-        let state = Arc::new(state);
-        self.view.store(Arc::clone(&state));
-        // An actor that has ended needs no state.
-        drop(self.dispatcher.send(ApplyState { state, settled }).await);
     }
 }
+
+/// Content of a row; none if it is absent. A row of another form counts as absent, so that the
+/// head stays readable when only another row is damaged.
+fn value<T: DeserializeOwned>(rows: &[TableRow], key: &str) -> Option<T> {
+    let row = rows.iter().find(|row| row.key == key)?;
+    serde_json::from_value(row.value.clone()).ok()
+}
--- /dev/null
+++ b/crates/daemon/tests/common/fleet.rs
@@ -0,0 +1,368 @@
+//! A platform, entry instances and backend servers in the test's process.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, Response};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use sesamedeal_core::fleet::{
+    FleetChange, FleetState, InstanceRecord, InstanceState, PoolRecord, QueueRecord, TeamRecord,
+};
+use sesamedeal_core::ids::{
+    Generation, ImageName, InstanceName, PoolName, QueueName, RackName, TeamName, ZoneName,
+};
+use sesamedeal_daemon::{DaemonSettings, EntryInstance};
+use sesamedeal_platform::protocol::{InstanceList, ListedState, PlatformInstance};
+use sesamedeal_standin::ServerHandle;
+use sesamedeal_standin::backend::BackendStandin;
+use sesamedeal_standin::platform::PlatformStandin;
+use sesamedeal_wire::admin::{AppendReply, AppendRequest, InForceReply, StatusReply};
+use sesamedeal_wire::header;
+
+/// Any free port of the loopback address.
+pub fn loopback() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("valid address")
+}
+
+/// Waits until a condition holds and returns how long it took.
+pub async fn wait_until(
+    what: &str,
+    limit: Duration,
+    mut holds: impl AsyncFnMut() -> bool,
+) -> Duration {
+    let start = Instant::now();
+    while !holds().await {
+        assert!(start.elapsed() < limit, "{what}: not within {limit:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    start.elapsed()
+}
+
+/// HTTP client of operators and callers.
+#[derive(Debug, Clone)]
+pub struct TestClient {
+    http: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl TestClient {
+    pub fn new() -> Self {
+        Self {
+            http: Client::builder(TokioExecutor::new()).build_http(),
+        }
+    }
+
+    pub async fn call(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Option<Response<Bytes>> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(body.into())).expect("valid request");
+        let response = self.http.request(request).await.ok()?;
+        let (parts, body) = response.into_parts();
+        let body = body.collect().await.ok()?.to_bytes();
+        Some(Response::from_parts(parts, body))
+    }
+
+    pub async fn get<T: serde::de::DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+    ) -> Option<T> {
+        let response = self.call(Method::GET, address, path, &[], "").await?;
+        serde_json::from_slice(response.body()).ok()
+    }
+
+    pub async fn status(&self, address: SocketAddr) -> Option<StatusReply> {
+        self.get(address, "/status").await
+    }
+
+    pub async fn state(&self, address: SocketAddr) -> FleetState {
+        self.get(address, "/admin/state").await.expect("state")
+    }
+
+    /// Appends changes; the reply, or the refusal's code.
+    pub async fn append(
+        &self,
+        address: SocketAddr,
+        expected: Generation,
+        changes: Vec<FleetChange>,
+    ) -> Result<AppendReply, String> {
+        let request = AppendRequest {
+            expected,
+            author: "test".into(),
+            changes,
+        };
+        let body = serde_json::to_vec(&request).expect("encoded");
+        let path = "/admin/changes";
+        let response = self.call(Method::POST, address, path, &[], body).await;
+        let response = response.expect("answer");
+        let code = response.headers()[header::CODE].to_str().expect("code");
+        match code {
+            "1000" => Ok(serde_json::from_slice(response.body()).expect("reply")),
+            code => Err(code.to_owned()),
+        }
+    }
+
+    /// Appends changes to the state that the entry instance knows, and again after conflicts
+    /// with the controller.
+    pub async fn change(&self, address: SocketAddr, changes: Vec<FleetChange>) -> Generation {
+        for _ in 0..20 {
+            let expected = self.state(address).await.generation;
+            match self.append(address, expected, changes.clone()).await {
+                Ok(AppendReply::Accepted { generation }) => return generation,
+                Ok(AppendReply::Conflict { .. }) => {}
+                Err(code) => panic!("change refused with code {code}"),
+            }
+        }
+        panic!("conflicts without end");
+    }
+
+    pub async fn in_force(&self, address: SocketAddr, generation: Generation) -> bool {
+        let path = format!("/admin/in-force/{generation}");
+        let reply: Option<InForceReply> = self.get(address, &path).await;
+        reply.is_some_and(|reply| reply.in_force)
+    }
+
+    /// Sends a job to a queue; its result code, or none without an answer.
+    pub async fn job(
+        &self,
+        address: SocketAddr,
+        queue: &str,
+        key: Option<&str>,
+        body: &'static str,
+    ) -> Option<String> {
+        let path = format!("/v1/queues/{queue}/jobs");
+        let mut headers = vec![(header::DEADLINE_MS, "2000")];
+        if let Some(key) = key {
+            headers.push(("authorization", key));
+        }
+        let response = self.call(Method::POST, address, &path, &headers, body);
+        let response = response.await?;
+        let code = response.headers().get(header::CODE)?;
+        Some(code.to_str().ok()?.to_owned())
+    }
+}
+
+/// A platform with entry instances and backend servers.
+#[derive(Debug)]
+pub struct TestFleet {
+    pub platform: PlatformStandin,
+    pub server: ServerHandle,
+    pub entries: Vec<EntryInstance>,
+    pub backends: Vec<ServerHandle>,
+    pub client: TestClient,
+    pub listed: Vec<PlatformInstance>,
+}
+
+/// Settings with a short list lag and task lease, so that absences are noticed within seconds.
+pub fn settings(platform: SocketAddr) -> DaemonSettings {
+    DaemonSettings {
+        list_lag: Duration::from_secs(1),
+        task_lease: Duration::from_secs(2),
+        shutdown_deadline: Duration::from_secs(5),
+        ..DaemonSettings::new(loopback(), ZoneName::new("a"), platform)
+    }
+}
+
+impl TestFleet {
+    /// Starts a platform, `entries` entry instances and `workers` backend servers.
+    pub async fn start(entries: usize, workers: usize) -> Self {
+        let platform = PlatformStandin::new();
+        let server = platform.serve(loopback()).await.expect("platform");
+        let mut fleet = Self {
+            platform,
+            server,
+            entries: Vec::new(),
+            backends: Vec::new(),
+            client: TestClient::new(),
+            listed: Vec::new(),
+        };
+        for index in 0..workers {
+            let backend = BackendStandin::new().serve(loopback()).await;
+            let backend = backend.expect("backend server");
+            let name = InstanceName::new(format!("w{index}"));
+            let listed = listed(name, false, backend.address());
+            fleet.listed.push(listed);
+            fleet.backends.push(backend);
+        }
+        for _ in 0..entries {
+            fleet.add_entry().await;
+        }
+        fleet
+    }
+
+    pub fn settings(&self) -> DaemonSettings {
+        settings(self.server.address())
+    }
+
+    /// Starts an entry instance and lists it.
+    pub async fn add_entry(&mut self) -> SocketAddr {
+        let settings = self.settings();
+        self.add_entry_with(settings).await
+    }
+
+    pub async fn add_entry_with(&mut self, settings: DaemonSettings) -> SocketAddr {
+        let entry = EntryInstance::start(settings)
+            .await
+            .expect("entry instance");
+        let address = entry.address();
+        self.entries.push(entry);
+        let name = InstanceName::new(address.to_string());
+        self.listed.push(listed(name, true, address));
+        self.publish_list();
+        address
+    }
+
+    /// Takes an instance off the platform's list.
+    pub fn unlist(&mut self, name: &str) {
+        self.listed.retain(|listed| listed.name.as_str() != name);
+        self.publish_list();
+    }
+
+    pub fn publish_list(&self) {
+        self.platform.set_instances(InstanceList {
+            instances: self.listed.clone(),
+        });
+    }
+
+    pub fn address(&self, entry: usize) -> SocketAddr {
+        self.entries[entry].address()
+    }
+
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(EntryInstance::address).collect()
+    }
+
+    /// Puts the first configuration in force: pools `rota` with all workers and `spare` without,
+    /// the open team and queue `swap`.
+    pub async fn configure(&self) -> Generation {
+        let generation = self
+            .client
+            .change(self.address(0), self.first_changes())
+            .await;
+        self.wait_ready().await;
+        generation
+    }
+
+    pub fn first_changes(&self) -> Vec<FleetChange> {
+        let rota = PoolName::new("rota");
+        let workers = self.listed.iter().filter(|listed| !listed.entry);
+        let mut changes = vec![
+            put_pool("rota", workers.clone().count(), false),
+            put_pool("spare", 0, true),
+            put_team("open", 1_000),
+            FleetChange::PutQueue {
+                name: QueueName::new("swap"),
+                queue: QueueRecord {
+                    pool: rota,
+                    open: true,
+                },
+            },
+        ];
+        changes.extend(workers.map(|listed| FleetChange::PutInstance {
+            name: listed.name.clone(),
+            instance: record(listed),
+        }));
+        changes
+    }
+
+    /// Waits until each entry instance is ready and in the view, and the view has settled.
+    pub async fn wait_ready(&self) {
+        let addresses = self.addresses();
+        wait_until("fleet ready", Duration::from_secs(20), async || {
+            for address in &addresses {
+                let Some(status) = self.client.status(*address).await else {
+                    return false;
+                };
+                let state = self.client.state(*address).await;
+                let is_ready = state.generation > Generation::ZERO
+                    && status.settled == status.generation
+                    && state.view.sessions.len() == addresses.len();
+                if !is_ready {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+    }
+
+    /// Waits until all entry instances act under a generation or a later one.
+    pub async fn wait_applied(&self, generation: Generation, limit: Duration) -> Duration {
+        let addresses = self.addresses();
+        wait_until("generation applied everywhere", limit, async || {
+            for address in &addresses {
+                let status = self.client.status(*address).await;
+                if status.is_none_or(|status| status.generation < generation) {
+                    return false;
+                }
+            }
+            true
+        })
+        .await
+    }
+}
+
+pub fn put_pool(name: &str, size: usize, spare: bool) -> FleetChange {
+    FleetChange::PutPool {
+        name: PoolName::new(name),
+        pool: PoolRecord {
+            size: u32::try_from(size).expect("small size"),
+            max_unavailable: 1,
+            spare,
+        },
+    }
+}
+
+pub fn put_team(name: &str, limit: u32) -> FleetChange {
+    FleetChange::PutTeam {
+        name: TeamName::new(name),
+        team: TeamRecord { share: 1, limit },
+    }
+}
+
+fn record(listed: &PlatformInstance) -> InstanceRecord {
+    InstanceRecord {
+        pool: PoolName::new("rota"),
+        state: InstanceState::Active,
+        address: listed.address.clone(),
+        zone: listed.zone.clone(),
+        rack: listed.rack.clone(),
+        image: listed.image.clone(),
+        cores: listed.cores,
+        memory_mb: listed.memory_mb,
+        slots: listed.slots,
+        boot: listed.boot,
+        since: Generation::ZERO,
+        maintained: 0,
+    }
+}
+
+fn listed(name: InstanceName, entry: bool, address: SocketAddr) -> PlatformInstance {
+    PlatformInstance {
+        name,
+        entry,
+        address: address.to_string().into(),
+        zone: ZoneName::new("a"),
+        rack: RackName::new("a1"),
+        image: ImageName::new("base"),
+        state: ListedState::Live,
+        boot: 1,
+        cores: 64,
+        memory_mb: 128_000,
+        slots: 8,
+    }
+}
--- a/crates/wire/src/peer/peer_state.rs
+++ b/crates/wire/src/peer/peer_state.rs
@@ -18,8 +18,6 @@
 /// Answer to `GET /peer/state`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerState {
-    /// Message version.
-    pub version: u16,
     /// State that the entry instance acts under.
     pub state: FleetState,
     /// Highest settled generation that it knows.
