--- a/crates/core/src/control/control_step.rs
+++ b/crates/core/src/control/control_step.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use compact_str::CompactString;
 
 use crate::fleet::FleetChange;
@@ -12,17 +14,15 @@
     pub boot: u64,
 }
 
-/// Rows and objects that are no longer needed.
+/// Rows and objects that are no longer needed, next to all snapshots but the two newest.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct CleanupOrder {
     /// Change rows below this generation.
     pub changes_below: Generation,
     /// Session rows.
     pub sessions: Vec<SessionId>,
-    /// Claims created before this time, in seconds since 1970, local time.
-    pub claims_before: u64,
-    /// Whether snapshots other than the two newest are removed.
-    pub snapshots: bool,
+    /// Claims whose age is above this.
+    pub claims_older: Duration,
 }
 
 /// Something that an operator should know.
@@ -42,6 +42,8 @@
     WaveHalted(WaveName, CompactString),
     /// A wave was resumed by rule.
     WaveResumed(WaveName),
+    /// A row of the sheet was due and refers to a pool that no longer exists.
+    RowSkipped(CompactString),
     /// The fleet has fewer instances than the sheet needs at this time.
     Shortage(u32),
 }
--- a/crates/core/src/control/controller.rs
+++ b/crates/core/src/control/controller.rs
@@ -1,19 +1,32 @@
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{ControlInput, ControlStep};
+use super::control_memory::ControlMemory;
+use super::step_draft::StepDraft;
+use super::{ControlInput, ControlNote, ControlStep};
+use crate::fleet::FleetChange;
 use crate::membership::{MembershipPolicy, SessionTracker};
+use crate::moves::PlanPolicy;
 
 /// Settings of the controller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ControlPolicy {
     /// Bounds by which absences are judged.
     pub membership: MembershipPolicy,
+    /// Weights and times for planning moves.
+    pub plan: PlanPolicy,
     /// Absence from the list after which an instance counts as failed.
     pub absence_grace: Duration,
     /// Time after which a rebooting instance that is not back counts as failed.
     pub reboot_deadline: Duration,
-    /// Time for which all failed members of a halted wave must be back before it resumes.
+    /// Time after which a reboot that did not happen is asked for again.
+    pub reboot_retry: Duration,
+    /// Time for which all failed members of a halted wave must be back before it resumes, and
+    /// within which a failure after a reboot counts as a failure of the wave.
     pub recovery_time: Duration,
+    /// Absence after which a failed instance is removed. Shorter absences are outages of a rack
+    /// or a zone, after which the instances return to their pools.
+    pub removal_time: Duration,
 }
 
 impl ControlPolicy {
@@ -22,9 +35,12 @@
     pub const fn new() -> Self {
         Self {
             membership: MembershipPolicy::new(),
+            plan: PlanPolicy::with_short_rollout(),
             absence_grace: Duration::from_secs(3),
             reboot_deadline: Duration::from_mins(10),
+            reboot_retry: Duration::from_mins(1),
             recovery_time: Duration::from_mins(10),
+            removal_time: Duration::from_mins(10),
         }
     }
 }
@@ -38,7 +54,9 @@
 /// Decides on behalf of the fleet. A process that takes over the lease creates a new controller.
 #[derive(Debug)]
 pub struct Controller {
+    policy: ControlPolicy,
     tracker: SessionTracker,
+    memory: ControlMemory,
 }
 
 impl Controller {
@@ -46,17 +64,59 @@
     #[must_use]
     pub const fn new(policy: ControlPolicy) -> Self {
         Self {
+            policy,
             tracker: SessionTracker::new(policy.membership),
+            memory: ControlMemory::new(),
         }
     }
 
     /// Decides on the input. The result depends on the inputs since `new` alone.
+    ///
+    /// All changes belong in one record. When that record is refused because the state has
+    /// changed, the next step decides again on the new state.
     pub fn step(&mut self, input: ControlInput<'_>) -> ControlStep {
-        let list = input.list.unwrap_or_default();
-        self.tracker.observe(input.sessions, list, input.now);
-        ControlStep {
-            settled: input.settled,
-            ..ControlStep::default()
+        let mut draft = StepDraft::new(input, &self.policy);
+        match input.list.filter(|list| !list.is_empty()) {
+            Some(list) => {
+                self.tracker.observe(input.sessions, list, input.now);
+                draft.update_sessions(&self.tracker, list);
+                let listed: BTreeMap<_, _> =
+                    list.iter().map(|entry| (&entry.name, entry)).collect();
+                draft.sync_instances(&mut self.memory, &listed);
+                draft.advance_waves(&mut self.memory);
+            }
+            None => draft.step.notes.push(ControlNote::ListUnavailable),
         }
+        if !draft.apply_due_rows() {
+            draft.finish_moves();
+            draft.judge_health();
+            draft.start_moves();
+            draft.start_maintenance();
+        }
+        draft.keep_house(&mut self.memory, &self.tracker);
+        draft.step
+    }
+}
+
+impl StepDraft<'_> {
+    fn update_sessions(
+        &mut self,
+        tracker: &SessionTracker,
+        list: &[crate::membership::ListedInstance],
+    ) {
+        let (state, sessions) = (self.input.state, self.input.sessions);
+        let view = tracker.view(&state.view, sessions);
+        let report = tracker.settled(state.generation, &view, sessions, list);
+        self.step.settled = self.step.settled.max(report.settled);
+        if view != state.view {
+            self.step.changes.push(FleetChange::SetView { view });
+        }
+        if !report.outstanding.is_empty() {
+            self.step
+                .notes
+                .push(ControlNote::Outstanding(report.outstanding));
+        }
+        let unknown = report.unknown.into_iter().map(ControlNote::UnknownEntry);
+        self.step.notes.extend(unknown);
     }
 }
--- /dev/null
+++ b/crates/core/src/control/instance_sync.rs
@@ -0,0 +1,187 @@
+use std::collections::BTreeMap;
+
+use super::control_memory::ControlMemory;
+use super::step_draft::StepDraft;
+use super::{ControlNote, RebootOrder};
+use crate::fleet::{ApplyLimits, FleetChange, InstanceRecord, InstanceState};
+use crate::ids::{InstanceName, PoolName};
+use crate::membership::{EntryRole, ListState, ListedInstance};
+
+/// Platform's list by name.
+pub(super) type ListIndex<'l> = BTreeMap<&'l InstanceName, &'l ListedInstance>;
+
+impl<'a> StepDraft<'a> {
+    /// Follows the platform's list: registers, updates, fails, recovers and removes instances.
+    pub(super) fn sync_instances(&mut self, memory: &mut ControlMemory, listed: &ListIndex<'_>) {
+        let state = self.input.state;
+        memory.forget(state, listed);
+        for (name, instance) in &state.instances {
+            match listed.get(name) {
+                Some(entry) if entry.state == ListState::Live => {
+                    self.sync_live(memory, name, instance, entry);
+                }
+                Some(_) => {
+                    memory.leaving.insert(name.clone());
+                    if instance.state != InstanceState::Failed {
+                        self.set_state(name, instance, InstanceState::Failed);
+                    }
+                }
+                None => self.sync_absent(memory, name, instance),
+            }
+        }
+        if let Some(spare) = state.spare_pool() {
+            self.register_new(spare, listed);
+        }
+    }
+
+    fn register_new(&mut self, spare: &PoolName, listed: &ListIndex<'_>) {
+        let state = self.input.state;
+        let room = ApplyLimits::INSTANCES.saturating_sub(state.instances.len());
+        let new_entries = listed.values().filter(|entry| {
+            entry.role == EntryRole::Backend
+                && entry.state == ListState::Live
+                && has_valid_size(entry)
+                && !state.instances.contains_key(&entry.name)
+        });
+        for entry in new_entries.take(room) {
+            self.step.changes.push(FleetChange::PutInstance {
+                name: entry.name.clone(),
+                instance: InstanceRecord {
+                    pool: spare.clone(),
+                    state: InstanceState::Active,
+                    address: entry.address.clone(),
+                    zone: entry.zone.clone(),
+                    rack: entry.rack.clone(),
+                    image: entry.image.clone(),
+                    cores: entry.cores,
+                    memory_mb: entry.memory_mb,
+                    slots: entry.slots,
+                    boot: entry.boot,
+                    since: state.generation,
+                    maintained: self.input.day_time.day,
+                },
+            });
+        }
+    }
+
+    fn sync_live(
+        &mut self,
+        memory: &mut ControlMemory,
+        name: &InstanceName,
+        instance: &'a InstanceRecord,
+        entry: &ListedInstance,
+    ) {
+        memory.leaving.remove(name);
+        let is_rebooted = instance.state == InstanceState::Rebooting && instance.boot != entry.boot;
+        let updated = describe(instance, entry);
+        if updated != *instance && has_valid_size(entry) {
+            self.step.changes.push(FleetChange::PutInstance {
+                name: name.clone(),
+                instance: updated,
+            });
+        }
+        match instance.state {
+            InstanceState::Rebooting if is_rebooted => {
+                self.rebooted.insert(name.clone());
+                self.set_state(name, instance, InstanceState::Active);
+                self.step.changes.push(FleetChange::MarkMaintained {
+                    name: name.clone(),
+                    day: self.input.day_time.day,
+                });
+            }
+            InstanceState::Rebooting => self.order_reboot(memory, name, instance),
+            InstanceState::Failed => self.set_state(name, instance, InstanceState::Active),
+            _ => {}
+        }
+    }
+
+    /// Asks for a reboot, once at first and again when it does not happen.
+    ///
+    /// A controller that has not seen the instance draining may follow one that has already
+    /// asked. It waits until the list must show the result of that.
+    fn order_reboot(
+        &mut self,
+        memory: &mut ControlMemory,
+        name: &InstanceName,
+        instance: &InstanceRecord,
+    ) {
+        let now = self.input.now;
+        let since = *memory.rebooting_since.entry(name.clone()).or_insert(now);
+        let is_due = match memory.asked_at.get(name) {
+            Some(&asked) => now.since(asked) >= self.policy.reboot_retry,
+            None if memory.draining.contains(name) => true,
+            None => now.since(since) >= self.policy.membership.list_lag,
+        };
+        if is_due {
+            memory.asked_at.insert(name.clone(), now);
+            self.step.reboots.push(RebootOrder {
+                instance: name.clone(),
+                boot: instance.boot,
+            });
+        }
+        if now.since(since) > self.policy.reboot_deadline {
+            self.step
+                .notes
+                .push(ControlNote::RebootOverdue(name.clone()));
+        }
+    }
+
+    fn sync_absent(
+        &mut self,
+        memory: &mut ControlMemory,
+        name: &InstanceName,
+        instance: &'a InstanceRecord,
+    ) {
+        let now = self.input.now;
+        let since = *memory.absent_since.entry(name.clone()).or_insert(now);
+        let absence = now.since(since);
+        match instance.state {
+            InstanceState::Failed => {
+                let needed = if memory.leaving.contains(name) {
+                    self.policy.membership.stopped_after()
+                } else {
+                    self.policy.removal_time
+                };
+                // Until the failure is settled an entry instance may still run its old pool's
+                // work on the instance, which may come back as a new one in the spare pool.
+                if absence > needed && self.step.settled >= instance.since {
+                    self.remove(name, instance);
+                }
+            }
+            InstanceState::Rebooting => {
+                let since = *memory.rebooting_since.entry(name.clone()).or_insert(now);
+                if now.since(since) > self.policy.reboot_deadline {
+                    self.set_state(name, instance, InstanceState::Failed);
+                    self.step
+                        .notes
+                        .push(ControlNote::RebootOverdue(name.clone()));
+                }
+            }
+            _ if absence >= self.policy.absence_grace => {
+                self.set_state(name, instance, InstanceState::Failed);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Sizes that `FleetState::apply` accepts; one entry with others must not block a whole record.
+fn has_valid_size(entry: &ListedInstance) -> bool {
+    (1..=ApplyLimits::SLOTS).contains(&entry.slots)
+        && entry.cores > 0
+        && (1..=ApplyLimits::NAME_BYTES).contains(&entry.name.as_str().len())
+}
+
+fn describe(instance: &InstanceRecord, entry: &ListedInstance) -> InstanceRecord {
+    InstanceRecord {
+        address: entry.address.clone(),
+        zone: entry.zone.clone(),
+        rack: entry.rack.clone(),
+        image: entry.image.clone(),
+        cores: entry.cores,
+        memory_mb: entry.memory_mb,
+        slots: entry.slots,
+        boot: entry.boot,
+        ..instance.clone()
+    }
+}
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -1,8 +1,14 @@
 //! Decisions of the controller, the process that holds the controller's lease.
 
 mod control_input;
+mod control_memory;
 mod control_step;
 mod controller;
+mod house_keeping;
+mod instance_sync;
+mod move_control;
+mod step_draft;
+mod wave_control;
 
 pub use control_input::{ControlInput, HealthReport, HealthVerdict, LogExtent};
 pub use control_step::{CleanupOrder, ControlNote, ControlStep, RebootOrder};
--- a/crates/core/src/fleet/fleet_change.rs
+++ b/crates/core/src/fleet/fleet_change.rs
@@ -129,6 +129,8 @@
         wave: WaveName,
         /// Why it is halted.
         reason: CompactString,
+        /// Whether it resumes by rule once its failed members have recovered.
+        resumes: bool,
     },
     /// Lets a halted wave continue. Its failed members are skipped.
     ResumeWave {
--- a/crates/core/src/fleet/wave_change.rs
+++ b/crates/core/src/fleet/wave_change.rs
@@ -12,12 +12,19 @@
                 started,
                 members,
             } => self.start_wave(wave, *started, members),
-            FleetChange::HaltWave { wave, reason } => {
+            FleetChange::HaltWave {
+                wave,
+                reason,
+                resumes,
+            } => {
                 if self.wave(wave)?.status == WaveStatus::Finished {
                     return Err(invalid("status", wave.as_str()));
                 }
-                let reason = reason.clone();
-                self.put_status(wave, WaveStatus::Halted { reason });
+                let status = WaveStatus::Halted {
+                    reason: reason.clone(),
+                    resumes: *resumes,
+                };
+                self.put_status(wave, status);
                 Ok(())
             }
             FleetChange::ResumeWave { wave } => self.resume_wave(wave),
--- a/crates/core/src/fleet/wave_record.rs
+++ b/crates/core/src/fleet/wave_record.rs
@@ -32,6 +32,8 @@
     Halted {
         /// Why the wave was halted.
         reason: CompactString,
+        /// Whether it resumes by rule once its failed members have recovered.
+        resumes: bool,
     },
     /// Every member is done or skipped.
     Finished,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,5 +13,8 @@
 pub mod keys;
 pub mod lease;
 pub mod membership;
+pub mod moves;
 pub mod scheduler;
+pub mod sheet;
 pub mod time;
+pub mod waves;
--- a/crates/core/src/membership/session_tracker.rs
+++ b/crates/core/src/membership/session_tracker.rs
@@ -68,8 +68,13 @@
 pub struct SessionTracker {
     policy: MembershipPolicy,
     tracks: BTreeMap<SessionId, SessionTrack>,
+    observed_at: TimePoint,
 }
 
+/// Time between two observations above which absences are counted from the start: a session may
+/// have been listed in between.
+const MAX_OBSERVATION_GAP: Duration = Duration::from_secs(5);
+
 impl SessionTracker {
     /// Creates a tracker that has seen nothing.
     #[must_use]
@@ -77,11 +82,18 @@
         Self {
             policy,
             tracks: BTreeMap::new(),
+            observed_at: TimePoint::ORIGIN,
         }
     }
 
     /// Takes in the rows and the list as read at `now`.
     pub fn observe(&mut self, sessions: &[SessionRecord], list: &[ListedInstance], now: TimePoint) {
+        if now.since(self.observed_at) > MAX_OBSERVATION_GAP {
+            for track in self.tracks.values_mut() {
+                track.absent_since = None;
+            }
+        }
+        self.observed_at = now;
         let known: BTreeSet<SessionId> = sessions.iter().map(|record| record.session).collect();
         self.tracks.retain(|session, _| known.contains(session));
         let listed: BTreeSet<&InstanceName> = entries(list).map(|entry| &entry.name).collect();
@@ -139,17 +151,17 @@
             .any(|other| other.has_renewed && other.renewed_at > own.renewed_at)
     }
 
-    /// Time for which the session has been absent, if it is.
+    /// Time for which the session had been absent at the last observation, if it was.
     #[must_use]
-    pub fn absence(&self, session: SessionId, now: TimePoint) -> Option<Duration> {
+    pub fn absence(&self, session: SessionId) -> Option<Duration> {
         let since = self.tracks.get(&session)?.absent_since?;
-        Some(now.since(since))
+        Some(self.observed_at.since(since))
     }
 
     /// Whether nothing that the session started can still be running.
     #[must_use]
-    pub fn is_stopped(&self, session: SessionId, now: TimePoint) -> bool {
-        self.absence(session, now)
+    pub fn is_stopped(&self, session: SessionId) -> bool {
+        self.absence(session)
             .is_some_and(|absence| absence > self.policy.stopped_after())
     }
 
@@ -158,18 +170,13 @@
     /// A session that is not in the current view is added only when it is listed or was seen to
     /// renew its row, so that a new controller does not add the sessions of dead processes.
     #[must_use]
-    pub fn view(
-        &self,
-        current: &SessionView,
-        sessions: &[SessionRecord],
-        now: TimePoint,
-    ) -> SessionView {
+    pub fn view(&self, current: &SessionView, sessions: &[SessionRecord]) -> SessionView {
         let members = sessions.iter().filter(|record| {
             let Some(track) = self.tracks.get(&record.session) else {
                 return false;
             };
             let is_gone = self
-                .absence(record.session, now)
+                .absence(record.session)
                 .is_some_and(|absence| absence > self.policy.list_lag);
             match record.state {
                 SessionState::Left => false,
@@ -197,15 +204,13 @@
         view: &SessionView,
         sessions: &[SessionRecord],
         list: &[ListedInstance],
-        now: TimePoint,
     ) -> SettledReport {
         let mut report = SettledReport {
             settled: current,
             ..SettledReport::default()
         };
         for record in sessions {
-            let is_over =
-                record.state == SessionState::Left || self.is_stopped(record.session, now);
+            let is_over = record.state == SessionState::Left || self.is_stopped(record.session);
             if !is_over && record.quiesced < current {
                 report.settled = report.settled.min(record.quiesced);
                 report.outstanding.push(record.session);
--- /dev/null
+++ b/crates/core/src/moves/day_demand.rs
@@ -0,0 +1,137 @@
+use std::collections::BTreeMap;
+
+use crate::fleet::{DayTime, FleetState, InstanceState, SECONDS_PER_DAY, SheetItem};
+use crate::ids::PoolName;
+
+/// Sizes that hold from one point of the day to the next step.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DemandStep {
+    /// Seconds from the start of the plan.
+    pub second: u32,
+    /// Instances that each pool needs. The entry of the spare pool is its reserve.
+    pub needed: Vec<u32>,
+    /// Instances that each pool should have if that takes none from what another pool needs.
+    pub wanted: Vec<u32>,
+}
+
+/// Sizes of the pools over the 24 hours after the start of a plan.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DayDemand {
+    /// Pools, in the order of the sizes.
+    pub pools: Vec<PoolName>,
+    /// Index of the spare pool.
+    pub spare: Option<usize>,
+    /// Availability budget per pool.
+    pub budgets: Vec<u32>,
+    /// Whether each pool is to be emptied.
+    pub closing: Vec<bool>,
+    /// Steps in ascending order; the first is at second 0.
+    pub steps: Vec<DemandStep>,
+}
+
+impl DayDemand {
+    /// Reads the demand from the pools and the sheet of the state.
+    ///
+    /// The sizes at the start are those in force, which an operator may have changed since the
+    /// last row of the sheet.
+    #[must_use]
+    pub fn with_state(state: &FleetState, start: DayTime) -> Self {
+        let pools: Vec<PoolName> = state.pools.keys().cloned().collect();
+        let sizes = state.pools.values().map(|pool| pool.size).collect();
+        let mut demand = Self {
+            spare: state.pools.values().position(|pool| pool.spare),
+            budgets: state
+                .pools
+                .values()
+                .map(|pool| pool.max_unavailable)
+                .collect(),
+            closing: pools
+                .iter()
+                .map(|name| state.closing.contains(name))
+                .collect(),
+            steps: Vec::new(),
+            pools,
+        };
+        demand.push_step(0, sizes);
+        demand.read_sheet(state, start);
+        demand
+    }
+
+    /// Adds a step; a step at the same second replaces the sizes of the one before.
+    pub fn push_step(&mut self, second: u32, sizes: Vec<u32>) {
+        let wanted = sizes.clone();
+        let mut needed = sizes;
+        if let Some(spare) = self.spare {
+            needed[spare] = 0;
+        }
+        if self.steps.last().is_some_and(|last| last.second == second) {
+            self.steps.pop();
+        }
+        self.steps.push(DemandStep {
+            second,
+            needed,
+            wanted,
+        });
+    }
+
+    fn read_sheet(&mut self, state: &FleetState, start: DayTime) {
+        let Some(sheet) = &state.sheet else {
+            return;
+        };
+        let index: BTreeMap<&PoolName, usize> = state.pools.keys().zip(0..).collect();
+        let mut row_counts: BTreeMap<&PoolName, u32> = BTreeMap::new();
+        for row in &sheet.rows {
+            if let SheetItem::Pool { name, .. } = &row.item {
+                *row_counts.entry(name).or_default() += 1;
+            }
+        }
+        let mut is_first = BTreeMap::new();
+        let mut transitions = Vec::new();
+        for row in &sheet.rows {
+            let SheetItem::Pool { name, pool } = &row.item else {
+                continue;
+            };
+            let Some(&at) = index.get(name) else {
+                continue;
+            };
+            if row_counts[name] == 1 {
+                continue;
+            }
+            let second = if is_first.insert(name, ()).is_none() {
+                0
+            } else {
+                u32::from(row.minute) * 60
+            };
+            let offset = (second + SECONDS_PER_DAY - start.second - 1) % SECONDS_PER_DAY + 1;
+            transitions.push((offset, at, pool.size));
+        }
+        transitions.sort_unstable();
+        let mut sizes: Vec<u32> = state.pools.values().map(|pool| pool.size).collect();
+        for (offset, at, size) in transitions {
+            if offset < SECONDS_PER_DAY {
+                sizes[at] = size;
+                self.push_step(offset, sizes.clone());
+            }
+        }
+    }
+
+    /// Counts the instances per pool, in the order of `pools`.
+    ///
+    /// A moving instance counts in its target. A failed one does not count.
+    #[must_use]
+    pub fn count_instances(&self, state: &FleetState) -> Vec<u32> {
+        let index: BTreeMap<&PoolName, usize> = self.pools.iter().zip(0..).collect();
+        let mut counts = vec![0; self.pools.len()];
+        for instance in state.instances.values() {
+            let pool = match &instance.state {
+                InstanceState::Failed => continue,
+                InstanceState::Moving { target } => target,
+                _ => &instance.pool,
+            };
+            if let Some(&at) = index.get(pool) {
+                counts[at] += 1;
+            }
+        }
+        counts
+    }
+}
--- /dev/null
+++ b/crates/core/src/moves/demand_variant.rs
@@ -0,0 +1,89 @@
+use super::DayDemand;
+
+/// Way of raising what pools want above what they need.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct DemandVariant {
+    /// Seconds by which increases are prepared ahead of their rows.
+    pub(super) lead: u32,
+    /// Whether instances that nobody needs all day are spread over the pools.
+    pub(super) is_filled: bool,
+}
+
+impl DemandVariant {
+    pub(super) fn apply(self, demand: &DayDemand, fleet_size: u32) -> DayDemand {
+        let mut varied = demand.clone();
+        if self.lead > 0 {
+            varied = lead_increases(&varied, self.lead);
+        }
+        if self.is_filled {
+            fill_pools(&mut varied, fleet_size);
+        }
+        varied
+    }
+}
+
+/// Adds steps ahead of the rows at which pools want what the rows within the lead ask for.
+fn lead_increases(demand: &DayDemand, lead: u32) -> DayDemand {
+    let mut seconds: Vec<u32> = demand
+        .steps
+        .iter()
+        .flat_map(|step| [step.second, step.second.saturating_sub(lead)])
+        .collect();
+    seconds.sort_unstable();
+    seconds.dedup();
+    let mut varied = demand.clone();
+    varied.steps.clear();
+    let mut current = 0;
+    for second in seconds {
+        while current + 1 < demand.steps.len() && demand.steps[current + 1].second <= second {
+            current += 1;
+        }
+        let mut step = demand.steps[current].clone();
+        step.second = second;
+        for later in &demand.steps[current + 1..] {
+            if later.second > second + lead {
+                break;
+            }
+            for (wanted, size) in step.wanted.iter_mut().zip(&later.wanted) {
+                *wanted = (*wanted).max(*size);
+            }
+        }
+        varied.steps.push(step);
+    }
+    varied
+}
+
+/// Spreads the instances that no step of the day wants over the pools by their present sizes.
+fn fill_pools(demand: &mut DayDemand, fleet_size: u32) {
+    let most_wanted = demand
+        .steps
+        .iter()
+        .map(|step| step.wanted.iter().sum::<u32>())
+        .max()
+        .unwrap_or_default();
+    let surplus = fleet_size.saturating_sub(most_wanted);
+    let weights: Vec<u64> = (0..demand.pools.len())
+        .map(|pool| {
+            if demand.spare == Some(pool) || demand.closing[pool] {
+                0
+            } else {
+                u64::from(demand.steps[0].wanted[pool])
+            }
+        })
+        .collect();
+    let total: u64 = weights.iter().sum();
+    if surplus == 0 || total == 0 {
+        return;
+    }
+    let mut given = 0;
+    let mut weight_sum = 0;
+    for (pool, weight) in weights.iter().enumerate() {
+        weight_sum += weight;
+        let goal = u32::try_from(u64::from(surplus) * weight_sum / total).unwrap_or(surplus);
+        let extra = goal - given;
+        given = goal;
+        for step in &mut demand.steps {
+            step.wanted[pool] += extra;
+        }
+    }
+}
