--- a/crates/core/src/control/instance_sync.rs
+++ b/crates/core/src/control/instance_sync.rs
@@ -84,17 +84,27 @@
             InstanceState::Rebooting if is_rebooted => {
                 self.rebooted.insert(name.clone());
                 self.set_state(name, instance, InstanceState::Active);
-                self.step.changes.push(FleetChange::MarkMaintained {
-                    name: name.clone(),
-                    day: self.input.day_time.day,
-                });
+                self.mark_maintained(name);
             }
             InstanceState::Rebooting => self.order_reboot(memory, name, instance),
-            InstanceState::Failed => self.set_state(name, instance, InstanceState::Active),
+            InstanceState::Failed => {
+                self.set_state(name, instance, InstanceState::Active);
+                // A member that failed on the way and comes back with a new boot was rebooted.
+                if instance.boot != entry.boot && self.is_failed_member(name) {
+                    self.mark_maintained(name);
+                }
+            }
             _ => {}
         }
     }
 
+    fn mark_maintained(&mut self, name: &InstanceName) {
+        self.step.changes.push(FleetChange::MarkMaintained {
+            name: name.clone(),
+            day: self.input.day_time.day,
+        });
+    }
+
     /// Asks for a reboot, once at first and again when it does not happen.
     ///
     /// A controller that has not seen the instance draining may follow one that has already
@@ -144,11 +154,15 @@
                 };
                 // Until the failure is settled an entry instance may still run its old pool's
                 // work on the instance, which may come back as a new one in the spare pool.
-                if absence > needed && self.step.settled >= instance.since {
+                if absence > needed
+                    && self.step.settled >= instance.since
+                    && !self.is_held_by_wave(name)
+                {
                     self.remove(name, instance);
                 }
             }
             InstanceState::Rebooting => {
+                memory.absent_since.insert(name.clone(), now);
                 let since = *memory.rebooting_since.entry(name.clone()).or_insert(now);
                 if now.since(since) > self.policy.reboot_deadline {
                     self.set_state(name, instance, InstanceState::Failed);
--- a/crates/core/src/control/wave_control.rs
+++ b/crates/core/src/control/wave_control.rs
@@ -42,6 +42,22 @@
         self.remove_old_waves();
     }
 
+    /// Whether the instance is a failed member of a wave.
+    pub(super) fn is_failed_member(&self, name: &InstanceName) -> bool {
+        let mut waves = self.input.state.waves.values();
+        waves.any(|wave| wave.members.get(name) == Some(&MemberStep::Failed))
+    }
+
+    /// Whether the failure of an instance may still halt a wave or keep it halted. Such an instance
+    /// stays on record, because its rack, zone and image tell what the failures have in common.
+    pub(super) fn is_held_by_wave(&self, name: &InstanceName) -> bool {
+        self.input.state.waves.values().any(|wave| {
+            wave.members.get(name) == Some(&MemberStep::Failed)
+                && (wave.status != WaveStatus::Running
+                    || wave.count(MemberStep::Pending) + wave.count(MemberStep::Working) > 0)
+        })
+    }
+
     /// Takes the next pending members of the running waves out of service.
     pub(super) fn start_maintenance(&mut self) {
         let state = self.input.state;
@@ -157,8 +173,11 @@
         name: &InstanceName,
         instance: Option<&InstanceRecord>,
     ) -> MemberStep {
+        let Some(instance) = instance else {
+            return MemberStep::Skipped;
+        };
         let key = (wave_name.clone(), name.clone());
-        if instance.is_some_and(|instance| !instance.state.is_active()) {
+        if !instance.state.is_active() {
             memory.recovered_since.remove(&key);
             return MemberStep::Failed;
         }
@@ -170,10 +189,10 @@
             return MemberStep::Failed;
         }
         memory.recovered_since.remove(&key);
-        match instance {
-            None => MemberStep::Skipped,
-            Some(instance) if instance.maintained >= wave.started.day => MemberStep::Done,
-            Some(_) => MemberStep::Pending,
+        if instance.maintained >= wave.started.day {
+            MemberStep::Done
+        } else {
+            MemberStep::Pending
         }
     }
 
