Run the controller's steps and test changes from append to in force

Change: reboots no longer wait for the step's own write; the plan's weights and times are settings; tests start several entry instances on a stand-in fleet.

--- a/crates/daemon/src/admin/status_report.rs
+++ b/crates/daemon/src/admin/status_report.rs
@@ -99,7 +99,7 @@
         let all = wave.members.len();
         match &wave.status {
             WaveStatus::Running => Some(format!("{name}: running, {done} of {all} done")),
-            WaveStatus::Halted { reason } => {
+            WaveStatus::Halted { reason, .. } => {
                 Some(format!("{name}: halted ({reason}), {done} of {all} done"))
             }
             WaveStatus::Finished => None,
--- a/crates/daemon/src/control/control_round.rs
+++ b/crates/daemon/src/control/control_round.rs
@@ -1,5 +1,3 @@
-use std::time::Duration;
-
 use compact_str::format_compact;
 use sesamedeal_core::control::{ControlInput, ControlStep, LogExtent, RebootOrder};
 use sesamedeal_core::fleet::{ChangeRecord, FleetState};
@@ -21,9 +19,6 @@
 /// Most session rows read at once.
 const MAX_SESSIONS: usize = 1_000;
 
-/// Time after which a reboot whose effect is not seen in the list is asked for again.
-const REBOOT_REPEAT: Duration = Duration::from_secs(60);
-
 /// The rows that a step is based on.
 #[derive(Debug)]
 pub(super) struct RoundRows {
@@ -61,8 +56,12 @@
             return Ok(());
         };
         let step = self.decide(&state, &rows).await?;
-        if self.commit(&state, &rows, &step, renewal, sent).await? {
+        let committed = self.commit(&state, &rows, &step, renewal, sent).await;
+        if self.controller.is_some() {
+            // Reboots follow from the log alone, so that they do not wait for this step.
             self.reboot(&step.reboots).await;
+        }
+        if committed? {
             self.upkeep(&state, &step).await?;
         }
         Ok(())
@@ -221,16 +220,11 @@
     }
 
     /// Asks the platform for reboots while the lease certainly holds.
-    async fn reboot(&mut self, orders: &[RebootOrder]) {
-        let now = self.context.clock.now();
-        self.reboots
-            .retain(|(_, asked)| now.since(*asked) < REBOOT_REPEAT);
+    async fn reboot(&self, orders: &[RebootOrder]) {
         for order in orders {
-            let is_asked = self.reboots.iter().any(|(asked, _)| asked == order);
-            if is_asked || self.candidate.epoch(self.context.clock.now()).is_none() {
-                continue;
+            if self.candidate.epoch(self.context.clock.now()).is_none() {
+                return;
             }
-            self.reboots.push((order.clone(), now));
             match self.context.client.reboot(&order.instance).await {
                 Ok(()) => info!(self.context.logger, "reboot";
                     "instance" => order.instance.as_str(), "boot" => order.boot),
--- a/crates/daemon/src/control/controller_actor.rs
+++ b/crates/daemon/src/control/controller_actor.rs
@@ -1,11 +1,10 @@
 use std::sync::Arc;
 
 use rand::RngExt;
-use sesamedeal_core::control::{ControlNote, ControlPolicy, Controller, RebootOrder};
+use sesamedeal_core::control::{ControlNote, ControlPolicy, Controller};
 use sesamedeal_core::ids::OperationId;
 use sesamedeal_core::lease::{LeaseAction, LeaseCandidate, LeasePolicy, LeaseRecord};
 use sesamedeal_core::membership::{MembershipPolicy, SessionState};
-use sesamedeal_core::time::TimePoint;
 use sesamedeal_platform::PutCondition;
 use sesamedeal_platform::protocol::WriteReply;
 use sesamedeal_platform::rows::CONTROLLER_LEASE;
@@ -24,7 +23,6 @@
     pub(super) candidate: LeaseCandidate,
     /// Present while this session holds the lease.
     pub(super) controller: Option<Controller>,
-    pub(super) reboots: Vec<(RebootOrder, TimePoint)>,
     pub(super) notes: Vec<ControlNote>,
 }
 
@@ -43,7 +41,6 @@
             candidate: LeaseCandidate::new(context.session, policy),
             context,
             controller: None,
-            reboots: Vec::new(),
             notes: Vec::new(),
         }
     }
@@ -101,10 +98,10 @@
         };
         let policy = ControlPolicy {
             membership,
+            plan: settings.plan_policy(),
             ..ControlPolicy::new()
         };
         self.controller = Some(Controller::new(policy));
-        self.reboots.clear();
         info!(self.context.logger, "role"; "controller" => true, "epoch" => record.epoch);
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,6 @@
 pub use entry::EntryInstance;
 pub use error::{DaemonError, Result};
 pub use settings::{
-    DaemonSettings, LogFormat, LogLevel, PlanWeights, SETTINGS, SettingDefault, SettingKind,
-    SettingProblem, SettingSpec,
+    DaemonSettings, LogFormat, LogLevel, SETTINGS, SettingDefault, SettingKind, SettingProblem,
+    SettingSpec,
 };
--- a/crates/daemon/src/settings/daemon_settings.rs
+++ b/crates/daemon/src/settings/daemon_settings.rs
@@ -5,11 +5,12 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, hex::Hex, serde_as, skip_serializing_none};
 use sesamedeal_core::ids::{InstanceName, ZoneName};
+use sesamedeal_core::moves::PlanPolicy;
 use snafu::ResultExt;
 use toml::Table;
 
 use super::setting_check::check;
-use super::{LogFormat, LogLevel, PlanWeights};
+use super::{LogFormat, LogLevel};
 use crate::error::{InvalidSettingsSnafu, ParseSettingsSnafu, ReadSettingsSnafu, Result};
 
 /// Settings of an entry instance. [`crate::SETTINGS`] describes the keys of the file.
@@ -118,18 +119,26 @@
     /// Most jobs queued per pool and team.
     #[serde(default = "defaults::max_queued")]
     pub max_queued: usize,
-    /// Weight of a move of an instance between pools.
-    #[serde(default = "defaults::plan_moves_weight")]
-    pub plan_moves_weight: f64,
-    /// Weight of the time until a sheet is in force.
+    /// Cost of one move of an instance between pools.
+    #[serde(default = "defaults::plan_move_weight")]
+    pub plan_move_weight: u32,
+    /// Cost of one minute from the time of a row to the end of its moves.
     #[serde(default = "defaults::plan_rollout_weight")]
-    pub plan_rollout_weight: f64,
-    /// Weight of an instance-hour in the spare pool or out of service.
+    pub plan_rollout_weight: u32,
+    /// Cost of one instance-hour in the spare pool or out of service.
     #[serde(default = "defaults::plan_buffer_weight")]
-    pub plan_buffer_weight: f64,
-    /// Weight of the distance between usage and share.
-    #[serde(default = "defaults::plan_fairness_weight")]
-    pub plan_fairness_weight: f64,
+    pub plan_buffer_weight: u32,
+    /// Cost of one hour in which a hundredth of the fleet is in another pool than sizes say.
+    #[serde(default = "defaults::plan_share_weight")]
+    pub plan_share_weight: u32,
+    /// Time for which plans assume a moving instance to be out of service.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "plan_move_ms", default = "defaults::plan_move")]
+    pub plan_move: Duration,
+    /// Time for which plans assume an instance under maintenance to be out of service.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "plan_reboot_ms", default = "defaults::plan_reboot")]
+    pub plan_reboot: Duration,
 }
 
 impl DaemonSettings {
@@ -163,10 +172,12 @@
             caller_deadline: defaults::caller_deadline(),
             urgent_start: defaults::urgent_start(),
             max_queued: defaults::max_queued(),
-            plan_moves_weight: defaults::plan_moves_weight(),
+            plan_move_weight: defaults::plan_move_weight(),
             plan_rollout_weight: defaults::plan_rollout_weight(),
             plan_buffer_weight: defaults::plan_buffer_weight(),
-            plan_fairness_weight: defaults::plan_fairness_weight(),
+            plan_share_weight: defaults::plan_share_weight(),
+            plan_move: defaults::plan_move(),
+            plan_reboot: defaults::plan_reboot(),
         }
     }
 
@@ -185,14 +196,16 @@
         table.try_into().context(ParseSettingsSnafu { path })
     }
 
-    /// Weights of the plan's measures.
+    /// Weights and times for planning moves.
     #[must_use]
-    pub const fn plan_weights(&self) -> PlanWeights {
-        PlanWeights {
-            moves: self.plan_moves_weight,
-            rollout: self.plan_rollout_weight,
-            buffer: self.plan_buffer_weight,
-            fairness: self.plan_fairness_weight,
+    pub const fn plan_policy(&self) -> PlanPolicy {
+        PlanPolicy {
+            move_weight: self.plan_move_weight,
+            rollout_weight: self.plan_rollout_weight,
+            buffer_weight: self.plan_buffer_weight,
+            share_weight: self.plan_share_weight,
+            move_time: self.plan_move,
+            reboot_time: self.plan_reboot,
         }
     }
 }
@@ -230,9 +243,11 @@
         caller_deadline: Duration = Duration::from_millis(30_000);
         urgent_start: Duration = Duration::from_millis(7_300);
         max_queued: usize = 1_000;
-        plan_moves_weight: f64 = 1.0;
-        plan_rollout_weight: f64 = 1.0;
-        plan_buffer_weight: f64 = 1.0;
-        plan_fairness_weight: f64 = 1.0;
+        plan_move_weight: u32 = 100;
+        plan_rollout_weight: u32 = 10;
+        plan_buffer_weight: u32 = 1;
+        plan_share_weight: u32 = 1;
+        plan_move: Duration = Duration::from_secs(15);
+        plan_reboot: Duration = Duration::from_secs(180);
     }
 }
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -2,14 +2,12 @@
 
 mod daemon_settings;
 mod log_settings;
-mod plan_weights;
 mod setting_check;
 mod setting_list;
 mod setting_spec;
 
 pub use daemon_settings::DaemonSettings;
 pub use log_settings::{LogFormat, LogLevel};
-pub use plan_weights::PlanWeights;
 pub use setting_check::SettingProblem;
 pub use setting_list::SETTINGS;
 pub use setting_spec::{SettingDefault, SettingKind, SettingSpec};
--- a/crates/daemon/src/settings/setting_check.rs
+++ b/crates/daemon/src/settings/setting_check.rs
@@ -73,9 +73,6 @@
         SettingKind::Whole { min, max } => value
             .as_integer()
             .is_some_and(|number| (min..=max).contains(&number)),
-        SettingKind::Number { min, max } => value
-            .as_float()
-            .is_some_and(|number| (min..=max).contains(&number)),
     }
 }
 
--- a/crates/daemon/src/settings/setting_list.rs
+++ b/crates/daemon/src/settings/setting_list.rs
@@ -1,5 +1,5 @@
 use super::SettingDefault::{Absent, Required, Value};
-use super::SettingKind::{Address, Addresses, Choice, Hash, Name, Number, Whole};
+use super::SettingKind::{Address, Addresses, Choice, Hash, Name, Whole};
 use super::{SettingDefault, SettingKind, SettingSpec};
 
 const fn spec(
@@ -28,12 +28,12 @@
     spec(key, "ms", Whole { min, max }, Value(default), meaning)
 }
 
-const fn weight(key: &'static str, meaning: &'static str) -> SettingSpec {
-    let kind = Number {
-        min: 0.0,
-        max: 1000.0,
+const fn weight(key: &'static str, default: &'static str, meaning: &'static str) -> SettingSpec {
+    let kind = Whole {
+        min: 0,
+        max: 1_000_000,
     };
-    spec(key, "", kind, Value("1.0"), meaning)
+    spec(key, "", kind, Value(default), meaning)
 }
 
 const LEVELS: &[&str] = &["error", "warning", "info", "debug"];
@@ -230,19 +230,37 @@
         "Most jobs queued per pool and team.",
     ),
     weight(
-        "plan_moves_weight",
-        "Weight of a move of an instance between pools.",
+        "plan_move_weight",
+        "100",
+        "Cost of one move of an instance between pools.",
     ),
     weight(
         "plan_rollout_weight",
-        "Weight of the time until a sheet is in force.",
+        "10",
+        "Cost of one minute from the time of a row to the end of its moves.",
     ),
     weight(
         "plan_buffer_weight",
-        "Weight of an instance-hour in the spare pool or out of service.",
+        "1",
+        "Cost of one instance-hour in the spare pool or out of service.",
     ),
     weight(
-        "plan_fairness_weight",
-        "Weight of the distance between each team's usage and its share.",
+        "plan_share_weight",
+        "1",
+        "Cost of one hour in which a hundredth of the fleet is in another pool than the sizes of the pools would have it.",
+    ),
+    millis(
+        "plan_move_ms",
+        0,
+        3_600_000,
+        "15000",
+        "Time for which plans assume a moving instance to be out of service.",
+    ),
+    millis(
+        "plan_reboot_ms",
+        0,
+        86_400_000,
+        "180000",
+        "Time for which plans assume an instance under maintenance to be out of service.",
     ),
 ];
--- a/crates/daemon/src/settings/setting_spec.rs
+++ b/crates/daemon/src/settings/setting_spec.rs
@@ -1,7 +1,7 @@
 use std::fmt;
 
 /// Values that a setting allows.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SettingKind {
     /// IP address and port.
     Address,
@@ -20,13 +20,6 @@
         /// Greatest value.
         max: i64,
     },
-    /// Number within these bounds.
-    Number {
-        /// Least value.
-        min: f64,
-        /// Greatest value.
-        max: f64,
-    },
 }
 
 impl fmt::Display for SettingKind {
@@ -38,7 +31,6 @@
             Self::Hash => f.write_str("64 hexadecimal digits"),
             Self::Choice(words) => write!(f, "one of {}", words.join(", ")),
             Self::Whole { min, max } => write!(f, "whole number from {min} to {max}"),
-            Self::Number { min, max } => write!(f, "number from {min} to {max}"),
         }
     }
 }
@@ -65,7 +57,7 @@
 }
 
 /// Description of one setting.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SettingSpec {
     /// Key in the file.
     pub key: &'static str,
--- a/crates/daemon/tests/change_in_force.rs
+++ b/crates/daemon/tests/change_in_force.rs
@@ -72,7 +72,7 @@
         .change(fleet.address(0), vec![put_team("kept", 4)])
         .await;
     for entry in std::mem::take(&mut fleet.entries) {
-        fleet.unlist(&entry.address().to_string());
+        fleet.unlist(entry.address());
         entry.kill().await;
     }
     let address = fleet.add_entry().await;
--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -10,15 +10,15 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use sesamedeal_core::fleet::{
-    FleetChange, FleetState, InstanceRecord, InstanceState, PoolRecord, QueueRecord, TeamRecord,
+    FleetChange, FleetState, InstanceState, PoolRecord, QueueRecord, TeamRecord,
 };
 use sesamedeal_core::ids::{
     Generation, ImageName, InstanceName, PoolName, QueueName, RackName, TeamName, ZoneName,
 };
 use sesamedeal_daemon::{DaemonSettings, EntryInstance};
-use sesamedeal_platform::protocol::{InstanceList, ListedState, PlatformInstance};
+use sesamedeal_platform::protocol::{ListedState, PlatformInstance};
 use sesamedeal_standin::ServerHandle;
-use sesamedeal_standin::backend::BackendStandin;
+use sesamedeal_standin::backend::{BackendFleet, FleetSettings};
 use sesamedeal_standin::platform::PlatformStandin;
 use sesamedeal_wire::admin::{AppendReply, AppendRequest, InForceReply, StatusReply};
 use sesamedeal_wire::header;
@@ -162,9 +162,8 @@
     pub platform: PlatformStandin,
     pub server: ServerHandle,
     pub entries: Vec<EntryInstance>,
-    pub backends: Vec<ServerHandle>,
+    pub backends: BackendFleet,
     pub client: TestClient,
-    pub listed: Vec<PlatformInstance>,
 }
 
 /// Settings with a short list lag and task lease, so that absences are noticed within seconds.
@@ -182,22 +181,15 @@
     pub async fn start(entries: usize, workers: usize) -> Self {
         let platform = PlatformStandin::new();
         let server = platform.serve(loopback()).await.expect("platform");
+        let sizes = FleetSettings::new(workers);
+        let backends = BackendFleet::start(&platform, &sizes).await;
         let mut fleet = Self {
             platform,
             server,
             entries: Vec::new(),
-            backends: Vec::new(),
+            backends: backends.expect("backend servers"),
             client: TestClient::new(),
-            listed: Vec::new(),
         };
-        for index in 0..workers {
-            let backend = BackendStandin::new().serve(loopback()).await;
-            let backend = backend.expect("backend server");
-            let name = InstanceName::new(format!("w{index}"));
-            let listed = listed(name, false, backend.address());
-            fleet.listed.push(listed);
-            fleet.backends.push(backend);
-        }
         for _ in 0..entries {
             fleet.add_entry().await;
         }
@@ -220,22 +212,14 @@
             .expect("entry instance");
         let address = entry.address();
         self.entries.push(entry);
-        let name = InstanceName::new(address.to_string());
-        self.listed.push(listed(name, true, address));
-        self.publish_list();
+        self.platform.put_instance(listed_entry(address));
         address
     }
 
-    /// Takes an instance off the platform's list.
-    pub fn unlist(&mut self, name: &str) {
-        self.listed.retain(|listed| listed.name.as_str() != name);
-        self.publish_list();
-    }
-
-    pub fn publish_list(&self) {
-        self.platform.set_instances(InstanceList {
-            instances: self.listed.clone(),
-        });
+    /// Takes an entry instance off the platform's list.
+    pub fn unlist(&self, address: SocketAddr) {
+        let name = InstanceName::new(address.to_string());
+        assert!(self.platform.remove_instance(&name), "listed before");
     }
 
     pub fn address(&self, entry: usize) -> SocketAddr {
@@ -249,34 +233,22 @@
     /// Puts the first configuration in force: pools `rota` with all workers and `spare` without,
     /// the open team and queue `swap`.
     pub async fn configure(&self) -> Generation {
-        let generation = self
-            .client
-            .change(self.address(0), self.first_changes())
-            .await;
-        self.wait_ready().await;
-        generation
-    }
-
-    pub fn first_changes(&self) -> Vec<FleetChange> {
-        let rota = PoolName::new("rota");
-        let workers = self.listed.iter().filter(|listed| !listed.entry);
-        let mut changes = vec![
-            put_pool("rota", workers.clone().count(), false),
+        let workers = self.backends.names().len();
+        let changes = vec![
+            put_pool("rota", workers, false),
             put_pool("spare", 0, true),
             put_team("open", 1_000),
             FleetChange::PutQueue {
                 name: QueueName::new("swap"),
                 queue: QueueRecord {
-                    pool: rota,
+                    pool: PoolName::new("rota"),
                     open: true,
                 },
             },
         ];
-        changes.extend(workers.map(|listed| FleetChange::PutInstance {
-            name: listed.name.clone(),
-            instance: record(listed),
-        }));
-        changes
+        let generation = self.client.change(self.address(0), changes).await;
+        self.wait_ready().await;
+        generation
     }
 
     /// Waits until each entry instance is ready and in the view, and the view has settled.
@@ -290,7 +262,8 @@
                 let state = self.client.state(*address).await;
                 let is_ready = state.generation > Generation::ZERO
                     && status.settled == status.generation
-                    && state.view.sessions.len() == addresses.len();
+                    && state.view.sessions.len() == addresses.len()
+                    && self.is_staffed(&state);
                 if !is_ready {
                     return false;
                 }
@@ -300,6 +273,14 @@
         .await;
     }
 
+    /// Whether all workers take work for pool `rota`.
+    fn is_staffed(&self, state: &FleetState) -> bool {
+        let workers = state.instances.values().filter(|instance| {
+            instance.pool.as_str() == "rota" && instance.state == InstanceState::Active
+        });
+        workers.count() == self.backends.names().len()
+    }
+
     /// Waits until all entry instances act under a generation or a later one.
     pub async fn wait_applied(&self, generation: Generation, limit: Duration) -> Duration {
         let addresses = self.addresses();
@@ -334,35 +315,19 @@
     }
 }
 
-fn record(listed: &PlatformInstance) -> InstanceRecord {
-    InstanceRecord {
-        pool: PoolName::new("rota"),
-        state: InstanceState::Active,
-        address: listed.address.clone(),
-        zone: listed.zone.clone(),
-        rack: listed.rack.clone(),
-        image: listed.image.clone(),
-        cores: listed.cores,
-        memory_mb: listed.memory_mb,
-        slots: listed.slots,
-        boot: listed.boot,
-        since: Generation::ZERO,
-        maintained: 0,
-    }
-}
-
-fn listed(name: InstanceName, entry: bool, address: SocketAddr) -> PlatformInstance {
+/// An entry instance as the platform lists it.
+pub fn listed_entry(address: SocketAddr) -> PlatformInstance {
     PlatformInstance {
-        name,
-        entry,
+        name: InstanceName::new(address.to_string()),
+        entry: true,
         address: address.to_string().into(),
         zone: ZoneName::new("a"),
         rack: RackName::new("a1"),
         image: ImageName::new("base"),
         state: ListedState::Live,
         boot: 1,
-        cores: 64,
-        memory_mb: 128_000,
-        slots: 8,
+        cores: 16,
+        memory_mb: 32_000,
+        slots: 0,
     }
 }
--- a/crates/daemon/tests/settings_file.rs
+++ b/crates/daemon/tests/settings_file.rs
@@ -6,6 +6,7 @@
 
 use assert_matches::assert_matches;
 use sesamedeal_core::ids::ZoneName;
+use sesamedeal_core::moves::PlanPolicy;
 use sesamedeal_daemon::{DaemonError, DaemonSettings, SETTINGS, SettingDefault};
 
 fn root() -> PathBuf {
@@ -85,11 +86,29 @@
     assert_eq!(rows, expected);
 }
 
-/// Guards against example files that the daemon refuses.
+/// Guards against example files that the daemon refuses or that weigh plans in another way than
+/// the planner's policies of the two users.
 #[test]
 fn examples_load() {
-    for name in ["trust.toml", "consorcio.toml"] {
+    let policies = [
+        ("trust.toml", PlanPolicy::with_short_rollout()),
+        ("consorcio.toml", PlanPolicy::with_near_share()),
+    ];
+    for (name, policy) in policies {
         let path = root().join("examples").join(name);
-        DaemonSettings::load(&path).unwrap_or_else(|error| panic!("{error}"));
+        let settings = DaemonSettings::load(&path).unwrap_or_else(|error| panic!("{error}"));
+        assert_eq!(settings.plan_policy(), policy);
     }
 }
+
+/// Guards against described defaults that the ranges do not allow.
+#[test]
+fn defaults_allowed() {
+    let mut text = REQUIRED.to_owned();
+    for spec in SETTINGS {
+        if let SettingDefault::Value(default) = spec.default {
+            writeln!(text, "{} = {default}", spec.key).expect("text");
+        }
+    }
+    load(&text).unwrap_or_else(|error| panic!("{error}"));
+}
