--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -4,7 +4,9 @@
 mod dev_args;
 mod fleet_args;
 mod key_args;
+mod maintenance_args;
 mod operator_args;
+mod sheet_args;
 mod submit_args;
 
 use std::net::SocketAddr;
@@ -14,7 +16,14 @@
 pub(crate) use dev_args::{DevArgs, DevCommand};
 pub(crate) use fleet_args::{InstanceArgs, InstanceCommand, PoolArgs, PoolCommand, StatusArgs};
 pub(crate) use key_args::{KeyArgs, KeyCommand, KeyGrantArgs, KeyWithdrawArgs};
+pub(crate) use maintenance_args::{
+    MaintenanceArgs, MaintenanceCommand, WaveHaltArgs, WaveResumeArgs, WaveStartArgs,
+    WaveStatusArgs,
+};
 pub(crate) use operator_args::OperatorArgs;
+pub(crate) use sheet_args::{
+    SheetApplyArgs, SheetArgs, SheetCheckArgs, SheetCommand, SheetPlanArgs,
+};
 pub(crate) use submit_args::SubmitArgs;
 
 /// Fleet capacity and maintenance manager: commands for operators and callers.
@@ -33,7 +42,9 @@
     Instance(InstanceArgs),
     Key(KeyArgs),
     Limit(LimitArgs),
+    Maintenance(MaintenanceArgs),
     Pool(PoolArgs),
+    Sheet(SheetArgs),
     Status(StatusArgs),
     Submit(SubmitArgs),
 }
--- a/crates/cli/src/commands/config.rs
+++ b/crates/cli/src/commands/config.rs
@@ -28,7 +28,7 @@
 }
 
 /// The kind of a change as it stands in the change log.
-fn change_kind(change: &FleetChange) -> String {
+pub(crate) fn change_kind(change: &FleetChange) -> String {
     let value = serde_json::to_value(change).unwrap_or_default();
     let kind = value["kind"].as_str().unwrap_or_default();
     match value["name"].as_str().or_else(|| value["id"].as_str()) {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -24,7 +24,9 @@
         SesameCommand::Instance(args) => commands::instance(args).await,
         SesameCommand::Key(args) => commands::key(args).await,
         SesameCommand::Limit(args) => commands::limit(args).await,
+        SesameCommand::Maintenance(args) => commands::maintenance(args).await,
         SesameCommand::Pool(args) => commands::pool(args).await,
+        SesameCommand::Sheet(args) => commands::sheet(args).await,
         SesameCommand::Status(args) => commands::status(args).await,
         SesameCommand::Submit(args) => commands::submit(args).await,
     }
--- a/crates/cli/src/operator_client.rs
+++ b/crates/cli/src/operator_client.rs
@@ -11,7 +11,9 @@
 use sesamedeal_core::code::ResultCode;
 use sesamedeal_core::fleet::{FleetChange, FleetState};
 use sesamedeal_core::ids::Generation;
-use sesamedeal_wire::admin::{AppendReply, AppendRequest, HistoryReply, InForceReply, StatusReply};
+use sesamedeal_wire::admin::{
+    AppendReply, AppendRequest, HistoryReply, InForceReply, PlanContext, StatusReply,
+};
 use snafu::ResultExt;
 use tokio::time::{Instant, sleep};
 
@@ -64,6 +66,11 @@
         self.get("/admin/state").await
     }
 
+    /// Reads the time of day and the weights that plans are made with.
+    pub(crate) async fn plan_context(&self) -> Result<PlanContext> {
+        self.get("/admin/plan-context").await
+    }
+
     /// Reads the newest records of the change log.
     pub(crate) async fn history(&self) -> Result<HistoryReply> {
         self.get("/admin/history").await
