Merge loops: connect the request path to the control loops

Cause: the control loops and the request path were written against the thin entry instance. Change: the entry context holds the request path; the pause detection's tick also sets the evidence flag that keyed work depends on; peers' and operators' requests go through the same connections and bounds as jobs.

--- a/crates/daemon/src/dispatch/dispatch_actor.rs
+++ b/crates/daemon/src/dispatch/dispatch_actor.rs
@@ -9,7 +9,7 @@
 use sesamedeal_core::time::TimePoint;
 use slog::{Logger, warn};
 use slotmap::SecondaryMap;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 use xtra::{Actor, Mailbox, WeakAddress};
 
@@ -58,6 +58,8 @@
     pub evidence: EvidenceFlag,
     pub metrics: RequestMetrics,
     pub logger: Logger,
+    /// Peers that the scheduler wants to exchange messages with ahead of their turn.
+    pub wanted: mpsc::Sender<SessionId>,
     /// Allowance for clock differences between machines.
     pub clock_margin: Duration,
 }
@@ -113,7 +115,7 @@
                     self.notify(job, JobEvent::Refuse(refusal));
                 }
                 SchedulerAction::Stop { attempt, .. } => self.confirm_end(attempt),
-                SchedulerAction::Exchange { .. } => {}
+                SchedulerAction::Exchange { peer } => self.want_exchange(peer),
             }
         }
         self.parts.metrics.set_running(self.scheduler.running());
@@ -123,6 +125,12 @@
             .set_queued(self.jobs.len().saturating_sub(sent));
     }
 
+    fn want_exchange(&self, peer: SessionId) {
+        if self.parts.wanted.try_send(peer).is_err() {
+            // The peer loop is behind; the regular turn reaches the peer.
+        }
+    }
+
     /// Takes note of a tick of the timer.
     pub(super) fn tick(&mut self) {
         self.check_pause();
--- a/crates/daemon/src/dispatch/dispatch_handlers.rs
+++ b/crates/daemon/src/dispatch/dispatch_handlers.rs
@@ -6,7 +6,7 @@
 use super::dispatch_actor::{DispatchActor, JobEntry};
 use super::dispatch_messages::{
     ApplyState, AttemptEnded, CancelJobs, DriveQueue, FinishAttempt, FinishReply, NextEvent,
-    StopTaking, SubmitJob,
+    SubmitJob,
 };
 
 /// Jobs removed at once when callers have gone. Other messages are handled between two batches.
@@ -117,12 +117,3 @@
         self.drive();
     }
 }
-
-impl Handler<StopTaking> for DispatchActor {
-    type Return = ();
-
-    async fn handle(&mut self, _: StopTaking, _: &mut Context<Self>) {
-        self.scheduler.shut_down(self.parts.clock.now());
-        self.drive();
-    }
-}
--- a/crates/daemon/src/dispatch/dispatch_messages.rs
+++ b/crates/daemon/src/dispatch/dispatch_messages.rs
@@ -85,7 +85,3 @@
 /// Handles deadlines that have passed.
 #[derive(Debug)]
 pub(crate) struct DriveQueue;
-
-/// Takes no further jobs, ahead of a shutdown.
-#[derive(Debug)]
-pub(crate) struct StopTaking;
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt_ender;
 mod cancel_list;
+mod control_handlers;
 mod dispatch_actor;
 mod dispatch_handlers;
 mod dispatch_messages;
@@ -13,8 +14,9 @@
 mod shutdown_signal;
 
 pub(crate) use cancel_list::CancelList;
+pub(crate) use control_handlers::{BeginShutdown, BuildExchange, ReadProgress, TakeExchange};
 pub(crate) use dispatch_actor::{DispatchActor, DispatchParts};
-pub(crate) use dispatch_messages::{ApplyState, CancelJobs, DriveQueue, StopTaking};
+pub(crate) use dispatch_messages::{ApplyState, CancelJobs, DriveQueue};
 pub(crate) use evidence_flag::EvidenceFlag;
 pub(crate) use job_answer::JobAnswer;
 pub(crate) use job_body::{AnswerBroken, JobBody};
--- a/crates/daemon/src/http/request_path.rs
+++ b/crates/daemon/src/http/request_path.rs
@@ -7,28 +7,25 @@
 use sesamedeal_core::scheduler::{JobScheduler, SchedulerPolicy};
 use sesamedeal_platform::PlatformClient;
 use slog::{Logger, info};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 use xtra::{Address, WeakAddress};
 
-use super::{BodyBudget, JobService, Router};
+use super::{BodyBudget, JobService};
 use crate::backend::BackendClient;
 use crate::claims::ClaimDesk;
 use crate::clock::ProcessClock;
 use crate::dispatch::{
-    CancelJobs, CancelList, DispatchActor, DispatchParts, DriveQueue, EvidenceFlag, JobRunner,
-    ShutdownSignal, StopTaking,
+    BeginShutdown, CancelJobs, CancelList, DispatchActor, DispatchParts, EvidenceFlag, JobRunner,
+    ShutdownSignal,
 };
 use crate::metrics::RequestMetrics;
 use crate::settings::DaemonSettings;
 use crate::store::FleetView;
-use crate::timer::TimerService;
 
 /// Most messages that wait for the dispatcher; senders beyond it wait.
 const MAILBOX_SIZE: usize = 65_536;
 
-/// Time between two checks for deadlines that have passed.
-const DRIVE_PERIOD: Duration = Duration::from_millis(10);
-
 /// Time between two looks at the jobs that are still open during a shutdown.
 const DRAIN_PERIOD: Duration = Duration::from_millis(10);
 
@@ -41,7 +38,8 @@
     pub settings: &'a DaemonSettings,
     pub session: SessionId,
     pub clock: ProcessClock,
-    pub timer: &'a TimerService,
+    /// Receives the peers that the scheduler wants to exchange messages with.
+    pub wanted: mpsc::Sender<SessionId>,
     pub view: FleetView,
     pub client: PlatformClient,
     pub logger: Logger,
@@ -65,6 +63,7 @@
             evidence: EvidenceFlag::default(),
             metrics: RequestMetrics::new(),
             logger: parts.logger,
+            wanted: parts.wanted,
             clock_margin: settings.clock_margin,
         };
         let policy = SchedulerPolicy {
@@ -74,7 +73,6 @@
         };
         let scheduler = JobScheduler::new(parts.session, policy, rand::rng().random());
         let dispatcher = DispatchActor::start(scheduler, dispatch.clone(), MAILBOX_SIZE);
-        tokio::spawn(drive(dispatcher.downgrade(), parts.timer.clone()));
         tokio::spawn(cancel(dispatcher.downgrade(), dispatch.cancels.clone()));
         let claims = ClaimDesk {
             client: parts.client,
@@ -106,11 +104,9 @@
         self.jobs.runner.parts.evidence.clone()
     }
 
-    /// Router for the connections of callers.
-    pub(crate) fn router(&self) -> Router {
-        Router {
-            jobs: self.jobs.clone(),
-        }
+    /// Service that runs the jobs of callers.
+    pub(crate) fn jobs(&self) -> JobService {
+        self.jobs.clone()
     }
 
     /// Takes no more jobs and waits until all callers have their answers. Callers whose jobs are
@@ -120,7 +116,7 @@
         let close_at = Instant::now() + deadline.mul_f64(1.0 - CLOSE_SHARE);
         runner.shutdown.start_draining();
         // An actor that has ended holds no jobs.
-        drop(runner.dispatcher.send(StopTaking).await);
+        drop(runner.dispatcher.send(BeginShutdown).await);
         let mut open = self.jobs.open.load(Ordering::Acquire);
         info!(runner.parts.logger, "shutdown began"; "open jobs" => open);
         while open > 0 && Instant::now() < close_at {
@@ -132,19 +128,6 @@
     }
 }
 
-/// Lets the dispatcher handle deadlines that have passed.
-async fn drive(dispatcher: WeakAddress<DispatchActor>, timer: TimerService) {
-    let mut ticks = timer.every(DRIVE_PERIOD);
-    while ticks.next().await.is_some() {
-        let Some(address) = dispatcher.try_upgrade() else {
-            return;
-        };
-        if address.send(DriveQueue).await.is_err() {
-            return;
-        }
-    }
-}
-
 /// Lets the dispatcher remove the jobs whose callers have gone, one batch after another.
 async fn cancel(dispatcher: WeakAddress<DispatchActor>, cancels: CancelList) {
     loop {
--- a/crates/daemon/src/http/router.rs
+++ b/crates/daemon/src/http/router.rs
@@ -1,18 +1,27 @@
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 use sesamedeal_core::code::ResultCode;
-use sesamedeal_core::ids::Generation;
 use sesamedeal_core::scheduler::JobRefusal;
 
 use super::JobService;
 use super::answers::{plain, refusal_answer};
 use super::caller_body::CallerBody;
 use super::request_head::{check_single, request_id};
+use crate::admin::AdminService;
+use crate::peer::PeerService;
 
 /// Answers requests of callers.
 #[derive(Debug, Clone)]
 pub(crate) struct Router {
     pub jobs: JobService,
+    pub peers: PeerService,
+    pub admin: AdminService,
+    /// Address of the connection's other end.
+    pub remote: Option<SocketAddr>,
 }
 
 impl Router {
@@ -28,6 +37,12 @@
                 let queue = compact_str::CompactString::from(queue);
                 self.run_job(&queue, request).await
             }
+            (_, path, None) if path.starts_with("/peer/") => {
+                whole(self.peers.answer(request).await).await
+            }
+            (_, path, None) if AdminService::serves(path) => {
+                whole(self.admin.answer(request, self.remote).await).await
+            }
             (&Method::GET, "/live", _) => plain(200, "live\n"),
             (&Method::GET, "/ready", _) => self.ready(),
             (&Method::GET, "/metrics", _) => plain(200, self.jobs.metrics().render()),
@@ -39,7 +54,7 @@
     fn ready(&self) -> Response<CallerBody> {
         if self.jobs.runner.shutdown.is_draining() {
             plain(503, "shutting down\n")
-        } else if self.jobs.view.load().generation > Generation::ZERO {
+        } else if self.admin.context.is_ready() {
             plain(200, "ready\n")
         } else {
             plain(503, "no configuration yet\n")
@@ -76,3 +91,11 @@
         self.jobs.metrics().count_answer(code);
     }
 }
+
+/// Puts an answer of another service into the form that callers' connections take.
+async fn whole(response: Response<Full<Bytes>>) -> Response<CallerBody> {
+    let (parts, body) = response.into_parts();
+    // A body in memory cannot fail.
+    let Ok(body) = body.collect().await;
+    Response::from_parts(parts, CallerBody::whole(body.to_bytes()))
+}
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -1,5 +1,6 @@
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::{Duration, sleep};
 
 use super::Router;
@@ -10,28 +11,27 @@
 
 /// Serves callers until `stop` is set, then lets open requests end.
 pub(crate) async fn serve(listener: TcpListener, router: Router, mut stop: watch::Receiver<bool>) {
-    // The channel closes when the last connection has dropped its sender.
-    let (open, mut ended) = mpsc::channel::<()>(1);
+    // Connections end with this task, so that an aborted server leaves none behind.
+    let mut connections = JoinSet::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stopped| *stopped) => break,
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, remote)) = accepted else {
             sleep(ACCEPT_DELAY).await;
             continue;
         };
         if stream.set_nodelay(true).is_err() {
             continue;
         }
-        let (router, stop, open) = (router.clone(), stop.clone(), open.clone());
-        tokio::spawn(async move {
-            serve_caller(stream, router, stop).await;
-            drop(open);
-        });
+        while connections.try_join_next().is_some() {}
+        let router = Router {
+            remote: Some(remote),
+            ..router.clone()
+        };
+        connections.spawn(serve_caller(stream, router, stop.clone()));
     }
     drop(listener);
-    drop(open);
-    // Nothing is sent; the end of the channel is what counts.
-    let _: Option<()> = ended.recv().await;
+    while connections.join_next().await.is_some() {}
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,22 +1,30 @@
 //! The entry instance: takes jobs from callers, places them on backend servers and keeps the
 //! agreed state of the fleet.
 
+mod admin;
 mod backend;
 mod claims;
 mod clock;
+mod control;
+mod control_traffic;
 mod dispatch;
 mod entry;
+mod entry_context;
 mod error;
 mod http;
 mod logging;
 mod metrics;
+mod peer;
+mod session;
 mod settings;
 mod store;
 mod timer;
 
+pub use control_traffic::ControlTraffic;
 pub use entry::EntryInstance;
 pub use error::{DaemonError, Result};
+pub use logging::root_logger;
 pub use settings::{
-    DaemonSettings, LogFormat, LogLevel, PlanWeights, SETTINGS, SettingDefault, SettingKind,
-    SettingProblem, SettingSpec,
+    DaemonSettings, LogFormat, LogLevel, SETTINGS, SettingDefault, SettingKind, SettingProblem,
+    SettingSpec,
 };
--- a/crates/daemon/src/logging/mod.rs
+++ b/crates/daemon/src/logging/mod.rs
@@ -2,4 +2,4 @@
 
 mod log_setup;
 
-pub(crate) use log_setup::root_logger;
+pub use log_setup::root_logger;
--- a/crates/daemon/src/settings/setting_spec.rs
+++ b/crates/daemon/src/settings/setting_spec.rs
@@ -1,10 +1,12 @@
 use std::fmt;
 
 /// Values that a setting allows.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SettingKind {
     /// IP address and port.
     Address,
+    /// List of at most 16 IP addresses and ports.
+    Addresses,
     /// Text of 1 to 64 characters from `a-z`, `0-9`, `-`, `_` and `.`.
     Name,
     /// SHA-256 as 64 hexadecimal digits.
@@ -18,24 +20,17 @@
         /// Greatest value.
         max: i64,
     },
-    /// Number within these bounds.
-    Number {
-        /// Least value.
-        min: f64,
-        /// Greatest value.
-        max: f64,
-    },
 }
 
 impl fmt::Display for SettingKind {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Address => f.write_str("IP address and port"),
+            Self::Addresses => f.write_str("at most 16 IP addresses and ports"),
             Self::Name => f.write_str("1 to 64 characters from a-z, 0-9, `-`, `_` and `.`"),
             Self::Hash => f.write_str("64 hexadecimal digits"),
             Self::Choice(words) => write!(f, "one of {}", words.join(", ")),
             Self::Whole { min, max } => write!(f, "whole number from {min} to {max}"),
-            Self::Number { min, max } => write!(f, "number from {min} to {max}"),
         }
     }
 }
@@ -62,7 +57,7 @@
 }
 
 /// Description of one setting.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SettingSpec {
     /// Key in the file.
     pub key: &'static str,
--- a/crates/daemon/tests/bad_answers.rs
+++ b/crates/daemon/tests/bad_answers.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::caller::{metric, submit};
-use common::fleet::TestFleet;
+use common::job_fleet::JobFleet;
 use common::raw_backend::{RawBackend, RawRequest, Reaction};
 
 /// Submits jobs one after another to a backend server whose answer to the body `bad` is given,
@@ -22,7 +22,7 @@
         }
     })
     .await;
-    let fleet = TestFleet::start(&[backend.address]).await;
+    let fleet = JobFleet::start(&[backend.address]).await;
     let entry = fleet.entry().await;
     for body in ["one", "bad", "two", "bad", "three"] {
         let answer = submit(entry.address(), &[("sesamedeal-request-id", body)], body).await;
@@ -145,7 +145,7 @@
         }
     })
     .await;
-    let fleet = TestFleet::start(&[backend.address]).await;
+    let fleet = JobFleet::start(&[backend.address]).await;
     let entry = fleet.entry().await;
     for body in ["bad", "good", "bad", "good", "good"] {
         let answer = submit(entry.address(), &[], body).await;
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -1,9 +1,10 @@
-//! Helpers of the tests: a small fleet on loopback, a raw caller and a backend server whose
-//! answers are written byte by byte.
-#![allow(dead_code, reason = "each test uses a part of the helpers")]
+//! Helpers of the tests: fleets on loopback, a raw caller and a backend server whose answers are
+//! written byte by byte.
+#![allow(dead_code, reason = "each test file uses a part of the helpers")]
 
 pub mod caller;
 pub mod fleet;
+pub mod job_fleet;
 pub mod raw_backend;
 
 use std::time::Duration;
--- a/crates/daemon/tests/malformed_requests.rs
+++ b/crates/daemon/tests/malformed_requests.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::caller::{closes, exchange, get, job_request, metric, open, read_answer, submit};
-use common::fleet::{TestFleet, team_key};
+use common::job_fleet::{JobFleet, team_key};
 use common::raw_backend::{RawBackend, RawRequest, Reaction};
 use common::wait_for;
 use sesamedeal_daemon::EntryInstance;
@@ -15,9 +15,9 @@
     Reaction::Send(request.answer("200 OK", "done"))
 }
 
-async fn start() -> (RawBackend, TestFleet, EntryInstance) {
+async fn start() -> (RawBackend, JobFleet, EntryInstance) {
     let backend = RawBackend::start(echo).await;
-    let fleet = TestFleet::start(&[backend.address]).await;
+    let fleet = JobFleet::start(&[backend.address]).await;
     let entry = fleet.entry().await;
     (backend, fleet, entry)
 }
