Merge the request path with the control loops

The dispatcher passes the scheduler's wishes for exchanges to the peer loop, the evidence gate sets the request path's flag, and the connections of a server end with its task, so that an aborted entry instance leaves none behind.

--- a/crates/daemon/src/dispatch/control_handlers.rs
+++ b/crates/daemon/src/dispatch/control_handlers.rs
@@ -29,10 +29,6 @@
     pub message: ExchangeMessage,
 }
 
-/// Rejects queued jobs and all further ones, ahead of a shutdown.
-#[derive(Debug)]
-pub(crate) struct BeginShutdown;
-
 impl Handler<ReadProgress> for DispatchActor {
     type Return = WorkProgress;
 
@@ -48,7 +44,8 @@
     type Return = ExchangeMessage;
 
     async fn handle(&mut self, message: BuildExchange, _: &mut Context<Self>) -> ExchangeMessage {
-        self.scheduler.exchange_with(message.peer, self.clock.now())
+        self.scheduler
+            .exchange_with(message.peer, self.parts.clock.now())
     }
 }
 
@@ -56,16 +53,8 @@
     type Return = ();
 
     async fn handle(&mut self, message: TakeExchange, _: &mut Context<Self>) {
-        self.scheduler.receive(&message.message, self.clock.now());
-        self.drive();
-    }
-}
-
-impl Handler<BeginShutdown> for DispatchActor {
-    type Return = ();
-
-    async fn handle(&mut self, _: BeginShutdown, _: &mut Context<Self>) {
-        self.scheduler.shut_down(self.clock.now());
+        self.scheduler
+            .receive(&message.message, self.parts.clock.now());
         self.drive();
     }
 }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -9,44 +9,39 @@
 use sesamedeal_core::fleet::FleetState;
 use sesamedeal_core::ids::{InstanceName, SessionId};
 use sesamedeal_core::membership::SessionState;
-use sesamedeal_core::scheduler::{JobScheduler, SchedulerPolicy};
 use sesamedeal_platform::{ChangeLog, PlatformClient, PlatformSettings};
-use slog::{Logger, info, o, warn};
+use slog::{info, o, warn};
 use snafu::ResultExt;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep, timeout_at};
-use xtra::{Address, Mailbox};
+use xtra::Mailbox;
 
 use crate::admin::AdminService;
 use crate::clock::ProcessClock;
 use crate::control::{ControlTick, ControllerActor};
 use crate::control_traffic::ControlTraffic;
-use crate::dispatch::{
-    BackendClient, BeginShutdown, DispatchActor, DriveQueue, JobRunner, ReadProgress,
-};
+use crate::dispatch::ReadProgress;
 use crate::entry_context::EntryContext;
 use crate::error::{ListenSnafu, Result, SignalSnafu};
-use crate::http::{Router, serve};
+use crate::http::{PathParts, RequestPath, serve};
+use crate::logging::root_logger;
 use crate::peer::{PeerClient, PeerLoop, PeerService, PeerTable, PeerTraffic};
 use crate::session::SessionWriter;
 use crate::settings::DaemonSettings;
 use crate::store::{EvidenceGate, FleetView, StateFollower, StateKeeper};
 use crate::timer::TimerService;
 
-/// Most messages that wait for the dispatcher; senders beyond it wait.
-const MAILBOX_SIZE: usize = 65_536;
-
 /// Most steps that wait for the controller. A slow step lets ticks lapse instead of queueing them.
 const CONTROL_MAILBOX_SIZE: usize = 1;
 
 /// Exchanges that the scheduler may ask for ahead of the peer loop.
 const WANTED_EXCHANGES: usize = 64;
 
-/// Time between two checks for deadlines that have passed.
-const DRIVE_PERIOD: Duration = Duration::from_millis(10);
+/// Time between two checks whether a leaving entry instance has work left.
+const IDLE_CHECK: Duration = Duration::from_millis(10);
 
 /// Time between two ticks of the pause detection. It is well below the gap of 1 s that counts as
 /// a pause, so that a busy machine does not look like a paused process.
@@ -56,6 +51,7 @@
 #[derive(Debug)]
 pub struct EntryInstance {
     context: Arc<EntryContext>,
+    path: RequestPath,
     stop: watch::Sender<bool>,
     server: JoinHandle<()>,
     session: JoinHandle<()>,
@@ -63,29 +59,19 @@
 }
 
 impl EntryInstance {
-    /// Starts an entry instance that writes no logs.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the listening address cannot be bound.
-    pub async fn start(settings: DaemonSettings) -> Result<Self> {
-        Self::start_with_logger(settings, Logger::root(slog::Discard, o!())).await
-    }
-
     /// Starts an entry instance.
     ///
     /// # Errors
     ///
     /// Fails when the listening address cannot be bound.
-    pub async fn start_with_logger(settings: DaemonSettings, logger: Logger) -> Result<Self> {
+    pub async fn start(settings: DaemonSettings) -> Result<Self> {
         let address = settings.listen;
         let listener = TcpListener::bind(address)
             .await
             .context(ListenSnafu { address })?;
         let address = listener.local_addr().context(ListenSnafu { address })?;
         let (wanted, wanted_receiver) = mpsc::channel(WANTED_EXCHANGES);
-        let view = FleetView::new(ArcSwap::from_pointee(FleetState::default()));
-        let context = context(settings, logger, address, Arc::clone(&view), wanted);
+        let (context, path) = context(settings, address, wanted);
         let peers = PeerClient::new(context.settings.peer_deadline, context.traffic.clone());
         let mut loops = JoinSet::new();
         start_ticks(&mut loops, &context);
@@ -101,26 +87,19 @@
         };
         loops.spawn(exchanges.run());
         let session = tokio::spawn(SessionWriter::new(Arc::clone(&context)).run());
-        let router = Router {
-            view,
-            runner: JobRunner {
-                dispatcher: context.dispatcher.clone(),
-                backend: BackendClient::new(),
-                clock: context.clock,
-            },
-            peers: PeerService {
-                context: Arc::clone(&context),
-            },
-            admin: AdminService {
-                context: Arc::clone(&context),
-            },
-            remote: None,
+        let service = PeerService {
+            context: Arc::clone(&context),
+        };
+        let admin = AdminService {
+            context: Arc::clone(&context),
         };
+        let router = path.router(service, admin);
         let (stop, stopped) = watch::channel(false);
         let server = tokio::spawn(serve(listener, router, stopped));
         info!(context.logger, "started"; "address" => %address);
         Ok(Self {
             context,
+            path,
             stop,
             server,
             session,
@@ -150,12 +129,12 @@
     /// left, within the shutdown deadline.
     pub async fn shut_down(mut self) {
         let context = Arc::clone(&self.context);
-        let deadline = Instant::now() + context.settings.shutdown_deadline;
+        let limit = context.settings.shutdown_deadline;
+        let deadline = Instant::now() + limit;
         context.phase.send_replace(SessionState::Leaving);
-        self.stop.send_replace(true);
-        // An actor that has ended holds no jobs.
-        drop(context.dispatcher.send(BeginShutdown).await);
         let finished = timeout_at(deadline, async {
+            self.path.drain(limit).await;
+            self.stop.send_replace(true);
             // A panic of the server task has already been reported by the runtime.
             drop((&mut self.server).await);
             wait_idle(&context).await;
@@ -206,36 +185,53 @@
         if progress.running == 0 {
             return;
         }
-        sleep(DRIVE_PERIOD).await;
+        sleep(IDLE_CHECK).await;
     }
 }
 
 fn context(
     settings: DaemonSettings,
-    logger: Logger,
     listened: SocketAddr,
-    view: FleetView,
     wanted: mpsc::Sender<SessionId>,
-) -> Arc<EntryContext> {
+) -> (Arc<EntryContext>, RequestPath) {
     let session = SessionId(rand::rng().random());
     let address = settings.advertise.unwrap_or(listened);
     let instance = settings.instance.clone();
     let instance = instance.unwrap_or_else(|| InstanceName::new(address.to_string()));
+    let logger = root_logger(settings.log_level, settings.log_format);
     let logger = logger.new(o!("session" => session.to_string()));
     let clock = ProcessClock::new();
+    let timer = TimerService::new(rand::rng().random());
+    let view = FleetView::new(ArcSwap::from_pointee(FleetState::default()));
     let client = PlatformClient::new(PlatformSettings {
         call_deadline: settings.store_deadline,
         ..PlatformSettings::new(settings.platform.to_string())
     });
-    let dispatcher = start_dispatcher(session, &settings, clock, wanted);
-    let gate = EvidenceGate::new(session, settings.evidence, clock, Arc::clone(&view));
+    let path = RequestPath::start(PathParts {
+        settings: &settings,
+        session,
+        clock,
+        timer: &timer,
+        view: Arc::clone(&view),
+        client: client.clone(),
+        logger: logger.clone(),
+        wanted,
+    });
+    let dispatcher = path.dispatcher();
+    let gate = EvidenceGate::new(
+        session,
+        settings.evidence,
+        clock,
+        Arc::clone(&view),
+        path.evidence(),
+    );
     let keeper = StateKeeper::new(view, gate.clone(), dispatcher.clone(), logger.clone());
-    Arc::new(EntryContext {
+    let context = EntryContext {
         session,
         instance,
         address,
         clock,
-        timer: TimerService::new(rand::rng().random()),
+        timer,
         logger,
         log: ChangeLog::new(client.clone()),
         client,
@@ -249,36 +245,12 @@
         phase: watch::Sender::new(SessionState::Active),
         changed: Notify::new(),
         settings,
-    })
-}
-
-fn start_dispatcher(
-    session: SessionId,
-    settings: &DaemonSettings,
-    clock: ProcessClock,
-    wanted: mpsc::Sender<SessionId>,
-) -> Address<DispatchActor> {
-    let policy = SchedulerPolicy {
-        max_queued: settings.max_queued,
-        task_lease: settings.task_lease,
-        clock_margin: settings.clock_margin,
     };
-    let scheduler = JobScheduler::new(session, policy, rand::rng().random());
-    let actor = DispatchActor::new(scheduler, clock, wanted);
-    xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX_SIZE))
+    (Arc::new(context), path)
 }
 
-/// Starts the ticks of the dispatcher, the controller and the pause detection.
+/// Starts the ticks of the controller and the pause detection.
 fn start_ticks(loops: &mut JoinSet<()>, context: &Arc<EntryContext>) {
-    let dispatcher = context.dispatcher.clone();
-    let mut ticks = context.timer.every(DRIVE_PERIOD);
-    loops.spawn(async move {
-        while ticks.next().await.is_some() {
-            if dispatcher.send(DriveQueue).await.is_err() {
-                return;
-            }
-        }
-    });
     let actor = ControllerActor::new(Arc::clone(context));
     let mailbox = Mailbox::bounded(CONTROL_MAILBOX_SIZE);
     let (controller, mailbox) = mailbox;
@@ -291,17 +263,24 @@
             }
         }
     });
-    let context = Arc::clone(context);
+    loops.spawn(judge_evidence(Arc::clone(context)));
+}
+
+/// Passes the verdict on the evidence to the request path.
+async fn judge_evidence(context: Arc<EntryContext>) {
     let mut ticks = context.timer.every(PAUSE_PERIOD);
-    loops.spawn(async move {
-        while ticks.next().await.is_some() {
-            if context.gate.tick() {
-                warn!(
-                    context.logger,
-                    "process was paused; evidence is void until renewed"
-                );
-                context.changed.notify_one();
-            }
+    let mut last = None;
+    while ticks.next().await.is_some() {
+        if context.gate.tick() {
+            warn!(
+                context.logger,
+                "process was paused; evidence is void until renewed"
+            );
+            context.changed.notify_one();
         }
-    });
+        let verdict = context.gate.judge();
+        if last.replace(verdict) != Some(verdict) {
+            info!(context.logger, "evidence"; "verdict" => ?verdict);
+        }
+    }
 }
--- a/crates/daemon/src/entry_context.rs
+++ b/crates/daemon/src/entry_context.rs
@@ -84,9 +84,4 @@
             store_writes: calls(CallKind::Write),
         }
     }
-
-    /// Whether callers are served: there is a state, and no shutdown has begun.
-    pub(crate) fn is_ready(&self) -> bool {
-        self.keeper.state().generation.0 > 0 && *self.phase.borrow() == SessionState::Active
-    }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,8 @@
 //! agreed state of the fleet.
 
 mod admin;
+mod backend;
+mod claims;
 mod clock;
 mod control;
 mod control_traffic;
@@ -10,6 +12,8 @@
 mod entry_context;
 mod error;
 mod http;
+mod logging;
+mod metrics;
 mod peer;
 mod session;
 mod settings;
--- a/crates/daemon/src/peer/peer_service.rs
+++ b/crates/daemon/src/peer/peer_service.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
 use sesamedeal_core::code::ResultCode;
@@ -25,7 +25,7 @@
 
 impl PeerService {
     /// Answers a request below `/peer/`.
-    pub(crate) async fn answer<B>(&self, request: Request<B>) -> Response<Full<Bytes>>
+    pub(crate) async fn answer<B>(&self, request: Request<B>) -> Response<Bytes>
     where
         B: hyper::body::Body<Data = Bytes>,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -37,7 +37,7 @@
         }
     }
 
-    async fn exchange<B>(&self, request: Request<B>) -> Response<Full<Bytes>>
+    async fn exchange<B>(&self, request: Request<B>) -> Response<Bytes>
     where
         B: hyper::body::Body<Data = Bytes>,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -69,7 +69,7 @@
         self.encoded(&answer, FieldNames::Omitted, MAX_MESSAGE_BYTES)
     }
 
-    fn state(&self) -> Response<Full<Bytes>> {
+    fn state(&self) -> Response<Bytes> {
         let context = &self.context;
         let state = context.keeper.state();
         if state.generation == Generation::ZERO {
@@ -94,18 +94,18 @@
         message: &T,
         names: FieldNames,
         limit: usize,
-    ) -> Response<Full<Bytes>> {
+    ) -> Response<Bytes> {
         match encode_versioned(message, names, MESSAGE_VERSION, limit) {
             Ok(body) => {
                 self.context.traffic.note_sent(body.len());
-                Response::new(Full::new(body))
+                Response::new(body)
             }
             Err(_) => empty(StatusCode::INTERNAL_SERVER_ERROR),
         }
     }
 }
 
-fn refused(code: ResultCode) -> Response<Full<Bytes>> {
+fn refused(code: ResultCode) -> Response<Bytes> {
     let status = StatusCode::from_u16(code.http_status());
     let mut response = empty(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
     let value = HeaderValue::from(code.number());
@@ -113,8 +113,8 @@
     response
 }
 
-fn empty(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
+fn empty(status: StatusCode) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
     *response.status_mut() = status;
     response
 }
--- a/crates/daemon/tests/change_in_force.rs
+++ b/crates/daemon/tests/change_in_force.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use common::fleet::{TestFleet, put_team};
+use common::cluster::{TestCluster, put_team};
 use sesamedeal_core::ids::Generation;
 use sesamedeal_wire::admin::AppendReply;
 
@@ -15,7 +15,7 @@
 /// Guards against an entry instance that does not follow the log.
 #[tokio::test(flavor = "multi_thread")]
 async fn reaches_everyone() {
-    let fleet = TestFleet::start(3, 1).await;
+    let fleet = TestCluster::start(3, 1).await;
     fleet.configure().await;
     let generation = fleet
         .client
@@ -31,7 +31,7 @@
 /// Guards against two operators who both believe that their change is in force.
 #[tokio::test(flavor = "multi_thread")]
 async fn race_conflicts() {
-    let fleet = TestFleet::start(2, 1).await;
+    let fleet = TestCluster::start(2, 1).await;
     let expected = fleet.configure().await;
     let expected = fleet
         .client
@@ -65,7 +65,7 @@
 /// Guards against an accepted change that a restart of every entry instance loses.
 #[tokio::test(flavor = "multi_thread")]
 async fn survives_restarts() {
-    let mut fleet = TestFleet::start(2, 1).await;
+    let mut fleet = TestCluster::start(2, 1).await;
     fleet.configure().await;
     let generation = fleet
         .client
