--- a/crates/core/src/exchange/mod.rs
+++ b/crates/core/src/exchange/mod.rs
@@ -1,5 +1,16 @@
 //! Messages by which entry instances tell each other about usage, backlog and lent units.
 
+mod aged_point;
 mod exchange_message;
+mod heard_table;
+mod loan_message;
+mod usage_summary;
+mod usage_table;
 
-pub use exchange_message::{ExchangeMessage, MESSAGE_VERSION};
+pub(crate) use aged_point::AgedPoint;
+pub use exchange_message::{ExchangeMessage, LeavingRecord, MESSAGE_VERSION};
+pub use heard_table::HeardRecord;
+pub(crate) use heard_table::HeardTable;
+pub use loan_message::{LentResource, LoanOffer, LoanReport, LoanRequest, RequestedUnits};
+pub use usage_summary::{UsageEntry, UsageSummary, name_hash};
+pub(crate) use usage_table::{OriginUsage, UsageTable};
--- /dev/null
+++ b/crates/core/src/ledger/mod.rs
@@ -0,0 +1,19 @@
+//! Units of worker slots and team permits: allocation, loans, and units in use.
+//!
+//! Safety rests on three rules. The allocations of one generation add up to the resource's units.
+//! A session owns the minimum of its allocations from the last settled to the current generation.
+//! A loan is subtracted at the lender before it is sent, and becomes void with the first
+//! generation that lowers the resource or changes the view, so that no void loan is left once that
+//! generation is settled.
+
+mod allocation;
+mod loan_book;
+mod loan_record;
+mod peer_book;
+mod unit_account;
+
+pub use allocation::{UnitSeed, block_owner, block_units, permit_allocation};
+pub(crate) use loan_book::LoanBook;
+pub(crate) use loan_record::{LoanRecord, ResourceKey};
+pub(crate) use peer_book::PeerBook;
+pub(crate) use unit_account::UnitAccount;
--- /dev/null
+++ b/crates/core/src/ledger/peer_book.rs
@@ -0,0 +1,86 @@
+use std::collections::BTreeMap;
+
+use super::{LoanRecord, ResourceKey};
+use crate::exchange::LoanReport;
+use crate::ids::Generation;
+
+/// Loans to and from one peer.
+#[derive(Debug, Default)]
+pub(crate) struct PeerBook {
+    /// Loans to the peer by sequence number.
+    pub(crate) lent: BTreeMap<u64, LoanRecord>,
+    /// Loans from the peer by sequence number.
+    pub(crate) open: BTreeMap<u64, LoanRecord>,
+    /// Highest sequence number received from the peer or given up on.
+    pub(crate) closed: u64,
+    /// Highest sequence number that the peer has closed.
+    pub(crate) peer_closed: u64,
+    last_sequence: u64,
+    report_seen: u64,
+    report_number: u64,
+}
+
+impl PeerBook {
+    /// Enters a loan to the peer. The caller has subtracted the units already.
+    pub(crate) fn lend(&mut self, loan: LoanRecord) {
+        self.last_sequence += 1;
+        self.lent.insert(self.last_sequence, loan);
+    }
+
+    /// Enters a loan received from the peer, unless its number is closed. Numbers below it that
+    /// were not received are given up on.
+    pub(crate) fn accept(&mut self, sequence: u64) -> bool {
+        let fresh = sequence > self.closed;
+        self.closed = self.closed.max(sequence);
+        fresh
+    }
+
+    /// Applies a report of the peer. Returns the units that came back.
+    pub(crate) fn settle_report(&mut self, report: &LoanReport) -> Vec<(ResourceKey, u32)> {
+        // A delayed report could list a loan as open whose return was reported since.
+        if report.number <= self.report_seen {
+            return Vec::new();
+        }
+        self.report_seen = report.number;
+        self.peer_closed = self.peer_closed.max(report.closed);
+        let held: BTreeMap<u64, u32> = report.open.iter().copied().collect();
+        let mut returned = Vec::new();
+        for (sequence, loan) in self.lent.range_mut(..=report.closed) {
+            let units = held.get(sequence).copied().unwrap_or(0).min(loan.units);
+            if units < loan.units {
+                returned.push((loan.resource, loan.units - units));
+                loan.units = units;
+            }
+        }
+        self.lent.retain(|_, loan| loan.units > 0);
+        returned
+    }
+
+    /// Builds the report to the peer.
+    pub(crate) fn report(&mut self) -> LoanReport {
+        self.report_number += 1;
+        LoanReport {
+            number: self.report_number,
+            closed: self.closed,
+            open: self
+                .open
+                .iter()
+                .map(|(sequence, loan)| (*sequence, loan.units))
+                .collect(),
+        }
+    }
+
+    /// Takes back the loans that are void under the settled generation. By then every borrower
+    /// has returned them or is gone for longer than a task lease.
+    pub(crate) fn reclaim(&mut self, settled: Generation) -> Vec<(ResourceKey, u32)> {
+        let mut returned = Vec::new();
+        self.lent.retain(|_, loan| {
+            let void = loan.is_void(settled);
+            if void {
+                returned.push((loan.resource, loan.units));
+            }
+            !void
+        });
+        returned
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/mod.rs
@@ -0,0 +1,7 @@
+//! Choice of workers: free slots, recent failures, quarantine and leaving workers.
+
+mod worker_health;
+mod worker_record;
+
+pub(crate) use worker_health::WorkerHealth;
+pub(crate) use worker_record::{Placing, WorkerRecord, slots_for};
--- /dev/null
+++ b/crates/core/src/placement/worker_record.rs
@@ -0,0 +1,83 @@
+use compact_str::CompactString;
+
+use super::WorkerHealth;
+use crate::exchange::AgedPoint;
+use crate::ids::{InstanceName, SessionId};
+use crate::ledger::{UnitAccount, UnitSeed};
+use crate::scheduler::{AttemptKey, PoolIndex};
+use crate::time::TimePoint;
+
+/// Size of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Placing {
+    /// Declared processor cores.
+    pub(crate) cores: u32,
+    /// Declared memory in MB.
+    pub(crate) memory_mb: u32,
+    /// Whether the job may serve as a trial of a quarantined worker.
+    pub(crate) idempotent: bool,
+}
+
+/// One worker, with the units of its slots at this entry instance.
+#[derive(Debug)]
+pub(crate) struct WorkerRecord {
+    pub(crate) name: InstanceName,
+    pub(crate) address: CompactString,
+    pub(crate) pool: PoolIndex,
+    pub(crate) cores: u32,
+    pub(crate) memory_mb: u32,
+    pub(crate) slots: u32,
+    pub(crate) boot: u64,
+    /// Whether the fleet state lets the worker take new work.
+    pub(crate) active: bool,
+    /// Whether the fleet state has the worker quarantined.
+    pub(crate) quarantined: bool,
+    /// Whether the worker is no longer in the fleet state.
+    pub(crate) removed: bool,
+    /// Point at which the worker was last said to be leaving.
+    pub(crate) leaving: Option<AgedPoint>,
+    /// End of the time for which the worker is kept for a large job of a peer.
+    pub(crate) promised: Option<TimePoint>,
+    pub(crate) seeds: [UnitSeed; 2],
+    pub(crate) owners: [Option<SessionId>; 2],
+    pub(crate) account: UnitAccount,
+    pub(crate) health: WorkerHealth,
+    pub(crate) attempts: Vec<AttemptKey>,
+    /// Position in the pool's list of workers with free slots.
+    pub(crate) position: u32,
+}
+
+impl WorkerRecord {
+    /// Slots that a job takes, or none when the worker is too small for it.
+    pub(crate) fn slots_for(&self, placing: Placing) -> Option<u32> {
+        slots_for(self.cores, self.memory_mb, self.slots, placing)
+    }
+
+    /// Whether a job may be placed here by its state, regardless of free slots.
+    pub(crate) fn takes_work(&self, now: TimePoint) -> bool {
+        let on_trial = self.health.quarantined
+            && (!self.attempts.is_empty() || self.health.trial_at.is_none_or(|at| at > now));
+        let promised = self.promised.is_some_and(|until| until > now);
+        self.active && !self.removed && self.leaving.is_none() && !on_trial && !promised
+    }
+
+    /// Attractiveness of the worker for the next job.
+    pub(crate) fn score(&self) -> f32 {
+        #[expect(clippy::cast_precision_loss, reason = "few slots")]
+        let free = self.account.startable() as f32;
+        free * self.health.factor()
+    }
+}
+
+/// Slots that a job takes on a worker of this shape, or none when the worker is too small.
+pub(crate) fn slots_for(cores: u32, memory_mb: u32, slots: u32, placing: Placing) -> Option<u32> {
+    if placing.cores > cores || placing.memory_mb > memory_mb || slots == 0 {
+        return None;
+    }
+    let part = |size: u32, whole: u32| {
+        let product = u64::from(size) * u64::from(slots);
+        product.div_ceil(u64::from(whole.max(1)))
+    };
+    let needed = part(placing.cores, cores).max(part(placing.memory_mb, memory_mb));
+    u32::try_from(needed.max(1)).ok()
+}
--- /dev/null
+++ b/crates/core/src/retry/mod.rs
@@ -0,0 +1,7 @@
+//! Retries: reasons and the budget that bounds their number.
+
+mod retry_budget;
+mod retry_reason;
+
+pub use retry_budget::RetryBudget;
+pub use retry_reason::RetryReason;
--- /dev/null
+++ b/crates/core/src/retry/retry_reason.rs
@@ -0,0 +1,41 @@
+/// Reason why a job is queued again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryReason {
+    /// The backend server proved that nothing was started, or could not be reached.
+    NotStarted,
+    /// The backend server is leaving.
+    Draining,
+    /// An idempotent task failed.
+    Failed,
+    /// The answer to an idempotent task was lost.
+    Lost,
+    /// The answer to an idempotent task was truncated or belonged to another request.
+    BadAnswer,
+    /// An idempotent task was stopped in favour of urgent work.
+    Preempted,
+}
+
+impl RetryReason {
+    /// All reasons, in the order of their counters.
+    pub const ALL: [Self; 6] = [
+        Self::NotStarted,
+        Self::Draining,
+        Self::Failed,
+        Self::Lost,
+        Self::BadAnswer,
+        Self::Preempted,
+    ];
+
+    /// Label for metrics.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::NotStarted => "not-started",
+            Self::Draining => "draining",
+            Self::Failed => "failed",
+            Self::Lost => "lost",
+            Self::BadAnswer => "bad-answer",
+            Self::Preempted => "preempted",
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/scheduler/admission.rs
@@ -0,0 +1,230 @@
+use std::time::Duration;
+
+use super::{FlowIndex, JobKey, JobRecord, JobRefusal, JobScheduler, JobSpec, SchedulerAction};
+use crate::code::ResultCode;
+use crate::placement::Placing;
+use crate::queue::{FlowRecord, JobLinks, NOT_LISTED, TimerEvent};
+use crate::time::TimePoint;
+
+/// Shortest and longest time after which a rejected caller is asked to come back.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(30));
+
+impl JobScheduler {
+    /// Takes a job into its queue.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final answer when the job cannot be queued.
+    pub fn submit(&mut self, spec: JobSpec, now: TimePoint) -> Result<JobKey, JobRefusal> {
+        self.retry.add_request();
+        if self.closing {
+            return Err(JobRefusal::new(ResultCode::ShuttingDown));
+        }
+        if self.fleet.applied.is_none() {
+            return Err(JobRefusal::new(ResultCode::NotReady));
+        }
+        let placing = Placing {
+            cores: spec.cores,
+            memory_mb: spec.memory_mb,
+            idempotent: spec.idempotent,
+        };
+        let pool = self
+            .fleet
+            .pool_names
+            .get(&spec.pool)
+            .copied()
+            .filter(|pool| self.fleet.pools[pool.at()].fits(placing))
+            .ok_or_else(|| JobRefusal::new(ResultCode::NeverFits))?;
+        let team = self.fleet.team(&spec.team);
+        if let Some(key) = &spec.key {
+            if !self.keyed_allowed {
+                return Err(JobRefusal::new(ResultCode::StaleState).with_retry_after(RETRY_AFTER.0));
+            }
+            if !self.fleet.is_key_valid(key, team) {
+                return Err(JobRefusal::new(ResultCode::WithdrawnKey));
+            }
+        }
+        let flow = self.flow(pool, team);
+        self.check_wait(flow, spec.deadline, now)?;
+        let key = self.jobs.insert(JobRecord {
+            flow,
+            key: spec.key,
+            placing,
+            run: spec.run,
+            urgent: spec.urgent,
+            deadline: spec.deadline,
+            submitted: now,
+            queued: false,
+            abandoned: false,
+            preempted: false,
+            links: JobLinks::default(),
+            tried: Vec::new(),
+            failed_on: Vec::new(),
+        });
+        self.enqueue(key, false, now);
+        self.timers.add(spec.deadline, TimerEvent::Deadline(key));
+        if spec.urgent {
+            let at = now.after(self.policy.urgent_start / 2);
+            self.timers.add(at, TimerEvent::Urgent(key));
+        }
+        Ok(key)
+    }
+
+    /// Removes a queued job, or lets a running one end unanswered.
+    pub fn cancel(&mut self, job: JobKey, now: TimePoint) {
+        match self.jobs.get_mut(job) {
+            Some(record) if record.queued => {
+                self.dequeue(job, now);
+                self.jobs.remove(job);
+            }
+            Some(record) => record.abandoned = true,
+            None => {}
+        }
+    }
+
+    /// The flow of a team in a pool, which is created when it is new.
+    pub(super) fn flow(&mut self, pool: super::PoolIndex, team: super::TeamIndex) -> FlowIndex {
+        let flows = &mut self.fleet.pools[pool.at()].flows;
+        if flows.len() <= team.at() {
+            flows.resize(team.at() + 1, None);
+        }
+        if let Some(flow) = flows[team.at()] {
+            return flow;
+        }
+        let flow = FlowIndex::with_position(self.flows.len());
+        flows[team.at()] = Some(flow);
+        self.flows.push(FlowRecord::new(pool, team));
+        self.fleet.teams[team.at()].flows.push(flow);
+        flow
+    }
+
+    /// Puts a job into its queue, in front when it was queued before.
+    pub(super) fn enqueue(&mut self, key: JobKey, front: bool, now: TimePoint) {
+        let job = &mut self.jobs[key];
+        job.queued = true;
+        let urgent = job.urgent;
+        let index = job.flow;
+        let flow = &mut self.flows[index.at()];
+        let list = if urgent {
+            &mut flow.urgent
+        } else {
+            &mut flow.normal
+        };
+        if front {
+            list.push_front(key, &mut self.jobs);
+        } else {
+            list.push_back(key, &mut self.jobs);
+        }
+        flow.queued += 1;
+        if flow.queued == 1 {
+            flow.service.start_backlog(now);
+            self.list_flow(index, now);
+        } else if flow.block == crate::queue::FlowBlock::Slots && (urgent || front) {
+            self.unblock(index, now);
+        }
+    }
+
+    /// Takes a job out of its queue.
+    pub(super) fn dequeue(&mut self, key: JobKey, now: TimePoint) {
+        let job = &mut self.jobs[key];
+        job.queued = false;
+        let index = job.flow;
+        let urgent = job.urgent;
+        let flow = &mut self.flows[index.at()];
+        let was_first = flow.first() == Some(key);
+        let list = if urgent {
+            &mut flow.urgent
+        } else {
+            &mut flow.normal
+        };
+        list.remove(key, &mut self.jobs);
+        flow.queued -= 1;
+        if flow.overdue == Some(key) {
+            let half = self.policy.urgent_start / 2;
+            flow.overdue = flow.urgent.first().filter(|first| {
+                let waited = now.since(self.jobs[*first].submitted);
+                waited >= half
+            });
+        }
+        if flow.queued == 0 {
+            self.unlist_flow(index, now);
+        } else if was_first && flow.block == crate::queue::FlowBlock::Slots {
+            self.unblock(index, now);
+        }
+    }
+
+    /// Refuses all queued jobs that `select` picks.
+    pub(super) fn refuse_queued(
+        &mut self,
+        code: ResultCode,
+        now: TimePoint,
+        select: impl Fn(&JobRecord) -> bool,
+    ) {
+        let keys: Vec<JobKey> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.queued && select(job))
+            .map(|(key, _)| key)
+            .collect();
+        for key in keys {
+            self.refuse(key, JobRefusal::new(code), now);
+        }
+    }
+
+    /// Gives a queued job its final answer.
+    pub(super) fn refuse(&mut self, job: JobKey, refusal: JobRefusal, now: TimePoint) {
+        self.dequeue(job, now);
+        self.jobs.remove(job);
+        self.actions
+            .push_back(SchedulerAction::Refuse { job, refusal });
+    }
+
+    fn check_wait(
+        &self,
+        index: FlowIndex,
+        deadline: TimePoint,
+        now: TimePoint,
+    ) -> Result<(), JobRefusal> {
+        let flow = &self.flows[index.at()];
+        let team = &self.fleet.teams[flow.team.at()];
+        if deadline <= now {
+            return Err(JobRefusal::new(ResultCode::DeadlinePassed));
+        }
+        let bounded = |wait: Duration| wait.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
+        if team.limit == 0 {
+            let refusal = JobRefusal::new(ResultCode::WaitTooLong);
+            return Err(refusal.with_retry_after(RETRY_AFTER.1));
+        }
+        if flow.position == NOT_LISTED {
+            return Ok(());
+        }
+        let ahead = flow.queued as usize;
+        let left = deadline.since(now);
+        let wait = self.estimate_wait(index, ahead + 1, now);
+        if ahead >= self.policy.max_queued {
+            let refusal = JobRefusal::new(ResultCode::QueueFull);
+            return Err(refusal.with_retry_after(bounded(wait / 2)));
+        }
+        if wait > left {
+            let refusal = JobRefusal::new(ResultCode::WaitTooLong);
+            return Err(refusal.with_retry_after(bounded(wait.saturating_sub(left))));
+        }
+        Ok(())
+    }
+
+    /// Wait of a job with `ahead` jobs up to and including itself, from the observed service rate
+    /// or, before it is known, from the corrected run time and the slots held.
+    fn estimate_wait(&self, index: FlowIndex, ahead: usize, now: TimePoint) -> Duration {
+        let flow = &self.flows[index.at()];
+        if let Some(wait) = flow.service.estimate(ahead, now) {
+            return wait;
+        }
+        let first = flow.first().and_then(|key| self.jobs.get(key));
+        let (Some(job), true) = (first, flow.held > 0) else {
+            return Duration::ZERO;
+        };
+        let run = self.fleet.teams[flow.team.at()].correction.expect(job.run);
+        let rounds = ahead / flow.held as usize;
+        run.saturating_mul(u32::try_from(rounds).unwrap_or(u32::MAX))
+    }
+}
--- a/crates/core/src/scheduler/attempt_outcome.rs
+++ b/crates/core/src/scheduler/attempt_outcome.rs
@@ -15,6 +15,8 @@
     Lost,
     /// The answer was truncated or belonged to another request. The task may still be running.
     BadAnswer,
+    /// The backend server confirmed that it stopped the task on request.
+    Stopped,
 }
 
 /// What becomes of the job after an attempt.
--- /dev/null
+++ b/crates/core/src/scheduler/borrowing.rs
@@ -0,0 +1,251 @@
+use super::{JobScheduler, PoolIndex, WorkerIndex};
+use crate::exchange::{ExchangeMessage, LentResource, LoanOffer, LoanRequest, RequestedUnits};
+use crate::ids::SessionId;
+use crate::ledger::{LoanRecord, ResourceKey};
+use crate::queue::FlowBlock;
+use crate::time::TimePoint;
+
+/// Most units in one request.
+const MAX_UNITS: u32 = 1_000;
+
+/// Most requests in one message.
+const MAX_REQUESTS: usize = 128;
+
+/// Longest pause between two requests for extra exchanges, in revisions, while no peer lends.
+const MAX_ASK_PAUSE: u32 = 16;
+
+impl JobScheduler {
+    /// Takes in the loans of a message.
+    pub(super) fn accept_loans(&mut self, message: &ExchangeMessage, now: TimePoint) {
+        for offer in &message.loans {
+            if !self.book.peer(message.from).accept(offer.sequence) {
+                continue;
+            }
+            // A loan that is not entered counts as given up, and the lender takes it back.
+            let Some(resource) = self.offered(offer) else {
+                continue;
+            };
+            let loan = LoanRecord {
+                resource,
+                units: offer.units,
+                made_at: offer.made_at,
+                void_at: None,
+            };
+            let book = self.book.peer(message.from);
+            book.open.insert(offer.sequence, loan);
+            let account = self.account_mut(resource);
+            account.borrowed += offer.units;
+            account.restart_idle();
+            self.ask_pause = 0;
+            self.start_idling(now);
+            self.refresh(resource, now);
+        }
+    }
+
+    /// The resource of a loan, unless the loan is void or the resource is not known.
+    fn offered(&self, offer: &LoanOffer) -> Option<ResourceKey> {
+        let resource = match &offer.resource {
+            LentResource::Permits(name) => ResourceKey::Team(*self.fleet.team_names.get(name)?),
+            LentResource::Slots(name) => ResourceKey::Worker(*self.fleet.worker_names.get(name)?),
+        };
+        let lowered = self.account(resource).lowered();
+        let oldest = self.fleet.view_changed.max(lowered);
+        (offer.made_at >= oldest).then_some(resource)
+    }
+
+    /// Gives back void units as far as they are not in use.
+    pub(super) fn give_back_void(&mut self, resource: ResourceKey) {
+        let account = self.account(resource);
+        let units = account.void.min(account.free());
+        if units > 0 {
+            self.give_back(resource, units);
+        }
+    }
+
+    /// Gives back borrowed slots of a finished attempt when peers should have them.
+    pub(super) fn give_back_excess(&mut self, pool: PoolIndex, worker: WorkerIndex, slots: u32) {
+        let account = &self.fleet.workers[worker.at()].account;
+        let entry = &self.fleet.pools[pool.at()];
+        if account.borrowed > 0
+            && f64::from(entry.held + slots) > entry.entitled + 1.0
+            && entry
+                .reserved
+                .is_none_or(|(reserved, _)| reserved != worker)
+        {
+            let units = slots.min(account.borrowed).min(account.free());
+            self.give_back(ResourceKey::Worker(worker), units);
+        }
+    }
+
+    fn give_back(&mut self, resource: ResourceKey, units: u32) {
+        let (given, void) = self.book.give_back(resource, units);
+        let account = self.account_mut(resource);
+        account.borrowed -= given;
+        account.void -= void;
+        account.note_idle();
+    }
+
+    /// Returns the borrowed units that were idle for two whole periods.
+    pub(super) fn return_idle(&mut self, now: TimePoint) {
+        for resource in self.book.borrowed() {
+            if let ResourceKey::Worker(worker) = resource {
+                let pool = self.fleet.workers[worker.at()].pool;
+                let reserved = self.fleet.pools[pool.at()].reserved;
+                if reserved.is_some_and(|(reserved, _)| reserved == worker) {
+                    continue;
+                }
+            }
+            let idle = self.account_mut(resource).end_idle_period();
+            if idle > 0 {
+                self.give_back(resource, idle);
+                self.refresh(resource, now);
+            }
+        }
+        if !self.book.borrowed().is_empty() {
+            self.start_idling(now);
+        }
+    }
+
+    /// Requests to a peer, from the needs of now.
+    pub(super) fn loan_requests(&self, peer: SessionId) -> Vec<LoanRequest> {
+        let mut requests = Vec::new();
+        if self.closing || !self.may_dispatch() {
+            return requests;
+        }
+        for team in &self.fleet.teams {
+            let waiting: u32 = team
+                .flows
+                .iter()
+                .map(|flow| &self.flows[flow.at()])
+                .filter(|flow| flow.block == FlowBlock::Permits)
+                .map(|flow| flow.queued)
+                .sum();
+            if waiting > 0 && !team.account.is_frozen() {
+                requests.push(LoanRequest {
+                    what: RequestedUnits::Permits(team.name.clone()),
+                    units: waiting.min(MAX_UNITS),
+                });
+            }
+        }
+        for position in 0..self.fleet.pools.len() {
+            let pool = PoolIndex::with_position(position);
+            requests.extend(self.slot_request(pool, peer));
+            requests.extend(self.worker_request(pool));
+        }
+        requests.truncate(MAX_REQUESTS);
+        requests
+    }
+
+    /// Slots that are missing in a pool.
+    pub(super) fn missing_slots(&self, pool: PoolIndex) -> u32 {
+        let entry = &self.fleet.pools[pool.at()];
+        if entry.backlog.is_empty() || !entry.ready.is_empty() && entry.waiting.is_empty() {
+            return 0;
+        }
+        let queued: u32 = entry
+            .backlog
+            .iter()
+            .map(|(_, flow)| &self.flows[flow.at()])
+            .filter(|flow| flow.block != FlowBlock::Permits)
+            .map(|flow| flow.queued)
+            .sum();
+        let entitled = (entry.entitled + 0.25).floor() - f64::from(entry.held);
+        #[expect(
+            clippy::cast_possible_truncation,
+            reason = "clamped to the bounds of u32"
+        )]
+        #[expect(clippy::cast_sign_loss, reason = "clamped to the bounds of u32")]
+        let entitled = entitled.clamp(0.0, f64::from(MAX_UNITS)) as u32;
+        queued.min(entitled)
+    }
+
+    fn slot_request(&self, pool: PoolIndex, peer: SessionId) -> Option<LoanRequest> {
+        let missing = self.missing_slots(pool);
+        if missing == 0 {
+            return None;
+        }
+        let entry = &self.fleet.pools[pool.at()];
+        let owners = || {
+            entry.workers.iter().flat_map(|worker| {
+                let record = &self.fleet.workers[worker.at()];
+                record
+                    .owners
+                    .into_iter()
+                    .flatten()
+                    .filter(|_| record.active)
+            })
+        };
+        let total = owners().filter(|owner| *owner != self.session).count();
+        let part = owners().filter(|owner| *owner == peer).count();
+        if part == 0 {
+            return None;
+        }
+        let (_, flow) = entry
+            .backlog
+            .iter()
+            .filter(|(_, flow)| self.flows[flow.at()].block != FlowBlock::Permits)
+            .min_by(|one, other| one.0.total_cmp(&other.0))?;
+        let flow = &self.flows[flow.at()];
+        let placing = self.jobs[flow.first()?].placing;
+        let size = entry
+            .workers
+            .first()
+            .and_then(|worker| self.fleet.workers[worker.at()].slots_for(placing))
+            .unwrap_or(1);
+        let units = (u64::from(missing) * part as u64).div_ceil(total as u64);
+        Some(LoanRequest {
+            what: RequestedUnits::Slots {
+                pool: entry.name.clone(),
+                team: self.fleet.teams[flow.team.at()].name.clone(),
+                size,
+            },
+            units: u32::try_from(units).unwrap_or(MAX_UNITS),
+        })
+    }
+
+    /// Slots that are missing on a worker that is reserved for a large job.
+    fn worker_request(&self, pool: PoolIndex) -> Option<LoanRequest> {
+        let (worker, flow) = self.fleet.pools[pool.at()].reserved?;
+        let record = &self.fleet.workers[worker.at()];
+        let placing = self.jobs[self.flows[flow.at()].first()?].placing;
+        let slots = record.slots_for(placing)?;
+        let account = &record.account;
+        let own = (account.owned + account.borrowed).saturating_sub(account.lent);
+        (slots > own).then(|| LoanRequest {
+            what: RequestedUnits::Worker(record.name.clone()),
+            units: slots - own,
+        })
+    }
+
+    /// Wants an exchange with the next peer in turn when units are missing. The pauses grow while
+    /// no peer lends, so that a full fleet does not spend its control bytes on requests.
+    pub(super) fn ask_peers(&mut self) {
+        let permits = self.fleet.teams.iter().any(|team| team.blocked > 0);
+        let missing = permits
+            || self.fleet.pools.iter().any(|pool| pool.reserved.is_some())
+            || (0..self.fleet.pools.len())
+                .any(|position| self.missing_slots(PoolIndex::with_position(position)) > 0);
+        if !missing || self.closing {
+            self.ask_pause = 0;
+            self.ask_wait = 0;
+            return;
+        }
+        if self.ask_wait > 0 {
+            self.ask_wait -= 1;
+            return;
+        }
+        let peers = || {
+            let sessions = self.fleet.view.sessions.iter().copied();
+            sessions.filter(|session| *session != self.session)
+        };
+        let next = peers()
+            .find(|session| self.last_asked.is_none_or(|last| *session > last))
+            .or_else(|| peers().next());
+        if let Some(peer) = next {
+            self.last_asked = Some(peer);
+            self.wanted.insert(peer);
+            self.ask_pause = (self.ask_pause * 2).clamp(1, MAX_ASK_PAUSE);
+            self.ask_wait = self.ask_pause - 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/scheduler/exchanging.rs
@@ -0,0 +1,223 @@
+use std::time::Duration;
+
+use super::{FlowIndex, JobScheduler, PoolIndex};
+use crate::exchange::{
+    AgedPoint, ExchangeMessage, HeardRecord, MESSAGE_VERSION, OriginUsage, UsageEntry, name_hash,
+};
+use crate::ids::{Generation, SessionId};
+use crate::queue::UsageMeter;
+use crate::time::TimePoint;
+
+/// Time after which a silent origin is taken to have neither backlog nor running work.
+const SILENT_AFTER: Duration = Duration::from_secs(3);
+
+/// Most entries of a summary; the flows with the most usage go first.
+const MAX_SUMMARY: usize = 300;
+
+/// Smallest usage in slot milliseconds that is told to peers.
+const MIN_USAGE_MS: u64 = 10;
+
+impl JobScheduler {
+    /// Builds the message that this entry instance sends to `peer`.
+    pub fn exchange_with(&mut self, peer: SessionId, now: TimePoint) -> ExchangeMessage {
+        self.wanted.remove(&peer);
+        self.renew_summary(now);
+        let mut message = ExchangeMessage::new(self.session, self.fleet.generation());
+        message.evidence_age = self.evidence.map(|evidence| evidence.age(now));
+        message.heard = self.heard.relay(peer, now);
+        message.usage = self.usage.relay(peer, now);
+        message.requests = self.loan_requests(peer);
+        message.loans = self.loan_offers(peer);
+        message.report = self.book.peer(peer).report();
+        message.leaving = self.leaving_records(now);
+        message
+    }
+
+    /// Takes in a message of a peer. The answer to it is built by `exchange_with`.
+    pub fn receive(&mut self, message: &ExchangeMessage, now: TimePoint) {
+        if message.version != MESSAGE_VERSION || message.from == self.session {
+            return;
+        }
+        self.note_heard(message, now);
+        let returned = self.book.peer(message.from).settle_report(&message.report);
+        for (resource, units) in returned {
+            self.account_mut(resource).lent -= units;
+            self.refresh(resource, now);
+        }
+        self.accept_loans(message, now);
+        for record in &message.leaving {
+            if let Some(worker) = self.fleet.worker_names.get(&record.worker).copied() {
+                self.set_leaving(worker, AgedPoint::new(record.age, now), now);
+            }
+        }
+        self.note_usage(message, now);
+        self.take_requests(message, now);
+    }
+
+    /// Sets the age of this entry instance's own evidence of the head.
+    pub fn set_evidence(&mut self, age: Option<Duration>, now: TimePoint) {
+        self.evidence = age.map(|age| AgedPoint::new(age, now));
+    }
+
+    /// Other sessions heard from within a time, directly or by relay: the session, the time since
+    /// it was heard from, the age of its store evidence and the generation it acts under.
+    #[must_use]
+    pub fn heard(
+        &self,
+        within: Duration,
+        now: TimePoint,
+    ) -> Vec<(SessionId, Duration, Option<Duration>, Generation)> {
+        self.heard
+            .records(within, now)
+            .into_iter()
+            .map(|record| {
+                let HeardRecord {
+                    session,
+                    age,
+                    evidence_age,
+                    generation,
+                } = record;
+                (session, age, evidence_age, generation)
+            })
+            .collect()
+    }
+
+    /// Age of the newest evidence of the head that peers relayed.
+    #[must_use]
+    pub fn newest_evidence(&self, now: TimePoint) -> Option<Duration> {
+        self.heard
+            .records(Duration::MAX, now)
+            .into_iter()
+            .filter_map(|record| record.evidence_age)
+            .min()
+    }
+
+    fn note_heard(&mut self, message: &ExchangeMessage, now: TimePoint) {
+        let direct = HeardRecord {
+            session: message.from,
+            age: Duration::ZERO,
+            evidence_age: message.evidence_age,
+            generation: message.applied,
+        };
+        self.heard.note(&direct, now);
+        for record in &message.heard {
+            if record.session != self.session {
+                self.heard.note(record, now);
+            }
+        }
+    }
+
+    /// Replaces the own summary when it is old enough.
+    fn renew_summary(&mut self, now: TimePoint) {
+        let gap = self.policy.summary_gap;
+        if self.summary_at.is_some_and(|at| now.since(at) < gap) {
+            return;
+        }
+        let mut entries = Vec::new();
+        for (position, flow) in self.flows.iter().enumerate() {
+            let usage = flow.usage.read(f64::from(flow.held), now) * 1_000.0;
+            #[expect(
+                clippy::cast_possible_truncation,
+                reason = "usage is far below 2^64 ms"
+            )]
+            #[expect(clippy::cast_sign_loss, reason = "usage is not negative")]
+            let usage_ms = usage as u64;
+            if usage_ms < MIN_USAGE_MS && flow.queued == 0 && flow.held == 0 {
+                continue;
+            }
+            let entry = UsageEntry {
+                pool: name_hash(self.fleet.pools[flow.pool.at()].name.as_str()),
+                team: name_hash(self.fleet.teams[flow.team.at()].name.as_str()),
+                usage_ms,
+                held: flow.held,
+                queued: flow.queued,
+            };
+            entries.push((entry, Some(FlowIndex::with_position(position))));
+        }
+        if entries.len() > MAX_SUMMARY {
+            entries.sort_by_key(|(entry, _)| std::cmp::Reverse(entry.usage_ms));
+            entries.truncate(MAX_SUMMARY);
+        }
+        self.summary_at = Some(now);
+        let unchanged = self
+            .usage
+            .origins
+            .get(&self.session)
+            .is_some_and(|own| own.entries.is_empty() && entries.is_empty());
+        if unchanged {
+            return;
+        }
+        self.summary_version += 1;
+        let own = OriginUsage {
+            version: self.summary_version,
+            made: AgedPoint::new(Duration::ZERO, now),
+            entries,
+        };
+        self.usage.origins.insert(self.session, own);
+    }
+
+    fn note_usage(&mut self, message: &ExchangeMessage, now: TimePoint) {
+        let mut news = false;
+        for summary in &message.usage {
+            if summary.origin == self.session {
+                continue;
+            }
+            let mut entries = Vec::with_capacity(summary.entries.len());
+            for entry in &summary.entries {
+                entries.push(self.entry_flow(entry));
+            }
+            let mut flows = entries.into_iter();
+            news |= self
+                .usage
+                .note(message.from, summary, now, |_| flows.next().flatten());
+        }
+        if news {
+            self.add_up_usage(now);
+            self.revise(now);
+        }
+    }
+
+    fn entry_flow(&mut self, entry: &UsageEntry) -> Option<FlowIndex> {
+        let pool = *self.fleet.pool_hashes.get(&entry.pool)?;
+        let team = *self.fleet.team_hashes.get(&entry.team)?;
+        Some(self.flow(pool, team))
+    }
+
+    /// Adds up the usage of the peers, brought forward to `now`.
+    fn add_up_usage(&mut self, now: TimePoint) {
+        let mut before = Vec::new();
+        for flow in &mut self.flows {
+            before.push(flow.is_backlogged());
+            flow.remote = UsageMeter::new(0.0, now);
+            flow.remote_held = 0.0;
+            flow.remote_queued = 0.0;
+        }
+        for (origin, usage) in &self.usage.origins {
+            if *origin == self.session {
+                continue;
+            }
+            let age = usage.made.age(now);
+            let silent = age >= SILENT_AFTER;
+            for (entry, flow) in &usage.entries {
+                let Some(flow) = flow else { continue };
+                let flow = &mut self.flows[flow.at()];
+                let held = if silent { 0.0 } else { f64::from(entry.held) };
+                #[expect(clippy::cast_precision_loss, reason = "usage is far below 2^53 ms")]
+                let value = entry.usage_ms as f64 / 1_000.0;
+                flow.remote.add(UsageMeter::project(value, held, age));
+                flow.remote_held += held;
+                if !silent {
+                    flow.remote_queued += f64::from(entry.queued);
+                }
+            }
+        }
+        for (position, was) in before.into_iter().enumerate() {
+            if !was && self.flows[position].is_backlogged() {
+                self.begin_share(FlowIndex::with_position(position), now);
+            }
+        }
+        for position in 0..self.fleet.pools.len() {
+            self.entitle(PoolIndex::with_position(position), now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/scheduler/fleet_index.rs
@@ -0,0 +1,77 @@
+use std::collections::HashMap;
+
+use super::pool_entry::PoolEntry;
+use super::team_entry::TeamEntry;
+use super::{PoolIndex, TeamIndex, WorkerIndex};
+use crate::exchange::name_hash;
+use crate::fleet::SessionView;
+use crate::ids::{Generation, InstanceName, KeyId, PoolName, TeamName};
+use crate::placement::WorkerRecord;
+
+/// Arenas of the applied fleet state, with the names that lead into them.
+#[derive(Debug, Default)]
+pub(crate) struct FleetIndex {
+    pub(crate) applied: Option<Generation>,
+    pub(crate) settled: Generation,
+    /// Last generation that changed the view, or that could have.
+    pub(crate) view_changed: Generation,
+    pub(crate) view: SessionView,
+    pub(crate) teams: Vec<TeamEntry>,
+    pub(crate) pools: Vec<PoolEntry>,
+    pub(crate) workers: Vec<WorkerRecord>,
+    /// Workers of the fleet state in the order of their names.
+    pub(crate) order: Vec<WorkerIndex>,
+    /// Workers that are no longer in the fleet state.
+    pub(crate) removed: Vec<WorkerIndex>,
+    /// Free places in `workers`.
+    pub(crate) vacant: Vec<WorkerIndex>,
+    pub(crate) team_names: HashMap<TeamName, TeamIndex>,
+    pub(crate) pool_names: HashMap<PoolName, PoolIndex>,
+    pub(crate) worker_names: HashMap<InstanceName, WorkerIndex>,
+    pub(crate) team_hashes: HashMap<u32, TeamIndex>,
+    pub(crate) pool_hashes: HashMap<u32, PoolIndex>,
+    /// Valid keys with their teams.
+    pub(crate) keys: HashMap<KeyId, TeamIndex>,
+}
+
+impl FleetIndex {
+    /// The generation acted under.
+    pub(crate) fn generation(&self) -> Generation {
+        self.applied.unwrap_or(Generation::ZERO)
+    }
+
+    /// Whether the settled generation is ahead of the applied one. Then peers may already own
+    /// units that this entry instance owned under its own generation.
+    pub(crate) fn is_behind(&self) -> bool {
+        self.applied.is_none_or(|applied| applied < self.settled)
+    }
+
+    /// Key of a team, which is created when it is new.
+    pub(crate) fn team(&mut self, name: &TeamName) -> TeamIndex {
+        if let Some(index) = self.team_names.get(name) {
+            return *index;
+        }
+        let index = TeamIndex::with_position(self.teams.len());
+        self.teams.push(TeamEntry::new(name.clone()));
+        self.team_names.insert(name.clone(), index);
+        self.team_hashes.insert(name_hash(name.as_str()), index);
+        index
+    }
+
+    /// Key of a pool, which is created when it is new.
+    pub(crate) fn pool(&mut self, name: &PoolName) -> PoolIndex {
+        if let Some(index) = self.pool_names.get(name) {
+            return *index;
+        }
+        let index = PoolIndex::with_position(self.pools.len());
+        self.pools.push(PoolEntry::new(name.clone()));
+        self.pool_names.insert(name.clone(), index);
+        self.pool_hashes.insert(name_hash(name.as_str()), index);
+        index
+    }
+
+    /// Whether a key is granted to the team and not withdrawn.
+    pub(crate) fn is_key_valid(&self, key: &KeyId, team: TeamIndex) -> bool {
+        self.keys.get(key) == Some(&team)
+    }
+}
--- /dev/null
+++ b/crates/core/src/scheduler/fleet_update.rs
@@ -0,0 +1,207 @@
+use std::collections::BTreeSet;
+
+use super::{JobScheduler, PoolIndex, TeamIndex};
+use crate::code::ResultCode;
+use crate::fleet::{FleetState, OPEN_TEAM, TeamRecord};
+use crate::ids::{Generation, SessionId, TeamName};
+use crate::ledger::{ResourceKey, permit_allocation};
+use crate::time::TimePoint;
+
+/// Limit of the team `open` when it is not configured; more than any fleet has slots.
+const OPEN_LIMIT: u32 = 1_000_000;
+
+/// What changes with one generation.
+#[derive(Debug)]
+pub(super) struct UpdateScope {
+    pub(super) generation: Generation,
+    /// First generation that was left out, if any was.
+    pub(super) skipped: Option<Generation>,
+    /// Whether all allocations are computed anew.
+    pub(super) all: bool,
+    pub(super) joined: Vec<SessionId>,
+    pub(super) left: Vec<SessionId>,
+    /// Pools whose workers changed.
+    pub(super) pools: BTreeSet<PoolIndex>,
+}
+
+impl JobScheduler {
+    pub(super) fn update_fleet(&mut self, state: &FleetState, now: TimePoint) {
+        let mut scope = self.scope(state);
+        let generation = scope.generation;
+        self.fleet.applied = Some(generation);
+        self.vacate_workers();
+        if scope.all {
+            self.fleet.view_changed = generation;
+            self.fleet.view = state.view.clone();
+            self.void_loans(None, generation);
+        }
+        self.update_teams(state, &scope);
+        for (name, record) in &state.pools {
+            let pool = self.fleet.pool(name);
+            self.fleet.pools[pool.at()].max_unavailable = record.max_unavailable;
+        }
+        self.update_workers(state, &mut scope, now);
+        for pool in std::mem::take(&mut scope.pools) {
+            self.update_pool(pool);
+        }
+        self.update_keys(state, now);
+        if scope.all {
+            self.refresh_all(now);
+        } else {
+            for team in 0..self.fleet.teams.len() {
+                self.refresh_team(TeamIndex::with_position(team), now);
+            }
+        }
+    }
+
+    /// Takes note of the highest settled generation.
+    pub(super) fn note_settled(&mut self, settled: Generation, now: TimePoint) {
+        if settled <= self.fleet.settled {
+            return;
+        }
+        self.fleet.settled = settled;
+        let mut changed: Vec<ResourceKey> = self.pending.iter().copied().collect();
+        for resource in &changed {
+            self.account_mut(*resource).settle(settled);
+        }
+        let pending = std::mem::take(&mut self.pending);
+        self.pending = pending
+            .into_iter()
+            .filter(|resource| self.account(*resource).is_pending())
+            .collect();
+        let mut returned = Vec::new();
+        for book in self.book.peers.values_mut() {
+            returned.extend(book.reclaim(settled));
+        }
+        for (resource, units) in returned {
+            self.account_mut(resource).lent -= units;
+            changed.push(resource);
+        }
+        for resource in changed {
+            self.refresh(resource, now);
+        }
+    }
+
+    /// Allocates the units of a resource anew.
+    pub(super) fn allocate(
+        &mut self,
+        resource: ResourceKey,
+        scope: &UpdateScope,
+        units: u32,
+        share: u32,
+    ) {
+        let settled = self.fleet.settled;
+        let account = self.account_mut(resource);
+        account.settle(settled);
+        if let Some(first) = scope.skipped {
+            account.skip(first, scope.generation);
+        }
+        let lowered = account.allocate(scope.generation, units, share);
+        account.note_idle();
+        if account.is_pending() {
+            self.pending.insert(resource);
+        }
+        if lowered {
+            self.void_loans(Some(resource), scope.generation);
+        }
+    }
+
+    fn scope(&self, state: &FleetState) -> UpdateScope {
+        let first = self
+            .fleet
+            .applied
+            .map_or(Generation::ZERO, Generation::next);
+        let skipped = (self.fleet.applied.is_none() || first != state.generation).then_some(first);
+        let missing = |from: &[SessionId], other: &crate::fleet::SessionView| {
+            let sessions = from.iter().copied();
+            sessions
+                .filter(|session| !other.contains(*session))
+                .collect()
+        };
+        UpdateScope {
+            generation: state.generation,
+            skipped,
+            all: skipped.is_some() || state.view != self.fleet.view,
+            joined: missing(&state.view.sessions, &self.fleet.view),
+            left: missing(&self.fleet.view.sessions, &state.view),
+            pools: BTreeSet::new(),
+        }
+    }
+
+    fn void_loans(&mut self, resource: Option<ResourceKey>, generation: Generation) {
+        for (resource, units) in self.book.void(resource, generation) {
+            self.account_mut(resource).void += units;
+            self.give_back_void(resource);
+        }
+    }
+
+    fn update_teams(&mut self, state: &FleetState, scope: &UpdateScope) {
+        for name in state.teams.keys() {
+            self.fleet.team(name);
+        }
+        let open = self.fleet.team(&TeamName::new(OPEN_TEAM));
+        for position in 0..self.fleet.teams.len() {
+            let index = TeamIndex::with_position(position);
+            let team = &mut self.fleet.teams[position];
+            let unlisted = TeamRecord {
+                share: 1,
+                limit: if index == open { OPEN_LIMIT } else { 0 },
+            };
+            let record = state.teams.get(&team.name).unwrap_or(&unlisted);
+            team.weight = f64::from(record.share).max(0.01);
+            if team.limit == record.limit && !scope.all {
+                continue;
+            }
+            team.limit = record.limit;
+            let (session, sessions) = (self.session, &state.view.sessions);
+            let share = permit_allocation(record.limit, team.seed, session, sessions);
+            self.allocate(ResourceKey::Team(index), scope, record.limit, share);
+        }
+    }
+
+    fn update_keys(&mut self, state: &FleetState, now: TimePoint) {
+        let mut valid = 0;
+        let mut withdrawn = false;
+        for (id, record) in &state.keys {
+            if record.withdrawn {
+                withdrawn |= self.fleet.keys.remove(id).is_some();
+                continue;
+            }
+            valid += 1;
+            let team = self.fleet.team(&record.team);
+            if self.fleet.keys.get(id) != Some(&team) {
+                withdrawn |= self.fleet.keys.insert(id.clone(), team).is_some();
+            }
+        }
+        if self.fleet.keys.len() != valid {
+            self.fleet.keys.retain(|id, _| state.keys.contains_key(id));
+            withdrawn = true;
+        }
+        if withdrawn {
+            let invalid: Vec<_> = self
+                .jobs
+                .iter()
+                .filter(|(_, job)| job.queued)
+                .filter(|(_, job)| {
+                    let team = self.flows[job.flow.at()].team;
+                    let key = job.key.as_ref();
+                    key.is_some_and(|key| !self.fleet.is_key_valid(key, team))
+                })
+                .map(|(key, _)| key)
+                .collect();
+            for key in invalid {
+                self.refuse(key, super::JobRefusal::new(ResultCode::WithdrawnKey), now);
+            }
+        }
+    }
+
+    fn refresh_all(&mut self, now: TimePoint) {
+        for position in 0..self.fleet.order.len() {
+            let worker = self.fleet.order[position];
+            self.refresh_worker(worker, now);
+        }
+        for position in 0..self.fleet.teams.len() {
+            self.refresh_team(TeamIndex::with_position(position), now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/scheduler/index.rs
@@ -0,0 +1,39 @@
+//! Small `Copy` keys into the arenas of the scheduler.
+
+macro_rules! arena_index {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        pub(crate) struct $name(pub(crate) u32);
+
+        impl $name {
+            /// Position in the arena.
+            pub(crate) const fn at(self) -> usize {
+                self.0 as usize
+            }
+
+            /// Key of the arena's entry at `position`; arenas stay far below 2^32 entries.
+            pub(crate) const fn with_position(position: usize) -> Self {
+                #[expect(clippy::cast_possible_truncation, reason = "arenas stay below 2^32")]
+                Self(position as u32)
+            }
+        }
+    };
+}
+
+arena_index!(
+    /// A team.
+    TeamIndex
+);
+arena_index!(
+    /// A pool.
+    PoolIndex
+);
+arena_index!(
+    /// A worker.
+    WorkerIndex
+);
+arena_index!(
+    /// The jobs of one team in one pool.
+    FlowIndex
+);
--- a/crates/core/src/scheduler/job_scheduler.rs
+++ b/crates/core/src/scheduler/job_scheduler.rs
@@ -1,42 +1,65 @@
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
 
-use rand::{RngExt, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use slotmap::SlotMap;
 
-use super::{
-    AttemptKey, AttemptOutcome, DispatchOrder, FinishOutcome, JobKey, JobRefusal, JobSpec,
-    SchedulerAction, SchedulerPolicy,
-};
-use crate::code::ResultCode;
-use crate::exchange::{ExchangeMessage, MESSAGE_VERSION};
+use super::fleet_index::FleetIndex;
+use super::job_record::{AttemptRecord, JobRecord};
+use super::{AttemptKey, JobKey, PoolIndex, SchedulerAction, SchedulerPolicy};
+use crate::exchange::{AgedPoint, HeardTable, UsageTable};
 use crate::fleet::FleetState;
-use crate::ids::{Generation, InstanceName, PoolName, SessionId};
+use crate::ids::{Generation, InstanceName, SessionId};
+use crate::ledger::{LoanBook, ResourceKey};
+use crate::queue::{FlowRecord, TimerQueue};
+use crate::retry::RetryBudget;
 use crate::time::TimePoint;
 
-#[derive(Debug)]
-struct QueuedJob {
-    spec: JobSpec,
-    queued: bool,
-}
-
-#[derive(Debug)]
-struct RunningAttempt {
-    job: JobKey,
-    worker: InstanceName,
-}
-
 /// Places the jobs of one entry instance on the workers of its pools.
+///
+/// After any call, `next_action` has to be called until it returns none, and again at the point
+/// that `next_wake` returns. Every job that `submit` accepted gets one final result: a `Refuse`
+/// action, a `finish` outcome other than `Retry`, or the caller's own `cancel`.
 #[derive(Debug)]
 pub struct JobScheduler {
-    session: SessionId,
-    policy: SchedulerPolicy,
-    rng: Pcg64Mcg,
-    state: FleetState,
-    jobs: SlotMap<JobKey, QueuedJob>,
-    attempts: SlotMap<AttemptKey, RunningAttempt>,
-    queues: BTreeMap<PoolName, VecDeque<JobKey>>,
-    in_use: BTreeMap<InstanceName, u32>,
+    pub(super) session: SessionId,
+    pub(super) policy: SchedulerPolicy,
+    pub(super) rng: Pcg64Mcg,
+    pub(super) fleet: FleetIndex,
+    pub(super) jobs: SlotMap<JobKey, JobRecord>,
+    pub(super) attempts: SlotMap<AttemptKey, AttemptRecord>,
+    /// Attempts that hold units.
+    pub(super) holding: usize,
+    /// Attempts on workers that a generation drains or removes.
+    pub(super) against: BTreeSet<(Generation, AttemptKey)>,
+    pub(super) flows: Vec<FlowRecord>,
+    pub(super) timers: TimerQueue,
+    pub(super) actions: VecDeque<SchedulerAction>,
+    /// Pools in which something may be dispatched.
+    pub(super) marked: Vec<PoolIndex>,
+    pub(super) book: LoanBook,
+    /// Accounts that wait for a generation to settle.
+    pub(super) pending: BTreeSet<ResourceKey>,
+    pub(super) heard: HeardTable,
+    pub(super) usage: UsageTable,
+    pub(super) summary_version: u64,
+    pub(super) summary_at: Option<TimePoint>,
+    pub(super) retry: RetryBudget,
+    pub(super) evidence: Option<AgedPoint>,
+    pub(super) keyed_allowed: bool,
+    pub(super) dispatch_allowed: bool,
+    pub(super) closing: bool,
+    /// Peers with which an exchange beyond the regular ones is wanted.
+    pub(super) wanted: BTreeSet<SessionId>,
+    pub(super) exchange_at: TimePoint,
+    pub(super) last_asked: Option<SessionId>,
+    /// Revisions between two requests for extra exchanges.
+    pub(super) ask_pause: u32,
+    /// Revisions until the next request for an extra exchange.
+    pub(super) ask_wait: u32,
+    pub(super) revising: bool,
+    pub(super) idling: bool,
 }
 
 impl JobScheduler {
@@ -47,182 +70,158 @@
             session,
             policy,
             rng: Pcg64Mcg::seed_from_u64(seed),
-            state: FleetState::default(),
+            fleet: FleetIndex::default(),
             jobs: SlotMap::with_key(),
             attempts: SlotMap::with_key(),
-            queues: BTreeMap::new(),
-            in_use: BTreeMap::new(),
+            holding: 0,
+            against: BTreeSet::new(),
+            flows: Vec::new(),
+            timers: TimerQueue::default(),
+            actions: VecDeque::new(),
+            marked: Vec::new(),
+            book: LoanBook::default(),
+            pending: BTreeSet::new(),
+            heard: HeardTable::default(),
+            usage: UsageTable::default(),
+            summary_version: 0,
+            summary_at: None,
+            retry: RetryBudget::new(),
+            evidence: None,
+            keyed_allowed: true,
+            dispatch_allowed: true,
+            closing: false,
+            wanted: BTreeSet::new(),
+            exchange_at: TimePoint::ORIGIN,
+            last_asked: None,
+            ask_pause: 0,
+            ask_wait: 0,
+            revising: false,
+            idling: false,
         }
     }
 
     /// Acts under `state` from now on. `settled` is the highest settled generation.
-    pub fn apply(&mut self, state: &FleetState, _settled: Generation, _now: TimePoint) {
-        if state.generation > self.state.generation {
-            self.state = state.clone();
+    ///
+    /// Each generation has to be passed in turn. When generations are left out, their allocations
+    /// are unknown, so that nothing starts on own units until `state` is settled.
+    pub fn apply(&mut self, state: &FleetState, settled: Generation, now: TimePoint) {
+        let newer = self
+            .fleet
+            .applied
+            .is_none_or(|applied| state.generation > applied);
+        self.note_settled(settled, now);
+        if newer {
+            self.update_fleet(state, now);
         }
     }
 
     /// Highest generation that nothing running at this entry instance contradicts.
     #[must_use]
     pub fn quiesced(&self) -> Generation {
-        self.state.generation
-    }
-
-    /// Takes a job into its queue.
-    ///
-    /// # Errors
-    ///
-    /// Returns the final answer when the job cannot be queued.
-    pub fn submit(&mut self, spec: JobSpec, _now: TimePoint) -> Result<JobKey, JobRefusal> {
-        let fits = self.state.instances.values().any(|instance| {
-            instance.pool == spec.pool
-                && instance.cores >= spec.cores
-                && instance.memory_mb >= spec.memory_mb
-        });
-        if !fits {
-            return Err(JobRefusal::new(ResultCode::NeverFits));
+        let mut bound = self.fleet.generation();
+        let before = |generation: Generation| Generation(generation.0.saturating_sub(1));
+        if let Some((generation, _)) = self.against.first() {
+            bound = bound.min(before(*generation));
         }
-        let queue = self.queues.entry(spec.pool.clone()).or_default();
-        if queue.len() >= self.policy.max_queued {
-            return Err(JobRefusal::new(ResultCode::QueueFull));
+        if let Some(generation) = self.book.first_void() {
+            bound = bound.min(before(generation));
         }
-        let key = self.jobs.insert(QueuedJob { spec, queued: true });
-        queue.push_back(key);
-        Ok(key)
-    }
-
-    /// Removes a queued job, or lets a running one end unanswered.
-    pub fn cancel(&mut self, job: JobKey, _now: TimePoint) {
-        self.jobs.remove(job);
+        for resource in &self.pending {
+            let account = self.account(*resource);
+            for (generation, share) in account.open_steps() {
+                let lent = if account.lent == 0 {
+                    0
+                } else {
+                    self.book.lent_under(*resource, generation)
+                };
+                if account.in_use + lent > share + account.borrowed {
+                    bound = bound.min(before(generation));
+                }
+            }
+        }
+        bound
     }
 
-    /// Returns the next thing to do, until there is none.
+    /// Next thing to do, until there is none.
     pub fn next_action(&mut self, now: TimePoint) -> Option<SchedulerAction> {
-        let pools: Vec<PoolName> = self.queues.keys().cloned().collect();
-        pools
-            .into_iter()
-            .find_map(|pool| self.next_in_pool(&pool, now))
-    }
-
-    /// Point at which `next_action` has something to do without another call.
-    #[must_use]
-    pub fn next_wake(&self) -> Option<TimePoint> {
-        self.jobs
-            .values()
-            .filter(|job| job.queued)
-            .map(|job| job.spec.deadline)
-            .min()
-    }
-
-    /// Takes note of how an attempt went and decides what becomes of its job.
-    pub fn finish(
-        &mut self,
-        attempt: AttemptKey,
-        outcome: AttemptOutcome,
-        now: TimePoint,
-    ) -> FinishOutcome {
-        self.ended(attempt, now);
-        match outcome {
-            AttemptOutcome::Answered | AttemptOutcome::Failed => FinishOutcome::Answer,
-            AttemptOutcome::NotStarted | AttemptOutcome::Draining => {
-                FinishOutcome::Refuse(JobRefusal::new(ResultCode::NoWorker))
+        self.run_timers(now);
+        self.flush_exchanges(now);
+        loop {
+            if let Some(action) = self.actions.pop_front() {
+                return Some(action);
             }
-            AttemptOutcome::Lost => {
-                FinishOutcome::Refuse(JobRefusal::new(ResultCode::OutcomeUnknown))
+            if !self.may_dispatch() {
+                return None;
             }
-            AttemptOutcome::BadAnswer => {
-                FinishOutcome::Refuse(JobRefusal::new(ResultCode::BadAnswer))
+            let pool = *self.marked.last()?;
+            match self.serve_pool(pool, now) {
+                Some(action) => return Some(action),
+                None => {
+                    self.fleet.pools[pool.at()].marked = false;
+                    self.marked.retain(|marked| *marked != pool);
+                    self.flush_exchanges(now);
+                }
             }
         }
     }
 
-    /// Takes note that the backend server confirmed the end of an attempt.
-    pub fn ended(&mut self, attempt: AttemptKey, _now: TimePoint) {
-        if let Some(running) = self.attempts.remove(attempt) {
-            self.jobs.remove(running.job);
-            if let Some(used) = self.in_use.get_mut(&running.worker) {
-                *used -= 1;
-            }
-        }
+    /// Point at which `next_action` has something to do without another call.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<TimePoint> {
+        self.timers.next_point()
     }
 
     /// Takes note that a backend server is leaving.
-    pub fn mark_leaving(&mut self, _worker: &InstanceName, _now: TimePoint) {}
+    pub fn mark_leaving(&mut self, worker: &InstanceName, now: TimePoint) {
+        if let Some(index) = self.fleet.worker_names.get(worker).copied() {
+            self.set_leaving(index, AgedPoint::new(Duration::ZERO, now), now);
+        }
+    }
 
     /// Refuses all further jobs and all queued ones, ahead of a shutdown.
-    pub fn shut_down(&mut self, _now: TimePoint) {}
+    pub fn shut_down(&mut self, now: TimePoint) {
+        self.closing = true;
+        self.refuse_queued(crate::code::ResultCode::ShuttingDown, now, |_| true);
+    }
 
     /// Number of attempts that still hold units.
     #[must_use]
     pub fn running(&self) -> usize {
-        self.attempts.len()
+        self.holding
     }
 
-    /// Builds the message that this entry instance sends to `peer`.
-    pub fn exchange_with(&mut self, _peer: SessionId, _now: TimePoint) -> ExchangeMessage {
-        ExchangeMessage {
-            version: MESSAGE_VERSION,
-            from: self.session,
-            applied: self.state.generation,
-            evidence_age: None,
-        }
+    /// Retries spent so far, by reason.
+    #[must_use]
+    pub const fn retries(&self) -> &RetryBudget {
+        &self.retry
     }
 
-    /// Takes in a message of a peer. The answer to it is built by `exchange_with`.
-    pub fn receive(&mut self, _message: &ExchangeMessage, _now: TimePoint) {}
+    /// Allows or forbids all dispatches, for instance after a pause until the state is known to
+    /// be current. Queued jobs stay queued.
+    pub fn set_dispatch_allowed(&mut self, allowed: bool) {
+        self.dispatch_allowed = allowed;
+    }
 
-    fn next_in_pool(&mut self, pool: &PoolName, now: TimePoint) -> Option<SchedulerAction> {
-        loop {
-            let key = *self.queues.get(pool)?.front()?;
-            let Some(job) = self.jobs.get(key) else {
-                self.queues.get_mut(pool)?.pop_front();
-                continue;
-            };
-            if job.spec.deadline <= now {
-                self.queues.get_mut(pool)?.pop_front();
-                self.jobs.remove(key);
-                return Some(SchedulerAction::Refuse {
-                    job: key,
-                    refusal: JobRefusal::new(ResultCode::DeadlinePassed),
-                });
-            }
-            let worker = self.pick_worker(pool)?;
-            self.queues.get_mut(pool)?.pop_front();
-            return self.dispatch(key, worker);
+    /// Allows or forbids work that needs a key. When it is forbidden, queued keyed jobs are
+    /// refused at once and new ones at submission or dispatch.
+    pub fn set_keyed_work_allowed(&mut self, allowed: bool, now: TimePoint) {
+        self.keyed_allowed = allowed;
+        if !allowed {
+            self.refuse_queued(crate::code::ResultCode::StaleState, now, |job| {
+                job.key.is_some()
+            });
         }
     }
 
-    fn pick_worker(&mut self, pool: &PoolName) -> Option<InstanceName> {
-        let free: Vec<&InstanceName> = self
-            .state
-            .instances
-            .iter()
-            .filter(|(_, instance)| instance.pool == *pool && instance.state.is_active())
-            .filter(|(name, instance)| {
-                self.in_use.get(*name).copied().unwrap_or_default() < instance.slots
-            })
-            .map(|(name, _)| name)
-            .collect();
-        if free.is_empty() {
-            return None;
-        }
-        Some(free[self.rng.random_range(0..free.len())].clone())
+    pub(super) fn may_dispatch(&self) -> bool {
+        self.dispatch_allowed && !self.fleet.is_behind()
     }
 
-    fn dispatch(&mut self, key: JobKey, worker: InstanceName) -> Option<SchedulerAction> {
-        self.jobs.get_mut(key)?.queued = false;
-        *self.in_use.entry(worker.clone()).or_default() += 1;
-        let address = self.state.instances.get(&worker)?.address.clone();
-        let attempt = self.attempts.insert(RunningAttempt {
-            job: key,
-            worker: worker.clone(),
-        });
-        Some(SchedulerAction::Dispatch(DispatchOrder {
-            job: key,
-            attempt,
-            worker,
-            address,
-            lease: self.policy.task_lease,
-        }))
+    pub(super) fn mark_pool(&mut self, pool: PoolIndex) {
+        let entry = &mut self.fleet.pools[pool.at()];
+        if !entry.marked {
+            entry.marked = true;
+            self.marked.push(pool);
+        }
     }
 }
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -1,13 +1,33 @@
 //! Placement of jobs at one entry instance: admission, queues, units and worker choice.
 
+mod admission;
 mod attempt_outcome;
+mod borrowing;
+mod dispatching;
+mod exchanging;
+mod fleet_index;
+mod fleet_update;
+mod index;
+mod job_record;
 mod job_refusal;
 mod job_scheduler;
 mod job_spec;
+mod lending;
+mod outcome;
+mod pool_entry;
+mod preemption;
+mod quarantine;
+mod releasing;
 mod scheduler_action;
 mod scheduler_policy;
+mod sharing;
+mod team_entry;
+mod timing;
+mod worker_update;
 
 pub use attempt_outcome::{AttemptOutcome, FinishOutcome};
+pub(crate) use index::{FlowIndex, PoolIndex, TeamIndex, WorkerIndex};
+pub(crate) use job_record::JobRecord;
 pub use job_refusal::JobRefusal;
 pub use job_scheduler::JobScheduler;
 pub use job_spec::JobSpec;
--- /dev/null
+++ b/crates/core/src/scheduler/outcome.rs
@@ -0,0 +1,119 @@
+use super::{AttemptKey, AttemptOutcome, FinishOutcome, JobKey, JobRefusal, JobScheduler};
+use crate::code::ResultCode;
+use crate::retry::RetryReason;
+use crate::time::TimePoint;
+
+/// Workers with good records on which a job fails before it is classified as one that can never
+/// run.
+const FAILED_WORKERS: usize = 3;
+
+impl JobScheduler {
+    /// Takes note of how an attempt went and decides what becomes of its job.
+    pub fn finish(
+        &mut self,
+        key: AttemptKey,
+        outcome: AttemptOutcome,
+        now: TimePoint,
+    ) -> FinishOutcome {
+        let unknown = FinishOutcome::Refuse(JobRefusal::new(ResultCode::OutcomeUnknown));
+        let Some(attempt) = self
+            .attempts
+            .get_mut(key)
+            .filter(|attempt| !attempt.finished)
+        else {
+            return unknown;
+        };
+        attempt.finished = true;
+        let (job, worker, holds) = (attempt.job, attempt.worker, attempt.holds);
+        let (team, started) = (attempt.team, attempt.started);
+        if outcome == AttemptOutcome::Answered
+            && let Some(record) = self.jobs.get(job)
+        {
+            let correction = &mut self.fleet.teams[team.at()].correction;
+            correction.observe(record.run, now.since(started));
+        }
+        if outcome == AttemptOutcome::Draining {
+            self.mark_index_leaving(worker, now);
+        }
+        self.note_health(worker, job, outcome, now);
+        // A lost or bad answer leaves the task's end open; its units stay in use.
+        let ended = !matches!(outcome, AttemptOutcome::Lost | AttemptOutcome::BadAnswer);
+        if ended && holds {
+            self.release(key, now);
+        } else if !holds {
+            self.attempts.remove(key);
+        }
+        let result = self.decide(job, outcome, now);
+        if result != FinishOutcome::Retry {
+            self.jobs.remove(job);
+        }
+        result
+    }
+
+    fn decide(&mut self, key: JobKey, outcome: AttemptOutcome, now: TimePoint) -> FinishOutcome {
+        let refuse = |code| FinishOutcome::Refuse(JobRefusal::new(code));
+        let Some(job) = self.jobs.get(key) else {
+            return refuse(ResultCode::OutcomeUnknown);
+        };
+        let idempotent = job.placing.idempotent;
+        if job.failed_on.len() >= FAILED_WORKERS {
+            self.absolve_workers(key, now);
+            return refuse(ResultCode::CannotRun);
+        }
+        let (reason, may_retry, last) = match outcome {
+            AttemptOutcome::Answered => return FinishOutcome::Answer,
+            AttemptOutcome::Failed => (RetryReason::Failed, idempotent, FinishOutcome::Answer),
+            AttemptOutcome::NotStarted => {
+                (RetryReason::NotStarted, true, refuse(ResultCode::NoWorker))
+            }
+            AttemptOutcome::Draining => (RetryReason::Draining, true, refuse(ResultCode::NoWorker)),
+            AttemptOutcome::Lost => (
+                RetryReason::Lost,
+                idempotent,
+                refuse(ResultCode::OutcomeUnknown),
+            ),
+            AttemptOutcome::BadAnswer => (
+                RetryReason::BadAnswer,
+                idempotent,
+                refuse(ResultCode::BadAnswer),
+            ),
+            AttemptOutcome::Stopped => (
+                RetryReason::Preempted,
+                idempotent,
+                refuse(ResultCode::Stopped),
+            ),
+        };
+        if may_retry && self.requeue(key, reason, now) {
+            FinishOutcome::Retry
+        } else {
+            last
+        }
+    }
+
+    /// Queues a job again for another worker, if its caller still waits, another worker of the
+    /// pool may take it, and the budget allows it.
+    fn requeue(&mut self, key: JobKey, reason: RetryReason, now: TimePoint) -> bool {
+        let job = &mut self.jobs[key];
+        if reason == RetryReason::Preempted {
+            // The worker is not to blame and may be the only one that fits.
+            job.tried.pop();
+        }
+        if job.abandoned || job.deadline <= now || self.closing {
+            return false;
+        }
+        let job = &self.jobs[key];
+        let pool = self.flows[job.flow.at()].pool;
+        let other = self.fleet.pools[pool.at()].workers.iter().any(|worker| {
+            let record = &self.fleet.workers[worker.at()];
+            !job.tried.contains(worker)
+                && record.active
+                && record.leaving.is_none()
+                && record.slots_for(job.placing).is_some()
+        });
+        if !other || !self.retry.spend(reason) {
+            return false;
+        }
+        self.enqueue(key, true, now);
+        true
+    }
+}
--- /dev/null
+++ b/crates/core/src/scheduler/preemption.rs
@@ -0,0 +1,73 @@
+use super::{AttemptKey, JobKey, JobScheduler, SchedulerAction};
+use crate::queue::{FlowBlock, TimerEvent};
+use crate::time::TimePoint;
+use std::time::Duration;
+
+/// Time after which a task to stop is looked for again when there was none.
+const TRY_AGAIN: Duration = Duration::from_millis(250);
+
+impl JobScheduler {
+    /// Lets urgent work that has waited for half the start limit go first in its pool, and asks
+    /// for the end of a running task when no slot is free.
+    pub(super) fn raise_urgent(&mut self, key: JobKey, now: TimePoint) {
+        let Some(job) = self.jobs.get_mut(key).filter(|job| job.queued) else {
+            return;
+        };
+        let index = job.flow;
+        let flow = &mut self.flows[index.at()];
+        let pool = flow.pool;
+        if flow.overdue.is_none() {
+            flow.overdue = Some(key);
+        }
+        if flow.block == FlowBlock::Slots {
+            self.unblock(index, now);
+        }
+        self.reorder(index, now);
+        self.mark_pool(pool);
+        if !self.fleet.pools[pool.at()].ready.is_empty() || self.jobs[key].preempted {
+            return;
+        }
+        if let Some(attempt) = self.victim(key, now) {
+            self.jobs[key].preempted = true;
+            let record = &mut self.attempts[attempt];
+            record.stopping = true;
+            let address = self.fleet.workers[record.worker.at()].address.clone();
+            self.actions
+                .push_back(SchedulerAction::Stop { attempt, address });
+        } else {
+            self.timers
+                .add(now.after(TRY_AGAIN), TimerEvent::Urgent(key));
+        }
+    }
+
+    /// Newest idempotent attempt of the team furthest above its share in the pool.
+    fn victim(&self, urgent: JobKey, now: TimePoint) -> Option<AttemptKey> {
+        let own = self.jobs[urgent].flow;
+        let pool = self.flows[own.at()].pool;
+        self.attempts
+            .iter()
+            .filter(|(_, attempt)| {
+                attempt.pool == pool
+                    && attempt.holds
+                    && attempt.idempotent
+                    && !attempt.finished
+                    && !attempt.stopping
+                    && self.fleet.workers[attempt.worker.at()].active
+                    && self
+                        .jobs
+                        .get(attempt.job)
+                        .is_some_and(|job| !job.urgent && !job.abandoned)
+            })
+            .max_by(|(_, one), (_, other)| {
+                let over = |flow: super::FlowIndex| {
+                    let flow = &self.flows[flow.at()];
+                    let weight = self.fleet.teams[flow.team.at()].weight;
+                    flow.order(weight, self.fleet.view.sessions.len(), now)
+                };
+                over(one.flow)
+                    .total_cmp(&over(other.flow))
+                    .then(one.started.cmp(&other.started))
+            })
+            .map(|(key, _)| key)
+    }
+}
--- /dev/null
+++ b/crates/core/src/scheduler/quarantine.rs
@@ -0,0 +1,134 @@
+use super::{AttemptOutcome, JobKey, JobScheduler, PoolIndex, WorkerIndex};
+use crate::exchange::{AgedPoint, LeavingRecord};
+use crate::ids::InstanceName;
+use crate::queue::TimerEvent;
+use crate::time::TimePoint;
+use std::time::Duration;
+
+/// Time after which a worker that was said to be leaving, and did not, is used again.
+const LEAVING_FOR: Duration = Duration::from_secs(60);
+
+/// Time for which a leaving worker is told to peers.
+const TELL_FOR: Duration = Duration::from_secs(15);
+
+impl JobScheduler {
+    /// Workers that failed several distinct jobs here and take only trials. They are for the
+    /// controller to quarantine within the pool's availability budget.
+    #[must_use]
+    pub fn quarantine_suggestions(&self) -> Vec<InstanceName> {
+        self.fleet
+            .order
+            .iter()
+            .map(|worker| &self.fleet.workers[worker.at()])
+            .filter(|record| record.health.quarantined && record.active)
+            .map(|record| record.name.clone())
+            .collect()
+    }
+
+    /// Enters an outcome into the worker's record and the job's.
+    pub(super) fn note_health(
+        &mut self,
+        worker: WorkerIndex,
+        job: JobKey,
+        outcome: AttemptOutcome,
+        now: TimePoint,
+    ) {
+        let health = &mut self.fleet.workers[worker.at()].health;
+        match outcome {
+            AttemptOutcome::Stopped | AttemptOutcome::Draining => return,
+            AttemptOutcome::Answered => {
+                if health.succeed() {
+                    self.refresh_worker(worker, now);
+                }
+                return;
+            }
+            _ => {}
+        }
+        let good = health.is_good();
+        let enough = health.fail(job);
+        if outcome == AttemptOutcome::Failed
+            && good
+            && let Some(record) = self.jobs.get_mut(job)
+            && !record.failed_on.contains(&worker)
+        {
+            record.failed_on.push(worker);
+        }
+        let record = &self.fleet.workers[worker.at()];
+        if record.health.quarantined || enough && self.has_budget(record.pool) {
+            let at = self.fleet.workers[worker.at()].health.quarantine(now);
+            self.timers.add(at, TimerEvent::Trial(worker));
+            self.refresh_worker(worker, now);
+        }
+    }
+
+    /// Takes back the blame on all workers for a job that can never run.
+    pub(super) fn absolve_workers(&mut self, job: JobKey, now: TimePoint) {
+        let tried = self.jobs[job].tried.clone();
+        for worker in tried {
+            if self.fleet.workers[worker.at()].health.absolve(job) {
+                self.refresh_worker(worker, now);
+            }
+        }
+    }
+
+    /// Marks a worker as leaving, unless newer news is known.
+    pub(super) fn set_leaving(&mut self, worker: WorkerIndex, since: AgedPoint, now: TimePoint) {
+        if since.age(now) >= LEAVING_FOR {
+            return;
+        }
+        let record = &mut self.fleet.workers[worker.at()];
+        if record
+            .leaving
+            .is_none_or(|known| known.age(now) > since.age(now))
+        {
+            record.leaving = Some(since);
+            let at = now.after(LEAVING_FOR.saturating_sub(since.age(now)));
+            self.timers.add(at, TimerEvent::Trial(worker));
+            self.refresh_worker(worker, now);
+        }
+    }
+
+    pub(super) fn mark_index_leaving(&mut self, worker: WorkerIndex, now: TimePoint) {
+        self.set_leaving(worker, AgedPoint::new(Duration::ZERO, now), now);
+    }
+
+    /// Uses a worker again that was said to be leaving long ago.
+    pub(super) fn expire_leaving(&mut self, worker: WorkerIndex, now: TimePoint) {
+        let record = &mut self.fleet.workers[worker.at()];
+        if record
+            .leaving
+            .is_some_and(|since| since.age(now) >= LEAVING_FOR)
+        {
+            record.leaving = None;
+        }
+        self.refresh_worker(worker, now);
+    }
+
+    /// Leaving workers for a message.
+    pub(super) fn leaving_records(&self, now: TimePoint) -> Vec<LeavingRecord> {
+        self.fleet
+            .order
+            .iter()
+            .map(|worker| &self.fleet.workers[worker.at()])
+            .filter_map(|record| {
+                let age = record.leaving?.age(now);
+                (age < TELL_FOR).then(|| LeavingRecord {
+                    worker: record.name.clone(),
+                    age,
+                })
+            })
+            .take(200)
+            .collect()
+    }
+
+    fn has_budget(&self, pool: PoolIndex) -> bool {
+        let entry = &self.fleet.pools[pool.at()];
+        let out = entry
+            .workers
+            .iter()
+            .map(|worker| &self.fleet.workers[worker.at()])
+            .filter(|record| !record.active || record.health.quarantined)
+            .count();
+        out < entry.max_unavailable as usize
+    }
+}
--- /dev/null
+++ b/crates/core/src/scheduler/releasing.rs
@@ -0,0 +1,143 @@
+use super::{AttemptKey, JobScheduler, WorkerIndex};
+use crate::ledger::{ResourceKey, UnitAccount};
+use crate::queue::FlowBlock;
+use crate::time::TimePoint;
+
+/// Position of a worker that is not in its pool's list of workers with free slots.
+pub(super) const NOT_READY: u32 = u32::MAX;
+
+impl JobScheduler {
+    /// Takes note that the backend server confirmed the end of an attempt.
+    pub fn ended(&mut self, attempt: AttemptKey, now: TimePoint) {
+        self.release(attempt, now);
+    }
+
+    /// The account of a resource.
+    pub(super) fn account(&self, resource: ResourceKey) -> &UnitAccount {
+        match resource {
+            ResourceKey::Team(team) => &self.fleet.teams[team.at()].account,
+            ResourceKey::Worker(worker) => &self.fleet.workers[worker.at()].account,
+        }
+    }
+
+    /// The account of a resource, to be changed.
+    pub(super) fn account_mut(&mut self, resource: ResourceKey) -> &mut UnitAccount {
+        match resource {
+            ResourceKey::Team(team) => &mut self.fleet.teams[team.at()].account,
+            ResourceKey::Worker(worker) => &mut self.fleet.workers[worker.at()].account,
+        }
+    }
+
+    /// Releases the units of an attempt, once.
+    pub(super) fn release(&mut self, key: AttemptKey, now: TimePoint) {
+        let Some(attempt) = self.attempts.get_mut(key).filter(|attempt| attempt.holds) else {
+            return;
+        };
+        attempt.holds = false;
+        self.holding -= 1;
+        let (worker, team, slots) = (attempt.worker, attempt.team, attempt.slots);
+        let (pool, flow) = (attempt.pool, attempt.flow);
+        if let Some(generation) = attempt.against {
+            self.against.remove(&(generation, key));
+        }
+        if attempt.finished {
+            self.attempts.remove(key);
+        }
+        self.flows[flow.at()].accrue(now);
+        self.flows[flow.at()].held -= slots;
+        self.fleet.pools[pool.at()].held -= slots;
+        let record = &mut self.fleet.workers[worker.at()];
+        record.attempts.retain(|attempt| *attempt != key);
+        record.account.in_use -= slots;
+        self.fleet.teams[team.at()].account.in_use -= 1;
+        self.reorder(flow, now);
+        self.give_back_void(ResourceKey::Worker(worker));
+        self.give_back_excess(pool, worker, slots);
+        self.give_back_void(ResourceKey::Team(team));
+        self.refresh_worker(worker, now);
+        self.refresh_team(team, now);
+    }
+
+    /// Brings the lists that depend on a resource's free units up to date.
+    pub(super) fn refresh(&mut self, resource: ResourceKey, now: TimePoint) {
+        match resource {
+            ResourceKey::Team(team) => self.refresh_team(team, now),
+            ResourceKey::Worker(worker) => self.refresh_worker(worker, now),
+        }
+    }
+
+    /// Lets the flows of a team go on when the team has free permits.
+    pub(super) fn refresh_team(&mut self, team: super::TeamIndex, now: TimePoint) {
+        let entry = &self.fleet.teams[team.at()];
+        if entry.blocked == 0 || entry.account.startable() == 0 {
+            return;
+        }
+        for place in 0..self.fleet.teams[team.at()].flows.len() {
+            let flow = self.fleet.teams[team.at()].flows[place];
+            if self.flows[flow.at()].block == FlowBlock::Permits {
+                self.unblock(flow, now);
+            }
+        }
+    }
+
+    /// Enters a worker into its pool's list of workers with free slots, or takes it out.
+    pub(super) fn refresh_worker(&mut self, worker: WorkerIndex, now: TimePoint) {
+        let record = &self.fleet.workers[worker.at()];
+        let pool = record.pool;
+        let entry = &mut self.fleet.pools[pool.at()];
+        let reserved = entry.reserved.filter(|(reserved, _)| *reserved == worker);
+        let usable = record.takes_work(now) && record.account.startable() > 0;
+        let listed = usable && reserved.is_none();
+        if let Some((_, flow)) = reserved {
+            if usable {
+                self.wake_waiting(pool, Some(flow), now);
+            } else if record.account.free() == 0 && record.active && record.leaving.is_none() {
+                // The slots are in use and come free later.
+            } else {
+                entry.reserved = None;
+                self.wake_waiting(pool, None, now);
+            }
+        }
+        let position = self.fleet.workers[worker.at()].position;
+        let entry = &mut self.fleet.pools[pool.at()];
+        if listed && position == NOT_READY {
+            self.fleet.workers[worker.at()].position =
+                u32::try_from(entry.ready.len()).unwrap_or(NOT_READY);
+            entry.ready.push(worker);
+        } else if !listed && position != NOT_READY {
+            self.unlist_worker(worker);
+        }
+        if listed {
+            self.wake_waiting(pool, None, now);
+            self.mark_pool(pool);
+        }
+    }
+
+    /// Takes a worker out of its pool's list.
+    pub(super) fn unlist_worker(&mut self, worker: WorkerIndex) {
+        let record = &mut self.fleet.workers[worker.at()];
+        let position = std::mem::replace(&mut record.position, NOT_READY) as usize;
+        let ready = &mut self.fleet.pools[record.pool.at()].ready;
+        ready.swap_remove(position);
+        if let Some(moved) = ready.get(position) {
+            self.fleet.workers[moved.at()].position = u32::try_from(position).unwrap_or(NOT_READY);
+        }
+    }
+
+    fn wake_waiting(
+        &mut self,
+        pool: super::PoolIndex,
+        only: Option<super::FlowIndex>,
+        now: TimePoint,
+    ) {
+        if self.fleet.pools[pool.at()].waiting.is_empty() {
+            return;
+        }
+        let waiting = self.fleet.pools[pool.at()].waiting.clone();
+        for flow in waiting {
+            if only.is_none_or(|only| only == flow) {
+                self.unblock(flow, now);
+            }
+        }
+    }
+}
--- a/crates/core/src/scheduler/scheduler_policy.rs
+++ b/crates/core/src/scheduler/scheduler_policy.rs
@@ -9,6 +9,12 @@
     pub task_lease: Duration,
     /// Allowance for clock differences between machines.
     pub clock_margin: Duration,
+    /// Longest time until urgent work starts; after half of it, running work is stopped.
+    pub urgent_start: Duration,
+    /// Shortest time between two exchanges beyond the regular ones.
+    pub exchange_gap: Duration,
+    /// Shortest time between two versions of the own usage summary.
+    pub summary_gap: Duration,
 }
 
 impl SchedulerPolicy {
@@ -19,8 +25,25 @@
             max_queued: 1_000,
             task_lease: Duration::from_secs(10),
             clock_margin: Duration::from_millis(500),
+            urgent_start: Duration::from_millis(7_300),
+            exchange_gap: Duration::from_millis(100),
+            summary_gap: Duration::from_millis(400),
         }
     }
+
+    /// Sets the longest time until urgent work starts.
+    #[must_use]
+    pub const fn with_urgent_start(mut self, limit: Duration) -> Self {
+        self.urgent_start = limit;
+        self
+    }
+
+    /// Sets the shortest time between two exchanges beyond the regular ones.
+    #[must_use]
+    pub const fn with_exchange_gap(mut self, gap: Duration) -> Self {
+        self.exchange_gap = gap;
+        self
+    }
 }
 
 impl Default for SchedulerPolicy {
--- /dev/null
+++ b/crates/core/src/scheduler/sharing.rs
@@ -0,0 +1,244 @@
+use std::time::Duration;
+
+use super::{FlowIndex, JobScheduler, PoolIndex};
+use crate::queue::{FlowBlock, NOT_LISTED, SlotDemand, UsageMeter, slot_targets};
+use crate::time::TimePoint;
+
+/// Credit in seconds of slot time per unit of weight fraction with which a newly backlogged team
+/// starts.
+const START_CREDIT_S: f64 = 1.0;
+
+/// Time for which a team counts as newly backlogged; within it the exchange reaches all peers.
+const FRESH_FOR: Duration = Duration::from_millis(1_500);
+
+/// Largest part by which a team's weight is raised or lowered to make up for past usage. Usage of
+/// peers is known with a delay, and a larger correction overshoots.
+const MAX_CORRECTION: f64 = 0.15;
+
+impl JobScheduler {
+    /// Enters a flow into its pool's list of backlogged flows.
+    pub(super) fn list_flow(&mut self, index: FlowIndex, now: TimePoint) {
+        let flow = &self.flows[index.at()];
+        let pool = flow.pool;
+        if flow.remote_queued == 0.0 {
+            self.begin_share(index, now);
+        }
+        let order = self.order(index, now);
+        let backlog = &mut self.fleet.pools[pool.at()].backlog;
+        let flow = &mut self.flows[index.at()];
+        flow.position = u32::try_from(backlog.len()).unwrap_or(NOT_LISTED);
+        flow.block = FlowBlock::None;
+        backlog.push((order, index));
+        self.mark_pool(pool);
+        self.start_revising(now);
+    }
+
+    /// Takes a flow out of its pool's list.
+    pub(super) fn unlist_flow(&mut self, index: FlowIndex, now: TimePoint) {
+        self.clear_block(index);
+        let flow = &mut self.flows[index.at()];
+        let position = std::mem::replace(&mut flow.position, NOT_LISTED) as usize;
+        let pool = &mut self.fleet.pools[flow.pool.at()];
+        pool.backlog.swap_remove(position);
+        if let Some((_, moved)) = pool.backlog.get(position) {
+            self.flows[moved.at()].position = u32::try_from(position).unwrap_or(NOT_LISTED);
+        }
+        if pool.reserved.is_some_and(|(_, flow)| flow == index)
+            && let Some((worker, _)) = pool.reserved.take()
+        {
+            self.refresh_worker(worker, now);
+        }
+    }
+
+    /// Brings the sort key of a flow up to date.
+    pub(super) fn reorder(&mut self, index: FlowIndex, now: TimePoint) {
+        let flow = &self.flows[index.at()];
+        if flow.position == NOT_LISTED || flow.block != FlowBlock::None {
+            return;
+        }
+        let order = self.order(index, now);
+        let flow = &self.flows[index.at()];
+        self.fleet.pools[flow.pool.at()].backlog[flow.position as usize].0 = order;
+    }
+
+    /// Excludes a flow from the choice until what it waits for has come.
+    pub(super) fn block(&mut self, index: FlowIndex, block: FlowBlock) {
+        let flow = &mut self.flows[index.at()];
+        flow.block = block;
+        let pool = &mut self.fleet.pools[flow.pool.at()];
+        pool.backlog[flow.position as usize].0 = f32::INFINITY;
+        match block {
+            FlowBlock::Permits => self.fleet.teams[flow.team.at()].blocked += 1,
+            FlowBlock::Slots => pool.waiting.push(index),
+            FlowBlock::None => {}
+        }
+    }
+
+    /// Lets a flow take part in the choice again.
+    pub(super) fn unblock(&mut self, index: FlowIndex, now: TimePoint) {
+        self.clear_block(index);
+        self.reorder(index, now);
+        self.mark_pool(self.flows[index.at()].pool);
+    }
+
+    fn clear_block(&mut self, index: FlowIndex) {
+        let flow = &mut self.flows[index.at()];
+        match std::mem::take(&mut flow.block) {
+            FlowBlock::Permits => self.fleet.teams[flow.team.at()].blocked -= 1,
+            FlowBlock::Slots => {
+                let waiting = &mut self.fleet.pools[flow.pool.at()].waiting;
+                waiting.retain(|waiting| *waiting != index);
+            }
+            FlowBlock::None => {}
+        }
+    }
+
+    fn order(&self, index: FlowIndex, now: TimePoint) -> f32 {
+        let flow = &self.flows[index.at()];
+        if flow.overdue.is_some() {
+            return f32::NEG_INFINITY;
+        }
+        let weight = self.fleet.teams[flow.team.at()].weight;
+        let order = flow.order(weight, self.fleet.view.sessions.len(), now);
+        #[expect(
+            clippy::cast_possible_truncation,
+            reason = "a sort key needs no more digits"
+        )]
+        let order = order as f32;
+        order
+    }
+
+    /// Takes note that a team has become backlogged.
+    pub(super) fn begin_share(&mut self, index: FlowIndex, now: TimePoint) {
+        self.flows[index.at()].fresh_until = now.after(FRESH_FOR);
+        if self.fleet.pools[self.flows[index.at()].pool.at()]
+            .ready
+            .is_empty()
+        {
+            self.start_share(index, now);
+        }
+    }
+
+    /// Lets a newly backlogged team start near the other backlogged teams, so that neither its
+    /// idle time nor its use of an idle pool is held for or against it for long.
+    fn start_share(&mut self, index: FlowIndex, now: TimePoint) {
+        let flow = &self.flows[index.at()];
+        let mut bounds = (f64::INFINITY, f64::NEG_INFINITY);
+        let mut weights = 0.0;
+        for other in self.fleet.pools[flow.pool.at()].flows.iter().flatten() {
+            let other_flow = &self.flows[other.at()];
+            if *other == index || !other_flow.is_backlogged() {
+                continue;
+            }
+            let weight = self.fleet.teams[other_flow.team.at()].weight;
+            let usage = other_flow.normalised(weight, now);
+            bounds = (bounds.0.min(usage), bounds.1.max(usage));
+            weights += weight;
+        }
+        if weights == 0.0 {
+            return;
+        }
+        let weight = self.fleet.teams[flow.team.at()].weight;
+        let credit = START_CREDIT_S / (weights + weight);
+        let usage = flow.normalised(weight, now);
+        let start = usage.clamp(bounds.0 - credit, bounds.1 + credit);
+        let flow = &mut self.flows[index.at()];
+        let current = flow.credit.read(0.0, now);
+        flow.credit = UsageMeter::new(current, now);
+        flow.credit.add((start - usage) * weight);
+    }
+
+    /// Sets the slots that this entry instance should hold in the pool.
+    pub(super) fn entitle(&mut self, pool: PoolIndex, now: TimePoint) {
+        let entry = &self.fleet.pools[pool.at()];
+        let active: Vec<FlowIndex> = entry
+            .flows
+            .iter()
+            .flatten()
+            .copied()
+            .filter(|flow| self.flows[flow.at()].demand() > 0.0)
+            .collect();
+        let remote = active
+            .iter()
+            .any(|flow| self.flows[flow.at()].remote_queued > 0.0);
+        if !remote {
+            self.fleet.pools[pool.at()].entitled = f64::INFINITY;
+            return;
+        }
+        let slots = f64::from(entry.slots);
+        let demands = self.slot_demands(&active, now);
+        let targets = slot_targets(slots, &demands);
+        let entitled = active
+            .iter()
+            .zip(&targets)
+            .map(|(flow, target)| {
+                let flow = &self.flows[flow.at()];
+                if flow.local_demand() > 0.0 {
+                    target * flow.part()
+                } else {
+                    0.0
+                }
+            })
+            .sum();
+        self.fleet.pools[pool.at()].entitled = entitled;
+    }
+
+    fn slot_demands(&self, active: &[FlowIndex], now: TimePoint) -> Vec<SlotDemand> {
+        let usages: Vec<(f64, f64)> = active
+            .iter()
+            .map(|flow| {
+                let flow = &self.flows[flow.at()];
+                let weight = self.fleet.teams[flow.team.at()].weight;
+                (weight, flow.normalised(weight, now))
+            })
+            .collect();
+        let backlogged = |flow: &FlowIndex| self.flows[flow.at()].is_backlogged();
+        let (weights, used) = active
+            .iter()
+            .zip(&usages)
+            .filter(|(flow, _)| backlogged(flow))
+            .fold((0.0, 0.0), |sum, (_, (weight, usage))| {
+                (sum.0 + weight, sum.1 + weight * usage)
+            });
+        let mean = if weights > 0.0 { used / weights } else { 0.0 };
+        active
+            .iter()
+            .zip(&usages)
+            .map(|(index, (weight, usage))| {
+                let flow = &self.flows[index.at()];
+                let correction = if mean > 0.0 && flow.is_backlogged() {
+                    ((mean - usage) / mean).clamp(-MAX_CORRECTION, MAX_CORRECTION)
+                } else {
+                    0.0
+                };
+                let limit = f64::from(self.fleet.teams[flow.team.at()].limit);
+                SlotDemand {
+                    weight: weight * (1.0 + correction),
+                    demand: flow.demand().min(limit),
+                }
+            })
+            .collect()
+    }
+
+    /// Revises entitlements and sort keys of the pools that have a backlog.
+    pub(super) fn revise(&mut self, now: TimePoint) {
+        for position in 0..self.fleet.pools.len() {
+            let pool = PoolIndex::with_position(position);
+            let entry = &self.fleet.pools[position];
+            if entry.backlog.is_empty() && entry.requests.is_empty() {
+                continue;
+            }
+            self.entitle(pool, now);
+            for place in 0..self.fleet.pools[position].backlog.len() {
+                let flow = self.fleet.pools[position].backlog[place].1;
+                if self.flows[flow.at()].fresh_until > now {
+                    self.start_share(flow, now);
+                }
+                self.reorder(flow, now);
+            }
+            if !self.fleet.pools[position].ready.is_empty() {
+                self.mark_pool(pool);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/scheduler/worker_update.rs
@@ -0,0 +1,265 @@
+use super::fleet_update::UpdateScope;
+use super::releasing::NOT_READY;
+use super::{JobScheduler, PoolIndex, WorkerIndex};
+use crate::fleet::{FleetState, InstanceRecord, InstanceState};
+use crate::ids::InstanceName;
+use crate::ledger::{ResourceKey, UnitAccount, UnitSeed, block_owner, block_units};
+use crate::placement::{WorkerHealth, WorkerRecord};
+use crate::time::TimePoint;
+
+impl JobScheduler {
+    /// Walks over the instances and the workers in the order of their names, so that only what
+    /// changed costs more than a comparison.
+    pub(super) fn update_workers(
+        &mut self,
+        state: &FleetState,
+        scope: &mut UpdateScope,
+        now: TimePoint,
+    ) {
+        let known = std::mem::take(&mut self.fleet.order);
+        let mut known = known.into_iter().peekable();
+        let mut order = Vec::with_capacity(state.instances.len());
+        for (name, record) in &state.instances {
+            let mut found = None;
+            while let Some(worker) = known.peek().copied() {
+                let current = &self.fleet.workers[worker.at()].name;
+                if current > name {
+                    break;
+                }
+                known.next();
+                if current == name {
+                    found = Some(worker);
+                    break;
+                }
+                self.remove_worker(worker, scope, now);
+            }
+            let worker = found.unwrap_or_else(|| self.add_worker(name, record));
+            order.push(worker);
+            self.update_worker(worker, record, found.is_none(), scope, now);
+        }
+        for worker in known {
+            self.remove_worker(worker, scope, now);
+        }
+        self.fleet.order = order;
+    }
+
+    /// Recycles the places of removed workers that nothing refers to.
+    pub(super) fn vacate_workers(&mut self) {
+        let removed = std::mem::take(&mut self.fleet.removed);
+        for worker in removed {
+            let record = &self.fleet.workers[worker.at()];
+            if record.account.is_unused() && record.attempts.is_empty() {
+                self.fleet.worker_names.remove(&record.name);
+                self.fleet.vacant.push(worker);
+            } else {
+                self.fleet.removed.push(worker);
+            }
+        }
+    }
+
+    /// Brings what depends on a pool's workers up to date.
+    pub(super) fn update_pool(&mut self, pool: PoolIndex) {
+        let entry = &self.fleet.pools[pool.at()];
+        let mut shapes = Vec::new();
+        let mut slots = 0;
+        for worker in &entry.workers {
+            let record = &self.fleet.workers[worker.at()];
+            let shape = (record.cores, record.memory_mb, record.slots);
+            if !shapes.contains(&shape) {
+                shapes.push(shape);
+            }
+            if record.active {
+                slots += record.slots;
+            }
+        }
+        let entry = &mut self.fleet.pools[pool.at()];
+        entry.shapes = shapes;
+        entry.slots = slots;
+    }
+
+    fn add_worker(&mut self, name: &InstanceName, record: &InstanceRecord) -> WorkerIndex {
+        let pool = self.fleet.pool(&record.pool);
+        // A removed worker whose units are still in use or lent keeps its account.
+        if let Some(worker) = self.fleet.worker_names.get(name).copied() {
+            self.fleet.removed.retain(|removed| *removed != worker);
+            let known = &mut self.fleet.workers[worker.at()];
+            known.removed = false;
+            known.pool = pool;
+            self.fleet.pools[pool.at()].workers.push(worker);
+            return worker;
+        }
+        let entry = WorkerRecord {
+            name: name.clone(),
+            address: record.address.clone(),
+            pool,
+            cores: 0,
+            memory_mb: 0,
+            slots: 0,
+            boot: record.boot,
+            active: false,
+            quarantined: false,
+            removed: false,
+            leaving: None,
+            promised: None,
+            seeds: [
+                UnitSeed::new(name.as_str(), 0),
+                UnitSeed::new(name.as_str(), 1),
+            ],
+            owners: [None; 2],
+            account: UnitAccount::default(),
+            health: WorkerHealth::default(),
+            attempts: Vec::new(),
+            position: NOT_READY,
+        };
+        let worker = if let Some(worker) = self.fleet.vacant.pop() {
+            self.fleet.workers[worker.at()] = entry;
+            worker
+        } else {
+            self.fleet.workers.push(entry);
+            WorkerIndex::with_position(self.fleet.workers.len() - 1)
+        };
+        self.fleet.worker_names.insert(name.clone(), worker);
+        self.fleet.pools[pool.at()].workers.push(worker);
+        worker
+    }
+
+    fn update_worker(
+        &mut self,
+        worker: WorkerIndex,
+        record: &InstanceRecord,
+        new: bool,
+        scope: &mut UpdateScope,
+        now: TimePoint,
+    ) {
+        let known = &self.fleet.workers[worker.at()];
+        let same_pool = self.fleet.pools[known.pool.at()].name == record.pool;
+        let active = record.state.is_active();
+        let changed = new
+            || !same_pool
+            || known.active != active
+            || known.quarantined != (record.state == InstanceState::Quarantined)
+            || known.boot != record.boot
+            || (known.cores, known.memory_mb, known.slots)
+                != (record.cores, record.memory_mb, record.slots)
+            || known.address != record.address;
+        if !changed && !scope.all {
+            return;
+        }
+        let stops = matches!(
+            record.state,
+            InstanceState::Draining | InstanceState::Rebooting | InstanceState::Moving { .. }
+        );
+        if stops || !same_pool || scope.skipped.is_some() {
+            self.mark_against(worker, scope);
+        }
+        if changed {
+            if !same_pool {
+                self.change_pool(worker, record, scope);
+            }
+            self.describe_worker(worker, record, now);
+            scope.pools.insert(self.fleet.workers[worker.at()].pool);
+        }
+        self.allocate_worker(worker, new, scope);
+        if !scope.all {
+            self.refresh_worker(worker, now);
+        }
+    }
+
+    fn describe_worker(&mut self, worker: WorkerIndex, record: &InstanceRecord, now: TimePoint) {
+        let known = &mut self.fleet.workers[worker.at()];
+        let active = record.state.is_active();
+        if known.boot != record.boot {
+            known.health = WorkerHealth::default();
+        }
+        if known.boot != record.boot || active && !known.active {
+            known.leaving = None;
+        }
+        if known.quarantined && active {
+            known.health.try_now(now);
+        }
+        known.quarantined = record.state == InstanceState::Quarantined;
+        known.active = active;
+        known.boot = record.boot;
+        known.cores = record.cores;
+        known.memory_mb = record.memory_mb;
+        known.slots = record.slots;
+        known.address = record.address.clone();
+    }
+
+    fn change_pool(
+        &mut self,
+        worker: WorkerIndex,
+        record: &InstanceRecord,
+        scope: &mut UpdateScope,
+    ) {
+        if self.fleet.workers[worker.at()].position != NOT_READY {
+            self.unlist_worker(worker);
+        }
+        let old = self.fleet.workers[worker.at()].pool;
+        let entry = &mut self.fleet.pools[old.at()];
+        entry.workers.retain(|other| *other != worker);
+        if entry
+            .reserved
+            .is_some_and(|(reserved, _)| reserved == worker)
+        {
+            entry.reserved = None;
+        }
+        scope.pools.insert(old);
+        let pool = self.fleet.pool(&record.pool);
+        self.fleet.workers[worker.at()].pool = pool;
+        self.fleet.pools[pool.at()].workers.push(worker);
+    }
+
+    fn allocate_worker(&mut self, worker: WorkerIndex, new: bool, scope: &UpdateScope) {
+        let sessions = &self.fleet.view.sessions;
+        let record = &mut self.fleet.workers[worker.at()];
+        for (owner, seed) in record.owners.iter_mut().zip(record.seeds) {
+            *owner = match *owner {
+                Some(current) if !new && !scope.left.contains(&current) => scope
+                    .joined
+                    .iter()
+                    .copied()
+                    .chain([current])
+                    .max_by_key(|session| (seed.score(*session), *session)),
+                _ => block_owner(seed, sessions),
+            };
+        }
+        let share = record
+            .owners
+            .iter()
+            .zip(block_units(record.slots))
+            .filter(|(owner, _)| **owner == Some(self.session))
+            .map(|(_, units)| units)
+            .sum();
+        let slots = record.slots;
+        self.allocate(ResourceKey::Worker(worker), scope, slots, share);
+    }
+
+    fn remove_worker(&mut self, worker: WorkerIndex, scope: &mut UpdateScope, now: TimePoint) {
+        self.mark_against(worker, scope);
+        self.allocate(ResourceKey::Worker(worker), scope, 0, 0);
+        let record = &mut self.fleet.workers[worker.at()];
+        record.removed = true;
+        record.active = false;
+        record.slots = 0;
+        let pool = record.pool;
+        self.refresh_worker(worker, now);
+        self.fleet.pools[pool.at()]
+            .workers
+            .retain(|other| *other != worker);
+        scope.pools.insert(pool);
+        self.fleet.removed.push(worker);
+    }
+
+    /// Records that the attempts on a worker contradict the generation.
+    fn mark_against(&mut self, worker: WorkerIndex, scope: &UpdateScope) {
+        for key in &self.fleet.workers[worker.at()].attempts {
+            let attempt = &mut self.attempts[*key];
+            if attempt.against.is_none() {
+                let generation = scope.skipped.unwrap_or(scope.generation);
+                attempt.against = Some(generation);
+                self.against.insert((generation, *key));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/support/mod.rs
@@ -0,0 +1,113 @@
+//! Fleet states and a simulated fleet for the scheduler's tests.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+pub mod simulation;
+
+use std::time::Duration;
+
+use sesamedeal_core::fleet::{
+    FleetState, InstanceRecord, InstanceState, KeyRecord, PoolRecord, SessionView, TeamRecord,
+};
+use sesamedeal_core::ids::{
+    Generation, ImageName, InstanceName, KeyId, PoolName, RackName, RequestId, SessionId, TeamName,
+    ZoneName,
+};
+use sesamedeal_core::scheduler::{
+    DispatchOrder, JobScheduler, JobSpec, SchedulerAction, SchedulerPolicy,
+};
+use sesamedeal_core::time::TimePoint;
+
+/// A worker with 8 slots of 4 cores and 8 GB each.
+pub fn worker(pool: &str) -> InstanceRecord {
+    InstanceRecord {
+        pool: PoolName::new(pool),
+        state: InstanceState::Active,
+        address: "10.0.0.1:80".into(),
+        zone: ZoneName::new("zone-1"),
+        rack: RackName::new("rack-1"),
+        image: ImageName::new("image-1"),
+        cores: 32,
+        memory_mb: 64_000,
+        slots: 8,
+        boot: 1,
+    }
+}
+
+/// State of generation 1 with one pool `main`, the teams with share and limit, and the sessions
+/// 1 to `sessions`.
+pub fn fleet(workers: usize, teams: &[(&str, u32, u32)], sessions: u64) -> FleetState {
+    let mut state = FleetState {
+        generation: Generation(1),
+        view: SessionView::new((1..=sessions).map(SessionId).collect()),
+        ..FleetState::default()
+    };
+    let pool = PoolRecord {
+        size: u32::try_from(workers).unwrap(),
+        max_unavailable: 2,
+        spare: false,
+    };
+    state.pools.insert(PoolName::new("main"), pool);
+    for number in 0..workers {
+        let name = InstanceName::new(format!("worker-{number}"));
+        state.instances.insert(name, worker("main"));
+    }
+    for (name, share, limit) in teams {
+        let team = TeamName::new(name);
+        let record = TeamRecord {
+            share: *share,
+            limit: *limit,
+        };
+        state.teams.insert(team.clone(), record);
+        let key = KeyRecord {
+            team,
+            hash: [0; 32],
+            withdrawn: false,
+        };
+        state.keys.insert(KeyId::new(format!("key-{name}")), key);
+    }
+    state
+}
+
+/// An idempotent job of one slot with 30 s until its deadline.
+pub fn job(team: &str, now: TimePoint) -> JobSpec {
+    JobSpec {
+        request: RequestId::new("request"),
+        team: TeamName::new(team),
+        key: Some(KeyId::new(format!("key-{team}"))),
+        pool: PoolName::new("main"),
+        cores: 1,
+        memory_mb: 100,
+        run: Duration::from_millis(100),
+        urgent: false,
+        idempotent: true,
+        deadline: now.after(Duration::from_secs(30)),
+    }
+}
+
+/// A scheduler of session 1 that acts under the settled state.
+pub fn scheduler(state: &FleetState) -> JobScheduler {
+    let mut scheduler = JobScheduler::new(SessionId(1), SchedulerPolicy::new(), 7);
+    scheduler.apply(state, state.generation, TimePoint::ORIGIN);
+    scheduler
+}
+
+/// Point in milliseconds.
+pub fn at(millis: u64) -> TimePoint {
+    TimePoint::with_millis(millis)
+}
+
+/// All actions that are due.
+pub fn drain(scheduler: &mut JobScheduler, now: TimePoint) -> Vec<SchedulerAction> {
+    std::iter::from_fn(|| scheduler.next_action(now)).collect()
+}
+
+/// All dispatches that are due; other actions are dropped.
+pub fn dispatches(scheduler: &mut JobScheduler, now: TimePoint) -> Vec<DispatchOrder> {
+    drain(scheduler, now)
+        .into_iter()
+        .filter_map(|action| match action {
+            SchedulerAction::Dispatch(order) => Some(order),
+            _ => None,
+        })
+        .collect()
+}
