--- a/crates/daemon/src/admin/admin_service.rs
+++ b/crates/daemon/src/admin/admin_service.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use sesamedeal_core::code::ResultCode;
@@ -69,7 +69,7 @@
         &self,
         request: Request<B>,
         remote: Option<SocketAddr>,
-    ) -> Response<Full<Bytes>>
+    ) -> Response<Bytes>
     where
         B: hyper::body::Body<Data = Bytes>,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -161,8 +161,8 @@
         .map_err(|error| AdminRefusal::new(ResultCode::BadRequest, error.to_string()))
 }
 
-fn accepted(body: Bytes) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(body));
+fn accepted(body: Bytes) -> Response<Bytes> {
+    let mut response = Response::new(body);
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, json);
     let code = HeaderValue::from(ResultCode::Ok.number());
@@ -170,10 +170,10 @@
     response
 }
 
-fn refused(refusal: &AdminRefusal) -> Response<Full<Bytes>> {
+fn refused(refusal: &AdminRefusal) -> Response<Bytes> {
     let code = refusal.code;
     let text = format!("{code}: {}\n", refusal.text);
-    let mut response = Response::new(Full::new(Bytes::from(text)));
+    let mut response = Response::new(Bytes::from(text));
     let status = StatusCode::from_u16(code.http_status());
     *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let run_state = if refusal.is_unknown {
--- a/crates/daemon/src/dispatch/control_handlers.rs
+++ b/crates/daemon/src/dispatch/control_handlers.rs
@@ -29,10 +29,6 @@
     pub message: ExchangeMessage,
 }
 
-/// Rejects queued jobs and all further ones, ahead of a shutdown.
-#[derive(Debug)]
-pub(crate) struct BeginShutdown;
-
 impl Handler<ReadProgress> for DispatchActor {
     type Return = WorkProgress;
 
@@ -62,12 +58,3 @@
         self.drive();
     }
 }
-
-impl Handler<BeginShutdown> for DispatchActor {
-    type Return = ();
-
-    async fn handle(&mut self, _: BeginShutdown, _: &mut Context<Self>) {
-        self.scheduler.shut_down(self.parts.clock.now());
-        self.drive();
-    }
-}
--- a/crates/daemon/src/dispatch/dispatch_actor.rs
+++ b/crates/daemon/src/dispatch/dispatch_actor.rs
@@ -58,10 +58,10 @@
     pub evidence: EvidenceFlag,
     pub metrics: RequestMetrics,
     pub logger: Logger,
-    /// Peers that the scheduler wants to exchange messages with ahead of their turn.
-    pub wanted: mpsc::Sender<SessionId>,
     /// Allowance for clock differences between machines.
     pub clock_margin: Duration,
+    /// Peers that the scheduler wants to exchange messages with.
+    pub wanted: mpsc::Sender<SessionId>,
 }
 
 /// Owns the scheduler of this entry instance.
--- a/crates/daemon/src/entry_context.rs
+++ b/crates/daemon/src/entry_context.rs
@@ -15,7 +15,6 @@
 use crate::clock::ProcessClock;
 use crate::control_traffic::ControlTraffic;
 use crate::dispatch::DispatchActor;
-use crate::http::RequestPath;
 use crate::peer::{PeerTable, PeerTraffic};
 use crate::settings::DaemonSettings;
 use crate::store::{EvidenceGate, StateKeeper};
@@ -45,8 +44,6 @@
     pub client: PlatformClient,
     pub log: ChangeLog,
     pub dispatcher: Address<DispatchActor>,
-    /// The way of jobs from callers to backend servers.
-    pub requests: RequestPath,
     pub gate: EvidenceGate,
     pub keeper: StateKeeper,
     pub peers: PeerTable,
@@ -87,9 +84,4 @@
             store_writes: calls(CallKind::Write),
         }
     }
-
-    /// Whether callers are served: there is a state, and no shutdown has begun.
-    pub(crate) fn is_ready(&self) -> bool {
-        self.keeper.state().generation.0 > 0 && *self.phase.borrow() == SessionState::Active
-    }
 }
--- a/crates/daemon/src/http/router.rs
+++ b/crates/daemon/src/http/router.rs
@@ -1,17 +1,16 @@
-use std::net::SocketAddr;
-
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 use sesamedeal_core::code::ResultCode;
+use sesamedeal_core::ids::Generation;
 use sesamedeal_core::scheduler::JobRefusal;
 
+use std::net::SocketAddr;
+
 use super::JobService;
 use super::answers::{plain, refusal_answer};
 use super::caller_body::CallerBody;
 use super::request_head::{check_single, request_id};
-use crate::admin::AdminService;
+use crate::admin::{AdminService, control_metrics};
 use crate::peer::PeerService;
 
 /// Answers requests of callers.
@@ -37,24 +36,32 @@
                 let queue = compact_str::CompactString::from(queue);
                 self.run_job(&queue, request).await
             }
-            (_, path, None) if path.starts_with("/peer/") => {
-                whole(self.peers.answer(request).await).await
-            }
-            (_, path, None) if AdminService::serves(path) => {
-                whole(self.admin.answer(request, self.remote).await).await
-            }
             (&Method::GET, "/live", _) => plain(200, "live\n"),
             (&Method::GET, "/ready", _) => self.ready(),
-            (&Method::GET, "/metrics", _) => plain(200, self.jobs.metrics().render()),
+            (&Method::GET, "/metrics", _) => plain(200, self.metrics()),
+            _ if path.starts_with("/peer/") => {
+                let response = self.peers.answer(request).await;
+                response.map(CallerBody::whole)
+            }
+            _ if AdminService::serves(path) => {
+                let response = self.admin.answer(request, self.remote).await;
+                response.map(CallerBody::whole)
+            }
             (_, _, Some(_)) => self.refuse_path(request.headers(), 405),
             _ => self.refuse_path(request.headers(), 404),
         }
     }
 
+    fn metrics(&self) -> Vec<u8> {
+        let mut text = self.jobs.metrics().render();
+        text.extend(control_metrics(&self.admin.context));
+        text
+    }
+
     fn ready(&self) -> Response<CallerBody> {
         if self.jobs.runner.shutdown.is_draining() {
             plain(503, "shutting down\n")
-        } else if self.admin.context.is_ready() {
+        } else if self.jobs.view.load().generation > Generation::ZERO {
             plain(200, "ready\n")
         } else {
             plain(503, "no configuration yet\n")
@@ -91,11 +98,3 @@
         self.jobs.metrics().count_answer(code);
     }
 }
-
-/// Puts an answer of another service into the form that callers' connections take.
-async fn whole(response: Response<Full<Bytes>>) -> Response<CallerBody> {
-    let (parts, body) = response.into_parts();
-    // A body in memory cannot fail.
-    let Ok(body) = body.collect().await;
-    Response::from_parts(parts, CallerBody::whole(body.to_bytes()))
-}
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -18,6 +18,7 @@
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stopped| *stopped) => break,
         };
+        while connections.try_join_next().is_some() {}
         let Ok((stream, remote)) = accepted else {
             sleep(ACCEPT_DELAY).await;
             continue;
@@ -25,7 +26,6 @@
         if stream.set_nodelay(true).is_err() {
             continue;
         }
-        while connections.try_join_next().is_some() {}
         let router = Router {
             remote: Some(remote),
             ..router.clone()
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,7 +23,6 @@
 pub use control_traffic::ControlTraffic;
 pub use entry::EntryInstance;
 pub use error::{DaemonError, Result};
-pub use logging::root_logger;
 pub use settings::{
     DaemonSettings, LogFormat, LogLevel, SETTINGS, SettingDefault, SettingKind, SettingProblem,
     SettingSpec,
--- a/crates/daemon/src/logging/log_setup.rs
+++ b/crates/daemon/src/logging/log_setup.rs
@@ -8,7 +8,7 @@
 const CHANNEL_SIZE: usize = 4_096;
 
 /// Creates the logger that all parts of the process derive theirs from.
-pub fn root_logger(level: LogLevel, format: LogFormat) -> Logger {
+pub(crate) fn root_logger(level: LogLevel, format: LogFormat) -> Logger {
     match format {
         LogFormat::Json => {
             let drain = slog_json::Json::new(stderr()).add_default_keys().build();
--- a/crates/daemon/src/logging/mod.rs
+++ b/crates/daemon/src/logging/mod.rs
@@ -2,4 +2,4 @@
 
 mod log_setup;
 
-pub use log_setup::root_logger;
+pub(crate) use log_setup::root_logger;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use sesamedeal_daemon::{DaemonSettings, EntryInstance, Result, root_logger};
+use sesamedeal_daemon::{DaemonSettings, EntryInstance, Result};
 
 /// Entry instance of sesamedeal: runs between callers and backend servers.
 #[derive(Debug, FromArgs)]
@@ -28,8 +28,7 @@
 
 async fn run(args: &DaemonArgs) -> Result<()> {
     let settings = DaemonSettings::load(&args.settings)?;
-    let logger = root_logger(settings.log_level, settings.log_format);
-    EntryInstance::start_with_logger(settings, logger)
+    EntryInstance::start(settings)
         .await?
         .run_until_signal()
         .await
--- a/crates/daemon/src/store/evidence_gate.rs
+++ b/crates/daemon/src/store/evidence_gate.rs
@@ -12,6 +12,7 @@
 
 use super::FleetView;
 use crate::clock::ProcessClock;
+use crate::dispatch::EvidenceFlag;
 
 /// Time after which a silent peer is forgotten.
 const PEER_LIFETIME: Duration = Duration::from_secs(60);
@@ -41,6 +42,7 @@
     policy: EvidencePolicy,
     clock: ProcessClock,
     view: FleetView,
+    flag: EvidenceFlag,
     state: Arc<Mutex<GateState>>,
 }
 
@@ -50,12 +52,14 @@
         max_age: Duration,
         clock: ProcessClock,
         view: FleetView,
+        flag: EvidenceFlag,
     ) -> Self {
         Self {
             session,
             policy: EvidencePolicy { max_age },
             clock,
             view,
+            flag,
             state: Arc::default(),
         }
     }
@@ -63,11 +67,13 @@
     /// Takes note of an own read of the head that was sent at `sent`.
     pub(crate) fn note_read(&self, head: Generation, sent: TimePoint) {
         self.state.lock().tracker.note_head(head, sent);
+        self.judge();
     }
 
     /// Takes note that the state in force has this generation.
     pub(crate) fn note_applied(&self, generation: Generation) {
         self.state.lock().tracker.note_applied(generation);
+        self.judge();
     }
 
     /// Takes note of a timer tick; returns whether the process was paused before it.
@@ -127,7 +133,21 @@
         newest.map(|(session, entry)| (*session, entry.generation))
     }
 
-    /// Decides whether work that needs a key may be accepted and dispatched now.
+    /// Passes the verdict on to the request path. Evidence lapses there by its own age; a whole
+    /// outage has to be judged again and again.
+    pub(crate) fn judge(&self) -> EvidenceVerdict {
+        let now = self.clock.now();
+        let verdict = self.verdict();
+        let age = self.age().unwrap_or_default();
+        let since = match verdict {
+            EvidenceVerdict::Current => before(now, age),
+            EvidenceVerdict::StoreDown | EvidenceVerdict::Stale => now,
+        };
+        self.flag.set(verdict.allows_work(), since);
+        verdict
+    }
+
+    /// Whether work that needs a key may be accepted and dispatched now.
     pub(crate) fn verdict(&self) -> EvidenceVerdict {
         let now = self.clock.now();
         let state = self.state.lock();
--- a/crates/daemon/tests/caller_gone.rs
+++ b/crates/daemon/tests/caller_gone.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use common::caller::{job_request, metric, open, submit};
-use common::job_fleet::JobFleet;
+use common::fleet::TestFleet;
 use common::raw_backend::{RawBackend, Reaction};
 use common::wait_for;
 
@@ -30,7 +30,7 @@
 #[tokio::test]
 async fn while_queued() {
     let backend = hold_backend().await;
-    let fleet = JobFleet::start(&[backend.address]).await;
+    let fleet = TestFleet::start(&[backend.address]).await;
     let entry = fleet.entry().await;
     let mut holding = Vec::new();
     for _ in 0..SLOTS {
@@ -64,7 +64,7 @@
         }
     })
     .await;
-    let fleet = JobFleet::start(&[backend.address]).await;
+    let fleet = TestFleet::start(&[backend.address]).await;
     let entry = fleet.entry().await;
     let caller = open(entry.address(), &job_request("swap", &[], "hold")).await;
     wait_for("start", async || backend.held() == 1).await;
@@ -84,7 +84,7 @@
 #[tokio::test]
 async fn deadline_passes() {
     let backend = hold_backend().await;
-    let fleet = JobFleet::start(&[backend.address]).await;
+    let fleet = TestFleet::start(&[backend.address]).await;
     let entry = fleet.entry().await;
     let headers = [("sesamedeal-deadline-ms", "300")];
     let answer = submit(entry.address(), &headers, "hold").await;
@@ -98,7 +98,7 @@
 async fn cancellation_wave() {
     const WAVE: usize = 1_000;
     let backend = hold_backend().await;
-    let fleet = JobFleet::start(&[backend.address]).await;
+    let fleet = TestFleet::start(&[backend.address]).await;
     let entry = fleet.entry().await;
     let mut holding = Vec::new();
     for _ in 0..SLOTS - 1 {
--- a/crates/daemon/tests/graceful_shutdown.rs
+++ b/crates/daemon/tests/graceful_shutdown.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::caller::{get, job_request, open, read_answer, submit};
-use common::job_fleet::JobFleet;
+use common::fleet::TestFleet;
 use common::raw_backend::{RawBackend, Reaction};
 use common::wait_for;
 
@@ -24,7 +24,7 @@
 #[tokio::test]
 async fn awaits_running() {
     let backend = hold_backend().await;
-    let fleet = JobFleet::start(&[backend.address]).await;
+    let fleet = TestFleet::start(&[backend.address]).await;
     let entry = fleet.entry().await;
     let address = entry.address();
     let mut running = open(address, &job_request("swap", &[], "hold")).await;
@@ -50,7 +50,7 @@
 #[tokio::test]
 async fn ends_by_deadline() {
     let backend = hold_backend().await;
-    let fleet = JobFleet::start(&[backend.address]).await;
+    let fleet = TestFleet::start(&[backend.address]).await;
     let mut settings = fleet.settings();
     settings.shutdown_deadline = Duration::from_millis(500);
     let entry = fleet.entry_with(settings).await;
--- a/crates/daemon/tests/large_answers.rs
+++ b/crates/daemon/tests/large_answers.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::caller::{RawAnswer, job_request, metric, open, submit};
-use common::job_fleet::JobFleet;
+use common::fleet::TestFleet;
 use common::raw_backend::{RawBackend, Reaction};
 use common::{PATIENCE, wait_for};
 use tokio::io::AsyncReadExt;
@@ -36,7 +36,7 @@
         )
     })
     .await;
-    let fleet = JobFleet::start(&[backend.address]).await;
+    let fleet = TestFleet::start(&[backend.address]).await;
     let entry = fleet.entry().await;
     let mut stream = open(entry.address(), &job_request("swap", &[], "scan")).await;
     let before = resident();
@@ -69,7 +69,7 @@
         Reaction::SendAndClose(answer.into_bytes())
     })
     .await;
-    let fleet = JobFleet::start(&[backend.address]).await;
+    let fleet = TestFleet::start(&[backend.address]).await;
     let entry = fleet.entry().await;
     let answer = submit(entry.address(), &[], "scan").await;
     let broken = "sesamedeal_broken_answers_total";
@@ -107,7 +107,7 @@
         Reaction::Send(format!("{head}\r\n{}0\r\n\r\n", chunk.repeat(500)).into_bytes())
     })
     .await;
-    let fleet = JobFleet::start(&[backend.address]).await;
+    let fleet = TestFleet::start(&[backend.address]).await;
     let entry = fleet.entry().await;
     for _ in 0..3 {
         let answer = submit(entry.address(), &[], "scan").await;
@@ -130,7 +130,7 @@
         )
     })
     .await;
-    let fleet = JobFleet::start(&[backend.address]).await;
+    let fleet = TestFleet::start(&[backend.address]).await;
     let entry = fleet.entry().await;
     let mut stream = open(entry.address(), &job_request("swap", &[], "scan")).await;
     let mut part = [0; 1000];
