--- a/crates/core/tests/scheduling/mod.rs
+++ b/crates/core/tests/scheduling/mod.rs
@@ -30,6 +30,8 @@
         memory_mb: 64_000,
         slots: 8,
         boot: 1,
+        since: Generation::ZERO,
+        maintained: 0,
     }
 }
 
