--- a/crates/daemon/src/dispatch/dispatch_messages.rs
+++ b/crates/daemon/src/dispatch/dispatch_messages.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use sesamedeal_core::fleet::FleetState;
 use sesamedeal_core::ids::Generation;
@@ -16,6 +17,9 @@
     pub start_by_ms: u64,
     /// Point after which the attempt must not be sent any more.
     pub send_by: Instant,
+    /// Longest time that the attempt may run once it has started. The units are held for the
+    /// lease from the dispatch on, which includes the time until the start.
+    pub run_limit: Duration,
     /// Point by which the attempt has ended in any case: its lease and the margins have passed.
     pub ends_by: Instant,
 }
--- a/crates/daemon/src/dispatch/evidence_flag.rs
+++ b/crates/daemon/src/dispatch/evidence_flag.rs
@@ -6,9 +6,9 @@
 
 /// Time after which a positive verdict lapses when it is not renewed.
 ///
-/// The verdict is renewed every 100 ms. A loop that stopped judging must not keep withdrawn keys
-/// in force.
-const LAPSE: Duration = Duration::from_secs(1);
+/// It is the age bound of the evidence itself, so that a loop that stopped judging cannot keep
+/// withdrawn keys in force.
+const LAPSE: Duration = Duration::from_millis(2_500);
 
 /// Verdict on the evidence of the state, shared between the loop that judges it and the request
 /// path.
--- a/crates/daemon/src/dispatch/job_runner.rs
+++ b/crates/daemon/src/dispatch/job_runner.rs
@@ -210,7 +210,7 @@
         let spec = &input.spec;
         let attempt = AttemptId::new(self.parts.session, ticket.order.attempt);
         let attempt = value(&attempt.to_string());
-        let lease_ms = ticket.order.lease.as_millis();
+        let lease_ms = ticket.run_limit.as_millis();
         let mut headers = input.headers.clone();
         headers.insert(HOST, value(&ticket.order.address));
         headers.insert(header::REQUEST_ID, input.request.clone());
--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -90,6 +90,13 @@
         entry
     }
 
+    /// Takes an entry instance off the platform's list.
+    pub fn remove_entry(&self, address: SocketAddr) {
+        let name = InstanceName::new(address.to_string());
+        assert!(self.platform.remove_instance(&name), "listed before");
+        self.entries.lock().retain(|entry| *entry != address);
+    }
+
     /// Waits until all entry instances are in the view, the view has settled and all workers are
     /// active in their pool.
     pub async fn wait_ready(&self) {
