Relay ages conservatively and pass urgent start times to the scheduler

Cause: an answer of a peer can wait in a socket while the process is paused; its ages then look smaller than they are and are relayed to others. Change: the time since the request was sent is added to all ages of an answer, and relayed sessions count for the evidence rule.

--- a/crates/daemon/src/http/request_path.rs
+++ b/crates/daemon/src/http/request_path.rs
@@ -77,6 +77,8 @@
             max_queued: settings.max_queued,
             task_lease: settings.task_lease,
             clock_margin: settings.clock_margin,
+            urgent_start: settings.urgent_start,
+            ..SchedulerPolicy::new()
         };
         let scheduler = JobScheduler::new(parts.session, policy, rand::rng().random());
         let dispatcher = DispatchActor::start(scheduler, dispatch.clone(), MAILBOX_SIZE);
--- a/crates/daemon/src/metrics/request_metrics.rs
+++ b/crates/daemon/src/metrics/request_metrics.rs
@@ -172,6 +172,7 @@
     AttemptOutcome::Draining,
     AttemptOutcome::Lost,
     AttemptOutcome::BadAnswer,
+    AttemptOutcome::Stopped,
 ];
 
 const fn reason(outcome: AttemptOutcome) -> &'static str {
@@ -182,6 +183,7 @@
         AttemptOutcome::Draining => "draining",
         AttemptOutcome::Lost => "lost",
         AttemptOutcome::BadAnswer => "bad-answer",
+        AttemptOutcome::Stopped => "stopped",
     }
 }
 
--- a/crates/daemon/src/peer/peer_loop.rs
+++ b/crates/daemon/src/peer/peer_loop.rs
@@ -1,9 +1,12 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use compact_str::CompactString;
+use sesamedeal_core::exchange::ExchangeMessage;
 use sesamedeal_core::fleet::SessionView;
 use sesamedeal_core::ids::SessionId;
 use sesamedeal_core::membership::{SessionRecord, SessionState};
+use sesamedeal_core::time::TimePoint;
 use sesamedeal_platform::rows::SESSION_PREFIX;
 use sesamedeal_wire::peer::PeerMessage;
 use slog::debug;
@@ -105,18 +108,26 @@
     }
 }
 
-async fn take_answer(
-    context: &EntryContext,
-    answer: PeerMessage,
-    sent: sesamedeal_core::time::TimePoint,
-) {
+async fn take_answer(context: &EntryContext, answer: PeerMessage, sent: TimePoint) {
     note_sender(context, &answer.exchange.from, &answer.address);
     context.gate.note_answer(&answer.exchange, sent);
-    let message = answer.exchange;
+    let message = aged(answer.exchange, context.clock.now().since(sent));
     // An actor that has ended holds no units.
     drop(context.dispatcher.send(TakeExchange { message }).await);
 }
 
+/// Adds the time since the request was sent to all ages of an answer. The answer may have waited
+/// while this process was paused, and ages must not look smaller than they are.
+fn aged(mut message: ExchangeMessage, elapsed: Duration) -> ExchangeMessage {
+    let add = |age: &mut Option<Duration>| *age = age.map(|age| age + elapsed);
+    add(&mut message.evidence_age);
+    for record in &mut message.heard {
+        record.age += elapsed;
+        add(&mut record.evidence_age);
+    }
+    message
+}
+
 /// Builds the message to a peer; none after the dispatcher has ended.
 pub(super) async fn message_to(context: &EntryContext, peer: SessionId) -> Option<PeerMessage> {
     let mut exchange = context.dispatcher.send(BuildExchange { peer }).await.ok()?;
--- a/crates/daemon/src/store/evidence_gate.rs
+++ b/crates/daemon/src/store/evidence_gate.rs
@@ -187,7 +187,15 @@
         evidence: message.evidence_age.map(|age| before(sent, age)),
         generation: message.applied,
     };
-    std::iter::once((message.from, sender))
+    let relayed = message.heard.iter().map(move |record| {
+        let entry = PeerEntry {
+            heard: before(sent, record.age),
+            evidence: record.evidence_age.map(|age| before(sent, age)),
+            generation: record.generation,
+        };
+        (record.session, entry)
+    });
+    std::iter::once((message.from, sender)).chain(relayed)
 }
 
 fn before(point: TimePoint, age: Duration) -> TimePoint {
