--- a/crates/core/src/fleet/fleet_state.rs
+++ b/crates/core/src/fleet/fleet_state.rs
@@ -44,6 +44,16 @@
 }
 
 impl FleetState {
+    /// Creates a state without pools, teams and instances, at a generation and with a view.
+    #[must_use]
+    pub fn with_view(generation: Generation, view: SessionView) -> Self {
+        Self {
+            generation,
+            view,
+            ..Self::default()
+        }
+    }
+
     /// Applies a record as a whole; on an error the state is unchanged.
     ///
     /// The cost is proportional to the record. The first call after deserialization also scans
--- a/crates/daemon/src/dispatch/dispatch_actor.rs
+++ b/crates/daemon/src/dispatch/dispatch_actor.rs
@@ -140,6 +140,8 @@
         self.check_pause();
         let now = self.parts.clock.now();
         self.pause.tick(now);
+        let is_current = self.parts.evidence.allows_keyed(now);
+        self.scheduler.set_keyed_work_allowed(is_current, now);
         if now.since(self.pruned) > PRUNE_PERIOD {
             self.pruned = now;
             self.parts.backend.prune(|_| true);
