--- a/crates/core/src/moves/day_plan.rs
+++ b/crates/core/src/moves/day_plan.rs
@@ -137,7 +137,7 @@
     let variant = DemandVariant { lead, is_filled };
     let varied = variant.apply(demand, counts.iter().sum());
     let plan = plan_counts(&varied, counts);
-    let measures = PlanMeasures::new(demand, &plan, lead, policy);
+    let measures = PlanMeasures::new(demand, &plan, policy);
     (variant, plan, measures)
 }
 
--- a/crates/core/src/moves/plan_measures.rs
+++ b/crates/core/src/moves/plan_measures.rs
@@ -23,10 +23,10 @@
 }
 
 impl PlanMeasures {
-    /// Measures a plan of `demand`. Moves that start `lead` seconds ahead of the row that needs
-    /// them count as late by what exceeds the lead.
+    /// Measures a plan of `demand`. Moves that start ahead of a row count as late by what exceeds
+    /// the time until the row.
     #[must_use]
-    pub fn new(demand: &DayDemand, plan: &CountPlan, lead: u32, policy: &PlanPolicy) -> Self {
+    pub fn new(demand: &DayDemand, plan: &CountPlan, policy: &PlanPolicy) -> Self {
         let move_seconds = policy.move_time.as_secs_f64();
         let mut measures = Self {
             moves: plan.move_count(),
@@ -38,16 +38,15 @@
                 .get(at + 1)
                 .map_or(SECONDS_PER_DAY, |next| next.second);
             let hours = f64::from(end.saturating_sub(step.second)) / SECONDS_PER_HOUR;
-            let started_early = if step.second > 0 { lead } else { 0 };
             let rollout = rollout_rounds(demand, plan, at) * move_seconds;
-            let late = (rollout - f64::from(started_early)).max(0.0);
+            let late = (rollout - f64::from(seconds_ahead(demand, step.second))).max(0.0);
             measures.rollout_seconds = measures.rollout_seconds.max(late);
             measures.total_rollout_seconds += late;
             if let Some(spare) = demand.spare {
                 measures.buffer_hours += hours * f64::from(step.counts[spare]);
             }
             measures.share_distance +=
-                hours * distance(demand, second_step(demand, step.second), &step.counts);
+                hours * distance(demand, sizes_at(demand, step.second), &step.counts);
             measures.shortage = measures.shortage.max(step.shortage);
         }
         #[expect(
@@ -90,7 +89,13 @@
     f64::from(rounds)
 }
 
-fn second_step(demand: &DayDemand, second: u32) -> &[u32] {
+/// Seconds from a step to the next row; zero at the time of a row.
+fn seconds_ahead(demand: &DayDemand, second: u32) -> u32 {
+    let next = demand.steps.iter().find(|step| step.second >= second);
+    next.map_or(0, |step| step.second - second)
+}
+
+fn sizes_at(demand: &DayDemand, second: u32) -> &[u32] {
     let after = demand.steps.partition_point(|step| step.second <= second);
     &demand.steps[after.max(1) - 1].needed
 }
--- a/crates/core/tests/sheet_check.rs
+++ b/crates/core/tests/sheet_check.rs
@@ -44,7 +44,7 @@
         for minute in [0, 600, 900, 1_200] {
             put(&mut state, &sheet, DayTime::new(100, minute * 60));
             let total: u32 = state.pools.values().map(|pool| pool.size).sum();
-            assert!((46..=50).contains(&total), "{total} at {minute}");
+            assert_eq!(total, 50, "at {minute}");
             assert!(diff_sheet(&state, &sheet, DayTime::new(100, minute * 60)).is_empty());
         }
     }
