--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -29,11 +29,11 @@
 }
 
 macro_rules! result_codes {
-    ($($(#[$doc:meta])* $name:ident = $number:literal, $label:literal, $run:ident, $status:literal, $again:literal;)*) => {
+    ($(#[doc = $doc:literal] $name:ident = $number:literal, $label:literal, $run:ident, $status:literal, $again:literal;)*) => {
         /// Result of a request or an operator's command.
         #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
         pub enum ResultCode {
-            $($(#[$doc])* $name,)*
+            $(#[doc = $doc] $name,)*
         }
 
         impl ResultCode {
@@ -52,6 +52,12 @@
                 match self { $(Self::$name => $label,)* }
             }
 
+            /// Meaning of the code in one sentence.
+            #[must_use]
+            pub const fn meaning(self) -> &'static str {
+                match self { $(Self::$name => $doc.trim_ascii(),)* }
+            }
+
             /// What the code says about the job.
             #[must_use]
             pub const fn run_state(self) -> RunState {
