--- /dev/null
+++ b/crates/core/tests/control_step.rs
@@ -0,0 +1,295 @@
+//! Controller: platform's list, moves, quarantine, sheet rows, snapshots and cleanup.
+
+mod support;
+
+use sesamedeal_core::control::{
+    ControlNote, ControlPolicy, ControlStep, HealthReport, HealthVerdict,
+};
+use sesamedeal_core::fleet::{DayTime, FleetChange, FleetState, InstanceState};
+use sesamedeal_core::ids::{Generation, PoolName};
+use sesamedeal_core::membership::{ListState, SessionState};
+use sesamedeal_core::moves::PlanPolicy;
+use sesamedeal_core::sheet::{check_sheet, plan_sheet};
+use support::world::{World, backend};
+use support::{fleet, instance, name, pool};
+
+fn world(pools: &[(&str, u32, u32, u32)]) -> World {
+    let mut world = World::new(fleet(pools), ControlPolicy::new(), 3);
+    world.run(5);
+    world
+}
+
+fn put_pool(world: &mut World, pool_name: &str, size: u32, budget: u32) {
+    let name = PoolName::new(pool_name);
+    let pool = pool(size, budget);
+    world.write(vec![FleetChange::PutPool { name, pool }]);
+}
+
+fn active(world: &World, pool_name: &str) -> usize {
+    world
+        .state
+        .instances
+        .values()
+        .filter(|instance| instance.pool.as_str() == pool_name && instance.state.is_active())
+        .count()
+}
+
+fn report(number: u32, verdict: HealthVerdict, applied: Generation) -> HealthReport {
+    HealthReport {
+        instance: name(number),
+        verdict,
+        applied,
+    }
+}
+
+/// Guards against a move that ends before every entry instance has stopped using the instance.
+#[test]
+fn move_settles() {
+    let mut world = world(&[("a", 4, 1, 4), ("b", 2, 1, 2), ("spare", 0, 1, 0)]);
+    put_pool(&mut world, "a", 3, 1);
+    put_pool(&mut world, "b", 3, 1);
+    world.step();
+    let moving = world
+        .state
+        .instances
+        .values()
+        .find(|instance| matches!(instance.state, InstanceState::Moving { .. }))
+        .unwrap();
+    let since = moving.since;
+    for _ in 0..60 {
+        world.millis += 1_000;
+        // The first entry instance still runs a task on the moving instance.
+        for session in &mut world.sessions[1..] {
+            session.quiesced = world.state.generation;
+        }
+        world.step();
+        assert_eq!(active(&world, "b"), 2);
+        assert!(world.settled < since);
+    }
+    world.sessions[0].quiesced = world.state.generation;
+    world.step();
+    assert_eq!(active(&world, "b"), 3);
+}
+
+/// Guards against a failure that is not replaced from the spare pool, a returned instance that
+/// is lost, and an instance that is registered in another pool than the spare pool.
+#[test]
+fn failure_replaced() {
+    let mut world = world(&[("a", 4, 1, 4), ("spare", 2, 2, 2)]);
+    world.lose(&name(0));
+    world.run(2);
+    assert_eq!(active(&world, "a"), 4, "shorter than the grace");
+    world.run_until(20, |world| {
+        active(world, "a") == 4 && active(world, "spare") == 1
+    });
+    assert_eq!(world.state.instances[&name(0)].state, InstanceState::Failed);
+    let entry = backend(&name(90), &instance("a", 90));
+    world.list.push(entry);
+    world.run(1);
+    assert_eq!(world.state.instances[&name(90)].pool.as_str(), "spare");
+    world.repair(&name(0));
+    world.run(3);
+    assert!(world.state.instances[&name(0)].state.is_active());
+}
+
+/// Guards against an instance that is removed while an entry instance may still use it, or kept
+/// for ever after it was replaced.
+#[test]
+fn replaced_removed() {
+    let mut world = world(&[("a", 4, 1, 4), ("spare", 2, 2, 2)]);
+    let at = world
+        .list
+        .iter()
+        .position(|entry| entry.name == name(0))
+        .unwrap();
+    world.list[at].state = ListState::Leaving;
+    world.run(1);
+    assert_eq!(world.state.instances[&name(0)].state, InstanceState::Failed);
+    world.lose(&name(0));
+    world.run(19);
+    assert!(world.state.instances.contains_key(&name(0)));
+    world.run(5);
+    assert!(!world.state.instances.contains_key(&name(0)));
+}
+
+/// Guards against an empty or missing list that fails the whole fleet or settles a generation.
+#[test]
+fn list_unavailable() {
+    let mut world = world(&[("a", 4, 1, 4), ("spare", 2, 2, 2)]);
+    let before = (world.state.clone(), world.settled);
+    let list = std::mem::take(&mut world.list);
+    for _ in 0..60 {
+        let step = world.step();
+        assert!(step.notes.contains(&ControlNote::ListUnavailable));
+        world.pass(1_000);
+    }
+    assert_eq!((world.state.clone(), world.settled), before);
+    world.list = list;
+    world.run(3);
+    assert_eq!(active(&world, "a"), 4);
+}
+
+/// Guards against quarantine beyond the budget, and against acting on reports about an earlier
+/// state of the worker.
+#[test]
+fn quarantine_bounded() {
+    let mut world = world(&[("a", 4, 1, 4), ("spare", 0, 1, 0)]);
+    let applied = world.state.generation;
+    world.health = vec![
+        report(0, HealthVerdict::Quarantine, applied),
+        report(1, HealthVerdict::Quarantine, applied),
+    ];
+    let step = world.step();
+    assert_eq!(
+        world.state.instances[&name(0)].state,
+        InstanceState::Quarantined
+    );
+    assert!(world.state.instances[&name(1)].state.is_active());
+    assert!(
+        step.notes
+            .contains(&ControlNote::QuarantineDeferred(name(1)))
+    );
+    world.health = vec![report(0, HealthVerdict::Release, applied)];
+    world.step();
+    assert_eq!(
+        world.state.instances[&name(0)].state,
+        InstanceState::Quarantined,
+        "the report is from before the quarantine"
+    );
+    world.health = vec![report(0, HealthVerdict::Release, world.state.generation)];
+    world.step();
+    assert!(world.state.instances[&name(0)].state.is_active());
+    world.health = vec![report(0, HealthVerdict::Quarantine, applied)];
+    world.step();
+    assert!(
+        world.state.instances[&name(0)].state.is_active(),
+        "an old report"
+    );
+}
+
+/// Guards against a closed pool that keeps instances or is never removed.
+#[test]
+fn closed_pool_empties() {
+    let mut world = world(&[("a", 4, 2, 4), ("b", 3, 1, 3), ("spare", 1, 2, 1)]);
+    let a = PoolName::new("a");
+    world.write(vec![FleetChange::ClosePool { name: a.clone() }]);
+    world.run_until(60, |world| !world.state.pools.contains_key(&a));
+    // Where the instances go is the plan's choice; none is lost and the reserve is kept.
+    assert_eq!(active(&world, "b") + active(&world, "spare"), 8);
+    assert!(active(&world, "spare") >= 1);
+}
+
+/// Guards against snapshots and removals that come too late, too often or take too much.
+#[test]
+fn housekeeping_due() {
+    let mut world = world(&[("a", 2, 1, 2), ("spare", 0, 1, 0)]);
+    world.sessions[2].state = SessionState::Left;
+    world.run(60);
+    let cleanups: Vec<_> = (0..120)
+        .filter_map(|_| {
+            let step = world.step();
+            world.pass(1_000);
+            step.cleanup
+        })
+        .collect();
+    assert_eq!(cleanups.len(), 2);
+    assert_eq!(cleanups[0].sessions, [world.sessions[2].session]);
+    assert_eq!(cleanups[0].changes_below, Generation::ZERO);
+    world.log.snapshot = Generation(1_000);
+    world.state.generation = Generation(1_255);
+    assert!(!world.step().snapshot_due);
+    world.state.generation = Generation(1_256);
+    let step = world.step();
+    assert!(step.snapshot_due);
+    world.millis += 60_000;
+    assert_eq!(world.step().cleanup.unwrap().changes_below, Generation(488));
+}
+
+fn describe(world: &World, step: &ControlStep, log: &mut String) {
+    let time = world.day_time();
+    let clock = format!(
+        "{:02}:{:02}:{:02}",
+        time.second / 3_600,
+        time.second / 60 % 60,
+        time.second % 60
+    );
+    for change in &step.changes {
+        let line = match change {
+            FleetChange::PutPool { name, pool } => format!("pool {name} size {}", pool.size),
+            FleetChange::PutTeam { name, team } => format!("team {name} limit {}", team.limit),
+            FleetChange::SetInstanceState { name, state } => match state {
+                InstanceState::Moving { target } => format!("{name} moving to {target}"),
+                other => format!("{name} {}", other.label()),
+            },
+            FleetChange::AssignInstance { name, pool } => format!("{name} active in {pool}"),
+            FleetChange::StartWave { wave, members, .. } => {
+                format!("wave {wave} of {}", members.len())
+            }
+            FleetChange::AdvanceSheet { .. } => "rows applied".to_owned(),
+            _ => continue,
+        };
+        log.push_str(&format!("{clock} {line}\n"));
+    }
+}
+
+/// Guards against a sheet whose rows are not in force in time, and moves that differ from its
+/// plan: a morning from the check of the sheet until the sizes of 06:30 hold.
+#[test]
+fn morning_sheet() {
+    let text = include_str!("../../../examples/trust.csv");
+    let sheet = check_sheet(text.as_bytes()).unwrap();
+    let sizes = [
+        ("attendance", 8, 2, 8),
+        ("payroll", 8, 2, 8),
+        ("rotas", 16, 3, 16),
+        ("spare", 8, 4, 8),
+        ("swaps", 10, 2, 10),
+    ];
+    let mut world = world(&sizes);
+    world.start = DayTime::new(20_000, 6 * 3_600 + 25 * 60);
+    let policy = PlanPolicy::with_short_rollout();
+    let plan = plan_sheet(&world.state, &sheet, world.day_time(), &policy, true).unwrap();
+    let mut log = String::new();
+    for (title, entries) in [
+        ("added", &plan.diff.added),
+        ("changed", &plan.diff.changed),
+        ("removed", &plan.diff.removed),
+    ] {
+        let names: Vec<String> = entries.iter().map(ToString::to_string).collect();
+        log.push_str(&format!("{title}: {}\n", names.join(", ")));
+    }
+    log.push_str(&format!(
+        "moves {} row by row {} roll-out {:?} waves {:?}\n",
+        plan.day.moves.len(),
+        plan.row_by_row_moves,
+        plan.rollout(),
+        plan.waves.len()
+    ));
+    world.write(plan.changes);
+    for _ in 0..600 {
+        let step = world.step();
+        describe(&world, &step, &mut log);
+        world.pass(1_000);
+    }
+    let counts: Vec<usize> = sizes.iter().map(|size| active(&world, size.0)).collect();
+    assert_eq!(counts, [14, 8, 10, 8, 10]);
+    insta::assert_snapshot!(log);
+}
+
+/// Guards against an operator's change that the controller reverts before the next row is due.
+#[test]
+fn manual_change_stays() {
+    let text = include_str!("../../../examples/trust.csv");
+    let sheet = check_sheet(text.as_bytes()).unwrap();
+    let mut world = World::new(FleetState::default(), ControlPolicy::new(), 1);
+    world.start = DayTime::new(20_000, 9 * 3_600);
+    let policy = PlanPolicy::default();
+    let plan = plan_sheet(&world.state, &sheet, world.day_time(), &policy, false).unwrap();
+    world.write(plan.changes);
+    let attendance = PoolName::new("attendance");
+    put_pool(&mut world, "attendance", 12, 2);
+    world.run(3_500);
+    assert_eq!(world.state.pools[&attendance].size, 12);
+    world.run(200);
+    assert_eq!(world.state.pools[&attendance].size, 8, "the row of 10:00");
+}
--- a/crates/core/tests/support/fuzz.rs
+++ b/crates/core/tests/support/fuzz.rs
@@ -1,6 +1,7 @@
 //! Settings of the randomized tests.
 
-use proptest::test_runner::{Config, RngSeed};
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 
 /// Seed of CI runs; `SESAMEDEAL_FUZZ_SEED` replaces it.
 const DEFAULT_SEED: u64 = 20_261_204;
@@ -18,3 +19,20 @@
 fn variable<T: std::str::FromStr>(name: &str) -> Option<T> {
     std::env::var(name).ok()?.parse().ok()
 }
+
+/// Runs a state machine test with sequences of up to `length` transitions.
+pub fn run_machine<T: StateMachineTest>(cases: u32, length: usize)
+where
+    <T::Reference as ReferenceStateMachine>::State: 'static,
+    <T::Reference as ReferenceStateMachine>::Transition: 'static,
+{
+    let config = fuzz_config(cases);
+    let strategy = T::Reference::sequential_strategy(1..length);
+    let result = TestRunner::new(config.clone()).run(&strategy, |(state, transitions, seen)| {
+        T::test_sequential(config.clone(), state, transitions, seen);
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
