--- /dev/null
+++ b/crates/core/tests/support/fuzz.rs
@@ -0,0 +1,38 @@
+//! Settings of the randomized tests.
+
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+
+/// Seed of CI runs; `SESAMEDEAL_FUZZ_SEED` replaces it.
+const DEFAULT_SEED: u64 = 20_261_204;
+
+/// Configuration with a fixed seed. `SESAMEDEAL_FUZZ_CASES` replaces the number of cases.
+pub fn fuzz_config(cases: u32) -> Config {
+    Config {
+        cases: variable("SESAMEDEAL_FUZZ_CASES").unwrap_or(cases),
+        rng_seed: RngSeed::Fixed(variable("SESAMEDEAL_FUZZ_SEED").unwrap_or(DEFAULT_SEED)),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn variable<T: std::str::FromStr>(name: &str) -> Option<T> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+/// Runs a state machine test with sequences of up to `length` transitions.
+pub fn run_machine<T: StateMachineTest>(cases: u32, length: usize)
+where
+    <T::Reference as ReferenceStateMachine>::State: 'static,
+    <T::Reference as ReferenceStateMachine>::Transition: 'static,
+{
+    let config = fuzz_config(cases);
+    let strategy = T::Reference::sequential_strategy(1..length);
+    let result = TestRunner::new(config.clone()).run(&strategy, |(state, transitions, seen)| {
+        T::test_sequential(config.clone(), state, transitions, seen);
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
