Fuzz the ledger against a count of running units

Loans, allocations and settlements interact in ways that focused tests do not reach. A stateful fuzzer now drives several schedulers through lost, repeated and late messages, deaths, pauses, changes of the view, of limits and of workers, and lagging settlements. An oracle counts running tasks per team and slots per worker, checks each job's single result, and lets every case end with a recovery in which all units have to be usable again.

Faults found and corrected: a drain of a failed worker went unnoticed, the backlog of a silent peer counted forever, loans to a session outside the view were lost with the session (they are now void with the next generation), void units were kept behind a loan to a dead peer, a jump over generations voided lent units that the borrower could still use, and wait estimates used tasks that ran long ago.

--- a/crates/core/src/exchange/loan_message.rs
+++ b/crates/core/src/exchange/loan_message.rs
@@ -22,6 +22,10 @@
     pub units: u32,
     /// Generation under which the lender made the loan.
     pub made_at: Generation,
+    /// Whether the loan is void with the next generation. Loans to a session outside the view
+    /// are, because no change of the view tells the lender that such a session is gone.
+    #[serde(default)]
+    pub brief: bool,
 }
 
 /// What a borrower holds of one lender's loans.
--- a/crates/core/src/ledger/loan_book.rs
+++ b/crates/core/src/ledger/loan_book.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use super::{PeerBook, ResourceKey};
+use super::{LoanRecord, PeerBook, ResourceKey};
 use crate::ids::{Generation, SessionId};
 
 /// Loans to and from all peers.
@@ -16,27 +16,46 @@
         self.peers.entry(peer).or_default()
     }
 
-    /// Voids the loans made before `generation`, on one resource or on all. Returns the borrowed
-    /// units that became void.
-    pub(crate) fn void(
+    /// Voids the lent loans that `select` picks and that were made before `generation`.
+    ///
+    /// The lender must not take a loan for void that the borrower may still use. It therefore
+    /// counts as void from `generation` on, even if an earlier generation was left out.
+    pub(crate) fn void_lent(
         &mut self,
-        resource: Option<ResourceKey>,
         generation: Generation,
-    ) -> Vec<(ResourceKey, u32)> {
-        let mut voided = Vec::new();
-        for book in self.peers.values_mut() {
-            for loan in book.lent.values_mut() {
-                if resource.is_none_or(|key| key == loan.resource) {
-                    loan.void(generation);
-                }
-            }
-            for loan in book.open.values_mut() {
-                if resource.is_none_or(|key| key == loan.resource) && loan.void(generation) {
-                    voided.push((loan.resource, loan.units));
-                }
-            }
+        select: impl Fn(&LoanRecord) -> bool,
+    ) {
+        let lent = self
+            .peers
+            .values_mut()
+            .flat_map(|book| book.lent.values_mut());
+        for loan in lent.filter(|loan| select(loan)) {
+            let first = if loan.brief {
+                Generation::ZERO
+            } else {
+                generation
+            };
+            loan.void(first, generation);
         }
-        voided
+    }
+
+    /// Voids the borrowed loans that `select` picks and that were made before `generation`, from
+    /// `first` on. Returns the units that became void.
+    pub(crate) fn void_open(
+        &mut self,
+        first: Generation,
+        generation: Generation,
+        select: impl Fn(&LoanRecord) -> bool,
+    ) -> Vec<(ResourceKey, u32)> {
+        self.peers
+            .values_mut()
+            .flat_map(|book| book.open.values_mut())
+            .filter(|loan| select(loan))
+            .filter_map(|loan| {
+                let voided = loan.void(first, generation);
+                voided.then_some((loan.resource, loan.units))
+            })
+            .collect()
     }
 
     /// Gives back up to `units` borrowed units, void ones first. Returns the units given back and
--- a/crates/core/src/ledger/loan_record.rs
+++ b/crates/core/src/ledger/loan_record.rs
@@ -19,16 +19,19 @@
     pub(crate) units: u32,
     /// Generation under which the lender made the loan.
     pub(crate) made_at: Generation,
+    /// Whether the loan is void with the next generation, whatever it changes.
+    pub(crate) brief: bool,
     /// First later generation that lowers the resource or changes the view.
     pub(crate) void_at: Option<Generation>,
 }
 
 impl LoanRecord {
-    /// Marks the loan as void if it was made before `generation`. Returns whether it became void.
-    pub(crate) fn void(&mut self, generation: Generation) -> bool {
+    /// Marks the loan as void from `first` on, or from the generation after its own if that is
+    /// later, unless it was made under `generation` or a newer one. Returns whether it became void.
+    pub(crate) fn void(&mut self, first: Generation, generation: Generation) -> bool {
         let voided = self.void_at.is_none() && self.made_at < generation;
         if voided {
-            self.void_at = Some(generation);
+            self.void_at = Some(first.max(self.made_at.next()));
         }
         voided
     }
--- a/crates/core/src/placement/worker_record.rs
+++ b/crates/core/src/placement/worker_record.rs
@@ -32,6 +32,8 @@
     pub(crate) active: bool,
     /// Whether the fleet state has the worker quarantined.
     pub(crate) quarantined: bool,
+    /// Whether the fleet state takes the worker out of service by plan.
+    pub(crate) stopping: bool,
     /// Whether the worker is no longer in the fleet state.
     pub(crate) removed: bool,
     /// Point at which the worker was last said to be leaving.
--- a/crates/core/src/queue/service_meter.rs
+++ b/crates/core/src/queue/service_meter.rs
@@ -8,6 +8,9 @@
 /// Dispatches that the meter has to see before it is trusted.
 const MIN_DISPATCHES: f64 = 8.0;
 
+/// Time without a backlog after which earlier observations say nothing about the next one.
+const FORGET_AFTER: Duration = Duration::from_secs(5);
+
 /// Rate at which a backlogged queue is served.
 ///
 /// Only time with a backlog counts. Otherwise a queue with few jobs would seem to be slow.
@@ -21,6 +24,9 @@
 impl ServiceMeter {
     /// Takes note that the queue has become backlogged.
     pub(crate) fn start_backlog(&mut self, now: TimePoint) {
+        if now.since(self.since) > FORGET_AFTER {
+            *self = Self::default();
+        }
         self.since = now;
     }
 
--- a/crates/core/src/scheduler/admission.rs
+++ b/crates/core/src/scheduler/admission.rs
@@ -213,18 +213,38 @@
     }
 
     /// Wait of a job with `ahead` jobs up to and including itself, from the observed service rate
-    /// or, before it is known, from the corrected run time and the slots held.
+    /// or, before it is known, from the corrected run time and the team's share of the pool.
     fn estimate_wait(&self, index: FlowIndex, ahead: usize, now: TimePoint) -> Duration {
         let flow = &self.flows[index.at()];
         if let Some(wait) = flow.service.estimate(ahead, now) {
             return wait;
         }
-        let first = flow.first().and_then(|key| self.jobs.get(key));
-        let (Some(job), true) = (first, flow.held > 0) else {
+        let Some(job) = flow.first().and_then(|key| self.jobs.get(key)) else {
             return Duration::ZERO;
         };
-        let run = self.fleet.teams[flow.team.at()].correction.expect(job.run);
-        let rounds = ahead / flow.held as usize;
-        run.saturating_mul(u32::try_from(rounds).unwrap_or(u32::MAX))
+        let team = &self.fleet.teams[flow.team.at()];
+        let slots = self.shared_slots(index).clamp(1.0, f64::from(team.limit));
+        #[expect(clippy::cast_precision_loss, reason = "queues are short")]
+        let rounds = (ahead as f64 / slots).floor();
+        let wait = team.correction.expect(job.run).as_secs_f64() * rounds;
+        Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX)
+    }
+
+    /// Slots of the pool that are due to the team while the teams backlogged now are.
+    fn shared_slots(&self, index: FlowIndex) -> f64 {
+        let flow = &self.flows[index.at()];
+        let pool = &self.fleet.pools[flow.pool.at()];
+        let weight = |flow: FlowIndex| {
+            let team = self.flows[flow.at()].team;
+            self.fleet.teams[team.at()].weight
+        };
+        let others: f64 = pool
+            .flows
+            .iter()
+            .flatten()
+            .filter(|other| **other != index && self.flows[other.at()].is_backlogged())
+            .map(|other| weight(*other))
+            .sum();
+        f64::from(pool.slots) * weight(index) / (weight(index) + others)
     }
 }
--- a/crates/core/src/scheduler/borrowing.rs
+++ b/crates/core/src/scheduler/borrowing.rs
@@ -29,6 +29,7 @@
                 resource,
                 units: offer.units,
                 made_at: offer.made_at,
+                brief: offer.brief,
                 void_at: None,
             };
             let book = self.book.peer(message.from);
@@ -37,6 +38,7 @@
             account.borrowed += offer.units;
             account.restart_idle();
             self.ask_pause = 0;
+            self.ask_wait = 0;
             self.start_idling(now);
             self.refresh(resource, now);
         }
@@ -49,14 +51,21 @@
             LentResource::Slots(name) => ResourceKey::Worker(*self.fleet.worker_names.get(name)?),
         };
         let lowered = self.account(resource).lowered();
-        let oldest = self.fleet.view_changed.max(lowered);
+        let mut oldest = self.fleet.view_changed.max(lowered);
+        if offer.brief {
+            oldest = oldest.max(self.fleet.generation());
+        }
         (offer.made_at >= oldest).then_some(resource)
     }
 
-    /// Gives back void units as far as they are not in use.
+    /// Gives back void units as far as no attempt may be using them.
+    ///
+    /// Units that are lent were never borrowed ones. A loan to a dead peer must not hold back void
+    /// units, because then the generation that takes that loan back would never settle.
     pub(super) fn give_back_void(&mut self, resource: ResourceKey) {
         let account = self.account(resource);
-        let units = account.void.min(account.free());
+        let unused = account.void.saturating_sub(account.in_use);
+        let units = account.void.min(account.free().max(unused));
         if units > 0 {
             self.give_back(resource, units);
         }
--- a/crates/core/src/scheduler/exchanging.rs
+++ b/crates/core/src/scheduler/exchanging.rs
@@ -11,6 +11,9 @@
 /// Time after which a silent origin is taken to have neither backlog nor running work.
 const SILENT_AFTER: Duration = Duration::from_secs(3);
 
+/// Time after which the usage of the peers is added up again.
+const RENEW_USAGE: Duration = Duration::from_secs(1);
+
 /// Most entries of a summary; the flows with the most usage go first.
 const MAX_SUMMARY: usize = 300;
 
@@ -183,8 +186,17 @@
         Some(self.flow(pool, team))
     }
 
+    /// Adds up the usage of the peers again when the last time is long ago. Without news, a silent
+    /// peer's backlog would otherwise count forever.
+    pub(super) fn renew_usage(&mut self, now: TimePoint) {
+        if now.since(self.usage_at) >= RENEW_USAGE {
+            self.add_up_usage(now);
+        }
+    }
+
     /// Adds up the usage of the peers, brought forward to `now`.
     fn add_up_usage(&mut self, now: TimePoint) {
+        self.usage_at = now;
         let mut before = Vec::new();
         for flow in &mut self.flows {
             before.push(flow.is_backlogged());
--- a/crates/core/src/scheduler/fleet_update.rs
+++ b/crates/core/src/scheduler/fleet_update.rs
@@ -4,7 +4,7 @@
 use crate::code::ResultCode;
 use crate::fleet::{FleetState, OPEN_TEAM, TeamRecord};
 use crate::ids::{Generation, SessionId, TeamName};
-use crate::ledger::{ResourceKey, permit_allocation};
+use crate::ledger::{LoanRecord, ResourceKey, permit_allocation};
 use crate::time::TimePoint;
 
 /// Limit of the team `open` when it is not configured; more than any fleet has slots.
@@ -30,11 +30,15 @@
         let generation = scope.generation;
         self.fleet.applied = Some(generation);
         self.vacate_workers();
+        let view_changed = state.view != self.fleet.view;
+        self.book
+            .void_lent(generation, |loan| loan.brief || view_changed);
         if scope.all {
             self.fleet.view_changed = generation;
             self.fleet.view = state.view.clone();
-            self.void_loans(None, generation);
         }
+        let all = scope.all;
+        self.void_borrowed(&scope, |loan| loan.brief || all);
         self.update_teams(state, &scope);
         for (name, record) in &state.pools {
             let pool = self.fleet.pool(name);
@@ -102,7 +106,9 @@
             self.pending.insert(resource);
         }
         if lowered {
-            self.void_loans(Some(resource), scope.generation);
+            let select = |loan: &LoanRecord| loan.resource == resource;
+            self.book.void_lent(scope.generation, select);
+            self.void_borrowed(scope, select);
         }
     }
 
@@ -128,8 +134,9 @@
         }
     }
 
-    fn void_loans(&mut self, resource: Option<ResourceKey>, generation: Generation) {
-        for (resource, units) in self.book.void(resource, generation) {
+    fn void_borrowed(&mut self, scope: &UpdateScope, select: impl Fn(&LoanRecord) -> bool) {
+        let first = scope.skipped.unwrap_or(scope.generation);
+        for (resource, units) in self.book.void_open(first, scope.generation, select) {
             self.account_mut(resource).void += units;
             self.give_back_void(resource);
         }
--- a/crates/core/src/scheduler/job_scheduler.rs
+++ b/crates/core/src/scheduler/job_scheduler.rs
@@ -43,6 +43,8 @@
     pub(super) pending: BTreeSet<ResourceKey>,
     pub(super) heard: HeardTable,
     pub(super) usage: UsageTable,
+    /// Point at which the usage of the peers was last added up.
+    pub(super) usage_at: TimePoint,
     pub(super) summary_version: u64,
     pub(super) summary_at: Option<TimePoint>,
     pub(super) retry: RetryBudget,
@@ -83,6 +85,7 @@
             pending: BTreeSet::new(),
             heard: HeardTable::default(),
             usage: UsageTable::default(),
+            usage_at: TimePoint::ORIGIN,
             summary_version: 0,
             summary_at: None,
             retry: RetryBudget::new(),
--- a/crates/core/src/scheduler/lending.rs
+++ b/crates/core/src/scheduler/lending.rs
@@ -202,6 +202,7 @@
 
     fn lend(&mut self, resource: ResourceKey, units: u32, peer: SessionId) -> bool {
         let made_at = self.fleet.generation();
+        let brief = !self.fleet.view.contains(peer);
         let book = self.book.peer(peer);
         if book.lent.len() >= MAX_LOANS || units == 0 {
             return false;
@@ -210,6 +211,7 @@
             resource,
             units,
             made_at,
+            brief,
             void_at: None,
         });
         let account = self.account_mut(resource);
@@ -239,6 +241,7 @@
                 },
                 units: loan.units,
                 made_at: loan.made_at,
+                brief: loan.brief,
             })
             .collect()
     }
--- a/crates/core/src/scheduler/timing.rs
+++ b/crates/core/src/scheduler/timing.rs
@@ -30,6 +30,7 @@
                 }
                 TimerEvent::Revise => {
                     self.revising = false;
+                    self.renew_usage(now);
                     self.revise(now);
                     self.ask_peers();
                     if !self.wanted.is_empty()
--- a/crates/core/src/scheduler/worker_update.rs
+++ b/crates/core/src/scheduler/worker_update.rs
@@ -98,6 +98,7 @@
             boot: record.boot,
             active: false,
             quarantined: false,
+            stopping: false,
             removed: false,
             leaving: None,
             promised: None,
@@ -134,9 +135,14 @@
         let known = &self.fleet.workers[worker.at()];
         let same_pool = self.fleet.pools[known.pool.at()].name == record.pool;
         let active = record.state.is_active();
+        let stops = matches!(
+            record.state,
+            InstanceState::Draining | InstanceState::Rebooting | InstanceState::Moving { .. }
+        );
         let changed = new
             || !same_pool
             || known.active != active
+            || known.stopping != stops
             || known.quarantined != (record.state == InstanceState::Quarantined)
             || known.boot != record.boot
             || (known.cores, known.memory_mb, known.slots)
@@ -145,10 +151,6 @@
         if !changed && !scope.all {
             return;
         }
-        let stops = matches!(
-            record.state,
-            InstanceState::Draining | InstanceState::Rebooting | InstanceState::Moving { .. }
-        );
         if stops || !same_pool || scope.skipped.is_some() {
             self.mark_against(worker, scope);
         }
@@ -157,6 +159,7 @@
                 self.change_pool(worker, record, scope);
             }
             self.describe_worker(worker, record, now);
+            self.fleet.workers[worker.at()].stopping = stops;
             scope.pools.insert(self.fleet.workers[worker.at()].pool);
         }
         self.allocate_worker(worker, new, scope);
@@ -168,15 +171,15 @@
     fn describe_worker(&mut self, worker: WorkerIndex, record: &InstanceRecord, now: TimePoint) {
         let known = &mut self.fleet.workers[worker.at()];
         let active = record.state.is_active();
+        // A rebooted worker starts with a clean record; otherwise a released one is on trial.
         if known.boot != record.boot {
             known.health = WorkerHealth::default();
+        } else if known.quarantined && active {
+            known.health.try_now(now);
         }
         if known.boot != record.boot || active && !known.active {
             known.leaving = None;
         }
-        if known.quarantined && active {
-            known.health.try_now(now);
-        }
         known.quarantined = record.state == InstanceState::Quarantined;
         known.active = active;
         known.boot = record.boot;
--- /dev/null
+++ b/crates/core/tests/ledger_regressions.rs
@@ -0,0 +1,108 @@
+//! Failures that the fuzzing of the ledger found.
+
+mod support;
+
+use std::time::Duration;
+
+use sesamedeal_core::fleet::{FleetChange, InstanceState, SessionView};
+use sesamedeal_core::ids::SessionId;
+use support::world::{World, worker_name};
+use support::{fleet, job};
+
+fn world() -> World {
+    let teams = [("one", 3, 10), ("two", 2, 14), ("three", 1, 5)];
+    World::new(fleet(3, &teams, 3))
+}
+
+fn submit(world: &mut World, node: usize, team: &str, cores: u32) {
+    let mut spec = job(team, world.now);
+    spec.cores = cores;
+    spec.idempotent = false;
+    world.submit(node, spec);
+}
+
+fn set_state(world: &mut World, worker: usize, state: InstanceState) {
+    let name = worker_name(worker);
+    world.change(FleetChange::SetInstanceState { name, state });
+}
+
+fn set_view(world: &mut World, sessions: &[u64]) {
+    let view = SessionView::new(sessions.iter().copied().map(SessionId).collect());
+    world.change(FleetChange::SetView { view });
+}
+
+/// Guards against a settled drain of a failed worker while its task still runs. Both states take
+/// no work, so that the change between them went unnoticed.
+#[test]
+fn failed_then_draining() {
+    let mut world = world();
+    for _ in 0..9 {
+        submit(&mut world, 0, "one", 4);
+    }
+    for worker in 0..3 {
+        set_state(&mut world, worker, InstanceState::Failed);
+        set_state(&mut world, worker, InstanceState::Draining);
+    }
+    world.apply_all();
+    world.settle();
+    assert!(world.settled < world.newest());
+    world.recover();
+}
+
+/// Guards against the backlog of a dead peer counting as demand forever, which left the rest of the
+/// pool unused.
+#[test]
+fn silent_backlog() {
+    let mut world = world();
+    for _ in 0..6 {
+        submit(&mut world, 2, "one", 1);
+    }
+    world.exchange(0, 2, true, true);
+    world.kill(2);
+    world.recover();
+}
+
+/// Guards against a loan to a session outside the view that is lost with the session.
+#[test]
+fn outside_borrower() {
+    let mut world = world();
+    set_view(&mut world, &[2]);
+    world.apply_all();
+    submit(&mut world, 0, "one", 1);
+    world.exchange(0, 1, true, false);
+    world.kill(2);
+    world.kill(0);
+    world.recover();
+}
+
+/// Guards against a settlement that waits for ever: void borrowed units were kept as long as the
+/// borrower had a loan of its own to a dead peer.
+#[test]
+fn void_behind_loan() {
+    let mut world = world();
+    submit(&mut world, 2, "one", 25);
+    world.exchange(2, 1, true, false);
+    world.advance(Duration::from_millis(100));
+    set_view(&mut world, &[1, 3]);
+    world.apply_all();
+    submit(&mut world, 1, "one", 17);
+    world.exchange(0, 2, true, true);
+    world.exchange(1, 0, true, true);
+    set_view(&mut world, &[3]);
+    world.kill(1);
+    world.recover();
+}
+
+/// Guards against rejections by a wait estimate from tasks that ran long ago.
+#[test]
+fn stale_estimate() {
+    let mut world = world();
+    world.kill(0);
+    for _ in 0..4 {
+        submit(&mut world, 2, "two", 1);
+    }
+    world.advance(Duration::from_millis(1_500));
+    submit(&mut world, 2, "two", 17);
+    world.advance(Duration::from_millis(16_500));
+    world.recover();
+}
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod simulation;
+pub mod world;
 
 use std::time::Duration;
 
