--- a/crates/core/src/exchange/loan_message.rs
+++ b/crates/core/src/exchange/loan_message.rs
@@ -31,8 +31,6 @@
 /// What a borrower holds of one lender's loans.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoanReport {
-    /// Number of the report; the lender ignores a lower one than it has seen.
-    pub number: u64,
     /// Highest loan number that was received or given up on.
     pub closed: u64,
     /// Numbers of the loans still held, with the units held.
--- a/crates/core/src/exchange/usage_table.rs
+++ b/crates/core/src/exchange/usage_table.rs
@@ -9,6 +9,9 @@
 /// Most entries in one message; with the other parts of a message, this stays below 64 KB.
 const MAX_ENTRIES: usize = 1_500;
 
+/// Most peers of which the known versions are kept.
+const MAX_KNOWN: usize = 2_000;
+
 /// Time after which a silent origin's usage is forgotten. By then it has decayed to 1.6%.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
@@ -65,9 +68,12 @@
         self.origins
             .retain(|_, usage| usage.made.age(now) < FORGET_AFTER);
         let origins = &self.origins;
-        self.known
-            .retain(|session, _| origins.contains_key(session));
+        if self.known.len() > MAX_KNOWN {
+            // Forgetting what a peer has costs one repetition.
+            self.known.clear();
+        }
         let known = self.known.entry(peer).or_default();
+        known.retain(|origin, _| origins.contains_key(origin));
         let mut left = MAX_ENTRIES;
         let mut summaries = Vec::new();
         for (origin, usage) in &self.origins {
--- a/crates/core/src/ledger/peer_book.rs
+++ b/crates/core/src/ledger/peer_book.rs
@@ -16,8 +16,6 @@
     /// Highest sequence number that the peer has closed.
     pub(crate) peer_closed: u64,
     last_sequence: u64,
-    report_seen: u64,
-    report_number: u64,
 }
 
 impl PeerBook {
@@ -37,11 +35,7 @@
 
     /// Applies a report of the peer. Returns the units that came back.
     pub(crate) fn settle_report(&mut self, report: &LoanReport) -> Vec<(ResourceKey, u32)> {
-        // A delayed report could list a loan as open whose return was reported since.
-        if report.number <= self.report_seen {
-            return Vec::new();
-        }
-        self.report_seen = report.number;
+        // A loan is only ever given back, so that a delayed report changes nothing.
         self.peer_closed = self.peer_closed.max(report.closed);
         let held: BTreeMap<u64, u32> = report.open.iter().copied().collect();
         let mut returned = Vec::new();
@@ -57,10 +51,8 @@
     }
 
     /// Builds the report to the peer.
-    pub(crate) fn report(&mut self) -> LoanReport {
-        self.report_number += 1;
+    pub(crate) fn report(&self) -> LoanReport {
         LoanReport {
-            number: self.report_number,
             closed: self.closed,
             open: self
                 .open
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -1,7 +1,9 @@
 //! Choice of workers: free slots, recent failures, quarantine and leaving workers.
 
+mod placement_state;
 mod worker_health;
 mod worker_record;
 
+pub(crate) use placement_state::PlacementState;
 pub(crate) use worker_health::WorkerHealth;
 pub(crate) use worker_record::{Placing, WorkerRecord, slots_for};
--- a/crates/core/src/placement/worker_health.rs
+++ b/crates/core/src/placement/worker_health.rs
@@ -70,6 +70,10 @@
     pub(crate) fn absolve(&mut self, job: JobKey) -> bool {
         let before = self.blamed.len();
         self.blamed.retain(|blamed| *blamed != job);
+        if self.failures != 0 {
+            self.failures &= self.failures - 1;
+            self.tasks -= 1;
+        }
         let ends = self.quarantined && self.blamed.len() < before;
         if ends {
             *self = Self::default();
--- a/crates/core/src/placement/worker_record.rs
+++ b/crates/core/src/placement/worker_record.rs
@@ -1,10 +1,10 @@
 use compact_str::CompactString;
 
-use super::WorkerHealth;
+use super::{PlacementState, WorkerHealth};
 use crate::exchange::AgedPoint;
 use crate::ids::{InstanceName, SessionId};
 use crate::ledger::{UnitAccount, UnitSeed};
-use crate::scheduler::{AttemptKey, PoolIndex};
+use crate::scheduler::PoolIndex;
 use crate::time::TimePoint;
 
 /// Size of a job.
@@ -44,7 +44,6 @@
     pub(crate) owners: [Option<SessionId>; 2],
     pub(crate) account: UnitAccount,
     pub(crate) health: WorkerHealth,
-    pub(crate) attempts: Vec<AttemptKey>,
     /// Position in the pool's list of workers with free slots.
     pub(crate) position: u32,
 }
@@ -58,16 +57,25 @@
     /// Whether a job may be placed here by its state, regardless of free slots.
     pub(crate) fn takes_work(&self, now: TimePoint) -> bool {
         let on_trial = self.health.quarantined
-            && (!self.attempts.is_empty() || self.health.trial_at.is_none_or(|at| at > now));
+            && (self.account.in_use > 0 || self.health.trial_at.is_none_or(|at| at > now));
         let promised = self.promised.is_some_and(|until| until > now);
         self.active && !self.removed && self.leaving.is_none() && !on_trial && !promised
     }
 
-    /// Attractiveness of the worker for the next job.
-    pub(crate) fn score(&self) -> f32 {
-        #[expect(clippy::cast_precision_loss, reason = "few slots")]
-        let free = self.account.startable() as f32;
-        free * self.health.factor()
+    /// What the choice of a worker looks at, as of `now`.
+    pub(crate) fn placement(&self, now: TimePoint) -> PlacementState {
+        PlacementState {
+            cores: self.cores,
+            memory_mb: self.memory_mb,
+            slots: self.slots,
+            startable: if self.takes_work(now) {
+                self.account.startable()
+            } else {
+                0
+            },
+            factor: self.health.factor(),
+            on_trial: self.health.quarantined,
+        }
     }
 }
 
--- a/crates/core/src/scheduler/admission.rs
+++ b/crates/core/src/scheduler/admission.rs
@@ -36,19 +36,22 @@
             .filter(|pool| self.fleet.pools[pool.at()].fits(placing))
             .ok_or_else(|| JobRefusal::new(ResultCode::NeverFits))?;
         let team = self.fleet.team(&spec.team);
-        if let Some(key) = &spec.key {
-            if !self.keyed_allowed {
+        let id = match &spec.key {
+            Some(_) if !self.keyed_allowed => {
                 return Err(JobRefusal::new(ResultCode::StaleState).with_retry_after(RETRY_AFTER.0));
             }
-            if !self.fleet.is_key_valid(key, team) {
-                return Err(JobRefusal::new(ResultCode::WithdrawnKey));
+            Some(id) => {
+                let index = self.fleet.keys.get(id).copied();
+                let valid = index.filter(|index| self.fleet.is_key_valid(*index, team));
+                Some(valid.ok_or_else(|| JobRefusal::new(ResultCode::WithdrawnKey))?)
             }
-        }
+            None => None,
+        };
         let flow = self.flow(pool, team);
         self.check_wait(flow, spec.deadline, now)?;
         let key = self.jobs.insert(JobRecord {
             flow,
-            key: spec.key,
+            key: id,
             placing,
             run: spec.run,
             urgent: spec.urgent,
--- a/crates/core/src/scheduler/dispatching.rs
+++ b/crates/core/src/scheduler/dispatching.rs
@@ -62,7 +62,7 @@
         {
             return None;
         }
-        let Some((worker, slots)) = self.pick_worker(pool, index, key, now) else {
+        let Some((worker, slots)) = self.pick_worker(pool, index, key) else {
             self.block(index, FlowBlock::Slots);
             self.reserve(pool, index, key, now);
             return None;
@@ -76,7 +76,7 @@
         if job.deadline <= now {
             return Some(ResultCode::DeadlinePassed);
         }
-        let id = job.key.as_ref()?;
+        let id = job.key?;
         if !self.keyed_allowed {
             return Some(ResultCode::StaleState);
         }
@@ -100,12 +100,11 @@
         pool: PoolIndex,
         flow: FlowIndex,
         key: JobKey,
-        now: TimePoint,
     ) -> Option<(WorkerIndex, u32)> {
         let entry = &self.fleet.pools[pool.at()];
         if let Some((worker, holder)) = entry.reserved
             && holder == flow
-            && let Some((slots, _)) = self.suitability(worker, key, now)
+            && let Some((slots, _)) = self.suitability(worker, key)
         {
             self.fleet.pools[pool.at()].reserved = None;
             return Some((worker, slots));
@@ -113,11 +112,11 @@
         let mut best = None;
         for _ in 0..DRAWS.min(entry.ready.len()) {
             let worker = entry.ready[self.rng.random_range(0..entry.ready.len())];
-            best = self.better(best, worker, key, now);
+            best = self.better(best, worker, key);
         }
         if best.is_none() {
             for worker in &self.fleet.pools[pool.at()].ready {
-                best = self.better(best, *worker, key, now);
+                best = self.better(best, *worker, key);
             }
         }
         best.map(|(worker, slots, _)| (worker, slots))
@@ -128,9 +127,8 @@
         best: Option<(WorkerIndex, u32, f32)>,
         worker: WorkerIndex,
         key: JobKey,
-        now: TimePoint,
     ) -> Option<(WorkerIndex, u32, f32)> {
-        let Some((slots, score)) = self.suitability(worker, key, now) else {
+        let Some((slots, score)) = self.suitability(worker, key) else {
             return best;
         };
         match best {
@@ -140,15 +138,14 @@
     }
 
     /// Slots that the job takes on the worker and the worker's score, if the job can start there.
-    fn suitability(&self, worker: WorkerIndex, key: JobKey, now: TimePoint) -> Option<(u32, f32)> {
+    fn suitability(&self, worker: WorkerIndex, key: JobKey) -> Option<(u32, f32)> {
         let job = &self.jobs[key];
-        let record = &self.fleet.workers[worker.at()];
-        let slots = record.slots_for(job.placing)?;
-        let suitable = slots <= record.account.startable()
-            && record.takes_work(now)
-            && (!record.health.quarantined || job.placing.idempotent)
+        let state = &self.fleet.placement[worker.at()];
+        let slots = state.slots_for(job.placing)?;
+        let suitable = slots <= state.startable
+            && (!state.on_trial || job.placing.idempotent)
             && !job.tried.contains(&worker);
-        suitable.then(|| (slots, record.score()))
+        suitable.then(|| (slots, state.score()))
     }
 
     /// Keeps the worker with the most free slots for a job that needs more than any has free.
@@ -197,8 +194,6 @@
         self.fleet.teams[team.at()].account.take(1);
         let record = &mut self.fleet.workers[worker.at()];
         record.account.take(slots);
-        let job = &mut self.jobs[key];
-        job.tried.push(worker);
         let attempt = self.attempts.insert(AttemptRecord {
             job: key,
             worker,
@@ -207,13 +202,12 @@
             flow: index,
             slots,
             started: now,
-            idempotent: job.placing.idempotent,
+            idempotent: self.jobs[key].placing.idempotent,
             holds: true,
             finished: false,
             stopping: false,
             against: None,
         });
-        record.attempts.push(attempt);
         let order = DispatchOrder {
             job: key,
             attempt,
--- a/crates/core/src/scheduler/exchanging.rs
+++ b/crates/core/src/scheduler/exchanging.rs
@@ -146,7 +146,8 @@
             .usage
             .origins
             .get(&self.session)
-            .is_some_and(|own| own.entries.is_empty() && entries.is_empty());
+            .is_none_or(|own| own.entries.is_empty())
+            && entries.is_empty();
         if unchanged {
             return;
         }
--- a/crates/core/src/scheduler/fleet_index.rs
+++ b/crates/core/src/scheduler/fleet_index.rs
@@ -2,11 +2,11 @@
 
 use super::pool_entry::PoolEntry;
 use super::team_entry::TeamEntry;
-use super::{PoolIndex, TeamIndex, WorkerIndex};
+use super::{KeyIndex, PoolIndex, TeamIndex, WorkerIndex};
 use crate::exchange::name_hash;
 use crate::fleet::SessionView;
 use crate::ids::{Generation, InstanceName, KeyId, PoolName, TeamName};
-use crate::placement::WorkerRecord;
+use crate::placement::{PlacementState, WorkerRecord};
 
 /// Arenas of the applied fleet state, with the names that lead into them.
 #[derive(Debug, Default)]
@@ -19,6 +19,8 @@
     pub(crate) teams: Vec<TeamEntry>,
     pub(crate) pools: Vec<PoolEntry>,
     pub(crate) workers: Vec<WorkerRecord>,
+    /// What the choice of a worker looks at, by worker.
+    pub(crate) placement: Vec<PlacementState>,
     /// Workers of the fleet state in the order of their names.
     pub(crate) order: Vec<WorkerIndex>,
     /// Workers that are no longer in the fleet state.
@@ -30,8 +32,10 @@
     pub(crate) worker_names: HashMap<InstanceName, WorkerIndex>,
     pub(crate) team_hashes: HashMap<u32, TeamIndex>,
     pub(crate) pool_hashes: HashMap<u32, PoolIndex>,
-    /// Valid keys with their teams.
-    pub(crate) keys: HashMap<KeyId, TeamIndex>,
+    /// Valid keys.
+    pub(crate) keys: HashMap<KeyId, KeyIndex>,
+    /// Teams of the valid keys.
+    pub(crate) key_teams: Vec<Option<TeamIndex>>,
 }
 
 impl FleetIndex {
@@ -71,7 +75,7 @@
     }
 
     /// Whether a key is granted to the team and not withdrawn.
-    pub(crate) fn is_key_valid(&self, key: &KeyId, team: TeamIndex) -> bool {
-        self.keys.get(key) == Some(&team)
+    pub(crate) fn is_key_valid(&self, key: KeyIndex, team: TeamIndex) -> bool {
+        self.key_teams[key.at()] == Some(team)
     }
 }
--- a/crates/core/src/scheduler/fleet_update.rs
+++ b/crates/core/src/scheduler/fleet_update.rs
@@ -1,9 +1,9 @@
 use std::collections::BTreeSet;
 
-use super::{JobScheduler, PoolIndex, TeamIndex};
+use super::{JobScheduler, KeyIndex, PoolIndex, TeamIndex, WorkerIndex};
 use crate::code::ResultCode;
 use crate::fleet::{FleetState, OPEN_TEAM, TeamRecord};
-use crate::ids::{Generation, SessionId, TeamName};
+use crate::ids::{Generation, KeyId, SessionId, TeamName};
 use crate::ledger::{LoanRecord, ResourceKey, permit_allocation};
 use crate::time::TimePoint;
 
@@ -20,6 +20,8 @@
     pub(super) all: bool,
     pub(super) joined: Vec<SessionId>,
     pub(super) left: Vec<SessionId>,
+    /// Workers whose running attempts contradict the generation.
+    pub(super) against: BTreeSet<WorkerIndex>,
     /// Pools whose workers changed.
     pub(super) pools: BTreeSet<PoolIndex>,
 }
@@ -45,6 +47,7 @@
             self.fleet.pools[pool.at()].max_unavailable = record.max_unavailable;
         }
         self.update_workers(state, &mut scope, now);
+        self.mark_against(&scope);
         for pool in std::mem::take(&mut scope.pools) {
             self.update_pool(pool);
         }
@@ -130,6 +133,7 @@
             all: skipped.is_some() || state.view != self.fleet.view,
             joined: missing(&state.view.sessions, &self.fleet.view),
             left: missing(&self.fleet.view.sessions, &state.view),
+            against: BTreeSet::new(),
             pools: BTreeSet::new(),
         }
     }
@@ -171,18 +175,25 @@
         let mut withdrawn = false;
         for (id, record) in &state.keys {
             if record.withdrawn {
-                withdrawn |= self.fleet.keys.remove(id).is_some();
+                withdrawn |= self.drop_key(id);
                 continue;
             }
             valid += 1;
             let team = self.fleet.team(&record.team);
-            if self.fleet.keys.get(id) != Some(&team) {
-                withdrawn |= self.fleet.keys.insert(id.clone(), team).is_some();
+            if let Some(key) = self.fleet.keys.get(id) {
+                let known = self.fleet.key_teams[key.at()].replace(team);
+                withdrawn |= known != Some(team);
+            } else {
+                let key = KeyIndex::with_position(self.fleet.key_teams.len());
+                self.fleet.key_teams.push(Some(team));
+                self.fleet.keys.insert(id.clone(), key);
             }
         }
         if self.fleet.keys.len() != valid {
-            self.fleet.keys.retain(|id, _| state.keys.contains_key(id));
-            withdrawn = true;
+            let known: Vec<KeyId> = self.fleet.keys.keys().cloned().collect();
+            for id in known.iter().filter(|id| !state.keys.contains_key(*id)) {
+                withdrawn |= self.drop_key(id);
+            }
         }
         if withdrawn {
             let invalid: Vec<_> = self
@@ -191,7 +202,7 @@
                 .filter(|(_, job)| job.queued)
                 .filter(|(_, job)| {
                     let team = self.flows[job.flow.at()].team;
-                    let key = job.key.as_ref();
+                    let key = job.key;
                     key.is_some_and(|key| !self.fleet.is_key_valid(key, team))
                 })
                 .map(|(key, _)| key)
@@ -202,6 +213,14 @@
         }
     }
 
+    fn drop_key(&mut self, id: &KeyId) -> bool {
+        let key = self.fleet.keys.remove(id);
+        if let Some(key) = key {
+            self.fleet.key_teams[key.at()] = None;
+        }
+        key.is_some()
+    }
+
     fn refresh_all(&mut self, now: TimePoint) {
         for position in 0..self.fleet.order.len() {
             let worker = self.fleet.order[position];
--- a/crates/core/src/scheduler/index.rs
+++ b/crates/core/src/scheduler/index.rs
@@ -33,6 +33,10 @@
     /// A worker.
     WorkerIndex
 );
+arena_index!(
+    /// A key of a team.
+    KeyIndex
+);
 arena_index!(
     /// The jobs of one team in one pool.
     FlowIndex
--- a/crates/core/src/scheduler/job_record.rs
+++ b/crates/core/src/scheduler/job_record.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
-use super::{FlowIndex, JobKey, PoolIndex, TeamIndex, WorkerIndex};
-use crate::ids::{Generation, KeyId};
+use super::{FlowIndex, JobKey, KeyIndex, PoolIndex, TeamIndex, WorkerIndex};
+use crate::ids::Generation;
 use crate::placement::Placing;
 use crate::queue::JobLinks;
 use crate::time::TimePoint;
@@ -10,7 +10,7 @@
 #[derive(Debug)]
 pub(crate) struct JobRecord {
     pub(crate) flow: FlowIndex,
-    pub(crate) key: Option<KeyId>,
+    pub(crate) key: Option<KeyIndex>,
     pub(crate) placing: Placing,
     pub(crate) run: Duration,
     pub(crate) urgent: bool,
@@ -22,7 +22,7 @@
     /// Whether a running task was asked to stop in favour of this job.
     pub(crate) preempted: bool,
     pub(crate) links: JobLinks,
-    /// Workers that the job was tried on.
+    /// Workers that the job was tried on before.
     pub(crate) tried: Vec<WorkerIndex>,
     /// Workers with good records on which the job failed.
     pub(crate) failed_on: Vec<WorkerIndex>,
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -26,7 +26,7 @@
 mod worker_update;
 
 pub use attempt_outcome::{AttemptOutcome, FinishOutcome};
-pub(crate) use index::{FlowIndex, PoolIndex, TeamIndex, WorkerIndex};
+pub(crate) use index::{FlowIndex, KeyIndex, PoolIndex, TeamIndex, WorkerIndex};
 pub(crate) use job_record::JobRecord;
 pub use job_refusal::JobRefusal;
 pub use job_scheduler::JobScheduler;
--- a/crates/core/src/scheduler/outcome.rs
+++ b/crates/core/src/scheduler/outcome.rs
@@ -1,4 +1,6 @@
-use super::{AttemptKey, AttemptOutcome, FinishOutcome, JobKey, JobRefusal, JobScheduler};
+use super::{
+    AttemptKey, AttemptOutcome, FinishOutcome, JobKey, JobRefusal, JobScheduler, WorkerIndex,
+};
 use crate::code::ResultCode;
 use crate::retry::RetryReason;
 use crate::time::TimePoint;
@@ -40,24 +42,33 @@
         let ended = !matches!(outcome, AttemptOutcome::Lost | AttemptOutcome::BadAnswer);
         if ended && holds {
             self.release(key, now);
-        } else if !holds {
-            self.attempts.remove(key);
+        } else {
+            self.refresh_worker(worker, now);
+            if !holds {
+                self.attempts.remove(key);
+            }
         }
-        let result = self.decide(job, outcome, now);
+        let result = self.decide(job, worker, outcome, now);
         if result != FinishOutcome::Retry {
             self.jobs.remove(job);
         }
         result
     }
 
-    fn decide(&mut self, key: JobKey, outcome: AttemptOutcome, now: TimePoint) -> FinishOutcome {
+    fn decide(
+        &mut self,
+        key: JobKey,
+        worker: WorkerIndex,
+        outcome: AttemptOutcome,
+        now: TimePoint,
+    ) -> FinishOutcome {
         let refuse = |code| FinishOutcome::Refuse(JobRefusal::new(code));
         let Some(job) = self.jobs.get(key) else {
             return refuse(ResultCode::OutcomeUnknown);
         };
         let idempotent = job.placing.idempotent;
         if job.failed_on.len() >= FAILED_WORKERS {
-            self.absolve_workers(key, now);
+            self.absolve_workers(key, worker, now);
             return refuse(ResultCode::CannotRun);
         }
         let (reason, may_retry, last) = match outcome {
@@ -83,7 +94,7 @@
                 refuse(ResultCode::Stopped),
             ),
         };
-        if may_retry && self.requeue(key, reason, now) {
+        if may_retry && self.requeue(key, worker, reason, now) {
             FinishOutcome::Retry
         } else {
             last
@@ -92,11 +103,18 @@
 
     /// Queues a job again for another worker, if its caller still waits, another worker of the
     /// pool may take it, and the budget allows it.
-    fn requeue(&mut self, key: JobKey, reason: RetryReason, now: TimePoint) -> bool {
+    fn requeue(
+        &mut self,
+        key: JobKey,
+        worker: WorkerIndex,
+        reason: RetryReason,
+        now: TimePoint,
+    ) -> bool {
         let job = &mut self.jobs[key];
-        if reason == RetryReason::Preempted {
-            // The worker is not to blame and may be the only one that fits.
-            job.tried.pop();
+        // A worker that was asked to stop the task is not to blame and may be the only one that
+        // fits.
+        if reason != RetryReason::Preempted {
+            job.tried.push(worker);
         }
         if job.abandoned || job.deadline <= now || self.closing {
             return false;
--- a/crates/core/src/scheduler/quarantine.rs
+++ b/crates/core/src/scheduler/quarantine.rs
@@ -62,8 +62,9 @@
     }
 
     /// Takes back the blame on all workers for a job that can never run.
-    pub(super) fn absolve_workers(&mut self, job: JobKey, now: TimePoint) {
-        let tried = self.jobs[job].tried.clone();
+    pub(super) fn absolve_workers(&mut self, job: JobKey, last: WorkerIndex, now: TimePoint) {
+        let mut tried = self.jobs[job].tried.clone();
+        tried.push(last);
         for worker in tried {
             if self.fleet.workers[worker.at()].health.absolve(job) {
                 self.refresh_worker(worker, now);
--- a/crates/core/src/scheduler/releasing.rs
+++ b/crates/core/src/scheduler/releasing.rs
@@ -47,7 +47,6 @@
         self.flows[flow.at()].held -= slots;
         self.fleet.pools[pool.at()].held -= slots;
         let record = &mut self.fleet.workers[worker.at()];
-        record.attempts.retain(|attempt| *attempt != key);
         record.account.in_use -= slots;
         self.fleet.teams[team.at()].account.in_use -= 1;
         self.reorder(flow, now);
@@ -86,7 +85,9 @@
         let pool = record.pool;
         let entry = &mut self.fleet.pools[pool.at()];
         let reserved = entry.reserved.filter(|(reserved, _)| *reserved == worker);
-        let usable = record.takes_work(now) && record.account.startable() > 0;
+        let placement = record.placement(now);
+        self.fleet.placement[worker.at()] = placement;
+        let usable = placement.startable > 0;
         let listed = usable && reserved.is_none();
         if let Some((_, flow)) = reserved {
             if usable {
--- a/crates/core/src/scheduler/sharing.rs
+++ b/crates/core/src/scheduler/sharing.rs
@@ -23,7 +23,15 @@
         if flow.remote_queued == 0.0 {
             self.begin_share(index, now);
         }
-        let order = self.order(index, now);
+        // The key of a flow that is alone is not kept up to date.
+        let order = match self.fleet.pools[pool.at()].backlog[..] {
+            [] => 0.0,
+            [(_, other)] => {
+                self.fleet.pools[pool.at()].backlog[0].0 = self.key(other, now);
+                self.order(index, now)
+            }
+            _ => self.order(index, now),
+        };
         let backlog = &mut self.fleet.pools[pool.at()].backlog;
         let flow = &mut self.flows[index.at()];
         flow.position = u32::try_from(backlog.len()).unwrap_or(NOT_LISTED);
@@ -56,6 +64,10 @@
         if flow.position == NOT_LISTED || flow.block != FlowBlock::None {
             return;
         }
+        if self.fleet.pools[flow.pool.at()].backlog.len() == 1 {
+            self.fleet.pools[flow.pool.at()].backlog[0].0 = 0.0;
+            return;
+        }
         let order = self.order(index, now);
         let flow = &self.flows[index.at()];
         self.fleet.pools[flow.pool.at()].backlog[flow.position as usize].0 = order;
@@ -93,6 +105,14 @@
         }
     }
 
+    /// Sort key of a listed flow, which is infinite while it is blocked.
+    fn key(&self, index: FlowIndex, now: TimePoint) -> f32 {
+        if self.flows[index.at()].block != FlowBlock::None {
+            return f32::INFINITY;
+        }
+        self.order(index, now)
+    }
+
     fn order(&self, index: FlowIndex, now: TimePoint) -> f32 {
         let flow = &self.flows[index.at()];
         if flow.overdue.is_some() {
--- a/crates/core/src/scheduler/worker_update.rs
+++ b/crates/core/src/scheduler/worker_update.rs
@@ -4,7 +4,7 @@
 use crate::fleet::{FleetState, InstanceRecord, InstanceState};
 use crate::ids::InstanceName;
 use crate::ledger::{ResourceKey, UnitAccount, UnitSeed, block_owner, block_units};
-use crate::placement::{WorkerHealth, WorkerRecord};
+use crate::placement::{PlacementState, WorkerHealth, WorkerRecord};
 use crate::time::TimePoint;
 
 impl JobScheduler {
@@ -48,7 +48,7 @@
         let removed = std::mem::take(&mut self.fleet.removed);
         for worker in removed {
             let record = &self.fleet.workers[worker.at()];
-            if record.account.is_unused() && record.attempts.is_empty() {
+            if record.account.is_unused() {
                 self.fleet.worker_names.remove(&record.name);
                 self.fleet.vacant.push(worker);
             } else {
@@ -109,7 +109,6 @@
             owners: [None; 2],
             account: UnitAccount::default(),
             health: WorkerHealth::default(),
-            attempts: Vec::new(),
             position: NOT_READY,
         };
         let worker = if let Some(worker) = self.fleet.vacant.pop() {
@@ -117,6 +116,7 @@
             worker
         } else {
             self.fleet.workers.push(entry);
+            self.fleet.placement.push(PlacementState::default());
             WorkerIndex::with_position(self.fleet.workers.len() - 1)
         };
         self.fleet.worker_names.insert(name.clone(), worker);
@@ -152,7 +152,7 @@
             return;
         }
         if stops || !same_pool || scope.skipped.is_some() {
-            self.mark_against(worker, scope);
+            scope.against.insert(worker);
         }
         if changed {
             if !same_pool {
@@ -239,7 +239,7 @@
     }
 
     fn remove_worker(&mut self, worker: WorkerIndex, scope: &mut UpdateScope, now: TimePoint) {
-        self.mark_against(worker, scope);
+        scope.against.insert(worker);
         self.allocate(ResourceKey::Worker(worker), scope, 0, 0);
         let record = &mut self.fleet.workers[worker.at()];
         record.removed = true;
@@ -254,14 +254,17 @@
         self.fleet.removed.push(worker);
     }
 
-    /// Records that the attempts on a worker contradict the generation.
-    fn mark_against(&mut self, worker: WorkerIndex, scope: &UpdateScope) {
-        for key in &self.fleet.workers[worker.at()].attempts {
-            let attempt = &mut self.attempts[*key];
-            if attempt.against.is_none() {
-                let generation = scope.skipped.unwrap_or(scope.generation);
+    /// Records that the attempts on the workers of the scope contradict the generation.
+    pub(super) fn mark_against(&mut self, scope: &UpdateScope) {
+        if scope.against.is_empty() {
+            return;
+        }
+        let generation = scope.skipped.unwrap_or(scope.generation);
+        for (key, attempt) in &mut self.attempts {
+            if attempt.holds && attempt.against.is_none() && scope.against.contains(&attempt.worker)
+            {
                 attempt.against = Some(generation);
-                self.against.insert((generation, *key));
+                self.against.insert((generation, key));
             }
         }
     }
--- /dev/null
+++ b/crates/core/tests/admission.rs
@@ -0,0 +1,225 @@
+//! Admission: sizes, bounds, deadlines, cancellations and wait estimates.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use assert_matches::assert_matches;
+use sesamedeal_core::code::ResultCode;
+use sesamedeal_core::ids::{KeyId, TeamName};
+use sesamedeal_core::scheduler::{AttemptOutcome, JobScheduler, JobSpec, SchedulerAction};
+use support::{at, dispatches, drain, fleet, job, scheduler};
+
+/// One worker with 8 slots, all taken by the team.
+fn full() -> JobScheduler {
+    let mut scheduler = scheduler(&fleet(1, &[("one", 1, 100), ("two", 1, 100)], 1));
+    for _ in 0..8 {
+        scheduler.submit(job("one", at(0)), at(0)).unwrap();
+    }
+    assert_eq!(dispatches(&mut scheduler, at(0)).len(), 8);
+    scheduler
+}
+
+/// Guards against a job that waits for a worker that does not exist.
+#[test]
+fn oversized_job() {
+    let mut scheduler = full();
+    let spec = JobSpec {
+        cores: 33,
+        ..job("one", at(0))
+    };
+    let refusal = scheduler.submit(spec, at(0)).unwrap_err();
+    assert_eq!(refusal.code, ResultCode::NeverFits);
+}
+
+/// Guards against an unbounded queue and a rejection without a time to come back.
+#[test]
+fn full_queue() {
+    let mut scheduler = full();
+    for _ in 0..1_000 {
+        let mut spec = job("one", at(0));
+        spec.deadline = at(3_600_000);
+        scheduler.submit(spec, at(0)).unwrap();
+    }
+    let spec = JobSpec {
+        deadline: at(3_600_000),
+        ..job("one", at(0))
+    };
+    let refusal = scheduler.submit(spec, at(0)).unwrap_err();
+    assert_eq!(refusal.code, ResultCode::QueueFull);
+    assert_matches!(refusal.retry_after, Some(delay) if delay >= Duration::from_millis(500));
+    assert!(scheduler.submit(job("two", at(0)), at(0)).is_ok());
+}
+
+/// Guards against a queued job that gets no answer at its deadline.
+#[test]
+fn passed_deadline() {
+    let mut scheduler = full();
+    let key = scheduler.submit(job("one", at(0)), at(0)).unwrap();
+    assert!(scheduler.next_wake().unwrap() <= at(30_000));
+    let actions = drain(&mut scheduler, at(30_000));
+    let refused = actions.iter().any(|action| {
+        matches!(action, SchedulerAction::Refuse { job, refusal }
+            if *job == key && refusal.code == ResultCode::DeadlinePassed)
+    });
+    assert!(refused);
+}
+
+/// Guards against a job that is queued although the observed service rate cannot serve it before
+/// its deadline.
+#[test]
+fn hopeless_wait() {
+    let mut scheduler = full();
+    let mut now = 0;
+    let mut running = Vec::new();
+    for _ in 0..40 {
+        scheduler.submit(job("one", at(now)), at(now)).unwrap();
+    }
+    running.extend(dispatches(&mut scheduler, at(now)));
+    // One job per second is served.
+    for _ in 0..16 {
+        now += 1_000;
+        let mut first = scheduler_attempts(&mut scheduler, &mut running, now);
+        running.append(&mut first);
+    }
+    let refusal = scheduler.submit(job("one", at(now)), at(now));
+    let soon = JobSpec {
+        deadline: at(now + 5_000),
+        ..job("one", at(now))
+    };
+    let refusal = refusal
+        .and_then(|_| scheduler.submit(soon, at(now)))
+        .unwrap_err();
+    assert_eq!(refusal.code, ResultCode::WaitTooLong);
+    assert_matches!(refusal.retry_after, Some(delay) if delay > Duration::from_secs(5));
+}
+
+/// Lets one slot come free and returns what is dispatched then.
+fn scheduler_attempts(
+    scheduler: &mut JobScheduler,
+    running: &mut Vec<sesamedeal_core::scheduler::DispatchOrder>,
+    now: u64,
+) -> Vec<sesamedeal_core::scheduler::DispatchOrder> {
+    if let Some(order) = running.pop() {
+        scheduler.finish(order.attempt, AttemptOutcome::Answered, at(now));
+    }
+    dispatches(scheduler, at(now))
+}
+
+/// Guards against rejections by an estimate from a backlog that is long over.
+#[test]
+fn stale_estimate() {
+    let mut scheduler = scheduler(&fleet(1, &[("one", 1, 100)], 1));
+    let mut running = Vec::new();
+    for _ in 0..30 {
+        scheduler.submit(job("one", at(0)), at(0)).unwrap();
+    }
+    running.extend(dispatches(&mut scheduler, at(0)));
+    let mut now = 0;
+    while !running.is_empty() {
+        now += 900;
+        let mut next = scheduler_attempts(&mut scheduler, &mut running, now);
+        running.append(&mut next);
+    }
+    now += 60_000;
+    for _ in 0..20 {
+        let spec = JobSpec {
+            deadline: at(now + 10_000),
+            ..job("one", at(now))
+        };
+        assert!(scheduler.submit(spec, at(now)).is_ok());
+        dispatches(&mut scheduler, at(now));
+    }
+}
+
+/// Guards against cancellations that hold up other callers: 10,000 of them take a small part of
+/// the 50 ms allowed, and the jobs behind them are served.
+#[test]
+fn cancellation_wave() {
+    let mut scheduler = full();
+    let mut keys = Vec::new();
+    for round in 0..10 {
+        for _ in 0..1_000 {
+            let spec = JobSpec {
+                deadline: at(3_600_000),
+                ..job("one", at(0))
+            };
+            keys.push(scheduler.submit(spec, at(0)).unwrap());
+        }
+        let start = Instant::now();
+        for key in keys.drain(..) {
+            scheduler.cancel(key, at(round));
+        }
+        drain(&mut scheduler, at(round));
+        assert!(start.elapsed() < Duration::from_millis(50));
+    }
+    let last = scheduler.submit(job("one", at(20)), at(20)).unwrap();
+    let orders = dispatches(&mut scheduler, at(10_600));
+    assert_eq!(orders.first().map(|order| order.job), Some(last));
+}
+
+/// Guards against work on an open queue that needs a key, and against work of a team that may run
+/// nothing.
+#[test]
+fn open_and_closed() {
+    let mut scheduler = scheduler(&fleet(1, &[("one", 1, 100), ("none", 1, 0)], 1));
+    let open = JobSpec {
+        key: None,
+        team: TeamName::new("open"),
+        ..job("one", at(0))
+    };
+    scheduler.submit(open, at(0)).unwrap();
+    assert_eq!(dispatches(&mut scheduler, at(0)).len(), 1);
+    let refusal = scheduler.submit(job("none", at(0)), at(0)).unwrap_err();
+    assert_eq!(refusal.code, ResultCode::WaitTooLong);
+}
+
+/// Guards against work that is accepted with another team's key, a withdrawn one or stale state.
+#[test]
+fn unusable_keys() {
+    let mut state = fleet(1, &[("one", 1, 1), ("two", 1, 100)], 1);
+    let mut scheduler = scheduler(&state);
+    let foreign = JobSpec {
+        key: Some(KeyId::new("key-two")),
+        ..job("one", at(0))
+    };
+    assert_eq!(
+        scheduler.submit(foreign, at(0)).unwrap_err().code,
+        ResultCode::WithdrawnKey
+    );
+    scheduler.submit(job("one", at(0)), at(0)).unwrap();
+    assert_eq!(dispatches(&mut scheduler, at(0)).len(), 1);
+    let queued = scheduler.submit(job("one", at(0)), at(0)).unwrap();
+    state.generation = state.generation.next();
+    state
+        .keys
+        .get_mut(&KeyId::new("key-one"))
+        .unwrap()
+        .withdrawn = true;
+    scheduler.apply(&state, state.generation, at(1));
+    assert_matches!(drain(&mut scheduler, at(1))[..], [SchedulerAction::Refuse { job, refusal }]
+        if job == queued && refusal.code == ResultCode::WithdrawnKey);
+    for _ in 0..9 {
+        scheduler.submit(job("two", at(1)), at(1)).unwrap();
+    }
+    assert_eq!(dispatches(&mut scheduler, at(1)).len(), 7);
+    scheduler.set_keyed_work_allowed(false, at(2));
+    assert_matches!(drain(&mut scheduler, at(2))[..], [
+        SchedulerAction::Refuse { refusal, .. },
+        SchedulerAction::Refuse { .. },
+    ] if refusal.code == ResultCode::StaleState);
+    let refusal = scheduler.submit(job("two", at(2)), at(2)).unwrap_err();
+    assert_eq!(refusal.code, ResultCode::StaleState);
+}
+
+/// Guards against queued jobs without an answer at a shutdown.
+#[test]
+fn shutdown_answers() {
+    let mut scheduler = full();
+    let queued = scheduler.submit(job("one", at(0)), at(0)).unwrap();
+    scheduler.shut_down(at(1));
+    assert_matches!(drain(&mut scheduler, at(1))[..], [SchedulerAction::Refuse { job, refusal }]
+        if job == queued && refusal.code == ResultCode::ShuttingDown);
+    let refusal = scheduler.submit(job("one", at(1)), at(1)).unwrap_err();
+    assert_eq!(refusal.code, ResultCode::ShuttingDown);
+}
--- /dev/null
+++ b/crates/core/tests/exchanging.rs
@@ -0,0 +1,187 @@
+//! What the messages between entry instances carry.
+
+mod support;
+
+use std::time::Duration;
+
+use sesamedeal_core::exchange::{ExchangeMessage, UsageEntry, UsageSummary};
+use sesamedeal_core::ids::{Generation, InstanceName, SessionId};
+use sesamedeal_core::scheduler::{JobScheduler, SchedulerAction, SchedulerPolicy};
+use support::{at, dispatches, drain, fleet, job};
+
+fn start(sessions: u64) -> Vec<JobScheduler> {
+    let state = fleet(4, &[("one", 1, 100)], sessions);
+    let create = |session| {
+        let policy = SchedulerPolicy::new();
+        let mut scheduler = JobScheduler::new(SessionId(session), policy, session);
+        scheduler.apply(&state, Generation(1), at(0));
+        scheduler
+    };
+    (1..=sessions).map(create).collect()
+}
+
+fn send(schedulers: &mut [JobScheduler], from: usize, to: usize, now: u64) -> ExchangeMessage {
+    let receiver = SessionId(to as u64 + 1);
+    let message = schedulers[from].exchange_with(receiver, at(now));
+    schedulers[to].receive(&message, at(now));
+    message
+}
+
+/// Guards against evidence that gets younger on its way, or that is lost when relayed.
+#[test]
+fn relayed_evidence() {
+    let mut schedulers = start(3);
+    schedulers[0].set_evidence(Some(Duration::from_millis(100)), at(1_000));
+    send(&mut schedulers, 0, 1, 1_200);
+    send(&mut schedulers, 1, 2, 1_500);
+    let heard = schedulers[2].heard(Duration::from_millis(2_500), at(1_600));
+    assert!(heard.contains(&(
+        SessionId(1),
+        Duration::from_millis(400),
+        Some(Duration::from_millis(700)),
+        Generation(1),
+    )));
+    assert_eq!(
+        schedulers[2].newest_evidence(at(1_600)),
+        Some(Duration::from_millis(700))
+    );
+    assert!(
+        schedulers[2]
+            .heard(Duration::from_millis(2_500), at(4_100))
+            .is_empty()
+    );
+}
+
+/// Guards against a second relay of what the peer has, and against an older summary that replaces
+/// a newer one.
+#[test]
+fn usage_versions() {
+    let mut schedulers = start(3);
+    schedulers[0].submit(job("one", at(0)), at(0)).unwrap();
+    dispatches(&mut schedulers[0], at(0));
+    let first = send(&mut schedulers, 0, 1, 500);
+    assert_eq!(first.usage.len(), 1);
+    let relayed = send(&mut schedulers, 1, 2, 600);
+    assert_eq!(relayed.usage[0].origin, SessionId(1));
+    assert_eq!(relayed.usage[0].age, Duration::from_millis(100));
+    assert!(send(&mut schedulers, 1, 2, 700).usage.is_empty());
+    assert!(send(&mut schedulers, 2, 0, 700).usage.is_empty());
+    let second = send(&mut schedulers, 0, 2, 1_200);
+    assert!(second.usage[0].version > first.usage[0].version);
+    schedulers[2].receive(&first, at(1_300));
+    let relayed = send(&mut schedulers, 2, 1, 1_400);
+    assert_eq!(relayed.usage[0].version, second.usage[0].version);
+}
+
+/// Guards against work on a leaving worker at an entry instance that heard of it from a peer, and
+/// against entry instances that keep the news alive by telling each other.
+#[test]
+fn leaving_told() {
+    let mut schedulers = start(2);
+    for worker in 0..4 {
+        let name = InstanceName::new(format!("worker-{worker}"));
+        schedulers[0].mark_leaving(&name, at(0));
+    }
+    send(&mut schedulers, 0, 1, 100);
+    schedulers[1].submit(job("one", at(100)), at(100)).unwrap();
+    assert!(dispatches(&mut schedulers[1], at(100)).is_empty());
+    for turn in 1..=120 {
+        send(&mut schedulers, 0, 1, turn * 500);
+        send(&mut schedulers, 1, 0, turn * 500);
+    }
+    schedulers[1]
+        .submit(job("one", at(61_000)), at(61_000))
+        .unwrap();
+    assert_eq!(dispatches(&mut schedulers[1], at(61_000)).len(), 1);
+}
+
+/// Guards against a message of another version that is taken in.
+#[test]
+fn other_version() {
+    let mut schedulers = start(2);
+    let mut message = schedulers[0].exchange_with(SessionId(2), at(0));
+    message.version += 1;
+    schedulers[1].receive(&message, at(0));
+    assert!(schedulers[1].heard(Duration::MAX, at(0)).is_empty());
+}
+
+/// Guards against messages above 64 KB.
+#[test]
+fn bounded_message() {
+    let mut schedulers = start(2);
+    for origin in 10..100 {
+        let mut message = ExchangeMessage::new(SessionId(origin), Generation(1));
+        let entry = UsageEntry {
+            pool: u32::MAX,
+            team: u32::MAX,
+            usage_ms: u64::MAX,
+            held: u32::MAX,
+            queued: u32::MAX,
+        };
+        message.usage.push(UsageSummary {
+            origin: SessionId(origin),
+            version: 1,
+            age: Duration::ZERO,
+            entries: vec![entry; 300],
+        });
+        schedulers[0].receive(&message, at(0));
+    }
+    let message = schedulers[0].exchange_with(SessionId(2), at(0));
+    // An entry takes at most 30 bytes in MessagePack.
+    let entries: usize = message.usage.iter().map(|usage| usage.entries.len()).sum();
+    assert!((1..=1_500).contains(&entries));
+    let next = schedulers[0].exchange_with(SessionId(2), at(0));
+    assert!(
+        next.usage
+            .iter()
+            .all(|usage| !message.usage.contains(usage))
+    );
+}
+
+/// Guards against units that a borrower keeps without need, and against a lender that does not
+/// take them back.
+#[test]
+fn idle_return() {
+    let mut schedulers = start(2);
+    let mut running = Vec::new();
+    let mut now = 0;
+    for _ in 0..32 {
+        schedulers[0].submit(job("one", at(0)), at(0)).unwrap();
+    }
+    while running.len() < 32 && now < 3_000 {
+        for action in drain(&mut schedulers[0], at(now)) {
+            match action {
+                SchedulerAction::Dispatch(order) => running.push(order),
+                SchedulerAction::Exchange { .. } => {
+                    send(&mut schedulers, 0, 1, now);
+                    send(&mut schedulers, 1, 0, now);
+                }
+                _ => {}
+            }
+        }
+        now += 50;
+    }
+    assert_eq!(running.len(), 32, "after {now} ms");
+    for order in running {
+        let outcome = sesamedeal_core::scheduler::AttemptOutcome::Answered;
+        schedulers[0].finish(order.attempt, outcome, at(now));
+    }
+    for _ in 0..32 {
+        schedulers[1].submit(job("one", at(now)), at(now)).unwrap();
+    }
+    let own = dispatches(&mut schedulers[1], at(now)).len();
+    drain(&mut schedulers[0], at(now + 1_000));
+    drain(&mut schedulers[0], at(now + 2_000));
+    drain(&mut schedulers[0], at(now + 3_000));
+    send(&mut schedulers, 0, 1, now + 3_000);
+    let returned = dispatches(&mut schedulers[1], at(now + 3_000)).len();
+    let state = fleet(4, &[("one", 1, 100)], 2);
+    let mut fresh = JobScheduler::new(SessionId(2), SchedulerPolicy::new(), 1);
+    fresh.apply(&state, Generation(1), at(0));
+    for _ in 0..32 {
+        fresh.submit(job("one", at(0)), at(0)).unwrap();
+    }
+    let owned = dispatches(&mut fresh, at(0)).len();
+    assert!(own < owned);
+    assert_eq!(own + returned, owned);
+}
--- /dev/null
+++ b/crates/core/tests/failures.rs
@@ -0,0 +1,175 @@
+//! Retries, blame, quarantine and leaving workers.
+
+mod support;
+
+use assert_matches::assert_matches;
+use sesamedeal_core::code::ResultCode;
+use sesamedeal_core::ids::InstanceName;
+use sesamedeal_core::retry::{RetryBudget, RetryReason};
+use sesamedeal_core::scheduler::{
+    AttemptOutcome, DispatchOrder, FinishOutcome, JobScheduler, JobSpec,
+};
+use support::{at, dispatches, fleet, job, scheduler};
+
+fn start(workers: usize) -> JobScheduler {
+    scheduler(&fleet(workers, &[("one", 1, 100)], 1))
+}
+
+fn run(scheduler: &mut JobScheduler, spec: JobSpec, now: u64) -> DispatchOrder {
+    scheduler.submit(spec, at(now)).unwrap();
+    dispatches(scheduler, at(now)).remove(0)
+}
+
+/// Guards against retries that multiply the load.
+#[test]
+fn budget_bound() {
+    let mut budget = RetryBudget::new();
+    for _ in 0..100 {
+        budget.add_request();
+    }
+    let spent = (0..100).filter(|_| budget.spend(RetryReason::Lost)).count();
+    assert_eq!(spent, 20);
+    assert_eq!(budget.spent(RetryReason::Lost), 20);
+    assert_eq!(budget.spent(RetryReason::Failed), 0);
+}
+
+/// Guards against a second run of work that may have started, and a retry on the same worker.
+#[test]
+fn retry_rules() {
+    let mut scheduler = start(2);
+    let order = run(&mut scheduler, job("one", at(0)), 0);
+    let outcome = scheduler.finish(order.attempt, AttemptOutcome::Lost, at(1));
+    assert_eq!(outcome, FinishOutcome::Retry);
+    let again = dispatches(&mut scheduler, at(1)).remove(0);
+    assert_eq!(again.job, order.job);
+    assert_ne!(again.worker, order.worker);
+    assert_eq!(scheduler.running(), 2);
+    assert_eq!(scheduler.retries().spent(RetryReason::Lost), 1);
+    let once = JobSpec {
+        idempotent: false,
+        ..job("one", at(2))
+    };
+    let order = run(&mut scheduler, once.clone(), 2);
+    let outcome = scheduler.finish(order.attempt, AttemptOutcome::Lost, at(3));
+    assert_matches!(outcome, FinishOutcome::Refuse(refusal)
+        if refusal.code == ResultCode::OutcomeUnknown);
+    let order = run(&mut scheduler, once, 4);
+    let outcome = scheduler.finish(order.attempt, AttemptOutcome::NotStarted, at(5));
+    assert_eq!(outcome, FinishOutcome::Retry);
+}
+
+/// Guards against a job that fails everywhere being retried forever, and against its failures
+/// taking good workers out of service.
+#[test]
+fn hopeless_job() {
+    let mut scheduler = start(6);
+    for _ in 0..2 {
+        let mut order = run(&mut scheduler, job("one", at(0)), 0);
+        for _ in 0..2 {
+            let outcome = scheduler.finish(order.attempt, AttemptOutcome::Failed, at(1));
+            assert_eq!(outcome, FinishOutcome::Retry);
+            order = dispatches(&mut scheduler, at(1)).remove(0);
+        }
+        let outcome = scheduler.finish(order.attempt, AttemptOutcome::Failed, at(2));
+        assert_matches!(outcome, FinishOutcome::Refuse(refusal)
+            if refusal.code == ResultCode::CannotRun);
+    }
+    assert!(scheduler.quarantine_suggestions().is_empty());
+}
+
+/// Fails all tasks on the workers for which `bad` is true until nothing is left to run.
+fn fail_on(scheduler: &mut JobScheduler, jobs: usize, now: u64, bad: &[&str]) -> usize {
+    let mut failed = 0;
+    for turn in 0..jobs as u64 {
+        let once = JobSpec {
+            idempotent: false,
+            ..job("one", at(now + turn))
+        };
+        let order = run(scheduler, once, now + turn);
+        let is_bad = bad.contains(&order.worker.as_str());
+        failed += usize::from(is_bad);
+        let outcome = if is_bad {
+            AttemptOutcome::Failed
+        } else {
+            AttemptOutcome::Answered
+        };
+        scheduler.finish(order.attempt, outcome, at(now + turn));
+    }
+    failed
+}
+
+/// Guards against a worker that fails at once and so attracts all work.
+#[test]
+fn failing_worker() {
+    let mut scheduler = start(4);
+    let failed = fail_on(&mut scheduler, 200, 0, &["worker-1"]);
+    assert!((3..=4).contains(&failed), "{failed} jobs failed");
+    let suggested = scheduler.quarantine_suggestions();
+    assert_eq!(suggested, [InstanceName::new("worker-1")]);
+}
+
+/// Guards against a quarantine beyond the pool's availability budget of two workers.
+#[test]
+fn quarantine_bound() {
+    let mut scheduler = start(4);
+    fail_on(
+        &mut scheduler,
+        200,
+        0,
+        &["worker-0", "worker-1", "worker-2", "worker-3"],
+    );
+    assert_eq!(scheduler.quarantine_suggestions().len(), 2);
+}
+
+/// Guards against a quarantine without an end, or one that ends before a trial succeeded.
+#[test]
+fn trial_jobs() {
+    let mut scheduler = start(2);
+    fail_on(&mut scheduler, 100, 0, &["worker-1"]);
+    let mut trials = |now: u64, outcome: AttemptOutcome| {
+        let mut tried = 0;
+        let mut orders = Vec::new();
+        for _ in 0..8 {
+            scheduler.submit(job("one", at(now)), at(now)).unwrap();
+        }
+        orders.extend(dispatches(&mut scheduler, at(now)));
+        for order in orders {
+            let bad = order.worker.as_str() == "worker-1";
+            tried += usize::from(bad);
+            let outcome = if bad {
+                outcome
+            } else {
+                AttemptOutcome::Answered
+            };
+            scheduler.finish(order.attempt, outcome, at(now));
+        }
+        for order in dispatches(&mut scheduler, at(now)) {
+            scheduler.finish(order.attempt, AttemptOutcome::Answered, at(now));
+        }
+        tried
+    };
+    assert_eq!(trials(50_000, AttemptOutcome::Answered), 0);
+    assert_eq!(trials(61_000, AttemptOutcome::Failed), 1);
+    assert_eq!(trials(122_000, AttemptOutcome::Answered), 0);
+    assert_eq!(trials(182_000, AttemptOutcome::Answered), 1);
+    assert!(trials(183_000, AttemptOutcome::Answered) > 1);
+}
+
+/// Guards against new work on a worker that is leaving.
+#[test]
+fn leaving_worker() {
+    let mut scheduler = start(2);
+    let order = run(&mut scheduler, job("one", at(0)), 0);
+    let outcome = scheduler.finish(order.attempt, AttemptOutcome::Draining, at(1));
+    assert_eq!(outcome, FinishOutcome::Retry);
+    for _ in 0..20 {
+        scheduler.submit(job("one", at(1)), at(1)).unwrap();
+    }
+    let orders = dispatches(&mut scheduler, at(1));
+    assert_eq!(orders.len(), 8);
+    assert!(orders.iter().all(|next| next.worker != order.worker));
+    let other = orders[0].worker.clone();
+    scheduler.mark_leaving(&other, at(2));
+    scheduler.finish(orders[0].attempt, AttemptOutcome::Answered, at(3));
+    assert!(dispatches(&mut scheduler, at(3)).is_empty());
+}
--- a/crates/core/tests/ledger_regressions.rs
+++ b/crates/core/tests/ledger_regressions.rs
@@ -80,29 +80,24 @@
 #[test]
 fn void_behind_loan() {
     let mut world = world();
-    submit(&mut world, 2, "one", 25);
-    world.exchange(2, 1, true, false);
-    world.advance(Duration::from_millis(100));
-    set_view(&mut world, &[1, 3]);
+    set_state(&mut world, 1, InstanceState::Draining);
+    world.start();
+    set_view(&mut world, &[1, 3, 4]);
     world.apply_all();
+    set_state(&mut world, 2, InstanceState::Active);
+    submit(&mut world, 0, "one", 1);
+    world.settle();
+    submit(&mut world, 1, "one", 1);
+    world.apply_next(0);
+    world.exchange(0, 1, true, true);
+    submit(&mut world, 0, "one", 1);
+    world.advance(Duration::from_millis(8_501));
     submit(&mut world, 1, "one", 17);
-    world.exchange(0, 2, true, true);
-    world.exchange(1, 0, true, true);
-    set_view(&mut world, &[3]);
+    submit(&mut world, 1, "one", 1);
+    submit(&mut world, 0, "one", 13);
+    submit(&mut world, 0, "one", 1);
+    set_view(&mut world, &[4]);
+    submit(&mut world, 0, "one", 1);
     world.kill(1);
     world.recover();
 }
-
-/// Guards against rejections by a wait estimate from tasks that ran long ago.
-#[test]
-fn stale_estimate() {
-    let mut world = world();
-    world.kill(0);
-    for _ in 0..4 {
-        submit(&mut world, 2, "two", 1);
-    }
-    world.advance(Duration::from_millis(1_500));
-    submit(&mut world, 2, "two", 17);
-    world.advance(Duration::from_millis(16_500));
-    world.recover();
-}
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -1,8 +1,11 @@
 //! Fleet states and a simulated fleet for the scheduler's tests.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod fuzz_step;
 pub mod simulation;
 pub mod world;
+pub mod world_log;
+pub mod world_recovery;
 
 use std::time::Duration;
 
--- a/crates/core/tests/support/world.rs
+++ b/crates/core/tests/support/world.rs
@@ -2,21 +2,14 @@
 use std::time::Duration;
 
 use sesamedeal_core::exchange::ExchangeMessage;
-use sesamedeal_core::fleet::{
-    ChangeRecord, FleetChange, FleetState, InstanceState, SessionView, TeamRecord,
-};
-use sesamedeal_core::ids::{Generation, InstanceName, KeyId, OperationId, SessionId, TeamName};
+use sesamedeal_core::fleet::FleetState;
+use sesamedeal_core::ids::{InstanceName, KeyId, SessionId, TeamName};
 use sesamedeal_core::scheduler::{
     AttemptKey, AttemptOutcome, DispatchOrder, FinishOutcome, JobKey, JobScheduler, JobSpec,
-    SchedulerAction, SchedulerPolicy,
+    SchedulerAction,
 };
 use sesamedeal_core::time::TimePoint;
 
-use super::job;
-
-/// Slots of the workers of the world.
-const SLOTS: u32 = 24;
-
 /// Time without a listing after which a session no longer holds up a settlement: list lag, task
 /// lease and clock margin.
 pub const GONE_AFTER: Duration = Duration::from_millis(20_500);
@@ -68,8 +61,8 @@
     pub tasks: Vec<WorldTask>,
     pub delayed: Vec<(usize, ExchangeMessage)>,
     /// Exchanges beyond the regular ones; carried out in quiet times only.
-    wanted: Vec<(usize, SessionId)>,
-    ticks: usize,
+    pub wanted: Vec<(usize, SessionId)>,
+    pub ticks: usize,
     /// Whether an entry instance left out generations while it worked.
     pub skipped: bool,
     specs: Vec<(usize, JobKey, TeamName, u32, Option<KeyId>)>,
@@ -97,23 +90,6 @@
         world
     }
 
-    /// Starts an entry instance with a new session.
-    pub fn start(&mut self) {
-        let session = SessionId(self.nodes.len() as u64 + 1);
-        let policy = SchedulerPolicy::new();
-        self.nodes.push(WorldNode {
-            session,
-            scheduler: JobScheduler::new(session, policy, session.0),
-            applied: 0,
-            alive: true,
-            paused: false,
-            absent_since: None,
-            jobs: BTreeSet::new(),
-        });
-        let node = self.nodes.len() - 1;
-        self.jump(node);
-    }
-
     /// Whether an entry instance runs.
     pub fn runs(&self, node: usize) -> bool {
         self.nodes[node].alive && !self.nodes[node].paused
@@ -124,148 +100,6 @@
         self.states.len() as u64 - 1
     }
 
-    /// Appends a record to the change log, unless it is invalid.
-    pub fn change(&mut self, change: FleetChange) {
-        let mut state = self.states.last().unwrap().clone();
-        let record = ChangeRecord {
-            generation: state.generation.next(),
-            operation: OperationId(1),
-            author: "test".into(),
-            changes: vec![change],
-        };
-        if state.apply(&record).is_ok() {
-            self.states.push(state);
-        }
-    }
-
-    /// Lets an entry instance apply the next generation.
-    pub fn apply_next(&mut self, node: usize) {
-        let next = (self.nodes[node].applied + 1).min(self.newest());
-        self.apply(node, next);
-    }
-
-    /// Lets an entry instance load the newest generation at once.
-    pub fn jump(&mut self, node: usize) {
-        // A lender does not know whether the generations that were left out allow its loans.
-        self.skipped |=
-            self.nodes[node].applied + 1 < self.newest() && self.nodes[node].applied > 0;
-        self.apply(node, self.newest());
-    }
-
-    fn apply(&mut self, node: usize, generation: u64) {
-        let state = &self.states[usize::try_from(generation).unwrap()];
-        let entry = &mut self.nodes[node];
-        entry.applied = generation;
-        let settled = Generation(self.settled);
-        entry.scheduler.apply(state, settled, self.now);
-        // After a pause nothing is dispatched until the state is known to be current.
-        if generation == self.newest() {
-            self.nodes[node].scheduler.set_dispatch_allowed(true);
-        }
-        self.act(node);
-    }
-
-    /// Lets all entry instances that run apply the change log.
-    pub fn apply_all(&mut self) {
-        for node in 0..self.nodes.len() {
-            while self.runs(node) && self.nodes[node].applied < self.newest() {
-                self.apply_next(node);
-            }
-            if self.runs(node) {
-                self.apply_next(node);
-            }
-        }
-    }
-
-    /// Runs without faults: regular reads of the change log, settlements and exchanges. Tasks are
-    /// answered shortly before the end of their lease.
-    pub fn run_quietly(&mut self, time: Duration) {
-        let end = self.now.after(time);
-        while self.now < end {
-            self.advance(Duration::from_millis(100));
-            for place in 0..self.tasks.len() {
-                if self.tasks[place].end.since(self.now) < Duration::from_millis(500) {
-                    self.finish(place, AttemptOutcome::Answered);
-                }
-            }
-            self.ticks += 1;
-            if self.ticks.is_multiple_of(10) {
-                self.settle();
-                self.apply_all();
-            }
-            let count = self.nodes.len();
-            for (node, peer) in std::mem::take(&mut self.wanted) {
-                let to = self.nodes.iter().position(|other| other.session == peer);
-                self.exchange(node, to.unwrap(), true, true);
-            }
-            for node in 0..count {
-                if self.ticks.is_multiple_of(5) {
-                    self.exchange(
-                        node,
-                        (node + 1 + self.ticks / 5 % (count - 1)) % count,
-                        true,
-                        true,
-                    );
-                }
-            }
-        }
-    }
-
-    /// Lets the world run without faults; all units have to become usable at one entry instance, and
-    /// each job has to get its result.
-    pub fn recover(&mut self) {
-        for node in 0..self.nodes.len() {
-            self.resume(node);
-        }
-        for worker in 0..3 {
-            let name = worker_name(worker);
-            // A new boot id clears the worker's record of failures.
-            let mut instance = super::worker("main");
-            instance.boot = 2;
-            self.change(FleetChange::PutInstance { name, instance });
-        }
-        let id = KeyId::new("key-new");
-        let mut key = self.states[1].keys.values().next().unwrap().clone();
-        key.team = TeamName::new("two");
-        self.change(FleetChange::GrantKey {
-            id: id.clone(),
-            key,
-        });
-        let team = TeamRecord {
-            share: 1,
-            limit: SLOTS,
-        };
-        self.change(FleetChange::PutTeam {
-            name: TeamName::new("two"),
-            team,
-        });
-        let alive = self.nodes.iter().filter(|node| node.alive);
-        let view = SessionView::new(alive.map(|node| node.session).collect());
-        self.change(FleetChange::SetView { view });
-        let busy = (0..self.nodes.len()).find(|node| self.runs(*node)).unwrap();
-        self.run_quietly(Duration::from_secs(40));
-        assert_eq!(
-            self.settled,
-            self.newest(),
-            "the newest generation is not settled"
-        );
-        for node in 0..self.nodes.len() {
-            assert!(self.nodes[node].jobs.is_empty(), "a job without a result");
-        }
-        for _ in 0..SLOTS {
-            let mut spec = job("two", self.now);
-            spec.key = Some(id.clone());
-            self.submit(busy, spec);
-        }
-        // Three turns of exchanges with each peer, and the watch over idle units.
-        let mut most = 0;
-        for _ in 0..80 {
-            self.run_quietly(Duration::from_millis(100));
-            most = most.max(self.running(&TeamName::new("two")));
-        }
-        assert_eq!(most, SLOTS, "units are lost");
-    }
-
     /// Cancels a job; a running one still ends, but nobody waits for its result.
     pub fn cancel(&mut self, node: usize, job: JobKey) {
         self.nodes[node].scheduler.cancel(job, self.now);
@@ -276,47 +110,6 @@
         self.act(node);
     }
 
-    /// Advances the settled generation as the controller does.
-    pub fn settle(&mut self) {
-        let gone = |since: TimePoint| self.now.since(since) > GONE_AFTER;
-        let bound = self
-            .nodes
-            .iter()
-            .filter(|node| !node.absent_since.is_some_and(gone))
-            .map(|node| node.scheduler.quiesced().0)
-            .min()
-            .unwrap_or(self.newest());
-        self.settled = self.settled.max(bound);
-        self.check_drained();
-    }
-
-    /// Stops an entry instance without notice.
-    pub fn kill(&mut self, node: usize) {
-        let entry = &mut self.nodes[node];
-        entry.alive = false;
-        entry.absent_since.get_or_insert(self.now);
-        entry.jobs.clear();
-    }
-
-    /// Freezes an entry instance; it may also vanish from the platform's list.
-    pub fn pause(&mut self, node: usize, listed: bool) {
-        self.nodes[node].paused = true;
-        if !listed && self.nodes[node].absent_since.is_none() {
-            self.nodes[node].absent_since = Some(self.now);
-        }
-    }
-
-    /// Lets a frozen entry instance go on.
-    pub fn resume(&mut self, node: usize) {
-        if self.nodes[node].alive && self.nodes[node].paused {
-            let entry = &mut self.nodes[node];
-            entry.paused = false;
-            entry.absent_since = None;
-            entry.scheduler.set_dispatch_allowed(false);
-            self.act(node);
-        }
-    }
-
     /// Submits a job.
     pub fn submit(&mut self, node: usize, spec: JobSpec) {
         let record = (
@@ -494,29 +287,4 @@
             .map(|task| task.slots)
             .sum()
     }
-
-    /// No task may run on a worker that a settled generation drained.
-    fn check_drained(&self) {
-        for task in self
-            .tasks
-            .iter()
-            .filter(|task| task.slots > 0 && task.end > self.now)
-        {
-            for generation in task.generation + 1..=self.settled {
-                let state = &self.states[usize::try_from(generation).unwrap()];
-                let worker = state.instances.get(&task.worker);
-                let stopped = worker.is_none_or(|worker| {
-                    matches!(
-                        worker.state,
-                        InstanceState::Draining | InstanceState::Moving { .. }
-                    )
-                });
-                assert!(
-                    !stopped,
-                    "a task on {} at settled {generation}",
-                    task.worker
-                );
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/core/tests/urgent_work.rs
@@ -0,0 +1,87 @@
+//! Urgent work: order within the team and the end of running tasks in its favour.
+
+mod support;
+
+use assert_matches::assert_matches;
+use sesamedeal_core::code::ResultCode;
+use sesamedeal_core::scheduler::{
+    AttemptOutcome, DispatchOrder, FinishOutcome, JobScheduler, JobSpec, SchedulerAction,
+};
+use support::{at, dispatches, drain, fleet, job, scheduler};
+
+fn full(idempotent: bool) -> (JobScheduler, Vec<DispatchOrder>) {
+    let mut scheduler = scheduler(&fleet(1, &[("one", 1, 100), ("two", 1, 100)], 1));
+    for _ in 0..8 {
+        let spec = JobSpec {
+            idempotent,
+            ..job("two", at(0))
+        };
+        scheduler.submit(spec, at(0)).unwrap();
+    }
+    let orders = dispatches(&mut scheduler, at(0));
+    (scheduler, orders)
+}
+
+fn urgent() -> JobSpec {
+    JobSpec {
+        urgent: true,
+        ..job("one", at(0))
+    }
+}
+
+/// Guards against urgent work that waits behind the team's other work.
+#[test]
+fn urgent_first() {
+    let (mut scheduler, orders) = full(true);
+    scheduler.submit(job("one", at(0)), at(0)).unwrap();
+    let first = scheduler.submit(urgent(), at(0)).unwrap();
+    scheduler.finish(orders[0].attempt, AttemptOutcome::Answered, at(10));
+    let next = dispatches(&mut scheduler, at(10));
+    assert_eq!(
+        next.iter().map(|order| order.job).collect::<Vec<_>>(),
+        [first]
+    );
+}
+
+fn stopped(scheduler: &mut JobScheduler, now: u64) -> Vec<sesamedeal_core::scheduler::AttemptKey> {
+    drain(scheduler, at(now))
+        .into_iter()
+        .filter_map(|action| match action {
+            SchedulerAction::Stop { attempt, .. } => Some(attempt),
+            _ => None,
+        })
+        .collect()
+}
+
+/// Guards against urgent work that misses its start limit on a full pool, and a stopped task that
+/// is lost.
+#[test]
+fn stops_task() {
+    let (mut scheduler, orders) = full(true);
+    let first = scheduler.submit(urgent(), at(0)).unwrap();
+    assert!(stopped(&mut scheduler, 3_600).is_empty());
+    let stopped = stopped(&mut scheduler, 3_650);
+    assert_eq!(stopped.len(), 1);
+    let victim = orders
+        .iter()
+        .find(|order| order.attempt == stopped[0])
+        .unwrap();
+    let outcome = scheduler.finish(stopped[0], AttemptOutcome::Stopped, at(3_700));
+    assert_eq!(outcome, FinishOutcome::Retry);
+    assert_eq!(dispatches(&mut scheduler, at(3_700))[0].job, first);
+    scheduler.finish(orders[1].attempt, AttemptOutcome::Answered, at(3_800));
+    scheduler.finish(orders[2].attempt, AttemptOutcome::Answered, at(3_800));
+    let next = dispatches(&mut scheduler, at(3_800));
+    assert!(next.iter().any(|order| order.job == victim.job));
+}
+
+/// Guards against a stop of work that must not run twice.
+#[test]
+fn spares_once() {
+    let (mut scheduler, orders) = full(false);
+    scheduler.submit(urgent(), at(0)).unwrap();
+    assert!(stopped(&mut scheduler, 5_000).is_empty());
+    let outcome = scheduler.finish(orders[0].attempt, AttemptOutcome::Stopped, at(5_000));
+    assert_matches!(outcome, FinishOutcome::Refuse(refusal)
+        if refusal.code == ResultCode::Stopped);
+}
