Add the load generator and the pass-through baseline

Measurements had nothing that sends load, checks answers or serves as a comparison. Load runs in a closed loop or from a seeded schedule with surges, is bounded in count and time, and checks id, body, code and run state of each answer. The pass-through proxy uses the same server and client code.

Attempts of callers that name none repeat between servers, so the observer counted failed ends as running and reported over_slots; it now keeps tasks by worker and attempt.

--- a/crates/standin/src/http_server.rs
+++ b/crates/standin/src/http_server.rs
@@ -8,7 +8,7 @@
 use futures::{StreamExt, stream};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use hyper::header::CONTENT_LENGTH;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -114,14 +114,16 @@
 }
 
 /// Serves requests with `answer` until the handle is dropped.
-pub(crate) async fn serve<F, A>(
+pub(crate) async fn serve<F, A, B>(
     address: SocketAddr,
     limit: ConnectionLimit,
     answer: F,
 ) -> std::io::Result<ServerHandle>
 where
     F: Fn(Request<Incoming>) -> A + Clone + Send + 'static,
-    A: Future<Output = Answer> + Send + 'static,
+    A: Future<Output = Option<Response<B>>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: std::error::Error + Send + Sync,
 {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,7 +5,10 @@
 //! measurement.
 
 pub mod backend;
+pub mod baseline;
 mod http_server;
+pub mod load;
+mod loopback;
 pub mod observer;
 pub mod platform;
 
--- a/crates/standin/src/observer/observer_state.rs
+++ b/crates/standin/src/observer/observer_state.rs
@@ -11,7 +11,6 @@
 
 #[derive(Debug)]
 struct RunningTask {
-    worker: CompactString,
     team: CompactString,
     slots: u32,
 }
@@ -38,7 +37,8 @@
 
 #[derive(Debug, Default)]
 pub(super) struct ObserverState {
-    tasks: HashMap<CompactString, RunningTask>,
+    /// Running tasks by worker and attempt.
+    tasks: HashMap<(CompactString, CompactString), RunningTask>,
     teams: HashMap<CompactString, TeamState>,
     workers: HashMap<CompactString, WorkerState>,
     keys: HashMap<CompactString, Instant>,
@@ -55,7 +55,7 @@
         self.apply_limits(now);
         match event {
             FleetEvent::Started { .. } => self.start(event, now),
-            FleetEvent::Ended { attempt, .. } => self.end(&attempt),
+            FleetEvent::Ended { worker, attempt } => self.end(&(worker, attempt)),
             FleetEvent::RefusedFull { .. } => self.counts.over_slots += 1,
             FleetEvent::RefusedLeaving { worker } => {
                 self.counts.refused_leaving += u64::from(self.is_long_leaving(&worker, now));
@@ -164,19 +164,15 @@
         let late = |at: Instant| now > at + NOTICE_TIME;
         let late = withdrawn.is_some_and(late) || state.withdrawn.is_some_and(late);
         self.counts.after_withdrawal += u64::from(late);
-        let task = RunningTask {
-            worker,
-            team,
-            slots,
-        };
-        self.tasks.insert(attempt, task);
+        self.tasks
+            .insert((worker, attempt), RunningTask { team, slots });
     }
 
-    fn end(&mut self, attempt: &CompactString) {
-        let Some(task) = self.tasks.remove(attempt) else {
+    fn end(&mut self, key: &(CompactString, CompactString)) {
+        let Some(task) = self.tasks.remove(key) else {
             return;
         };
-        if let Some(worker) = self.workers.get_mut(&task.worker) {
+        if let Some(worker) = self.workers.get_mut(&key.0) {
             worker.running -= task.slots;
         }
         if let Some(team) = self.teams.get_mut(&task.team) {
@@ -185,10 +181,10 @@
     }
 
     fn kill(&mut self, worker: &CompactString) {
-        let ended = self.tasks.iter().filter(|(_, task)| task.worker == *worker);
-        let ended: Vec<CompactString> = ended.map(|(attempt, _)| attempt.clone()).collect();
-        for attempt in &ended {
-            self.end(attempt);
+        let ended = self.tasks.keys().filter(|(of, _)| of == worker);
+        let ended: Vec<_> = ended.cloned().collect();
+        for key in &ended {
+            self.end(key);
         }
     }
 
