--- a/crates/standin/src/backend/backend_standin.rs
+++ b/crates/standin/src/backend/backend_standin.rs
@@ -20,6 +20,9 @@
 use crate::http_server::{Answer, AnswerBody, ConnectionLimit, json, plain, serve, with_json};
 use crate::observer::FleetEvent;
 
+/// Time between the answer to `POST /dev/kill` and its effect.
+const KILL_DELAY: Duration = Duration::from_millis(50);
+
 #[derive(Debug)]
 struct BackendShared {
     settings: BackendSettings,
@@ -146,7 +149,11 @@
                 faults
             })),
             (&Method::POST, "/dev/kill") => {
-                self.kill();
+                // The answer is sent before the process dies.
+                tokio::spawn(async move {
+                    sleep(KILL_DELAY).await;
+                    self.kill();
+                });
                 Some(plain(StatusCode::OK, Bytes::new()))
             }
             _ => {
--- a/crates/standin/src/http_server.rs
+++ b/crates/standin/src/http_server.rs
@@ -18,6 +18,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::sleep;
 
@@ -51,6 +52,7 @@
 #[derive(Debug)]
 pub struct ServerHandle {
     address: SocketAddr,
+    stop: Arc<Notify>,
     task: JoinHandle<()>,
 }
 
@@ -63,8 +65,8 @@
 
     /// Stops the server and closes its connections; its port is free afterwards.
     pub async fn stop(mut self) {
-        self.task.abort();
-        // The task was aborted on purpose.
+        self.stop.notify_one();
+        // The task ends only here or by its own panic, which it has printed.
         drop((&mut self.task).await);
     }
 }
@@ -127,11 +129,17 @@
 {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
+    let stop = Arc::new(Notify::new());
+    let stopped = Arc::clone(&stop);
     let task = tokio::spawn(async move {
         let open = Arc::default();
         let mut connections = JoinSet::new();
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = stopped.notified() => break,
+            };
+            let Ok((stream, _)) = accepted else {
                 continue;
             };
             while connections.try_join_next().is_some() {}
@@ -154,8 +162,14 @@
                 drop(connection);
             });
         }
+        drop(listener);
+        connections.shutdown().await;
     });
-    Ok(ServerHandle { address, task })
+    Ok(ServerHandle {
+        address,
+        stop,
+        task,
+    })
 }
 
 /// An answer with a whole body.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,5 +11,9 @@
 mod loopback;
 pub mod observer;
 pub mod platform;
+mod run;
 
 pub use http_server::ServerHandle;
+pub use run::{
+    BackendOptions, ControlClient, PlatformOptions, run_backend, run_platform, serve_backend,
+};
--- a/crates/standin/src/platform/instance_table.rs
+++ b/crates/standin/src/platform/instance_table.rs
@@ -1,6 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use sesamedeal_core::ids::InstanceName;
 use sesamedeal_platform::protocol::{InstanceList, ListedState, PlatformInstance};
 use tokio::time::Instant;
@@ -16,6 +17,17 @@
     Leaving(InstanceName),
 }
 
+/// Answer to `GET /dev/instances/{name}`, without the list's lag.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceStatus {
+    /// Whether the machine is rebooting.
+    pub rebooting: bool,
+    /// Whether the instance is leaving.
+    pub leaving: bool,
+    /// Boot number.
+    pub boot: u64,
+}
+
 /// Instances, and the list as it was some time ago.
 #[derive(Debug, Default)]
 pub(crate) struct InstanceTable {
@@ -85,6 +97,15 @@
         true
     }
 
+    pub(crate) fn status(&self, name: &InstanceName) -> Option<InstanceStatus> {
+        let instance = self.instances.get(name)?;
+        Some(InstanceStatus {
+            rebooting: self.rebooting.contains(name),
+            leaving: instance.state == ListedState::Leaving,
+            boot: instance.boot,
+        })
+    }
+
     /// The newest list that is visible.
     pub(crate) fn list(&mut self, now: Instant) -> InstanceList {
         while self.history.get(1).is_some_and(|(at, _)| *at <= now) {
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -8,7 +8,7 @@
 mod store_load;
 mod table_state;
 
-pub use instance_table::InstanceEvent;
+pub use instance_table::{InstanceEvent, InstanceStatus};
 pub use platform_control::PlatformControl;
 pub use platform_faults::{FaultScope, PlatformFaults};
 pub use platform_standin::PlatformStandin;
--- a/crates/standin/src/platform/platform_control.rs
+++ b/crates/standin/src/platform/platform_control.rs
@@ -70,6 +70,13 @@
     }
 
     fn control_instance(&self, method: &Method, path: &str) -> Response<AnswerBody> {
+        if method == Method::GET {
+            let status = named(path, "").and_then(|name| self.instance_status(&name));
+            return match status {
+                Some(status) => json(&status),
+                None => plain(StatusCode::NOT_FOUND, Bytes::new()),
+            };
+        }
         let known = match *method {
             Method::DELETE => named(path, "").map(|name| self.remove_instance(&name)),
             Method::POST => self.control_named(path),
--- a/crates/standin/src/platform/platform_standin.rs
+++ b/crates/standin/src/platform/platform_standin.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::platform_state::{CallClass, PlatformState, instance_in};
-use super::{InstanceEvent, PlatformFaults, RateLimits, StoreCounters};
+use super::{InstanceEvent, InstanceStatus, PlatformFaults, RateLimits, StoreCounters};
 use crate::ServerHandle;
 use crate::http_server::{Answer, AnswerBody, ConnectionLimit, plain, serve};
 use crate::observer::{FleetEvent, FleetObserver};
@@ -93,6 +93,12 @@
         self.state.lock().instances.remove(name, Instant::now())
     }
 
+    /// What happens to an instance at present; none if it is unknown.
+    #[must_use]
+    pub fn instance_status(&self, name: &InstanceName) -> Option<InstanceStatus> {
+        self.state.lock().instances.status(name)
+    }
+
     /// Lists an instance as leaving; false if it is unknown.
     pub fn drain(&self, name: &InstanceName) -> bool {
         let drained = self.state.lock().instances.drain(name, Instant::now());
