--- a/crates/cli/src/args/dev_args.rs
+++ b/crates/cli/src/args/dev_args.rs
@@ -2,7 +2,7 @@
 
 use argh::FromArgs;
 
-/// Start a stand-in for development and tests.
+/// Start and steer stand-ins for development and tests.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "dev")]
 pub(crate) struct DevArgs {
@@ -10,12 +10,15 @@
     pub command: DevCommand,
 }
 
-/// The stand-ins.
+/// The commands of `dev`.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 pub(crate) enum DevCommand {
     Platform(PlatformArgs),
     Backend(BackendArgs),
+    ListEntry(ListEntryArgs),
+    Faults(FaultsArgs),
+    Violations(ViolationsArgs),
 }
 
 /// Start a stand-in for the platform.
@@ -25,6 +28,12 @@
     /// IP address and port to listen on
     #[argh(option)]
     pub listen: SocketAddr,
+    /// time by which the instance list lags, in milliseconds
+    #[argh(option)]
+    pub list_lag_ms: Option<u64>,
+    /// time that a reboot takes, in milliseconds
+    #[argh(option)]
+    pub reboot_ms: Option<u64>,
 }
 
 /// Start a stand-in for a backend server.
@@ -34,4 +43,58 @@
     /// IP address and port to listen on
     #[argh(option)]
     pub listen: SocketAddr,
+    /// platform stand-in to register with
+    #[argh(option)]
+    pub platform: Option<SocketAddr>,
+    /// name of the instance (default worker-1)
+    #[argh(option, default = "String::from(\"worker-1\")")]
+    pub name: String,
+    /// availability zone (default zone-0)
+    #[argh(option, default = "String::from(\"zone-0\")")]
+    pub zone: String,
+    /// rack (default zone-0-rack-0)
+    #[argh(option, default = "String::from(\"zone-0-rack-0\")")]
+    pub rack: String,
+}
+
+/// Put an entry instance on the platform stand-in's list, as the platform does when it starts one.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list-entry")]
+pub(crate) struct ListEntryArgs {
+    /// platform stand-in
+    #[argh(option)]
+    pub platform: SocketAddr,
+    /// address of the entry instance
+    #[argh(option)]
+    pub entry: SocketAddr,
+    /// availability zone (default zone-0)
+    #[argh(option, default = "String::from(\"zone-0\")")]
+    pub zone: String,
+}
+
+/// Switch the faults of the platform stand-in. What is not given is off.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "faults")]
+pub(crate) struct FaultsArgs {
+    /// platform stand-in
+    #[argh(option)]
+    pub platform: SocketAddr,
+    /// answer every call with status 503
+    #[argh(switch)]
+    pub down: bool,
+    /// delay before each call takes effect, in milliseconds
+    #[argh(option, default = "0")]
+    pub delay_ms: u64,
+    /// let writes take effect and lose their answers
+    #[argh(switch)]
+    pub lose_answers: bool,
+}
+
+/// Print what the stand-ins have seen of broken promises.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "violations")]
+pub(crate) struct ViolationsArgs {
+    /// platform stand-in
+    #[argh(option)]
+    pub platform: SocketAddr,
 }
--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -1,9 +1,11 @@
 //! Arguments of the command line.
 
 mod config_args;
+mod demo_args;
 mod dev_args;
 mod fleet_args;
 mod key_args;
+mod load_args;
 mod maintenance_args;
 mod operator_args;
 mod sheet_args;
@@ -13,9 +15,13 @@
 
 use argh::FromArgs;
 pub(crate) use config_args::{ConfigArgs, ConfigCommand, LimitArgs, LimitCommand};
-pub(crate) use dev_args::{DevArgs, DevCommand};
+pub(crate) use demo_args::DemoArgs;
+pub(crate) use dev_args::{
+    BackendArgs, DevArgs, DevCommand, FaultsArgs, ListEntryArgs, PlatformArgs,
+};
 pub(crate) use fleet_args::{InstanceArgs, InstanceCommand, PoolArgs, PoolCommand, StatusArgs};
 pub(crate) use key_args::{KeyArgs, KeyCommand, KeyGrantArgs, KeyWithdrawArgs};
+pub(crate) use load_args::LoadArgs;
 pub(crate) use maintenance_args::{
     MaintenanceArgs, MaintenanceCommand, WaveHaltArgs, WaveResumeArgs, WaveStartArgs,
     WaveStatusArgs,
@@ -38,10 +44,12 @@
 #[argh(subcommand)]
 pub(crate) enum SesameCommand {
     Config(ConfigArgs),
+    Demo(DemoArgs),
     Dev(DevArgs),
     Instance(InstanceArgs),
     Key(KeyArgs),
     Limit(LimitArgs),
+    Load(LoadArgs),
     Maintenance(MaintenanceArgs),
     Pool(PoolArgs),
     Sheet(SheetArgs),
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -1,11 +1,13 @@
 //! The commands, one file each.
 
 mod config;
+mod demo;
 mod dev;
 mod in_force;
 mod instance;
 mod key;
 mod limit;
+mod load;
 mod maintenance;
 mod pool;
 mod sheet;
@@ -14,10 +16,12 @@
 mod submit;
 
 pub(crate) use config::config;
-pub(crate) use dev::dev;
+pub(crate) use demo::demo;
+pub(crate) use dev::{dev, entry_instance};
 pub(crate) use instance::instance;
 pub(crate) use key::key;
 pub(crate) use limit::limit;
+pub(crate) use load::load;
 pub(crate) use maintenance::maintenance;
 pub(crate) use pool::pool;
 pub(crate) use sheet::sheet;
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -51,6 +51,12 @@
         /// What failed.
         reason: String,
     },
+    /// The demonstration counted broken promises.
+    #[snafu(display("{count} promises were broken"))]
+    BrokenPromises {
+        /// Number of violations.
+        count: u64,
+    },
     /// An argument has a value that is not allowed.
     #[snafu(display("{argument}: {reason}"))]
     Argument {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod args;
 mod commands;
+mod demo;
 mod entry_client;
 mod error;
 mod operator_client;
@@ -20,10 +21,12 @@
 pub async fn run(args: SesameArgs) -> Result<()> {
     match args.command {
         SesameCommand::Config(args) => commands::config(args).await,
+        SesameCommand::Demo(args) => commands::demo(args).await,
         SesameCommand::Dev(args) => commands::dev(args).await,
         SesameCommand::Instance(args) => commands::instance(args).await,
         SesameCommand::Key(args) => commands::key(args).await,
         SesameCommand::Limit(args) => commands::limit(args).await,
+        SesameCommand::Load(args) => commands::load(args).await,
         SesameCommand::Maintenance(args) => commands::maintenance(args).await,
         SesameCommand::Pool(args) => commands::pool(args).await,
         SesameCommand::Sheet(args) => commands::sheet(args).await,
--- a/crates/daemon/src/admin/admin_service.rs
+++ b/crates/daemon/src/admin/admin_service.rs
@@ -10,13 +10,14 @@
 use sesamedeal_core::ids::Generation;
 use sesamedeal_core::membership::SessionState;
 use sesamedeal_platform::rows::SESSION_PREFIX;
-use sesamedeal_wire::admin::{AppendRequest, HistoryReply, InForceReply};
+use sesamedeal_wire::admin::{AppendRequest, HistoryReply, InForceReply, PlanContext};
 use sesamedeal_wire::header;
 use slog::warn;
 
 use super::change_append::append;
 use super::operator_check::is_operator;
 use super::status_report::{session_rows, status};
+use crate::clock::day_time;
 use crate::entry_context::EntryContext;
 
 /// Largest body of an operator's request, in bytes. A sheet of the target size has about 5 MB.
@@ -97,6 +98,7 @@
             (&Method::GET, "/status") => json(&status(&self.context).await),
             (&Method::GET, "/admin/state") => json(&*self.context.keeper.state()),
             (&Method::GET, "/admin/history") => self.history().await,
+            (&Method::GET, "/admin/plan-context") => json(&self.plan_context()),
             (&Method::POST, "/admin/changes") => {
                 let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect();
                 let body = body
@@ -116,6 +118,14 @@
         }
     }
 
+    fn plan_context(&self) -> PlanContext {
+        let settings = &self.context.settings;
+        PlanContext {
+            now: day_time(settings.utc_offset_minutes),
+            policy: settings.plan_policy(),
+        }
+    }
+
     async fn history(&self) -> AdminResult {
         let head = self.context.keeper.state().generation;
         let after = Generation(head.0.saturating_sub(HISTORY_RECORDS));
