--- a/crates/core/examples/control_memory.rs
+++ b/crates/core/examples/control_memory.rs
@@ -48,11 +48,10 @@
 
 fn fleet() -> FleetState {
     let (workers, pools, teams, sessions) = SIZE;
-    let mut state = FleetState {
-        generation: Generation(1),
-        view: SessionView::new((1..=sessions).map(SessionId).collect()),
-        ..FleetState::default()
-    };
+    let mut state = FleetState::with_view(
+        Generation(1),
+        SessionView::new((1..=sessions).map(SessionId).collect()),
+    );
     for pool in 0..pools {
         let record = PoolRecord {
             size: 300,
@@ -75,6 +74,8 @@
             memory_mb: 128_000,
             slots: 8,
             boot: 1,
+            since: Generation::ZERO,
+            maintained: 0,
         };
         let name = InstanceName::new(format!("worker-{worker}"));
         state.instances.insert(name, record);
--- a/crates/core/tests/support/world_log.rs
+++ b/crates/core/tests/scheduling/world_log.rs
@@ -5,7 +5,7 @@
 use sesamedeal_core::scheduler::{JobScheduler, SchedulerPolicy};
 use sesamedeal_core::time::TimePoint;
 
-use super::world::{GONE_AFTER, World, WorldNode};
+use super::world::{GONE_AFTER, World, WorldNode, worker_name};
 
 impl World {
     /// Starts an entry instance with a new session.
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Changes the state of a worker, unless the transition is invalid.
+    pub fn set_worker(&mut self, worker: usize, state: InstanceState) {
+        let name = worker_name(worker);
+        self.change(FleetChange::SetInstanceState { name, state });
+    }
+
     /// Lets an entry instance apply the next generation.
     pub fn apply_next(&mut self, node: usize) {
         let next = (self.nodes[node].applied + 1).min(self.newest());
