Request units that are missing after the free ones are taken

A request for slots was left out while a slot was free. The answer to a message with a loan is built before the loan is used, so that it withdrew the requests that the lender still had, and lending took seconds per slot.

Missing slots are now counted less the free ones. The order of teams also puts teams with few and with many slots on a par: a team that is due less than half a slot at an entry instance is served when it holds none. The simulation carries out actions after each event, as the daemon does, and counts the bytes of the exchange. Bounds on the parts of a message are tightened to stay below 64 KB.

--- a/crates/core/src/exchange/usage_table.rs
+++ b/crates/core/src/exchange/usage_table.rs
@@ -7,7 +7,7 @@
 use crate::time::TimePoint;
 
 /// Most entries in one message; with the other parts of a message, this stays below 64 KB.
-const MAX_ENTRIES: usize = 1_500;
+const MAX_ENTRIES: usize = 1_000;
 
 /// Most peers of which the known versions are kept.
 const MAX_KNOWN: usize = 2_000;
--- a/crates/core/src/queue/flow_record.rs
+++ b/crates/core/src/queue/flow_record.rs
@@ -132,11 +132,14 @@
     }
 
     /// Sort key; the flow with the lowest one is served next. `sessions` is the number of entry
-    /// instances.
-    pub(crate) fn order(&self, weight: f64, sessions: usize, now: TimePoint) -> f64 {
-        // Half a slot is added because the next job takes a whole one: without it, a team with few
-        // slots would be served too often, and with a whole one too seldom.
-        let ahead = (f64::from(self.held) + 0.5) / self.known_part(sessions, now) * LOOK_AHEAD_S;
+    /// instances, `level` the slots of the pool per unit of weight.
+    pub(crate) fn order(&self, weight: f64, sessions: usize, level: f64, now: TimePoint) -> f64 {
+        let part = self.known_part(sessions, now);
+        // A team is served when it holds about half a slot less than its due. Adding the half puts
+        // teams with many and with few slots on a par; a team that is due less than half a slot
+        // here is served when it holds none.
+        let half = (part * weight * level).min(0.5);
+        let ahead = (f64::from(self.held) + half) / part * LOOK_AHEAD_S;
         self.normalised(weight, now) + ahead / weight
     }
 
--- a/crates/core/src/scheduler/borrowing.rs
+++ b/crates/core/src/scheduler/borrowing.rs
@@ -9,7 +9,7 @@
 const MAX_UNITS: u32 = 1_000;
 
 /// Most requests in one message.
-const MAX_REQUESTS: usize = 128;
+const MAX_REQUESTS: usize = 64;
 
 /// Longest pause between two requests for extra exchanges, in revisions, while no peer lends.
 const MAX_ASK_PAUSE: u32 = 16;
@@ -148,9 +148,15 @@
     /// Slots that are missing in a pool.
     pub(super) fn missing_slots(&self, pool: PoolIndex) -> u32 {
         let entry = &self.fleet.pools[pool.at()];
-        if entry.backlog.is_empty() || !entry.ready.is_empty() && entry.waiting.is_empty() {
+        if entry.backlog.is_empty() {
             return 0;
         }
+        // Slots that have just come free, possibly by a loan, are taken by the next dispatches.
+        let free: u32 = entry
+            .ready
+            .iter()
+            .map(|worker| self.fleet.placement[worker.at()].startable)
+            .sum();
         let queued: u32 = entry
             .backlog
             .iter()
@@ -165,7 +171,7 @@
         )]
         #[expect(clippy::cast_sign_loss, reason = "clamped to the bounds of u32")]
         let entitled = entitled.clamp(0.0, f64::from(MAX_UNITS)) as u32;
-        queued.min(entitled)
+        queued.min(entitled).saturating_sub(free)
     }
 
     fn slot_request(&self, pool: PoolIndex, peer: SessionId) -> Option<LoanRequest> {
--- a/crates/core/src/scheduler/lending.rs
+++ b/crates/core/src/scheduler/lending.rs
@@ -18,7 +18,7 @@
 const MAX_LOANS: usize = 500;
 
 /// Most loans in one message; with the other parts of a message, this stays below 64 KB.
-const MAX_OFFERS: usize = 200;
+const MAX_OFFERS: usize = 100;
 
 impl JobScheduler {
     /// Replaces the requests of the sender and lends what is free for them.
--- a/crates/core/src/scheduler/pool_entry.rs
+++ b/crates/core/src/scheduler/pool_entry.rs
@@ -39,6 +39,8 @@
     pub(crate) entitled: f64,
     /// Slots of the active workers.
     pub(crate) slots: u32,
+    /// Slots per unit of weight of the backlogged teams.
+    pub(crate) level: f64,
     /// Whether the pool is in the list of pools to serve.
     pub(crate) marked: bool,
 }
@@ -60,6 +62,7 @@
             held: 0,
             entitled: f64::INFINITY,
             slots: 0,
+            level: f64::INFINITY,
             marked: false,
         }
     }
--- a/crates/core/src/scheduler/preemption.rs
+++ b/crates/core/src/scheduler/preemption.rs
@@ -62,7 +62,8 @@
                 let over = |flow: super::FlowIndex| {
                     let flow = &self.flows[flow.at()];
                     let weight = self.fleet.teams[flow.team.at()].weight;
-                    flow.order(weight, self.fleet.view.sessions.len(), now)
+                    let level = self.fleet.pools[flow.pool.at()].level;
+                    flow.order(weight, self.fleet.view.sessions.len(), level, now)
                 };
                 over(one.flow)
                     .total_cmp(&over(other.flow))
--- a/crates/core/src/scheduler/quarantine.rs
+++ b/crates/core/src/scheduler/quarantine.rs
@@ -8,6 +8,9 @@
 /// Time after which a worker that was said to be leaving, and did not, is used again.
 const LEAVING_FOR: Duration = Duration::from_secs(60);
 
+/// Most leaving workers in one message.
+const MAX_TOLD: usize = 100;
+
 /// Time for which a leaving worker is told to peers.
 const TELL_FOR: Duration = Duration::from_secs(15);
 
@@ -118,7 +121,7 @@
                     age,
                 })
             })
-            .take(200)
+            .take(MAX_TOLD)
             .collect()
     }
 
--- a/crates/core/src/scheduler/sharing.rs
+++ b/crates/core/src/scheduler/sharing.rs
@@ -119,7 +119,8 @@
             return f32::NEG_INFINITY;
         }
         let weight = self.fleet.teams[flow.team.at()].weight;
-        let order = flow.order(weight, self.fleet.view.sessions.len(), now);
+        let level = self.fleet.pools[flow.pool.at()].level;
+        let order = flow.order(weight, self.fleet.view.sessions.len(), level, now);
         #[expect(
             clippy::cast_possible_truncation,
             reason = "a sort key needs no more digits"
@@ -178,6 +179,14 @@
             .copied()
             .filter(|flow| self.flows[flow.at()].demand() > 0.0)
             .collect();
+        let weights: f64 = active
+            .iter()
+            .map(|flow| &self.flows[flow.at()])
+            .filter(|flow| flow.is_backlogged())
+            .map(|flow| self.fleet.teams[flow.team.at()].weight)
+            .sum();
+        self.fleet.pools[pool.at()].level = f64::from(entry.slots) / weights;
+        let entry = &self.fleet.pools[pool.at()];
         let remote = active
             .iter()
             .any(|flow| self.flows[flow.at()].remote_queued > 0.0);
--- a/crates/core/tests/exchanging.rs
+++ b/crates/core/tests/exchanging.rs
@@ -127,9 +127,8 @@
         schedulers[0].receive(&message, at(0));
     }
     let message = schedulers[0].exchange_with(SessionId(2), at(0));
-    // An entry takes at most 30 bytes in MessagePack.
-    let entries: usize = message.usage.iter().map(|usage| usage.entries.len()).sum();
-    assert!((1..=1_500).contains(&entries));
+    let length = rmp_serde::to_vec(&message).unwrap().len();
+    assert!((10_000..=64_000).contains(&length), "{length} bytes");
     let next = schedulers[0].exchange_with(SessionId(2), at(0));
     assert!(
         next.usage
--- a/crates/core/tests/fair_share.rs
+++ b/crates/core/tests/fair_share.rs
@@ -43,11 +43,29 @@
 fn single_entry() {
     for seed in [1, 2, 3] {
         let mut simulation = simulation(seed);
-        simulation.run_until(at(5_000));
+        simulation.run_until(at(3_000));
         for window in 1..=3_u64 {
-            let used = simulation.run_until(at(5_000 + window * 10_000));
+            let used = simulation.run_until(at(3_000 + window * 10_000));
             assert_shares(&used, 10.0, 80.0);
         }
+        // The target for all control traffic of an entry instance is 3 KB/s.
+        let rate = simulation.bytes / 8 / 33;
+        assert!(rate <= 3_000, "{rate} B/s of exchange");
+    }
+}
+
+/// Guards against a surge of the team at the single entry instance that is served too late.
+#[test]
+fn single_surge() {
+    for seed in [4, 5, 6] {
+        let mut simulation = simulation(seed);
+        simulation.run_until(at(15_000));
+        simulation.set_callers("one", 0, 8);
+        simulation.run_until(at(25_000));
+        simulation.set_callers("one", 0, 800);
+        simulation.run_until(at(28_000));
+        let used = simulation.run_until(at(38_000));
+        assert_shares(&used, 10.0, 80.0);
     }
 }
 
--- a/crates/core/tests/scheduling/simulation.rs
+++ b/crates/core/tests/scheduling/simulation.rs
@@ -39,6 +39,8 @@
     pub schedulers: Vec<JobScheduler>,
     pub state: FleetState,
     pub exchanges: usize,
+    /// Bytes of all messages.
+    pub bytes: usize,
     pub refused: usize,
     groups: Vec<CallerGroup>,
     jobs: BTreeMap<(usize, sesamedeal_core::scheduler::JobKey), usize>,
@@ -67,6 +69,7 @@
             schedulers,
             state,
             exchanges: 0,
+            bytes: 0,
             refused: 0,
             groups: Vec::new(),
             jobs: BTreeMap::new(),
@@ -105,10 +108,9 @@
             self.now = self.now.after(STEP);
             self.end_tasks();
             self.send_jobs();
+            self.act_all();
             self.exchange_in_turn();
-            for number in 0..self.schedulers.len() {
-                self.act(number);
-            }
+            self.act_all();
             for task in &self.tasks {
                 let team = self.groups[task.group].team.clone();
                 *self.slot_time.entry(team).or_default() += STEP.as_secs_f64();
@@ -180,6 +182,15 @@
         self.schedulers[to].receive(&message, self.now);
         let answer = self.schedulers[to].exchange_with(sessions[from], self.now);
         self.schedulers[from].receive(&answer, self.now);
+        for message in [message, answer] {
+            self.bytes += rmp_serde::to_vec(&message).unwrap().len();
+        }
+    }
+
+    fn act_all(&mut self) {
+        for number in 0..self.schedulers.len() {
+            self.act(number);
+        }
     }
 
     fn act(&mut self, number: usize) {
