--- a/crates/core/examples/control_memory.rs
+++ b/crates/core/examples/control_memory.rs
@@ -48,8 +48,10 @@
 
 fn fleet() -> FleetState {
     let (workers, pools, teams, sessions) = SIZE;
-    let view = SessionView::new((1..=sessions).map(SessionId).collect());
-    let mut state = FleetState::with_view(Generation(1), view);
+    let mut state = FleetState::with_view(
+        Generation(1),
+        SessionView::new((1..=sessions).map(SessionId).collect()),
+    );
     for pool in 0..pools {
         let record = PoolRecord {
             size: 300,
--- a/crates/core/tests/scheduling/world_log.rs
+++ b/crates/core/tests/scheduling/world_log.rs
@@ -5,7 +5,7 @@
 use sesamedeal_core::scheduler::{JobScheduler, SchedulerPolicy};
 use sesamedeal_core::time::TimePoint;
 
-use super::world::{GONE_AFTER, World, WorldNode};
+use super::world::{GONE_AFTER, World, WorldNode, worker_name};
 
 impl World {
     /// Starts an entry instance with a new session.
@@ -41,7 +41,7 @@
 
     /// Changes the state of a worker, unless the transition is invalid.
     pub fn set_worker(&mut self, worker: usize, state: InstanceState) {
-        let name = super::world::worker_name(worker);
+        let name = worker_name(worker);
         self.change(FleetChange::SetInstanceState { name, state });
     }
 
