--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -1,8 +1,10 @@
 //! Fixtures shared by the tests.
 #![allow(dead_code, reason = "each test file uses a part of the fixtures")]
 
+pub mod budget;
 pub mod flow;
 pub mod fuzz;
+pub mod race;
 pub mod world;
 
 use sesamedeal_core::fleet::{
--- a/crates/core/tests/support/world.rs
+++ b/crates/core/tests/support/world.rs
@@ -220,3 +220,13 @@
         slots: instance.slots,
     }
 }
+
+/// Number of active instances of a pool.
+pub fn active(world: &World, pool_name: &str) -> usize {
+    world
+        .state
+        .instances
+        .values()
+        .filter(|instance| instance.pool.as_str() == pool_name && instance.state.is_active())
+        .count()
+}
