--- /dev/null
+++ b/crates/core/src/ledger/loan_book.rs
@@ -0,0 +1,113 @@
+use std::collections::BTreeMap;
+
+use super::{LoanRecord, PeerBook, ResourceKey};
+use crate::ids::{Generation, SessionId};
+
+/// Loans to and from all peers.
+#[derive(Debug, Default)]
+pub(crate) struct LoanBook {
+    /// Books by peer.
+    pub(crate) peers: BTreeMap<SessionId, PeerBook>,
+}
+
+impl LoanBook {
+    /// The book of a peer.
+    pub(crate) fn peer(&mut self, peer: SessionId) -> &mut PeerBook {
+        self.peers.entry(peer).or_default()
+    }
+
+    /// Voids the lent loans that `select` picks and that were made before `generation`.
+    ///
+    /// The lender must not take a loan for void that the borrower may still use. It therefore
+    /// counts as void from `generation` on, even if an earlier generation was left out.
+    pub(crate) fn void_lent(
+        &mut self,
+        generation: Generation,
+        select: impl Fn(&LoanRecord) -> bool,
+    ) {
+        let lent = self
+            .peers
+            .values_mut()
+            .flat_map(|book| book.lent.values_mut());
+        for loan in lent.filter(|loan| select(loan)) {
+            let first = if loan.brief {
+                Generation::ZERO
+            } else {
+                generation
+            };
+            loan.void(first, generation);
+        }
+    }
+
+    /// Voids the borrowed loans that `select` picks and that were made before `generation`, from
+    /// `first` on. Returns the units that became void.
+    pub(crate) fn void_open(
+        &mut self,
+        first: Generation,
+        generation: Generation,
+        select: impl Fn(&LoanRecord) -> bool,
+    ) -> Vec<(ResourceKey, u32)> {
+        self.peers
+            .values_mut()
+            .flat_map(|book| book.open.values_mut())
+            .filter(|loan| select(loan))
+            .filter_map(|loan| {
+                let voided = loan.void(first, generation);
+                voided.then_some((loan.resource, loan.units))
+            })
+            .collect()
+    }
+
+    /// Gives back up to `units` borrowed units, void ones first. Returns the units given back and
+    /// how many of them were void.
+    pub(crate) fn give_back(&mut self, resource: ResourceKey, units: u32) -> (u32, u32) {
+        let mut given = (0, 0);
+        for void in [true, false] {
+            for book in self.peers.values_mut() {
+                for loan in book.open.values_mut() {
+                    if loan.resource != resource || loan.void_at.is_some() != void {
+                        continue;
+                    }
+                    let part = loan.units.min(units - given.0);
+                    loan.units -= part;
+                    given.0 += part;
+                    given.1 += if void { part } else { 0 };
+                }
+                book.open.retain(|_, loan| loan.units > 0);
+            }
+        }
+        given
+    }
+
+    /// Lent units of a resource whose loans are not void under `generation`.
+    pub(crate) fn lent_under(&self, resource: ResourceKey, generation: Generation) -> u32 {
+        self.peers
+            .values()
+            .flat_map(|book| book.lent.values())
+            .filter(|loan| loan.resource == resource && !loan.is_void(generation))
+            .map(|loan| loan.units)
+            .sum()
+    }
+
+    /// First generation under which a borrowed unit still held is void.
+    pub(crate) fn first_void(&self) -> Option<Generation> {
+        self.peers
+            .values()
+            .flat_map(|book| book.open.values())
+            .filter_map(|loan| loan.void_at)
+            .min()
+    }
+
+    /// Resources of which units are borrowed.
+    pub(crate) fn borrowed(&self) -> Vec<ResourceKey> {
+        let mut resources: Vec<ResourceKey> = self
+            .peers
+            .values()
+            .flat_map(|book| book.open.values())
+            .map(|loan| loan.resource)
+            .collect();
+        resources.sort_unstable();
+        resources.dedup();
+        resources
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,6 @@
-//! Placeholder.
+//! Headers and message encoding shared by sesamedeal's processes.
+
+pub mod admin;
+pub mod codec;
+pub mod header;
+pub mod peer;
