--- a/crates/platform/tests/http_calls.rs
+++ b/crates/platform/tests/http_calls.rs
@@ -9,7 +9,7 @@
 use common::insert;
 use sesamedeal_core::ids::InstanceName;
 use sesamedeal_platform::protocol::WriteReply;
-use sesamedeal_platform::{PlatformClient, PlatformError, PlatformSettings};
+use sesamedeal_platform::{CallKind, PlatformClient, PlatformError, PlatformSettings};
 use sesamedeal_standin::platform::{PlatformFaults, PlatformStandin};
 
 fn any_port() -> SocketAddr {
@@ -49,6 +49,17 @@
         client.reboot(&name).await,
         Err(PlatformError::Status { status: 404 })
     );
+    let counters = client.counters();
+    let calls = |kind| counters.calls.get(&kind).copied().unwrap_or_default();
+    assert_eq!((calls(CallKind::Write), calls(CallKind::Read)), (2, 1));
+    assert_eq!(
+        (calls(CallKind::ObjectGet), calls(CallKind::ObjectPut)),
+        (2, 1)
+    );
+    assert_eq!(calls(CallKind::ObjectDelete), 2);
+    assert_eq!(counters.retries.values().sum::<u64>(), 0);
+    let bytes = counters.bytes_sent + counters.bytes_received;
+    assert_eq!(bytes, platform.counters().bytes);
 }
 
 /// A connection that is closed after the write leaves the outcome open; a closed port does not.
