--- a/crates/standin/src/backend/backend_standin.rs
+++ b/crates/standin/src/backend/backend_standin.rs
@@ -235,11 +235,10 @@
     }
 
     async fn work(&self, request: &RunRequest, faults: BackendFaults) {
-        if !faults.fail_all {
-            sleep(Duration::from_millis(
-                request.script.run_ms + faults.extra_ms,
-            ))
-            .await;
+        let run_ms = request.script.run_ms + faults.extra_ms;
+        // Even a sleep of no length lasts about a millisecond, which would hide added latency.
+        if !faults.fail_all && run_ms > 0 {
+            sleep(Duration::from_millis(run_ms)).await;
         }
         wait_for(&self.shared.frozen, false).await;
     }
@@ -261,6 +260,9 @@
 }
 
 async fn wait_for(flag: &watch::Sender<bool>, value: bool) {
+    if *flag.borrow() == value {
+        return;
+    }
     // The sender lives as long as the server, so that the wait ends only with the value.
     drop(flag.subscribe().wait_for(|current| *current == value).await);
 }
