--- a/crates/core/tests/scheduling/mod.rs
+++ b/crates/core/tests/scheduling/mod.rs
@@ -1,8 +1,11 @@
 //! Fleet states and a simulated fleet for the scheduler's tests.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod fuzz_step;
 pub mod simulation;
 pub mod world;
+pub mod world_log;
+pub mod world_recovery;
 
 use std::time::Duration;
 
@@ -43,7 +46,7 @@
     let mut state = FleetState::with_view(Generation(1), view);
     let pool = PoolRecord {
         size: u32::try_from(workers).unwrap(),
-        max_unavailable: 3,
+        max_unavailable: 2,
         spare: false,
     };
     state.pools.insert(PoolName::new("main"), pool);
