Test the control loops on several entry instances and bound their cost

A verdict on the evidence has to hold 200 ms ahead, because keyed work was refused for up to 100 ms when an outage of 2.5 s began to count as one.

--- a/crates/daemon/src/control/control_round.rs
+++ b/crates/daemon/src/control/control_round.rs
@@ -98,15 +98,18 @@
     }
 
     async fn decide(&mut self, state: &FleetState, rows: &RoundRows) -> Result<ControlStep> {
+        self.refresh_list().await;
         let context = &self.context;
         let sessions =
             context
                 .client
                 .scan_rows::<SessionRecord>(SESSION_PREFIX, None, MAX_SESSIONS);
-        let (sessions, list) = tokio::join!(sessions, context.client.instances());
-        let sessions: Vec<SessionRecord> =
-            sessions?.into_iter().map(|(_, row)| row.value).collect();
-        let list = list.ok().map(listed);
+        let sessions: Vec<SessionRecord> = sessions
+            .await?
+            .into_iter()
+            .map(|(_, row)| row.value)
+            .collect();
+        let list = self.list.as_ref().map(|(list, _)| list.as_slice());
         let oldest = rows.head.snapshot.0.saturating_sub(KEPT_RECORDS);
         let input = ControlInput {
             now: context.clock.now(),
@@ -114,7 +117,7 @@
             state,
             settled: rows.settled.generation,
             sessions: &sessions,
-            list: list.as_deref(),
+            list,
             health: &[],
             log: LogExtent {
                 snapshot: rows.head.snapshot,
@@ -134,6 +137,19 @@
         Ok(step)
     }
 
+    /// Reads the platform's list again when its time has come. A list that could not be read
+    /// again is not used further.
+    async fn refresh_list(&mut self) {
+        let now = self.context.clock.now();
+        let period = self.context.settings.list_period;
+        let is_fresh = |(_, read): &(Vec<_>, _)| now.since(*read) < period;
+        if self.list.as_ref().is_some_and(is_fresh) {
+            return;
+        }
+        let list = self.context.client.instances().await;
+        self.list = list.ok().map(|list| (listed(list), now));
+    }
+
     /// Writes a step in one transaction, on the condition that the lease row has not changed.
     /// Returns whether the step is in force.
     async fn commit(
--- a/crates/daemon/src/control/controller_actor.rs
+++ b/crates/daemon/src/control/controller_actor.rs
@@ -4,7 +4,8 @@
 use sesamedeal_core::control::{ControlNote, ControlPolicy, Controller};
 use sesamedeal_core::ids::OperationId;
 use sesamedeal_core::lease::{LeaseAction, LeaseCandidate, LeasePolicy, LeaseRecord};
-use sesamedeal_core::membership::{MembershipPolicy, SessionState};
+use sesamedeal_core::membership::{ListedInstance, MembershipPolicy, SessionState};
+use sesamedeal_core::time::TimePoint;
 use sesamedeal_platform::PutCondition;
 use sesamedeal_platform::protocol::WriteReply;
 use sesamedeal_platform::rows::CONTROLLER_LEASE;
@@ -24,6 +25,8 @@
     /// Present while this session holds the lease.
     pub(super) controller: Option<Controller>,
     pub(super) notes: Vec<ControlNote>,
+    /// The platform's list and when it was asked for.
+    pub(super) list: Option<(Vec<ListedInstance>, TimePoint)>,
 }
 
 /// Runs one step.
@@ -42,6 +45,7 @@
             context,
             controller: None,
             notes: Vec::new(),
+            list: None,
         }
     }
 
@@ -92,7 +96,7 @@
     fn take_office(&mut self, record: LeaseRecord) {
         let settings = &self.context.settings;
         let membership = MembershipPolicy {
-            list_lag: settings.list_lag,
+            list_lag: settings.list_lag + settings.list_period,
             task_lease: settings.task_lease,
             clock_margin: settings.clock_margin,
         };
@@ -102,6 +106,7 @@
             ..ControlPolicy::new()
         };
         self.controller = Some(Controller::new(policy));
+        self.list = None;
         info!(self.context.logger, "role"; "controller" => true, "epoch" => record.epoch);
     }
 
--- a/crates/daemon/src/dispatch/evidence_flag.rs
+++ b/crates/daemon/src/dispatch/evidence_flag.rs
@@ -6,9 +6,9 @@
 
 /// Time after which a positive verdict lapses when it is not renewed.
 ///
-/// It is the age bound of the evidence itself, so that a loop that stopped judging cannot keep
-/// withdrawn keys in force.
-const LAPSE: Duration = Duration::from_millis(2_500);
+/// Evidence is at most 2.3 s old when it is judged, so that a loop that stopped judging keeps a
+/// withdrawn key in force for 3 s at most.
+const LAPSE: Duration = Duration::from_millis(700);
 
 /// Verdict on the evidence of the state, shared between the loop that judges it and the request
 /// path.
--- a/crates/daemon/src/peer/peer_loop.rs
+++ b/crates/daemon/src/peer/peer_loop.rs
@@ -1,7 +1,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use compact_str::CompactString;
 use sesamedeal_core::exchange::ExchangeMessage;
 use sesamedeal_core::fleet::SessionView;
 use sesamedeal_core::ids::SessionId;
@@ -20,6 +19,11 @@
 /// Most exchanges under way at once.
 const MAX_CALLS: usize = 16;
 
+/// Part of the evidence's lifetime after which relayed news of sessions is sent. While the table
+/// service answers, evidence is seldom that old; in an outage the rest of the lifetime is enough
+/// for three exchanges before work that needs a key depends on the news.
+const RELAY_SHARE: f64 = 0.35;
+
 /// Most session rows read at once; the agreed state has at most as many sessions.
 const MAX_SESSIONS: usize = 1_000;
 
@@ -109,7 +113,7 @@
 }
 
 async fn take_answer(context: &EntryContext, answer: PeerMessage, sent: TimePoint) {
-    note_sender(context, &answer.exchange.from, &answer.address);
+    note_sender(context, &answer);
     context.gate.note_answer(&answer.exchange, sent);
     let message = aged(answer.exchange, context.clock.now().since(sent));
     // An actor that has ended holds no units.
@@ -132,13 +136,23 @@
 pub(super) async fn message_to(context: &EntryContext, peer: SessionId) -> Option<PeerMessage> {
     let mut exchange = context.dispatcher.send(BuildExchange { peer }).await.ok()?;
     exchange.evidence_age = context.gate.age();
+    // What other sessions are heard of is needed only when the table service does not answer. It
+    // would be a quarter of all control bytes otherwise.
+    let relays_from = context.settings.evidence.mul_f64(RELAY_SHARE);
+    if exchange.evidence_age.is_some_and(|age| age < relays_from) {
+        exchange.heard.clear();
+    }
+    let state = context.keeper.state();
+    let is_known = state.view.contains(context.session);
     Some(PeerMessage {
-        address: context.address_text(),
+        address: (!is_known).then(|| context.address_text()),
         exchange,
     })
 }
 
 /// Takes note of where the sender of a message is reached.
-pub(super) fn note_sender(context: &EntryContext, session: &SessionId, address: &CompactString) {
-    context.peers.note(*session, address);
+pub(super) fn note_sender(context: &EntryContext, message: &PeerMessage) {
+    if let Some(address) = &message.address {
+        context.peers.note(message.exchange.from, address);
+    }
 }
--- a/crates/daemon/src/peer/peer_service.rs
+++ b/crates/daemon/src/peer/peer_service.rs
@@ -59,7 +59,7 @@
             Err(_) => return refused(ResultCode::BadRequest),
         };
         let peer = message.exchange.from;
-        note_sender(&self.context, &peer, &message.address);
+        note_sender(&self.context, &message);
         let message = message.exchange;
         let taken = self.context.dispatcher.send(TakeExchange { message }).await;
         let answer = message_to(&self.context, peer).await;
--- a/crates/daemon/src/settings/daemon_settings.rs
+++ b/crates/daemon/src/settings/daemon_settings.rs
@@ -101,6 +101,10 @@
         default = "defaults::controller_period"
     )]
     pub controller_period: Duration,
+    /// Time between two reads of the platform's list by the controller.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "list_period_ms", default = "defaults::list_period")]
+    pub list_period: Duration,
     /// Time without renewal after which the controller's lease is taken over.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(
@@ -168,6 +172,7 @@
             store_deadline: defaults::store_deadline(),
             evidence: defaults::evidence(),
             controller_period: defaults::controller_period(),
+            list_period: defaults::list_period(),
             controller_takeover: defaults::controller_takeover(),
             caller_deadline: defaults::caller_deadline(),
             urgent_start: defaults::urgent_start(),
@@ -239,6 +244,7 @@
         store_deadline: Duration = Duration::from_millis(1_000);
         evidence: Duration = Duration::from_millis(2_500);
         controller_period: Duration = Duration::from_millis(1_000);
+        list_period: Duration = Duration::from_millis(2_000);
         controller_takeover: Duration = Duration::from_millis(5_000);
         caller_deadline: Duration = Duration::from_millis(30_000);
         urgent_start: Duration = Duration::from_millis(7_300);
--- a/crates/daemon/src/settings/setting_list.rs
+++ b/crates/daemon/src/settings/setting_list.rs
@@ -198,6 +198,13 @@
         "1000",
         "Time between two steps of the controller.",
     ),
+    millis(
+        "list_period_ms",
+        50,
+        60_000,
+        "2000",
+        "Time between two reads of the platform's list by the controller.",
+    ),
     millis(
         "controller_takeover_ms",
         200,
--- a/crates/daemon/src/store/evidence_gate.rs
+++ b/crates/daemon/src/store/evidence_gate.rs
@@ -20,6 +20,9 @@
 /// Time after a pause within which the messages that came in during the pause have been read.
 const BACKLOG_TIME: Duration = Duration::from_secs(1);
 
+/// Time for which a verdict has to hold. It is twice the time between two judgements.
+const JUDGE_AHEAD: Duration = Duration::from_millis(200);
+
 #[derive(Debug, Clone, Copy)]
 struct PeerEntry {
     heard: TimePoint,
@@ -133,23 +136,22 @@
         newest.map(|(session, entry)| (*session, entry.generation))
     }
 
-    /// Passes the verdict on to the request path. Evidence lapses there by its own age; a whole
-    /// outage has to be judged again and again.
+    /// Passes the verdict on to the request path. It has to hold until the next time, so that
+    /// there is no gap when a verdict of another kind follows.
     pub(crate) fn judge(&self) -> EvidenceVerdict {
         let now = self.clock.now();
-        let verdict = self.verdict();
-        let age = self.age().unwrap_or_default();
-        let since = match verdict {
-            EvidenceVerdict::Current => before(now, age),
-            EvidenceVerdict::StoreDown | EvidenceVerdict::Stale => now,
-        };
-        self.flag.set(verdict.allows_work(), since);
+        let verdict = self.verdict_at(now.after(JUDGE_AHEAD));
+        self.flag.set(verdict.allows_work(), now);
         verdict
     }
 
     /// Whether work that needs a key may be accepted and dispatched now.
     pub(crate) fn verdict(&self) -> EvidenceVerdict {
-        let now = self.clock.now();
+        self.verdict_at(self.clock.now())
+    }
+
+    /// The verdict at a point if nothing new is heard until then.
+    fn verdict_at(&self, now: TimePoint) -> EvidenceVerdict {
         let state = self.state.lock();
         let age = state.tracker.age(now);
         if age.is_some_and(|age| age < self.policy.max_age) {
--- a/crates/daemon/tests/common/cluster.rs
+++ b/crates/daemon/tests/common/cluster.rs
@@ -1,5 +1,6 @@
 //! A platform, entry instances and backend servers in the test's process.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -10,17 +11,19 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use sesamedeal_core::fleet::{
-    FleetChange, FleetState, InstanceState, PoolRecord, QueueRecord, TeamRecord,
+    ChangeRecord, FleetChange, FleetState, InstanceState, KeyRecord, PoolRecord, QueueRecord,
+    TeamRecord,
 };
 use sesamedeal_core::ids::{
-    Generation, ImageName, InstanceName, PoolName, QueueName, RackName, TeamName, ZoneName,
+    Generation, ImageName, InstanceName, KeyId, PoolName, QueueName, RackName, TeamName, ZoneName,
 };
+use sesamedeal_core::keys::{KeySecret, PresentedKey};
 use sesamedeal_daemon::{DaemonSettings, EntryInstance, LogLevel};
 use sesamedeal_platform::protocol::{ListedState, PlatformInstance};
 use sesamedeal_standin::ServerHandle;
 use sesamedeal_standin::backend::{BackendFleet, FleetSettings};
 use sesamedeal_standin::platform::PlatformStandin;
-use sesamedeal_wire::admin::{AppendReply, AppendRequest, InForceReply, StatusReply};
+use sesamedeal_wire::admin::{AppendReply, AppendRequest, HistoryReply, InForceReply, StatusReply};
 use sesamedeal_wire::header;
 
 /// Any free port of the loopback address.
@@ -136,18 +139,19 @@
         reply.is_some_and(|reply| reply.in_force)
     }
 
-    /// Sends a job to a queue; its result code, or none without an answer.
+    /// Sends a job to a queue, with the key of team `clock` unless the queue is `swap`; its result
+    /// code, or none without an answer.
     pub async fn job(
         &self,
         address: SocketAddr,
         queue: &str,
-        key: Option<&str>,
         body: &'static str,
     ) -> Option<String> {
         let path = format!("/v1/queues/{queue}/jobs");
+        let key = team_key().header();
         let mut headers = vec![(header::DEADLINE_MS, "2000")];
-        if let Some(key) = key {
-            headers.push(("authorization", key));
+        if queue != "swap" {
+            headers.push(("authorization", &key));
         }
         let response = self.call(Method::POST, address, &path, &headers, body);
         let response = response.await?;
@@ -164,6 +168,8 @@
     pub entries: Vec<EntryInstance>,
     pub backends: BackendFleet,
     pub client: TestClient,
+    /// Entry instances that run as processes of their own.
+    pub processes: Vec<SocketAddr>,
 }
 
 /// Settings with a short list lag and task lease, so that absences are noticed within seconds.
@@ -190,6 +196,7 @@
             entries: Vec::new(),
             backends: backends.expect("backend servers"),
             client: TestClient::new(),
+            processes: Vec::new(),
         };
         for _ in 0..entries {
             fleet.add_entry().await;
@@ -224,26 +231,31 @@
     }
 
     pub fn address(&self, entry: usize) -> SocketAddr {
-        self.entries[entry].address()
+        self.addresses()[entry]
     }
 
     pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.entries.iter().map(EntryInstance::address).collect()
+        let entries = self.entries.iter().map(EntryInstance::address);
+        entries.chain(self.processes.iter().copied()).collect()
     }
 
     /// Puts the first configuration in force: pools `rota` with all workers and `spare` without,
-    /// the open team and queue `swap`.
+    /// the open team and queue `swap`, and the team `clock` with its key and queue `repair`.
     pub async fn configure(&self) -> Generation {
         let workers = self.backends.names().len();
         let changes = vec![
             put_pool("rota", workers, false),
             put_pool("spare", 0, true),
             put_team("open", 1_000),
-            FleetChange::PutQueue {
-                name: QueueName::new("swap"),
-                queue: QueueRecord {
-                    pool: PoolName::new("rota"),
-                    open: true,
+            put_team("clock", 1_000),
+            put_queue("swap", "rota", true),
+            put_queue("repair", "rota", false),
+            FleetChange::GrantKey {
+                id: team_key().id,
+                key: KeyRecord {
+                    team: TeamName::new("clock"),
+                    hash: team_key().secret.hash(),
+                    withdrawn: false,
                 },
             },
         ];
@@ -274,6 +286,29 @@
         .await;
     }
 
+    /// Sessions that wrote records as controller.
+    pub async fn controller_authors(&self) -> BTreeSet<String> {
+        let history: Option<HistoryReply> =
+            self.client.get(self.address(0), "/admin/history").await;
+        let records = history.expect("history").records;
+        let authors = records.iter().map(|record| record.author.to_string());
+        authors
+            .filter(|author| author.starts_with("controller "))
+            .collect()
+    }
+
+    /// Records of the log after a generation.
+    pub async fn history_after(
+        &self,
+        address: SocketAddr,
+        generation: Generation,
+    ) -> Vec<ChangeRecord> {
+        let history: Option<HistoryReply> = self.client.get(address, "/admin/history").await;
+        let mut records = history.expect("history").records;
+        records.retain(|record| record.generation > generation);
+        records
+    }
+
     /// Whether all workers take work for pool `rota`.
     fn is_staffed(&self, state: &FleetState) -> bool {
         let workers = state.instances.values().filter(|instance| {
@@ -316,6 +351,24 @@
     }
 }
 
+pub fn put_queue(name: &str, pool: &str, open: bool) -> FleetChange {
+    FleetChange::PutQueue {
+        name: QueueName::new(name),
+        queue: QueueRecord {
+            pool: PoolName::new(pool),
+            open,
+        },
+    }
+}
+
+/// The key of the team `clock`, which may submit to the queue `repair`.
+pub fn team_key() -> PresentedKey {
+    PresentedKey {
+        id: KeyId::new("k1"),
+        secret: KeySecret::new([7; 32]),
+    }
+}
+
 /// An entry instance as the platform lists it.
 pub fn listed_entry(address: SocketAddr) -> PlatformInstance {
     PlatformInstance {
--- /dev/null
+++ b/crates/daemon/tests/common/link.rs
@@ -0,0 +1,61 @@
+//! A TCP link that can be cut.
+
+use std::net::SocketAddr;
+
+use tokio::io::copy_bidirectional;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use super::cluster::loopback;
+
+/// Forwards connections to a target until it is cut.
+#[derive(Debug)]
+pub struct TestLink {
+    address: SocketAddr,
+    cut: watch::Sender<bool>,
+}
+
+impl TestLink {
+    pub async fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind(loopback()).await.expect("link");
+        let address = listener.local_addr().expect("address");
+        let (cut, mut is_cut) = watch::channel(false);
+        tokio::spawn(async move {
+            loop {
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    _ = is_cut.wait_for(|cut| *cut) => return,
+                };
+                let Ok((mut stream, _)) = accepted else {
+                    continue;
+                };
+                let mut is_cut = is_cut.clone();
+                tokio::spawn(async move {
+                    let Ok(mut other) = TcpStream::connect(target).await else {
+                        return;
+                    };
+                    tokio::select! {
+                        _ = copy_bidirectional(&mut stream, &mut other) => {}
+                        _ = is_cut.wait_for(|cut| *cut) => {}
+                    }
+                });
+            }
+        });
+        Self { address, cut }
+    }
+
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Breaks all connections and refuses new ones.
+    pub fn cut(&self) {
+        self.cut.send_replace(true);
+    }
+}
+
+/// A loopback address that was free just now.
+pub async fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind(loopback()).await.expect("free port");
+    listener.local_addr().expect("address")
+}
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod cluster;
 pub mod fleet;
+pub mod link;
 pub mod raw_backend;
 
 use std::time::Duration;
--- /dev/null
+++ b/crates/daemon/tests/real_processes.rs
@@ -0,0 +1,214 @@
+//! Entry instances as processes of their own, which are killed, paused and replaced.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::process::{Child, Command, ExitStatus};
+use std::time::Duration;
+
+use common::cluster::{TestCluster, listed_entry, wait_until};
+use common::link::free_address;
+use sesamedeal_core::ids::{InstanceName, SessionId};
+
+const SOON: Duration = Duration::from_secs(20);
+
+/// A `sesamedeald` process; it is killed when dropped.
+#[derive(Debug)]
+struct DaemonProcess {
+    child: Child,
+    address: SocketAddr,
+    _settings: tempfile::NamedTempFile,
+}
+
+impl DaemonProcess {
+    async fn start(cluster: &TestCluster) -> Self {
+        let address = free_address().await;
+        let file = tempfile::NamedTempFile::new().expect("temporary file");
+        let text = format!(
+            "listen = \"{address}\"\nzone = \"a\"\nplatform = \"{}\"\nlist_lag_ms = 1000\n\
+             task_lease_ms = 2000\nshutdown_deadline_ms = 5000\nlog_level = \"error\"\n",
+            cluster.server.address()
+        );
+        std::fs::write(file.path(), text).expect("settings");
+        let child = Command::new(env!("CARGO_BIN_EXE_sesamedeald"))
+            .arg("--settings")
+            .arg(file.path())
+            .spawn()
+            .expect("process");
+        cluster.platform.put_instance(listed_entry(address));
+        Self {
+            child,
+            address,
+            _settings: file,
+        }
+    }
+
+    /// Sends a signal by name.
+    fn signal(&self, name: &str) {
+        let status = Command::new("sh")
+            .arg("-c")
+            .arg(format!("kill -{name} {}", self.child.id()))
+            .status()
+            .expect("kill");
+        assert!(status.success());
+    }
+
+    async fn exit(&mut self) -> ExitStatus {
+        let mut status = None;
+        wait_until("process ended", SOON, async || {
+            status = self.child.try_wait().expect("status");
+            status.is_some()
+        })
+        .await;
+        status.expect("ended")
+    }
+
+    fn name(&self) -> InstanceName {
+        InstanceName::new(self.address.to_string())
+    }
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        // A process that has ended already is what is wanted.
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+async fn start(processes: usize) -> (TestCluster, Vec<DaemonProcess>) {
+    let mut cluster = TestCluster::start(0, 2).await;
+    let mut daemons = Vec::new();
+    for _ in 0..processes {
+        let daemon = DaemonProcess::start(&cluster).await;
+        cluster.processes.push(daemon.address);
+        daemons.push(daemon);
+    }
+    for daemon in &daemons {
+        let wait = Duration::from_secs(10);
+        wait_until("process answers", wait, async || {
+            cluster.client.status(daemon.address).await.is_some()
+        })
+        .await;
+    }
+    cluster.configure().await;
+    (cluster, daemons)
+}
+
+async fn holder(cluster: &TestCluster, daemon: &DaemonProcess) -> Option<SessionId> {
+    let status = cluster.client.status(daemon.address).await?;
+    status.controller
+}
+
+async fn session(cluster: &TestCluster, daemon: &DaemonProcess) -> SessionId {
+    let status = cluster.client.status(daemon.address).await;
+    status.expect("status").session
+}
+
+/// Guards against a planned stop that leaves its session or ends with an error.
+#[tokio::test(flavor = "multi_thread")]
+async fn terminates_cleanly() {
+    let (cluster, mut daemons) = start(2).await;
+    let session = session(&cluster, &daemons[0]).await;
+    daemons[0].signal("TERM");
+    let status = daemons[0].exit().await;
+    assert_eq!(status.code(), Some(0));
+    wait_until("session out of the view", SOON, async || {
+        let state = cluster.client.state(daemons[1].address).await;
+        !state.view.contains(session)
+    })
+    .await;
+}
+
+/// Guards against a killed process that stops the fleet.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_process() {
+    let (mut cluster, mut daemons) = start(2).await;
+    let dead = daemons.remove(0);
+    let old = session(&cluster, &dead).await;
+    dead.signal("KILL");
+    assert!(cluster.platform.remove_instance(&dead.name()));
+    cluster.processes.remove(0);
+    let address = daemons[0].address;
+    wait_until("session out of the view", SOON, async || {
+        let state = cluster.client.state(address).await;
+        !state.view.contains(old)
+    })
+    .await;
+    cluster.wait_ready().await;
+    let code = cluster.client.job(address, "repair", "job").await;
+    assert_eq!(code.as_deref(), Some("1000"));
+}
+
+/// Guards against a paused controller that writes under its old lease when it resumes.
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_controller() {
+    let (cluster, daemons) = start(3).await;
+    let old = holder(&cluster, &daemons[0]).await.expect("controller");
+    let mut index = None;
+    for (at, daemon) in daemons.iter().enumerate() {
+        if session(&cluster, daemon).await == old {
+            index = Some(at);
+        }
+    }
+    let paused = &daemons[index.expect("a process of the fleet")];
+    let other = daemons
+        .iter()
+        .find(|daemon| daemon.address != paused.address)
+        .expect("another process");
+    paused.signal("STOP");
+    wait_until("new controller", SOON, async || {
+        holder(&cluster, other)
+            .await
+            .is_some_and(|holder| holder != old)
+    })
+    .await;
+    let new = holder(&cluster, other).await.expect("controller");
+    let generation = cluster.client.state(other.address).await.generation;
+    paused.signal("CONT");
+    wait_until("paused process follows again", SOON, async || {
+        holder(&cluster, paused).await == Some(new)
+    })
+    .await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(holder(&cluster, other).await, Some(new));
+    let later = cluster.history_after(other.address, generation).await;
+    assert!(
+        later
+            .iter()
+            .all(|record| !record.author.contains(&old.to_string()))
+    );
+}
+
+/// Guards against a rolling replacement that loses jobs or the configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn rolling_replacement() {
+    let (mut cluster, mut daemons) = start(3).await;
+    let generation = cluster.client.state(daemons[0].address).await.generation;
+    let mut refused = Vec::new();
+    for _ in 0..3 {
+        let fresh = DaemonProcess::start(&cluster).await;
+        cluster.processes.push(fresh.address);
+        daemons.push(fresh);
+        cluster.wait_ready().await;
+        let mut old = daemons.remove(0);
+        cluster.processes.remove(0);
+        old.signal("TERM");
+        let addresses = cluster.processes.clone();
+        for address in addresses.iter().cycle().take(60) {
+            let code = cluster
+                .client
+                .job(*address, "repair", "{\"run_ms\": 20}")
+                .await;
+            if code.as_deref() != Some("1000") {
+                refused.push(code);
+            }
+        }
+        assert_eq!(old.exit().await.code(), Some(0));
+        assert!(cluster.platform.remove_instance(&old.name()));
+        cluster.wait_ready().await;
+    }
+    assert!(refused.is_empty(), "{refused:?}");
+    let state = cluster.client.state(daemons[0].address).await;
+    assert!(state.generation >= generation && state.teams.contains_key("clock"));
+}
