--- a/crates/core/src/exchange/loan_message.rs
+++ b/crates/core/src/exchange/loan_message.rs
@@ -22,13 +22,15 @@
     pub units: u32,
     /// Generation under which the lender made the loan.
     pub made_at: Generation,
+    /// Whether the loan is void with the next generation. Loans to a session outside the view
+    /// are, because no change of the view tells the lender that such a session is gone.
+    #[serde(default)]
+    pub brief: bool,
 }
 
 /// What a borrower holds of one lender's loans.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoanReport {
-    /// Number of the report; the lender ignores a lower one than it has seen.
-    pub number: u64,
     /// Highest loan number that was received or given up on.
     pub closed: u64,
     /// Numbers of the loans still held, with the units held.
--- a/crates/core/src/scheduler/admission.rs
+++ b/crates/core/src/scheduler/admission.rs
@@ -36,19 +36,22 @@
             .filter(|pool| self.fleet.pools[pool.at()].fits(placing))
             .ok_or_else(|| JobRefusal::new(ResultCode::NeverFits))?;
         let team = self.fleet.team(&spec.team);
-        if let Some(key) = &spec.key {
-            if !self.keyed_allowed {
+        let id = match &spec.key {
+            Some(_) if !self.keyed_allowed => {
                 return Err(JobRefusal::new(ResultCode::StaleState).with_retry_after(RETRY_AFTER.0));
             }
-            if !self.fleet.is_key_valid(key, team) {
-                return Err(JobRefusal::new(ResultCode::WithdrawnKey));
+            Some(id) => {
+                let index = self.fleet.keys.get(id).copied();
+                let valid = index.filter(|index| self.fleet.is_key_valid(*index, team));
+                Some(valid.ok_or_else(|| JobRefusal::new(ResultCode::WithdrawnKey))?)
             }
-        }
+            None => None,
+        };
         let flow = self.flow(pool, team);
         self.check_wait(flow, spec.deadline, now)?;
         let key = self.jobs.insert(JobRecord {
             flow,
-            key: spec.key,
+            key: id,
             placing,
             run: spec.run,
             urgent: spec.urgent,
@@ -213,18 +216,38 @@
     }
 
     /// Wait of a job with `ahead` jobs up to and including itself, from the observed service rate
-    /// or, before it is known, from the corrected run time and the slots held.
+    /// or, before it is known, from the corrected run time and the team's share of the pool.
     fn estimate_wait(&self, index: FlowIndex, ahead: usize, now: TimePoint) -> Duration {
         let flow = &self.flows[index.at()];
         if let Some(wait) = flow.service.estimate(ahead, now) {
             return wait;
         }
-        let first = flow.first().and_then(|key| self.jobs.get(key));
-        let (Some(job), true) = (first, flow.held > 0) else {
+        let Some(job) = flow.first().and_then(|key| self.jobs.get(key)) else {
             return Duration::ZERO;
         };
-        let run = self.fleet.teams[flow.team.at()].correction.expect(job.run);
-        let rounds = ahead / flow.held as usize;
-        run.saturating_mul(u32::try_from(rounds).unwrap_or(u32::MAX))
+        let team = &self.fleet.teams[flow.team.at()];
+        let slots = self.shared_slots(index).clamp(1.0, f64::from(team.limit));
+        #[expect(clippy::cast_precision_loss, reason = "queues are short")]
+        let rounds = (ahead as f64 / slots).floor();
+        let wait = team.correction.expect(job.run).as_secs_f64() * rounds;
+        Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX)
+    }
+
+    /// Slots of the pool that are due to the team while the teams backlogged now are.
+    fn shared_slots(&self, index: FlowIndex) -> f64 {
+        let flow = &self.flows[index.at()];
+        let pool = &self.fleet.pools[flow.pool.at()];
+        let weight = |flow: FlowIndex| {
+            let team = self.flows[flow.at()].team;
+            self.fleet.teams[team.at()].weight
+        };
+        let others: f64 = pool
+            .flows
+            .iter()
+            .flatten()
+            .filter(|other| **other != index && self.flows[other.at()].is_backlogged())
+            .map(|other| weight(*other))
+            .sum();
+        f64::from(pool.slots) * weight(index) / (weight(index) + others)
     }
 }
--- a/crates/daemon/src/backend/backend_answer.rs
+++ b/crates/daemon/src/backend/backend_answer.rs
@@ -102,6 +102,12 @@
     }
 }
 
+/// Whether the answer confirms that the task was stopped on request or at the end of its lease.
+pub(super) fn is_stopped<B>(response: &Response<B>) -> bool {
+    let state = response.headers().get(header::STATE);
+    !response.status().is_success() && state.is_some_and(|state| state.as_bytes() == b"stopped")
+}
+
 /// Removes the headers that are not passed on to the caller.
 pub(super) fn strip_headers(headers: &mut HeaderMap) {
     for name in OWN_HEADERS {
--- a/crates/daemon/src/backend/backend_client.rs
+++ b/crates/daemon/src/backend/backend_client.rs
@@ -12,7 +12,9 @@
 use tokio::time::timeout;
 
 use super::answer_stream::MAX_ANSWER_BYTES;
-use super::backend_answer::{is_delimited, is_echoed, proven_not_started, strip_headers};
+use super::backend_answer::{
+    is_delimited, is_echoed, is_stopped, proven_not_started, strip_headers,
+};
 use super::backend_link::{BackendLink, LinkError};
 use super::link_pool::LinkPool;
 use super::{
@@ -92,7 +94,11 @@
         if !is_echoed(&response, call) || !is_delimited(&response) || is_oversized {
             return Err(AttemptOutcome::BadAnswer);
         }
-        let proof = proven_not_started(&response);
+        let proof = if is_stopped(&response) {
+            Some(AttemptOutcome::Stopped)
+        } else {
+            proven_not_started(&response)
+        };
         let (mut parts, body) = response.into_parts();
         let mut stream = AnswerStream::new(body, link, self.links.clone(), call.address.clone());
         let is_whole = read_inline(&mut stream, call.inline_bytes).await;
--- a/crates/daemon/src/dispatch/dispatch_actor.rs
+++ b/crates/daemon/src/dispatch/dispatch_actor.rs
@@ -20,11 +20,8 @@
 use crate::clock::{ProcessClock, unix_millis};
 use crate::metrics::RequestMetrics;
 
-/// Time after dispatch within which a backend server may start the attempt.
-const START_ALLOWANCE: Duration = Duration::from_secs(2);
-
-/// Delay after which a caller may come back when the evidence was not current.
-const STALE_RETRY: Duration = Duration::from_secs(1);
+/// Part of the lease at most within which a backend server has to start the attempt.
+const MAX_START_PART: u32 = 4;
 
 /// Time between two searches for idle connections that backend servers have closed.
 const PRUNE_PERIOD: Duration = Duration::from_secs(10);
@@ -32,7 +29,6 @@
 /// What the dispatcher knows of a job beyond the scheduler.
 #[derive(Debug)]
 pub(super) struct JobEntry {
-    pub needs_key: bool,
     pub events: Option<oneshot::Sender<JobEvent>>,
     /// An event that came before the job's submission was answered.
     pub early: Option<JobEvent>,
@@ -74,6 +70,8 @@
     /// Attempts in `running` that were given up.
     ending: usize,
     pause: PauseDetector,
+    /// What the scheduler was told about work that needs a key.
+    allows_keyed: bool,
     pruned: TimePoint,
     address: WeakAddress<Self>,
 }
@@ -93,6 +91,7 @@
             running: SecondaryMap::new(),
             ending: 0,
             pause: PauseDetector::new(),
+            allows_keyed: true,
             pruned: TimePoint::ORIGIN,
             address: address.downgrade(),
         };
@@ -104,10 +103,15 @@
     /// process and the renewal of the evidence.
     pub(super) fn drive(&mut self) {
         self.check_pause();
-        if !self.parts.evidence.allows_dispatch() {
-            return;
-        }
         let now = self.parts.clock.now();
+        let evidence = &self.parts.evidence;
+        self.scheduler
+            .set_dispatch_allowed(evidence.allows_dispatch());
+        let allows_keyed = evidence.allows_keyed(now);
+        if self.allows_keyed != allows_keyed {
+            self.allows_keyed = allows_keyed;
+            self.scheduler.set_keyed_work_allowed(allows_keyed, now);
+        }
         while let Some(action) = self.scheduler.next_action(now) {
             match action {
                 SchedulerAction::Dispatch(order) => self.dispatch(order),
@@ -136,6 +140,8 @@
         self.check_pause();
         let now = self.parts.clock.now();
         self.pause.tick(now);
+        let is_current = self.parts.evidence.allows_keyed(now);
+        self.scheduler.set_keyed_work_allowed(is_current, now);
         if now.since(self.pruned) > PRUNE_PERIOD {
             self.pruned = now;
             self.parts.backend.prune(|_| true);
@@ -157,24 +163,20 @@
     fn dispatch(&mut self, order: DispatchOrder) {
         let now = Instant::now();
         let job = order.job;
-        let needs_key = self.jobs.get(job).is_some_and(|entry| entry.needs_key);
-        if needs_key && !self.parts.evidence.allows_keyed(self.parts.clock.now()) {
-            self.withdraw(job, order.attempt);
-            let refusal = JobRefusal::new(ResultCode::StaleState).with_retry_after(STALE_RETRY);
-            self.notify(job, JobEvent::Refuse(refusal));
-            return;
-        }
-        let starts_by = now + START_ALLOWANCE + self.parts.clock_margin;
+        let margin = self.parts.clock_margin;
+        // Clocks that differ by the margin must not make a backend server refuse every attempt.
+        let allowance = (2 * margin).min(order.lease / MAX_START_PART);
         let entry = RunningEntry {
             address: order.address.clone(),
-            starts_by,
-            ends_by: starts_by + order.lease,
+            starts_by: now + allowance + margin,
+            ends_by: now + order.lease + margin,
             is_ending: false,
         };
         let attempt = order.attempt;
         let ticket = DispatchTicket {
-            start_by_ms: unix_millis() + millis(START_ALLOWANCE),
-            send_by: now + START_ALLOWANCE,
+            start_by_ms: unix_millis() + millis(allowance),
+            send_by: now + allowance,
+            run_limit: order.lease.saturating_sub(allowance),
             ends_by: entry.ends_by,
             order,
         };
--- a/crates/daemon/src/dispatch/dispatch_handlers.rs
+++ b/crates/daemon/src/dispatch/dispatch_handlers.rs
@@ -16,11 +16,9 @@
     type Return = Result<(JobKey, NextEvent), JobRefusal>;
 
     async fn handle(&mut self, message: SubmitJob, _: &mut Context<Self>) -> Self::Return {
-        let needs_key = message.spec.key.is_some();
         let now = self.parts.clock.now();
         let job = self.scheduler.submit(message.spec, now)?;
         let entry = JobEntry {
-            needs_key,
             events: None,
             early: None,
             attempt: None,
--- a/crates/daemon/src/metrics/request_metrics.rs
+++ b/crates/daemon/src/metrics/request_metrics.rs
@@ -183,7 +183,7 @@
         AttemptOutcome::Draining => "draining",
         AttemptOutcome::Lost => "lost",
         AttemptOutcome::BadAnswer => "bad-answer",
-        AttemptOutcome::Stopped => "stopped",
+        AttemptOutcome::Stopped => "preempted",
     }
 }
 
--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -1,8 +1,10 @@
 //! A platform and one or more entry instances on loopback.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use compact_str::format_compact;
+use parking_lot::Mutex;
 use sesamedeal_core::fleet::{
     FleetChange, InstanceRecord, InstanceState, KeyRecord, OPEN_TEAM, PoolRecord, QueueRecord,
     TeamRecord,
@@ -13,19 +15,17 @@
 };
 use sesamedeal_core::keys::{KeySecret, PresentedKey};
 use sesamedeal_daemon::{DaemonSettings, EntryInstance};
+use sesamedeal_platform::protocol::PlatformInstance;
 use sesamedeal_platform::{AppendOutcome, ChangeLog, PlatformClient, PlatformSettings};
 use sesamedeal_standin::ServerHandle;
 use sesamedeal_standin::platform::PlatformStandin;
 
-use super::caller::get;
+use super::cluster::{TestClient, listed_entry, loopback};
 use super::wait_for;
 
-pub const KEY_ID: &str = "k1";
+const POOL: &str = "rota";
 
-/// A free loopback address.
-pub fn loopback() -> SocketAddr {
-    "127.0.0.1:0".parse().expect("valid address")
-}
+pub const KEY_ID: &str = "k1";
 
 /// The key of the team `clock`, which may submit to the queue `repair`.
 pub fn team_key() -> PresentedKey {
@@ -35,33 +35,46 @@
     }
 }
 
-/// Platform with a fleet of one pool, the open queue `swap` and the queue `repair`.
+/// Platform with a fleet of one pool, the open queue `swap` and the queue `repair`, whose workers
+/// are backend servers of the test.
 #[derive(Debug)]
 pub struct TestFleet {
     pub platform: PlatformStandin,
     handle: ServerHandle,
-    generation: u64,
+    entries: Mutex<Vec<SocketAddr>>,
+    workers: usize,
 }
 
 impl TestFleet {
     pub async fn start(backends: &[SocketAddr]) -> Self {
         let platform = PlatformStandin::new();
         let handle = platform.serve(loopback()).await.expect("platform");
-        let mut fleet = Self {
+        for (index, address) in backends.iter().enumerate() {
+            platform.put_instance(listed_worker(index, *address));
+        }
+        let fleet = Self {
             platform,
             handle,
-            generation: 0,
+            entries: Mutex::new(Vec::new()),
+            workers: backends.len(),
         };
         fleet.change(initial_changes(backends)).await;
         fleet
     }
 
-    /// Settings of an entry instance of this fleet.
+    /// Settings of an entry instance of this fleet. The list lag is short, so that the view
+    /// settles within a second.
     pub fn settings(&self) -> DaemonSettings {
-        DaemonSettings::new(loopback(), ZoneName::new("a"), self.handle.address())
+        DaemonSettings {
+            list_lag: Duration::from_millis(500),
+            head_period: Duration::from_millis(200),
+            controller_period: Duration::from_millis(200),
+            heartbeat: Duration::from_millis(200),
+            ..DaemonSettings::new(loopback(), ZoneName::new("a"), self.handle.address())
+        }
     }
 
-    /// Starts an entry instance and waits until it is ready.
+    /// Starts an entry instance and waits until it takes work.
     pub async fn entry(&self) -> EntryInstance {
         self.entry_with(self.settings()).await
     }
@@ -71,30 +84,77 @@
             .await
             .expect("entry instance");
         let address = entry.address();
-        wait_for("readiness", async || {
-            get(address, "/ready").await.status == 200
+        self.platform.put_instance(listed_entry(address));
+        self.entries.lock().push(address);
+        self.wait_ready().await;
+        entry
+    }
+
+    /// Takes an entry instance off the platform's list.
+    pub fn remove_entry(&self, address: SocketAddr) {
+        let name = InstanceName::new(address.to_string());
+        assert!(self.platform.remove_instance(&name), "listed before");
+        self.entries.lock().retain(|entry| *entry != address);
+    }
+
+    /// Waits until all entry instances are in the view, the view has settled and all workers are
+    /// active in their pool.
+    pub async fn wait_ready(&self) {
+        let entries = self.entries.lock().clone();
+        let client = TestClient::new();
+        wait_for("fleet ready", async || {
+            for address in &entries {
+                let Some(status) = client.status(*address).await else {
+                    return false;
+                };
+                let state = client.state(*address).await;
+                let instances = state.instances.values();
+                let active = instances.filter(|instance| {
+                    instance.pool.as_str() == POOL && instance.state.is_active()
+                });
+                let is_ready = status.settled == status.generation
+                    && state.view.sessions.len() == entries.len()
+                    && active.count() == self.workers;
+                if !is_ready {
+                    return false;
+                }
+            }
+            true
         })
         .await;
-        entry
     }
 
-    /// Appends changes to the log.
-    pub async fn change(&mut self, changes: Vec<FleetChange>) {
+    /// Appends changes to the log, again after a conflict with the controller.
+    pub async fn change(&self, changes: Vec<FleetChange>) -> Generation {
         let address = self.handle.address().to_string();
-        let client = PlatformClient::new(PlatformSettings::new(address));
-        let expected = Generation(self.generation);
-        let operation = OperationId(u128::from(self.generation) + 1);
-        let outcome = ChangeLog::new(client)
-            .append(expected, operation, "test", changes)
-            .await
-            .expect("append");
-        assert_eq!(outcome, AppendOutcome::Accepted(expected.next()));
-        self.generation += 1;
+        let log = ChangeLog::new(PlatformClient::new(PlatformSettings::new(address)));
+        loop {
+            let (head, _) = log.head().await.expect("head");
+            let operation = OperationId(rand::random());
+            let outcome = log
+                .append(head.generation, operation, "test", changes.clone())
+                .await
+                .expect("append");
+            if let AppendOutcome::Accepted(generation) = outcome {
+                return generation;
+            }
+        }
+    }
+}
+
+fn listed_worker(index: usize, address: SocketAddr) -> PlatformInstance {
+    PlatformInstance {
+        name: InstanceName::new(format_compact!("w{index}")),
+        entry: false,
+        cores: 64,
+        memory_mb: 128_000,
+        slots: 8,
+        ..listed_entry(address)
     }
 }
 
 fn initial_changes(backends: &[SocketAddr]) -> Vec<FleetChange> {
-    let pool = PoolName::new("rota");
+    let pool = PoolName::new(POOL);
     let team = |name: &str| FleetChange::PutTeam {
         name: TeamName::new(name),
         team: TeamRecord {
@@ -113,11 +173,19 @@
         FleetChange::PutPool {
             name: pool.clone(),
             pool: PoolRecord {
-                size: 1,
+                size: u32::try_from(backends.len()).expect("small size"),
                 max_unavailable: 1,
                 spare: false,
             },
         },
+        FleetChange::PutPool {
+            name: PoolName::new("spare"),
+            pool: PoolRecord {
+                size: 0,
+                max_unavailable: 1,
+                spare: true,
+            },
+        },
         team(OPEN_TEAM),
         team("clock"),
         queue("swap", true),
