Report failing workers to the controller and clean up claims

Cause: the scheduler's suggestions to quarantine a worker reached nobody, claims were never removed, and the command line asked for the context of a plan.

--- a/crates/daemon/src/admin/admin_service.rs
+++ b/crates/daemon/src/admin/admin_service.rs
@@ -10,13 +10,14 @@
 use sesamedeal_core::ids::Generation;
 use sesamedeal_core::membership::SessionState;
 use sesamedeal_platform::rows::SESSION_PREFIX;
-use sesamedeal_wire::admin::{AppendRequest, HistoryReply, InForceReply};
+use sesamedeal_wire::admin::{AppendRequest, HistoryReply, InForceReply, PlanContext};
 use sesamedeal_wire::header;
 use slog::warn;
 
 use super::change_append::append;
 use super::operator_check::is_operator;
 use super::status_report::{session_rows, status};
+use crate::clock::day_time;
 use crate::entry_context::EntryContext;
 
 /// Largest body of an operator's request, in bytes. A sheet of the target size has about 5 MB.
@@ -96,6 +97,10 @@
         match (request.method(), path.as_str()) {
             (&Method::GET, "/status") => json(&status(&self.context).await),
             (&Method::GET, "/admin/state") => json(&*self.context.keeper.state()),
+            (&Method::GET, "/admin/plan-context") => json(&PlanContext {
+                now: day_time(self.context.settings.utc_offset_minutes),
+                policy: self.context.settings.plan_policy(),
+            }),
             (&Method::GET, "/admin/history") => self.history().await,
             (&Method::POST, "/admin/changes") => {
                 let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect();
--- a/crates/daemon/src/control/control_round.rs
+++ b/crates/daemon/src/control/control_round.rs
@@ -110,6 +110,7 @@
             .map(|(_, row)| row.value)
             .collect();
         let list = self.list.as_ref().map(|(list, _)| list.as_slice());
+        let health = std::mem::take(&mut *context.health.lock());
         let oldest = rows.head.snapshot.0.saturating_sub(KEPT_RECORDS);
         let input = ControlInput {
             now: context.clock.now(),
@@ -118,7 +119,7 @@
             settled: rows.settled.generation,
             sessions: &sessions,
             list,
-            health: &[],
+            health: &health,
             log: LogExtent {
                 snapshot: rows.head.snapshot,
                 oldest_change: Generation(oldest),
--- a/crates/daemon/src/control/control_upkeep.rs
+++ b/crates/daemon/src/control/control_upkeep.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use compact_str::CompactString;
+use sesamedeal_core::claims::ClaimRecord;
 use sesamedeal_core::control::{CleanupOrder, ControlStep};
 use sesamedeal_core::fleet::FleetState;
 use sesamedeal_platform::protocol::{RowCondition, WriteRequest};
@@ -11,6 +13,12 @@
 use super::controller_actor::{ControllerActor, new_operation};
 use crate::clock::unix_millis;
 
+/// Prefix of the rows of claims.
+const CLAIM_PREFIX: &str = "claim/";
+
+/// Claims looked at in one cleanup.
+const CLAIM_PAGE: usize = 256;
+
 /// Longest time that snapshots and cleanup may delay the renewal of the lease.
 const UPKEEP_TIME: Duration = Duration::from_secs(2);
 
@@ -24,17 +32,22 @@
         if self.candidate.epoch(self.context.clock.now()).is_none() {
             return Ok(());
         }
+        let claims_after = self.claims_after.clone();
         let work = async {
             if step.snapshot_due {
                 self.snapshot(state, &lease).await?;
             }
             if let Some(order) = &step.cleanup {
                 self.clean_up(order, &lease).await?;
+                return self.clean_claims(order, &lease, claims_after).await;
             }
-            Ok::<(), PlatformError>(())
+            Ok::<_, PlatformError>(claims_after)
         };
         match timeout(UPKEEP_TIME, work).await {
-            Ok(result) => result,
+            Ok(result) => {
+                self.claims_after = result?;
+                Ok(())
+            }
             Err(_) => {
                 warn!(
                     self.context.logger,
@@ -78,4 +91,31 @@
         };
         context.client.write(&request).await.map(drop)
     }
+
+    /// Removes old claims among the next page of them. Returns the last claim looked at.
+    async fn clean_claims(
+        &self,
+        order: &CleanupOrder,
+        lease: &RowCondition,
+        after: Option<CompactString>,
+    ) -> Result<Option<CompactString>> {
+        let client = &self.context.client;
+        let rows = client.scan_rows::<ClaimRecord>(CLAIM_PREFIX, after.as_deref(), CLAIM_PAGE);
+        let rows = rows.await?;
+        let last = rows.last().map(|(key, _)| key.clone());
+        let now = unix_millis() / 1_000;
+        let oldest = now.saturating_sub(order.claims_older.as_secs());
+        let old = rows.iter().filter(|(_, row)| row.value.created < oldest);
+        let deletes: Vec<CompactString> = old.map(|(key, _)| key.clone()).collect();
+        if !deletes.is_empty() {
+            let request = WriteRequest {
+                operation: new_operation(),
+                conditions: vec![lease.clone()],
+                puts: Vec::new(),
+                deletes,
+            };
+            client.write(&request).await?;
+        }
+        Ok(last)
+    }
 }
--- a/crates/daemon/src/control/controller_actor.rs
+++ b/crates/daemon/src/control/controller_actor.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use compact_str::CompactString;
 use rand::RngExt;
 use sesamedeal_core::control::{ControlNote, ControlPolicy, Controller};
 use sesamedeal_core::ids::OperationId;
@@ -27,6 +28,8 @@
     pub(super) notes: Vec<ControlNote>,
     /// The platform's list and when it was asked for.
     pub(super) list: Option<(Vec<ListedInstance>, TimePoint)>,
+    /// Last claim that the cleanup has looked at.
+    pub(super) claims_after: Option<CompactString>,
 }
 
 /// Runs one step.
@@ -46,6 +49,7 @@
             controller: None,
             notes: Vec::new(),
             list: None,
+            claims_after: None,
         }
     }
 
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -3,6 +3,8 @@
 mod control_round;
 mod control_upkeep;
 mod controller_actor;
+mod health_loop;
 mod platform_list;
 
 pub(crate) use controller_actor::{ControlTick, ControllerActor};
+pub(crate) use health_loop::{HealthLoop, note_health};
--- a/crates/daemon/src/dispatch/control_handlers.rs
+++ b/crates/daemon/src/dispatch/control_handlers.rs
@@ -1,5 +1,5 @@
 use sesamedeal_core::exchange::ExchangeMessage;
-use sesamedeal_core::ids::{Generation, SessionId};
+use sesamedeal_core::ids::{Generation, InstanceName, SessionId};
 use xtra::{Context, Handler};
 
 use super::dispatch_actor::DispatchActor;
@@ -29,6 +29,18 @@
     pub message: ExchangeMessage,
 }
 
+/// Asks for the workers that the controller should quarantine.
+#[derive(Debug)]
+pub(crate) struct ReadSuggestions;
+
+impl Handler<ReadSuggestions> for DispatchActor {
+    type Return = Vec<InstanceName>;
+
+    async fn handle(&mut self, _: ReadSuggestions, _: &mut Context<Self>) -> Vec<InstanceName> {
+        self.scheduler.quarantine_suggestions()
+    }
+}
+
 impl Handler<ReadProgress> for DispatchActor {
     type Return = WorkProgress;
 
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -14,7 +14,7 @@
 mod shutdown_signal;
 
 pub(crate) use cancel_list::CancelList;
-pub(crate) use control_handlers::{BuildExchange, ReadProgress, TakeExchange};
+pub(crate) use control_handlers::{BuildExchange, ReadProgress, ReadSuggestions, TakeExchange};
 pub(crate) use dispatch_actor::{DispatchActor, DispatchParts};
 pub(crate) use dispatch_messages::{ApplyState, CancelJobs, DriveQueue, StopTaking};
 pub(crate) use evidence_flag::EvidenceFlag;
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -21,7 +21,7 @@
 
 use crate::admin::AdminService;
 use crate::clock::ProcessClock;
-use crate::control::{ControlTick, ControllerActor};
+use crate::control::{ControlTick, ControllerActor, HealthLoop};
 use crate::control_traffic::ControlTraffic;
 use crate::dispatch::ReadProgress;
 use crate::entry_context::EntryContext;
@@ -82,10 +82,15 @@
         loops.spawn(follower.run());
         let exchanges = PeerLoop {
             context: Arc::clone(&context),
-            client: peers,
+            client: peers.clone(),
             wanted: wanted_receiver,
         };
         loops.spawn(exchanges.run());
+        let health = HealthLoop {
+            context: Arc::clone(&context),
+            peers,
+        };
+        loops.spawn(health.run());
         let session = tokio::spawn(SessionWriter::new(Arc::clone(&context)).run());
         let service = PeerService {
             context: Arc::clone(&context),
@@ -242,6 +247,7 @@
         traffic: PeerTraffic::default(),
         store_up: AtomicBool::new(false),
         lease: Mutex::new(None),
+        health: Mutex::default(),
         phase: watch::Sender::new(SessionState::Active),
         changed: Notify::new(),
         settings,
--- a/crates/daemon/src/entry_context.rs
+++ b/crates/daemon/src/entry_context.rs
@@ -3,6 +3,7 @@
 
 use compact_str::CompactString;
 use parking_lot::Mutex;
+use sesamedeal_core::control::HealthReport;
 use sesamedeal_core::ids::{InstanceName, SessionId};
 use sesamedeal_core::lease::LeaseRecord;
 use sesamedeal_core::membership::SessionState;
@@ -52,6 +53,8 @@
     pub store_up: AtomicBool,
     /// The controller's lease, as last read.
     pub lease: Mutex<Option<LeaseSighting>>,
+    /// Reports about workers that the controller has not judged yet.
+    pub health: Mutex<Vec<HealthReport>>,
     /// Whether this entry instance takes work.
     pub phase: watch::Sender<SessionState>,
     /// Wakes the follower after a change by this entry instance.
--- a/crates/daemon/src/peer/peer_client.rs
+++ b/crates/daemon/src/peer/peer_client.rs
@@ -6,6 +6,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use sesamedeal_core::control::HealthReport;
 use sesamedeal_core::exchange::MESSAGE_VERSION;
 use sesamedeal_wire::codec::{FieldNames, MAX_MESSAGE_BYTES, decode_versioned, encode_versioned};
 use sesamedeal_wire::peer::{MAX_STATE_BYTES, PeerMessage, PeerState};
@@ -56,6 +57,20 @@
         answer.context(PeerMessageSnafu { address })
     }
 
+    /// Reports workers to the peer that holds the controller's lease.
+    pub(crate) async fn report_health(
+        &self,
+        address: &str,
+        reports: &[HealthReport],
+    ) -> Result<()> {
+        let names = FieldNames::Omitted;
+        let body = encode_versioned(&reports, names, MESSAGE_VERSION, MAX_MESSAGE_BYTES);
+        let body = body.context(PeerMessageSnafu { address })?;
+        let path = "/peer/health";
+        let call = self.call(Method::POST, address, path, body, MAX_MESSAGE_BYTES);
+        within(self.deadline, address, call).await.map(drop)
+    }
+
     /// Fetches the state that a peer acts under.
     pub(crate) async fn state(&self, address: &str) -> Result<PeerState> {
         let path = "/peer/state";
--- a/crates/daemon/src/peer/peer_service.rs
+++ b/crates/daemon/src/peer/peer_service.rs
@@ -14,6 +14,7 @@
 use sesamedeal_wire::peer::{MAX_STATE_BYTES, PeerAddress, PeerMessage, PeerState};
 
 use super::peer_loop::{message_to, note_sender};
+use crate::control::note_health;
 use crate::dispatch::TakeExchange;
 use crate::entry_context::EntryContext;
 
@@ -32,6 +33,7 @@
     {
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/peer/exchange") => self.exchange(request).await,
+            (&Method::POST, "/peer/health") => self.health(request).await,
             (&Method::GET, "/peer/state") => self.state(),
             _ => empty(StatusCode::NOT_FOUND),
         }
@@ -69,6 +71,27 @@
         self.encoded(&answer, FieldNames::Omitted, MAX_MESSAGE_BYTES)
     }
 
+    /// Takes reports about workers. They stay unread unless this entry instance is the controller.
+    async fn health<B>(&self, request: Request<B>) -> Response<Bytes>
+    where
+        B: hyper::body::Body<Data = Bytes>,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES);
+        let Ok(body) = body.collect().await else {
+            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        };
+        let body = body.to_bytes();
+        self.context.traffic.note_received(body.len());
+        let reports = decode_versioned(&body, MESSAGE_VERSION, MAX_MESSAGE_BYTES);
+        match reports {
+            Ok(reports) => note_health(&self.context, reports),
+            Err(CodecError::Version { .. }) => return refused(ResultCode::VersionMismatch),
+            Err(_) => return refused(ResultCode::BadRequest),
+        }
+        empty(StatusCode::OK)
+    }
+
     fn state(&self) -> Response<Bytes> {
         let context = &self.context;
         let state = context.keeper.state();
