Decide under a lock in the caller's task instead of in the dispatch actor

Cause: each job sent two messages to the dispatch actor and waited for its answer, which cost about one futex call per request (perf trace). Change: the scheduler and its jobs are behind a lock; the tasks of callers decide there. The actor passes on the messages of the control loops. All waiting cancellations are still removed in batches.

--- a/crates/daemon/src/dispatch/control_handlers.rs
+++ b/crates/daemon/src/dispatch/control_handlers.rs
@@ -33,9 +33,10 @@
     type Return = WorkProgress;
 
     async fn handle(&mut self, _: ReadProgress, _: &mut Context<Self>) -> WorkProgress {
+        let core = self.desk.lock();
         WorkProgress {
-            quiesced: self.scheduler.quiesced(),
-            running: self.scheduler.running(),
+            quiesced: core.scheduler.quiesced(),
+            running: core.scheduler.running(),
         }
     }
 }
@@ -44,8 +45,9 @@
     type Return = ExchangeMessage;
 
     async fn handle(&mut self, message: BuildExchange, _: &mut Context<Self>) -> ExchangeMessage {
-        self.scheduler
-            .exchange_with(message.peer, self.parts.clock.now())
+        let mut core = self.desk.lock();
+        let now = core.parts.clock.now();
+        core.scheduler.exchange_with(message.peer, now)
     }
 }
 
@@ -53,8 +55,9 @@
     type Return = ();
 
     async fn handle(&mut self, message: TakeExchange, _: &mut Context<Self>) {
-        self.scheduler
-            .receive(&message.message, self.parts.clock.now());
-        self.drive();
+        let mut core = self.desk.lock();
+        let now = core.parts.clock.now();
+        core.scheduler.receive(&message.message, now);
+        core.drive();
     }
 }
--- a/crates/daemon/src/dispatch/dispatch_messages.rs
+++ b/crates/daemon/src/dispatch/dispatch_messages.rs
@@ -3,9 +3,7 @@
 
 use sesamedeal_core::fleet::FleetState;
 use sesamedeal_core::ids::Generation;
-use sesamedeal_core::scheduler::{
-    AttemptKey, AttemptOutcome, DispatchOrder, JobKey, JobRefusal, JobSpec,
-};
+use sesamedeal_core::scheduler::{AttemptKey, AttemptOutcome, DispatchOrder, JobKey, JobRefusal};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -42,12 +40,6 @@
     Later(oneshot::Receiver<JobEvent>),
 }
 
-/// Queues a job.
-#[derive(Debug)]
-pub(crate) struct SubmitJob {
-    pub spec: JobSpec,
-}
-
 /// Reports an attempt.
 #[derive(Debug)]
 pub(crate) struct FinishAttempt {
@@ -69,16 +61,6 @@
     Refuse(JobRefusal),
 }
 
-/// Removes the jobs whose callers have gone.
-#[derive(Debug)]
-pub(crate) struct CancelJobs;
-
-/// Reports that an attempt has ended at its backend server.
-#[derive(Debug)]
-pub(crate) struct AttemptEnded {
-    pub attempt: AttemptKey,
-}
-
 /// Acts under a new state of the fleet.
 #[derive(Debug)]
 pub(crate) struct ApplyState {
@@ -86,10 +68,6 @@
     pub settled: Generation,
 }
 
-/// Handles deadlines that have passed.
-#[derive(Debug)]
-pub(crate) struct DriveQueue;
-
 /// Takes no further jobs, ahead of a shutdown.
 #[derive(Debug)]
 pub(crate) struct StopTaking;
--- a/crates/daemon/src/dispatch/job_body.rs
+++ b/crates/daemon/src/dispatch/job_body.rs
@@ -6,9 +6,8 @@
 use hyper::body::{Body, Frame, SizeHint};
 use sesamedeal_core::scheduler::{AttemptKey, AttemptOutcome, JobKey};
 use slog::{Logger, warn};
-use xtra::Address;
 
-use super::dispatch_actor::DispatchActor;
+use super::DispatchDesk;
 use super::dispatch_messages::FinishAttempt;
 use super::job_guard::JobGuard;
 use crate::backend::AnswerStream;
@@ -44,7 +43,7 @@
 #[derive(Debug)]
 pub(super) struct OpenAttempt {
     pub guard: JobGuard,
-    pub dispatcher: Address<DispatchActor>,
+    pub desk: DispatchDesk,
     pub job: JobKey,
     pub attempt: AttemptKey,
     pub outcome: AttemptOutcome,
@@ -61,10 +60,7 @@
             outcome,
             may_retry: false,
         };
-        tokio::spawn(async move {
-            // An actor that has ended holds no units.
-            drop(self.dispatcher.send(message).await);
-        });
+        drop(self.desk.finish(&message));
     }
 
     fn break_off(self) {
--- a/crates/daemon/src/dispatch/job_runner.rs
+++ b/crates/daemon/src/dispatch/job_runner.rs
@@ -10,15 +10,11 @@
 use sesamedeal_wire::header;
 use slog::debug;
 use tokio::time::{Instant, sleep};
-use xtra::Address;
 
-use super::dispatch_actor::{DispatchActor, DispatchParts};
-use super::dispatch_messages::{
-    DispatchTicket, FinishAttempt, FinishReply, JobEvent, NextEvent, SubmitJob,
-};
+use super::dispatch_messages::{DispatchTicket, FinishAttempt, FinishReply, JobEvent, NextEvent};
 use super::job_body::{OpenAttempt, StreamedBody};
 use super::job_guard::JobGuard;
-use super::{JobAnswer, JobBody, ShutdownSignal};
+use super::{DispatchDesk, DispatchParts, JobAnswer, JobBody, ShutdownSignal};
 use crate::backend::{AnswerBytes, AttemptCall, AttemptId, AttemptResult, BackendAnswer};
 
 /// Time past a job's deadline after which its caller is answered even if the dispatcher, which
@@ -43,7 +39,7 @@
 /// Takes a job from its queue to a backend server and back.
 #[derive(Debug, Clone)]
 pub(crate) struct JobRunner {
-    pub dispatcher: Address<DispatchActor>,
+    pub desk: DispatchDesk,
     pub parts: DispatchParts,
     pub shutdown: ShutdownSignal,
 }
@@ -94,8 +90,7 @@
         let begin = Instant::now();
         let spec = input.spec.clone();
         let deadline = begin + spec.deadline.since(self.now());
-        let submitted = self.dispatcher.send(SubmitJob { spec }).await;
-        let (job, mut next) = submitted.map_err(|_error| shutting_down())??;
+        let (job, mut next) = self.desk.submit(spec)?;
         let mut guard = JobGuard::new(self.parts.cancels.clone(), job);
         let mut history = JobHistory::default();
         let mut is_first = true;
@@ -130,7 +125,7 @@
                     }
                     AnswerBytes::Whole(bytes) if outcome == AttemptOutcome::Answered => {
                         guard.disarm();
-                        self.report(job, &ticket, outcome).await;
+                        self.finish(job, &ticket, outcome);
                         return Ok(JobAnswer {
                             status: answer.status,
                             headers: answer.headers,
@@ -142,7 +137,7 @@
             }
             history.may_have_run |=
                 matches!(outcome, AttemptOutcome::Lost | AttemptOutcome::BadAnswer);
-            match self.finish(job, &ticket, outcome).await? {
+            match self.finish(job, &ticket, outcome) {
                 FinishReply::Retry(event) => next = event,
                 FinishReply::Answer => {
                     guard.disarm();
@@ -230,32 +225,13 @@
         }
     }
 
-    async fn finish(
-        &self,
-        job: JobKey,
-        ticket: &DispatchTicket,
-        outcome: AttemptOutcome,
-    ) -> Result<FinishReply, JobRefusal> {
-        let message = FinishAttempt {
+    fn finish(&self, job: JobKey, ticket: &DispatchTicket, outcome: AttemptOutcome) -> FinishReply {
+        self.desk.finish(&FinishAttempt {
             job,
             attempt: ticket.order.attempt,
             outcome,
             may_retry: true,
-        };
-        let reply = self.dispatcher.send(message).await;
-        reply.map_err(|_error| JobRefusal::new(ResultCode::OutcomeUnknown))
-    }
-
-    /// Reports an attempt without waiting until the report has been handled.
-    async fn report(&self, job: JobKey, ticket: &DispatchTicket, outcome: AttemptOutcome) {
-        let message = FinishAttempt {
-            job,
-            attempt: ticket.order.attempt,
-            outcome,
-            may_retry: false,
-        };
-        // An actor that has ended holds no units.
-        drop(self.dispatcher.send(message).detach().await);
+        })
     }
 
     fn open_attempt(
@@ -267,7 +243,7 @@
     ) -> OpenAttempt {
         OpenAttempt {
             guard,
-            dispatcher: self.dispatcher.clone(),
+            desk: self.desk.clone(),
             job,
             attempt: ticket.order.attempt,
             outcome,
--- a/crates/daemon/src/http/request_path.rs
+++ b/crates/daemon/src/http/request_path.rs
@@ -8,8 +8,9 @@
 use sesamedeal_platform::PlatformClient;
 use slog::{Logger, info};
 use tokio::sync::mpsc;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep};
-use xtra::{Address, WeakAddress};
+use xtra::{Address, Mailbox, WeakAddress};
 
 use super::{BodyBudget, JobService, Router};
 use crate::admin::AdminService;
@@ -17,14 +18,14 @@
 use crate::claims::ClaimDesk;
 use crate::clock::ProcessClock;
 use crate::dispatch::{
-    CancelJobs, CancelList, DispatchActor, DispatchParts, DriveQueue, EvidenceFlag, JobRunner,
+    CancelList, DispatchActor, DispatchDesk, DispatchParts, EvidenceFlag, JobRunner,
     ShutdownSignal, StopTaking,
 };
 use crate::metrics::RequestMetrics;
 use crate::peer::PeerService;
 use crate::settings::DaemonSettings;
 use crate::store::FleetView;
-use crate::timer::TimerService;
+use crate::timer::{TimerService, TimerTicks};
 
 /// Most messages that wait for the dispatcher; senders beyond it wait.
 const MAILBOX_SIZE: usize = 65_536;
@@ -56,6 +57,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct RequestPath {
     jobs: JobService,
+    dispatcher: Address<DispatchActor>,
 }
 
 impl RequestPath {
@@ -81,9 +83,13 @@
             ..SchedulerPolicy::new()
         };
         let scheduler = JobScheduler::new(parts.session, policy, rand::rng().random());
-        let dispatcher = DispatchActor::start(scheduler, dispatch.clone(), MAILBOX_SIZE);
-        tokio::spawn(drive(dispatcher.downgrade(), parts.timer.clone()));
-        tokio::spawn(cancel(dispatcher.downgrade(), dispatch.cancels.clone()));
+        let desk = DispatchDesk::new(scheduler, dispatch.clone());
+        let actor = DispatchActor::new(desk.clone());
+        let dispatcher = xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX_SIZE));
+        let ticks = parts.timer.every(DRIVE_PERIOD);
+        tokio::spawn(drive(dispatcher.downgrade(), desk.clone(), ticks));
+        let cancels = dispatch.cancels.clone();
+        tokio::spawn(cancel(dispatcher.downgrade(), desk.clone(), cancels));
         let claims = ClaimDesk {
             client: parts.client,
             session: parts.session,
@@ -92,7 +98,7 @@
         let jobs = JobService {
             view: parts.view,
             runner: JobRunner {
-                dispatcher,
+                desk,
                 parts: dispatch,
                 shutdown: ShutdownSignal::new(),
             },
@@ -101,12 +107,12 @@
             default_deadline: settings.caller_deadline,
             open: Arc::new(AtomicUsize::new(0)),
         };
-        Self { jobs }
+        Self { jobs, dispatcher }
     }
 
     /// Address of the actor that owns the scheduler.
     pub(crate) fn dispatcher(&self) -> Address<DispatchActor> {
-        self.jobs.runner.dispatcher.clone()
+        self.dispatcher.clone()
     }
 
     /// Flag by which the judgement of the evidence reaches the request path.
@@ -131,7 +137,7 @@
         let close_at = Instant::now() + deadline.mul_f64(1.0 - CLOSE_SHARE);
         runner.shutdown.start_draining();
         // An actor that has ended holds no jobs.
-        drop(runner.dispatcher.send(StopTaking).await);
+        drop(self.dispatcher.send(StopTaking).await);
         let mut open = self.jobs.open.load(Ordering::Acquire);
         info!(runner.parts.logger, "shutdown began"; "open jobs" => open);
         while open > 0 && Instant::now() < close_at {
@@ -143,30 +149,19 @@
     }
 }
 
-/// Lets the dispatcher handle deadlines that have passed.
-async fn drive(dispatcher: WeakAddress<DispatchActor>, timer: TimerService) {
-    let mut ticks = timer.every(DRIVE_PERIOD);
-    while ticks.next().await.is_some() {
-        let Some(address) = dispatcher.try_upgrade() else {
-            return;
-        };
-        if address.send(DriveQueue).await.is_err() {
-            return;
-        }
+/// Lets the scheduler handle deadlines that have passed, until the entry instance has ended.
+async fn drive(path: WeakAddress<DispatchActor>, desk: DispatchDesk, mut ticks: TimerTicks) {
+    while ticks.next().await.is_some() && path.is_connected() {
+        desk.tick();
     }
 }
 
-/// Lets the dispatcher remove the jobs whose callers have gone, one batch after another.
-async fn cancel(dispatcher: WeakAddress<DispatchActor>, cancels: CancelList) {
-    loop {
+/// Removes the jobs whose callers have gone, one batch after another.
+async fn cancel(path: WeakAddress<DispatchActor>, desk: DispatchDesk, cancels: CancelList) {
+    while path.is_connected() {
         cancels.wait().await;
-        while !cancels.is_empty() {
-            let Some(address) = dispatcher.try_upgrade() else {
-                return;
-            };
-            if address.send(CancelJobs).await.is_err() {
-                return;
-            }
+        while desk.cancel_batch() {
+            yield_now().await;
         }
     }
 }
