--- a/crates/core/src/scheduler/fleet_update.rs
+++ b/crates/core/src/scheduler/fleet_update.rs
@@ -1,10 +1,10 @@
 use std::collections::BTreeSet;
 
-use super::{JobScheduler, PoolIndex, TeamIndex};
+use super::{JobScheduler, KeyIndex, PoolIndex, TeamIndex, WorkerIndex};
 use crate::code::ResultCode;
 use crate::fleet::{FleetState, OPEN_TEAM, TeamRecord};
-use crate::ids::{Generation, SessionId, TeamName};
-use crate::ledger::{ResourceKey, permit_allocation};
+use crate::ids::{Generation, KeyId, SessionId, TeamName};
+use crate::ledger::{LoanRecord, ResourceKey, permit_allocation};
 use crate::time::TimePoint;
 
 /// Limit of the team `open` when it is not configured; more than any fleet has slots.
@@ -20,6 +20,8 @@
     pub(super) all: bool,
     pub(super) joined: Vec<SessionId>,
     pub(super) left: Vec<SessionId>,
+    /// Workers whose running attempts contradict the generation.
+    pub(super) against: BTreeSet<WorkerIndex>,
     /// Pools whose workers changed.
     pub(super) pools: BTreeSet<PoolIndex>,
 }
@@ -30,17 +32,22 @@
         let generation = scope.generation;
         self.fleet.applied = Some(generation);
         self.vacate_workers();
+        let view_changed = state.view != self.fleet.view;
+        self.book
+            .void_lent(generation, |loan| loan.brief || view_changed);
         if scope.all {
             self.fleet.view_changed = generation;
             self.fleet.view = state.view.clone();
-            self.void_loans(None, generation);
         }
+        let all = scope.all;
+        self.void_borrowed(&scope, |loan| loan.brief || all);
         self.update_teams(state, &scope);
         for (name, record) in &state.pools {
             let pool = self.fleet.pool(name);
             self.fleet.pools[pool.at()].max_unavailable = record.max_unavailable;
         }
         self.update_workers(state, &mut scope, now);
+        self.mark_against(&scope);
         for pool in std::mem::take(&mut scope.pools) {
             self.update_pool(pool);
         }
@@ -102,7 +109,9 @@
             self.pending.insert(resource);
         }
         if lowered {
-            self.void_loans(Some(resource), scope.generation);
+            let select = |loan: &LoanRecord| loan.resource == resource;
+            self.book.void_lent(scope.generation, select);
+            self.void_borrowed(scope, select);
         }
     }
 
@@ -124,12 +133,14 @@
             all: skipped.is_some() || state.view != self.fleet.view,
             joined: missing(&state.view.sessions, &self.fleet.view),
             left: missing(&self.fleet.view.sessions, &state.view),
+            against: BTreeSet::new(),
             pools: BTreeSet::new(),
         }
     }
 
-    fn void_loans(&mut self, resource: Option<ResourceKey>, generation: Generation) {
-        for (resource, units) in self.book.void(resource, generation) {
+    fn void_borrowed(&mut self, scope: &UpdateScope, select: impl Fn(&LoanRecord) -> bool) {
+        let first = scope.skipped.unwrap_or(scope.generation);
+        for (resource, units) in self.book.void_open(first, scope.generation, select) {
             self.account_mut(resource).void += units;
             self.give_back_void(resource);
         }
@@ -164,18 +175,25 @@
         let mut withdrawn = false;
         for (id, record) in &state.keys {
             if record.withdrawn {
-                withdrawn |= self.fleet.keys.remove(id).is_some();
+                withdrawn |= self.drop_key(id);
                 continue;
             }
             valid += 1;
             let team = self.fleet.team(&record.team);
-            if self.fleet.keys.get(id) != Some(&team) {
-                withdrawn |= self.fleet.keys.insert(id.clone(), team).is_some();
+            if let Some(key) = self.fleet.keys.get(id) {
+                let known = self.fleet.key_teams[key.at()].replace(team);
+                withdrawn |= known != Some(team);
+            } else {
+                let key = KeyIndex::with_position(self.fleet.key_teams.len());
+                self.fleet.key_teams.push(Some(team));
+                self.fleet.keys.insert(id.clone(), key);
             }
         }
         if self.fleet.keys.len() != valid {
-            self.fleet.keys.retain(|id, _| state.keys.contains_key(id));
-            withdrawn = true;
+            let known: Vec<KeyId> = self.fleet.keys.keys().cloned().collect();
+            for id in known.iter().filter(|id| !state.keys.contains_key(*id)) {
+                withdrawn |= self.drop_key(id);
+            }
         }
         if withdrawn {
             let invalid: Vec<_> = self
@@ -184,7 +202,7 @@
                 .filter(|(_, job)| job.queued)
                 .filter(|(_, job)| {
                     let team = self.flows[job.flow.at()].team;
-                    let key = job.key.as_ref();
+                    let key = job.key;
                     key.is_some_and(|key| !self.fleet.is_key_valid(key, team))
                 })
                 .map(|(key, _)| key)
@@ -195,6 +213,14 @@
         }
     }
 
+    fn drop_key(&mut self, id: &KeyId) -> bool {
+        let key = self.fleet.keys.remove(id);
+        if let Some(key) = key {
+            self.fleet.key_teams[key.at()] = None;
+        }
+        key.is_some()
+    }
+
     fn refresh_all(&mut self, now: TimePoint) {
         for position in 0..self.fleet.order.len() {
             let worker = self.fleet.order[position];
--- a/crates/standin/src/http_server.rs
+++ b/crates/standin/src/http_server.rs
@@ -2,12 +2,13 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use futures::stream;
+use futures::{StreamExt, stream};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use hyper::header::CONTENT_LENGTH;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,7 +18,12 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::sleep;
+
+/// Time in which the first part of a body is sent.
+const FLUSH_TIME: Duration = Duration::from_millis(20);
 
 /// Body of a stand-in's answer.
 pub(crate) type AnswerBody = BoxBody<Bytes, Infallible>;
@@ -46,6 +52,7 @@
 #[derive(Debug)]
 pub struct ServerHandle {
     address: SocketAddr,
+    stop: Arc<Notify>,
     task: JoinHandle<()>,
 }
 
@@ -58,8 +65,8 @@
 
     /// Stops the server and closes its connections; its port is free afterwards.
     pub async fn stop(mut self) {
-        self.task.abort();
-        // The task was aborted on purpose.
+        self.stop.notify_one();
+        // The task ends only here or by its own panic, which it has printed.
         drop((&mut self.task).await);
     }
 }
@@ -109,22 +116,30 @@
 }
 
 /// Serves requests with `answer` until the handle is dropped.
-pub(crate) async fn serve<F, A>(
+pub(crate) async fn serve<F, A, B>(
     address: SocketAddr,
     limit: ConnectionLimit,
     answer: F,
 ) -> std::io::Result<ServerHandle>
 where
     F: Fn(Request<Incoming>) -> A + Clone + Send + 'static,
-    A: Future<Output = Answer> + Send + 'static,
+    A: Future<Output = Option<Response<B>>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: std::error::Error + Send + Sync,
 {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
+    let stop = Arc::new(Notify::new());
+    let stopped = Arc::clone(&stop);
     let task = tokio::spawn(async move {
         let open = Arc::default();
         let mut connections = JoinSet::new();
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = stopped.notified() => break,
+            };
+            let Ok((stream, _)) = accepted else {
                 continue;
             };
             while connections.try_join_next().is_some() {}
@@ -147,8 +162,14 @@
                 drop(connection);
             });
         }
+        drop(listener);
+        connections.shutdown().await;
     });
-    Ok(ServerHandle { address, task })
+    Ok(ServerHandle {
+        address,
+        stop,
+        task,
+    })
 }
 
 /// An answer with a whole body.
@@ -162,8 +183,13 @@
 pub(crate) fn truncated(code: StatusCode, body: Bytes) -> Response<AnswerBody> {
     let announced = body.len().max(1);
     let half = body.slice(..body.len() / 2);
-    let frames = stream::iter([Ok(Frame::data(half))]);
-    let mut response = Response::new(StreamBody::new(frames).boxed());
+    // The pause lets the server send the first half before it finds that the rest is missing.
+    let pause = stream::once(async {
+        sleep(FLUSH_TIME).await;
+        Ok(Frame::data(Bytes::new()))
+    });
+    let frames = stream::iter([Ok(Frame::data(half))]).chain(pause);
+    let mut response = Response::new(BodyExt::boxed(StreamBody::new(frames)));
     *response.status_mut() = code;
     let headers = response.headers_mut();
     headers.insert(CONTENT_LENGTH, announced.into());
