--- a/crates/daemon/src/admin/admin_service.rs
+++ b/crates/daemon/src/admin/admin_service.rs
@@ -97,10 +97,6 @@
         match (request.method(), path.as_str()) {
             (&Method::GET, "/status") => json(&status(&self.context).await),
             (&Method::GET, "/admin/state") => json(&*self.context.keeper.state()),
-            (&Method::GET, "/admin/plan-context") => json(&PlanContext {
-                now: day_time(self.context.settings.utc_offset_minutes),
-                policy: self.context.settings.plan_policy(),
-            }),
             (&Method::GET, "/admin/history") => self.history().await,
             (&Method::GET, "/admin/plan-context") => json(&self.plan_context()),
             (&Method::POST, "/admin/changes") => {
