Refresh the choice of workers when borrowed slots become void

Giving back void units now refreshes the worker. Taking units that are not free fails an assertion in debug builds. The failure is kept as the regression test void_free_slot.

--- a/crates/core/src/ledger/unit_account.rs
+++ b/crates/core/src/ledger/unit_account.rs
@@ -102,6 +102,10 @@
 
     /// Takes units for an attempt.
     pub(crate) fn take(&mut self, units: u32) {
+        debug_assert!(
+            units <= self.startable(),
+            "units are taken that are not free"
+        );
         self.in_use += units;
         self.note_idle();
     }
--- a/crates/core/src/scheduler/fleet_update.rs
+++ b/crates/core/src/scheduler/fleet_update.rs
@@ -14,6 +14,7 @@
 #[derive(Debug)]
 pub(super) struct UpdateScope {
     pub(super) generation: Generation,
+    pub(super) now: TimePoint,
     /// First generation that was left out, if any was.
     pub(super) skipped: Option<Generation>,
     /// Whether all allocations are computed anew.
@@ -28,7 +29,7 @@
 
 impl JobScheduler {
     pub(super) fn update_fleet(&mut self, state: &FleetState, now: TimePoint) {
-        let mut scope = self.scope(state);
+        let mut scope = self.scope(state, now);
         let generation = scope.generation;
         self.fleet.applied = Some(generation);
         self.vacate_workers();
@@ -115,7 +116,7 @@
         }
     }
 
-    fn scope(&self, state: &FleetState) -> UpdateScope {
+    fn scope(&self, state: &FleetState, now: TimePoint) -> UpdateScope {
         let first = self
             .fleet
             .applied
@@ -129,6 +130,7 @@
         };
         UpdateScope {
             generation: state.generation,
+            now,
             skipped,
             all: skipped.is_some() || state.view != self.fleet.view,
             joined: missing(&state.view.sessions, &self.fleet.view),
@@ -143,6 +145,7 @@
         for (resource, units) in self.book.void_open(first, scope.generation, select) {
             self.account_mut(resource).void += units;
             self.give_back_void(resource);
+            self.refresh(resource, scope.now);
         }
     }
 
--- a/crates/core/tests/ledger_regressions.rs
+++ b/crates/core/tests/ledger_regressions.rs
@@ -6,8 +6,9 @@
 
 use scheduling::world::{World, worker_name};
 use scheduling::{fleet, job};
-use sesamedeal_core::fleet::{FleetChange, InstanceState, SessionView};
-use sesamedeal_core::ids::SessionId;
+use sesamedeal_core::fleet::{FleetChange, InstanceState, SessionView, TeamRecord};
+use sesamedeal_core::ids::{SessionId, TeamName};
+use sesamedeal_core::scheduler::AttemptOutcome;
 
 fn world() -> World {
     let teams = [("one", 3, 10), ("two", 2, 14), ("three", 1, 5)];
@@ -62,6 +63,31 @@
     world.recover();
 }
 
+/// Guards against a dispatch on a borrowed slot that an unrelated generation made void. The list of
+/// workers with free slots still had the worker.
+#[test]
+fn void_free_slot() {
+    let mut world = world();
+    set_view(&mut world, &[2, 3]);
+    world.apply_all();
+    submit(&mut world, 0, "one", 1);
+    for _ in 0..3 {
+        world.exchange(0, 1, true, true);
+    }
+    assert_eq!(world.tasks.len(), 1);
+    world.finish(0, AttemptOutcome::Answered);
+    let team = TeamRecord { share: 1, limit: 6 };
+    let name = TeamName::new("three");
+    world.change(FleetChange::PutTeam { name, team });
+    world.apply_all();
+    submit(&mut world, 0, "one", 1);
+    for _ in 0..3 {
+        world.exchange(0, 1, true, true);
+    }
+    assert_eq!(world.tasks.len(), 2);
+    world.recover();
+}
+
 /// Guards against a loan to a session outside the view that is lost with the session.
 #[test]
 fn outside_borrower() {
