--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,8 +5,15 @@
 //! measurement.
 
 pub mod backend;
+pub mod baseline;
 mod http_server;
+pub mod load;
+mod loopback;
 pub mod observer;
 pub mod platform;
+mod run;
 
 pub use http_server::ServerHandle;
+pub use run::{
+    BackendOptions, ControlClient, PlatformOptions, run_backend, run_platform, serve_backend,
+};
