Set the availability budget in the test that depends on it

The test of the bound on quarantines took the budget from a shared fixture, which changed from three to two. It now sets the budget of three itself.

--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -5,7 +5,7 @@
 use assert_matches::assert_matches;
 use scheduling::{at, dispatches, fleet, job, scheduler};
 use sesamedeal_core::code::ResultCode;
-use sesamedeal_core::ids::InstanceName;
+use sesamedeal_core::ids::{InstanceName, PoolName};
 use sesamedeal_core::retry::{RetryBudget, RetryReason};
 use sesamedeal_core::scheduler::{
     AttemptOutcome, DispatchOrder, FinishOutcome, JobScheduler, JobSpec,
@@ -111,7 +111,10 @@
 /// Guards against a quarantine beyond the pool's availability budget of three workers.
 #[test]
 fn quarantine_bound() {
-    let mut scheduler = start(4);
+    let mut state = fleet(4, &[("one", 1, 100)], 1);
+    let pool = state.pools.get_mut(&PoolName::new("main")).unwrap();
+    pool.max_unavailable = 3;
+    let mut scheduler = scheduler(&state);
     fail_on(
         &mut scheduler,
         200,
