Hold planned actions back without a list, and spread surplus instances by largest sizes

Cause: without the platform's list failures go unnoticed, so planned actions could start in a pool whose budget is spent; surplus spread by the present sizes moved again at every row; one record could register a whole fleet. Measured: tests of sesamedeal-core pass, with night_wave (50 of 50 instances maintained once).

--- a/crates/core/src/control/controller.rs
+++ b/crates/core/src/control/controller.rs
@@ -76,7 +76,9 @@
     /// changed, the next step decides again on the new state.
     pub fn step(&mut self, input: ControlInput<'_>) -> ControlStep {
         let mut draft = StepDraft::new(input, &self.policy);
-        match input.list.filter(|list| !list.is_empty()) {
+        let list = input.list.filter(|list| !list.is_empty());
+        let has_list = list.is_some();
+        match list {
             Some(list) => {
                 self.tracker.observe(input.sessions, list, input.now);
                 draft.update_sessions(&self.tracker, list);
@@ -90,8 +92,11 @@
         if !draft.apply_due_rows() {
             draft.finish_moves();
             draft.judge_health();
-            draft.start_moves();
-            draft.start_maintenance();
+            // Without the list failures are not noticed, so that the budgets may be spent already.
+            if has_list {
+                draft.start_moves();
+                draft.start_maintenance();
+            }
         }
         draft.keep_house(&mut self.memory, &self.tracker);
         draft.step
--- a/crates/core/src/control/instance_sync.rs
+++ b/crates/core/src/control/instance_sync.rs
@@ -10,6 +10,10 @@
 /// Platform's list by name.
 pub(super) type ListIndex<'l> = BTreeMap<&'l InstanceName, &'l ListedInstance>;
 
+/// Instances registered in one step. A row of the log with the descriptions of a whole large fleet
+/// would have several MB.
+const MAX_REGISTRATIONS: usize = 500;
+
 impl<'a> StepDraft<'a> {
     /// Follows the platform's list: registers, updates, fails, recovers and removes instances.
     pub(super) fn sync_instances(&mut self, memory: &mut ControlMemory, listed: &ListIndex<'_>) {
@@ -37,6 +41,7 @@
     fn register_new(&mut self, spare: &PoolName, listed: &ListIndex<'_>) {
         let state = self.input.state;
         let room = ApplyLimits::INSTANCES.saturating_sub(state.instances.len());
+        let room = room.min(MAX_REGISTRATIONS);
         let new_entries = listed.values().filter(|entry| {
             entry.role == EntryRole::Backend
                 && entry.state == ListState::Live
@@ -73,11 +78,10 @@
     ) {
         memory.leaving.remove(name);
         let is_rebooted = instance.state == InstanceState::Rebooting && instance.boot != entry.boot;
-        let updated = describe(instance, entry);
-        if updated != *instance && has_valid_size(entry) {
+        if !is_described(instance, entry) && has_valid_size(entry) {
             self.step.changes.push(FleetChange::PutInstance {
                 name: name.clone(),
-                instance: updated,
+                instance: describe(instance, entry),
             });
         }
         match instance.state {
@@ -186,6 +190,17 @@
         && (1..=ApplyLimits::NAME_BYTES).contains(&entry.name.as_str().len())
 }
 
+fn is_described(instance: &InstanceRecord, entry: &ListedInstance) -> bool {
+    instance.address == entry.address
+        && instance.zone == entry.zone
+        && instance.rack == entry.rack
+        && instance.image == entry.image
+        && instance.cores == entry.cores
+        && instance.memory_mb == entry.memory_mb
+        && instance.slots == entry.slots
+        && instance.boot == entry.boot
+}
+
 fn describe(instance: &InstanceRecord, entry: &ListedInstance) -> InstanceRecord {
     InstanceRecord {
         address: entry.address.clone(),
--- a/crates/core/src/moves/demand_variant.rs
+++ b/crates/core/src/moves/demand_variant.rs
@@ -53,7 +53,9 @@
     varied
 }
 
-/// Spreads the instances that no step of the day wants over the pools by their present sizes.
+/// Spreads the instances that no step of the day wants over the pools by their largest sizes.
+///
+/// Weights that followed the sizes over the day would move these instances at every row.
 fn fill_pools(demand: &mut DayDemand, fleet_size: u32) {
     let most_wanted = demand
         .steps
@@ -67,7 +69,8 @@
             if demand.spare == Some(pool) || demand.closing[pool] {
                 0
             } else {
-                u64::from(demand.steps[0].wanted[pool])
+                let sizes = demand.steps.iter().map(|step| step.wanted[pool]);
+                u64::from(sizes.max().unwrap_or_default())
             }
         })
         .collect();
--- a/crates/core/tests/control_step.rs
+++ b/crates/core/tests/control_step.rs
@@ -116,10 +116,12 @@
     assert!(!world.state.instances.contains_key(&name(0)));
 }
 
-/// Guards against an empty or missing list that fails the whole fleet or settles a generation.
+/// Guards against an empty or missing list that fails the whole fleet, settles a generation or
+/// lets planned actions start.
 #[test]
 fn list_unavailable() {
     let mut world = world(&[("a", 4, 1, 4), ("spare", 2, 2, 2)]);
+    put_pool(&mut world, "a", 5, 1);
     let before = (world.state.clone(), world.settled);
     let list = std::mem::take(&mut world.list);
     for _ in 0..60 {
@@ -129,8 +131,8 @@
     }
     assert_eq!((world.state.clone(), world.settled), before);
     world.list = list;
-    world.run(3);
-    assert_eq!(active(&world, "a"), 4);
+    world.run(5);
+    assert_eq!(active(&world, "a"), 5);
 }
 
 /// Guards against quarantine beyond the budget, and against acting on reports about an earlier
--- a/crates/core/tests/sheet_rollout.rs
+++ b/crates/core/tests/sheet_rollout.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use sesamedeal_core::control::{ControlPolicy, ControlStep};
-use sesamedeal_core::fleet::{DayTime, FleetChange, FleetState, InstanceState};
+use sesamedeal_core::fleet::{DayTime, FleetChange, FleetState, InstanceState, WaveStatus};
 use sesamedeal_core::ids::PoolName;
 use sesamedeal_core::moves::PlanPolicy;
 use sesamedeal_core::sheet::{check_sheet, plan_sheet};
@@ -102,3 +102,28 @@
     world.run(200);
     assert_eq!(world.state.pools[&attendance].size, 8, "the row of 10:00");
 }
+
+/// Guards against a maintenance row that starts no wave, starts it twice a day, or leaves out
+/// instances that are due.
+#[test]
+fn night_wave() {
+    let text = include_str!("../../../examples/trust.csv");
+    let sheet = check_sheet(text.as_bytes()).unwrap();
+    let state = fleet(&[("rotas", 16, 3, 16), ("spare", 8, 4, 34)]);
+    let mut world = World::new(state, ControlPolicy::new(), 2);
+    world.start = DayTime::new(20_000, 3_600);
+    let policy = PlanPolicy::default();
+    let plan = plan_sheet(&world.state, &sheet, world.day_time(), &policy, true).unwrap();
+    assert_eq!(plan.waves[0].members, 50);
+    world.write(plan.changes);
+    world.run(3_600);
+    assert!(world.state.waves.is_empty());
+    world.run(2_000);
+    let waves: Vec<_> = world.state.waves.iter().collect();
+    assert_eq!(waves.len(), 1);
+    assert_eq!(waves[0].0.as_str(), "night-20000");
+    assert_eq!(waves[0].1.status, WaveStatus::Finished);
+    assert_eq!(world.reboots, 50);
+    let mut maintained = world.state.instances.values().map(|one| one.maintained);
+    assert!(maintained.all(|day| day == 20_000));
+}
