--- a/crates/core/tests/fleet_apply.rs
+++ b/crates/core/tests/fleet_apply.rs
@@ -3,7 +3,9 @@
 mod support;
 
 use assert_matches::assert_matches;
-use sesamedeal_core::fleet::{ApplyError, FleetChange, FleetState, InstanceState, KeyRecord};
+use sesamedeal_core::fleet::{
+    ApplyError, ApplyLimits, FleetChange, FleetState, InstanceState, KeyRecord,
+};
 use sesamedeal_core::fleet::{QueueRecord, TeamRecord};
 use sesamedeal_core::ids::{KeyId, PoolName, QueueName, TeamName};
 use support::{apply, fleet, instance, moving, name, pool, set_state};
@@ -202,3 +204,31 @@
     apply(&mut state, vec![assign, remove]).unwrap();
     assert!(state.closing.is_empty());
 }
+
+/// Guards against a state that grows without bound, and sizes that nobody can have meant.
+#[test]
+fn counts_limited() {
+    let mut state = fleet(&[("spare", 1, 1, 1)]);
+    let put = |number: usize| FleetChange::PutPool {
+        name: PoolName::new(format!("p{number}")),
+        pool: pool(1, 1),
+    };
+    let many = (1..ApplyLimits::POOLS).map(put).collect();
+    apply(&mut state, many).unwrap();
+    let before = state.clone();
+    assert_matches!(
+        apply(&mut state, vec![put(ApplyLimits::POOLS)]),
+        Err(ApplyError::TooMany { .. })
+    );
+    let mut huge = instance("spare", 1);
+    huge.slots = ApplyLimits::SLOTS + 1;
+    let (name, instance) = (name(1), huge);
+    for change in [
+        FleetChange::PutInstance { name, instance },
+        put_team(&"x".repeat(ApplyLimits::NAME_BYTES + 1)),
+    ] {
+        let result = apply(&mut state, vec![change]);
+        assert_matches!(result, Err(ApplyError::InvalidValue { .. }));
+    }
+    assert_eq!(state, before);
+}
