--- a/crates/core/tests/scheduling/world_recovery.rs
+++ b/crates/core/tests/scheduling/world_recovery.rs
@@ -54,7 +54,7 @@
         for worker in 0..3 {
             let name = worker_name(worker);
             // A new boot id clears the worker's record of failures, and a failed worker that is
-            // listed again is not on probation as a quarantined one is.
+            // listed again is not on trial as a quarantined one is.
             self.set_worker(worker, InstanceState::Failed);
             let known = self.states.last().unwrap().instances.get(&name);
             let mut instance = known.cloned().unwrap_or_else(|| super::worker("main"));
