Do not send calls whose deadline has passed

Such a call was sent, timed out at once and counted as a failure of the service, so five of them opened the circuit breaker for all callers. It now fails as not sent. The whole workspace's tests pass.

--- a/crates/platform/src/service_caller.rs
+++ b/crates/platform/src/service_caller.rs
@@ -119,6 +119,15 @@
         call: PlatformCall,
         deadline: Instant,
     ) -> std::result::Result<PlatformReply, AttemptFailure> {
+        if Instant::now() >= deadline {
+            // Not sent, so that it says nothing about the service and has no effect.
+            return Err(AttemptFailure {
+                error: PlatformError::Unreachable {
+                    reason: "the deadline passed before the call was sent".to_owned(),
+                },
+                reason: None,
+            });
+        }
         let service = kind.service();
         let permit = self.breakers.lock()[service as usize].admit(Instant::now());
         if permit.is_none() {
--- a/crates/platform/tests/outage.rs
+++ b/crates/platform/tests/outage.rs
@@ -49,6 +49,23 @@
     }
 }
 
+/// Calls whose deadline has passed must not be sent, nor count against a service that works.
+#[tokio::test(start_paused = true)]
+async fn passed_deadline() {
+    let platform = PlatformStandin::new();
+    let client = client(&platform, 1);
+    let late = client.with_deadline(Duration::ZERO);
+    for number in 0..20 {
+        let write = late.write(&insert(number, "row")).await;
+        assert_matches!(write, Err(PlatformError::Unreachable { .. }));
+    }
+    assert_eq!(platform.counters().table_writes, 0);
+    assert_eq!(
+        breaker(&client, PlatformService::Table),
+        BreakerState::Closed
+    );
+}
+
 /// A short outage is bridged by retries within the deadline.
 #[tokio::test(start_paused = true)]
 async fn short_outage() {
