--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -20,7 +20,8 @@
 use sesamedeal_standin::ServerHandle;
 use sesamedeal_standin::platform::PlatformStandin;
 
-use super::cluster::{TestClient, listed_entry, loopback};
+use super::cluster::{listed_entry, loopback};
+use super::operator::TestClient;
 use super::wait_for;
 
 const POOL: &str = "rota";
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -6,6 +6,7 @@
 pub mod cluster;
 pub mod fleet;
 pub mod link;
+pub mod operator;
 pub mod raw_backend;
 
 use std::time::Duration;
