--- a/crates/daemon/src/admin/admin_service.rs
+++ b/crates/daemon/src/admin/admin_service.rs
@@ -97,11 +97,8 @@
         match (request.method(), path.as_str()) {
             (&Method::GET, "/status") => json(&status(&self.context).await),
             (&Method::GET, "/admin/state") => json(&*self.context.keeper.state()),
-            (&Method::GET, "/admin/plan-context") => json(&PlanContext {
-                now: day_time(self.context.settings.utc_offset_minutes),
-                policy: self.context.settings.plan_policy(),
-            }),
             (&Method::GET, "/admin/history") => self.history().await,
+            (&Method::GET, "/admin/plan-context") => json(&self.plan_context()),
             (&Method::POST, "/admin/changes") => {
                 let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect();
                 let body = body
@@ -121,6 +118,14 @@
         }
     }
 
+    fn plan_context(&self) -> PlanContext {
+        let settings = &self.context.settings;
+        PlanContext {
+            now: day_time(settings.utc_offset_minutes),
+            policy: settings.plan_policy(),
+        }
+    }
+
     async fn history(&self) -> AdminResult {
         let head = self.context.keeper.state().generation;
         let after = Generation(head.0.saturating_sub(HISTORY_RECORDS));
