Measure the delay of other callers during a wave of cancellations

Cause: the test of the wave checked only that the jobs were removed. Change: 9,000 queued callers leave at once (each takes two of the 20,000 file descriptors of the process) while another caller measures its latency.

--- a/crates/daemon/tests/caller_gone.rs
+++ b/crates/daemon/tests/caller_gone.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use common::caller::{job_request, metric, open, submit};
@@ -93,42 +94,55 @@
     wait_for("end", async || metric(entry.address(), RUNNING).await == 0).await;
 }
 
-/// Guards against a wave of cancellations that delays the jobs of other callers.
+/// Latency of a request that the scheduler decides on at once: no worker is as large as its job.
+async fn probe(address: SocketAddr) -> Duration {
+    let begin = Instant::now();
+    let answer = submit(address, &[("sesamedeal-cores", "1000")], "probe").await;
+    assert_eq!(answer.code(), "1008");
+    begin.elapsed()
+}
+
+/// Guards against a wave of cancellations that delays other callers. The bound is generous,
+/// because machines can be busy; the design page's target is 50 ms in a release build.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn cancellation_wave() {
-    const WAVE: usize = 1_000;
+    // Each caller takes two of the 20,000 file descriptors that a process often has.
+    const WAVE: usize = 9_000;
     let backend = hold_backend().await;
     let fleet = TestFleet::start(&[backend.address]).await;
-    let entry = fleet.entry().await;
+    let mut settings = fleet.settings();
+    settings.max_queued = 2 * WAVE;
+    let entry = fleet.entry_with(settings).await;
+    let address = entry.address();
     let mut holding = Vec::new();
-    for _ in 0..SLOTS - 1 {
-        holding.push(open(entry.address(), &job_request("swap", &[], "hold")).await);
+    for _ in 0..SLOTS {
+        holding.push(open(address, &job_request("swap", &[], "hold")).await);
     }
-    wait_for("held jobs", async || backend.held() == SLOTS - 1).await;
-    let last = open(entry.address(), &job_request("swap", &[], "hold")).await;
-    wait_for("all slots", async || backend.held() == SLOTS).await;
+    wait_for("held jobs", async || backend.held() == SLOTS).await;
     let mut wave = Vec::with_capacity(WAVE);
+    let deadline = [("sesamedeal-deadline-ms", "600000")];
     for _ in 0..WAVE {
-        wave.push(open(entry.address(), &job_request("swap", &[], "wave")).await);
+        wave.push(open(address, &job_request("swap", &deadline, "wave")).await);
     }
     wait_for("queue", async || {
-        metric(entry.address(), QUEUED).await == WAVE as u64
+        metric(address, QUEUED).await == WAVE as u64
     })
     .await;
-    drop(wave);
-    drop(last);
-    let begin = Instant::now();
+    let mut before = Duration::ZERO;
+    for _ in 0..50 {
+        before = before.max(probe(address).await);
+    }
+    let closing = tokio::task::spawn_blocking(move || drop(wave));
+    let mut during = Duration::ZERO;
     wait_for("removal", async || {
-        metric(entry.address(), QUEUED).await == 0
+        during = during.max(probe(address).await);
+        metric(address, QUEUED).await == 0
     })
     .await;
-    let answer = submit(entry.address(), &[], "next").await;
-    assert_eq!(answer.code(), "1000");
-    assert!(begin.elapsed() < Duration::from_secs(10));
-    let wave_ran = backend
-        .runs()
-        .iter()
-        .filter(|run| run.body == b"wave")
-        .count();
-    assert!(wave_ran < WAVE / 2, "{wave_ran} cancelled jobs were run");
+    closing.await.expect("closed");
+    println!("slowest of other callers: {before:?} before the wave, {during:?} during it");
+    assert!(during < before + Duration::from_secs(2));
+    backend.release();
+    assert_eq!(submit(address, &[], "next").await.code(), "1000");
+    assert!(!backend.runs().iter().any(|run| run.body == b"wave"));
 }
