--- a/crates/daemon/src/http/caller_connection.rs
+++ b/crates/daemon/src/http/caller_connection.rs
@@ -63,6 +63,9 @@
         // A caller that does not take the answer is disconnected.
         drop(timeout(LINGER, stream.write_all(answer.as_bytes())).await);
     } else if !phase.is_waiting() {
+        if code == Some(ResultCode::SlowCaller) {
+            router.count_refusal(ResultCode::SlowCaller);
+        }
         // An answer that was broken off has to be seen as such.
         return;
     }
--- a/crates/daemon/tests/large_answers.rs
+++ b/crates/daemon/tests/large_answers.rs
@@ -140,3 +140,22 @@
     wait_for("stop request", async || !backend.stops().is_empty()).await;
     wait_for("end", async || metric(entry.address(), RUNNING).await == 0).await;
 }
+
+/// Guards against units that stay in use for a caller that takes nothing of its answer.
+#[tokio::test]
+async fn stalled_caller() {
+    let backend = RawBackend::start(|request| {
+        let head = request.answer_head("200 OK", BLOCK * BLOCKS);
+        let head = format!("{head}\r\n").into_bytes();
+        Reaction::Repeat(head, vec![b'x'; BLOCK], BLOCKS)
+    })
+    .await;
+    let fleet = TestFleet::start(&[backend.address]).await;
+    let entry = fleet.entry().await;
+    let stalled = open(entry.address(), &job_request("swap", &[], "scan")).await;
+    wait_for("stop request", async || !backend.stops().is_empty()).await;
+    wait_for("end", async || metric(entry.address(), RUNNING).await == 0).await;
+    let slow = "sesamedeal_answers_total{code=\"1007\",label=\"slow-caller\"}";
+    wait_for("metric", async || metric(entry.address(), slow).await == 1).await;
+    drop(stalled);
+}
