Measure the decisions on virtual time next to baselines

The measures of the specification had no command that gives them, so no change of the scheduler, planner or controller could be compared with the one before. `sesamedeal measure` drives the real decision code with a list of running tasks, a change log in memory and a list of instances.

--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -5,6 +5,7 @@
 mod fleet_args;
 mod key_args;
 mod maintenance_args;
+mod measure_args;
 mod operator_args;
 mod sheet_args;
 mod submit_args;
@@ -20,6 +21,7 @@
     MaintenanceArgs, MaintenanceCommand, WaveHaltArgs, WaveResumeArgs, WaveStartArgs,
     WaveStatusArgs,
 };
+pub(crate) use measure_args::MeasureArgs;
 pub(crate) use operator_args::OperatorArgs;
 pub(crate) use sheet_args::{
     SheetApplyArgs, SheetArgs, SheetCheckArgs, SheetCommand, SheetPlanArgs,
@@ -43,6 +45,7 @@
     Key(KeyArgs),
     Limit(LimitArgs),
     Maintenance(MaintenanceArgs),
+    Measure(MeasureArgs),
     Pool(PoolArgs),
     Sheet(SheetArgs),
     Status(StatusArgs),
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,6 +4,7 @@
 mod commands;
 mod entry_client;
 mod error;
+pub mod measure;
 mod operator_client;
 mod output;
 
@@ -25,6 +26,7 @@
         SesameCommand::Key(args) => commands::key(args).await,
         SesameCommand::Limit(args) => commands::limit(args).await,
         SesameCommand::Maintenance(args) => commands::maintenance(args).await,
+        SesameCommand::Measure(args) => commands::measure(&args),
         SesameCommand::Pool(args) => commands::pool(args).await,
         SesameCommand::Sheet(args) => commands::sheet(args).await,
         SesameCommand::Status(args) => commands::status(args).await,
