--- a/crates/core/benches/decision_cost.rs
+++ b/crates/core/benches/decision_cost.rs
@@ -33,8 +33,7 @@
 const STEP: Duration = Duration::from_micros(20);
 
 fn fleet(workers: usize, pools: usize, teams: usize) -> FleetState {
-    let view = SessionView::new(vec![SessionId(1)]);
-    let mut state = FleetState::with_view(Generation(1), view);
+    let mut state = FleetState::with_view(Generation(1), SessionView::new(vec![SessionId(1)]));
     for pool in 0..pools {
         let record = PoolRecord {
             size: 1,
