--- a/crates/cli/src/args/measure_args.rs
+++ b/crates/cli/src/args/measure_args.rs
@@ -14,6 +14,11 @@
     #[argh(option, default = "1")]
     pub seed: u64,
 
+    /// measure the request path over loopback instead, next to a plain pass-through; these
+    /// figures depend on the machine
+    #[argh(switch)]
+    pub requests: bool,
+
     /// print one JSON object
     #[argh(switch)]
     pub json: bool,
--- a/crates/cli/src/commands/measure.rs
+++ b/crates/cli/src/commands/measure.rs
@@ -1,12 +1,16 @@
 use crate::args::MeasureArgs;
-use crate::error::Result;
+use crate::error::{CliError, Result};
 use crate::measure::{
-    DayFigures, MeasureScope, ShareDeviation, ShareFigures, UserReport, measure_users,
+    DayFigures, MeasureScope, PathFigures, RequestRound, ShareDeviation, ShareFigures, UserReport,
+    measure_requests, measure_users,
 };
 use crate::output::{print_json, print_table};
 
 /// Measures the decisions and prints the figures.
-pub(crate) fn measure(args: &MeasureArgs) -> Result<()> {
+pub(crate) async fn measure(args: &MeasureArgs) -> Result<()> {
+    if args.requests {
+        return request_path(args.json).await;
+    }
     let report = measure_users(args.user, &MeasureScope::new(), args.seed)?;
     if args.json {
         print_json(&report);
@@ -23,6 +27,56 @@
     Ok(())
 }
 
+/// Measures on threads of its own, since each part of the path has its own runtime.
+async fn request_path(json: bool) -> Result<()> {
+    let measured = tokio::task::spawn_blocking(measure_requests).await;
+    let rounds = measured.map_err(|error| CliError::Start {
+        what: "measurement".to_owned(),
+        reason: error.to_string(),
+    })??;
+    if json {
+        print_json(&rounds);
+        return Ok(());
+    }
+    let rows: Vec<[String; 7]> = rounds
+        .iter()
+        .flat_map(|round| {
+            [
+                path_row("pass-through", &round.pass_through, round),
+                path_row("entry instance", &round.entry, round),
+            ]
+        })
+        .collect();
+    print_table(
+        [
+            "way",
+            "answers/s",
+            "half load/s",
+            "median us",
+            "p99 us",
+            "processor us",
+            "failed",
+        ],
+        &rows,
+    );
+    for round in &rounds {
+        println!("throughput ratio {}", round.ratio);
+    }
+    Ok(())
+}
+
+fn path_row(way: &str, path: &PathFigures, round: &RequestRound) -> [String; 7] {
+    [
+        way.to_owned(),
+        path.throughput.to_string(),
+        round.half_load.to_string(),
+        path.median_us.to_string(),
+        path.p99_us.to_string(),
+        path.processor_us.to_string(),
+        path.failed.to_string(),
+    ]
+}
+
 fn rows(user: &UserReport) -> Vec<[String; 4]> {
     let mut rows = day_rows(&user.day, &user.day_row_by_row);
     let (plan, generated) = (&user.plan, &user.generated);
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -29,7 +29,7 @@
         SesameCommand::Limit(args) => commands::limit(args).await,
         SesameCommand::Load(args) => commands::load(args).await,
         SesameCommand::Maintenance(args) => commands::maintenance(args).await,
-        SesameCommand::Measure(args) => commands::measure(&args),
+        SesameCommand::Measure(args) => commands::measure(&args).await,
         SesameCommand::Pool(args) => commands::pool(args).await,
         SesameCommand::Sheet(args) => commands::sheet(args).await,
         SesameCommand::Status(args) => commands::status(args).await,
