--- a/crates/cli/src/demo/demo_events.rs
+++ b/crates/cli/src/demo/demo_events.rs
@@ -17,33 +17,32 @@
 const MAINTAINED_POOL: &str = "payroll";
 
 /// Longest time for the maintenance wave, beyond the other events.
-const WAVE_TIMEOUT: Duration = Duration::from_secs(6);
+const WAVE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Lets the failures of the demonstration happen while load is sent.
 pub(crate) async fn run_events(fleet: &mut DemoFleet, teams: &[DemoTeam]) -> Result<()> {
     let start = Instant::now();
     let at = |seconds: u64| sleep_until(start + Duration::from_secs(seconds));
+    start_wave(fleet).await?;
     at(1).await;
     fail_worker(fleet);
     at(2).await;
-    start_wave(fleet).await?;
-    at(3).await;
     withdraw_key(fleet, teams).await?;
     at(5).await;
     drain_worker(fleet);
-    at(6).await;
+    at(9).await;
     note("the table service and the object store go down for 3 s");
     let faults = PlatformFaults {
         down: true,
         ..PlatformFaults::default()
     };
     fleet.platform.set_faults(faults);
-    at(9).await;
+    at(12).await;
     fleet.platform.set_faults(PlatformFaults::default());
     note("the store is back");
-    at(11).await;
+    at(14).await;
     kill_entry(fleet).await;
-    wait_wave(fleet, start + Duration::from_secs(11) + WAVE_TIMEOUT).await
+    wait_wave(fleet, start + Duration::from_secs(14) + WAVE_TIMEOUT).await
 }
 
 fn note(text: &str) {
--- a/crates/cli/src/demo/demo_load.rs
+++ b/crates/cli/src/demo/demo_load.rs
@@ -8,7 +8,7 @@
 use sesamedeal_standin::load::{LoadMode, LoadSettings, SurgeShape};
 
 /// Time for which load is sent.
-pub(crate) const LOAD_TIME: Duration = Duration::from_secs(15);
+pub(crate) const LOAD_TIME: Duration = Duration::from_secs(16);
 
 /// Time that the surge of the open queue lasts.
 const SURGE_TIME: Duration = Duration::from_secs(3);
--- a/crates/cli/src/demo/demo_run.rs
+++ b/crates/cli/src/demo/demo_run.rs
@@ -29,7 +29,7 @@
     let mut fleet = DemoFleet::start(&sheet).await?;
     apply_sheet(&fleet, &sheet).await?;
     let teams = grant_keys(&fleet).await?;
-    eprintln!("sending load for 15 s; the open queue surges to five times its mean");
+    eprintln!("sending load for 16 s; the open queue surges to five times its mean");
     let targets = fleet.addresses();
     let mut loads: Vec<LoadSettings> = teams
         .iter()
