--- a/crates/daemon/tests/common/raw_backend.rs
+++ b/crates/daemon/tests/common/raw_backend.rs
@@ -80,6 +80,7 @@
     stops: Vec<String>,
     attempts: HashMap<String, watch::Sender<HeldState>>,
     connections: usize,
+    closed: usize,
 }
 
 /// A running backend server; it stops when it is dropped.
@@ -122,6 +123,11 @@
         self.log.lock().connections
     }
 
+    /// Connections closed so far, by either side.
+    pub fn closed(&self) -> usize {
+        self.log.lock().closed
+    }
+
     /// Lets all held attempts end with an answer.
     pub fn release(&self) {
         for attempt in self.log.lock().attempts.values() {
@@ -159,9 +165,11 @@
             script(&request)
         };
         if !react(&mut stream, reaction, &request, &log).await {
-            return;
+            break;
         }
     }
+    drop(stream);
+    log.lock().closed += 1;
 }
 
 async fn react(
