Say what to do next after each failed command and end quietly when a pipe closes

Cause: sesamedeal status | head ended with a panic, and refusals named their code twice. Change: output goes through one function that ignores a closed pipe; each result code has an advice.

--- a/crates/cli/src/commands/dev.rs
+++ b/crates/cli/src/commands/dev.rs
@@ -10,7 +10,7 @@
 
 use crate::args::{BackendArgs, DevArgs, DevCommand, FaultsArgs, ListEntryArgs, PlatformArgs};
 use crate::error::{CliError, Result};
-use crate::output::print_json;
+use crate::output::{print_json, print_line};
 
 /// Runs a command of `dev`.
 pub(crate) async fn dev(args: DevArgs) -> Result<()> {
@@ -36,7 +36,10 @@
         },
         ..PlatformOptions::new(args.listen)
     };
-    run_platform(options, |address| println!("platform listens on {address}")).await
+    run_platform(options, |address| {
+        print_line(&format!("platform listens on {address}"))
+    })
+    .await
 }
 
 async fn backend(args: &BackendArgs) -> std::io::Result<()> {
@@ -46,7 +49,10 @@
         rack: RackName::new(&args.rack),
         ..BackendOptions::new(args.listen, &args.name)
     };
-    run_backend(options, |address| println!("backend listens on {address}")).await
+    run_backend(options, |address| {
+        print_line(&format!("backend listens on {address}"))
+    })
+    .await
 }
 
 async fn list_entry(args: &ListEntryArgs) -> std::io::Result<()> {
--- a/crates/cli/src/commands/in_force.rs
+++ b/crates/cli/src/commands/in_force.rs
@@ -3,7 +3,7 @@
 
 use crate::error::Result;
 use crate::operator_client::OperatorClient;
-use crate::output::print_json;
+use crate::output::{print_json, print_line};
 
 #[derive(Debug, Serialize)]
 struct InForceResult {
@@ -29,7 +29,9 @@
             in_force: true,
         });
     } else {
-        println!("generation {generation} is in force on every entry instance");
+        print_line(&format!(
+            "generation {generation} is in force on every entry instance"
+        ));
     }
     Ok(())
 }
--- a/crates/cli/src/commands/key.rs
+++ b/crates/cli/src/commands/key.rs
@@ -9,7 +9,7 @@
 use crate::args::{KeyArgs, KeyCommand, KeyGrantArgs, KeyWithdrawArgs};
 use crate::error::{CliError, Result};
 use crate::operator_client::OperatorClient;
-use crate::output::print_json;
+use crate::output::{print_json, print_line};
 
 #[derive(Debug, Serialize)]
 struct GrantResult {
@@ -43,7 +43,7 @@
     if args.json {
         print_json(&GrantResult { generation, key });
     } else {
-        println!("{key}");
+        print_line(&key);
     }
     eprintln!("accepted as generation {generation}");
     client.wait_in_force(generation, |_| {}).await
--- a/crates/cli/src/commands/measure.rs
+++ b/crates/cli/src/commands/measure.rs
@@ -4,7 +4,7 @@
     DayFigures, MeasureScope, PathFigures, RequestRound, ShareDeviation, ShareFigures, UserReport,
     measure_requests, measure_users,
 };
-use crate::output::{print_json, print_table};
+use crate::output::{print_json, print_line, print_table};
 
 /// Measures the decisions and prints the figures.
 pub(crate) async fn measure(args: &MeasureArgs) -> Result<()> {
@@ -16,9 +16,9 @@
         print_json(&report);
         return Ok(());
     }
-    println!("seed {}", report.seed);
+    print_line(&format!("seed {}", report.seed));
     for user in &report.users {
-        println!("\n{}", user.user);
+        print_line(&format!("\n{}", user.user));
         print_table(
             ["measure", "sesamedeal", "baseline", "what the baseline is"],
             &rows(user),
@@ -60,7 +60,7 @@
         &rows,
     );
     for round in &rounds {
-        println!("throughput ratio {}", round.ratio);
+        print_line(&format!("throughput ratio {}", round.ratio));
     }
     Ok(())
 }
--- a/crates/cli/src/commands/sheet.rs
+++ b/crates/cli/src/commands/sheet.rs
@@ -13,7 +13,7 @@
 use crate::args::{SheetApplyArgs, SheetArgs, SheetCheckArgs, SheetCommand, SheetPlanArgs};
 use crate::error::{CliError, ReadFileSnafu, Result};
 use crate::operator_client::OperatorClient;
-use crate::output::print_json;
+use crate::output::{print_json, print_line};
 
 /// Runs a command of `sheet`.
 pub(crate) async fn sheet(args: SheetArgs) -> Result<()> {
@@ -29,11 +29,11 @@
     if args.json {
         print_json(&sheet.rows);
     } else {
-        println!(
+        print_line(&format!(
             "{}: {} rows, no errors",
             args.file.display(),
             sheet.rows.len()
-        );
+        ));
     }
     Ok(())
 }
--- a/crates/cli/src/commands/sheet_report.rs
+++ b/crates/cli/src/commands/sheet_report.rs
@@ -2,7 +2,7 @@
 use sesamedeal_core::ids::Generation;
 use sesamedeal_core::sheet::{DiffEntry, SheetPlan};
 
-use crate::output::print_table;
+use crate::output::{print_line, print_table};
 
 /// What `sheet plan` prints.
 #[derive(Debug, Serialize)]
@@ -67,21 +67,21 @@
 
 /// Prints a plan for a reader.
 pub(crate) fn print_plan(report: &SheetReport) {
-    println!("planned from generation {}", report.generation);
+    print_line(&format!("planned from generation {}", report.generation));
     for (title, entries) in [
         ("added", &report.added),
         ("changed", &report.changed),
         ("removed", &report.removed),
     ] {
         if !entries.is_empty() {
-            println!("{title}: {}", entries.join(", "));
+            print_line(&format!("{title}: {}", entries.join(", ")));
         }
     }
-    println!(
+    print_line(&format!(
         "moves over the day: {} ({} if the rows were applied one by one)",
         report.moves.len(),
         report.row_by_row_moves
-    );
+    ));
     let moves: Vec<[String; 4]> = report
         .moves
         .iter()
@@ -116,16 +116,19 @@
     if !waves.is_empty() {
         print_table(["wave", "at", "instances", "at least"], &waves);
     }
-    println!("expected roll-out time: {:.0} s", report.rollout_seconds);
-    println!(
+    print_line(&format!(
+        "expected roll-out time: {:.0} s",
+        report.rollout_seconds
+    ));
+    print_line(&format!(
         "buffer cost: {:.1} instance-hours a day",
         report.buffer_hours
-    );
+    ));
     if report.shortage > 0 {
-        println!(
+        print_line(&format!(
             "warning: at one time of the day {} instances are missing",
             report.shortage
-        );
+        ));
     }
 }
 
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -4,7 +4,7 @@
 use crate::args::StatusArgs;
 use crate::error::Result;
 use crate::operator_client::OperatorClient;
-use crate::output::{print_json, print_table};
+use crate::output::{print_json, print_line, print_table};
 
 /// Shows the state of the entry instances, the pools and the store.
 pub(crate) async fn status(args: StatusArgs) -> Result<()> {
@@ -35,20 +35,22 @@
     } else {
         "refused"
     };
-    println!(
+    print_line(&format!(
         "generation {} (settled {})",
         status.generation, status.settled
-    );
-    println!("evidence of the head: {evidence}; work with keys: {keyed}; store: {store}");
-    println!("controller: {controller}");
+    ));
+    print_line(&format!(
+        "evidence of the head: {evidence}; work with keys: {keyed}; store: {store}"
+    ));
+    print_line(&format!("controller: {controller}"));
     if let Some(wave) = &status.wave {
-        println!("maintenance: {wave}");
+        print_line(&format!("maintenance: {wave}"));
     }
-    println!();
+    print_line("");
     let rows: Vec<[String; 6]> = status.sessions.iter().map(session_row).collect();
     let titles = ["session", "address", "zone", "state", "applied", "quiesced"];
     print_table(titles, &rows);
-    println!();
+    print_line("");
     print_pools(&status.pools);
 }
 
--- a/crates/cli/src/demo/demo_report.rs
+++ b/crates/cli/src/demo/demo_report.rs
@@ -5,7 +5,7 @@
 use sesamedeal_standin::load::LoadReport;
 use sesamedeal_standin::observer::ViolationCounts;
 
-use crate::output::print_table;
+use crate::output::{print_line, print_table};
 
 /// Result of the demonstration. The violations are counted by the stand-ins.
 #[derive(Debug, Serialize)]
@@ -96,7 +96,7 @@
             format!("{} us", self.p99_latency_us),
         ]);
         print_table(["figure", "value"], &rows);
-        println!("finished in {:.1} s", self.elapsed_s);
+        print_line(&format!("finished in {:.1} s", self.elapsed_s));
     }
 }
 
--- a/crates/cli/src/entry_client.rs
+++ b/crates/cli/src/entry_client.rs
@@ -54,7 +54,7 @@
             Some(ResultCode::Ok) => Ok(response.into_body()),
             Some(code) => Err(CliError::Refused {
                 code,
-                text: refusal_text(&response),
+                text: refusal_text(code, &response),
             }),
             None => Err(CliError::UnexpectedAnswer {
                 address: self.address,
@@ -69,11 +69,16 @@
     ResultCode::from_number(text.parse().ok()?)
 }
 
-fn refusal_text(response: &Response<Bytes>) -> String {
+/// What an entry instance says beyond the result code.
+fn refusal_text(code: ResultCode, response: &Response<Bytes>) -> String {
     let body = String::from_utf8_lossy(response.body());
+    let name = code.to_string();
+    let text = body.trim().strip_prefix(&name).unwrap_or(body.trim());
+    let mut parts = vec![text.trim_start_matches(": ").to_owned()];
     let again = response.headers().get(header::RETRY_AFTER);
-    match again.and_then(|value| value.to_str().ok()) {
-        Some(seconds) => format!("{}; try again in {seconds} s", body.trim()),
-        None => body.trim().to_owned(),
+    if let Some(seconds) = again.and_then(|value| value.to_str().ok()) {
+        parts.push(format!("come back in {seconds} s"));
     }
+    parts.retain(|part| !part.is_empty());
+    parts.join("; ")
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -4,6 +4,8 @@
 use sesamedeal_core::code::ResultCode;
 use snafu::Snafu;
 
+use crate::advice::advice;
+
 /// Exit code of a failure that has no result code of its own.
 const GENERAL_FAILURE: u8 = 1;
 
@@ -20,7 +22,7 @@
         reason: String,
     },
     /// The entry instance answered with a result code other than ok.
-    #[snafu(display("{code}: {text}"))]
+    #[snafu(display("{}\nwhat to do: {}", refusal_line(*code, text), advice(*code)))]
     Refused {
         /// The result code.
         code: ResultCode,
@@ -80,5 +82,13 @@
     }
 }
 
+fn refusal_line(code: ResultCode, text: &str) -> String {
+    if text.is_empty() {
+        code.to_string()
+    } else {
+        format!("{code}: {text}")
+    }
+}
+
 /// Result of a command.
 pub type Result<T> = std::result::Result<T, CliError>;
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,5 +1,6 @@
 //! Commands of `sesamedeal` for operators and callers.
 
+mod advice;
 mod args;
 mod commands;
 mod demo;
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -1,9 +1,11 @@
+use std::io::Write;
+
 use serde::Serialize;
 
 /// Prints a value as one line of JSON.
 pub(crate) fn print_json<T: Serialize>(value: &T) {
     match serde_json::to_string(value) {
-        Ok(line) => println!("{line}"),
+        Ok(line) => print_line(&line),
         Err(error) => eprintln!("sesamedeal: result cannot be printed: {error}"),
     }
 }
@@ -28,5 +30,10 @@
         .zip(cells)
         .map(|(width, cell)| format!("{cell:width$}"))
         .collect();
-    println!("{}", padded.join("  ").trim_end());
+    print_line(padded.join("  ").trim_end());
+}
+
+/// Prints a line. A reader that has closed the pipe, such as `head`, wants no more lines.
+pub(crate) fn print_line(line: &str) {
+    drop(writeln!(std::io::stdout(), "{line}"));
 }
