Bound the shares of newly backlogged teams once per pool

While many teams were newly backlogged, each revision compared each of them with all others of its pool. The bounds are now computed once per pool from the teams that are not new. Usage that is zero is no longer decayed. The benchmark gets a measurement with the number of entry instances of each size; until now a single one held all tasks of the fleet.

--- a/crates/core/benches/decision_cost.rs
+++ b/crates/core/benches/decision_cost.rs
@@ -1,7 +1,9 @@
 //! Cost of a decision: submission, dispatch and finish of one job, at three fleet sizes.
 //!
-//! `free` runs with most slots free, `full` with all slots taken and all teams backlogged. The
-//! scheduler owns all units, which is the largest number of workers it ever chooses from.
+//! `free` runs with most slots free. The scheduler owns all units, which is the largest number of
+//! workers it ever chooses from. `shared` runs with all own slots taken and all teams backlogged,
+//! among as many entry instances as the size has. `full` does so with a single entry instance,
+//! which holds all tasks of the fleet.
 
 use std::collections::VecDeque;
 use std::hint::black_box;
@@ -20,8 +22,9 @@
 };
 use sesamedeal_core::time::TimePoint;
 
-/// Workers, pools and teams of today's, a middle and the target size.
-const SIZES: [(usize, usize, usize); 3] = [(50, 5, 6), (800, 20, 60), (16_000, 52, 300)];
+/// Workers, pools, teams and entry instances of today's, a middle and the target size.
+const SIZES: [(usize, usize, usize, usize); 3] =
+    [(50, 5, 6, 8), (800, 20, 60, 20), (16_000, 52, 300, 400)];
 
 /// Jobs that run all the time in the `free` measurement.
 const RUNNING: usize = 200;
@@ -32,8 +35,11 @@
 /// Time between two decisions.
 const STEP: Duration = Duration::from_micros(20);
 
-fn fleet(workers: usize, pools: usize, teams: usize) -> FleetState {
-    let mut state = FleetState::with_view(Generation(1), SessionView::new(vec![SessionId(1)]));
+fn fleet(workers: usize, pools: usize, teams: usize, sessions: usize) -> FleetState {
+    let mut state = FleetState::with_view(
+        Generation(1),
+        SessionView::new((1..=sessions as u64).map(SessionId).collect()),
+    );
     for pool in 0..pools {
         let record = PoolRecord {
             size: 1,
@@ -89,8 +95,8 @@
 }
 
 impl SteadyLoad {
-    fn new((workers, pools, teams): (usize, usize, usize), full: bool) -> Self {
-        let state = fleet(workers, pools, teams);
+    fn new((workers, pools, teams, sessions): (usize, usize, usize, usize), full: bool) -> Self {
+        let state = fleet(workers, pools, teams, sessions);
         let mut policy = SchedulerPolicy::new();
         policy.max_queued = 1_000_000;
         let mut scheduler = JobScheduler::new(SessionId(1), policy, 7);
@@ -118,7 +124,7 @@
             running: VecDeque::new(),
         };
         if full {
-            for _ in 0..workers * 8 + pools * teams * 4 {
+            for _ in 0..workers * 8 / sessions + pools * teams * 4 {
                 let spec = load.next_spec();
                 load.submit(spec);
             }
@@ -166,10 +172,15 @@
 }
 
 fn decision_cost(criterion: &mut Criterion) {
-    for (name, full) in [("free", false), ("full", true)] {
+    for (name, full, shared) in [
+        ("free", false, false),
+        ("shared", true, true),
+        ("full", true, false),
+    ] {
         let mut group = criterion.benchmark_group(name);
         for size in SIZES {
-            let mut load = SteadyLoad::new(size, full);
+            let sessions = if shared { size.3 } else { 1 };
+            let mut load = SteadyLoad::new((size.0, size.1, size.2, sessions), full);
             group.bench_function(BenchmarkId::from_parameter(size.0), |bencher| {
                 bencher.iter_custom(|count| {
                     let mut spent = Duration::ZERO;
@@ -189,8 +200,8 @@
         group.finish();
     }
     let mut group = criterion.benchmark_group("apply");
-    for (workers, pools, teams) in SIZES {
-        let mut state = fleet(workers, pools, teams);
+    for (workers, pools, teams, _) in SIZES {
+        let mut state = fleet(workers, pools, teams, 1);
         let policy = SchedulerPolicy::new();
         let mut scheduler = JobScheduler::new(SessionId(1), policy, 7);
         scheduler.apply(&state, Generation(1), TimePoint::ORIGIN);
--- a/crates/core/src/queue/usage_meter.rs
+++ b/crates/core/src/queue/usage_meter.rs
@@ -33,7 +33,7 @@
     /// Usage at `now` when `held` slots were held since the last update.
     pub(crate) fn read(&self, held: f64, now: TimePoint) -> f64 {
         let elapsed = now.since(self.at);
-        if elapsed.is_zero() {
+        if elapsed.is_zero() || self.value == 0.0 && held == 0.0 {
             return self.value;
         }
         Self::project(self.value, held, elapsed)
--- a/crates/core/src/scheduler/pool_entry.rs
+++ b/crates/core/src/scheduler/pool_entry.rs
@@ -4,6 +4,15 @@
 use super::team_entry::PeerRequest;
 use super::{FlowIndex, WorkerIndex};
 
+/// Range of the usage of backlogged teams in slot seconds per unit of weight.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ShareBounds {
+    pub(crate) low: f64,
+    pub(crate) high: f64,
+    /// Sum of the teams' weights.
+    pub(crate) weights: f64,
+}
+
 /// Slots that a peer asks for.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct SlotRequest {
--- a/crates/core/src/scheduler/sharing.rs
+++ b/crates/core/src/scheduler/sharing.rs
@@ -1,7 +1,8 @@
 use std::time::Duration;
 
+use super::pool_entry::ShareBounds;
 use super::{FlowIndex, JobScheduler, PoolIndex};
-use crate::queue::{FlowBlock, NOT_LISTED, SlotDemand, UsageMeter, slot_targets};
+use crate::queue::{FlowBlock, FlowRecord, NOT_LISTED, SlotDemand, UsageMeter, slot_targets};
 use crate::time::TimePoint;
 
 /// Credit in seconds of slot time per unit of weight fraction with which a newly backlogged team
@@ -143,27 +144,48 @@
     /// Lets a newly backlogged team start near the other backlogged teams, so that neither its
     /// idle time nor its use of an idle pool is held for or against it for long.
     fn start_share(&mut self, index: FlowIndex, now: TimePoint) {
-        let flow = &self.flows[index.at()];
-        let mut bounds = (f64::INFINITY, f64::NEG_INFINITY);
-        let mut weights = 0.0;
-        for other in self.fleet.pools[flow.pool.at()].flows.iter().flatten() {
-            let other_flow = &self.flows[other.at()];
-            if *other == index || !other_flow.is_backlogged() {
-                continue;
+        let pool = self.flows[index.at()].pool;
+        let bounds = self.share_bounds(pool, now, |other, _| other != index);
+        self.bound_share(index, bounds, now);
+    }
+
+    /// Lowest and highest usage of the backlogged teams that `select` picks, and the sum of their
+    /// weights.
+    fn share_bounds(
+        &self,
+        pool: PoolIndex,
+        now: TimePoint,
+        select: impl Fn(FlowIndex, &FlowRecord) -> bool,
+    ) -> ShareBounds {
+        let mut bounds = ShareBounds {
+            low: f64::INFINITY,
+            high: f64::NEG_INFINITY,
+            weights: 0.0,
+        };
+        for index in self.fleet.pools[pool.at()].flows.iter().flatten() {
+            let flow = &self.flows[index.at()];
+            if flow.is_backlogged() && select(*index, flow) {
+                let weight = self.fleet.teams[flow.team.at()].weight;
+                let usage = flow.normalised(weight, now);
+                bounds.low = bounds.low.min(usage);
+                bounds.high = bounds.high.max(usage);
+                bounds.weights += weight;
             }
-            let weight = self.fleet.teams[other_flow.team.at()].weight;
-            let usage = other_flow.normalised(weight, now);
-            bounds = (bounds.0.min(usage), bounds.1.max(usage));
-            weights += weight;
         }
-        if weights == 0.0 {
+        bounds
+    }
+
+    /// Corrects the usage of a newly backlogged team to lie within the bounds, less or plus the
+    /// start credit.
+    fn bound_share(&mut self, index: FlowIndex, bounds: ShareBounds, now: TimePoint) {
+        if bounds.weights == 0.0 {
             return;
         }
+        let flow = &mut self.flows[index.at()];
         let weight = self.fleet.teams[flow.team.at()].weight;
-        let credit = START_CREDIT_S / (weights + weight);
+        let credit = START_CREDIT_S / (bounds.weights + weight);
         let usage = flow.normalised(weight, now);
-        let start = usage.clamp(bounds.0 - credit, bounds.1 + credit);
-        let flow = &mut self.flows[index.at()];
+        let start = usage.clamp(bounds.low - credit, bounds.high + credit);
         let current = flow.credit.read(0.0, now);
         flow.credit = UsageMeter::new(current, now);
         flow.credit.add((start - usage) * weight);
@@ -258,10 +280,12 @@
                 continue;
             }
             self.entitle(pool, now);
+            let is_fresh = |flow: &FlowRecord| flow.fresh_until > now;
+            let bounds = self.share_bounds(pool, now, |_, flow| !is_fresh(flow));
             for place in 0..self.fleet.pools[position].backlog.len() {
                 let flow = self.fleet.pools[position].backlog[place].1;
-                if self.flows[flow.at()].fresh_until > now {
-                    self.start_share(flow, now);
+                if is_fresh(&self.flows[flow.at()]) {
+                    self.bound_share(flow, bounds, now);
                 }
                 self.reorder(flow, now);
             }
