--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -7,6 +7,7 @@
 mod key_args;
 mod load_args;
 mod maintenance_args;
+mod measure_args;
 mod operator_args;
 mod sheet_args;
 mod submit_args;
@@ -26,6 +27,7 @@
     MaintenanceArgs, MaintenanceCommand, WaveHaltArgs, WaveResumeArgs, WaveStartArgs,
     WaveStatusArgs,
 };
+pub(crate) use measure_args::MeasureArgs;
 pub(crate) use operator_args::OperatorArgs;
 pub(crate) use sheet_args::{
     SheetApplyArgs, SheetArgs, SheetCheckArgs, SheetCommand, SheetPlanArgs,
@@ -51,6 +53,7 @@
     Limit(LimitArgs),
     Load(LoadArgs),
     Maintenance(MaintenanceArgs),
+    Measure(MeasureArgs),
     Pool(PoolArgs),
     Sheet(SheetArgs),
     Status(StatusArgs),
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod entry_client;
 mod error;
+pub mod measure;
 mod operator_client;
 mod output;
 
@@ -28,6 +29,7 @@
         SesameCommand::Limit(args) => commands::limit(args).await,
         SesameCommand::Load(args) => commands::load(args).await,
         SesameCommand::Maintenance(args) => commands::maintenance(args).await,
+        SesameCommand::Measure(args) => commands::measure(&args).await,
         SesameCommand::Pool(args) => commands::pool(args).await,
         SesameCommand::Sheet(args) => commands::sheet(args).await,
         SesameCommand::Status(args) => commands::status(args).await,
--- a/crates/daemon/src/dispatch/job_runner.rs
+++ b/crates/daemon/src/dispatch/job_runner.rs
@@ -1,3 +1,4 @@
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -9,22 +10,21 @@
 use sesamedeal_core::time::TimePoint;
 use sesamedeal_wire::header;
 use slog::debug;
-use tokio::time::{Instant, sleep};
-use xtra::Address;
+use tokio::time::{Instant, sleep, timeout_at};
 
-use super::dispatch_actor::{DispatchActor, DispatchParts};
-use super::dispatch_messages::{
-    DispatchTicket, FinishAttempt, FinishReply, JobEvent, NextEvent, SubmitJob,
-};
+use super::dispatch_messages::{DispatchTicket, FinishAttempt, FinishReply, JobEvent, NextEvent};
 use super::job_body::{OpenAttempt, StreamedBody};
 use super::job_guard::JobGuard;
-use super::{JobAnswer, JobBody, ShutdownSignal};
+use super::{DispatchDesk, DispatchParts, JobAnswer, JobBody, ShutdownSignal};
 use crate::backend::{AnswerBytes, AttemptCall, AttemptId, AttemptResult, BackendAnswer};
 
 /// Time past a job's deadline after which its caller is answered even if the dispatcher, which
 /// checks deadlines, is not allowed to act.
 const DEADLINE_GRACE: Duration = Duration::from_millis(50);
 
+/// Time between two looks whether a shutdown ends the jobs that remain.
+const CLOSE_LOOK: Duration = Duration::from_millis(100);
+
 /// A job with everything that is sent to the backend server.
 #[derive(Debug)]
 pub(crate) struct JobInput {
@@ -43,7 +43,7 @@
 /// Takes a job from its queue to a backend server and back.
 #[derive(Debug, Clone)]
 pub(crate) struct JobRunner {
-    pub dispatcher: Address<DispatchActor>,
+    pub desk: DispatchDesk,
     pub parts: DispatchParts,
     pub shutdown: ShutdownSignal,
 }
@@ -94,8 +94,7 @@
         let begin = Instant::now();
         let spec = input.spec.clone();
         let deadline = begin + spec.deadline.since(self.now());
-        let submitted = self.dispatcher.send(SubmitJob { spec }).await;
-        let (job, mut next) = submitted.map_err(|_error| shutting_down())??;
+        let (job, mut next) = self.desk.submit(spec)?;
         let mut guard = JobGuard::new(self.parts.cancels.clone(), job);
         let mut history = JobHistory::default();
         let mut is_first = true;
@@ -130,7 +129,7 @@
                     }
                     AnswerBytes::Whole(bytes) if outcome == AttemptOutcome::Answered => {
                         guard.disarm();
-                        self.report(job, &ticket, outcome).await;
+                        self.finish(job, &ticket, outcome);
                         return Ok(JobAnswer {
                             status: answer.status,
                             headers: answer.headers,
@@ -142,7 +141,7 @@
             }
             history.may_have_run |=
                 matches!(outcome, AttemptOutcome::Lost | AttemptOutcome::BadAnswer);
-            match self.finish(job, &ticket, outcome).await? {
+            match self.finish(job, &ticket, outcome) {
                 FinishReply::Retry(event) => next = event,
                 FinishReply::Answer => {
                     guard.disarm();
@@ -188,16 +187,9 @@
             };
         }
         let wait = deadline.min(ticket.ends_by).saturating_duration_since(now);
-        let call = self.call(input, ticket, wait);
+        let call = self.call(input, ticket);
         input.sent.store(true, Ordering::Release);
-        let result = tokio::select! {
-            biased;
-            result = self.parts.backend.run(&call) => result,
-            () = self.shutdown.closing() => AttemptResult {
-                outcome: AttemptOutcome::Lost,
-                answer: None,
-            },
-        };
+        let result = self.run_until(call, now + wait).await;
         self.parts.metrics.observe_backend(now.elapsed());
         debug!(self.parts.logger, "attempt ended";
             "request" => input.spec.request.as_str(),
@@ -206,7 +198,26 @@
         result
     }
 
-    fn call(&self, input: &JobInput, ticket: &DispatchTicket, wait: Duration) -> AttemptCall {
+    /// Waits for an attempt until a point, or until a shutdown ends the jobs that remain. The
+    /// shutdown is looked for in intervals, because most attempts end before the first look and
+    /// need not register for it.
+    async fn run_until(&self, call: AttemptCall, until: Instant) -> AttemptResult {
+        let mut run = pin!(self.parts.backend.run(call));
+        loop {
+            let look = until.min(Instant::now() + CLOSE_LOOK);
+            if let Ok(result) = timeout_at(look, run.as_mut()).await {
+                return result;
+            }
+            if look >= until || self.shutdown.is_closing() {
+                return AttemptResult {
+                    outcome: AttemptOutcome::Lost,
+                    answer: None,
+                };
+            }
+        }
+    }
+
+    fn call(&self, input: &JobInput, ticket: &DispatchTicket) -> AttemptCall {
         let spec = &input.spec;
         let attempt = AttemptId::new(self.parts.session, ticket.order.attempt);
         let attempt = value(&attempt.to_string());
@@ -226,36 +237,16 @@
             headers,
             body: input.body.clone(),
             inline_bytes: input.inline_bytes,
-            wait,
         }
     }
 
-    async fn finish(
-        &self,
-        job: JobKey,
-        ticket: &DispatchTicket,
-        outcome: AttemptOutcome,
-    ) -> Result<FinishReply, JobRefusal> {
-        let message = FinishAttempt {
+    fn finish(&self, job: JobKey, ticket: &DispatchTicket, outcome: AttemptOutcome) -> FinishReply {
+        self.desk.finish(&FinishAttempt {
             job,
             attempt: ticket.order.attempt,
             outcome,
             may_retry: true,
-        };
-        let reply = self.dispatcher.send(message).await;
-        reply.map_err(|_error| JobRefusal::new(ResultCode::OutcomeUnknown))
-    }
-
-    /// Reports an attempt without waiting until the report has been handled.
-    async fn report(&self, job: JobKey, ticket: &DispatchTicket, outcome: AttemptOutcome) {
-        let message = FinishAttempt {
-            job,
-            attempt: ticket.order.attempt,
-            outcome,
-            may_retry: false,
-        };
-        // An actor that has ended holds no units.
-        drop(self.dispatcher.send(message).detach().await);
+        })
     }
 
     fn open_attempt(
@@ -267,7 +258,7 @@
     ) -> OpenAttempt {
         OpenAttempt {
             guard,
-            dispatcher: self.dispatcher.clone(),
+            desk: self.desk.clone(),
             job,
             attempt: ticket.order.attempt,
             outcome,
--- a/crates/daemon/src/http/caller_connection.rs
+++ b/crates/daemon/src/http/caller_connection.rs
@@ -34,12 +34,12 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let phase = CallerPhase::default();
-    let answers = phase.clone();
+    let (answers, routes) = (phase.clone(), &router);
     let service = service_fn(|request| {
         answers.begin_answer();
-        let (router, phase) = (router.clone(), answers.clone());
+        let phase = answers.clone();
         Box::pin(async move {
-            let response = router.answer(request).await;
+            let response = routes.answer(request).await;
             Ok::<_, Infallible>(response.map(|body| body.with_phase(phase)))
         })
     });
@@ -63,6 +63,9 @@
         // A caller that does not take the answer is disconnected.
         drop(timeout(LINGER, stream.write_all(answer.as_bytes())).await);
     } else if !phase.is_waiting() {
+        if code == Some(ResultCode::SlowCaller) {
+            router.count_refusal(ResultCode::SlowCaller);
+        }
         // An answer that was broken off has to be seen as such.
         return;
     }
