Stop all dispatch of an isolated entry instance within the list lag

Cause: only work with keys depended on evidence. An entry instance that was cut off from the store and its peers went on with work of open queues, although its units go to others once the platform's list has dropped it. Change: nothing is dispatched, and open work is refused with 1013, when the last positive verdict is older than the list lag. Temporary refusals without a time to come back name 1 s. The test uses 24 workers, because with two an entry instance could own no slot of its own.

--- a/crates/daemon/src/dispatch/dispatch_core.rs
+++ b/crates/daemon/src/dispatch/dispatch_core.rs
@@ -103,7 +103,7 @@
         let now = self.parts.clock.now();
         let evidence = &self.parts.evidence;
         self.scheduler
-            .set_dispatch_allowed(evidence.allows_dispatch());
+            .set_dispatch_allowed(evidence.allows_dispatch(now));
         let allows_keyed = evidence.allows_keyed(now);
         if self.allows_keyed != allows_keyed {
             self.allows_keyed = allows_keyed;
--- a/crates/daemon/src/dispatch/evidence_flag.rs
+++ b/crates/daemon/src/dispatch/evidence_flag.rs
@@ -12,9 +12,10 @@
 
 /// Verdict on the evidence of the state, shared between the loop that judges it and the request
 /// path.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(crate) struct EvidenceFlag {
     shared: Arc<FlagState>,
+    isolation_limit: Duration,
 }
 
 /// Points in nanoseconds since the clock's origin plus one; zero stands for never.
@@ -26,6 +27,15 @@
 }
 
 impl EvidenceFlag {
+    /// Creates a flag without a verdict. `isolation_limit` is the time without a positive verdict
+    /// after which nothing is dispatched.
+    pub(crate) fn new(isolation_limit: Duration) -> Self {
+        Self {
+            shared: Arc::default(),
+            isolation_limit,
+        }
+    }
+
     /// Sets whether work that needs a key may be taken and dispatched, as judged at `at`.
     ///
     /// A positive verdict has to rest on evidence that is newer than the last pause.
@@ -55,10 +65,16 @@
             && u128::from(age) < LAPSE.as_nanos()
     }
 
-    /// Whether anything may be dispatched: there was no pause since the last positive verdict.
-    pub(crate) fn allows_dispatch(&self) -> bool {
-        let paused = self.shared.paused_at.load(Ordering::Acquire);
-        paused == 0 || self.shared.renewed_at.load(Ordering::Acquire) > paused
+    /// Whether anything may be dispatched: there was no pause since the last positive verdict, and
+    /// that verdict is not older than the isolation limit.
+    ///
+    /// The units of an entry instance that is cut off go to others once the platform's list has
+    /// dropped it for the list lag and the task lease, so that it has to stop within the list lag.
+    pub(crate) fn allows_dispatch(&self, now: TimePoint) -> bool {
+        let renewed = self.shared.renewed_at.load(Ordering::Acquire);
+        let age = stamp(now).saturating_sub(renewed);
+        renewed > self.shared.paused_at.load(Ordering::Acquire)
+            && u128::from(age) < self.isolation_limit.as_nanos()
     }
 }
 
--- a/crates/daemon/src/http/answers.rs
+++ b/crates/daemon/src/http/answers.rs
@@ -15,6 +15,9 @@
 const RUN_STATE: HeaderName = HeaderName::from_static(header::RUN_STATE);
 const RETRY_AFTER: HeaderName = HeaderName::from_static(header::RETRY_AFTER);
 
+/// Time after which a caller may come back after a temporary refusal that names no other.
+const DEFAULT_RETRY: Duration = Duration::from_secs(1);
+
 /// Builds the answer to a job that ran.
 pub(crate) fn job_answer(request: HeaderValue, answer: JobAnswer) -> Response<CallerBody> {
     let mut response = Response::new(CallerBody::new(answer.body));
@@ -28,7 +31,9 @@
 pub(crate) fn refusal_answer(request: HeaderValue, refusal: JobRefusal) -> Response<CallerBody> {
     let mut response = plain(refusal.code.http_status(), refusal_text(refusal.code));
     mark(&mut response, request, refusal.code);
-    if let Some(delay) = refusal.retry_after {
+    let delay = refusal.retry_after;
+    let delay = delay.or(refusal.code.is_temporary().then_some(DEFAULT_RETRY));
+    if let Some(delay) = delay {
         let seconds = HeaderValue::from(whole_seconds(delay));
         response.headers_mut().insert(RETRY_AFTER, seconds);
     }
--- a/crates/daemon/src/http/job_service.rs
+++ b/crates/daemon/src/http/job_service.rs
@@ -160,13 +160,19 @@
 
     /// Refuses a job that must not be queued now.
     fn check_open(&self, spec: &JobSpec) -> Result<(), JobRefusal> {
+        let evidence = &self.runner.parts.evidence;
+        let now = self.runner.now();
+        let is_current = if spec.key.is_some() {
+            evidence.allows_keyed(now)
+        } else {
+            evidence.allows_dispatch(now)
+        };
         let code = if self.runner.shutdown.is_draining() {
             ResultCode::ShuttingDown
-        } else if spec.key.is_some() && !self.runner.parts.evidence.allows_keyed(self.runner.now())
-        {
-            ResultCode::StaleState
-        } else {
+        } else if is_current {
             return Ok(());
+        } else {
+            ResultCode::StaleState
         };
         Err(JobRefusal::new(code).with_retry_after(STALE_RETRY))
     }
--- a/crates/daemon/src/http/request_path.rs
+++ b/crates/daemon/src/http/request_path.rs
@@ -69,7 +69,7 @@
             clock: parts.clock,
             backend: BackendClient::new(),
             cancels: CancelList::default(),
-            evidence: EvidenceFlag::default(),
+            evidence: EvidenceFlag::new(settings.list_lag),
             metrics: RequestMetrics::new(),
             logger: parts.logger,
             clock_margin: settings.clock_margin,
--- a/crates/daemon/tests/evidence.rs
+++ b/crates/daemon/tests/evidence.rs
@@ -32,10 +32,12 @@
     code.as_deref() == Some("1000")
 }
 
-/// Guards against an isolated entry instance that accepts keys which others may have withdrawn.
+/// Guards against an isolated entry instance that accepts keys which others may have withdrawn,
+/// or runs work of open queues on units that may belong to others by now.
 #[tokio::test(flavor = "multi_thread")]
 async fn isolation_stops() {
-    let mut cluster = TestCluster::start(0, 2).await;
+    // With 48 blocks of slots, each of the three entry instances owns some of its own.
+    let mut cluster = TestCluster::start(0, 24).await;
     let own_store = cluster.platform.serve(loopback()).await.expect("platform");
     let (isolated, _own_link) = linked_entry(&mut cluster, settings(own_store.address())).await;
     let shared = cluster.settings();
@@ -57,7 +59,10 @@
     tokio::time::sleep(LAPSED).await;
     let code = cluster.client.job(isolated, "repair", "job").await;
     assert_eq!(code.as_deref(), Some("1013"));
-    assert!(is_accepted(&cluster, other).await);
+    let code = cluster.client.job(isolated, "swap", "job").await;
+    assert_eq!(code.as_deref(), Some("1013"));
+    let code = cluster.client.job(other, "repair", "job").await;
+    assert_eq!(code.as_deref(), Some("1000"));
     assert!(is_accepted(&cluster, third).await);
 }
 
