Bound a newly backlogged team by the others, new ones included

Cause: since the bounds were computed once per pool, they left out all newly backlogged teams, so that teams that became backlogged together were not bounded by each other. Change: the bounds keep the two outermost usages on each side, and each team is bounded by the teams other than itself, still in one pass per pool.

--- a/crates/core/src/scheduler/pool_entry.rs
+++ b/crates/core/src/scheduler/pool_entry.rs
@@ -4,13 +4,54 @@
 use super::team_entry::PeerRequest;
 use super::{FlowIndex, WorkerIndex};
 
-/// Range of the usage of backlogged teams in slot seconds per unit of weight.
+/// Lowest and highest usage of the backlogged teams of a pool, in slot seconds per unit of weight.
+///
+/// The two outermost values on each side are kept, so that any one team can be left out.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ShareBounds {
-    pub(crate) low: f64,
-    pub(crate) high: f64,
+    lowest: [(f64, Option<FlowIndex>); 2],
+    highest: [(f64, Option<FlowIndex>); 2],
+    weights: f64,
+}
+
+impl ShareBounds {
+    pub(crate) const fn new() -> Self {
+        Self {
+            lowest: [(f64::INFINITY, None); 2],
+            highest: [(f64::NEG_INFINITY, None); 2],
+            weights: 0.0,
+        }
+    }
+
+    /// Takes in the usage of a team.
+    pub(crate) fn add(&mut self, index: FlowIndex, usage: f64, weight: f64) {
+        let entry = (usage, Some(index));
+        if usage < self.lowest[0].0 {
+            self.lowest = [entry, self.lowest[0]];
+        } else if usage < self.lowest[1].0 {
+            self.lowest[1] = entry;
+        }
+        if usage > self.highest[0].0 {
+            self.highest = [entry, self.highest[0]];
+        } else if usage > self.highest[1].0 {
+            self.highest[1] = entry;
+        }
+        self.weights += weight;
+    }
+
+    /// Lowest and highest usage of the teams other than `index`; none if there is no other.
+    pub(crate) fn others(&self, index: FlowIndex) -> Option<(f64, f64)> {
+        let outer = |ends: &[(f64, Option<FlowIndex>); 2]| {
+            let end = ends.iter().find(|(_, flow)| *flow != Some(index))?;
+            end.1.map(|_| end.0)
+        };
+        Some((outer(&self.lowest)?, outer(&self.highest)?))
+    }
+
     /// Sum of the teams' weights.
-    pub(crate) weights: f64,
+    pub(crate) const fn weights(&self) -> f64 {
+        self.weights
+    }
 }
 
 /// Slots that a peer asks for.
--- a/crates/core/src/scheduler/sharing.rs
+++ b/crates/core/src/scheduler/sharing.rs
@@ -2,7 +2,7 @@
 
 use super::pool_entry::ShareBounds;
 use super::{FlowIndex, JobScheduler, PoolIndex};
-use crate::queue::{FlowBlock, FlowRecord, NOT_LISTED, SlotDemand, UsageMeter, slot_targets};
+use crate::queue::{FlowBlock, NOT_LISTED, SlotDemand, UsageMeter, slot_targets};
 use crate::time::TimePoint;
 
 /// Credit in seconds of slot time per unit of weight fraction with which a newly backlogged team
@@ -145,47 +145,34 @@
     /// idle time nor its use of an idle pool is held for or against it for long.
     fn start_share(&mut self, index: FlowIndex, now: TimePoint) {
         let pool = self.flows[index.at()].pool;
-        let bounds = self.share_bounds(pool, now, |other, _| other != index);
-        self.bound_share(index, bounds, now);
+        let bounds = self.share_bounds(pool, now);
+        self.bound_share(index, &bounds, now);
     }
 
-    /// Lowest and highest usage of the backlogged teams that `select` picks, and the sum of their
-    /// weights.
-    fn share_bounds(
-        &self,
-        pool: PoolIndex,
-        now: TimePoint,
-        select: impl Fn(FlowIndex, &FlowRecord) -> bool,
-    ) -> ShareBounds {
-        let mut bounds = ShareBounds {
-            low: f64::INFINITY,
-            high: f64::NEG_INFINITY,
-            weights: 0.0,
-        };
+    /// Range of the usage of the backlogged teams of a pool.
+    fn share_bounds(&self, pool: PoolIndex, now: TimePoint) -> ShareBounds {
+        let mut bounds = ShareBounds::new();
         for index in self.fleet.pools[pool.at()].flows.iter().flatten() {
             let flow = &self.flows[index.at()];
-            if flow.is_backlogged() && select(*index, flow) {
+            if flow.is_backlogged() {
                 let weight = self.fleet.teams[flow.team.at()].weight;
-                let usage = flow.normalised(weight, now);
-                bounds.low = bounds.low.min(usage);
-                bounds.high = bounds.high.max(usage);
-                bounds.weights += weight;
+                bounds.add(*index, flow.normalised(weight, now), weight);
             }
         }
         bounds
     }
 
-    /// Corrects the usage of a newly backlogged team to lie within the bounds, less or plus the
-    /// start credit.
-    fn bound_share(&mut self, index: FlowIndex, bounds: ShareBounds, now: TimePoint) {
-        if bounds.weights == 0.0 {
+    /// Corrects the usage of a newly backlogged team to lie within the bounds of the others, less
+    /// or plus the start credit.
+    fn bound_share(&mut self, index: FlowIndex, bounds: &ShareBounds, now: TimePoint) {
+        let Some((low, high)) = bounds.others(index) else {
             return;
-        }
+        };
         let flow = &mut self.flows[index.at()];
         let weight = self.fleet.teams[flow.team.at()].weight;
-        let credit = START_CREDIT_S / (bounds.weights + weight);
+        let credit = START_CREDIT_S / bounds.weights();
         let usage = flow.normalised(weight, now);
-        let start = usage.clamp(bounds.low - credit, bounds.high + credit);
+        let start = usage.clamp(low - credit, high + credit);
         let current = flow.credit.read(0.0, now);
         flow.credit = UsageMeter::new(current, now);
         flow.credit.add((start - usage) * weight);
@@ -280,12 +267,11 @@
                 continue;
             }
             self.entitle(pool, now);
-            let is_fresh = |flow: &FlowRecord| flow.fresh_until > now;
-            let bounds = self.share_bounds(pool, now, |_, flow| !is_fresh(flow));
+            let bounds = self.share_bounds(pool, now);
             for place in 0..self.fleet.pools[position].backlog.len() {
                 let flow = self.fleet.pools[position].backlog[place].1;
-                if is_fresh(&self.flows[flow.at()]) {
-                    self.bound_share(flow, bounds, now);
+                if self.flows[flow.at()].fresh_until > now {
+                    self.bound_share(flow, &bounds, now);
                 }
                 self.reorder(flow, now);
             }
