Refuse a waiting job that can no longer end before its deadline

Cause: in the demonstration, jobs of the open queue with a deadline of 1 s were sent shortly before it and stopped while running, so that their callers could only be told that the outcome is unknown (1020). Change: when a job had to wait and its team's observed run times say that it cannot end in time, it is refused as not run (1012). A job that did not wait is always sent, because declared run times are often wrong.

--- a/crates/core/src/queue/run_correction.rs
+++ b/crates/core/src/queue/run_correction.rs
@@ -32,6 +32,11 @@
         (self.observed_s / self.declared_s).clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1)
     }
 
+    /// Expected run time of a job with this declaration; none before the first finished job.
+    pub(crate) fn learned(&self, declared: Duration) -> Option<Duration> {
+        (self.declared_s > 0.0).then(|| self.expect(declared))
+    }
+
     /// Expected run time of a job with this declaration.
     pub(crate) fn expect(&self, declared: Duration) -> Duration {
         Duration::from_secs_f64(declared.as_secs_f64().max(MIN_DECLARED_S) * self.factor())
--- a/crates/core/src/scheduler/dispatching.rs
+++ b/crates/core/src/scheduler/dispatching.rs
@@ -1,9 +1,9 @@
 use rand::RngExt;
 
-use super::job_record::AttemptRecord;
+use super::job_record::{AttemptRecord, JobRecord};
 use super::{
     DispatchOrder, FlowIndex, JobKey, JobRefusal, JobScheduler, PoolIndex, SchedulerAction,
-    WorkerIndex,
+    TeamIndex, WorkerIndex,
 };
 use crate::code::ResultCode;
 use crate::queue::{FlowBlock, TimerEvent};
@@ -73,17 +73,27 @@
     /// Reason why a queued job must not be dispatched any more.
     fn dispatch_refusal(&self, key: JobKey, now: TimePoint) -> Option<ResultCode> {
         let job = &self.jobs[key];
-        if job.deadline <= now {
+        let team = self.flows[job.flow.at()].team;
+        if job.deadline <= now || self.is_too_late(job, team, now) {
             return Some(ResultCode::DeadlinePassed);
         }
         let id = job.key?;
         if !self.keyed_allowed {
             return Some(ResultCode::StaleState);
         }
-        let team = self.flows[job.flow.at()].team;
         (!self.fleet.is_key_valid(id, team)).then_some(ResultCode::WithdrawnKey)
     }
 
+    /// Whether a job that had to wait can no longer end in time. Sent now, it would be stopped at
+    /// its deadline, and its caller could only be told that the outcome is unknown.
+    fn is_too_late(&self, job: &JobRecord, team: TeamIndex, now: TimePoint) -> bool {
+        if job.submitted == now {
+            return false;
+        }
+        let expected = self.fleet.teams[team.at()].correction.learned(job.run);
+        expected.is_some_and(|run| job.deadline <= now.after(run))
+    }
+
     pub(super) fn next_flow(&self, pool: PoolIndex) -> Option<FlowIndex> {
         let mut best = (f32::INFINITY, None);
         for (order, flow) in &self.fleet.pools[pool.at()].backlog {
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -223,3 +223,25 @@
     let refusal = scheduler.submit(job("one", at(1)), at(1)).unwrap_err();
     assert_eq!(refusal.code, ResultCode::ShuttingDown);
 }
+
+/// Guards against a job that is sent although it cannot end in time, so that its caller learns
+/// nothing better than an unknown outcome.
+#[test]
+fn too_late_to_end() {
+    let mut scheduler = scheduler(&fleet(1, &[("one", 1, 100)], 1));
+    for _ in 0..8 {
+        scheduler.submit(job("one", at(0)), at(0)).unwrap();
+    }
+    let orders = dispatches(&mut scheduler, at(0));
+    let waiting = JobSpec {
+        deadline: at(150),
+        ..job("one", at(0))
+    };
+    let late = scheduler.submit(waiting, at(0)).unwrap();
+    for order in orders {
+        scheduler.finish(order.attempt, AttemptOutcome::Answered, at(100));
+    }
+    let actions = drain(&mut scheduler, at(100));
+    assert_matches!(actions.as_slice(), [SchedulerAction::Refuse { job, refusal }]
+        if *job == late && refusal.code == ResultCode::DeadlinePassed);
+}
