Give test processes addresses that outgoing connections cannot take

The test chose a free port of the range from which the system also takes the ports of outgoing connections, before the process listened on it. Change: free_address counts up ports below that range.

--- a/crates/daemon/tests/common/link.rs
+++ b/crates/daemon/tests/common/link.rs
@@ -1,6 +1,7 @@
 //! A TCP link that can be cut.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU16, Ordering};
 
 use tokio::io::copy_bidirectional;
 use tokio::net::{TcpListener, TcpStream};
@@ -54,8 +55,20 @@
     }
 }
 
-/// A loopback address that was free just now.
+/// First port that `free_address` hands out. The system takes the ports of outgoing connections
+/// from 32768 on, so that none of them can take the address before a process listens on it.
+const FIRST_PORT: u16 = 21_000;
+
+/// Ports handed out by this process so far.
+static TAKEN_PORTS: AtomicU16 = AtomicU16::new(0);
+
+/// A loopback address that is free and that no other caller gets.
 pub async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(loopback()).await.expect("free port");
-    listener.local_addr().expect("address")
+    loop {
+        let port = FIRST_PORT + TAKEN_PORTS.fetch_add(1, Ordering::Relaxed);
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if TcpListener::bind(address).await.is_ok() {
+            return address;
+        }
+    }
 }
