--- a/crates/daemon/tests/caller_gone.rs
+++ b/crates/daemon/tests/caller_gone.rs
@@ -7,7 +7,7 @@
 
 use common::caller::{job_request, metric, open, submit};
 use common::fleet::TestFleet;
-use common::raw_backend::{RawBackend, Reaction};
+use common::raw_backend::{RawBackend, Reaction, hold_backend};
 use common::wait_for;
 
 const QUEUED: &str = "sesamedeal_queued_jobs";
@@ -16,17 +16,6 @@
 /// Worker slots of the fleet's single backend server.
 const SLOTS: usize = 8;
 
-async fn hold_backend() -> RawBackend {
-    RawBackend::start(|request| {
-        if request.body == b"hold" {
-            Reaction::Hold
-        } else {
-            Reaction::Send(request.answer("200 OK", "done"))
-        }
-    })
-    .await
-}
-
 /// Guards against a queued job that is run for nobody.
 #[tokio::test]
 async fn while_queued() {
--- a/crates/daemon/tests/common/raw_backend.rs
+++ b/crates/daemon/tests/common/raw_backend.rs
@@ -242,3 +242,15 @@
         }
     }
 }
+
+/// A backend server that answers every job but those with the body `hold`.
+pub async fn hold_backend() -> RawBackend {
+    RawBackend::start(|request| {
+        if request.body == b"hold" {
+            Reaction::Hold
+        } else {
+            Reaction::Send(request.answer("200 OK", "done"))
+        }
+    })
+    .await
+}
--- a/crates/daemon/tests/graceful_shutdown.rs
+++ b/crates/daemon/tests/graceful_shutdown.rs
@@ -6,20 +6,9 @@
 
 use common::caller::{get, job_request, open, read_answer, submit};
 use common::fleet::TestFleet;
-use common::raw_backend::{RawBackend, Reaction};
+use common::raw_backend::hold_backend;
 use common::wait_for;
 
-async fn hold_backend() -> RawBackend {
-    RawBackend::start(|request| {
-        if request.body == b"hold" {
-            Reaction::Hold
-        } else {
-            Reaction::Send(request.answer("200 OK", "done"))
-        }
-    })
-    .await
-}
-
 /// Guards against a shutdown that breaks off running jobs or takes new ones.
 #[tokio::test]
 async fn awaits_running() {
--- a/crates/daemon/tests/keys_and_pauses.rs
+++ b/crates/daemon/tests/keys_and_pauses.rs
@@ -6,23 +6,12 @@
 
 use common::caller::{exchange, job_request, metric, open, read_answer, submit};
 use common::fleet::{KEY_ID, TestFleet, team_key};
-use common::raw_backend::{RawBackend, Reaction};
+use common::raw_backend::hold_backend;
 use common::wait_for;
 use sesamedeal_core::fleet::FleetChange;
 use sesamedeal_core::ids::KeyId;
 use sesamedeal_standin::platform::PlatformFaults;
 
-async fn hold_backend() -> RawBackend {
-    RawBackend::start(|request| {
-        if request.body == b"hold" {
-            Reaction::Hold
-        } else {
-            Reaction::Send(request.answer("200 OK", "done"))
-        }
-    })
-    .await
-}
-
 /// Guards against running a job whose key was withdrawn while it was queued.
 #[tokio::test]
 async fn withdrawn_while_queued() {
