--- a/crates/daemon/src/peer/peer_service.rs
+++ b/crates/daemon/src/peer/peer_service.rs
@@ -44,21 +44,16 @@
         B: hyper::body::Body<Data = Bytes>,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
-        let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES);
-        let Ok(body) = body.collect().await else {
+        let Some(body) = self.receive(request).await else {
             return empty(StatusCode::PAYLOAD_TOO_LARGE);
         };
-        let body = body.to_bytes();
-        self.context.traffic.note_received(body.len());
         if self.context.gate.was_paused() {
             // The request may have waited during the pause, and its ages would be wrong.
             return empty(StatusCode::SERVICE_UNAVAILABLE);
         }
-        let message: PeerMessage = match decode_versioned(&body, MESSAGE_VERSION, MAX_MESSAGE_BYTES)
-        {
+        let message: PeerMessage = match decoded(&body) {
             Ok(message) => message,
-            Err(CodecError::Version { .. }) => return refused(ResultCode::VersionMismatch),
-            Err(_) => return refused(ResultCode::BadRequest),
+            Err(code) => return refused(code),
         };
         let peer = message.exchange.from;
         note_sender(&self.context, &message);
@@ -77,21 +72,28 @@
         B: hyper::body::Body<Data = Bytes>,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
-        let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES);
-        let Ok(body) = body.collect().await else {
+        let Some(body) = self.receive(request).await else {
             return empty(StatusCode::PAYLOAD_TOO_LARGE);
         };
-        let body = body.to_bytes();
-        self.context.traffic.note_received(body.len());
-        let reports = decode_versioned(&body, MESSAGE_VERSION, MAX_MESSAGE_BYTES);
-        match reports {
+        match decoded(&body) {
             Ok(reports) => note_health(&self.context, reports),
-            Err(CodecError::Version { .. }) => return refused(ResultCode::VersionMismatch),
-            Err(_) => return refused(ResultCode::BadRequest),
+            Err(code) => return refused(code),
         }
         empty(StatusCode::OK)
     }
 
+    /// Reads the body of a message and counts its bytes; none if it is too large or broken off.
+    async fn receive<B>(&self, request: Request<B>) -> Option<Bytes>
+    where
+        B: hyper::body::Body<Data = Bytes>,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES);
+        let body = body.collect().await.ok()?.to_bytes();
+        self.context.traffic.note_received(body.len());
+        Some(body)
+    }
+
     fn state(&self) -> Response<Bytes> {
         let context = &self.context;
         let state = context.keeper.state();
@@ -128,6 +130,13 @@
     }
 }
 
+fn decoded<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, ResultCode> {
+    decode_versioned(body, MESSAGE_VERSION, MAX_MESSAGE_BYTES).map_err(|error| match error {
+        CodecError::Version { .. } => ResultCode::VersionMismatch,
+        _ => ResultCode::BadRequest,
+    })
+}
+
 fn refused(code: ResultCode) -> Response<Bytes> {
     let status = StatusCode::from_u16(code.http_status());
     let mut response = empty(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
