Measure what control costs with 30 pairs of team and pool in use

The bytes of control were checked with two pairs only, on 4 workers. A second test uses 6 teams in 5 pools of 8 workers and one caller per pair at each of 8 entry instances (jobs of 200 ms, pauses of 150 to 280 ms), and the figures are now given per entry instance, split by peers and platform.

--- a/crates/daemon/tests/control_cost.rs
+++ b/crates/daemon/tests/control_cost.rs
@@ -4,8 +4,13 @@
 
 use std::time::Duration;
 
-use common::cluster::{TestCluster, put_team};
+use common::cluster::{TestCluster, put_pool, put_queue, put_team, wait_until};
+use hyper::Method;
+use sesamedeal_core::fleet::{FleetChange, InstanceState, KeyRecord};
+use sesamedeal_core::ids::{KeyId, TeamName};
+use sesamedeal_core::keys::{KeySecret, PresentedKey};
 use sesamedeal_daemon::ControlTraffic;
+use sesamedeal_wire::header;
 
 /// Time over which the cost is measured.
 const SPAN: Duration = Duration::from_secs(20);
@@ -13,6 +18,13 @@
 /// Target of the design page, in bytes per second and entry instance.
 const MAX_BYTES: f64 = 3_000.0;
 
+/// Teams and pools of the widest use at today's size; each team has work in each pool.
+const TEAMS: u8 = 6;
+const POOLS: usize = 5;
+
+/// Workers of each pool.
+const POOL_SIZE: usize = 8;
+
 #[derive(Debug)]
 struct CostReport {
     bytes: f64,
@@ -50,13 +62,18 @@
         reads: (now.table_reads - store.table_reads) as f64 / seconds,
         writes: (now.table_writes - store.table_writes) as f64 / seconds,
     };
-    let peers = after.iter().zip(&before);
-    let peers = peers.map(|(after, before)| {
-        after.peer_sent + after.peer_received - before.peer_sent - before.peer_received
-    });
-    let peers = peers.sum::<u64>() as f64 / seconds / used.len() as f64;
+    for (before, after) in before.iter().zip(&after) {
+        let rate = |after: u64, before: u64| (after - before) as f64 / seconds;
+        println!(
+            "  peers {:.0} sent, {:.0} received; store {:.0} sent, {:.0} received",
+            rate(after.peer_sent, before.peer_sent),
+            rate(after.peer_received, before.peer_received),
+            rate(after.store_sent, before.store_sent),
+            rate(after.store_received, before.store_received),
+        );
+    }
     println!(
-        "bytes/s {:.0} (with peers {peers:.0}, highest {:.0}), store reads/s {:.1}, writes/s {:.1}",
+        "bytes/s {:.0} (highest {:.0}), store reads/s {:.1}, writes/s {:.1}",
         report.bytes, report.highest, report.reads, report.writes
     );
     report
@@ -96,3 +113,90 @@
     });
     futures::future::join_all(callers).await;
 }
+
+fn pool_name(pool: usize) -> String {
+    format!("pool-{pool}")
+}
+
+fn key_of(team: u8) -> PresentedKey {
+    PresentedKey {
+        id: KeyId::new(format!("key-{team}")),
+        secret: KeySecret::new([team; 32]),
+    }
+}
+
+/// Puts the teams with their keys, and the pools with their queues in force.
+async fn configure_pairs(cluster: &TestCluster) {
+    let pools = (0..POOLS).flat_map(|pool| {
+        let name = pool_name(pool);
+        let put = put_pool(&name, POOL_SIZE, false);
+        [put, put_queue(&name, &name, false)]
+    });
+    let teams = (0..TEAMS).flat_map(|team| {
+        let name = format!("team-{team}");
+        let key = KeyRecord {
+            team: TeamName::new(&name),
+            hash: key_of(team).secret.hash(),
+            withdrawn: false,
+        };
+        let id = key_of(team).id;
+        [put_team(&name, 1_000), FleetChange::GrantKey { id, key }]
+    });
+    let changes = std::iter::once(put_pool("spare", 0, true));
+    let changes = changes.chain(pools).chain(teams).collect();
+    cluster.client.change(cluster.address(0), changes).await;
+    wait_until("pools staffed", Duration::from_secs(60), async || {
+        for address in cluster.addresses() {
+            let state = cluster.client.state(address).await;
+            let status = cluster.client.status(address).await.expect("status");
+            let active = state.instances.values().filter(|instance| {
+                instance.pool.as_str() != "spare" && instance.state == InstanceState::Active
+            });
+            let is_ready = active.count() == POOLS * POOL_SIZE
+                && state.view.sessions.len() == cluster.entries.len()
+                && status.settled == status.generation;
+            if !is_ready {
+                return false;
+            }
+        }
+        true
+    })
+    .await;
+}
+
+/// One caller per team and pool at each entry instance. Each waits between two jobs for about as
+/// long as a job runs, so that the slots held by a team change all the time.
+async fn load_pairs(cluster: &TestCluster) {
+    let addresses = cluster.addresses().into_iter();
+    let callers = addresses.flat_map(|address| {
+        (0..TEAMS).flat_map(move |team| {
+            (0..POOLS).map(move |pool| async move {
+                let path = format!("/v1/queues/{}/jobs", pool_name(pool));
+                let key = key_of(team).header();
+                let headers = [(header::DEADLINE_MS, "2000"), ("authorization", &key)];
+                let pause = Duration::from_millis(150 + 20 * u64::from(team) + 7 * pool as u64);
+                let begin = std::time::Instant::now();
+                while begin.elapsed() < SPAN {
+                    let body = "{\"run_ms\": 200}";
+                    let call = cluster
+                        .client
+                        .call(Method::POST, address, &path, &headers, body);
+                    let answer = call.await.expect("answer");
+                    assert_eq!(answer.headers()[header::CODE], "1000");
+                    tokio::time::sleep(pause).await;
+                }
+            })
+        })
+    });
+    futures::future::join_all(callers).await;
+}
+
+/// Guards against an exchange whose bytes grow with the pairs of team and pool in use.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_pairs() {
+    let cluster = TestCluster::start(8, POOLS * POOL_SIZE).await;
+    configure_pairs(&cluster).await;
+    println!("30 pairs");
+    let busy = measured(&cluster, load_pairs(&cluster)).await;
+    assert!(busy.bytes < MAX_BYTES, "{busy:?}");
+}
