Send only changed usage, and relay it on demand

Cause: each version of a summary repeated all pairs, every 400 ms, with the two names' hashes in 10 bytes, and each exchange relayed what the peer had mostly got from others.

A request lists the versions that the sender has, and the answer relays exactly what is newer; the own summary goes with every message. A lost message is made up for at the next list. The message version is 2. Evidence travels as before.

--- a/crates/core/src/exchange/exchange_message.rs
+++ b/crates/core/src/exchange/exchange_message.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -7,7 +8,7 @@
 use crate::ids::{Generation, InstanceName, SessionId};
 
 /// Version of the messages between entry instances.
-pub const MESSAGE_VERSION: u16 = 1;
+pub const MESSAGE_VERSION: u16 = 2;
 
 /// A worker that is known to be leaving.
 #[serde_as]
@@ -36,9 +37,12 @@
     /// Sessions that the sender heard from, directly or by relay.
     #[serde(default)]
     pub heard: Vec<HeardRecord>,
-    /// Usage by origin, as far as the receiver is not known to have it.
+    /// Usage of the sender, and of other origins in answer to a list of versions.
     #[serde(default)]
     pub usage: Vec<UsageSummary>,
+    /// Versions of the usage that the sender has, by origin. The answer has what is newer.
+    #[serde(default)]
+    pub listed: BTreeMap<u32, u64>,
     /// Units that the sender wants to borrow from the receiver.
     #[serde(default)]
     pub requests: Vec<LoanRequest>,
@@ -64,6 +68,7 @@
             evidence_age: None,
             heard: Vec::new(),
             usage: Vec::new(),
+            listed: BTreeMap::new(),
             requests: Vec::new(),
             loans: Vec::new(),
             report: LoanReport::default(),
--- a/crates/core/src/queue/usage_meter.rs
+++ b/crates/core/src/queue/usage_meter.rs
@@ -30,6 +30,13 @@
         value * kept + held * DECAY_S * (1.0 - kept)
     }
 
+    /// Slots held on average, by which usage went from `before` to `after`; none for no time.
+    pub(crate) fn average(before: f64, after: f64, elapsed: Duration) -> Option<f64> {
+        let kept = (-elapsed.as_secs_f64() / DECAY_S).exp();
+        let added = (after - before * kept).max(0.0);
+        (kept < 1.0).then(|| added / (DECAY_S * (1.0 - kept)))
+    }
+
     /// Usage at `now` when `held` slots were held since the last update.
     pub(crate) fn read(&self, held: f64, now: TimePoint) -> f64 {
         let elapsed = now.since(self.at);
--- a/crates/core/src/scheduler/job_scheduler.rs
+++ b/crates/core/src/scheduler/job_scheduler.rs
@@ -45,7 +45,6 @@
     pub(super) usage: UsageTable,
     /// Point at which the usage of the peers was last added up.
     pub(super) usage_at: TimePoint,
-    pub(super) summary_version: u64,
     pub(super) summary_at: Option<TimePoint>,
     pub(super) retry: RetryBudget,
     pub(super) evidence: Option<AgedPoint>,
@@ -86,7 +85,6 @@
             heard: HeardTable::default(),
             usage: UsageTable::default(),
             usage_at: TimePoint::ORIGIN,
-            summary_version: 0,
             summary_at: None,
             retry: RetryBudget::new(),
             evidence: None,
