Ask only the owners of missing slots for a loan

Cause: an entry instance without slots of a pool asked its peers in the order of the view, with pauses that grow up to 3.2 s, although only the sessions that own blocks of the pool can lend. With two workers and eight entry instances, four of seven peers own nothing; four requests in a row could miss every owner, and a job with a deadline of 2 s ended as 1012.

Ruled out: a lapse of the evidence or a pause of the process, because both refuse queued keyed work with 1013.

Change: requests go in turn to the peers that own what is missing. The new test core loan_requests::owners_only failed before (a peer without slots was asked) and passes now.

--- a/crates/core/src/scheduler/borrowing.rs
+++ b/crates/core/src/scheduler/borrowing.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use super::{JobScheduler, PoolIndex, WorkerIndex};
 use crate::exchange::{ExchangeMessage, LentResource, LoanOffer, LoanRequest, RequestedUnits};
 use crate::ids::SessionId;
@@ -232,15 +234,15 @@
         })
     }
 
-    /// Wants an exchange with the next peer in turn when units are missing. The pauses grow while
-    /// no peer lends, so that a full fleet does not spend its control bytes on requests.
+    /// Wants an exchange with the next possible lender in turn when units are missing. The pauses
+    /// grow while no peer lends, so that a full fleet does not spend its control bytes on requests.
     pub(super) fn ask_peers(&mut self) {
-        let permits = self.fleet.teams.iter().any(|team| team.blocked > 0);
-        let missing = permits
-            || self.fleet.pools.iter().any(|pool| pool.reserved.is_some())
-            || (0..self.fleet.pools.len())
-                .any(|position| self.missing_slots(PoolIndex::with_position(position)) > 0);
-        if !missing || self.closing {
+        let lenders = if self.closing {
+            BTreeSet::new()
+        } else {
+            self.lenders()
+        };
+        if lenders.is_empty() {
             self.ask_pause = 0;
             self.ask_wait = 0;
             return;
@@ -249,18 +251,38 @@
             self.ask_wait -= 1;
             return;
         }
-        let peers = || {
-            let sessions = self.fleet.view.sessions.iter().copied();
-            sessions.filter(|session| *session != self.session)
-        };
-        let next = peers()
-            .find(|session| self.last_asked.is_none_or(|last| *session > last))
-            .or_else(|| peers().next());
-        if let Some(peer) = next {
+        let next = lenders
+            .iter()
+            .find(|session| self.last_asked.is_none_or(|last| **session > last))
+            .or_else(|| lenders.first());
+        if let Some(peer) = next.copied() {
             self.last_asked = Some(peer);
             self.wanted.insert(peer);
             self.ask_pause = (self.ask_pause * 2).clamp(1, MAX_ASK_PAUSE);
             self.ask_wait = self.ask_pause - 1;
         }
     }
+
+    /// Peers that own units which are missing here. A peer without such units could not lend any,
+    /// and with the growing pauses a job could reach its deadline before an owner is asked.
+    fn lenders(&self) -> BTreeSet<SessionId> {
+        let mut lenders = BTreeSet::new();
+        if self.fleet.teams.iter().any(|team| team.blocked > 0) {
+            lenders.extend(self.fleet.view.sessions.iter().copied());
+        }
+        for (position, entry) in self.fleet.pools.iter().enumerate() {
+            if self.missing_slots(PoolIndex::with_position(position)) > 0 {
+                let records = entry.workers.iter();
+                let records = records.map(|worker| &self.fleet.workers[worker.at()]);
+                let active = records.filter(|record| record.active);
+                lenders.extend(active.flat_map(|record| record.owners.iter().flatten()));
+            }
+            if let Some((worker, _)) = entry.reserved {
+                let record = &self.fleet.workers[worker.at()];
+                lenders.extend(record.owners.iter().flatten());
+            }
+        }
+        lenders.remove(&self.session);
+        lenders
+    }
 }
--- /dev/null
+++ b/crates/core/tests/loan_requests.rs
@@ -0,0 +1,61 @@
+//! Which peers are asked for units that are missing.
+
+mod scheduling;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use scheduling::{at, dispatches, drain, fleet, job};
+use sesamedeal_core::fleet::FleetState;
+use sesamedeal_core::ids::SessionId;
+use sesamedeal_core::scheduler::{JobScheduler, SchedulerAction, SchedulerPolicy};
+use sesamedeal_core::time::TimePoint;
+
+const SESSIONS: u64 = 8;
+
+/// Two revisions, one after the other.
+const FIRST_ASKS: Duration = Duration::from_millis(400);
+
+fn scheduler_of(state: &FleetState, session: u64) -> JobScheduler {
+    let mut scheduler = JobScheduler::new(SessionId(session), SchedulerPolicy::new(), 7);
+    scheduler.apply(state, state.generation, TimePoint::ORIGIN);
+    scheduler
+}
+
+/// Sessions that can start a job on slots of their own.
+fn owners(state: &FleetState) -> BTreeSet<SessionId> {
+    let owns = |session: &u64| {
+        let mut scheduler = scheduler_of(state, *session);
+        scheduler.submit(job("clock", at(0)), at(0)).unwrap();
+        !dispatches(&mut scheduler, at(0)).is_empty()
+    };
+    (1..=SESSIONS).filter(owns).map(SessionId).collect()
+}
+
+/// Guards against a job that reaches its deadline because peers without slots of the pool are
+/// asked for a loan before the owners.
+#[test]
+fn owners_only() {
+    let state = fleet(2, &[("clock", 1, 1_000)], SESSIONS);
+    let owners = owners(&state);
+    let others = (1..=SESSIONS).filter(|session| !owners.contains(&SessionId(*session)));
+    for session in others {
+        let mut scheduler = scheduler_of(&state, session);
+        scheduler.submit(job("clock", at(0)), at(0)).unwrap();
+        let mut asked = BTreeSet::new();
+        let mut first = None;
+        for millis in (0..3_000).step_by(50) {
+            for action in drain(&mut scheduler, at(millis)) {
+                if let SchedulerAction::Exchange { peer } = action {
+                    first.get_or_insert(at(millis));
+                    asked.insert(peer);
+                    let message = scheduler.exchange_with(peer, at(millis));
+                    assert_eq!(message.requests.len(), 1, "session {session} to {peer:?}");
+                }
+            }
+        }
+        let first = first.expect("a request for a loan");
+        assert!(first.since_origin() <= FIRST_ASKS, "session {session}");
+        assert_eq!(asked, owners, "session {session}");
+    }
+}
