Do not blame a worker for an attempt that was not sent

Cause: when a process was paused between the dispatch decision and the request, the attempt ended as not-started. That outcome counts against the worker: three such jobs quarantine it, and a pool with one worker answered 1016 although the worker was idle.

Change: the outcome NotSent with the retry reason not-sent. The job may go to the same worker and the worker's record stays as it is. The retry reason of an outcome is defined once, in the core, and the metrics use the labels of the core.

Test: core failures::unsent_attempts; the ledger fuzzing includes the outcome.

--- a/crates/core/src/retry/retry_reason.rs
+++ b/crates/core/src/retry/retry_reason.rs
@@ -3,6 +3,8 @@
 pub enum RetryReason {
     /// The backend server proved that nothing was started, or could not be reached.
     NotStarted,
+    /// The entry instance did not send the request in time.
+    NotSent,
     /// The backend server is leaving.
     Draining,
     /// An idempotent task failed.
@@ -17,8 +19,9 @@
 
 impl RetryReason {
     /// All reasons, in the order of their counters.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::NotStarted,
+        Self::NotSent,
         Self::Draining,
         Self::Failed,
         Self::Lost,
@@ -31,6 +34,7 @@
     pub const fn label(self) -> &'static str {
         match self {
             Self::NotStarted => "not-started",
+            Self::NotSent => "not-sent",
             Self::Draining => "draining",
             Self::Failed => "failed",
             Self::Lost => "lost",
--- a/crates/core/src/scheduler/attempt_outcome.rs
+++ b/crates/core/src/scheduler/attempt_outcome.rs
@@ -1,4 +1,5 @@
 use super::JobRefusal;
+use crate::retry::RetryReason;
 
 /// What the dispatcher saw of one attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -9,6 +10,8 @@
     Failed,
     /// The backend server proved that nothing was started, or no connection could be made.
     NotStarted,
+    /// The entry instance did not send the request in time, for instance after a pause.
+    NotSent,
     /// The backend server is leaving and started nothing.
     Draining,
     /// The request was sent and no answer came. The task may still be running.
@@ -19,6 +22,23 @@
     Stopped,
 }
 
+impl AttemptOutcome {
+    /// Reason of the retry that follows; none when the job has its answer.
+    #[must_use]
+    pub const fn retry_reason(self) -> Option<RetryReason> {
+        match self {
+            Self::Answered => None,
+            Self::Failed => Some(RetryReason::Failed),
+            Self::NotStarted => Some(RetryReason::NotStarted),
+            Self::NotSent => Some(RetryReason::NotSent),
+            Self::Draining => Some(RetryReason::Draining),
+            Self::Lost => Some(RetryReason::Lost),
+            Self::BadAnswer => Some(RetryReason::BadAnswer),
+            Self::Stopped => Some(RetryReason::Preempted),
+        }
+    }
+}
+
 /// What becomes of the job after an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FinishOutcome {
--- a/crates/core/src/scheduler/outcome.rs
+++ b/crates/core/src/scheduler/outcome.rs
@@ -66,33 +66,26 @@
         let Some(job) = self.jobs.get(key) else {
             return refuse(ResultCode::OutcomeUnknown);
         };
-        let idempotent = job.placing.idempotent;
         if job.failed_on.len() >= FAILED_WORKERS {
             self.absolve_workers(key, worker, now);
             return refuse(ResultCode::CannotRun);
         }
-        let (reason, may_retry, last) = match outcome {
-            AttemptOutcome::Answered => return FinishOutcome::Answer,
-            AttemptOutcome::Failed => (RetryReason::Failed, idempotent, FinishOutcome::Answer),
-            AttemptOutcome::NotStarted => {
-                (RetryReason::NotStarted, true, refuse(ResultCode::NoWorker))
+        let Some(reason) = outcome.retry_reason() else {
+            return FinishOutcome::Answer;
+        };
+        let never_ran = matches!(
+            reason,
+            RetryReason::NotStarted | RetryReason::NotSent | RetryReason::Draining
+        );
+        let may_retry = never_ran || job.placing.idempotent;
+        let last = match reason {
+            RetryReason::Failed => FinishOutcome::Answer,
+            RetryReason::NotStarted | RetryReason::NotSent | RetryReason::Draining => {
+                refuse(ResultCode::NoWorker)
             }
-            AttemptOutcome::Draining => (RetryReason::Draining, true, refuse(ResultCode::NoWorker)),
-            AttemptOutcome::Lost => (
-                RetryReason::Lost,
-                idempotent,
-                refuse(ResultCode::OutcomeUnknown),
-            ),
-            AttemptOutcome::BadAnswer => (
-                RetryReason::BadAnswer,
-                idempotent,
-                refuse(ResultCode::BadAnswer),
-            ),
-            AttemptOutcome::Stopped => (
-                RetryReason::Preempted,
-                idempotent,
-                refuse(ResultCode::Stopped),
-            ),
+            RetryReason::Lost => refuse(ResultCode::OutcomeUnknown),
+            RetryReason::BadAnswer => refuse(ResultCode::BadAnswer),
+            RetryReason::Preempted => refuse(ResultCode::Stopped),
         };
         if may_retry && self.requeue(key, worker, reason, now) {
             FinishOutcome::Retry
@@ -111,9 +104,9 @@
         now: TimePoint,
     ) -> bool {
         let job = &mut self.jobs[key];
-        // A worker that was asked to stop the task is not to blame and may be the only one that
-        // fits.
-        if reason != RetryReason::Preempted {
+        // A worker that was asked to stop the task, or that was not sent the request, is not to
+        // blame and may be the only one that fits.
+        if !matches!(reason, RetryReason::Preempted | RetryReason::NotSent) {
             job.tried.push(worker);
         }
         if job.abandoned || job.deadline <= now || self.closing {
--- a/crates/core/src/scheduler/quarantine.rs
+++ b/crates/core/src/scheduler/quarantine.rs
@@ -38,7 +38,7 @@
     ) {
         let health = &mut self.fleet.workers[worker.at()].health;
         match outcome {
-            AttemptOutcome::Stopped | AttemptOutcome::Draining => return,
+            AttemptOutcome::Stopped | AttemptOutcome::Draining | AttemptOutcome::NotSent => return,
             AttemptOutcome::Answered => {
                 if health.succeed() {
                     self.refresh_worker(worker, now);
--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -176,3 +176,25 @@
     scheduler.finish(orders[0].attempt, AttemptOutcome::Answered, at(3));
     assert!(dispatches(&mut scheduler, at(3)).is_empty());
 }
+
+/// Guards against a worker that is quarantined, or not used again, because the entry instance was
+/// paused between its decision and the request.
+#[test]
+fn unsent_attempts() {
+    let mut scheduler = start(1);
+    for number in 0..5 {
+        let once = JobSpec {
+            idempotent: false,
+            ..job("one", at(number))
+        };
+        let order = run(&mut scheduler, once, number);
+        let outcome = scheduler.finish(order.attempt, AttemptOutcome::NotSent, at(number));
+        assert_eq!(outcome, FinishOutcome::Retry);
+        let again = dispatches(&mut scheduler, at(number)).remove(0);
+        assert_eq!(again.job, order.job);
+        let outcome = scheduler.finish(again.attempt, AttemptOutcome::Answered, at(number));
+        assert_eq!(outcome, FinishOutcome::Answer);
+    }
+    assert_eq!(scheduler.retries().spent(RetryReason::NotSent), 5);
+    assert_eq!(scheduler.retries().spent(RetryReason::NotStarted), 0);
+}
--- a/crates/core/tests/scheduling/fuzz_step.rs
+++ b/crates/core/tests/scheduling/fuzz_step.rs
@@ -94,6 +94,7 @@
         2 => Just(AttemptOutcome::Lost),
         1 => Just(AttemptOutcome::Failed),
         1 => Just(AttemptOutcome::NotStarted),
+        1 => Just(AttemptOutcome::NotSent),
         1 => Just(AttemptOutcome::Draining),
         1 => Just(AttemptOutcome::BadAnswer),
         1 => Just(AttemptOutcome::Stopped),
--- a/crates/daemon/src/dispatch/dispatch_desk.rs
+++ b/crates/daemon/src/dispatch/dispatch_desk.rs
@@ -69,7 +69,9 @@
         }
         let reply = match finish {
             FinishOutcome::Retry if may_retry => {
-                core.parts.metrics.count_retry(outcome);
+                if let Some(reason) = outcome.retry_reason() {
+                    core.parts.metrics.count_retry(reason);
+                }
                 core.drive();
                 return FinishReply::Retry(core.next_event(job));
             }
--- a/crates/daemon/src/dispatch/job_runner.rs
+++ b/crates/daemon/src/dispatch/job_runner.rs
@@ -182,7 +182,7 @@
         if now > ticket.send_by {
             // The process was paused between the decision and this point.
             return AttemptResult {
-                outcome: AttemptOutcome::NotStarted,
+                outcome: AttemptOutcome::NotSent,
                 answer: None,
             };
         }
--- a/crates/daemon/src/metrics/request_metrics.rs
+++ b/crates/daemon/src/metrics/request_metrics.rs
@@ -8,7 +8,7 @@
     TextEncoder,
 };
 use sesamedeal_core::code::ResultCode;
-use sesamedeal_core::scheduler::AttemptOutcome;
+use sesamedeal_core::retry::RetryReason;
 
 /// Upper bounds of the latency buckets, in seconds: 50 µs to 50 s.
 const LATENCY_BUCKETS: &[f64] = &[
@@ -64,8 +64,8 @@
             &["reason"],
         );
         let retries = registered(&registry, retries);
-        for outcome in RETRY_REASONS {
-            retries.with_label_values(&[reason(*outcome)]);
+        for reason in RetryReason::ALL {
+            retries.with_label_values(&[reason.label()]);
         }
         let set = MetricSet {
             answers,
@@ -119,9 +119,9 @@
         }
     }
 
-    pub(crate) fn count_retry(&self, outcome: AttemptOutcome) {
-        let reasons = &self.shared.retries;
-        reasons.with_label_values(&[reason(outcome)]).inc();
+    pub(crate) fn count_retry(&self, reason: RetryReason) {
+        let retries = &self.shared.retries;
+        retries.with_label_values(&[reason.label()]).inc();
     }
 
     pub(crate) fn count_cancelled(&self) {
@@ -166,27 +166,6 @@
     }
 }
 
-const RETRY_REASONS: &[AttemptOutcome] = &[
-    AttemptOutcome::Failed,
-    AttemptOutcome::NotStarted,
-    AttemptOutcome::Draining,
-    AttemptOutcome::Lost,
-    AttemptOutcome::BadAnswer,
-    AttemptOutcome::Stopped,
-];
-
-const fn reason(outcome: AttemptOutcome) -> &'static str {
-    match outcome {
-        AttemptOutcome::Answered => "answered",
-        AttemptOutcome::Failed => "failed",
-        AttemptOutcome::NotStarted => "not-started",
-        AttemptOutcome::Draining => "draining",
-        AttemptOutcome::Lost => "lost",
-        AttemptOutcome::BadAnswer => "bad-answer",
-        AttemptOutcome::Stopped => "preempted",
-    }
-}
-
 fn registered<C: Collector + Clone + 'static>(
     registry: &Registry,
     metric: prometheus::Result<C>,
