Show queued jobs, held slots and units by pool and team on the metrics page

Cause: the metrics page had one number of queued jobs for an entry instance, so that nobody could see which team waits, which one holds a pool, or how many of an entry instance's units are its own, borrowed or lent.

Change: JobScheduler::usage_report, read when the page is requested, so that the request path does no more work. The status page counts the instances of all pools in one pass instead of one pass for each pool.

Test: daemon usage_metrics::queues_and_units.

Conclusion: the sum over the entry instances is what an operator compares with shares and limits.

--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -23,6 +23,7 @@
 mod sharing;
 mod team_entry;
 mod timing;
+mod usage_report;
 mod worker_update;
 
 pub use attempt_outcome::{AttemptOutcome, FinishOutcome};
@@ -33,6 +34,7 @@
 pub use job_spec::JobSpec;
 pub use scheduler_action::{DispatchOrder, SchedulerAction};
 pub use scheduler_policy::SchedulerPolicy;
+pub use usage_report::{FlowUsage, UnitUsage, UsageReport};
 
 slotmap::new_key_type! {
     /// A job that is queued or running at this entry instance.
--- a/crates/daemon/src/admin/status_report.rs
+++ b/crates/daemon/src/admin/status_report.rs
@@ -1,7 +1,9 @@
+use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
 
 use compact_str::CompactString;
 use sesamedeal_core::fleet::{FleetState, MemberStep, WaveStatus};
+use sesamedeal_core::ids::PoolName;
 use sesamedeal_core::membership::{SessionRecord, SessionState};
 use sesamedeal_platform::Result;
 use sesamedeal_platform::rows::SESSION_PREFIX;
@@ -58,13 +60,14 @@
 }
 
 fn pools(state: &FleetState) -> Vec<PoolStatus> {
+    let mut counts: BTreeMap<&PoolName, (u32, u32)> = BTreeMap::new();
+    for instance in state.instances.values() {
+        let (members, available) = counts.entry(&instance.pool).or_default();
+        *members += 1;
+        *available += u32::from(instance.state.is_active());
+    }
     let pools = state.pools.iter().map(|(name, pool)| {
-        let mut members = 0;
-        let mut available = 0;
-        for instance in state.instances.values().filter(|one| one.pool == *name) {
-            members += 1;
-            available += u32::from(instance.state.is_active());
-        }
+        let (members, available) = counts.get(name).copied().unwrap_or_default();
         PoolStatus {
             name: name.clone(),
             size: pool.size,
--- a/crates/daemon/src/dispatch/control_handlers.rs
+++ b/crates/daemon/src/dispatch/control_handlers.rs
@@ -1,5 +1,6 @@
 use sesamedeal_core::exchange::ExchangeMessage;
 use sesamedeal_core::ids::{Generation, InstanceName, SessionId};
+use sesamedeal_core::scheduler::UsageReport;
 use xtra::{Context, Handler};
 
 use super::dispatch_actor::DispatchActor;
@@ -33,6 +34,18 @@
 #[derive(Debug)]
 pub(crate) struct ReadSuggestions;
 
+/// Asks for the queues and units, for metrics.
+#[derive(Debug)]
+pub(crate) struct ReadUsage;
+
+impl Handler<ReadUsage> for DispatchActor {
+    type Return = UsageReport;
+
+    async fn handle(&mut self, _: ReadUsage, _: &mut Context<Self>) -> UsageReport {
+        self.desk.lock().scheduler.usage_report()
+    }
+}
+
 impl Handler<ReadSuggestions> for DispatchActor {
     type Return = Vec<InstanceName>;
 
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -15,7 +15,9 @@
 mod shutdown_signal;
 
 pub(crate) use cancel_list::CancelList;
-pub(crate) use control_handlers::{BuildExchange, ReadProgress, ReadSuggestions, TakeExchange};
+pub(crate) use control_handlers::{
+    BuildExchange, ReadProgress, ReadSuggestions, ReadUsage, TakeExchange,
+};
 pub(crate) use dispatch_actor::DispatchActor;
 pub(crate) use dispatch_core::DispatchParts;
 pub(crate) use dispatch_desk::DispatchDesk;
--- a/crates/daemon/src/http/router.rs
+++ b/crates/daemon/src/http/router.rs
@@ -11,6 +11,8 @@
 use super::caller_body::CallerBody;
 use super::request_head::{check_single, request_id};
 use crate::admin::{AdminService, control_metrics};
+use crate::dispatch::ReadUsage;
+use crate::metrics::usage_metrics;
 use crate::peer::PeerService;
 
 /// Answers requests of callers.
@@ -38,7 +40,7 @@
             }
             (&Method::GET, "/live", _) => plain(200, "live\n"),
             (&Method::GET, "/ready", _) => self.ready(),
-            (&Method::GET, "/metrics", _) => plain(200, self.metrics()),
+            (&Method::GET, "/metrics", _) => plain(200, self.metrics().await),
             _ if path.starts_with("/peer/") => {
                 let response = self.peers.answer(request).await;
                 response.map(CallerBody::whole)
@@ -52,9 +54,13 @@
         }
     }
 
-    fn metrics(&self) -> Vec<u8> {
+    async fn metrics(&self) -> Vec<u8> {
+        let context = &self.admin.context;
         let mut text = self.jobs.metrics().render();
-        text.extend(control_metrics(&self.admin.context));
+        text.extend(control_metrics(context));
+        if let Ok(report) = context.dispatcher.send(ReadUsage).await {
+            text.extend(usage_metrics(&report));
+        }
         text
     }
 
