Keep the column numbers of a sheet in one place

Cause: row_parser.rs and sheet_check.rs each had their own copy of the column numbers. Change: sheet_column.rs holds the names and the numbers. Behaviour is the same; sheet_check (all tests) passes.

--- a/crates/core/src/sheet/row_parser.rs
+++ b/crates/core/src/sheet/row_parser.rs
@@ -3,34 +3,12 @@
 use csv::StringRecord;
 
 use super::SheetError;
+use super::sheet_column::{
+    AT, COLUMNS, KIND, LIMIT, MAX_UNAVAILABLE, NAME, OPEN, POOL, SHARE, SIZE, SPARE,
+};
 use crate::fleet::{ApplyLimits, PoolRecord, QueueRecord, SheetItem, SheetRow, TeamRecord};
 use crate::ids::{PoolName, QueueName, TeamName, WaveName};
 
-/// Columns of a sheet, in order.
-pub const COLUMNS: [&str; 10] = [
-    "at",
-    "kind",
-    "name",
-    "pool",
-    "size",
-    "max_unavailable",
-    "spare",
-    "share",
-    "limit",
-    "open",
-];
-
-const AT: usize = 0;
-const KIND: usize = 1;
-const NAME: usize = 2;
-const POOL: usize = 3;
-const SIZE: usize = 4;
-const MAX_UNAVAILABLE: usize = 5;
-const SPARE: usize = 6;
-const SHARE: usize = 7;
-const LIMIT: usize = 8;
-const OPEN: usize = 9;
-
 /// Largest share and limit.
 const MAX_COUNT: u32 = 1_000_000;
 
--- a/crates/core/src/sheet/sheet_check.rs
+++ b/crates/core/src/sheet/sheet_check.rs
@@ -3,18 +3,10 @@
 use csv::{ReaderBuilder, StringRecord, Trim};
 
 use super::row_parser::{ParsedRow, RowParser, column_error};
-use super::{COLUMNS, ParsedSheet, SheetError};
+use super::sheet_column::{AT, COLUMNS, KIND, NAME, OPEN, POOL, SIZE, SPARE};
+use super::{ParsedSheet, SheetError};
 use crate::fleet::{ApplyLimits, OPEN_TEAM, SheetItem, SheetRow};
 
-/// Column numbers of the errors that concern several rows.
-const AT: usize = 0;
-const KIND: usize = 1;
-const NAME: usize = 2;
-const POOL: usize = 3;
-const SIZE: usize = 4;
-const SPARE: usize = 6;
-const OPEN: usize = 9;
-
 /// Checks a whole sheet.
 ///
 /// # Errors
