Count the steps of a cancellation instead of timing a wave

Cause: admission::cancellation_wave compared the elapsed time of ten waves of 1,000 with 50 ms, so that its verdict depended on the speed of the machine. Change: the scheduler's jobs are in a table that counts the records it hands out (JobScheduler::job_accesses). The test cancels one wave of 10,000 in three orders, bounds the records touched by those of a wave of 1,000, and serves a job of another team 1,000 times in the middle of the wave.

--- a/crates/core/src/queue/job_list.rs
+++ b/crates/core/src/queue/job_list.rs
@@ -1,6 +1,4 @@
-use slotmap::SlotMap;
-
-use crate::scheduler::{JobKey, JobRecord};
+use crate::scheduler::{JobKey, JobTable};
 
 /// Neighbours of a job in its queue.
 #[derive(Debug, Default, Clone, Copy)]
@@ -23,7 +21,7 @@
     }
 
     /// Appends a job.
-    pub(crate) fn push_back(&mut self, key: JobKey, jobs: &mut SlotMap<JobKey, JobRecord>) {
+    pub(crate) fn push_back(&mut self, key: JobKey, jobs: &mut JobTable) {
         jobs[key].links = JobLinks {
             before: self.last,
             after: None,
@@ -36,7 +34,7 @@
     }
 
     /// Puts a job in front.
-    pub(crate) fn push_front(&mut self, key: JobKey, jobs: &mut SlotMap<JobKey, JobRecord>) {
+    pub(crate) fn push_front(&mut self, key: JobKey, jobs: &mut JobTable) {
         jobs[key].links = JobLinks {
             before: None,
             after: self.first,
@@ -49,7 +47,7 @@
     }
 
     /// Takes a job out.
-    pub(crate) fn remove(&mut self, key: JobKey, jobs: &mut SlotMap<JobKey, JobRecord>) {
+    pub(crate) fn remove(&mut self, key: JobKey, jobs: &mut JobTable) {
         let links = std::mem::take(&mut jobs[key].links);
         match links.before {
             Some(before) => jobs[before].links.after = links.after,
--- a/crates/core/src/scheduler/job_scheduler.rs
+++ b/crates/core/src/scheduler/job_scheduler.rs
@@ -6,8 +6,8 @@
 use slotmap::SlotMap;
 
 use super::fleet_index::FleetIndex;
-use super::job_record::{AttemptRecord, JobRecord};
-use super::{AttemptKey, JobKey, PoolIndex, SchedulerAction, SchedulerPolicy};
+use super::job_record::AttemptRecord;
+use super::{AttemptKey, JobTable, PoolIndex, SchedulerAction, SchedulerPolicy};
 use crate::exchange::{AgedPoint, HeardTable, UsageTable};
 use crate::fleet::FleetState;
 use crate::ids::{Generation, InstanceName, SessionId};
@@ -27,7 +27,7 @@
     pub(super) policy: SchedulerPolicy,
     pub(super) rng: Pcg64Mcg,
     pub(super) fleet: FleetIndex,
-    pub(super) jobs: SlotMap<JobKey, JobRecord>,
+    pub(super) jobs: JobTable,
     pub(super) attempts: SlotMap<AttemptKey, AttemptRecord>,
     /// Attempts that hold units.
     pub(super) holding: usize,
@@ -73,7 +73,7 @@
             policy,
             rng: Pcg64Mcg::seed_from_u64(seed),
             fleet: FleetIndex::default(),
-            jobs: SlotMap::with_key(),
+            jobs: JobTable::default(),
             attempts: SlotMap::with_key(),
             holding: 0,
             against: BTreeSet::new(),
@@ -193,6 +193,12 @@
         self.holding
     }
 
+    /// Records of jobs read or changed so far: the cost of calls in steps, on any machine.
+    #[must_use]
+    pub fn job_accesses(&self) -> u64 {
+        self.jobs.accesses()
+    }
+
     /// Retries spent so far, by reason.
     #[must_use]
     pub const fn retries(&self) -> &RetryBudget {
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -12,6 +12,7 @@
 mod job_refusal;
 mod job_scheduler;
 mod job_spec;
+mod job_table;
 mod lending;
 mod outcome;
 mod pool_entry;
@@ -31,6 +32,7 @@
 pub use job_refusal::JobRefusal;
 pub use job_scheduler::JobScheduler;
 pub use job_spec::JobSpec;
+pub(crate) use job_table::JobTable;
 pub use scheduler_action::{DispatchOrder, SchedulerAction};
 pub use scheduler_policy::SchedulerPolicy;
 
