Remove the objects of responses with their claims

The cleanup removed the rows of claims older than 24 hours and left the objects response/<operation> of large responses behind for ever. It now removes the object first: without the row nothing tells that it exists.

--- a/crates/core/src/claims/claim_record.rs
+++ b/crates/core/src/claims/claim_record.rs
@@ -76,6 +76,21 @@
             state: ClaimState::Claimed,
         }
     }
+
+    /// Whether an object may hold the response. The object is written before the row says so, and
+    /// the row may never say so.
+    #[must_use]
+    pub const fn may_have_object(&self) -> bool {
+        !matches!(
+            &self.state,
+            ClaimState::Finished {
+                response: RecordedResponse {
+                    body: ResponseBody::Inline(_),
+                    ..
+                }
+            }
+        )
+    }
 }
 
 /// Hash of the parts of a request that must be equal when its idempotency key is repeated.
--- a/crates/daemon/src/claims/claim_rows.rs
+++ b/crates/daemon/src/claims/claim_rows.rs
@@ -82,7 +82,7 @@
 
     /// Key of the object that holds a large response.
     pub(super) fn object_key(&self) -> CompactString {
-        format_compact!("response/{}", self.operation)
+        response_key(self.operation)
     }
 
     /// Writes a large response.
@@ -102,6 +102,11 @@
     }
 }
 
+/// Key of the object that holds the large response to the request of a claim.
+pub(crate) fn response_key(claim: OperationId) -> CompactString {
+    format_compact!("response/{claim}")
+}
+
 /// Key of the row that claims a request.
 pub(super) fn claim_key(team: &TeamName, idempotency_key: &str) -> CompactString {
     format_compact!("claim/{team}/{idempotency_key}")
--- a/crates/daemon/src/control/control_upkeep.rs
+++ b/crates/daemon/src/control/control_upkeep.rs
@@ -6,11 +6,12 @@
 use sesamedeal_core::fleet::FleetState;
 use sesamedeal_platform::protocol::{RowCondition, WriteRequest};
 use sesamedeal_platform::rows::{CONTROLLER_LEASE, session_key};
-use sesamedeal_platform::{PlatformError, Result};
+use sesamedeal_platform::{PlatformError, Result, TypedRow};
 use slog::{info, warn};
 use tokio::time::timeout;
 
 use super::controller_actor::{ControllerActor, new_operation};
+use crate::claims::response_key;
 use crate::clock::unix_millis;
 
 /// Prefix of the rows of claims.
@@ -105,8 +106,18 @@
         let last = rows.last().map(|(key, _)| key.clone());
         let now = unix_millis() / 1_000;
         let oldest = now.saturating_sub(order.claims_older.as_secs());
-        let old = rows.iter().filter(|(_, row)| row.value.created < oldest);
-        let deletes: Vec<CompactString> = old.map(|(key, _)| key.clone()).collect();
+        let is_old =
+            |(_, row): &&(CompactString, TypedRow<ClaimRecord>)| row.value.created < oldest;
+        let mut deletes = Vec::new();
+        for (key, row) in rows.iter().filter(is_old) {
+            // The object goes first: without the row nothing tells that it exists.
+            if row.value.may_have_object() {
+                client
+                    .delete_object(&response_key(row.value.operation))
+                    .await?;
+            }
+            deletes.push(key.clone());
+        }
         if !deletes.is_empty() {
             let request = WriteRequest {
                 operation: new_operation(),
