Release quarantined workers for a trial

Cause: the verdict Release was never sent. A worker that the controller had quarantined stayed out of service until an operator acted, and one that an operator released was reported again before its trial.

Change: each entry instance starts the time until the next trial when it sees a quarantine, and asks for the release when the time has passed. A released worker is reported again only after its trial has failed.

Test release_suggested: did not compile before, because there was nothing to ask; it checks 60, 120 and 240 s, one trial, and no report before the trial.

--- a/crates/core/src/control/control_input.rs
+++ b/crates/core/src/control/control_input.rs
@@ -11,7 +11,7 @@
 pub enum HealthVerdict {
     /// The worker failed several good jobs and should be quarantined.
     Quarantine,
-    /// The quarantined worker ran a trial job.
+    /// The quarantined worker should be tried again.
     Release,
 }
 
--- a/crates/core/src/placement/worker_health.rs
+++ b/crates/core/src/placement/worker_health.rs
@@ -92,6 +92,11 @@
         at
     }
 
+    /// Whether the point of the next trial has come.
+    pub(crate) fn is_trial_due(&self, now: TimePoint) -> bool {
+        self.quarantined && self.trial_at.is_some_and(|at| at <= now)
+    }
+
     /// Puts the worker on trial at once, after the fleet made it active again.
     pub(crate) fn try_now(&mut self, now: TimePoint) {
         self.quarantined = true;
--- a/crates/core/src/scheduler/quarantine.rs
+++ b/crates/core/src/scheduler/quarantine.rs
@@ -18,12 +18,27 @@
     /// Workers that failed several distinct jobs here and take only trials. They are for the
     /// controller to quarantine within the pool's availability budget.
     #[must_use]
-    pub fn quarantine_suggestions(&self) -> Vec<InstanceName> {
+    pub fn quarantine_suggestions(&self, now: TimePoint) -> Vec<InstanceName> {
         self.fleet
             .order
             .iter()
             .map(|worker| &self.fleet.workers[worker.at()])
-            .filter(|record| record.health.quarantined && record.active)
+            .filter(|record| {
+                // A worker that was released stays in service until its trial has failed.
+                record.active && record.health.quarantined && !record.health.is_trial_due(now)
+            })
+            .map(|record| record.name.clone())
+            .collect()
+    }
+
+    /// Workers whose quarantine has lasted until their next trial. They are for the controller to
+    /// release, after which each entry instance tries them with one job.
+    #[must_use]
+    pub fn release_suggestions(&self, now: TimePoint) -> Vec<InstanceName> {
+        let workers = self.fleet.order.iter();
+        workers
+            .map(|worker| &self.fleet.workers[worker.at()])
+            .filter(|record| record.quarantined && record.health.is_trial_due(now))
             .map(|record| record.name.clone())
             .collect()
     }
--- a/crates/core/src/scheduler/worker_update.rs
+++ b/crates/core/src/scheduler/worker_update.rs
@@ -180,7 +180,14 @@
         if known.boot != record.boot || active && !known.active {
             known.leaving = None;
         }
-        known.quarantined = record.state == InstanceState::Quarantined;
+        let is_quarantined = record.state == InstanceState::Quarantined;
+        let is_waiting = known.health.quarantined && !known.health.is_trial_due(now);
+        if is_quarantined && !known.quarantined && !is_waiting {
+            // Also where the worker did not fail, so that the next trial does not depend on the
+            // entry instance that reported it.
+            known.health.quarantine(now);
+        }
+        known.quarantined = is_quarantined;
         known.active = active;
         known.boot = record.boot;
         known.cores = record.cores;
--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -5,6 +5,7 @@
 use assert_matches::assert_matches;
 use scheduling::{at, dispatches, fleet, job, scheduler};
 use sesamedeal_core::code::ResultCode;
+use sesamedeal_core::fleet::InstanceState;
 use sesamedeal_core::ids::{InstanceName, PoolName};
 use sesamedeal_core::retry::{RetryBudget, RetryReason};
 use sesamedeal_core::scheduler::{
@@ -74,7 +75,7 @@
         assert_matches!(outcome, FinishOutcome::Refuse(refusal)
             if refusal.code == ResultCode::CannotRun);
     }
-    assert!(scheduler.quarantine_suggestions().is_empty());
+    assert!(scheduler.quarantine_suggestions(at(3)).is_empty());
 }
 
 /// Fails all tasks on the workers for which `bad` is true until nothing is left to run.
@@ -104,7 +105,7 @@
     let mut scheduler = start(4);
     let failed = fail_on(&mut scheduler, 200, 0, &["worker-1"]);
     assert!((3..=4).contains(&failed), "{failed} jobs failed");
-    let suggested = scheduler.quarantine_suggestions();
+    let suggested = scheduler.quarantine_suggestions(at(200));
     assert_eq!(suggested, [InstanceName::new("worker-1")]);
 }
 
@@ -121,7 +122,57 @@
         0,
         &["worker-0", "worker-1", "worker-2", "worker-3"],
     );
-    assert_eq!(scheduler.quarantine_suggestions().len(), 3);
+    assert_eq!(scheduler.quarantine_suggestions(at(200)).len(), 3);
+}
+
+/// Runs eight jobs, which end with `outcome` on `worker-1` and with an
+/// answer elsewhere. Returns the number of jobs that `worker-1` was given at first.
+fn try_jobs(scheduler: &mut JobScheduler, now: u64, outcome: AttemptOutcome) -> usize {
+    let mut tried = 0;
+    for _ in 0..8 {
+        scheduler.submit(job("one", at(now)), at(now)).unwrap();
+    }
+    for order in dispatches(scheduler, at(now)) {
+        let bad = order.worker.as_str() == "worker-1";
+        tried += usize::from(bad);
+        let outcome = if bad {
+            outcome
+        } else {
+            AttemptOutcome::Answered
+        };
+        scheduler.finish(order.attempt, outcome, at(now));
+    }
+    for order in dispatches(scheduler, at(now)) {
+        scheduler.finish(order.attempt, AttemptOutcome::Answered, at(now));
+    }
+    tried
+}
+
+/// Guards against a worker that stays quarantined by the fleet for ever, is quarantined again
+/// before its trial, or is tried as soon after a failed trial as after the first failures.
+#[test]
+fn release_suggested() {
+    let mut state = fleet(2, &[("one", 1, 100)], 1);
+    let mut scheduler = scheduler(&state);
+    let name = InstanceName::new("worker-1");
+    let mut set_state = |scheduler: &mut JobScheduler, next: InstanceState, now: u64| {
+        state.generation = state.generation.next();
+        state.instances.get_mut(&name).unwrap().state = next;
+        scheduler.apply(&state, state.generation, at(now));
+    };
+    let mut now = 0;
+    for delay in [60_000, 120_000, 240_000] {
+        set_state(&mut scheduler, InstanceState::Quarantined, now);
+        now += delay;
+        assert!(scheduler.release_suggestions(at(now - 1)).is_empty());
+        assert_eq!(scheduler.release_suggestions(at(now)), [name.clone()]);
+        set_state(&mut scheduler, InstanceState::Active, now);
+        assert!(scheduler.release_suggestions(at(now)).is_empty());
+        assert!(scheduler.quarantine_suggestions(at(now)).is_empty());
+        let tried = try_jobs(&mut scheduler, now, AttemptOutcome::Failed);
+        assert_eq!(tried, 1, "one trial");
+        assert_eq!(scheduler.quarantine_suggestions(at(now)), [name.clone()]);
+    }
 }
 
 /// Guards against a quarantine without an end, or one that ends before a trial succeeded.
@@ -129,28 +180,7 @@
 fn trial_jobs() {
     let mut scheduler = start(2);
     fail_on(&mut scheduler, 100, 0, &["worker-1"]);
-    let mut trials = |now: u64, outcome: AttemptOutcome| {
-        let mut tried = 0;
-        let mut orders = Vec::new();
-        for _ in 0..8 {
-            scheduler.submit(job("one", at(now)), at(now)).unwrap();
-        }
-        orders.extend(dispatches(&mut scheduler, at(now)));
-        for order in orders {
-            let bad = order.worker.as_str() == "worker-1";
-            tried += usize::from(bad);
-            let outcome = if bad {
-                outcome
-            } else {
-                AttemptOutcome::Answered
-            };
-            scheduler.finish(order.attempt, outcome, at(now));
-        }
-        for order in dispatches(&mut scheduler, at(now)) {
-            scheduler.finish(order.attempt, AttemptOutcome::Answered, at(now));
-        }
-        tried
-    };
+    let mut trials = |now, outcome| try_jobs(&mut scheduler, now, outcome);
     assert_eq!(trials(50_000, AttemptOutcome::Answered), 0);
     assert_eq!(trials(61_000, AttemptOutcome::Failed), 1);
     assert_eq!(trials(122_000, AttemptOutcome::Answered), 0);
--- a/crates/daemon/src/control/health_loop.rs
+++ b/crates/daemon/src/control/health_loop.rs
@@ -35,17 +35,23 @@
         let applied = context.keeper.state().generation;
         let suggested = context.dispatcher.send(ReadSuggestions).await;
         let suggested = suggested.unwrap_or_default();
-        let (false, Some(controller)) = (suggested.is_empty(), context.controller()) else {
-            return;
-        };
-        let reports: Vec<HealthReport> = suggested
+        let verdicts = [
+            (HealthVerdict::Quarantine, suggested.quarantine),
+            (HealthVerdict::Release, suggested.release),
+        ];
+        let reports: Vec<HealthReport> = verdicts
             .into_iter()
-            .map(|instance| HealthReport {
-                instance,
-                verdict: HealthVerdict::Quarantine,
-                applied,
+            .flat_map(|(verdict, instances)| {
+                instances.into_iter().map(move |instance| HealthReport {
+                    instance,
+                    verdict,
+                    applied,
+                })
             })
             .collect();
+        let (false, Some(controller)) = (reports.is_empty(), context.controller()) else {
+            return;
+        };
         if controller == context.session {
             note_health(context, reports);
         } else if let Some(address) = context.peers.address(controller)
--- a/crates/daemon/src/dispatch/control_handlers.rs
+++ b/crates/daemon/src/dispatch/control_handlers.rs
@@ -30,10 +30,19 @@
     pub message: ExchangeMessage,
 }
 
-/// Asks for the workers that the controller should quarantine.
+/// Asks for the workers that the controller should quarantine or release.
 #[derive(Debug)]
 pub(crate) struct ReadSuggestions;
 
+/// Workers whose state the controller should change.
+#[derive(Debug, Default)]
+pub(crate) struct HealthSuggestions {
+    /// Workers that failed several distinct jobs here.
+    pub quarantine: Vec<InstanceName>,
+    /// Quarantined workers that should be tried again.
+    pub release: Vec<InstanceName>,
+}
+
 /// Asks for the queues and units, for metrics.
 #[derive(Debug)]
 pub(crate) struct ReadUsage;
@@ -47,10 +56,15 @@
 }
 
 impl Handler<ReadSuggestions> for DispatchActor {
-    type Return = Vec<InstanceName>;
+    type Return = HealthSuggestions;
 
-    async fn handle(&mut self, _: ReadSuggestions, _: &mut Context<Self>) -> Vec<InstanceName> {
-        self.desk.lock().scheduler.quarantine_suggestions()
+    async fn handle(&mut self, _: ReadSuggestions, _: &mut Context<Self>) -> HealthSuggestions {
+        let core = self.desk.lock();
+        let now = core.parts.clock.now();
+        HealthSuggestions {
+            quarantine: core.scheduler.quarantine_suggestions(now),
+            release: core.scheduler.release_suggestions(now),
+        }
     }
 }
 
