--- a/crates/core/src/scheduler/exchanging.rs
+++ b/crates/core/src/scheduler/exchanging.rs
@@ -25,7 +25,7 @@
         message.heard = self.heard.relay(peer, now);
         message.listed = self.usage.list(peer, now);
         message.usage = self.usage.relay(self.session, peer, now);
-        message.requests = self.loan_requests(peer);
+        message.requests = self.loan_requests(peer, now);
         message.loans = self.loan_offers(peer);
         message.report = self.book.peer(peer).report();
         message.leaving = self.leaving_records(now);
--- a/crates/core/src/scheduler/job_scheduler.rs
+++ b/crates/core/src/scheduler/job_scheduler.rs
@@ -6,8 +6,8 @@
 use slotmap::SlotMap;
 
 use super::fleet_index::FleetIndex;
-use super::job_record::{AttemptRecord, JobRecord};
-use super::{AttemptKey, JobKey, PoolIndex, SchedulerAction, SchedulerPolicy};
+use super::job_record::AttemptRecord;
+use super::{AttemptKey, JobTable, PoolIndex, SchedulerAction, SchedulerPolicy};
 use crate::exchange::{AgedPoint, HeardTable, UsageTable};
 use crate::fleet::FleetState;
 use crate::ids::{Generation, InstanceName, SessionId};
@@ -27,7 +27,7 @@
     pub(super) policy: SchedulerPolicy,
     pub(super) rng: Pcg64Mcg,
     pub(super) fleet: FleetIndex,
-    pub(super) jobs: SlotMap<JobKey, JobRecord>,
+    pub(super) jobs: JobTable,
     pub(super) attempts: SlotMap<AttemptKey, AttemptRecord>,
     /// Attempts that hold units.
     pub(super) holding: usize,
@@ -72,7 +72,7 @@
             policy,
             rng: Pcg64Mcg::seed_from_u64(seed),
             fleet: FleetIndex::default(),
-            jobs: SlotMap::with_key(),
+            jobs: JobTable::default(),
             attempts: SlotMap::with_key(),
             holding: 0,
             against: BTreeSet::new(),
@@ -110,10 +110,18 @@
             .fleet
             .applied
             .is_none_or(|applied| state.generation > applied);
+        let settled_before = self.fleet.settled;
         self.note_settled(settled, now);
         if newer {
             self.update_fleet(state, now);
         }
+        if self.fleet.settled >= self.fleet.generation() {
+            self.fleet.unsettled_since = None;
+        } else if self.fleet.settled > settled_before {
+            self.fleet.unsettled_since = Some(now);
+        } else {
+            self.fleet.unsettled_since.get_or_insert(now);
+        }
     }
 
     /// Highest generation that nothing running at this entry instance contradicts.
@@ -191,6 +199,19 @@
         self.holding
     }
 
+    /// Number of jobs that are queued or whose attempt has neither an outcome nor, when nobody
+    /// waits for it, a confirmed end.
+    #[must_use]
+    pub fn open_jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Records of jobs read or changed so far: the cost of calls in steps, on any machine.
+    #[must_use]
+    pub fn job_accesses(&self) -> u64 {
+        self.jobs.accesses()
+    }
+
     /// Retries spent so far, by reason.
     #[must_use]
     pub const fn retries(&self) -> &RetryBudget {
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -12,6 +12,7 @@
 mod job_refusal;
 mod job_scheduler;
 mod job_spec;
+mod job_table;
 mod lending;
 mod outcome;
 mod pool_entry;
@@ -23,6 +24,7 @@
 mod sharing;
 mod team_entry;
 mod timing;
+mod usage_report;
 mod worker_update;
 
 pub use attempt_outcome::{AttemptOutcome, FinishOutcome};
@@ -31,8 +33,10 @@
 pub use job_refusal::JobRefusal;
 pub use job_scheduler::JobScheduler;
 pub use job_spec::JobSpec;
+pub(crate) use job_table::JobTable;
 pub use scheduler_action::{DispatchOrder, SchedulerAction};
 pub use scheduler_policy::SchedulerPolicy;
+pub use usage_report::{FlowUsage, UnitUsage, UsageReport};
 
 slotmap::new_key_type! {
     /// A job that is queued or running at this entry instance.
