Adapt the rate by which peers extrapolate usage to its noise

Change: the rate is the mean of the averages since it was started, with a gain of at least 0.2, and starts anew when an average deviates by 0.5 slots and 20%. The tolerated deviation is 0.1 slot seconds and 2%.

--- a/crates/core/src/exchange/own_usage.rs
+++ b/crates/core/src/exchange/own_usage.rs
@@ -12,15 +12,19 @@
 const MAX_SUMMARY: usize = 300;
 
 /// Deviation of the usage that is not told to peers: slot seconds, and a part of the usage. Shares
-/// are to be met within 5% over all entry instances.
-const TOLERATED_USAGE: (f64, f64) = (0.1, 0.04);
+/// are to be met within 5%, and with a part of 0.04 they were not after a surge.
+const TOLERATED_USAGE: (f64, f64) = (0.1, 0.02);
 
 /// Deviation of the rate and of the backlog that is not told to peers: a number, and a part. They
 /// decide how a team's due is divided among the entry instances, not how much it gets.
 const TOLERATED_DEMAND: (f64, f64) = (1.0, 0.25);
 
-/// Part of the newest average in the rate.
-const RATE_GAIN: f64 = 0.5;
+/// Least part of the newest average in the rate. Peers extrapolate usage by the rate, so that noise
+/// in it makes usage deviate again soon.
+const MIN_GAIN: f64 = 0.2;
+
+/// Deviation from which on an average starts the rate anew: slots, and a part of the rate.
+const NEW_RATE: (f64, f64) = (0.5, 0.2);
 
 /// Rate that is taken for none.
 const MIN_RATE: f64 = 0.05;
@@ -39,6 +43,8 @@
 struct FlowRate {
     usage: f64,
     rate: f64,
+    /// Averages since the rate was started.
+    count: f64,
 }
 
 /// What peers are told of the usage at this entry instance.
@@ -91,14 +97,19 @@
             let usage = reading.usage;
             let Some(flow) = self.rates.get_mut(position) else {
                 let rate = f64::from(reading.held);
-                self.rates.push(FlowRate { usage, rate });
+                let count = 0.0;
+                self.rates.push(FlowRate { usage, rate, count });
                 continue;
             };
-            let average = UsageMeter::average(flow.usage, usage, elapsed);
-            let rate = flow.rate + RATE_GAIN * (average.unwrap_or(flow.rate) - flow.rate);
+            let average = UsageMeter::average(flow.usage, usage, elapsed).unwrap_or(flow.rate);
+            if deviates(average, flow.rate, NEW_RATE) {
+                flow.count = 0.0;
+            }
+            let count = flow.count + 1.0;
+            let rate = flow.rate + (average - flow.rate) * MIN_GAIN.max(1.0 / count);
             let is_idle = rate < MIN_RATE && reading.held == 0;
-            let rate = if is_idle { 0.0 } else { rate };
-            *flow = FlowRate { usage, rate };
+            let (rate, count) = if is_idle { (0.0, 0.0) } else { (rate, count) };
+            *flow = FlowRate { usage, rate, count };
         }
     }
 }
