Name a pair once and its number afterwards in usage summaries

Change: an origin numbers its pairs; a summary has the 32-bit hash of a pair only for receivers that may not know it, and an entry takes 6 to 7 bytes instead of 10 to 11.

--- a/crates/core/examples/control_memory.rs
+++ b/crates/core/examples/control_memory.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use sesamedeal_core::exchange::{
-    ExchangeMessage, UsageEntry, UsageSummary, name_hash, origin_hash, pair_hash,
+    ExchangeMessage, PairSlot, UsageEntry, UsageSummary, name_hash, origin_hash, pair_hash,
 };
 use sesamedeal_core::fleet::{
     FleetState, InstanceRecord, InstanceState, KeyRecord, PoolRecord, SessionView, TeamRecord,
@@ -103,11 +103,19 @@
 }
 
 fn summary(origin: u64) -> UsageSummary {
-    let entries = (0..ENTRIES).map(|number| UsageEntry {
-        pair: pair_hash(
+    let number_pair = |number: usize| {
+        pair_hash(
             name_hash(&format!("pool-{}", number % SIZE.1)),
             name_hash(&format!("team-{}", (number + origin as usize) % SIZE.2)),
-        ),
+        )
+    };
+    let slots = (0u32..).zip(0..ENTRIES);
+    let pairs = slots.clone().map(|(slot, number)| PairSlot {
+        slot,
+        pair: number_pair(number),
+    });
+    let entries = slots.map(|(slot, _)| UsageEntry {
+        slot,
         usage: 1_000,
         rate: 16,
         queued: 1,
@@ -117,6 +125,7 @@
         version: 1,
         steps: 0,
         age: Duration::ZERO,
+        pairs: pairs.collect(),
         entries: entries.collect(),
     }
 }
--- a/crates/core/src/exchange/mod.rs
+++ b/crates/core/src/exchange/mod.rs
@@ -18,5 +18,5 @@
 pub use loan_message::{LentResource, LoanOffer, LoanReport, LoanRequest, RequestedUnits};
 pub(crate) use origin_usage::{OriginEntry, OriginUsage};
 pub(crate) use own_usage::{FlowReading, OwnUsage};
-pub use usage_summary::{UsageEntry, UsageSummary, name_hash, origin_hash, pair_hash};
+pub use usage_summary::{PairSlot, UsageEntry, UsageSummary, name_hash, origin_hash, pair_hash};
 pub(crate) use usage_table::UsageTable;
--- a/crates/core/src/exchange/origin_usage.rs
+++ b/crates/core/src/exchange/origin_usage.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use super::{AgedPoint, UsageEntry, UsageSummary};
+use super::{AgedPoint, PairSlot, UsageEntry, UsageSummary};
 use crate::queue::UsageMeter;
 use crate::scheduler::FlowIndex;
 use crate::time::TimePoint;
@@ -14,6 +14,10 @@
 /// Usage of one pair as of the newest version of its origin.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct OriginEntry {
+    /// Hash of the pair.
+    pub(crate) pair: u32,
+    /// Version up to which the entry may be new.
+    born: u64,
     /// Version up to which the entry may have changed.
     pub(crate) version: u64,
     /// Usage in slot seconds.
@@ -26,17 +30,6 @@
 }
 
 impl OriginEntry {
-    /// Creates an entry with the values that a receiver sees.
-    fn new(entry: &UsageEntry, version: u64) -> Self {
-        Self {
-            version,
-            usage: entry.usage_s(),
-            rate: entry.rate_slots(),
-            queued: entry.queued,
-            flow: None,
-        }
-    }
-
     fn is_empty(&self) -> bool {
         self.queued == 0 && self.rate == 0.0 && self.usage < MIN_USAGE_S
     }
@@ -49,7 +42,7 @@
     pub(crate) made: AgedPoint,
     /// Oldest version on which a list of changes can build.
     floor: u64,
-    /// By hash of the pair.
+    /// By number of the pair.
     pub(crate) entries: BTreeMap<u32, OriginEntry>,
 }
 
@@ -82,18 +75,34 @@
         }
         self.version = version;
         self.made = made;
+    }
+
+    /// Removes the entries without content when there are many. Only the origin does, because
+    /// receivers are not told the pairs of their entries again.
+    pub(crate) fn prune(&mut self) {
         let empty = self.entries.values().filter(|entry| entry.is_empty());
         if empty.count() > MAX_EMPTY {
             self.entries.retain(|_, entry| !entry.is_empty());
-            self.floor = version;
+            self.floor = self.version;
         }
     }
 
-    /// Enters one entry of the newest version.
-    pub(crate) fn put(&mut self, entry: &UsageEntry) {
-        let mut newest = OriginEntry::new(entry, self.version);
-        newest.flow = self.entries.get(&entry.pair).and_then(|old| old.flow);
-        self.entries.insert(entry.pair, newest);
+    /// Enters one entry of the newest version, with its pair if it may be new.
+    pub(crate) fn put(&mut self, entry: &UsageEntry, pair: Option<u32>) {
+        let old = self.entries.get(&entry.slot);
+        let Some(pair) = old.map(|old| old.pair).or(pair) else {
+            return;
+        };
+        let newest = OriginEntry {
+            pair,
+            born: old.map_or(self.version, |old| old.born),
+            version: self.version,
+            usage: entry.usage_s(),
+            rate: entry.rate_slots(),
+            queued: entry.queued,
+            flow: old.and_then(|old| old.flow),
+        };
+        self.entries.insert(entry.slot, newest);
     }
 
     /// Takes in a newer summary. Returns false if it builds on a version that is missing here.
@@ -108,27 +117,34 @@
         }
         let made = AgedPoint::new(summary.age, now);
         self.advance(summary.version, made, now);
+        let pairs = summary.pairs.iter().map(|pair| (pair.slot, pair.pair));
+        let pairs: BTreeMap<u32, u32> = pairs.collect();
         for entry in &summary.entries {
-            self.put(entry);
+            self.put(entry, pairs.get(&entry.slot).copied());
         }
         true
     }
 
-    /// Entries for a receiver that has version `base`, or all of them.
+    /// Entries that changed after version `base`, or all of them.
     pub(crate) fn after(&self, base: Option<u64>) -> Vec<UsageEntry> {
-        let entries = self.entries.iter().filter(|(_, entry)| match base {
-            Some(base) => entry.version > base,
-            None => !entry.is_empty(),
-        });
+        let entries = self.entries.iter();
+        let entries = entries.filter(|(_, entry)| base.is_none_or(|base| entry.version > base));
         entries
-            .map(|(pair, entry)| UsageEntry::new(*pair, entry.usage, entry.rate, entry.queued))
+            .map(|(slot, entry)| UsageEntry::new(*slot, entry.usage, entry.rate, entry.queued))
             .collect()
     }
 
-    /// Pairs whose flow is not known.
-    pub(crate) fn unresolved(&self) -> Vec<u32> {
+    /// Pairs of the entries that are new after version `base`, or of all of them.
+    pub(crate) fn pairs_after(&self, base: Option<u64>) -> Vec<PairSlot> {
         let entries = self.entries.iter();
-        let unresolved = entries.filter(|(_, entry)| entry.flow.is_none());
-        unresolved.map(|(pair, _)| *pair).collect()
+        let entries = entries.filter(|(_, entry)| base.is_none_or(|base| entry.born > base));
+        let pairs = entries.map(|(slot, entry)| (*slot, entry.pair));
+        pairs.map(|(slot, pair)| PairSlot { slot, pair }).collect()
+    }
+
+    /// Entries whose flow is not known.
+    pub(crate) fn unresolved(&mut self) -> impl Iterator<Item = &mut OriginEntry> {
+        let entries = self.entries.values_mut();
+        entries.filter(|entry| entry.flow.is_none())
     }
 }
--- a/crates/core/src/exchange/own_usage.rs
+++ b/crates/core/src/exchange/own_usage.rs
@@ -68,15 +68,15 @@
         let least = least_usage(readings);
         let age = own.made.age(now);
         let mut news = Vec::new();
-        for (reading, rate) in readings.iter().zip(&self.rates) {
+        for ((slot, reading), rate) in (0..).zip(readings).zip(&self.rates) {
             let entry = if reading.usage < least {
-                UsageEntry::new(reading.pair, 0.0, 0.0, 0)
+                UsageEntry::new(slot, 0.0, 0.0, 0)
             } else {
-                UsageEntry::new(reading.pair, reading.usage, rate.rate, reading.queued)
+                UsageEntry::new(slot, reading.usage, rate.rate, reading.queued)
             };
-            let told = own.entries.get(&reading.pair);
+            let told = own.entries.get(&slot);
             if is_news(&entry, told, age) {
-                news.push(entry);
+                news.push((entry, reading.pair));
             }
         }
         if news.is_empty() && (own.is_empty() || age < RENEW_AFTER) {
@@ -84,8 +84,9 @@
         }
         let version = own.version + 1;
         own.advance(version, AgedPoint::new(Duration::ZERO, now), now);
-        for entry in &news {
-            own.put(entry);
+        own.prune();
+        for (entry, pair) in &news {
+            own.put(entry, Some(*pair));
         }
     }
 
--- a/crates/core/src/exchange/usage_summary.rs
+++ b/crates/core/src/exchange/usage_summary.rs
@@ -14,13 +14,10 @@
 const RATE_UNITS: f64 = 16.0;
 
 /// Usage and backlog of one team in one pool at one entry instance.
-///
-/// The pair is sent as a 32-bit hash, because names would make up most of a message. Two pairs with
-/// the same hash would share their usage; limits do not depend on it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageEntry {
-    /// Hash of the pool and the team, see [`pair_hash`].
-    pub pair: u32,
+    /// Number of the pair of pool and team at the origin.
+    pub slot: u32,
     /// Decayed usage in hundredths of a slot second.
     pub usage: u32,
     /// Slots held on average over the last second, in sixteenths of a slot.
@@ -36,9 +33,9 @@
         clippy::cast_sign_loss,
         reason = "float casts saturate, and neither value is negative"
     )]
-    pub(crate) fn new(pair: u32, usage: f64, rate: f64, queued: u32) -> Self {
+    pub(crate) fn new(slot: u32, usage: f64, rate: f64, queued: u32) -> Self {
         Self {
-            pair,
+            slot,
             usage: (usage * USAGE_UNITS).round() as u32,
             rate: (rate * RATE_UNITS).round() as u32,
             queued,
@@ -56,6 +53,18 @@
     }
 }
 
+/// Number that an origin gave to a pair. It never stands for another pair.
+///
+/// The pair is sent as a 32-bit hash, because names would make up most of a message. Two pairs with
+/// the same hash would share their usage; limits do not depend on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PairSlot {
+    /// The number.
+    pub slot: u32,
+    /// Hash of the pool and the team, see [`pair_hash`].
+    pub pair: u32,
+}
+
 /// Usage at one entry instance: the entries that changed after an earlier version, or all of them.
 ///
 /// A receiver brings an entry that did not change forward by its rate and the decay of usage, so
@@ -72,6 +81,8 @@
     /// Time since the origin made the summary.
     #[serde_as(as = "FromInto<CoarseAge>")]
     pub age: Duration,
+    /// Pairs that the version which the entries build on did not have.
+    pub pairs: Vec<PairSlot>,
     /// Teams and pools with usage or backlog.
     pub entries: Vec<UsageEntry>,
 }
@@ -94,7 +105,7 @@
     u32::from_le_bytes([digest[0], digest[1], digest[2], digest[3]])
 }
 
-/// Hash of a pair of pool and team as used in [`UsageEntry`], from the hashes of their names.
+/// Hash of a pair of pool and team as used in [`PairSlot`], from the hashes of their names.
 #[must_use]
 pub const fn pair_hash(pool: u32, team: u32) -> u32 {
     pool.rotate_left(16) ^ team
--- a/crates/core/src/exchange/usage_table.rs
+++ b/crates/core/src/exchange/usage_table.rs
@@ -127,6 +127,7 @@
                 version: usage.version,
                 steps: base.map_or(0, |base| usage.version - base),
                 age: usage.made.age(now),
+                pairs: usage.pairs_after(base),
                 entries,
             });
         }
--- a/crates/core/src/scheduler/exchanging.rs
+++ b/crates/core/src/scheduler/exchanging.rs
@@ -2,8 +2,8 @@
 
 use super::{FlowIndex, JobScheduler, PoolIndex};
 use crate::exchange::{
-    AgedPoint, ExchangeMessage, FlowReading, HeardRecord, MESSAGE_VERSION, OriginUsage, name_hash,
-    origin_hash, pair_hash,
+    AgedPoint, ExchangeMessage, FlowReading, HeardRecord, MESSAGE_VERSION, name_hash, origin_hash,
+    pair_hash,
 };
 use crate::ids::{Generation, SessionId};
 use crate::queue::UsageMeter;
@@ -153,15 +153,13 @@
 
     /// Finds the flows of the pairs that an origin named.
     fn resolve(&mut self, origin: u32) {
-        let usage = self.usage.origins.get(&origin);
-        let pairs = usage.map_or_else(Vec::new, OriginUsage::unresolved);
-        for pair in pairs {
-            let flow = self.pair_flow(pair);
-            let usage = self.usage.origins.get_mut(&origin);
-            if let Some(entry) = usage.and_then(|usage| usage.entries.get_mut(&pair)) {
-                entry.flow = flow;
-            }
+        let Some(mut usage) = self.usage.origins.remove(&origin) else {
+            return;
+        };
+        for entry in usage.unresolved() {
+            entry.flow = self.pair_flow(entry.pair);
         }
+        self.usage.origins.insert(origin, usage);
     }
 
     /// The flow of a pair; none if the pool or the team is not known here.
--- a/crates/core/tests/exchanging.rs
+++ b/crates/core/tests/exchanging.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use scheduling::{at, dispatches, drain, fleet, job};
-use sesamedeal_core::exchange::{ExchangeMessage, UsageEntry, UsageSummary, origin_hash};
+use sesamedeal_core::exchange::{ExchangeMessage, PairSlot, UsageEntry, UsageSummary, origin_hash};
 use sesamedeal_core::ids::{Generation, InstanceName, SessionId};
 use sesamedeal_core::scheduler::{JobScheduler, SchedulerAction, SchedulerPolicy};
 
@@ -181,8 +181,10 @@
     let mut schedulers = start(2);
     for origin in 10..100 {
         let mut message = ExchangeMessage::new(SessionId(origin), Generation(1));
-        let entries = (0..300).map(|pair| UsageEntry {
-            pair: u32::MAX - pair,
+        let slots = (0..300).map(|number| u32::MAX - number);
+        let pairs = slots.clone().map(|slot| PairSlot { slot, pair: slot });
+        let entries = slots.map(|slot| UsageEntry {
+            slot,
             usage: u32::MAX,
             rate: u32::MAX,
             queued: u32::MAX,
@@ -192,6 +194,7 @@
             version: 1,
             steps: 0,
             age: Duration::ZERO,
+            pairs: pairs.collect(),
             entries: entries.collect(),
         });
         schedulers[0].receive(&message, at(0));
