Make half-life, look-ahead and start credit settings of the policy

Cause: the constants of the share order were compiled in, so that an embedder with other run times or exchange periods could not adapt them.

Change: SchedulerPolicy::share_half_life, share_look_ahead and start_credit, with the former constants as defaults. The daemon's settings file does not set them, because they have to be the same at all entry instances. Preemption and dispatch use one function for the order.

Test: core exchanging::set_half_life; without the setting it does not compile, and with the constant in place of the setting the usage decays to 93% instead of 50%.

--- a/crates/core/src/queue/flow_record.rs
+++ b/crates/core/src/queue/flow_record.rs
@@ -5,16 +5,6 @@
 /// Position of a flow that is not in its pool's list of backlogged flows.
 pub(crate) const NOT_LISTED: u32 = u32::MAX;
 
-/// Time in seconds over which slots that are held now are expected to stay with the team.
-///
-/// Usage of peers is known with a delay of up to a second. Without this term every entry instance
-/// would serve the same team until the next exchange, and the shares would oscillate. The longer the
-/// time, the more does rounding to whole slots shift the shares of teams with less than one slot
-/// per entry instance: the usage, which corrects the shift, is weighed against this term. With
-/// exchanges every 500 ms the shares oscillate at 0.5 s and are shifted by up to 6% at 1 s and 9%
-/// at 2 s (`sesamedeal measure`).
-const LOOK_AHEAD_S: f64 = 0.7;
-
 /// Smallest part of a team's demand that an entry instance assumes to have.
 const MIN_PART: f64 = 1.0 / 64.0;
 
@@ -41,6 +31,8 @@
     pub(crate) queued: u32,
     /// Slots held here.
     pub(crate) held: u32,
+    /// Time constant of the decay of usage in seconds.
+    pub(crate) decay_s: f64,
     /// Usage here.
     pub(crate) usage: UsageMeter,
     /// Correction of the usage when the team became backlogged, in slot seconds.
@@ -62,8 +54,8 @@
 }
 
 impl FlowRecord {
-    /// Creates a flow without jobs.
-    pub(crate) fn new(pool: PoolIndex, team: TeamIndex) -> Self {
+    /// Creates a flow without jobs; `decay_s` is the time constant of the decay of usage.
+    pub(crate) fn new(pool: PoolIndex, team: TeamIndex, decay_s: f64) -> Self {
         Self {
             pool,
             team,
@@ -71,6 +63,7 @@
             normal: JobList::default(),
             queued: 0,
             held: 0,
+            decay_s,
             usage: UsageMeter::default(),
             credit: UsageMeter::default(),
             remote: UsageMeter::default(),
@@ -127,28 +120,41 @@
         (1.0 / sessions).max(MIN_PART)
     }
 
+    /// Usage here in slot seconds.
+    pub(crate) fn local_usage(&self, now: TimePoint) -> f64 {
+        self.usage.read(f64::from(self.held), self.decay_s, now)
+    }
+
     /// Usage anywhere with the correction, in slot seconds per unit of weight.
     pub(crate) fn normalised(&self, weight: f64, now: TimePoint) -> f64 {
-        let usage = self.usage.read(f64::from(self.held), now)
-            + self.credit.read(0.0, now)
-            + self.remote.read(self.remote_held, now);
+        let usage = self.local_usage(now)
+            + self.credit.read(0.0, self.decay_s, now)
+            + self.remote.read(self.remote_held, self.decay_s, now);
         usage / weight
     }
 
     /// Sort key; the flow with the lowest one is served next. `sessions` is the number of entry
-    /// instances, `level` the slots of the pool per unit of weight.
-    pub(crate) fn order(&self, weight: f64, sessions: usize, level: f64, now: TimePoint) -> f64 {
+    /// instances, `level` the slots of the pool per unit of weight, and slots held now count for
+    /// `look_ahead_s` in advance.
+    pub(crate) fn order(
+        &self,
+        weight: f64,
+        sessions: usize,
+        level: f64,
+        look_ahead_s: f64,
+        now: TimePoint,
+    ) -> f64 {
         let part = self.known_part(sessions, now);
         // A team is served when it holds about half a slot less than its due. Adding the half puts
         // teams with many and with few slots on a par; a team that is due less than half a slot
         // here is served when it holds none.
         let half = (part * weight * level).min(0.5);
-        let ahead = (f64::from(self.held) + half) / part * LOOK_AHEAD_S;
+        let ahead = (f64::from(self.held) + half) / part * look_ahead_s;
         self.normalised(weight, now) + ahead / weight
     }
 
     /// Brings the local usage up to `now`, ahead of a change of the held slots.
     pub(crate) fn accrue(&mut self, now: TimePoint) {
-        self.usage.update(f64::from(self.held), now);
+        self.usage.update(f64::from(self.held), self.decay_s, now);
     }
 }
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -13,5 +13,5 @@
 pub(crate) use run_correction::RunCorrection;
 pub(crate) use service_meter::ServiceMeter;
 pub(crate) use timer_queue::{TimerEvent, TimerQueue};
-pub(crate) use usage_meter::UsageMeter;
+pub(crate) use usage_meter::{UsageMeter, decay_with_half_life};
 pub use water_level::{SlotDemand, slot_targets};
--- a/crates/core/src/queue/usage_meter.rs
+++ b/crates/core/src/queue/usage_meter.rs
@@ -2,11 +2,10 @@
 
 use crate::time::TimePoint;
 
-/// Half-life of usage in seconds.
-pub(crate) const HALF_LIFE_S: f64 = 10.0;
-
-/// Time constant of the decay in seconds.
-const DECAY_S: f64 = HALF_LIFE_S / std::f64::consts::LN_2;
+/// Time constant of a decay with this half-life, in seconds.
+pub(crate) fn decay_with_half_life(half_life: Duration) -> f64 {
+    half_life.as_secs_f64() / std::f64::consts::LN_2
+}
 
 /// Slot time in slot seconds, decayed exponentially.
 ///
@@ -24,24 +23,24 @@
         Self { value, at }
     }
 
-    /// Usage after `age` when `held` slots are held all the time.
-    pub(crate) fn project(value: f64, held: f64, age: Duration) -> f64 {
-        let kept = (-age.as_secs_f64() / DECAY_S).exp();
-        value * kept + held * DECAY_S * (1.0 - kept)
+    /// Usage after `age` when `held` slots are held all the time. `decay_s` is the time constant.
+    pub(crate) fn project(value: f64, held: f64, decay_s: f64, age: Duration) -> f64 {
+        let kept = (-age.as_secs_f64() / decay_s).exp();
+        value * kept + held * decay_s * (1.0 - kept)
     }
 
     /// Usage at `now` when `held` slots were held since the last update.
-    pub(crate) fn read(&self, held: f64, now: TimePoint) -> f64 {
+    pub(crate) fn read(&self, held: f64, decay_s: f64, now: TimePoint) -> f64 {
         let elapsed = now.since(self.at);
         if elapsed.is_zero() || self.value == 0.0 && held == 0.0 {
             return self.value;
         }
-        Self::project(self.value, held, elapsed)
+        Self::project(self.value, held, decay_s, elapsed)
     }
 
     /// Brings the meter up to `now`. Has to be called before the number of held slots changes.
-    pub(crate) fn update(&mut self, held: f64, now: TimePoint) {
-        self.value = self.read(held, now);
+    pub(crate) fn update(&mut self, held: f64, decay_s: f64, now: TimePoint) {
+        self.value = self.read(held, decay_s, now);
         self.at = self.at.max(now);
     }
 
--- a/crates/core/src/scheduler/admission.rs
+++ b/crates/core/src/scheduler/admission.rs
@@ -3,7 +3,7 @@
 use super::{FlowIndex, JobKey, JobRecord, JobRefusal, JobScheduler, JobSpec, SchedulerAction};
 use crate::code::ResultCode;
 use crate::placement::Placing;
-use crate::queue::{FlowRecord, JobLinks, NOT_LISTED, TimerEvent};
+use crate::queue::{FlowRecord, JobLinks, NOT_LISTED, TimerEvent, decay_with_half_life};
 use crate::time::TimePoint;
 
 /// Shortest and longest time after which a rejected caller is asked to come back.
@@ -96,7 +96,8 @@
         }
         let flow = FlowIndex::with_position(self.flows.len());
         flows[team.at()] = Some(flow);
-        self.flows.push(FlowRecord::new(pool, team));
+        let decay_s = decay_with_half_life(self.policy.share_half_life);
+        self.flows.push(FlowRecord::new(pool, team, decay_s));
         self.fleet.teams[team.at()].flows.push(flow);
         flow
     }
--- a/crates/core/src/scheduler/exchanging.rs
+++ b/crates/core/src/scheduler/exchanging.rs
@@ -118,7 +118,7 @@
         }
         let mut entries = Vec::new();
         for (position, flow) in self.flows.iter().enumerate() {
-            let usage = flow.usage.read(f64::from(flow.held), now) * 1_000.0;
+            let usage = flow.local_usage(now) * 1_000.0;
             #[expect(
                 clippy::cast_possible_truncation,
                 reason = "usage is far below 2^64 ms"
@@ -217,7 +217,8 @@
                 let held = if silent { 0.0 } else { f64::from(entry.held) };
                 #[expect(clippy::cast_precision_loss, reason = "usage is far below 2^53 ms")]
                 let value = entry.usage_ms as f64 / 1_000.0;
-                flow.remote.add(UsageMeter::project(value, held, age));
+                let usage = UsageMeter::project(value, held, flow.decay_s, age);
+                flow.remote.add(usage);
                 flow.remote_held += held;
                 if !silent {
                     flow.remote_queued += f64::from(entry.queued);
--- a/crates/core/src/scheduler/preemption.rs
+++ b/crates/core/src/scheduler/preemption.rs
@@ -59,12 +59,7 @@
                         .is_some_and(|job| !job.urgent && !job.abandoned)
             })
             .max_by(|(_, one), (_, other)| {
-                let over = |flow: super::FlowIndex| {
-                    let flow = &self.flows[flow.at()];
-                    let weight = self.fleet.teams[flow.team.at()].weight;
-                    let level = self.fleet.pools[flow.pool.at()].level;
-                    flow.order(weight, self.fleet.view.sessions.len(), level, now)
-                };
+                let over = |flow| self.share_order(flow, now);
                 over(one.flow)
                     .total_cmp(&over(other.flow))
                     .then(one.started.cmp(&other.started))
--- a/crates/core/src/scheduler/scheduler_policy.rs
+++ b/crates/core/src/scheduler/scheduler_policy.rs
@@ -15,6 +15,20 @@
     pub exchange_gap: Duration,
     /// Shortest time between two versions of the own usage summary.
     pub summary_gap: Duration,
+    /// Half-life of the usage that shares are compared by; the same at all entry instances.
+    pub share_half_life: Duration,
+    /// Time for which slots that a team holds now count in advance when the next team is chosen.
+    ///
+    /// Usage of peers is known with a delay of up to a second. Without this term every entry
+    /// instance would serve the same team until the next exchange, and the shares would
+    /// oscillate. The longer the time, the more does rounding to whole slots shift the shares of
+    /// teams with less than one slot per entry instance: the usage, which corrects the shift, is
+    /// weighed against this term. With exchanges every 500 ms the shares oscillate at 0.5 s and
+    /// are shifted by up to 6% at 1 s and 9% at 2 s (`sesamedeal measure`).
+    pub share_look_ahead: Duration,
+    /// Slot time per unit of weight fraction by which a newly backlogged team may start outside
+    /// of the range of the other backlogged teams.
+    pub start_credit: Duration,
 }
 
 impl SchedulerPolicy {
@@ -28,6 +42,9 @@
             urgent_start: Duration::from_millis(7_300),
             exchange_gap: Duration::from_millis(100),
             summary_gap: Duration::from_millis(400),
+            share_half_life: Duration::from_secs(10),
+            share_look_ahead: Duration::from_millis(700),
+            start_credit: Duration::from_secs(1),
         }
     }
 
--- a/crates/core/src/scheduler/sharing.rs
+++ b/crates/core/src/scheduler/sharing.rs
@@ -5,10 +5,6 @@
 use crate::queue::{FlowBlock, NOT_LISTED, SlotDemand, UsageMeter, slot_targets};
 use crate::time::TimePoint;
 
-/// Credit in seconds of slot time per unit of weight fraction with which a newly backlogged team
-/// starts.
-const START_CREDIT_S: f64 = 1.0;
-
 /// Time for which a team counts as newly backlogged; within it the exchange reaches all peers.
 const FRESH_FOR: Duration = Duration::from_millis(1_500);
 
@@ -115,21 +111,27 @@
     }
 
     fn order(&self, index: FlowIndex, now: TimePoint) -> f32 {
-        let flow = &self.flows[index.at()];
-        if flow.overdue.is_some() {
+        if self.flows[index.at()].overdue.is_some() {
             return f32::NEG_INFINITY;
         }
-        let weight = self.fleet.teams[flow.team.at()].weight;
-        let level = self.fleet.pools[flow.pool.at()].level;
-        let order = flow.order(weight, self.fleet.view.sessions.len(), level, now);
         #[expect(
             clippy::cast_possible_truncation,
             reason = "a sort key needs no more digits"
         )]
-        let order = order as f32;
+        let order = self.share_order(index, now) as f32;
         order
     }
 
+    /// How far a flow's team is ahead of its share, to be compared within a pool.
+    pub(super) fn share_order(&self, index: FlowIndex, now: TimePoint) -> f64 {
+        let flow = &self.flows[index.at()];
+        let weight = self.fleet.teams[flow.team.at()].weight;
+        let level = self.fleet.pools[flow.pool.at()].level;
+        let sessions = self.fleet.view.sessions.len();
+        let look_ahead = self.policy.share_look_ahead.as_secs_f64();
+        flow.order(weight, sessions, level, look_ahead, now)
+    }
+
     /// Takes note that a team has become backlogged.
     pub(super) fn begin_share(&mut self, index: FlowIndex, now: TimePoint) {
         self.flows[index.at()].fresh_until = now.after(FRESH_FOR);
@@ -170,10 +172,10 @@
         };
         let flow = &mut self.flows[index.at()];
         let weight = self.fleet.teams[flow.team.at()].weight;
-        let credit = START_CREDIT_S / bounds.weights();
+        let credit = self.policy.start_credit.as_secs_f64() / bounds.weights();
         let usage = flow.normalised(weight, now);
         let start = usage.clamp(low - credit, high + credit);
-        let current = flow.credit.read(0.0, now);
+        let current = flow.credit.read(0.0, flow.decay_s, now);
         flow.credit = UsageMeter::new(current, now);
         flow.credit.add((start - usage) * weight);
     }
--- a/crates/core/tests/exchanging.rs
+++ b/crates/core/tests/exchanging.rs
@@ -7,7 +7,7 @@
 use scheduling::{at, dispatches, drain, fleet, job};
 use sesamedeal_core::exchange::{ExchangeMessage, UsageEntry, UsageSummary};
 use sesamedeal_core::ids::{Generation, InstanceName, SessionId};
-use sesamedeal_core::scheduler::{JobScheduler, SchedulerAction, SchedulerPolicy};
+use sesamedeal_core::scheduler::{AttemptOutcome, JobScheduler, SchedulerAction, SchedulerPolicy};
 
 fn start(sessions: u64) -> Vec<JobScheduler> {
     let state = fleet(4, &[("one", 1, 100)], sessions);
@@ -95,6 +95,24 @@
     assert_eq!(dispatches(&mut schedulers[1], at(61_000)).len(), 1);
 }
 
+/// Guards against a half-life of usage that the policy sets without effect.
+#[test]
+fn set_half_life() {
+    let mut policy = SchedulerPolicy::new();
+    policy.share_half_life = Duration::from_secs(1);
+    let mut scheduler = JobScheduler::new(SessionId(1), policy, 1);
+    scheduler.apply(&fleet(4, &[("one", 1, 100)], 2), Generation(1), at(0));
+    scheduler.submit(job("one", at(0)), at(0)).unwrap();
+    let orders = dispatches(&mut scheduler, at(0));
+    scheduler.finish(orders[0].attempt, AttemptOutcome::Answered, at(1_000));
+    let usage = [1_000, 2_000].map(|now| {
+        let message = scheduler.exchange_with(SessionId(2), at(now));
+        message.usage[0].entries[0].usage_ms
+    });
+    // One slot held for one half-life has half of the usage that it converges to.
+    assert_eq!(usage, [721, 360]);
+}
+
 /// Guards against a message of another version that is taken in.
 #[test]
 fn other_version() {
@@ -162,7 +180,7 @@
     }
     assert_eq!(running.len(), 32, "after {now} ms");
     for order in running {
-        let outcome = sesamedeal_core::scheduler::AttemptOutcome::Answered;
+        let outcome = AttemptOutcome::Answered;
         schedulers[0].finish(order.attempt, outcome, at(now));
     }
     for _ in 0..32 {
