--- a/crates/core/src/exchange/own_usage.rs
+++ b/crates/core/src/exchange/own_usage.rs
@@ -64,7 +64,7 @@
         readings: &[FlowReading],
         now: TimePoint,
     ) {
-        self.read_rates(readings, now);
+        self.read_rates(readings, own.decay_s, now);
         let least = least_usage(readings);
         let age = own.made.age(now);
         let mut news = Vec::new();
@@ -75,7 +75,7 @@
                 UsageEntry::new(reading.pair, reading.usage, rate.rate, reading.queued)
             };
             let told = own.entries.get(&reading.pair);
-            if is_news(&entry, told, age) {
+            if is_news(&entry, told, own.decay_s, age) {
                 news.push(entry);
             }
         }
@@ -90,7 +90,7 @@
     }
 
     /// Brings the average rates up to date.
-    fn read_rates(&mut self, readings: &[FlowReading], now: TimePoint) {
+    fn read_rates(&mut self, readings: &[FlowReading], decay_s: f64, now: TimePoint) {
         let elapsed = now.since(self.read);
         self.read = now;
         for (position, reading) in readings.iter().enumerate() {
@@ -101,7 +101,8 @@
                 self.rates.push(FlowRate { usage, rate, count });
                 continue;
             };
-            let average = UsageMeter::average(flow.usage, usage, elapsed).unwrap_or(flow.rate);
+            let average = UsageMeter::average(flow.usage, usage, decay_s, elapsed);
+            let average = average.unwrap_or(flow.rate);
             if deviates(average, flow.rate, NEW_RATE) {
                 flow.count = 0.0;
             }
@@ -125,9 +126,9 @@
 }
 
 /// Whether an entry deviates from what the peers take it to be.
-fn is_news(entry: &UsageEntry, told: Option<&OriginEntry>, age: Duration) -> bool {
+fn is_news(entry: &UsageEntry, told: Option<&OriginEntry>, decay_s: f64, age: Duration) -> bool {
     let (usage, rate, queued) = told.map_or((0.0, 0.0, 0), |told| {
-        let usage = UsageMeter::project(told.usage, told.rate, age);
+        let usage = UsageMeter::project(told.usage, told.rate, decay_s, age);
         (usage, told.rate, told.queued)
     });
     (entry.queued == 0) != (queued == 0)
--- a/crates/core/src/exchange/usage_table.rs
+++ b/crates/core/src/exchange/usage_table.rs
@@ -31,7 +31,7 @@
 }
 
 /// Newest usage by origin.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct UsageTable {
     /// Hashes of the pairs by position of the flow.
     pub(crate) pairs: Vec<u32>,
@@ -40,15 +40,30 @@
     own_version: u64,
     peers: BTreeMap<SessionId, PeerUsage>,
     listed_at: Option<TimePoint>,
+    /// Time constant of the decay of usage, in seconds.
+    decay_s: f64,
 }
 
 impl UsageTable {
+    /// Creates a table without usage. `decay_s` is the time constant of the decay in seconds.
+    pub(crate) fn new(decay_s: f64) -> Self {
+        Self {
+            pairs: Vec::new(),
+            origins: BTreeMap::new(),
+            own: OwnUsage::default(),
+            own_version: 0,
+            peers: BTreeMap::new(),
+            listed_at: None,
+            decay_s,
+        }
+    }
+
     /// Brings the summary of this entry instance up to date.
     pub(crate) fn renew(&mut self, own: SessionId, readings: &[FlowReading], now: TimePoint) {
         let usage = self.origins.entry(origin_hash(own)).or_insert_with(|| {
             // Versions go on where they were when the usage was forgotten.
             let made = AgedPoint::new(Duration::ZERO, now);
-            OriginUsage::with_version(self.own_version, made)
+            OriginUsage::with_version(self.own_version, made, self.decay_s)
         });
         self.own.renew(usage, readings, now);
         self.own_version = usage.version;
@@ -58,7 +73,8 @@
     pub(crate) fn note(&mut self, summary: &UsageSummary, now: TimePoint) -> bool {
         let made = AgedPoint::new(summary.age, now);
         let usage = self.origins.entry(summary.origin);
-        let usage = usage.or_insert_with(|| OriginUsage::with_version(0, made));
+        let decay_s = self.decay_s;
+        let usage = usage.or_insert_with(|| OriginUsage::with_version(0, made, decay_s));
         usage.version < summary.version && usage.take(summary, now)
     }
 
--- a/crates/core/src/scheduler/exchanging.rs
+++ b/crates/core/src/scheduler/exchanging.rs
@@ -122,7 +122,7 @@
         let readings: Vec<FlowReading> = flows
             .map(|(flow, pair)| FlowReading {
                 pair: *pair,
-                usage: flow.usage.read(f64::from(flow.held), now),
+                usage: flow.local_usage(now),
                 held: flow.held,
                 queued: flow.queued,
             })
@@ -204,7 +204,8 @@
                 let Some(flow) = entry.flow else { continue };
                 let flow = &mut self.flows[flow.at()];
                 let held = if silent { 0.0 } else { entry.rate };
-                flow.remote.add(UsageMeter::project(entry.usage, held, age));
+                let usage = UsageMeter::project(entry.usage, held, flow.decay_s, age);
+                flow.remote.add(usage);
                 flow.remote_held += held;
                 if !silent {
                     flow.remote_queued += f64::from(entry.queued);
