--- a/crates/core/tests/ledger_regressions.rs
+++ b/crates/core/tests/ledger_regressions.rs
@@ -102,6 +102,32 @@
     world.recover();
 }
 
+/// Guards against units that are lost, or used twice, when an entry instance outside the view dies
+/// with a task on borrowed units.
+#[test]
+fn outside_borrower_runs() {
+    let mut world = world();
+    set_view(&mut world, &[2]);
+    world.apply_all();
+    world.settle();
+    world.apply_all();
+    submit(&mut world, 0, "one", 1);
+    for _ in 0..3 {
+        world.exchange(0, 1, true, true);
+    }
+    assert_eq!((world.tasks.len(), world.tasks[0].node), (1, 0));
+    world.kill(0);
+    world.kill(2);
+    // The lender fills the fleet while the task of the dead entry instance may still run.
+    for _ in 0..10 {
+        submit(&mut world, 1, "one", 1);
+        submit(&mut world, 1, "two", 1);
+    }
+    let team = TeamName::new("one");
+    assert_eq!(world.running(&team), 10, "nine and the borrowed permit");
+    world.recover();
+}
+
 /// Guards against a settlement that waits for ever: void borrowed units were kept as long as the
 /// borrower had a loan of its own to a dead peer.
 #[test]
--- a/crates/core/tests/urgent_work.rs
+++ b/crates/core/tests/urgent_work.rs
@@ -85,3 +85,35 @@
     assert_matches!(outcome, FinishOutcome::Refuse(refusal)
         if refusal.code == ResultCode::Stopped);
 }
+
+/// Guards against a stop that hits a team at or below its share, an older task, or urgent work.
+#[test]
+fn furthest_above() {
+    let teams = [("one", 1, 100), ("two", 1, 100), ("three", 2, 100)];
+    let mut scheduler = scheduler(&fleet(1, &teams, 1));
+    let mut started = Vec::new();
+    // Of eight slots, team two holds five (due two) and team three three (due four).
+    for (now, team) in ["two", "two", "three", "two", "three", "two", "three", "two"]
+        .into_iter()
+        .enumerate()
+    {
+        let now = 10 * now as u64;
+        scheduler.submit(job(team, at(now)), at(now)).unwrap();
+        started.extend(dispatches(&mut scheduler, at(now)));
+    }
+    assert_eq!(started.len(), 8);
+    let first = scheduler.submit(urgent(), at(100)).unwrap();
+    let newest_of_two = started[7].attempt;
+    assert_eq!(stopped(&mut scheduler, 3_750), [newest_of_two]);
+    let outcome = scheduler.finish(newest_of_two, AttemptOutcome::Stopped, at(3_800));
+    assert_eq!(outcome, FinishOutcome::Retry);
+    let next = dispatches(&mut scheduler, at(3_800));
+    assert_eq!(
+        next.iter().map(|order| order.job).collect::<Vec<_>>(),
+        [first]
+    );
+    // The urgent task itself is spared when the next urgent job needs a slot.
+    scheduler.submit(urgent(), at(3_900)).unwrap();
+    let second = stopped(&mut scheduler, 7_550);
+    assert_eq!(second, [started[5].attempt]);
+}
--- a/crates/daemon/tests/common/raw_backend.rs
+++ b/crates/daemon/tests/common/raw_backend.rs
@@ -62,7 +62,7 @@
     SendAndClose(Vec<u8>),
     /// Sends the first bytes, then the block as often as given, then the last bytes.
     Repeat(Vec<u8>, Vec<u8>, usize),
-    /// Runs until the attempt is stopped or released, then answers.
+    /// Runs until the attempt is released, then answers, or until it is stopped.
     Hold,
 }
 
@@ -72,6 +72,7 @@
 pub enum HeldState {
     Running,
     Ended,
+    Stopped,
 }
 
 #[derive(Debug, Default)]
@@ -81,6 +82,8 @@
     attempts: HashMap<String, watch::Sender<HeldState>>,
     connections: usize,
     closed: usize,
+    /// Most connections that were open at once.
+    peak: usize,
 }
 
 /// A running backend server; it stops when it is dropped.
@@ -101,7 +104,10 @@
         let task = tokio::spawn(async move {
             let mut connections = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
-                shared.lock().connections += 1;
+                let mut log = shared.lock();
+                log.connections += 1;
+                log.peak = log.peak.max(log.connections - log.closed);
+                drop(log);
                 connections.spawn(serve(stream, Arc::clone(&shared), Arc::clone(&script)));
             }
         });
@@ -128,6 +134,11 @@
         self.log.lock().closed
     }
 
+    /// Most connections open at once so far.
+    pub fn peak(&self) -> usize {
+        self.log.lock().peak
+    }
+
     /// Lets all held attempts end with an answer.
     pub fn release(&self) {
         for attempt in self.log.lock().attempts.values() {
@@ -197,8 +208,13 @@
             let attempt = request.attempt().to_owned();
             log.lock().attempts.insert(attempt, sender);
             // The sender stays in the log.
-            drop(held.wait_for(|state| *state == HeldState::Ended).await);
-            let answer = request.answer("200 OK", "held");
+            drop(held.wait_for(|state| *state != HeldState::Running).await);
+            let answer = if *held.borrow() == HeldState::Stopped {
+                let head = request.answer_head("500 Internal Server Error", 0);
+                format!("{head}sesamedeal-state: stopped\r\n\r\n").into_bytes()
+            } else {
+                request.answer("200 OK", "held")
+            };
             stream.write_all(&answer).await.is_ok()
         }
     }
@@ -208,7 +224,13 @@
     let log = log.lock();
     let text = match log.attempts.get(attempt) {
         Some(held) if is_stop => {
-            held.send_replace(HeldState::Ended);
+            held.send_if_modified(|state| {
+                let was_running = *state == HeldState::Running;
+                if was_running {
+                    *state = HeldState::Stopped;
+                }
+                was_running
+            });
             "ended"
         }
         Some(held) if *held.borrow() == HeldState::Running => "running",
