--- a/crates/core/tests/ledger_fuzz.rs
+++ b/crates/core/tests/ledger_fuzz.rs
@@ -1,18 +1,15 @@
 //! Stateful fuzzing of several schedulers against an oracle that counts running units.
-//!
-//! `SESAMEDEAL_FUZZ_SEED` and `SESAMEDEAL_FUZZ_CASES` replace the fixed seed and the number of
-//! cases.
 
 mod scheduling;
-
-use std::str::FromStr;
+mod support;
 
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
+use proptest::test_runner::Config;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use scheduling::fleet;
 use scheduling::fuzz_step::{Step, step, take};
 use scheduling::world::World;
+use support::fuzz::fuzz_config;
 
 /// The steps need no model of their own; the world counts the units.
 #[derive(Debug)]
@@ -64,15 +61,9 @@
 }
 
 fn config() -> Config {
-    let number = |name: &str, default: u64| {
-        std::env::var(name).map_or(default, |text| u64::from_str(&text).unwrap())
-    };
     Config {
-        cases: u32::try_from(number("SESAMEDEAL_FUZZ_CASES", 64)).unwrap(),
-        rng_seed: RngSeed::Fixed(number("SESAMEDEAL_FUZZ_SEED", 20_261_204)),
-        failure_persistence: None,
         max_shrink_iters: 20_000,
-        ..Config::default()
+        ..fuzz_config(64)
     }
 }
 
--- a/crates/core/tests/support/fuzz.rs
+++ b/crates/core/tests/support/fuzz.rs
@@ -17,7 +17,11 @@
 }
 
 fn variable<T: std::str::FromStr>(name: &str) -> Option<T> {
-    std::env::var(name).ok()?.parse().ok()
+    let text = std::env::var(name).ok()?;
+    let Ok(value) = text.parse() else {
+        panic!("{name}={text} is no number of this size");
+    };
+    Some(value)
 }
 
 /// Runs a state machine test with sequences of up to `length` transitions.
