--- a/crates/core/src/control/control_input.rs
+++ b/crates/core/src/control/control_input.rs
@@ -11,7 +11,7 @@
 pub enum HealthVerdict {
     /// The worker failed several good jobs and should be quarantined.
     Quarantine,
-    /// The quarantined worker ran a trial job.
+    /// The quarantined worker should be tried again.
     Release,
 }
 
@@ -48,6 +48,9 @@
     pub settled: Generation,
     /// Session rows.
     pub sessions: &'a [SessionRecord],
+    /// Whether all session rows were read for this step. Generations settle only then, because a
+    /// session that started since the last such read may act under an old generation.
+    pub is_scanned: bool,
     /// Platform's list; `None` when it could not be read.
     pub list: Option<&'a [ListedInstance]>,
     /// Reports of entry instances since the last step, in order of arrival.
