--- a/crates/core/tests/exchanging.rs
+++ b/crates/core/tests/exchanging.rs
@@ -168,8 +168,9 @@
     scheduler.submit(job("one", at(0)), at(0)).unwrap();
     let orders = dispatches(&mut scheduler, at(0));
     scheduler.finish(orders[0].attempt, AttemptOutcome::Answered, at(1_000));
-    let usage = [1_000, 2_000].map(|now| {
-        let message = scheduler.exchange_with(SessionId(2), at(now));
+    // Only a peer's first message has all entries.
+    let usage = [(2, 1_000), (3, 2_000)].map(|(peer, now)| {
+        let message = scheduler.exchange_with(SessionId(peer), at(now));
         message.usage[0].entries[0].usage
     });
     // One slot held for one half-life has half of the usage that it converges to.
