Let the controller's reads serve the follower

Cause: the holder of the controller's lease read head, settled generation and lease twice a second, in the follower and in the controller.

Change: the controller notes its read as evidence, passes the settled generation on and keeps the lease row, and the follower leaves out a read that the controller has made within the head period, unless the store could not be reached at its own last read.

--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -165,13 +165,15 @@
         set_state(&mut scheduler, InstanceState::Quarantined, now);
         now += delay;
         assert!(scheduler.release_suggestions(at(now - 1)).is_empty());
-        assert_eq!(scheduler.release_suggestions(at(now)), [name.clone()]);
+        let released = scheduler.release_suggestions(at(now));
+        assert_eq!(released, std::slice::from_ref(&name));
         set_state(&mut scheduler, InstanceState::Active, now);
         assert!(scheduler.release_suggestions(at(now)).is_empty());
         assert!(scheduler.quarantine_suggestions(at(now)).is_empty());
         let tried = try_jobs(&mut scheduler, now, AttemptOutcome::Failed);
         assert_eq!(tried, 1, "one trial");
-        assert_eq!(scheduler.quarantine_suggestions(at(now)), [name.clone()]);
+        let reported = scheduler.quarantine_suggestions(at(now));
+        assert_eq!(reported, std::slice::from_ref(&name));
     }
 }
 
--- a/crates/daemon/src/control/control_round.rs
+++ b/crates/daemon/src/control/control_round.rs
@@ -8,13 +8,14 @@
 use sesamedeal_platform::rows::{
     CONTROLLER_LEASE, HEAD, HeadRecord, SETTLED, SettledRecord, change_key,
 };
-use sesamedeal_platform::{KEPT_RECORDS, Result, row_put};
+use sesamedeal_platform::{KEPT_RECORDS, MissingChanges, Result, row_put};
 use slog::{error, info, warn};
 
 use super::controller_actor::{ControllerActor, new_operation};
 use super::platform_list::listed;
 use super::session_cache::SessionWait;
 use crate::clock::day_time;
+use crate::entry_context::LeaseSighting;
 
 /// The rows that a step is based on.
 #[derive(Debug)]
@@ -41,6 +42,8 @@
     pub(super) async fn round(&mut self) -> Result<bool> {
         let sent = self.context.clock.now();
         let rows = self.read_rows().await?;
+        self.context.gate.note_read(rows.head.generation, sent);
+        *self.context.lease.lock() = Some(LeaseSighting::new(&rows.rows, sent, true));
         let lease: Option<LeaseRecord> = value(&rows.rows, CONTROLLER_LEASE);
         let renewal = match self.candidate.step(lease.as_ref(), sent) {
             LeaseAction::Renew(record) => Some(record),
@@ -50,7 +53,7 @@
                 return Ok(false);
             }
         };
-        let Some(state) = self.state_at(rows.head.generation).await? else {
+        let Some(state) = self.state_at(&rows).await? else {
             return Ok(false);
         };
         let step = self.decide(&state, &rows).await?;
@@ -77,14 +80,15 @@
     }
 
     /// The state at the head; none while the log has records that cannot be applied.
-    async fn state_at(&self, head: Generation) -> Result<Option<FleetState>> {
-        let context = &self.context;
-        let current = context.keeper.state();
-        if current.generation >= head {
-            return Ok((current.generation == head).then(|| FleetState::clone(&current)));
-        }
-        let missing = context.log.missing_after(current.generation).await?;
-        let settled = context.keeper.settled();
+    async fn state_at(&self, rows: &RoundRows) -> Result<Option<FleetState>> {
+        let (context, head) = (&self.context, rows.head.generation);
+        let current = context.keeper.state().generation;
+        let missing = if current < head {
+            context.log.missing_after(current).await?
+        } else {
+            MissingChanges::default()
+        };
+        let settled = rows.settled.generation;
         let advanced = context
             .keeper
             .advance(missing.snapshot, &missing.records, settled);
--- a/crates/daemon/src/entry_context.rs
+++ b/crates/daemon/src/entry_context.rs
@@ -8,6 +8,8 @@
 use sesamedeal_core::lease::LeaseRecord;
 use sesamedeal_core::membership::SessionState;
 use sesamedeal_core::time::TimePoint;
+use sesamedeal_platform::protocol::TableRow;
+use sesamedeal_platform::rows::CONTROLLER_LEASE;
 use sesamedeal_platform::{CallKind, ChangeLog, PlatformClient};
 use slog::Logger;
 use tokio::sync::{Notify, watch};
@@ -28,6 +30,25 @@
     pub row: Option<(LeaseRecord, u64)>,
     /// When the read was sent.
     pub sent: TimePoint,
+    /// Whether the controller of this entry instance made the read, which also covers the head and
+    /// the settled generation.
+    pub by_controller: bool,
+}
+
+impl LeaseSighting {
+    /// Takes the lease from rows that were read.
+    pub(crate) fn new(rows: &[TableRow], sent: TimePoint, by_controller: bool) -> Self {
+        let row = rows.iter().find(|row| row.key == CONTROLLER_LEASE);
+        let row = row.and_then(|row| {
+            let lease: Option<LeaseRecord> = serde_json::from_value(row.value.clone()).ok();
+            lease.map(|lease| (lease, row.version))
+        });
+        Self {
+            row,
+            sent,
+            by_controller,
+        }
+    }
 }
 
 /// What the control loops of one entry instance share.
--- a/crates/daemon/src/store/state_follower.rs
+++ b/crates/daemon/src/store/state_follower.rs
@@ -3,8 +3,6 @@
 
 use serde::de::DeserializeOwned;
 use sesamedeal_core::ids::Generation;
-use sesamedeal_core::lease::LeaseRecord;
-use sesamedeal_core::time::TimePoint;
 use sesamedeal_platform::protocol::TableRow;
 use sesamedeal_platform::rows::{CONTROLLER_LEASE, HEAD, HeadRecord, SETTLED, SettledRecord};
 use slog::{error, info, warn};
@@ -25,7 +23,14 @@
         let mut ticks = self.context.timer.every(self.context.settings.head_period);
         loop {
             tokio::select! {
-                tick = ticks.next() => if tick.is_none() { return },
+                tick = ticks.next() => {
+                    if tick.is_none() {
+                        return;
+                    }
+                    if self.is_covered() {
+                        continue;
+                    }
+                }
                 () = self.context.changed.notified() => {}
             }
             let result = self.follow().await;
@@ -45,7 +50,8 @@
         let head = value::<HeadRecord>(&rows, HEAD).unwrap_or_default();
         let settled = value::<SettledRecord>(&rows, SETTLED).unwrap_or_default();
         context.gate.note_read(head.generation, sent);
-        self.note_lease(&rows, sent);
+        // The controller uses the lease row, which saves candidates a read of their own.
+        *context.lease.lock() = Some(LeaseSighting::new(&rows, sent, false));
         let current = context.keeper.state().generation;
         let missing = if head.generation > current {
             context.log.missing_after(current).await?
@@ -62,12 +68,16 @@
         Ok(())
     }
 
-    /// Keeps the lease row for the controller, which saves candidates a read of their own.
-    fn note_lease(&self, rows: &[TableRow], sent: TimePoint) {
-        let row = rows.iter().find(|row| row.key == CONTROLLER_LEASE);
-        let lease: Option<LeaseRecord> = value(rows, CONTROLLER_LEASE);
-        let row = lease.zip(row).map(|(lease, row)| (lease, row.version));
-        *self.context.lease.lock() = Some(LeaseSighting { row, sent });
+    /// Whether the controller of this entry instance has just read what the follower reads.
+    fn is_covered(&self) -> bool {
+        let (clock, settings) = (&self.context.clock, &self.context.settings);
+        // After a failure the follower has to find out itself that the store is back.
+        if !self.context.store_up.load(Ordering::Acquire) {
+            return false;
+        }
+        self.context.lease.lock().is_some_and(|sighting| {
+            sighting.by_controller && clock.now().since(sighting.sent) < settings.head_period
+        })
     }
 
     /// Takes a newer state from a peer while the store cannot be read.
