--- a/crates/core/src/scheduler/job_scheduler.rs
+++ b/crates/core/src/scheduler/job_scheduler.rs
@@ -12,7 +12,7 @@
 use crate::fleet::FleetState;
 use crate::ids::{Generation, InstanceName, SessionId};
 use crate::ledger::{LoanBook, ResourceKey};
-use crate::queue::{FlowRecord, TimerQueue};
+use crate::queue::{FlowRecord, TimerQueue, decay_with_half_life};
 use crate::retry::RetryBudget;
 use crate::time::TimePoint;
 
@@ -45,7 +45,6 @@
     pub(super) usage: UsageTable,
     /// Point at which the usage of the peers was last added up.
     pub(super) usage_at: TimePoint,
-    pub(super) summary_version: u64,
     pub(super) summary_at: Option<TimePoint>,
     pub(super) retry: RetryBudget,
     pub(super) evidence: Option<AgedPoint>,
@@ -68,6 +67,7 @@
     /// Creates a scheduler without fleet state, for the session and with a seed for its choices.
     #[must_use]
     pub fn new(session: SessionId, policy: SchedulerPolicy, seed: u64) -> Self {
+        let decay_s = decay_with_half_life(policy.share_half_life);
         Self {
             session,
             policy,
@@ -84,9 +84,8 @@
             book: LoanBook::default(),
             pending: BTreeSet::new(),
             heard: HeardTable::default(),
-            usage: UsageTable::default(),
+            usage: UsageTable::new(decay_s),
             usage_at: TimePoint::ORIGIN,
-            summary_version: 0,
             summary_at: None,
             retry: RetryBudget::new(),
             evidence: None,
@@ -201,6 +200,13 @@
         self.holding
     }
 
+    /// Number of jobs that are queued or whose attempt has neither an outcome nor, when nobody
+    /// waits for it, a confirmed end.
+    #[must_use]
+    pub fn open_jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
     /// Records of jobs read or changed so far: the cost of calls in steps, on any machine.
     #[must_use]
     pub fn job_accesses(&self) -> u64 {
