--- a/crates/core/src/exchange/origin_usage.rs
+++ b/crates/core/src/exchange/origin_usage.rs
@@ -42,17 +42,20 @@
     pub(crate) made: AgedPoint,
     /// Oldest version on which a list of changes can build.
     floor: u64,
+    /// Time constant of the decay of usage, in seconds.
+    pub(crate) decay_s: f64,
     /// By number of the pair.
     pub(crate) entries: BTreeMap<u32, OriginEntry>,
 }
 
 impl OriginUsage {
     /// Creates usage without entries as of a version.
-    pub(crate) fn with_version(version: u64, made: AgedPoint) -> Self {
+    pub(crate) fn with_version(version: u64, made: AgedPoint, decay_s: f64) -> Self {
         Self {
             version,
             made,
             floor: version,
+            decay_s,
             entries: BTreeMap::new(),
         }
     }
@@ -71,7 +74,7 @@
     pub(crate) fn advance(&mut self, version: u64, made: AgedPoint, now: TimePoint) {
         let elapsed = self.made.age(now).saturating_sub(made.age(now));
         for entry in self.entries.values_mut() {
-            entry.usage = UsageMeter::project(entry.usage, entry.rate, elapsed);
+            entry.usage = UsageMeter::project(entry.usage, entry.rate, self.decay_s, elapsed);
         }
         self.version = version;
         self.made = made;
--- a/crates/core/src/scheduler/job_scheduler.rs
+++ b/crates/core/src/scheduler/job_scheduler.rs
@@ -12,7 +12,7 @@
 use crate::fleet::FleetState;
 use crate::ids::{Generation, InstanceName, SessionId};
 use crate::ledger::{LoanBook, ResourceKey};
-use crate::queue::{FlowRecord, TimerQueue};
+use crate::queue::{FlowRecord, TimerQueue, decay_with_half_life};
 use crate::retry::RetryBudget;
 use crate::time::TimePoint;
 
@@ -67,6 +67,7 @@
     /// Creates a scheduler without fleet state, for the session and with a seed for its choices.
     #[must_use]
     pub fn new(session: SessionId, policy: SchedulerPolicy, seed: u64) -> Self {
+        let decay_s = decay_with_half_life(policy.share_half_life);
         Self {
             session,
             policy,
@@ -83,7 +84,7 @@
             book: LoanBook::default(),
             pending: BTreeSet::new(),
             heard: HeardTable::default(),
-            usage: UsageTable::default(),
+            usage: UsageTable::new(decay_s),
             usage_at: TimePoint::ORIGIN,
             summary_at: None,
             retry: RetryBudget::new(),
