--- a/crates/core/src/queue/usage_meter.rs
+++ b/crates/core/src/queue/usage_meter.rs
@@ -29,6 +29,13 @@
         value * kept + held * decay_s * (1.0 - kept)
     }
 
+    /// Slots held on average, by which usage went from `before` to `after`; none for no time.
+    pub(crate) fn average(before: f64, after: f64, decay_s: f64, elapsed: Duration) -> Option<f64> {
+        let kept = (-elapsed.as_secs_f64() / decay_s).exp();
+        let added = (after - before * kept).max(0.0);
+        (kept < 1.0).then(|| added / (decay_s * (1.0 - kept)))
+    }
+
     /// Usage at `now` when `held` slots were held since the last update.
     pub(crate) fn read(&self, held: f64, decay_s: f64, now: TimePoint) -> f64 {
         let elapsed = now.since(self.at);
