Keep the job of the membership test below the run limit of its lease

Cause: let the job run 1.5 s, which is the whole run limit of a lease of 2 s, so that one of four copies of membership::joins_and_leaves at once got code 1023 (stopped). Change: 800 ms again; the test waits until the job runs, so that it needs no more.

--- a/crates/daemon/tests/membership.rs
+++ b/crates/daemon/tests/membership.rs
@@ -27,7 +27,7 @@
     let (address, session) = (leaving.address(), leaving.session());
     let client = cluster.client.clone();
     let running =
-        tokio::spawn(async move { client.job(address, "swap", "{\"run_ms\": 1500}").await });
+        tokio::spawn(async move { client.job(address, "swap", "{\"run_ms\": 800}").await });
     wait_until("job runs", PATIENCE, async || {
         metric(address, RUNNING).await == 1
     })
