Count control bytes with the heads of HTTP messages

Cause: the account of control traffic, and with it the bound of 3 KB/s, covered message bodies only. The heads of a small exchange are larger than its body.

Change: wire::message_size computes the size of a whole request or answer; peers, the platform's client and its stand-in use it. The platform's test compares the client's account with the one of the stand-in, which sees the headers that came over the network; it showed that an empty POST carries no content-length.

Test: wire message_sizes::whole_messages, platform http_calls.

--- a/crates/daemon/src/admin/control_metrics.rs
+++ b/crates/daemon/src/admin/control_metrics.rs
@@ -17,7 +17,7 @@
     ];
     let mut text = Vec::new();
     let registry = Registry::new();
-    let help = "Body bytes of control messages";
+    let help = "Bytes of control messages with their HTTP heads";
     let name = "sesamedeal_control_bytes_total";
     add(&registry, name, help, &["direction", "with"], &bytes);
     let help = "Calls of the table service";
--- a/crates/daemon/src/control_traffic.rs
+++ b/crates/daemon/src/control_traffic.rs
@@ -1,5 +1,5 @@
-/// Bytes and calls of control since the start of an entry instance. Bytes are those of message
-/// bodies; the heads of HTTP messages are not counted.
+/// Bytes and calls of control since the start of an entry instance. Bytes are those of whole HTTP
+/// messages with their heads.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ControlTraffic {
     /// Bytes sent to peers, answers included.
--- a/crates/daemon/src/peer/peer_client.rs
+++ b/crates/daemon/src/peer/peer_client.rs
@@ -2,13 +2,14 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request};
+use hyper::{HeaderMap, Method, Request};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use sesamedeal_core::control::HealthReport;
 use sesamedeal_core::exchange::MESSAGE_VERSION;
 use sesamedeal_wire::codec::{FieldNames, MAX_MESSAGE_BYTES, decode_versioned, encode_versioned};
+use sesamedeal_wire::message_size::{request_size, response_size};
 use sesamedeal_wire::peer::{MAX_STATE_BYTES, PeerMessage, PeerState};
 use snafu::ResultExt;
 use tokio::time::timeout;
@@ -88,7 +89,8 @@
         body: Bytes,
         limit: usize,
     ) -> Result<Bytes> {
-        self.traffic.note_sent(body.len());
+        let sent = request_size(&method, path, address, &HeaderMap::new(), body.len());
+        self.traffic.note_sent(sent);
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{address}{path}"))
@@ -96,14 +98,16 @@
             .map_err(|error| failure(address, &error))?;
         let response = self.http.request(request).await;
         let response = response.map_err(|error| failure(address, &error))?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), limit).collect().await;
+        let (parts, body) = response.into_parts();
+        let status = parts.status;
+        let body = Limited::new(body, limit).collect().await;
         let body = body.map_err(|error| DaemonError::PeerCall {
             address: address.to_owned(),
             reason: error.to_string(),
         })?;
         let body = body.to_bytes();
-        self.traffic.note_received(body.len());
+        let received = response_size(status, &parts.headers, body.len());
+        self.traffic.note_received(received);
         if !status.is_success() {
             let reason = format!("status {status}");
             return PeerCallSnafu { address, reason }.fail();
--- a/crates/daemon/src/peer/peer_service.rs
+++ b/crates/daemon/src/peer/peer_service.rs
@@ -11,6 +11,7 @@
     CodecError, FieldNames, MAX_MESSAGE_BYTES, decode_versioned, encode_versioned,
 };
 use sesamedeal_wire::header;
+use sesamedeal_wire::message_size::{request_size, response_size};
 use sesamedeal_wire::peer::{MAX_STATE_BYTES, PeerAddress, PeerMessage, PeerState};
 
 use super::peer_loop::{message_to, note_sender};
@@ -31,12 +32,16 @@
         B: hyper::body::Body<Data = Bytes>,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
-        match (request.method(), request.uri().path()) {
+        let response = match (request.method(), request.uri().path()) {
             (&Method::POST, "/peer/exchange") => self.exchange(request).await,
             (&Method::POST, "/peer/health") => self.health(request).await,
             (&Method::GET, "/peer/state") => self.state(),
             _ => empty(StatusCode::NOT_FOUND),
-        }
+        };
+        let (status, body) = (response.status(), response.body().len());
+        let sent = response_size(status, response.headers(), body);
+        self.context.traffic.note_sent(sent);
+        response
     }
 
     async fn exchange<B>(&self, request: Request<B>) -> Response<Bytes>
@@ -88,9 +93,13 @@
         B: hyper::body::Body<Data = Bytes>,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
-        let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES);
+        let (parts, body) = request.into_parts();
+        let body = Limited::new(body, MAX_MESSAGE_BYTES);
         let body = body.collect().await.ok()?.to_bytes();
-        self.context.traffic.note_received(body.len());
+        let path = parts.uri.path();
+        // The request names its host and length itself.
+        let received = request_size(&parts.method, path, "", &parts.headers, body.len());
+        self.context.traffic.note_received(received);
         Some(body)
     }
 
@@ -121,10 +130,7 @@
         limit: usize,
     ) -> Response<Bytes> {
         match encode_versioned(message, names, MESSAGE_VERSION, limit) {
-            Ok(body) => {
-                self.context.traffic.note_sent(body.len());
-                Response::new(body)
-            }
+            Ok(body) => Response::new(body),
             Err(_) => empty(StatusCode::INTERNAL_SERVER_ERROR),
         }
     }
--- a/crates/daemon/src/peer/peer_traffic.rs
+++ b/crates/daemon/src/peer/peer_traffic.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-/// Body bytes exchanged with peers.
+/// Bytes of the messages exchanged with peers, with their HTTP heads.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct PeerTraffic {
     counts: Arc<TrafficCounts>,
--- a/crates/platform/src/platform_counters.rs
+++ b/crates/platform/src/platform_counters.rs
@@ -132,8 +132,8 @@
     pub coalesced_reads: u64,
     /// Writes that ended without a known outcome.
     pub unknown_writes: u64,
-    /// Body bytes sent.
+    /// Bytes sent, with the heads of the messages.
     pub bytes_sent: u64,
-    /// Body bytes received.
+    /// Bytes received, with the heads of the messages.
     pub bytes_received: u64,
 }
--- a/crates/platform/src/service_caller.rs
+++ b/crates/platform/src/service_caller.rs
@@ -144,7 +144,7 @@
             service,
             permit,
         };
-        let sent = call.body.len() as u64;
+        let sent = self.transport.size(&call) as u64;
         self.count(|counters| {
             *counters.calls.entry(kind).or_default() += 1;
             counters.bytes_sent += sent;
@@ -159,7 +159,7 @@
         guard.report(result.is_ok() || is_refusal(&result));
         match &result {
             Ok(reply) => {
-                let received = reply.body.len() as u64;
+                let received = reply.size as u64;
                 self.count(|counters| counters.bytes_received += received);
             }
             Err(_) => self.count(|counters| *counters.failures.entry(kind).or_default() += 1),
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -7,10 +7,11 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request};
+use hyper::{HeaderMap, Method, Request};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use sesamedeal_wire::message_size::{request_size, response_size};
 
 use crate::error::{PlatformError, Result};
 
@@ -35,6 +36,8 @@
     pub status: u16,
     /// Whole body.
     pub body: Bytes,
+    /// Size of the whole answer on the network, in bytes.
+    pub size: usize,
 }
 
 type SendCall = dyn Fn(PlatformCall) -> BoxFuture<'static, Result<PlatformReply>> + Send + Sync;
@@ -43,6 +46,7 @@
 #[derive(Clone)]
 pub struct CallTransport {
     send: Arc<SendCall>,
+    authority: String,
 }
 
 impl CallTransport {
@@ -57,6 +61,7 @@
     {
         Self {
             send: Arc::new(send),
+            authority: String::new(),
         }
     }
 
@@ -69,7 +74,17 @@
             .pool_timer(TokioTimer::new())
             .build(connector);
         let base = format!("http://{address}");
-        Self::new(move |call| send_http(http.clone(), base.clone(), call).boxed())
+        Self {
+            authority: address.to_owned(),
+            ..Self::new(move |call| send_http(http.clone(), base.clone(), call).boxed())
+        }
+    }
+
+    /// Size of a call on the network, in bytes.
+    pub(crate) fn size(&self, call: &PlatformCall) -> usize {
+        let headers = HeaderMap::new();
+        let body = call.body.len();
+        request_size(&call.method, &call.path, &self.authority, &headers, body)
     }
 
     pub(crate) fn send(&self, call: PlatformCall) -> BoxFuture<'static, Result<PlatformReply>> {
@@ -103,8 +118,8 @@
             PlatformError::NoAnswer { reason }
         }
     })?;
-    let status = response.status().as_u16();
-    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+    let (parts, body) = response.into_parts();
+    let body = Limited::new(body, MAX_ANSWER_BYTES);
     let body = body
         .collect()
         .await
@@ -112,5 +127,9 @@
             reason: error.to_string(),
         })?;
     let body = body.to_bytes();
-    Ok(PlatformReply { status, body })
+    Ok(PlatformReply {
+        status: parts.status.as_u16(),
+        size: response_size(parts.status, &parts.headers, body.len()),
+        body,
+    })
 }
--- a/crates/standin/src/platform/platform_standin.rs
+++ b/crates/standin/src/platform/platform_standin.rs
@@ -6,11 +6,12 @@
 use futures::FutureExt;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use parking_lot::Mutex;
 use sesamedeal_core::ids::InstanceName;
 use sesamedeal_platform::protocol::{InstanceList, PlatformInstance};
 use sesamedeal_platform::{CallTransport, PlatformCall, PlatformError, PlatformReply};
+use sesamedeal_wire::message_size::{request_size, response_size};
 use tokio::sync::broadcast;
 use tokio::time::{Instant, sleep};
 
@@ -194,16 +195,21 @@
     async fn call_directly(self, call: PlatformCall) -> sesamedeal_platform::Result<PlatformReply> {
         let PlatformCall { method, path, body } = call;
         // The call goes on when its caller gives up, as it does on the network.
-        let handled = tokio::spawn(self.handle(method, path, body)).await;
+        let size = request_size(&method, &path, "", &HeaderMap::new(), body.len());
+        let handled = tokio::spawn(self.handle(method, path, body, size)).await;
         let Some(response) = handled.ok().flatten() else {
             return Err(PlatformError::NoAnswer {
                 reason: "the connection was closed".to_owned(),
             });
         };
-        let status = response.status().as_u16();
-        let Ok(body) = response.into_body().collect().await;
+        let (parts, body) = response.into_parts();
+        let Ok(body) = body.collect().await;
         let body = body.to_bytes();
-        Ok(PlatformReply { status, body })
+        Ok(PlatformReply {
+            status: parts.status.as_u16(),
+            size: response_size(parts.status, &parts.headers, body.len()),
+            body,
+        })
     }
 
     async fn answer(self, request: Request<Incoming>) -> Answer {
@@ -213,15 +219,18 @@
         if uri.starts_with("/dev/") {
             return Some(self.control(&parts.method, &uri, &body));
         }
-        let handled = tokio::spawn(self.handle(parts.method, uri, body));
+        // The request names its host itself.
+        let size = request_size(&parts.method, &uri, "", &parts.headers, body.len());
+        let handled = tokio::spawn(self.handle(parts.method, uri, body, size));
         handled.await.ok().flatten()
     }
 
-    async fn handle(self, method: Method, uri: String, body: Bytes) -> Answer {
+    /// Handles a call whose message has `size` bytes.
+    async fn handle(self, method: Method, uri: String, body: Bytes, size: usize) -> Answer {
         let class = CallClass::new(&method, &uri);
         let faults = {
             let mut state = self.state.lock();
-            state.load.counters.bytes += body.len() as u64;
+            state.load.counters.bytes += size as u64;
             if !state.load.count(class.load, Instant::now()) {
                 return Some(plain(StatusCode::TOO_MANY_REQUESTS, Bytes::new()));
             }
@@ -241,6 +250,10 @@
             sleep(Duration::from_millis(faults.delay_ms)).await;
         }
         let response = self.take_effect(&method, &uri, &body);
+        let body = response.body().size_hint().exact().unwrap_or_default();
+        let body = usize::try_from(body).unwrap_or(usize::MAX);
+        let size = response_size(response.status(), response.headers(), body);
+        self.state.lock().load.counters.bytes += size as u64;
         (!faults.lose_answer).then_some(response)
     }
 
@@ -252,11 +265,7 @@
             };
             return plain(code, Bytes::new());
         }
-        let mut state = self.state.lock();
-        let response = state.call(method, uri, body);
-        let size = response.body().size_hint().exact().unwrap_or_default();
-        state.load.counters.bytes += size;
-        response
+        self.state.lock().call(method, uri, body)
     }
 
     fn announce(&self, event: InstanceEvent) {
--- a/crates/standin/src/platform/store_load.rs
+++ b/crates/standin/src/platform/store_load.rs
@@ -24,7 +24,7 @@
     pub peak_object_writes: u64,
     /// Calls refused beyond the rate limits.
     pub refused: u64,
-    /// Body bytes of calls and answers.
+    /// Bytes of calls and answers, with the heads of the messages.
     pub bytes: u64,
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod admin;
 pub mod codec;
 pub mod header;
+pub mod message_size;
 pub mod peer;
