--- a/crates/core/src/scheduler/job_scheduler.rs
+++ b/crates/core/src/scheduler/job_scheduler.rs
@@ -6,13 +6,13 @@
 use slotmap::SlotMap;
 
 use super::fleet_index::FleetIndex;
-use super::job_record::{AttemptRecord, JobRecord};
-use super::{AttemptKey, JobKey, PoolIndex, SchedulerAction, SchedulerPolicy};
+use super::job_record::AttemptRecord;
+use super::{AttemptKey, JobTable, PoolIndex, SchedulerAction, SchedulerPolicy};
 use crate::exchange::{AgedPoint, HeardTable, UsageTable};
 use crate::fleet::FleetState;
 use crate::ids::{Generation, InstanceName, SessionId};
 use crate::ledger::{LoanBook, ResourceKey};
-use crate::queue::{FlowRecord, TimerQueue};
+use crate::queue::{FlowRecord, TimerQueue, decay_with_half_life};
 use crate::retry::RetryBudget;
 use crate::time::TimePoint;
 
@@ -27,7 +27,7 @@
     pub(super) policy: SchedulerPolicy,
     pub(super) rng: Pcg64Mcg,
     pub(super) fleet: FleetIndex,
-    pub(super) jobs: SlotMap<JobKey, JobRecord>,
+    pub(super) jobs: JobTable,
     pub(super) attempts: SlotMap<AttemptKey, AttemptRecord>,
     /// Attempts that hold units.
     pub(super) holding: usize,
@@ -45,7 +45,6 @@
     pub(super) usage: UsageTable,
     /// Point at which the usage of the peers was last added up.
     pub(super) usage_at: TimePoint,
-    pub(super) summary_version: u64,
     pub(super) summary_at: Option<TimePoint>,
     pub(super) retry: RetryBudget,
     pub(super) evidence: Option<AgedPoint>,
@@ -68,12 +67,13 @@
     /// Creates a scheduler without fleet state, for the session and with a seed for its choices.
     #[must_use]
     pub fn new(session: SessionId, policy: SchedulerPolicy, seed: u64) -> Self {
+        let decay_s = decay_with_half_life(policy.share_half_life);
         Self {
             session,
             policy,
             rng: Pcg64Mcg::seed_from_u64(seed),
             fleet: FleetIndex::default(),
-            jobs: SlotMap::with_key(),
+            jobs: JobTable::default(),
             attempts: SlotMap::with_key(),
             holding: 0,
             against: BTreeSet::new(),
@@ -84,9 +84,8 @@
             book: LoanBook::default(),
             pending: BTreeSet::new(),
             heard: HeardTable::default(),
-            usage: UsageTable::default(),
+            usage: UsageTable::new(decay_s),
             usage_at: TimePoint::ORIGIN,
-            summary_version: 0,
             summary_at: None,
             retry: RetryBudget::new(),
             evidence: None,
@@ -112,10 +111,18 @@
             .fleet
             .applied
             .is_none_or(|applied| state.generation > applied);
+        let settled_before = self.fleet.settled;
         self.note_settled(settled, now);
         if newer {
             self.update_fleet(state, now);
         }
+        if self.fleet.settled >= self.fleet.generation() {
+            self.fleet.unsettled_since = None;
+        } else if self.fleet.settled > settled_before {
+            self.fleet.unsettled_since = Some(now);
+        } else {
+            self.fleet.unsettled_since.get_or_insert(now);
+        }
     }
 
     /// Highest generation that nothing running at this entry instance contradicts.
@@ -193,6 +200,19 @@
         self.holding
     }
 
+    /// Number of jobs that are queued or whose attempt has neither an outcome nor, when nobody
+    /// waits for it, a confirmed end.
+    #[must_use]
+    pub fn open_jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Records of jobs read or changed so far: the cost of calls in steps, on any machine.
+    #[must_use]
+    pub fn job_accesses(&self) -> u64 {
+        self.jobs.accesses()
+    }
+
     /// Retries spent so far, by reason.
     #[must_use]
     pub const fn retries(&self) -> &RetryBudget {
--- a/crates/core/tests/ledger_regressions.rs
+++ b/crates/core/tests/ledger_regressions.rs
@@ -102,6 +102,32 @@
     world.recover();
 }
 
+/// Guards against units that are lost, or used twice, when an entry instance outside the view dies
+/// with a task on borrowed units.
+#[test]
+fn outside_borrower_runs() {
+    let mut world = world();
+    set_view(&mut world, &[2]);
+    world.apply_all();
+    world.settle();
+    world.apply_all();
+    submit(&mut world, 0, "one", 1);
+    for _ in 0..3 {
+        world.exchange(0, 1, true, true);
+    }
+    assert_eq!((world.tasks.len(), world.tasks[0].node), (1, 0));
+    world.kill(0);
+    world.kill(2);
+    // The lender fills the fleet while the task of the dead entry instance may still run.
+    for _ in 0..10 {
+        submit(&mut world, 1, "one", 1);
+        submit(&mut world, 1, "two", 1);
+    }
+    let team = TeamName::new("one");
+    assert_eq!(world.running(&team), 10, "nine and the borrowed permit");
+    world.recover();
+}
+
 /// Guards against a settlement that waits for ever: void borrowed units were kept as long as the
 /// borrower had a loan of its own to a dead peer.
 #[test]
@@ -128,3 +154,36 @@
     world.kill(1);
     world.recover();
 }
+
+/// Guards against settling that waits for ever for a lender that left out generations: it does not
+/// know whether they allow its loan, and the borrower keeps the loan as long as it has work.
+#[test]
+fn jump_with_loan() {
+    let mut world = world();
+    let keep_busy = |world: &mut World| {
+        for place in 0..world.tasks.len() {
+            world.finish(place, AttemptOutcome::Answered);
+        }
+        while world.nodes[0].jobs.len() < 12 {
+            submit(world, 0, "one", 1);
+        }
+        world.run_quietly(Duration::from_millis(100));
+    };
+    for _ in 0..30 {
+        keep_busy(&mut world);
+    }
+    let lent = world.running(&TeamName::new("one"));
+    assert!(lent > 4, "{lent} of 10 permits in use at one of three");
+    for share in [2, 3] {
+        let team = TeamRecord { share, limit: 5 };
+        let name = TeamName::new("three");
+        world.change(FleetChange::PutTeam { name, team });
+    }
+    world.jump(1);
+    world.jump(2);
+    for _ in 0..200 {
+        keep_busy(&mut world);
+    }
+    assert_eq!(world.settled, world.newest());
+    world.recover();
+}
