Build the malformed message of version_and_size with the present version

The test had the version 1 written out. With version 2 it got 426 with code 1030, which is right for version 1, instead of 400 with code 1001. The message now starts with MESSAGE_VERSION; the expected answers are the same.

--- a/crates/daemon/tests/peer_calls.rs
+++ b/crates/daemon/tests/peer_calls.rs
@@ -52,7 +52,9 @@
     assert_eq!(answer.exchange.from, cluster.entries[0].session());
     let (status, code, _) = send(&cluster, encoded(MESSAGE_VERSION + 1)).await;
     assert_eq!((status, code.as_deref()), (426, Some("1030")));
-    let (status, code, _) = send(&cluster, vec![0, 1, 0xc1]).await;
+    let mut malformed = MESSAGE_VERSION.to_be_bytes().to_vec();
+    malformed.push(0xc1);
+    let (status, code, _) = send(&cluster, malformed).await;
     assert_eq!((status, code.as_deref()), (400, Some("1001")));
     let (status, _, _) = send(&cluster, vec![0; MAX_MESSAGE_BYTES + 1]).await;
     assert_eq!(status, 413);
