--- a/crates/core/src/scheduler/borrowing.rs
+++ b/crates/core/src/scheduler/borrowing.rs
@@ -1,4 +1,3 @@
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::team_entry::TeamEntry;
@@ -20,9 +19,6 @@
 /// have ended.
 const UNSETTLED_LIMIT: Duration = Duration::from_secs(5);
 
-/// Longest pause between two requests for extra exchanges, in revisions, while no peer lends.
-const MAX_ASK_PAUSE: u32 = 16;
-
 /// Time for which a team counts as short of permits after a job had to wait for one. A permit that
 /// comes free unblocks the team until the next dispatch, and an exchange in between must still ask.
 const SHORT_FOR: Duration = Duration::from_millis(500);
@@ -172,7 +168,7 @@
     }
 
     /// Permits that are missing for the queued jobs of a team.
-    fn missing_permits(&self, team: &TeamEntry, now: TimePoint) -> u32 {
+    pub(super) fn missing_permits(&self, team: &TeamEntry, now: TimePoint) -> u32 {
         let is_short = team.short_at.is_some_and(|at| now.since(at) < SHORT_FOR);
         if !is_short || team.account.is_frozen() {
             return 0;
@@ -268,57 +264,4 @@
             units: slots - own,
         })
     }
-
-    /// Wants an exchange with the next possible lender in turn when units are missing. The pauses
-    /// grow while no peer lends, so that a full fleet does not spend its control bytes on requests.
-    pub(super) fn ask_peers(&mut self, now: TimePoint) {
-        let lenders = if self.closing {
-            BTreeSet::new()
-        } else {
-            self.lenders(now)
-        };
-        if lenders.is_empty() {
-            self.ask_pause = 0;
-            self.ask_wait = 0;
-            return;
-        }
-        if self.ask_wait > 0 {
-            self.ask_wait -= 1;
-            return;
-        }
-        let next = lenders
-            .iter()
-            .find(|session| self.last_asked.is_none_or(|last| **session > last))
-            .or_else(|| lenders.first());
-        if let Some(peer) = next.copied() {
-            self.last_asked = Some(peer);
-            self.wanted.insert(peer);
-            self.ask_pause = (self.ask_pause * 2).clamp(1, MAX_ASK_PAUSE);
-            self.ask_wait = self.ask_pause - 1;
-        }
-    }
-
-    /// Peers that own units which are missing here. A peer without such units could not lend any,
-    /// and with the growing pauses a job could reach its deadline before an owner is asked.
-    fn lenders(&self, now: TimePoint) -> BTreeSet<SessionId> {
-        let mut lenders = BTreeSet::new();
-        let mut teams = self.fleet.teams.iter();
-        if teams.any(|team| self.missing_permits(team, now) > 0) {
-            lenders.extend(self.fleet.view.sessions.iter().copied());
-        }
-        for (position, entry) in self.fleet.pools.iter().enumerate() {
-            if self.missing_slots(PoolIndex::with_position(position)) > 0 {
-                let records = entry.workers.iter();
-                let records = records.map(|worker| &self.fleet.workers[worker.at()]);
-                let active = records.filter(|record| record.active);
-                lenders.extend(active.flat_map(|record| record.owners.iter().flatten()));
-            }
-            if let Some((worker, _)) = entry.reserved {
-                let record = &self.fleet.workers[worker.at()];
-                lenders.extend(record.owners.iter().flatten());
-            }
-        }
-        lenders.remove(&self.session);
-        lenders
-    }
 }
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -1,6 +1,7 @@
 //! Placement of jobs at one entry instance: admission, queues, units and worker choice.
 
 mod admission;
+mod asking;
 mod attempt_outcome;
 mod borrowing;
 mod dispatching;
