--- a/crates/core/src/exchange/own_usage.rs
+++ b/crates/core/src/exchange/own_usage.rs
@@ -13,7 +13,7 @@
 
 /// Deviation of the usage that is not told to peers: slot seconds, and a part of the usage. Shares
 /// are to be met within 5%, and with a part of 0.04 they were not after a surge.
-const TOLERATED_USAGE: (f64, f64) = (0.1, 0.02);
+const TOLERATED_USAGE: (f64, f64) = (0.2, 0.02);
 
 /// Deviation of the rate and of the backlog that is not told to peers: a number, and a part. They
 /// decide how a team's due is divided among the entry instances, not how much it gets.
@@ -68,15 +68,15 @@
         let least = least_usage(readings);
         let age = own.made.age(now);
         let mut news = Vec::new();
-        for (reading, rate) in readings.iter().zip(&self.rates) {
+        for ((slot, reading), rate) in (0..).zip(readings).zip(&self.rates) {
             let entry = if reading.usage < least {
-                UsageEntry::new(reading.pair, 0.0, 0.0, 0)
+                UsageEntry::new(slot, 0.0, 0.0, 0)
             } else {
-                UsageEntry::new(reading.pair, reading.usage, rate.rate, reading.queued)
+                UsageEntry::new(slot, reading.usage, rate.rate, reading.queued)
             };
-            let told = own.entries.get(&reading.pair);
+            let told = own.entries.get(&slot);
             if is_news(&entry, told, own.decay_s, age) {
-                news.push(entry);
+                news.push((entry, reading.pair));
             }
         }
         if news.is_empty() && (own.is_empty() || age < RENEW_AFTER) {
@@ -84,8 +84,9 @@
         }
         let version = own.version + 1;
         own.advance(version, AgedPoint::new(Duration::ZERO, now), now);
-        for entry in &news {
-            own.put(entry);
+        own.prune();
+        for (entry, pair) in &news {
+            own.put(entry, Some(*pair));
         }
     }
 
