Tell peers of usage that deviates by 0.1 slot seconds

Cause: with a tolerated deviation of 0.2 slot seconds and 2% the shares held with the seed of the golden report, with which the tolerance had been chosen, but not with others. The deviations of several entry instances add up, and a part of the usage grows with the team.

Change: 0.1 slot seconds and no part of the usage.

Test: cli measure::share_other_seeds (seeds 2 and 8; the full runs with these seeds missed the targets before).

Conclusion: nearness to share goes before the bytes. What the exchange costs has to be saved elsewhere, for instance on the heads of its messages.

--- a/crates/cli/tests/measure.rs
+++ b/crates/cli/tests/measure.rs
@@ -106,7 +106,18 @@
 /// not back within 3 s after a surge.
 #[test]
 fn near_share() {
-    for user in &REPORT.users {
+    check_shares(&REPORT);
+}
+
+/// Guards against shares that are met with the seed of the golden report only.
+#[test]
+fn share_other_seeds() {
+    check_shares(&measure(MeasuredUser::Consorcio, 2));
+    check_shares(&measure(MeasuredUser::Trust, 8));
+}
+
+fn check_shares(report: &MeasureReport) {
+    for user in &report.users {
         let share = &user.share;
         assert!(size(share.steady.as_ref()) <= 0.05, "{share:?}");
         assert!(size(share.after_surge.as_ref()) <= 0.05, "{share:?}");
--- a/crates/core/src/exchange/own_usage.rs
+++ b/crates/core/src/exchange/own_usage.rs
@@ -11,9 +11,9 @@
 /// Most entries of a summary; the flows with the most usage go first.
 const MAX_SUMMARY: usize = 300;
 
-/// Deviation of the usage that is not told to peers: slot seconds, and a part of the usage. Shares
-/// are to be met within 5%, and with a part of 0.04 they were not after a surge.
-const TOLERATED_USAGE: (f64, f64) = (0.2, 0.02);
+/// Deviation of the usage that is not told to peers: slot seconds, and a part of the usage. A part
+/// of 0.02 was not enough for shares within 5%: the deviations of several entry instances add up.
+const TOLERATED_USAGE: (f64, f64) = (0.1, 0.0);
 
 /// Deviation of the rate and of the backlog that is not told to peers: a number, and a part. They
 /// decide how a team's due is divided among the entry instances, not how much it gets.
