Read the session rows in one place

The controller, the status page and the peer loop each had the same scan of the session rows with a limit of their own; session::session_rows serves all three. Behaviour is the same.

Run: clippy, core exchanging, and the daemon's large_answers, peer_calls, controller, settling, membership, change_in_force, store_faults and keys_and_pauses; all pass.

--- a/crates/daemon/src/admin/admin_service.rs
+++ b/crates/daemon/src/admin/admin_service.rs
@@ -16,9 +16,10 @@
 
 use super::change_append::append;
 use super::operator_check::is_operator;
-use super::status_report::{session_rows, status};
+use super::status_report::status;
 use crate::clock::day_time;
 use crate::entry_context::EntryContext;
+use crate::session::session_rows;
 
 /// Largest body of an operator's request, in bytes. A sheet of the target size has about 5 MB.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
@@ -138,7 +139,7 @@
         let generation = generation.parse().map(Generation).map_err(|_error| {
             AdminRefusal::new(ResultCode::BadRequest, "the generation is not a number")
         })?;
-        let sessions = session_rows(&self.context).await;
+        let sessions = session_rows(&self.context.client).await;
         let sessions = sessions.map_err(|error| AdminRefusal::store(&error))?;
         let view = &self.context.keeper.state().view;
         let mut outstanding: Vec<CompactString> = sessions
--- a/crates/daemon/src/admin/status_report.rs
+++ b/crates/daemon/src/admin/status_report.rs
@@ -5,27 +5,15 @@
 use sesamedeal_core::fleet::{FleetState, MemberStep, WaveStatus};
 use sesamedeal_core::ids::PoolName;
 use sesamedeal_core::membership::{SessionRecord, SessionState};
-use sesamedeal_platform::Result;
-use sesamedeal_platform::rows::SESSION_PREFIX;
 use sesamedeal_wire::admin::{InstanceStatus, PoolStatus, SessionStatus, StatusReply};
 
 use crate::entry_context::EntryContext;
-
-/// Most session rows read at once.
-const MAX_SESSIONS: usize = 1_000;
-
-/// Reads the rows of all sessions.
-pub(super) async fn session_rows(context: &EntryContext) -> Result<Vec<SessionRecord>> {
-    let rows = context
-        .client
-        .scan_rows::<SessionRecord>(SESSION_PREFIX, None, MAX_SESSIONS);
-    Ok(rows.await?.into_iter().map(|(_, row)| row.value).collect())
-}
+use crate::session::session_rows;
 
 /// Status of this entry instance and of the fleet as far as it knows. Without the table service
 /// the sessions are left out.
 pub(super) async fn status(context: &EntryContext) -> StatusReply {
-    let sessions = session_rows(context).await.unwrap_or_default();
+    let sessions = session_rows(&context.client).await.unwrap_or_default();
     let state = context.keeper.state();
     let age = context.gate.age();
     StatusReply {
--- a/crates/daemon/src/control/session_cache.rs
+++ b/crates/daemon/src/control/session_cache.rs
@@ -4,11 +4,10 @@
 use sesamedeal_core::ids::{Generation, SessionId};
 use sesamedeal_core::membership::{SessionRecord, SessionState};
 use sesamedeal_core::time::TimePoint;
-use sesamedeal_platform::rows::{SESSION_PREFIX, session_key};
+use sesamedeal_platform::rows::session_key;
 use sesamedeal_platform::{PlatformClient, Result};
 
-/// Most session rows read at once.
-const MAX_SESSIONS: usize = 1_000;
+use crate::session::session_rows;
 
 /// Most session rows asked for by key at once. It bounds what a poll costs while many entry
 /// instances have not quiesced; all of them have to, so that the order does not matter.
@@ -102,12 +101,8 @@
     }
 
     async fn scan(&mut self, client: &PlatformClient, now: TimePoint) -> Result<()> {
-        let rows = client.scan_rows::<SessionRecord>(SESSION_PREFIX, None, MAX_SESSIONS);
-        self.rows = rows
-            .await?
-            .into_iter()
-            .map(|(_, row)| (row.value.session, row.value))
-            .collect();
+        let rows = session_rows(client).await?;
+        self.rows = rows.into_iter().map(|row| (row.session, row)).collect();
         self.scanned_at = Some(now);
         Ok(())
     }
--- a/crates/daemon/src/peer/peer_loop.rs
+++ b/crates/daemon/src/peer/peer_loop.rs
@@ -4,9 +4,8 @@
 use sesamedeal_core::exchange::ExchangeMessage;
 use sesamedeal_core::fleet::SessionView;
 use sesamedeal_core::ids::SessionId;
-use sesamedeal_core::membership::{SessionRecord, SessionState};
+use sesamedeal_core::membership::SessionState;
 use sesamedeal_core::time::TimePoint;
-use sesamedeal_platform::rows::SESSION_PREFIX;
 use sesamedeal_wire::peer::PeerMessage;
 use slog::debug;
 use tokio::sync::mpsc;
@@ -15,6 +14,7 @@
 use super::PeerClient;
 use crate::dispatch::{BuildExchange, TakeExchange};
 use crate::entry_context::EntryContext;
+use crate::session::session_rows;
 
 /// Most exchanges under way at once.
 const MAX_CALLS: usize = 16;
@@ -24,9 +24,6 @@
 /// for three exchanges before work that needs a key depends on the news.
 const RELAY_SHARE: f64 = 0.35;
 
-/// Most session rows read at once; the agreed state has at most as many sessions.
-const MAX_SESSIONS: usize = 1_000;
-
 /// Exchanges messages with one peer after the other, and with those that the scheduler names.
 #[derive(Debug)]
 pub(crate) struct PeerLoop {
@@ -76,16 +73,12 @@
         if read_view.as_ref() == Some(&state.view) && peers.covers(&state.view) {
             return;
         }
-        let rows =
-            self.context
-                .client
-                .scan_rows::<SessionRecord>(SESSION_PREFIX, None, MAX_SESSIONS);
-        let Ok(rows) = rows.await else {
+        let Ok(rows) = session_rows(&self.context.client).await else {
             return;
         };
-        for (_, row) in rows {
-            if row.value.state != SessionState::Left {
-                peers.note(row.value.session, &row.value.address);
+        for row in rows {
+            if row.state != SessionState::Left {
+                peers.note(row.session, &row.address);
             }
         }
         peers.trim(&state.view);
--- a/crates/daemon/tests/large_answers.rs
+++ b/crates/daemon/tests/large_answers.rs
@@ -24,10 +24,9 @@
     pages * 4096
 }
 
-/// Guards against an answer that is kept in memory as a whole.
-#[tokio::test]
-async fn bounded_memory() {
-    let backend = RawBackend::start(|request| {
+/// A backend server that answers with all blocks.
+async fn block_backend() -> RawBackend {
+    RawBackend::start(|request| {
         let head = request.answer_head("200 OK", BLOCK * BLOCKS);
         Reaction::Repeat(
             format!("{head}\r\n").into_bytes(),
@@ -35,7 +34,13 @@
             BLOCKS,
         )
     })
-    .await;
+    .await
+}
+
+/// Guards against an answer that is kept in memory as a whole.
+#[tokio::test]
+async fn bounded_memory() {
+    let backend = block_backend().await;
     let fleet = TestFleet::start(&[backend.address]).await;
     let entry = fleet.entry().await;
     let mut stream = open(entry.address(), &job_request("swap", &[], "scan")).await;
@@ -121,15 +126,7 @@
 /// Guards against units that stay in use when a caller leaves in the middle of its answer.
 #[tokio::test]
 async fn caller_leaves() {
-    let backend = RawBackend::start(|request| {
-        let head = request.answer_head("200 OK", BLOCK * BLOCKS);
-        Reaction::Repeat(
-            format!("{head}\r\n").into_bytes(),
-            vec![b'x'; BLOCK],
-            BLOCKS,
-        )
-    })
-    .await;
+    let backend = block_backend().await;
     let fleet = TestFleet::start(&[backend.address]).await;
     let entry = fleet.entry().await;
     let mut stream = open(entry.address(), &job_request("swap", &[], "scan")).await;
