--- a/crates/cli/benches/control_cost.rs
+++ b/crates/cli/benches/control_cost.rs
@@ -10,7 +10,7 @@
 use sesamedeal_core::ids::{
     Generation, ImageName, InstanceName, OperationId, PoolName, RackName, SessionId, ZoneName,
 };
-use sesamedeal_platform::protocol::{InstanceList, ListedState, PlatformInstance};
+use sesamedeal_store::protocol::{InstanceList, ListedState, PlatformInstance};
 use sesamedeal_wire::codec::encode;
 
 /// Instances and pools.
--- a/crates/cli/src/commands/dev.rs
+++ b/crates/cli/src/commands/dev.rs
@@ -2,11 +2,11 @@
 
 use compact_str::format_compact;
 use sesamedeal_core::ids::{ImageName, InstanceName, RackName, ZoneName};
-use sesamedeal_platform::protocol::{ListedState, PlatformInstance};
 use sesamedeal_standin::platform::{PlatformControl, PlatformFaults};
 use sesamedeal_standin::{
     BackendOptions, ControlClient, PlatformOptions, run_backend, run_platform,
 };
+use sesamedeal_store::protocol::{ListedState, PlatformInstance};
 
 use crate::args::{BackendArgs, DevArgs, DevCommand, FaultsArgs, ListEntryArgs, PlatformArgs};
 use crate::error::{CliError, Result};
--- a/crates/cli/src/demo/demo_fleet.rs
+++ b/crates/cli/src/demo/demo_fleet.rs
@@ -5,11 +5,11 @@
 use sesamedeal_core::ids::{Generation, OperationId, PoolName, ZoneName};
 use sesamedeal_core::sheet::ParsedSheet;
 use sesamedeal_daemon::{DaemonSettings, EntryInstance, LogLevel};
-use sesamedeal_platform::protocol::PlatformInstance;
-use sesamedeal_platform::{ChangeLog, PlatformClient, PlatformSettings};
 use sesamedeal_standin::ServerHandle;
 use sesamedeal_standin::backend::{BackendFleet, FleetSettings};
 use sesamedeal_standin::platform::PlatformStandin;
+use sesamedeal_store::protocol::PlatformInstance;
+use sesamedeal_store::{ChangeLog, PlatformClient, PlatformSettings};
 use tokio::time::{Instant, sleep};
 
 use crate::args::OperatorArgs;
--- a/crates/cli/src/measure/request_fleet.rs
+++ b/crates/cli/src/measure/request_fleet.rs
@@ -9,10 +9,10 @@
     ZoneName,
 };
 use sesamedeal_daemon::{DaemonSettings, EntryInstance, LogLevel};
-use sesamedeal_platform::protocol::{ListedState, PlatformInstance};
-use sesamedeal_platform::{ChangeLog, PlatformClient, PlatformSettings};
 use sesamedeal_standin::ServerHandle;
 use sesamedeal_standin::platform::PlatformStandin;
+use sesamedeal_store::protocol::{ListedState, PlatformInstance};
+use sesamedeal_store::{ChangeLog, PlatformClient, PlatformSettings};
 
 use crate::error::{CliError, Result};
 
--- /dev/null
+++ b/crates/core/src/jobs/dispatch_policy.rs
@@ -0,0 +1,49 @@
+use std::time::Duration;
+
+/// Times and thresholds of the dispatcher.
+#[derive(Debug, Clone)]
+pub struct DispatchPolicy {
+    /// Length of the lease that each call to a worker extends.
+    pub lease: Duration,
+    /// Share by which a worker's clock may be slow.
+    pub clock_slowness: f64,
+    /// Time after which a stop without a listed end is sent again.
+    pub stop_repeat: Duration,
+    /// Time that a worker is left out after it refused a start or failed several tasks.
+    pub avoid: Duration,
+    /// Consecutive failures of tasks of different jobs after which a worker is left out.
+    pub failure_limit: u32,
+    /// Time between two starts of a lasting task that keeps failing.
+    pub restart_pause: Duration,
+    /// Times the estimate that a task may make no progress before it is moved.
+    pub stall_factor: f64,
+    /// Least time without progress before a task is moved.
+    pub stall_floor: Duration,
+    /// Difference that a scheduled start may lie before its time; 0 to start in time or later.
+    pub early_start: Duration,
+    /// Time that a planned stop counts as missing until the task is at work again.
+    pub missing_notice: Duration,
+    /// Least time between two pace orders for one task.
+    pub pace_period: Duration,
+    /// Time that a final record is kept.
+    pub keep_ended: Duration,
+}
+
+impl Default for DispatchPolicy {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_millis(4_800),
+            clock_slowness: 0.02,
+            stop_repeat: Duration::from_millis(1_200),
+            avoid: Duration::from_secs(4),
+            failure_limit: 3,
+            restart_pause: Duration::from_millis(300),
+            stall_factor: 2.5,
+            stall_floor: Duration::from_millis(1_800),
+            early_start: Duration::ZERO,
+            missing_notice: Duration::from_millis(4_500),
+            pace_period: Duration::from_millis(400),
+            keep_ended: Duration::from_secs(240),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/jobs/dispatcher/ends.rs
@@ -0,0 +1,109 @@
+//! Ends of runs, and what follows from them.
+
+use super::JobDispatcher;
+use crate::jobs::{EndKind, JobPhase, RunEnd, TaskName, WorkerKey};
+use crate::time::TimePoint;
+
+impl JobDispatcher {
+    pub(super) fn note_end(&mut self, key: WorkerKey, end: &RunEnd, now: TimePoint) {
+        let entry = &mut self.workers[key];
+        entry.processed_end = entry.processed_end.max(end.number);
+        self.release(end.task, end.run, key);
+        let Some(task) = self.task_mut(end.task) else {
+            return;
+        };
+        task.last_run = task.last_run.max(end.run);
+        if !end.saved.is_empty() {
+            task.saved.clone_from(&end.saved);
+        }
+        match end.kind {
+            EndKind::Done => self.note_done(key, end.task),
+            EndKind::Failed => self.note_failed(key, end, now),
+            EndKind::Lapsed | EndKind::Broken | EndKind::Alone | EndKind::Stopped => {
+                self.pause_restart(end.task, now);
+            }
+        }
+    }
+
+    fn note_done(&mut self, key: WorkerKey, name: TaskName) {
+        self.workers[key].health.note_done();
+        let Some(job) = self.jobs.get_mut(&name.step.job) else {
+            return;
+        };
+        let number = usize::from(name.step.step);
+        let is_gang = job.order.steps[number].is_gang;
+        let Some(step) = job.step_mut(name.step.occurrence, name.step.step) else {
+            return;
+        };
+        for (index, task) in step.tasks.iter_mut().enumerate() {
+            let is_meant = is_gang || index == usize::from(name.index);
+            if !is_meant || task.is_done {
+                continue;
+            }
+            task.is_done = true;
+            step.undone -= 1;
+            for run in &mut task.runs {
+                // The other members of a gang end by themselves.
+                if !is_gang {
+                    run.request_stop();
+                }
+            }
+        }
+        self.dirty.insert(name.step.job);
+        if !job.phase.is_final() && job.is_done() {
+            job.phase = JobPhase::Finished;
+        }
+    }
+
+    fn note_failed(&mut self, key: WorkerKey, end: &RunEnd, now: TimePoint) {
+        let (limit, avoid) = (self.policy.failure_limit, self.policy.avoid);
+        let health = &mut self.workers[key].health;
+        if health.note_failure(end.task.step.job, limit) {
+            health.avoid(now, avoid);
+        }
+        let id = end.task.step.job;
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let spec = &job.order.steps[usize::from(end.task.step.step)];
+        if spec.is_lasting {
+            self.pause_restart(end.task, now);
+            return;
+        }
+        let is_gang = spec.is_gang;
+        let rule = self.rules.queues.get(&job.order.queue);
+        let attempts = rule.map_or(u32::MAX, |rule| rule.attempts);
+        let is_final = job.phase.is_final();
+        let first = if is_gang {
+            end.task.step.task(0)
+        } else {
+            end.task
+        };
+        let Some(task) = self.task_mut(first) else {
+            return;
+        };
+        if task.is_done || task.failed_runs.contains(&end.run) {
+            return;
+        }
+        task.failed_runs.push(end.run);
+        let failures = u32::try_from(task.failed_runs.len()).unwrap_or(u32::MAX);
+        self.dirty.insert(id);
+        if failures >= attempts && !is_final {
+            self.end_job(id, JobPhase::Failed);
+        }
+    }
+
+    /// Delays the next start of a lasting task, which would else fail in a tight loop.
+    pub(super) fn pause_restart(&mut self, name: TaskName, now: TimePoint) {
+        let pause = self.policy.restart_pause;
+        let job = self.jobs.get(&name.step.job);
+        let is_lasting =
+            job.is_some_and(|job| job.order.steps[usize::from(name.step.step)].is_lasting);
+        if let Some(task) = self.task_mut(name)
+            && is_lasting
+        {
+            task.not_before = now.after(pause);
+            task.at_work = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/jobs/dispatcher/holds.rs
@@ -0,0 +1,136 @@
+//! What workers list as running and ended.
+
+use super::JobDispatcher;
+use crate::jobs::run_entry::{RunEntry, RunState};
+use crate::jobs::{HoldReport, RunReport, WorkerKey, WorkerOrder};
+use crate::time::TimePoint;
+
+/// Most ends in one answer of a worker; with as many, further runs may have ended.
+const FULL_LIST: usize = 500;
+
+impl JobDispatcher {
+    /// Notes that a call which extends the worker's lease is about to be sent.
+    pub fn note_extension(&mut self, key: WorkerKey, now: TimePoint) {
+        let lease = self.policy.lease.mul_f64(1.0 + self.policy.clock_slowness);
+        if let Some(entry) = self.workers.get_mut(key) {
+            entry.lease_end = entry.lease_end.max(now.after(lease));
+        }
+    }
+
+    /// Takes the lists of a worker.
+    pub fn note_hold(&mut self, key: WorkerKey, report: &HoldReport, now: TimePoint) {
+        let Some(entry) = self.workers.get_mut(key) else {
+            return;
+        };
+        if entry.boot.is_some_and(|boot| boot != report.boot) {
+            self.forget_boot(key, now);
+        }
+        let entry = &mut self.workers[key];
+        entry.boot = Some(report.boot);
+        entry.held = entry.held.max(Some(report.sent));
+        let seen = entry.processed_end;
+        for end in report.ended.iter().filter(|end| end.number > seen) {
+            self.note_end(key, end, now);
+        }
+        for run in &report.running {
+            self.note_running(key, run, now);
+        }
+        if report.ended.len() < FULL_LIST {
+            self.settle_absent(key, report, now);
+        }
+    }
+
+    fn note_running(&mut self, key: WorkerKey, report: &RunReport, now: TimePoint) {
+        let is_lasting = self.is_lasting(report);
+        let Some(task) = self.task_mut(report.task) else {
+            // The job has ended or never existed here.
+            let stop = WorkerOrder::Stop(key, report.task, report.run);
+            self.orders.push(stop);
+            return;
+        };
+        if !report.saved.is_empty() {
+            task.saved.clone_from(&report.saved);
+        }
+        if is_lasting && report.percent >= 100.0 {
+            task.at_work = Some(now);
+        }
+        let is_known = |entry: &RunEntry| entry.run == report.run && entry.worker == key;
+        if !task.runs.iter().any(is_known) {
+            self.adopt(key, report, now);
+        }
+        let Some(run) = self.run_mut(report.task, report.run, key) else {
+            return;
+        };
+        if matches!(run.state, RunState::Ordered | RunState::Doubtful { .. }) {
+            run.state = RunState::Running;
+            run.since = now;
+            run.progressed = now;
+        }
+        if (run.percent - report.percent).abs() > f64::EPSILON {
+            run.percent = report.percent;
+            run.progressed = now;
+        }
+        run.gauge = report.gauge;
+    }
+
+    /// Takes over a run that an earlier owner started.
+    fn adopt(&mut self, key: WorkerKey, report: &RunReport, now: TimePoint) {
+        let is_ended = self.jobs[&report.task.step.job].phase.is_final();
+        let is_spare = self.task(report.task).is_some_and(|task| {
+            let has_other = !task.runs.is_empty();
+            task.is_done || has_other
+        });
+        let mut run = RunEntry::new(key, report.run, now);
+        run.state = RunState::Running;
+        if is_ended || (is_spare && !self.allows_copies(report)) {
+            run.request_stop();
+        }
+        if let Some(task) = self.task_mut(report.task) {
+            task.last_run = task.last_run.max(report.run);
+            task.runs.push(run);
+        }
+        self.occupy(report.task, report.run, key);
+    }
+
+    /// Settles runs that a list requested after their start or stop was confirmed does not show.
+    fn settle_absent(&mut self, key: WorkerKey, report: &HoldReport, now: TimePoint) {
+        let runs: Vec<_> = self.workers[key].runs.keys().copied().collect();
+        for (task, run) in runs {
+            let mut listed = report.running.iter();
+            if listed.any(|entry| entry.task == task && entry.run == run) {
+                continue;
+            }
+            let Some(entry) = self.run_mut(task, run, key) else {
+                continue;
+            };
+            let is_gone = match entry.state {
+                RunState::Ordered => false,
+                RunState::Running => entry.since < report.sent,
+                RunState::Doubtful { since } => {
+                    if since < report.sent {
+                        entry.request_stop();
+                    }
+                    false
+                }
+                RunState::Stopping { confirmed, .. } => {
+                    confirmed.is_some_and(|confirmed| confirmed < report.sent)
+                }
+            };
+            if is_gone {
+                self.release(task, run, key);
+                self.pause_restart(task, now);
+            }
+        }
+    }
+
+    fn is_lasting(&self, report: &RunReport) -> bool {
+        let job = self.jobs.get(&report.task.step.job);
+        job.and_then(|job| job.order.steps.get(usize::from(report.task.step.step)))
+            .is_some_and(|step| step.is_lasting)
+    }
+
+    fn allows_copies(&self, report: &RunReport) -> bool {
+        let job = &self.jobs[&report.task.step.job];
+        job.order.steps[usize::from(report.task.step.step)].allows_copies
+    }
+}
--- /dev/null
+++ b/crates/core/src/jobs/dispatcher/records.rs
@@ -0,0 +1,92 @@
+//! Records for the store.
+
+use super::JobDispatcher;
+use crate::jobs::{JobId, JobRecord, WorkerKey};
+
+/// Records to store together, and the ends that may be acknowledged afterwards.
+#[derive(Debug, Default)]
+pub struct RecordBatch {
+    /// Jobs whose progress changed.
+    pub records: Vec<(JobId, JobRecord)>,
+    /// Highest end of each worker that these records cover.
+    pub ends: Vec<(WorkerKey, u64)>,
+}
+
+impl JobDispatcher {
+    /// Takes at most `limit` records that are not stored yet.
+    ///
+    /// Ends are acknowledged to workers only after all records that they changed are stored, since
+    /// a worker forgets an acknowledged end.
+    pub fn take_records(&mut self, limit: usize, unix_ms: u64) -> RecordBatch {
+        let ids: Vec<JobId> = self.dirty.iter().copied().take(limit).collect();
+        let mut batch = RecordBatch::default();
+        for id in ids {
+            self.dirty.remove(&id);
+            if let Some(job) = self.jobs.get_mut(&id) {
+                if job.phase.is_final() && job.ended_ms == 0 {
+                    job.ended_ms = unix_ms;
+                }
+                batch.records.push((id, job.record()));
+            }
+        }
+        if self.dirty.is_empty() {
+            let workers = self.workers.iter();
+            let open = workers.filter(|(_, entry)| entry.processed_end > entry.stored_end);
+            batch.ends = open
+                .map(|(key, entry)| (key, entry.processed_end))
+                .collect();
+        }
+        batch
+    }
+
+    /// Whether there is something to store or to acknowledge.
+    #[must_use]
+    pub fn has_records(&self) -> bool {
+        !self.dirty.is_empty()
+    }
+
+    /// Notes that a batch is stored. Jobs that have ended are forgotten once nothing of them runs.
+    pub fn note_stored(&mut self, batch: &RecordBatch) {
+        for &(key, end) in &batch.ends {
+            if let Some(entry) = self.workers.get_mut(key) {
+                // A worker that was started again counts its ends anew.
+                entry.stored_end = entry.stored_end.max(end.min(entry.processed_end));
+            }
+        }
+        for (id, record) in &batch.records {
+            if record.phase.is_final() {
+                self.forget_job(*id);
+            }
+        }
+    }
+
+    /// Puts the records of a batch that was not stored back.
+    pub fn return_records(&mut self, batch: &RecordBatch) {
+        self.dirty.extend(batch.records.iter().map(|(id, _)| *id));
+    }
+
+    /// Forgets a job that has ended and of which nothing runs; otherwise it is stored again when
+    /// its last run has gone.
+    fn forget_job(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let mut tasks = job
+            .occurrences
+            .iter()
+            .flat_map(|entry| entry.steps.iter().flat_map(|step| &step.tasks));
+        if tasks.all(|task| task.runs.is_empty()) && !self.dirty.contains(&id) {
+            self.jobs.remove(&id);
+            self.arrivals.remove(&id);
+        }
+    }
+
+    /// Forgets ended jobs whose last run has gone since their record was stored.
+    pub(super) fn forget_ended(&mut self) {
+        let ended = self.jobs.iter().filter(|(_, job)| job.ended_ms > 0);
+        let ended: Vec<JobId> = ended.map(|(id, _)| *id).collect();
+        for id in ended {
+            self.forget_job(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/jobs/dispatcher/relocation.rs
@@ -0,0 +1,103 @@
+//! Tasks that are moved away from workers that leave or go into maintenance.
+
+use super::JobDispatcher;
+use crate::ids::InstanceName;
+use crate::jobs::job_entry::JobEntry;
+use crate::jobs::run_entry::RunState;
+use crate::jobs::{StepName, TaskName, UpkeepChoice, WorkerKey, WorkerState};
+use crate::time::TimePoint;
+
+impl JobDispatcher {
+    /// Starts or ends the evacuation of a worker.
+    pub fn set_evacuating(&mut self, name: &InstanceName, is_evacuating: bool) {
+        if let Some(key) = self.worker_key(name) {
+            self.workers[key].is_evacuating = is_evacuating;
+        }
+    }
+
+    /// Whether nothing runs on a worker, nor may begin.
+    #[must_use]
+    pub fn is_empty(&self, name: &InstanceName) -> bool {
+        self.worker_key(name)
+            .is_none_or(|key| self.workers[key].runs.is_empty())
+    }
+
+    /// What speaks for taking a worker out for maintenance now.
+    #[must_use]
+    pub fn upkeep_choice(
+        &self,
+        name: &InstanceName,
+        instance: InstanceName,
+        now: TimePoint,
+    ) -> Option<UpkeepChoice> {
+        let key = self.worker_key(name)?;
+        let entry = &self.workers[key];
+        let mut runs = entry.runs.keys();
+        Some(UpkeepChoice {
+            instance,
+            is_evacuating: entry.is_evacuating,
+            is_blocked: runs.any(|(task, _)| !self.may_take_out(*task, now)),
+            cpu_in_use: entry.used.cpu_millis,
+        })
+    }
+
+    pub(super) fn relocate(&mut self, now: TimePoint) {
+        let leaving = self.workers.iter().filter(|(_, entry)| {
+            entry.is_evacuating || entry.report.state == WorkerState::Draining
+        });
+        let leaving: Vec<WorkerKey> = leaving.map(|(key, _)| key).collect();
+        for key in leaving {
+            let is_draining = self.workers[key].report.state == WorkerState::Draining;
+            let mut runs: Vec<_> = self.workers[key].runs.keys().copied().collect();
+            runs.sort_unstable();
+            for (name, run) in runs {
+                if self.is_to_move(name, is_draining, now)
+                    && let Some(entry) = self.run_mut(name, run, key)
+                    && entry.state == RunState::Running
+                {
+                    entry.request_stop();
+                }
+            }
+        }
+    }
+
+    /// Whether a task on a leaving worker is stopped. Short tasks without saved progress run out.
+    fn is_to_move(&self, name: TaskName, is_draining: bool, now: TimePoint) -> bool {
+        let Some(job) = self.jobs.get(&name.step.job) else {
+            return false;
+        };
+        let spec = &job.order.steps[usize::from(name.step.step)];
+        if spec.is_lasting {
+            return is_draining || self.may_take_out(name, now);
+        }
+        is_draining && spec.saves_progress
+    }
+
+    /// Whether the disruption budget of the task's step allows that the task is taken out.
+    fn may_take_out(&self, name: TaskName, now: TimePoint) -> bool {
+        let Some(job) = self.jobs.get(&name.step.job) else {
+            return true;
+        };
+        let spec = &job.order.steps[usize::from(name.step.step)];
+        let Some(budget) = spec.disruption_budget else {
+            return true;
+        };
+        self.missing(job, name.step, name.index, now) < usize::from(budget)
+    }
+
+    /// Tasks of a step, except for one, that are not at work or were taken out a short time ago.
+    fn missing(&self, job: &JobEntry, name: StepName, except: u16, _now: TimePoint) -> usize {
+        let Some(step) = job.step(name.occurrence, name.step) else {
+            return 0;
+        };
+        let tasks = step.tasks.iter().enumerate();
+        let missing = tasks.filter(|(index, task)| {
+            *index != usize::from(except)
+                && !task
+                    .runs
+                    .iter()
+                    .any(|run| run.state == RunState::Running && run.percent >= 100.0)
+        });
+        missing.count()
+    }
+}
--- /dev/null
+++ b/crates/core/src/jobs/dispatcher/runs.rs
@@ -0,0 +1,140 @@
+//! Runs that exist or may exist, and what they take.
+
+use super::JobDispatcher;
+use crate::jobs::job_entry::JobEntry;
+use crate::jobs::run_entry::{RunEntry, RunState};
+use crate::jobs::task_entry::TaskEntry;
+use crate::jobs::{StartOutcome, TaskName, WorkerKey};
+use crate::time::TimePoint;
+
+impl JobDispatcher {
+    /// Counts a run against its worker and its team.
+    pub(super) fn occupy(&mut self, task: TaskName, run: u64, key: WorkerKey) {
+        let Some(job) = self.jobs.get(&task.step.job) else {
+            return;
+        };
+        let spec = &job.order.steps[usize::from(task.step.step)];
+        let entry = &mut self.workers[key];
+        if entry.runs.insert((task, run), ()).is_some() {
+            return;
+        }
+        entry.used += spec.worker_amount();
+        if let Some(team) = &job.order.team {
+            *self.usage.entry(team.clone()).or_default() += spec.amount;
+        }
+    }
+
+    /// Removes a run, which no longer exists and never will.
+    pub(super) fn release(&mut self, task: TaskName, run: u64, key: WorkerKey) {
+        let Some(entry) = self.workers.get_mut(key) else {
+            return;
+        };
+        if entry.runs.remove(&(task, run)).is_none() {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        let spec = &job.order.steps[usize::from(task.step.step)];
+        entry.used -= spec.worker_amount();
+        if let Some(team) = &job.order.team
+            && let Some(usage) = self.usage.get_mut(team)
+        {
+            *usage -= spec.amount;
+        }
+        if let Some(task) = task_mut(job, task) {
+            task.runs
+                .retain(|entry| entry.run != run || entry.worker != key);
+        }
+    }
+
+    pub(super) fn task(&self, name: TaskName) -> Option<&TaskEntry> {
+        let job = self.jobs.get(&name.step.job)?;
+        let step = job.step(name.step.occurrence, name.step.step)?;
+        step.tasks.get(usize::from(name.index))
+    }
+
+    pub(super) fn task_mut(&mut self, name: TaskName) -> Option<&mut TaskEntry> {
+        task_mut(self.jobs.get_mut(&name.step.job)?, name)
+    }
+
+    pub(super) fn run_mut(
+        &mut self,
+        name: TaskName,
+        run: u64,
+        key: WorkerKey,
+    ) -> Option<&mut RunEntry> {
+        let task = self.task_mut(name)?;
+        let mut runs = task.runs.iter_mut();
+        runs.find(|entry| entry.run == run && entry.worker == key)
+    }
+
+    /// Takes the answer to a start order.
+    pub fn note_start(
+        &mut self,
+        key: WorkerKey,
+        task: TaskName,
+        run: u64,
+        outcome: StartOutcome,
+        now: TimePoint,
+    ) {
+        let avoid = self.policy.avoid;
+        match outcome {
+            StartOutcome::Started => {
+                if let Some(entry) = self.run_mut(task, run, key)
+                    && entry.state == RunState::Ordered
+                {
+                    entry.state = RunState::Running;
+                    entry.since = now;
+                    entry.progressed = now;
+                }
+            }
+            StartOutcome::Fenced | StartOutcome::Refused => self.release(task, run, key),
+            StartOutcome::Unavailable => {
+                self.release(task, run, key);
+                if let Some(worker) = self.workers.get_mut(key) {
+                    worker.health.avoid(now, avoid);
+                }
+            }
+            StartOutcome::Unknown => {
+                if let Some(entry) = self.run_mut(task, run, key)
+                    && entry.state == RunState::Ordered
+                {
+                    entry.state = RunState::Doubtful { since: now };
+                }
+            }
+        }
+    }
+
+    /// Takes the answer to a stop order. A stop without an answer is sent again later.
+    pub fn note_stop(&mut self, key: WorkerKey, task: TaskName, run: u64, now: TimePoint) {
+        if let Some(entry) = self.run_mut(task, run, key)
+            && let RunState::Stopping { confirmed, .. } = &mut entry.state
+        {
+            confirmed.get_or_insert(now);
+        }
+    }
+
+    /// Forgets what ran in an earlier boot of a worker, which has ended.
+    pub(super) fn forget_boot(&mut self, key: WorkerKey, now: TimePoint) {
+        self.release_all(key);
+        let entry = &mut self.workers[key];
+        entry.boot = None;
+        entry.held = None;
+        entry.processed_end = 0;
+        entry.stored_end = 0;
+        entry.lease_end = now;
+    }
+
+    pub(super) fn release_all(&mut self, key: WorkerKey) {
+        let runs: Vec<_> = self.workers[key].runs.keys().copied().collect();
+        for (task, run) in runs {
+            self.release(task, run, key);
+        }
+    }
+}
+
+pub(super) fn task_mut(job: &mut JobEntry, name: TaskName) -> Option<&mut TaskEntry> {
+    let step = job.step_mut(name.step.occurrence, name.step.step)?;
+    step.tasks.get_mut(usize::from(name.index))
+}
--- /dev/null
+++ b/crates/core/src/jobs/job_entry.rs
@@ -0,0 +1,204 @@
+use std::time::Duration;
+
+use super::task_entry::TaskEntry;
+use super::{JobId, JobOrder, JobPhase, JobRecord, ResourceAmount, StepRecord, StepSpec};
+
+/// Tasks of one step of one occurrence.
+#[derive(Debug, Clone)]
+pub(crate) struct StepEntry {
+    pub tasks: Vec<TaskEntry>,
+    pub undone: usize,
+}
+
+/// One occurrence of a job.
+#[derive(Debug, Clone)]
+pub(crate) struct OccurrenceEntry {
+    pub number: u32,
+    pub steps: Vec<StepEntry>,
+}
+
+/// A job that has not ended, or whose end is not stored yet.
+#[derive(Debug, Clone)]
+pub(crate) struct JobEntry {
+    pub id: JobId,
+    pub order: JobOrder,
+    pub phase: JobPhase,
+    pub ended_ms: u64,
+    pub is_cancelled: bool,
+    /// Whether an earlier owner may have started tasks of it.
+    pub is_inherited: bool,
+    pub occurrences: Vec<OccurrenceEntry>,
+    /// Number of the occurrence that is due next.
+    pub next_occurrence: u32,
+    /// Declared run time of the longest chain of steps.
+    pub chain: Duration,
+    /// Declared work of all tasks of an occurrence, in core milliseconds.
+    pub work: u64,
+}
+
+impl JobEntry {
+    pub(crate) fn new(id: JobId, order: JobOrder, record: JobRecord, is_inherited: bool) -> Self {
+        let chain = longest_chain(&order.steps);
+        let work = order.steps.iter().map(step_work).sum();
+        let mut entry = Self {
+            id,
+            order,
+            phase: record.phase,
+            ended_ms: record.ended_ms,
+            is_cancelled: false,
+            is_inherited,
+            occurrences: Vec::new(),
+            next_occurrence: 0,
+            chain,
+            work,
+        };
+        for step in record.steps {
+            entry.restore(&step);
+        }
+        entry
+    }
+
+    fn restore(&mut self, record: &StepRecord) {
+        while self.next_occurrence <= record.occurrence
+            && self.next_occurrence < self.order.occurrences()
+        {
+            self.open_occurrence();
+        }
+        let Some(step) = self.step_mut(record.occurrence, record.step) else {
+            return;
+        };
+        for (index, task) in step.tasks.iter_mut().enumerate() {
+            let word = record.done.get(index / 64).copied().unwrap_or(0);
+            if word >> (index % 64) & 1 == 1 && !task.is_done {
+                task.is_done = true;
+                step.undone -= 1;
+            }
+        }
+        for (index, runs) in &record.failed {
+            if let Some(task) = step.tasks.get_mut(usize::from(*index)) {
+                task.failed_runs.clone_from(runs);
+            }
+        }
+    }
+
+    /// Creates the tasks of the next occurrence.
+    pub(crate) fn open_occurrence(&mut self) {
+        let steps = self.order.steps.iter().map(|step| StepEntry {
+            tasks: vec![TaskEntry::default(); usize::from(step.count)],
+            undone: usize::from(step.count),
+        });
+        self.occurrences.push(OccurrenceEntry {
+            number: self.next_occurrence,
+            steps: steps.collect(),
+        });
+        self.next_occurrence += 1;
+    }
+
+    pub(crate) fn occurrence(&self, number: u32) -> Option<&OccurrenceEntry> {
+        self.occurrences.get(usize::try_from(number).ok()?)
+    }
+
+    pub(crate) fn step(&self, occurrence: u32, step: u16) -> Option<&StepEntry> {
+        self.occurrence(occurrence)?.steps.get(usize::from(step))
+    }
+
+    pub(crate) fn step_mut(&mut self, occurrence: u32, step: u16) -> Option<&mut StepEntry> {
+        let entry = self
+            .occurrences
+            .get_mut(usize::try_from(occurrence).ok()?)?;
+        entry.steps.get_mut(usize::from(step))
+    }
+
+    /// Whether all steps that `step` waits for are done.
+    pub(crate) fn is_step_open(&self, occurrence: u32, step: u16) -> bool {
+        let Some(entry) = self.occurrence(occurrence) else {
+            return false;
+        };
+        let spec = &self.order.steps[usize::from(step)];
+        spec.after.iter().all(|&earlier| {
+            entry
+                .steps
+                .get(usize::from(earlier))
+                .is_some_and(|step| step.undone == 0)
+        })
+    }
+
+    /// Whether every task of every occurrence is done.
+    pub(crate) fn is_done(&self) -> bool {
+        self.next_occurrence == self.order.occurrences()
+            && self
+                .occurrences
+                .iter()
+                .all(|entry| entry.steps.iter().all(|step| step.undone == 0))
+    }
+
+    /// Whether no task has started.
+    pub(crate) fn is_unstarted(&self) -> bool {
+        self.phase == JobPhase::Queued
+            && self.occurrences.iter().all(|entry| {
+                let mut tasks = entry.steps.iter().flat_map(|step| &step.tasks);
+                !tasks.any(TaskEntry::has_begun)
+            })
+    }
+
+    pub(crate) fn record(&self) -> JobRecord {
+        let steps = if self.phase.is_final() {
+            Vec::new()
+        } else {
+            self.step_records()
+        };
+        JobRecord {
+            phase: self.phase,
+            ended_ms: self.ended_ms,
+            steps,
+        }
+    }
+
+    fn step_records(&self) -> Vec<StepRecord> {
+        let mut records = Vec::new();
+        for occurrence in &self.occurrences {
+            for (number, step) in occurrence.steps.iter().enumerate() {
+                let mut record = StepRecord {
+                    occurrence: occurrence.number,
+                    step: u16::try_from(number).unwrap_or(u16::MAX),
+                    done: vec![0; step.tasks.len().div_ceil(64)],
+                    failed: Vec::new(),
+                };
+                for (index, task) in step.tasks.iter().enumerate() {
+                    record.done[index / 64] |= u64::from(task.is_done) << (index % 64);
+                    if !task.failed_runs.is_empty() {
+                        let index = u16::try_from(index).unwrap_or(u16::MAX);
+                        record.failed.push((index, task.failed_runs.clone()));
+                    }
+                }
+                if step.undone < step.tasks.len() || !record.failed.is_empty() {
+                    records.push(record);
+                }
+            }
+        }
+        records
+    }
+}
+
+fn step_work(step: &StepSpec) -> u64 {
+    let amount: ResourceAmount = step.amount;
+    let estimate = u64::try_from(step.estimate.as_millis()).unwrap_or(u64::MAX);
+    u64::from(step.count)
+        .saturating_mul(amount.cpu_millis)
+        .saturating_mul(estimate)
+        / 1_000
+}
+
+/// Declared run time of the longest chain of steps.
+fn longest_chain(steps: &[StepSpec]) -> Duration {
+    let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
+    for step in steps {
+        let begin = step
+            .after
+            .iter()
+            .filter_map(|&at| ends.get(usize::from(at)));
+        let begin = begin.max().copied().unwrap_or_default();
+        ends.push(begin + step.estimate);
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/core/src/jobs/mod.rs
@@ -0,0 +1,47 @@
+//! Stored jobs of steps and tasks: what they hold, when their tasks may run, and where.
+//!
+//! [`JobDispatcher`] composes the parts. It is driven by what the workers and the store report and
+//! returns orders for the workers and records for the store.
+
+mod dispatch_policy;
+mod dispatcher;
+mod fleet_rules;
+mod health_record;
+mod hold_report;
+mod job_entry;
+mod job_id;
+mod job_order;
+mod job_phase;
+mod job_record;
+mod job_sequence;
+mod pace_control;
+mod resource_amount;
+mod run_entry;
+mod step_spec;
+mod task_entry;
+mod task_name;
+mod upkeep_plan;
+mod worker_choice;
+mod worker_entry;
+mod worker_order;
+mod worker_report;
+
+pub use dispatch_policy::DispatchPolicy;
+pub use dispatcher::{JobDispatcher, RecordBatch};
+pub use fleet_rules::{FleetRules, PoolRule, QueueRule, TeamRule};
+pub use health_record::HealthRecord;
+pub use hold_report::{EndKind, HoldReport, RunEnd, RunReport};
+pub use job_id::JobId;
+pub use job_order::{JobOrder, JobSchedule};
+pub use job_phase::JobPhase;
+pub use job_record::{JobRecord, StepRecord};
+pub use job_sequence::{SequenceKey, UrgencyClass};
+pub use pace_control::pace_percent;
+pub use resource_amount::ResourceAmount;
+pub use step_spec::StepSpec;
+pub use task_name::{StepName, TaskName};
+pub use upkeep_plan::{MaintenanceWave, UpkeepChoice, next_upkeep};
+pub use worker_choice::{WorkerOffer, choose_worker};
+pub use worker_entry::WorkerKey;
+pub use worker_order::{StartOrder, StartOutcome, WorkerOrder};
+pub use worker_report::{WorkerReport, WorkerState};
--- /dev/null
+++ b/crates/core/src/jobs/task_name.rs
@@ -0,0 +1,67 @@
+use std::fmt;
+use std::str::FromStr;
+
+use super::JobId;
+
+/// A step of one occurrence of a job, as text `job.occurrence.step`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StepName {
+    /// The job.
+    pub job: JobId,
+    /// Number of the occurrence; 0 for a job that runs once.
+    pub occurrence: u32,
+    /// Number of the step within the job, from 0.
+    pub step: u16,
+}
+
+/// A task of a step, as text `job.occurrence.step.index`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskName {
+    /// The step.
+    pub step: StepName,
+    /// Number of the task within the step, from 0.
+    pub index: u16,
+}
+
+impl StepName {
+    /// Name of a task of this step.
+    #[must_use]
+    pub const fn task(self, index: u16) -> TaskName {
+        TaskName { step: self, index }
+    }
+}
+
+impl fmt::Display for StepName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.occurrence, self.step)
+    }
+}
+
+impl fmt::Display for TaskName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.step, self.index)
+    }
+}
+
+impl FromStr for TaskName {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        const PROBLEM: &str = "a task name is job.occurrence.step.index";
+        let mut parts = text.split('.');
+        let mut part = || parts.next().ok_or(PROBLEM);
+        let job = part()?.parse()?;
+        let occurrence = part()?.parse().map_err(|_error| PROBLEM)?;
+        let step = part()?.parse().map_err(|_error| PROBLEM)?;
+        let index = part()?.parse().map_err(|_error| PROBLEM)?;
+        if parts.next().is_some() {
+            return Err(PROBLEM);
+        }
+        let step = StepName {
+            job,
+            occurrence,
+            step,
+        };
+        Ok(step.task(index))
+    }
+}
--- /dev/null
+++ b/crates/core/src/jobs/worker_choice.rs
@@ -0,0 +1,52 @@
+//! Choice of the worker for a task.
+//!
+//! Load pattern: the turn of a surge, in which a pool is nearly full of tasks of several sizes.
+//! Large tasks take the fullest worker that has room, so that room for the next large task stays in
+//! one piece; small ones spread out, so that one bad worker holds few of them.
+
+use super::ResourceAmount;
+
+/// Share of a worker above which a task counts as large.
+const LARGE_SHARE: f64 = 0.25;
+
+/// A worker that may run a task.
+#[derive(Debug, Clone, Copy)]
+pub struct WorkerOffer<K> {
+    /// Its key.
+    pub key: K,
+    /// What it has left.
+    pub room: ResourceAmount,
+    /// What it has in all.
+    pub capacity: ResourceAmount,
+    /// Whether it is on the rack with the data, or on the rack of the step's other tasks.
+    pub is_near: bool,
+    /// Tasks of the same step that it runs.
+    pub same_step: u16,
+    /// Whether it is on trial after failures.
+    pub is_on_trial: bool,
+}
+
+/// Chooses among `offers`; none if no worker has room.
+pub fn choose_worker<K: Copy>(
+    amount: ResourceAmount,
+    offers: impl Iterator<Item = WorkerOffer<K>>,
+) -> Option<K> {
+    let fitting = offers.filter(|offer| amount.fits(offer.room));
+    let best = fitting.min_by(|one, other| {
+        let order = one.is_on_trial.cmp(&other.is_on_trial);
+        let order = order.then(other.is_near.cmp(&one.is_near));
+        order.then(cost(amount, one).total_cmp(&cost(amount, other)))
+    });
+    best.map(|offer| offer.key)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "amounts are far below 2^52")]
+fn cost<K>(amount: ResourceAmount, offer: &WorkerOffer<K>) -> f64 {
+    let capacity = offer.capacity.cpu_millis.max(1) as f64;
+    let free = offer.room.cpu_millis as f64 / capacity;
+    if amount.cpu_millis as f64 / capacity >= LARGE_SHARE {
+        free
+    } else {
+        f64::from(offer.same_step) - free
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod exchange;
 pub mod fleet;
 pub mod ids;
+pub mod jobs;
 pub mod keys;
 pub mod lease;
 pub mod ledger;
--- a/crates/daemon/src/admin/admin_service.rs
+++ b/crates/daemon/src/admin/admin_service.rs
@@ -9,7 +9,7 @@
 use sesamedeal_core::code::ResultCode;
 use sesamedeal_core::ids::Generation;
 use sesamedeal_core::membership::SessionState;
-use sesamedeal_platform::rows::SESSION_PREFIX;
+use sesamedeal_store::rows::SESSION_PREFIX;
 use sesamedeal_wire::admin::{AppendRequest, HistoryReply, InForceReply, PlanContext};
 use sesamedeal_wire::header;
 use slog::warn;
@@ -49,7 +49,7 @@
     }
 
     /// The table service did not answer, and nothing was changed.
-    pub(super) fn store(error: &sesamedeal_platform::PlatformError) -> Self {
+    pub(super) fn store(error: &sesamedeal_store::PlatformError) -> Self {
         Self::new(ResultCode::StoreUnavailable, error.to_string())
     }
 }
--- a/crates/daemon/src/admin/change_append.rs
+++ b/crates/daemon/src/admin/change_append.rs
@@ -4,7 +4,7 @@
 use sesamedeal_core::code::ResultCode;
 use sesamedeal_core::fleet::{ApplyError, ChangeRecord, FleetState};
 use sesamedeal_core::ids::{Generation, OperationId};
-use sesamedeal_platform::{AppendOutcome, PlatformError, WithdrawOutcome};
+use sesamedeal_store::{AppendOutcome, PlatformError, WithdrawOutcome};
 use sesamedeal_wire::admin::{AppendReply, AppendRequest};
 use slog::info;
 use tokio::time::{Instant, sleep};
--- a/crates/daemon/src/claims/claim_desk.rs
+++ b/crates/daemon/src/claims/claim_desk.rs
@@ -10,9 +10,9 @@
 use sesamedeal_core::ids::{OperationId, SessionId, TeamName};
 use sesamedeal_core::membership::{SessionRecord, SessionState};
 use sesamedeal_core::scheduler::JobRefusal;
-use sesamedeal_platform::protocol::WriteReply;
-use sesamedeal_platform::rows::session_key;
-use sesamedeal_platform::{PlatformClient, PlatformError};
+use sesamedeal_store::protocol::WriteReply;
+use sesamedeal_store::rows::session_key;
+use sesamedeal_store::{PlatformClient, PlatformError};
 
 use super::claim_rows::{ClaimRows, claim_key};
 use super::{ClaimStart, HeldClaim};
--- a/crates/daemon/src/claims/claim_rows.rs
+++ b/crates/daemon/src/claims/claim_rows.rs
@@ -3,8 +3,8 @@
 use rand::RngExt;
 use sesamedeal_core::claims::{ClaimRecord, ClaimWrite, WriteOutcome};
 use sesamedeal_core::ids::{OperationId, TeamName};
-use sesamedeal_platform::protocol::WriteReply;
-use sesamedeal_platform::{
+use sesamedeal_store::protocol::WriteReply;
+use sesamedeal_store::{
     PlatformClient, PlatformError, PutCondition, Result, TypedRow, WithdrawOutcome, backoff_delay,
 };
 use tokio::time::sleep;
--- a/crates/daemon/src/control/control_round.rs
+++ b/crates/daemon/src/control/control_round.rs
@@ -4,11 +4,11 @@
 use sesamedeal_core::ids::Generation;
 use sesamedeal_core::lease::{LeaseAction, LeaseRecord};
 use sesamedeal_core::time::TimePoint;
-use sesamedeal_platform::protocol::{RowCondition, TableRow, WriteReply, WriteRequest};
-use sesamedeal_platform::rows::{
+use sesamedeal_store::protocol::{RowCondition, TableRow, WriteReply, WriteRequest};
+use sesamedeal_store::rows::{
     CONTROLLER_LEASE, HEAD, HeadRecord, SETTLED, SettledRecord, change_key,
 };
-use sesamedeal_platform::{KEPT_RECORDS, MissingChanges, Result, row_put};
+use sesamedeal_store::{KEPT_RECORDS, MissingChanges, Result, row_put};
 use slog::{error, info, warn};
 
 use super::controller_actor::{ControllerActor, new_operation};
--- a/crates/daemon/src/control/control_upkeep.rs
+++ b/crates/daemon/src/control/control_upkeep.rs
@@ -4,9 +4,9 @@
 use sesamedeal_core::claims::ClaimRecord;
 use sesamedeal_core::control::{CleanupOrder, ControlStep};
 use sesamedeal_core::fleet::FleetState;
-use sesamedeal_platform::protocol::{RowCondition, WriteRequest};
-use sesamedeal_platform::rows::{CONTROLLER_LEASE, session_key};
-use sesamedeal_platform::{PlatformError, Result, TypedRow};
+use sesamedeal_store::protocol::{RowCondition, WriteRequest};
+use sesamedeal_store::rows::{CONTROLLER_LEASE, session_key};
+use sesamedeal_store::{PlatformError, Result, TypedRow};
 use slog::{info, warn};
 use tokio::time::timeout;
 
--- a/crates/daemon/src/control/controller_actor.rs
+++ b/crates/daemon/src/control/controller_actor.rs
@@ -8,9 +8,9 @@
 use sesamedeal_core::lease::{LeaseAction, LeaseCandidate, LeasePolicy, LeaseRecord};
 use sesamedeal_core::membership::{ListedInstance, MembershipPolicy, SessionState};
 use sesamedeal_core::time::TimePoint;
-use sesamedeal_platform::PutCondition;
-use sesamedeal_platform::protocol::WriteReply;
-use sesamedeal_platform::rows::CONTROLLER_LEASE;
+use sesamedeal_store::PutCondition;
+use sesamedeal_store::protocol::WriteReply;
+use sesamedeal_store::rows::CONTROLLER_LEASE;
 use slog::{info, warn};
 use xtra::{Actor, Context, Handler};
 
--- a/crates/daemon/src/control/platform_list.rs
+++ b/crates/daemon/src/control/platform_list.rs
@@ -1,5 +1,5 @@
 use sesamedeal_core::membership::{EntryRole, ListState, ListedInstance};
-use sesamedeal_platform::protocol::{InstanceList, ListedState};
+use sesamedeal_store::protocol::{InstanceList, ListedState};
 
 /// The platform's list as the decision library takes it.
 pub(super) fn listed(list: InstanceList) -> Vec<ListedInstance> {
--- a/crates/daemon/src/control/session_cache.rs
+++ b/crates/daemon/src/control/session_cache.rs
@@ -4,8 +4,8 @@
 use sesamedeal_core::ids::{Generation, SessionId};
 use sesamedeal_core::membership::{SessionRecord, SessionState};
 use sesamedeal_core::time::TimePoint;
-use sesamedeal_platform::rows::session_key;
-use sesamedeal_platform::{PlatformClient, Result};
+use sesamedeal_store::rows::session_key;
+use sesamedeal_store::{PlatformClient, Result};
 
 use crate::session::session_rows;
 
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -9,7 +9,7 @@
 use sesamedeal_core::fleet::FleetState;
 use sesamedeal_core::ids::{InstanceName, SessionId};
 use sesamedeal_core::membership::SessionState;
-use sesamedeal_platform::{ChangeLog, PlatformClient, PlatformSettings};
+use sesamedeal_store::{ChangeLog, PlatformClient, PlatformSettings};
 use slog::{info, o, warn};
 use snafu::ResultExt;
 use tokio::net::TcpListener;
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -62,6 +62,15 @@
         /// Error of the codec.
         source: sesamedeal_wire::codec::CodecError,
     },
+    /// No settings are given.
+    #[snafu(display("no settings: use --settings, or start the process on the platform"))]
+    NoSettings,
+    /// The entry instance cannot run on the users' platform.
+    #[snafu(display("{source}"))]
+    PlatformNode {
+        /// What is wrong.
+        source: sesamedeal_adapter::NodeError,
+    },
     /// Signals cannot be received.
     #[snafu(display("cannot receive signals: {source}"))]
     Signal {
--- a/crates/daemon/src/http/request_path.rs
+++ b/crates/daemon/src/http/request_path.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 use sesamedeal_core::ids::SessionId;
 use sesamedeal_core::scheduler::{JobScheduler, SchedulerPolicy};
-use sesamedeal_platform::PlatformClient;
+use sesamedeal_store::PlatformClient;
 use slog::{Logger, info};
 use tokio::sync::mpsc;
 use tokio::task::yield_now;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod logging;
 mod metrics;
 mod peer;
+mod platform_mode;
 mod session;
 mod settings;
 mod store;
@@ -23,6 +24,7 @@
 pub use control_traffic::ControlTraffic;
 pub use entry::EntryInstance;
 pub use error::{DaemonError, Result};
+pub use platform_mode::run_on_platform;
 pub use settings::{
     DaemonSettings, LogFormat, LogLevel, SETTINGS, SettingDefault, SettingKind, SettingProblem,
     SettingSpec,
--- a/crates/daemon/src/logging/log_setup.rs
+++ b/crates/daemon/src/logging/log_setup.rs
@@ -1,4 +1,4 @@
-use std::io::stderr;
+use std::io::stdout;
 
 use slog::{Drain, Level, LevelFilter, Logger, o};
 
@@ -11,11 +11,11 @@
 pub(crate) fn root_logger(level: LogLevel, format: LogFormat) -> Logger {
     match format {
         LogFormat::Json => {
-            let drain = slog_json::Json::new(stderr()).add_default_keys().build();
+            let drain = slog_json::Json::new(stdout()).add_default_keys().build();
             filtered(drain.fuse(), level)
         }
         LogFormat::Text => {
-            let decorator = slog_term::PlainDecorator::new(stderr());
+            let decorator = slog_term::PlainDecorator::new(stdout());
             let drain = slog_term::FullFormat::new(decorator).build();
             filtered(drain.fuse(), level)
         }
--- a/crates/daemon/src/logging/mod.rs
+++ b/crates/daemon/src/logging/mod.rs
@@ -1,4 +1,4 @@
-//! Structured logs on standard error.
+//! Structured logs on standard output.
 
 mod log_setup;
 
--- a/crates/daemon/src/session/session_rows.rs
+++ b/crates/daemon/src/session/session_rows.rs
@@ -1,6 +1,6 @@
 use sesamedeal_core::membership::SessionRecord;
-use sesamedeal_platform::rows::SESSION_PREFIX;
-use sesamedeal_platform::{PlatformClient, Result};
+use sesamedeal_store::rows::SESSION_PREFIX;
+use sesamedeal_store::{PlatformClient, Result};
 
 /// Most session rows read at once; the agreed state has at most as many sessions.
 const MAX_SESSIONS: usize = 1_000;
--- a/crates/daemon/src/session/session_writer.rs
+++ b/crates/daemon/src/session/session_writer.rs
@@ -5,9 +5,9 @@
 use sesamedeal_core::ids::{Generation, OperationId};
 use sesamedeal_core::membership::{SessionRecord, SessionState};
 use sesamedeal_core::time::TimePoint;
-use sesamedeal_platform::PutCondition;
-use sesamedeal_platform::protocol::WriteReply;
-use sesamedeal_platform::rows::session_key;
+use sesamedeal_store::PutCondition;
+use sesamedeal_store::protocol::WriteReply;
+use sesamedeal_store::rows::session_key;
 use slog::{info, warn};
 
 use crate::dispatch::ReadProgress;
--- a/crates/daemon/src/store/state_follower.rs
+++ b/crates/daemon/src/store/state_follower.rs
@@ -3,8 +3,8 @@
 
 use serde::de::DeserializeOwned;
 use sesamedeal_core::ids::Generation;
-use sesamedeal_platform::protocol::TableRow;
-use sesamedeal_platform::rows::{CONTROLLER_LEASE, HEAD, HeadRecord, SETTLED, SettledRecord};
+use sesamedeal_store::protocol::TableRow;
+use sesamedeal_store::rows::{CONTROLLER_LEASE, HEAD, HeadRecord, SETTLED, SettledRecord};
 use slog::{error, info, warn};
 
 use crate::entry_context::{EntryContext, LeaseSighting};
@@ -42,7 +42,7 @@
         }
     }
 
-    async fn follow(&self) -> sesamedeal_platform::Result<()> {
+    async fn follow(&self) -> sesamedeal_store::Result<()> {
         let context = &self.context;
         let sent = context.clock.now();
         let keys = [HEAD, SETTLED, CONTROLLER_LEASE];
@@ -56,7 +56,7 @@
         let missing = if head.generation > current {
             context.log.missing_after(current).await?
         } else {
-            sesamedeal_platform::MissingChanges::default()
+            sesamedeal_store::MissingChanges::default()
         };
         let advanced =
             context
--- a/crates/daemon/tests/claim_cleanup.rs
+++ b/crates/daemon/tests/claim_cleanup.rs
@@ -7,7 +7,7 @@
 use common::cluster::{TestCluster, wait_until};
 use sesamedeal_core::claims::{ClaimRecord, ClaimState, RecordedResponse, ResponseBody};
 use sesamedeal_core::ids::{OperationId, SessionId};
-use sesamedeal_platform::{PlatformClient, PlatformSettings, PutCondition};
+use sesamedeal_store::{PlatformClient, PlatformSettings, PutCondition};
 
 /// Seconds in an hour.
 const HOUR: u64 = 3_600;
--- a/crates/daemon/tests/common/cluster.rs
+++ b/crates/daemon/tests/common/cluster.rs
@@ -13,10 +13,10 @@
 };
 use sesamedeal_core::keys::{KeySecret, PresentedKey};
 use sesamedeal_daemon::{DaemonSettings, EntryInstance, LogLevel};
-use sesamedeal_platform::protocol::{ListedState, PlatformInstance};
 use sesamedeal_standin::ServerHandle;
 use sesamedeal_standin::backend::{BackendFleet, FleetSettings};
 use sesamedeal_standin::platform::PlatformStandin;
+use sesamedeal_store::protocol::{ListedState, PlatformInstance};
 use sesamedeal_wire::admin::HistoryReply;
 
 use super::PATIENCE;
--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -15,10 +15,10 @@
 };
 use sesamedeal_core::keys::{KeySecret, PresentedKey};
 use sesamedeal_daemon::{DaemonSettings, EntryInstance};
-use sesamedeal_platform::protocol::PlatformInstance;
-use sesamedeal_platform::{AppendOutcome, ChangeLog, PlatformClient, PlatformSettings};
 use sesamedeal_standin::ServerHandle;
 use sesamedeal_standin::platform::PlatformStandin;
+use sesamedeal_store::protocol::PlatformInstance;
+use sesamedeal_store::{AppendOutcome, ChangeLog, PlatformClient, PlatformSettings};
 
 use super::cluster::{listed_entry, loopback};
 use super::operator::TestClient;
--- a/crates/daemon/tests/log_length.rs
+++ b/crates/daemon/tests/log_length.rs
@@ -5,8 +5,8 @@
 use common::PATIENCE;
 use common::cluster::{TestCluster, put_team, wait_until};
 use sesamedeal_core::ids::OperationId;
-use sesamedeal_platform::rows::{HEAD, HeadRecord};
-use sesamedeal_platform::{AppendOutcome, ChangeLog, PlatformClient, PlatformSettings};
+use sesamedeal_store::rows::{HEAD, HeadRecord};
+use sesamedeal_store::{AppendOutcome, ChangeLog, PlatformClient, PlatformSettings};
 
 /// Guards against an entry instance that cannot start once old records are removed, and against
 /// a controller that writes no snapshots.
--- /dev/null
+++ b/crates/jobs/src/boot_clock.rs
@@ -0,0 +1,31 @@
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use rustix::time::{ClockId, clock_gettime};
+use sesamedeal_core::time::TimePoint;
+
+/// Clock that goes on while the machine is suspended.
+///
+/// The monotonic clock of the standard library stands still then, so that a lease would seem to
+/// last longer than it does.
+#[derive(Debug, Clone, Copy)]
+pub struct BootClock;
+
+impl BootClock {
+    /// Time since the machine was started, suspension included.
+    #[must_use]
+    pub fn now(self) -> TimePoint {
+        let time = clock_gettime(ClockId::Boottime);
+        let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+        let nanos = u32::try_from(time.tv_nsec).unwrap_or(0);
+        TimePoint::new(Duration::new(seconds, nanos))
+    }
+
+    /// Unix time in milliseconds.
+    #[must_use]
+    pub fn unix_ms(self) -> u64 {
+        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+        elapsed.map_or(0, |time| {
+            u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+        })
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/desk/job_desk.rs
@@ -0,0 +1,190 @@
+use std::time::Duration;
+
+use sesamedeal_core::ids::QueueName;
+use sesamedeal_core::jobs::{JobId, JobOrder, JobPhase, JobRecord};
+use sesamedeal_store::PlatformError;
+use slog::{Logger, info, warn};
+use tokio::time::{Instant, sleep};
+
+use super::{CancelOutcome, StatusOutcome, SubmitOutcome};
+use crate::job_metrics::JobMetrics;
+use crate::owner::PulseView;
+use crate::ports::{RowChange, RowCondition, RowName, RowPut, RowRange, StorePort, StoreTable};
+use crate::row_codec::{cancel_key, decode, encode, encode_job, job_key};
+
+/// Time after which a caller comes back when the store has turned a call away. Other entry
+/// instances may be served, so that a short pause is enough.
+const STORE_RETRY: Duration = Duration::from_secs(1);
+
+/// Pause before a call to the store is repeated.
+const REPEAT_PAUSE: Duration = Duration::from_millis(60);
+
+/// Repeats of a call that the store turned away, before the caller is refused.
+const MAX_REFUSALS: u32 = 2;
+
+/// Accepts, shows and cancels jobs through the store.
+#[derive(Debug, Clone)]
+pub struct JobDesk {
+    pub(crate) store: StorePort,
+    pub(crate) pulse: PulseView,
+    pub(crate) metrics: JobMetrics,
+    pub(crate) logger: Logger,
+}
+
+impl JobDesk {
+    /// Stores a job. The same id again is the same job.
+    ///
+    /// After a call without an answer the insertion is repeated until it is known to be stored; a
+    /// job whose fate is unknown at `deadline` must not be reported as refused.
+    pub async fn submit(&self, id: JobId, order: &JobOrder, deadline: Instant) -> SubmitOutcome {
+        let Some(value) = encode_job(order) else {
+            return SubmitOutcome::TooLarge;
+        };
+        let job = RowName::new(StoreTable::Job, job_key(id));
+        let state = RowName::new(StoreTable::State, job_key(id));
+        let change = RowChange {
+            conditions: [&job, &state].map(absent).into(),
+            puts: vec![put(&job, value), put(&state, encode(&JobRecord::new()))],
+            deletes: Vec::new(),
+        };
+        let (result, attempts) = self.insert(&change, deadline).await;
+        let outcome = match result {
+            Ok(()) => SubmitOutcome::Accepted,
+            Err(InsertFailure::NotDone) => SubmitOutcome::Refused {
+                retry_after: STORE_RETRY,
+            },
+            Err(InsertFailure::Unknown) => SubmitOutcome::Unknown,
+        };
+        self.metrics.count_submission(outcome);
+        info!(self.logger, "submission"; "job" => %id, "queue" => %order.queue, "attempts" => attempts, "outcome" => ?outcome);
+        outcome
+    }
+
+    async fn insert(
+        &self,
+        change: &RowChange,
+        deadline: Instant,
+    ) -> (Result<(), InsertFailure>, u32) {
+        let mut is_open = false;
+        let mut attempts = 0;
+        loop {
+            attempts += 1;
+            let refusal = match (self.store.transact)(change.clone()).await {
+                // A conflict means that the row is there already.
+                Ok(_) => return (Ok(()), attempts),
+                Err(PlatformError::NoAnswer { reason }) => {
+                    is_open = true;
+                    reason
+                }
+                Err(error) => error.to_string(),
+            };
+            let failure = if is_open {
+                InsertFailure::Unknown
+            } else {
+                InsertFailure::NotDone
+            };
+            let is_last = Instant::now() + REPEAT_PAUSE >= deadline;
+            if is_last || (!is_open && attempts > MAX_REFUSALS) {
+                warn!(self.logger, "store does not take a row"; "attempts" => attempts, "error" => refusal);
+                return (Err(failure), attempts);
+            }
+            sleep(REPEAT_PAUSE).await;
+        }
+    }
+
+    /// Reads where a job stands.
+    pub async fn status(&self, id: JobId, deadline: Instant) -> StatusOutcome {
+        let mut attempts = 0;
+        loop {
+            match self.read_state(id).await {
+                Ok(Some(phase)) => return StatusOutcome::Known(phase),
+                Ok(None) => {
+                    info!(self.logger, "status of an unknown job"; "job" => %id);
+                    return StatusOutcome::Missing;
+                }
+                Err(error) => {
+                    attempts += 1;
+                    if Instant::now() + REPEAT_PAUSE >= deadline || attempts > MAX_REFUSALS {
+                        warn!(self.logger, "status unavailable"; "job" => %id, "error" => %error);
+                        return StatusOutcome::Unavailable {
+                            retry_after: STORE_RETRY,
+                        };
+                    }
+                }
+            }
+            sleep(REPEAT_PAUSE).await;
+        }
+    }
+
+    async fn read_state(&self, id: JobId) -> Result<Option<JobPhase>, PlatformError> {
+        let key = job_key(id);
+        let range = RowRange {
+            table: StoreTable::State,
+            from: key.as_str().into(),
+            limit: Some(1),
+        };
+        let page = (self.store.read)(range).await?;
+        let row = page.rows.into_iter().find(|row| row.key == key);
+        row.map(|row| {
+            decode::<JobRecord>(&row.value)
+                .map(|record| record.phase)
+                .map_err(|error| PlatformError::NoAnswer {
+                    reason: format!("unusable state of job {id}: {error}"),
+                })
+        })
+        .transpose()
+    }
+
+    /// Stores the request to cancel a job.
+    pub async fn cancel(&self, id: JobId, deadline: Instant) -> CancelOutcome {
+        let outcome = match self.status(id, deadline).await {
+            StatusOutcome::Missing => CancelOutcome::Missing,
+            StatusOutcome::Unavailable { retry_after } => {
+                CancelOutcome::Unavailable { retry_after }
+            }
+            StatusOutcome::Known(phase) if phase.is_final() => CancelOutcome::Accepted,
+            StatusOutcome::Known(_) => {
+                let row = RowName::new(StoreTable::Job, cancel_key(id));
+                let change = RowChange {
+                    puts: vec![put(&row, bytes::Bytes::from_static(b"1"))],
+                    ..RowChange::default()
+                };
+                match self.insert(&change, deadline).await.0 {
+                    Ok(()) => CancelOutcome::Accepted,
+                    Err(InsertFailure::Unknown) => CancelOutcome::Unknown,
+                    Err(InsertFailure::NotDone) => CancelOutcome::Unavailable {
+                        retry_after: STORE_RETRY,
+                    },
+                }
+            }
+        };
+        info!(self.logger, "cancellation"; "job" => %id, "outcome" => ?outcome);
+        outcome
+    }
+
+    /// Jobs of a queue for which no task has started, as the owner published them last.
+    #[must_use]
+    pub fn pending(&self, queue: &QueueName) -> u64 {
+        self.pulse.pending(queue)
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum InsertFailure {
+    NotDone,
+    Unknown,
+}
+
+fn absent(row: &RowName) -> RowCondition {
+    RowCondition {
+        row: row.clone(),
+        version: 0,
+    }
+}
+
+fn put(row: &RowName, value: bytes::Bytes) -> RowPut {
+    RowPut {
+        row: row.clone(),
+        value,
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/feeds/table_follower.rs
@@ -0,0 +1,119 @@
+use std::time::Duration;
+
+use sesamedeal_store::{Result, backoff_delay};
+use slog::{Logger, info, warn};
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::ports::{FollowPage, FollowRequest, RowRange, StorePort, StoreRow, StoreTable};
+
+/// Longest time that the store waits for a change before it answers. A longer wait saves calls, a
+/// shorter one notices silent connections sooner.
+const FOLLOW_WAIT: Duration = Duration::from_millis(2_500);
+
+/// Longest pause after a failed call. Beliefs must be fresh about two seconds after an outage.
+const MAX_PAUSE: Duration = Duration::from_millis(400);
+
+/// What a follower learned.
+#[derive(Debug)]
+pub(crate) enum TableEvent {
+    /// The whole table.
+    Snapshot(Vec<StoreRow>),
+    /// Rows that have changed since.
+    Changes(Vec<StoreRow>),
+}
+
+/// Reads a table and then follows its changes.
+#[derive(Debug)]
+pub(crate) struct TableFollower {
+    pub store: StorePort,
+    pub table: StoreTable,
+    pub logger: Logger,
+}
+
+impl TableFollower {
+    /// Sends what it learns until the receiver is gone.
+    pub(crate) async fn run(self, events: mpsc::Sender<TableEvent>) {
+        let mut position = None;
+        let mut failures: u32 = 0;
+        while !events.is_closed() {
+            let result = match position {
+                None => self.read(&events).await,
+                Some(after) => self.follow(after, &events).await,
+            };
+            match result {
+                Ok(next) => {
+                    if failures > 0 {
+                        info!(self.logger, "store regained"; "table" => ?self.table, "failures" => failures);
+                        failures = 0;
+                    }
+                    if next.is_none() {
+                        warn!(self.logger, "history of the store is gone"; "table" => ?self.table, "after" => position);
+                    }
+                    position = next;
+                }
+                Err(error) => {
+                    if failures == 0 {
+                        warn!(self.logger, "store lost"; "table" => ?self.table, "after" => position, "error" => %error);
+                    }
+                    let delay = backoff_delay(failures, rand::random());
+                    sleep(delay.min(MAX_PAUSE)).await;
+                    failures += 1;
+                }
+            }
+        }
+    }
+
+    async fn read(&self, events: &mpsc::Sender<TableEvent>) -> Result<Option<u64>> {
+        let (rows, version) = read_table(&self.store, self.table).await?;
+        // A closed receiver ends the loop of the caller.
+        drop(events.send(TableEvent::Snapshot(rows)).await);
+        Ok(Some(version))
+    }
+
+    async fn follow(&self, after: u64, events: &mpsc::Sender<TableEvent>) -> Result<Option<u64>> {
+        let request = FollowRequest {
+            table: self.table,
+            after,
+            wait: FOLLOW_WAIT,
+        };
+        match (self.store.follow)(request).await? {
+            FollowPage::Changes { rows, version } => {
+                if !rows.is_empty() {
+                    drop(events.send(TableEvent::Changes(rows)).await);
+                }
+                Ok(Some(version.max(after)))
+            }
+            FollowPage::HistoryGone => Ok(None),
+        }
+    }
+}
+
+/// Reads a whole table; the version is that of the first page, so that changes made while the
+/// others were read are followed.
+pub(crate) async fn read_table(
+    store: &StorePort,
+    table: StoreTable,
+) -> Result<(Vec<StoreRow>, u64)> {
+    let mut rows: Vec<StoreRow> = Vec::new();
+    let mut version = None;
+    loop {
+        let from = rows.last().map(|row| {
+            let mut key = row.key.clone();
+            key.push('\0');
+            key
+        });
+        let range = RowRange {
+            table,
+            from: from.unwrap_or_default(),
+            limit: None,
+        };
+        let page = (store.read)(range).await?;
+        version.get_or_insert(page.version);
+        let is_end = !page.has_more || page.rows.is_empty();
+        rows.extend(page.rows);
+        if is_end {
+            return Ok((rows, version.unwrap_or_default()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/job_metrics.rs
@@ -0,0 +1,145 @@
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+use crate::SubmitOutcome;
+
+/// Bounds of the latency histograms, in seconds, around the objectives of 0.6 s and 2.5 s.
+const LATENCY_BOUNDS: [f64; 9] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.3, 0.6, 1.2, 2.5];
+
+/// Counters and histograms of stored jobs.
+#[derive(Debug, Clone)]
+pub struct JobMetrics {
+    registry: Registry,
+    submissions: IntCounterVec,
+    refusals: IntCounterVec,
+    starts: IntCounterVec,
+    ends: IntCounterVec,
+    store_failures: IntCounterVec,
+    requests: Histogram,
+    epoch: IntGauge,
+    open_jobs: IntGauge,
+}
+
+impl JobMetrics {
+    /// Registers the metrics.
+    #[must_use]
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, label: &str| {
+            let counter = IntCounterVec::new(Opts::new(name, help), &[label])
+                .expect("names of metrics are valid");
+            registry
+                .register(Box::new(counter.clone()))
+                .expect("names of metrics are used once");
+            counter
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("names of metrics are valid");
+            registry
+                .register(Box::new(gauge.clone()))
+                .expect("names of metrics are used once");
+            gauge
+        };
+        let options = HistogramOpts::new(
+            "sesamedeal_job_request_seconds",
+            "Time from the head of a request to its answer",
+        );
+        let requests = Histogram::with_opts(options.buckets(LATENCY_BOUNDS.to_vec()))
+            .expect("bounds of histograms are valid");
+        registry
+            .register(Box::new(requests.clone()))
+            .expect("names of metrics are used once");
+        Self {
+            submissions: counter(
+                "sesamedeal_job_submissions_total",
+                "Submitted jobs by outcome",
+                "outcome",
+            ),
+            refusals: counter(
+                "sesamedeal_job_refusals_total",
+                "Refused requests by reason",
+                "reason",
+            ),
+            starts: counter(
+                "sesamedeal_task_starts_total",
+                "Start orders by outcome",
+                "outcome",
+            ),
+            ends: counter("sesamedeal_task_ends_total", "Ended runs by kind", "kind"),
+            store_failures: counter(
+                "sesamedeal_job_store_failures_total",
+                "Failed writes of the owner by kind",
+                "kind",
+            ),
+            epoch: gauge(
+                "sesamedeal_owned_epoch",
+                "Ownership epoch of this entry instance; 0 if it owns nothing",
+            ),
+            open_jobs: gauge(
+                "sesamedeal_open_jobs",
+                "Jobs that have not ended, at the owner",
+            ),
+            requests,
+            registry,
+        }
+    }
+
+    pub(crate) fn count_submission(&self, outcome: SubmitOutcome) {
+        let label = match outcome {
+            SubmitOutcome::Accepted => "accepted",
+            SubmitOutcome::Refused { .. } => "refused",
+            SubmitOutcome::Unknown => "unknown",
+            SubmitOutcome::TooLarge => "too-large",
+        };
+        self.submissions.with_label_values(&[label]).inc();
+    }
+
+    /// Counts a refusal of a request.
+    pub fn count_refusal(&self, reason: &str) {
+        self.refusals.with_label_values(&[reason]).inc();
+    }
+
+    /// Notes the time of a request.
+    pub fn observe_request(&self, time: Duration) {
+        self.requests.observe(time.as_secs_f64());
+    }
+
+    pub(crate) fn count_start(&self, outcome: &str) {
+        self.starts.with_label_values(&[outcome]).inc();
+    }
+
+    pub(crate) fn count_end(&self, kind: &str) {
+        self.ends.with_label_values(&[kind]).inc();
+    }
+
+    pub(crate) fn count_store_failure(&self, kind: &str) {
+        self.store_failures.with_label_values(&[kind]).inc();
+    }
+
+    pub(crate) fn set_epoch(&self, epoch: u64) {
+        self.epoch.set(i64::try_from(epoch).unwrap_or(i64::MAX));
+    }
+
+    pub(crate) fn set_open_jobs(&self, jobs: usize) {
+        self.open_jobs.set(i64::try_from(jobs).unwrap_or(i64::MAX));
+    }
+
+    /// The metrics as text.
+    #[must_use]
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .expect("metrics are written to memory");
+        text
+    }
+}
+
+impl Default for JobMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/job_node.rs
@@ -0,0 +1,145 @@
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use sesamedeal_core::ids::{InstanceName, SessionId};
+use sesamedeal_core::jobs::DispatchPolicy;
+use slog::{Logger, o};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::feeds::IntentFollower;
+use crate::owner::{OwnerLoop, OwnerPolicy, PulseView};
+use crate::ports::{FleetPort, RowPort, StorePort, WorkerPort};
+use crate::{DeploymentView, JobDesk, JobMetrics};
+
+/// What a [`JobNode`] is built from.
+#[derive(Debug)]
+pub struct NodeParts {
+    /// Name of this entry instance.
+    pub node: InstanceName,
+    /// The store.
+    pub store: StorePort,
+    /// The workers.
+    pub workers: WorkerPort,
+    /// The inventory of instances.
+    pub fleet: FleetPort,
+    /// Formats of rows of other writers.
+    pub rows: RowPort,
+    /// Times of the owner.
+    pub policy: OwnerPolicy,
+    /// Times of the dispatcher.
+    pub dispatch: DispatchPolicy,
+    /// Logger of the process.
+    pub logger: Logger,
+}
+
+/// The part of an entry instance that handles stored jobs.
+#[derive(Debug)]
+pub struct JobNode {
+    view: DeploymentView,
+    desk: JobDesk,
+    metrics: JobMetrics,
+    version: watch::Receiver<u64>,
+    stopping: watch::Sender<bool>,
+    owner: JoinSet<()>,
+    followers: JoinSet<()>,
+}
+
+impl JobNode {
+    /// Starts following the store and competing for the ownership.
+    #[must_use]
+    pub fn start(parts: NodeParts) -> Self {
+        let session = SessionId(rand::random());
+        let logger = parts
+            .logger
+            .new(o!("node" => parts.node.to_string(), "session" => session.to_string()));
+        let view = DeploymentView::default();
+        let metrics = JobMetrics::new();
+        let pulse = PulseView::default();
+        let waves = Arc::new(ArcSwap::default());
+        let (version, versions) = watch::channel(0);
+        let (stopping, stopped) = watch::channel(false);
+        let desk = JobDesk {
+            store: parts.store.clone(),
+            pulse: pulse.clone(),
+            metrics: metrics.clone(),
+            logger: logger.clone(),
+        };
+        let mut followers = JoinSet::new();
+        let intents = IntentFollower {
+            store: parts.store.clone(),
+            rows: parts.rows,
+            view: view.clone(),
+            waves: Arc::clone(&waves),
+            version,
+            logger: logger.clone(),
+        };
+        followers.spawn(intents.run());
+        let mut owner = JoinSet::new();
+        let contender = OwnerLoop {
+            node: parts.node,
+            session,
+            policy: parts.policy,
+            dispatch: parts.dispatch,
+            store: parts.store,
+            workers: parts.workers,
+            fleet: parts.fleet,
+            rows: parts.rows,
+            view: view.clone(),
+            waves,
+            pulse,
+            metrics: metrics.clone(),
+            logger,
+            stopping: stopped,
+        };
+        owner.spawn(contender.run());
+        Self {
+            view,
+            desk,
+            metrics,
+            version: versions,
+            stopping,
+            owner,
+            followers,
+        }
+    }
+
+    /// The newest configuration.
+    #[must_use]
+    pub const fn view(&self) -> &DeploymentView {
+        &self.view
+    }
+
+    /// What callers ask for.
+    #[must_use]
+    pub const fn desk(&self) -> &JobDesk {
+        &self.desk
+    }
+
+    /// Counters and histograms.
+    #[must_use]
+    pub const fn metrics(&self) -> &JobMetrics {
+        &self.metrics
+    }
+
+    /// Version of the configuration in force, as it changes.
+    #[must_use]
+    pub fn versions(&self) -> watch::Receiver<u64> {
+        self.version.clone()
+    }
+
+    /// Hands the ownership over and stops competing for it.
+    pub async fn hand_over(&mut self) {
+        self.stopping.send_replace(true);
+        while let Some(result) = self.owner.join_next().await {
+            // A panic was reported by the runtime already.
+            drop(result);
+        }
+    }
+
+    /// Ends everything.
+    pub async fn stop(mut self) {
+        self.hand_over().await;
+        self.followers.shutdown().await;
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/lib.rs
@@ -0,0 +1,22 @@
+//! Runtime of stored jobs.
+//!
+//! Every entry instance accepts jobs into the store ([`JobDesk`]). One of them owns the pools: it
+//! places tasks at workers, keeps their leases and records their ends ([`OwnerLoop`]). What the
+//! runtime needs from outside is a few [`ports`].
+
+mod boot_clock;
+mod deployment;
+mod desk;
+mod feeds;
+mod job_metrics;
+mod job_node;
+mod owner;
+pub mod ports;
+mod row_codec;
+
+pub use boot_clock::BootClock;
+pub use deployment::{Deployment, DeploymentView, QueueRoute};
+pub use desk::{CancelOutcome, JobDesk, StatusOutcome, SubmitOutcome};
+pub use job_metrics::JobMetrics;
+pub use job_node::{JobNode, NodeParts};
+pub use owner::{OwnerLoop, OwnerPolicy};
--- /dev/null
+++ b/crates/jobs/src/owner/call_sender.rs
@@ -0,0 +1,121 @@
+use sesamedeal_core::jobs::{StartOutcome, WorkerKey};
+use sesamedeal_store::PlatformError;
+use slog::{Logger, debug, info, warn};
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+use xtra::Address;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::OwnerEvent;
+use super::owner_actor::OwnerActor;
+use crate::BootClock;
+use crate::ports::{HoldRequest, PaceRequest, StartRequest, StopRequest, WorkerPort};
+
+/// Sends calls to workers and reports their answers to the owner.
+#[derive(Debug, Clone)]
+pub(crate) struct CallSender {
+    pub workers: WorkerPort,
+    pub owner: Address<OwnerActor>,
+    pub order_deadline: Duration,
+    pub logger: Logger,
+}
+
+impl CallSender {
+    pub(crate) fn hold(&self, key: WorkerKey, link: u64, request: HoldRequest, limit: Duration) {
+        let sender = self.clone();
+        tokio::spawn(async move {
+            let sent = BootClock.now();
+            let answer = timeout(limit, (sender.workers.hold)(request)).await;
+            let outcome = answer.unwrap_or_else(|_elapsed| Err(no_answer()));
+            let event = OwnerEvent::Held {
+                key,
+                link,
+                sent,
+                outcome,
+            };
+            sender.report(event).await;
+        });
+    }
+
+    pub(crate) fn start(&self, key: WorkerKey, lanes: Arc<Semaphore>, request: StartRequest) {
+        let sender = self.clone();
+        tokio::spawn(async move {
+            let (task, run) = (request.order.task, request.order.run);
+            let worker = request.worker.name.clone();
+            let fence = request.fence;
+            let call = async {
+                let _lane = lanes.acquire().await;
+                (sender.workers.start)(request).await
+            };
+            let outcome = match timeout(sender.order_deadline, call).await {
+                Ok(Ok(outcome)) => outcome,
+                Ok(Err(PlatformError::NoAnswer { .. })) | Err(_) => StartOutcome::Unknown,
+                Ok(Err(error)) => {
+                    debug!(sender.logger, "worker not reached"; "worker" => %worker, "error" => %error);
+                    StartOutcome::Unavailable
+                }
+            };
+            if outcome == StartOutcome::Started {
+                info!(sender.logger, "start"; "task" => %task, "run" => run, "worker" => %worker, "epoch" => fence, "outcome" => ?outcome);
+            } else {
+                warn!(sender.logger, "start"; "task" => %task, "run" => run, "worker" => %worker, "epoch" => fence, "outcome" => ?outcome);
+            }
+            let event = OwnerEvent::Started {
+                key,
+                task,
+                run,
+                outcome,
+            };
+            sender.report(event).await;
+        });
+    }
+
+    pub(crate) fn stop(&self, key: WorkerKey, lanes: Arc<Semaphore>, request: StopRequest) {
+        let sender = self.clone();
+        tokio::spawn(async move {
+            let (task, run) = (request.task, request.run);
+            let worker = request.worker.name.clone();
+            let call = async {
+                let _lane = lanes.acquire().await;
+                (sender.workers.stop)(request).await
+            };
+            let answer = timeout(sender.order_deadline, call).await;
+            info!(sender.logger, "stop"; "task" => %task, "run" => run, "worker" => %worker, "answer" => ?answer);
+            if let Ok(Ok(accepted)) = answer {
+                let event = OwnerEvent::Stopped {
+                    key,
+                    task,
+                    run,
+                    accepted,
+                };
+                sender.report(event).await;
+            }
+        });
+    }
+
+    pub(crate) fn pace(&self, lanes: Arc<Semaphore>, request: PaceRequest) {
+        let sender = self.clone();
+        tokio::spawn(async move {
+            let (task, run, percent) = (request.run.task, request.run.run, request.percent);
+            let call = async {
+                let _lane = lanes.acquire().await;
+                (sender.workers.pace)(request).await
+            };
+            let answer = timeout(sender.order_deadline, call).await;
+            info!(sender.logger, "pace"; "task" => %task, "run" => run, "percent" => percent, "answer" => ?answer);
+        });
+    }
+
+    async fn report(&self, event: OwnerEvent) {
+        // The owner has gone when the ownership was lost; nobody needs the answer then.
+        drop(self.owner.send(event).await);
+    }
+}
+
+pub(crate) fn no_answer() -> PlatformError {
+    PlatformError::NoAnswer {
+        reason: "the deadline passed".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/owner/job_intake.rs
@@ -0,0 +1,75 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use sesamedeal_core::jobs::{JobDispatcher, JobId, JobOrder, JobRecord};
+use sesamedeal_core::time::TimePoint;
+use slog::{Logger, info, warn};
+
+use crate::BootClock;
+use crate::ports::StoreRow;
+use crate::row_codec::{JobKey, decode, parse_job_key};
+
+/// Longest age that is taken from the accepting entry instance, whose clock may be off.
+const MAX_AGE: Duration = Duration::from_secs(60);
+
+/// Takes rows of the table of jobs into the dispatcher.
+#[derive(Debug)]
+pub(crate) struct JobIntake {
+    /// Version of the epoch row. Earlier jobs may have been started by an earlier owner.
+    pub epoch_version: u64,
+    /// States that were read when the ownership was taken.
+    pub states: HashMap<JobId, JobRecord>,
+    /// Rows that wait for the next renewal.
+    pub waiting: Vec<StoreRow>,
+    pub logger: Logger,
+}
+
+impl JobIntake {
+    pub(crate) fn take(&mut self, rows: Vec<StoreRow>, dispatcher: &mut JobDispatcher) {
+        let mut cancelled = Vec::new();
+        for row in rows {
+            if row.is_deleted {
+                continue;
+            }
+            match parse_job_key(&row.key) {
+                Some(JobKey::Order(id)) => self.take_job(id, &row, dispatcher),
+                Some(JobKey::Cancel(id)) => cancelled.push(id),
+                None => {
+                    warn!(self.logger, "row left out"; "key" => %row.key, "row" => row.version);
+                }
+            }
+        }
+        for id in cancelled {
+            let is_open = dispatcher.cancel_job(id);
+            info!(self.logger, "job cancelled"; "job" => %id, "is_open" => is_open);
+        }
+    }
+
+    fn take_job(&mut self, id: JobId, row: &StoreRow, dispatcher: &mut JobDispatcher) {
+        let order: JobOrder = match decode(&row.value) {
+            Ok(order) => order,
+            Err(error) => {
+                warn!(self.logger, "row left out"; "job" => %id, "row" => row.version, "error" => %error);
+                return;
+            }
+        };
+        let record = self.states.remove(&id).unwrap_or_default();
+        let is_inherited = row.version <= self.epoch_version;
+        let arrived = if is_inherited {
+            arrival(order.accepted_ms)
+        } else {
+            BootClock.now()
+        };
+        let queue = order.queue.clone();
+        if dispatcher.add_job(id, order, record, is_inherited, arrived) {
+            info!(self.logger, "job taken"; "job" => %id, "queue" => %queue, "row" => row.version, "is_inherited" => is_inherited);
+        }
+    }
+}
+
+/// When a job was accepted, on the clock of this process.
+fn arrival(accepted_ms: u64) -> TimePoint {
+    let age = BootClock.unix_ms().saturating_sub(accepted_ms);
+    let age = Duration::from_millis(age).min(MAX_AGE);
+    TimePoint::new(BootClock.now().since_origin().saturating_sub(age))
+}
--- /dev/null
+++ b/crates/jobs/src/owner/mod.rs
@@ -0,0 +1,18 @@
+//! Ownership of the pools: who places tasks, keeps leases at workers and records ends.
+
+mod call_sender;
+mod job_intake;
+mod owner_actor;
+mod owner_event;
+mod owner_lease;
+mod owner_loop;
+mod owner_policy;
+mod pulse_view;
+mod record_writer;
+mod wave_keeper;
+mod worker_links;
+
+pub(crate) use owner_event::OwnerEvent;
+pub use owner_loop::OwnerLoop;
+pub use owner_policy::OwnerPolicy;
+pub(crate) use pulse_view::PulseView;
--- /dev/null
+++ b/crates/jobs/src/owner/owner_event.rs
@@ -0,0 +1,61 @@
+use sesamedeal_core::jobs::{RecordBatch, StartOutcome, TaskName, WorkerKey};
+use sesamedeal_core::time::TimePoint;
+use sesamedeal_store::Result;
+
+use crate::feeds::TableEvent;
+use crate::ports::{HoldOutcome, InstanceReport, OrderOutcome, TransactOutcome};
+
+/// What the owner reacts to.
+#[derive(Debug)]
+pub(crate) enum OwnerEvent {
+    /// A round of decisions is due.
+    Round,
+    /// The table of jobs changed.
+    Jobs(TableEvent),
+    /// The list of workers changed.
+    Workers(TableEvent),
+    /// A worker answered a call for its lists, or did not.
+    Held {
+        key: WorkerKey,
+        /// Generation of the link, so that answers of a replaced address do not count.
+        link: u64,
+        sent: TimePoint,
+        outcome: Result<HoldOutcome>,
+    },
+    /// A worker answered a start order.
+    Started {
+        key: WorkerKey,
+        task: TaskName,
+        run: u64,
+        outcome: StartOutcome,
+    },
+    /// A worker answered a stop order; false if it is fenced.
+    Stopped {
+        key: WorkerKey,
+        task: TaskName,
+        run: u64,
+        accepted: bool,
+    },
+    /// The store answered a write.
+    Written {
+        batch: RecordBatch,
+        sent: TimePoint,
+        outcome: Result<TransactOutcome>,
+    },
+    /// The inventory was read.
+    Inventory {
+        sent: TimePoint,
+        outcome: Result<Vec<InstanceReport>>,
+    },
+    /// The platform answered a maintenance order.
+    Maintained {
+        wave: u64,
+        instance: sesamedeal_core::ids::InstanceName,
+        outcome: Result<OrderOutcome>,
+    },
+    /// The store answered the write of a wave's status.
+    StatusWritten {
+        wave: u64,
+        outcome: Result<TransactOutcome>,
+    },
+}
--- /dev/null
+++ b/crates/jobs/src/owner/owner_lease.rs
@@ -0,0 +1,50 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use sesamedeal_core::time::TimePoint;
+
+use crate::BootClock;
+
+/// Ownership that this process holds, on the clock that counts suspension.
+#[derive(Debug, Clone)]
+pub(crate) struct OwnerLease {
+    pub epoch: u64,
+    /// Version of the epoch row, the condition of every write.
+    pub version: u64,
+    renewed_ms: Arc<AtomicU64>,
+    is_lost: Arc<AtomicBool>,
+}
+
+impl OwnerLease {
+    /// Begins at the time at which the taking write was sent.
+    pub(crate) fn new(epoch: u64, version: u64, sent: TimePoint) -> Self {
+        Self {
+            epoch,
+            version,
+            renewed_ms: Arc::new(AtomicU64::new(millis(sent))),
+            is_lost: Arc::default(),
+        }
+    }
+
+    /// Notes a write that was sent at `sent` and has taken effect under the epoch.
+    pub(crate) fn renew(&self, sent: TimePoint) {
+        self.renewed_ms.fetch_max(millis(sent), Ordering::AcqRel);
+    }
+
+    /// Gives the ownership up for good.
+    pub(crate) fn lose(&self) {
+        self.is_lost.store(true, Ordering::Release);
+    }
+
+    /// Whether the last renewal is younger than `limit` and nothing shows another owner.
+    pub(crate) fn is_younger(&self, limit: Duration) -> bool {
+        let renewed = self.renewed_ms.load(Ordering::Acquire);
+        let age = millis(BootClock.now()).saturating_sub(renewed);
+        !self.is_lost.load(Ordering::Acquire) && u128::from(age) < limit.as_millis()
+    }
+}
+
+fn millis(time: TimePoint) -> u64 {
+    u64::try_from(time.since_origin().as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/jobs/src/owner/owner_policy.rs
@@ -0,0 +1,53 @@
+use std::time::Duration;
+
+/// Times of the owner.
+#[derive(Debug, Clone)]
+pub struct OwnerPolicy {
+    /// Time without a renewal after which another entry instance takes the ownership.
+    pub expiry: Duration,
+    /// Time between two renewals.
+    pub renewal: Duration,
+    /// Time after the last renewal up to which tasks that are known are still run. A successor
+    /// waits this long, and a task lease more, for workers that it cannot reach.
+    pub extension: Duration,
+    /// Time between two rounds of decisions.
+    pub round: Duration,
+    /// Least time between two calls for the lists of a worker.
+    pub hold_gap: Duration,
+    /// Longest time that a worker with tasks waits for an end before it answers.
+    pub hold_wait: Duration,
+    /// Longest time that an idle worker waits.
+    pub idle_wait: Duration,
+    /// Time beyond the wait within which a worker has to answer.
+    pub hold_margin: Duration,
+    /// Time within which a worker answers an order.
+    pub order_deadline: Duration,
+    /// Least time between two writes of records.
+    pub record_gap: Duration,
+    /// Calls of orders to one worker at the same time.
+    pub order_lanes: usize,
+    /// Time between two looks at maintenance.
+    pub wave_round: Duration,
+    /// Time between two readings of the inventory while an instance is out.
+    pub inventory_period: Duration,
+}
+
+impl Default for OwnerPolicy {
+    fn default() -> Self {
+        Self {
+            expiry: Duration::from_millis(2_500),
+            renewal: Duration::from_millis(600),
+            extension: Duration::from_secs(8),
+            round: Duration::from_millis(25),
+            hold_gap: Duration::from_millis(100),
+            hold_wait: Duration::from_millis(800),
+            idle_wait: Duration::from_millis(1_900),
+            hold_margin: Duration::from_millis(900),
+            order_deadline: Duration::from_millis(900),
+            record_gap: Duration::from_millis(40),
+            order_lanes: 4,
+            wave_round: Duration::from_millis(200),
+            inventory_period: Duration::from_millis(500),
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/owner/pulse_view.rs
@@ -0,0 +1,26 @@
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use sesamedeal_core::ids::QueueName;
+
+use crate::row_codec::PulseRow;
+
+/// Newest sign of life of the owner.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct PulseView {
+    current: Arc<ArcSwap<Option<PulseRow>>>,
+}
+
+impl PulseView {
+    pub(crate) fn set(&self, row: PulseRow) {
+        self.current.store(Arc::new(Some(row)));
+    }
+
+    pub(crate) fn pending(&self, queue: &QueueName) -> u64 {
+        let current = self.current.load();
+        let rows = current.as_ref().as_ref().map(|row| &row.pending);
+        let mut rows = rows.into_iter().flatten();
+        rows.find(|(name, _)| name == queue)
+            .map_or(0, |(_, count)| *count)
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/owner/record_writer.rs
@@ -0,0 +1,107 @@
+use bytes::Bytes;
+use sesamedeal_core::jobs::RecordBatch;
+use sesamedeal_core::time::TimePoint;
+
+use super::owner_lease::OwnerLease;
+use crate::ports::{RowChange, RowCondition, RowName, RowPut, StoreRow, StoreTable};
+use crate::row_codec::{EPOCH_KEY, PULSE_KEY, PulseRow, SEQUENCE_KEY, cancel_key, encode, job_key};
+
+/// Jobs in one write: three rows each stay below the 100 entries that the store takes.
+pub(crate) const JOBS_PER_WRITE: usize = 28;
+
+/// State of the owner's writes, of which one is under way at a time.
+///
+/// Each write replaces the sequence row under the condition of its version. A write without an
+/// answer that is performed late then fails, because the next one has replaced the row.
+#[derive(Debug)]
+pub(crate) struct RecordWriter {
+    lease: OwnerLease,
+    sequence: u64,
+    pub is_writing: bool,
+    /// When the last write was sent.
+    pub sent: TimePoint,
+    /// When the last pulse was sent.
+    pub pulsed: TimePoint,
+    renewals: u64,
+    /// Rows that go with the next write.
+    pub extra: Vec<RowPut>,
+}
+
+impl RecordWriter {
+    /// `sequence` is the version of the sequence row; 0 if there is none.
+    pub(crate) const fn new(lease: OwnerLease, sequence: u64, now: TimePoint) -> Self {
+        Self {
+            lease,
+            sequence,
+            is_writing: false,
+            sent: now,
+            pulsed: TimePoint::ORIGIN,
+            renewals: 0,
+            extra: Vec::new(),
+        }
+    }
+
+    /// Builds the write of a batch, with a pulse if one is due.
+    pub(crate) fn change(&mut self, batch: &RecordBatch, pulse: Option<PulseRow>) -> RowChange {
+        let mut change = RowChange {
+            conditions: vec![
+                condition(StoreTable::Owner, EPOCH_KEY, self.lease.version),
+                condition(StoreTable::Writer, SEQUENCE_KEY, self.sequence),
+            ],
+            puts: vec![put(
+                RowName::new(StoreTable::Writer, SEQUENCE_KEY),
+                encode(&self.lease.epoch),
+            )],
+            deletes: Vec::new(),
+        };
+        if let Some(mut pulse) = pulse {
+            self.renewals += 1;
+            pulse.renewals = self.renewals;
+            let row = RowName::new(StoreTable::Owner, PULSE_KEY);
+            change.puts.push(put(row, encode(&pulse)));
+        }
+        for (id, record) in &batch.records {
+            let row = RowName::new(StoreTable::State, job_key(*id));
+            change.puts.push(put(row, encode(record)));
+            if record.phase.is_final() {
+                change
+                    .deletes
+                    .push(RowName::new(StoreTable::Job, job_key(*id)));
+                change
+                    .deletes
+                    .push(RowName::new(StoreTable::Job, cancel_key(*id)));
+            }
+        }
+        change.puts.extend(self.extra.iter().cloned());
+        change
+    }
+
+    /// Notes that a write has taken effect.
+    pub(crate) fn commit(&mut self, version: u64, sent: TimePoint) {
+        self.sequence = version;
+        self.extra.clear();
+        self.lease.renew(sent);
+    }
+
+    /// Takes the rows of a refused write; false if another entry instance owns the pools.
+    pub(crate) fn resume(&mut self, rows: &[(StoreTable, StoreRow)]) -> bool {
+        let version = |table: StoreTable, key: &str| {
+            let mut rows = rows.iter();
+            let row = rows.find(|(name, row)| *name == table && row.key == key);
+            row.map_or(0, |(_, row)| row.version)
+        };
+        self.sequence = version(StoreTable::Writer, SEQUENCE_KEY);
+        version(StoreTable::Owner, EPOCH_KEY) == self.lease.version
+    }
+}
+
+pub(crate) fn condition(table: StoreTable, key: &str, version: u64) -> RowCondition {
+    RowCondition {
+        row: RowName::new(table, key),
+        version,
+    }
+}
+
+pub(crate) const fn put(row: RowName, value: Bytes) -> RowPut {
+    RowPut { row, value }
+}
--- /dev/null
+++ b/crates/jobs/src/owner/wave_keeper.rs
@@ -0,0 +1,349 @@
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::Duration;
+
+use sesamedeal_core::ids::InstanceName;
+use sesamedeal_core::jobs::{MaintenanceWave, UpkeepChoice, next_upkeep};
+use sesamedeal_core::time::TimePoint;
+use sesamedeal_store::Result;
+use slog::{info, warn};
+
+use super::OwnerEvent;
+use super::owner_actor::OwnerActor;
+use super::record_writer::put;
+use crate::BootClock;
+use crate::feeds::WaveList;
+use crate::ports::{
+    FleetPort, InstanceOrder, InstanceReport, InstanceState, OrderOutcome, RowChange, RowCondition,
+    RowName, StoreTable, TransactOutcome,
+};
+use crate::row_codec::encode;
+
+/// Instances that are emptied beyond the wave's limit, so that one is ready when another returns.
+const EMPTIED_AHEAD: usize = 1;
+
+/// Pause after an order that was not accepted.
+const ORDER_RETRY: Duration = Duration::from_millis(400);
+
+/// Progress of a wave.
+#[derive(Debug, Default)]
+struct WaveProgress {
+    /// Instances whose maintenance has begun, or that are no longer part of the wave.
+    done: HashSet<InstanceName>,
+    /// Instances that are emptied.
+    emptied: HashSet<InstanceName>,
+    /// Instances that are down, and when their order was accepted.
+    out: HashMap<InstanceName, TimePoint>,
+    /// Orders under way.
+    ordering: HashSet<InstanceName>,
+    status_version: u64,
+    is_writing_status: bool,
+    written: Option<bool>,
+}
+
+/// Carries out maintenance waves.
+#[derive(Debug)]
+pub(crate) struct WaveKeeper {
+    fleet: FleetPort,
+    wanted: WaveList,
+    waves: BTreeMap<u64, WaveProgress>,
+    inventory: HashMap<InstanceName, InstanceReport>,
+    read: TimePoint,
+    is_reading: bool,
+    next_round: TimePoint,
+    retry_after: TimePoint,
+}
+
+impl WaveKeeper {
+    pub(crate) fn new(fleet: FleetPort, wanted: WaveList) -> Self {
+        Self {
+            fleet,
+            wanted,
+            waves: BTreeMap::new(),
+            inventory: HashMap::new(),
+            read: TimePoint::ORIGIN,
+            is_reading: false,
+            next_round: TimePoint::ORIGIN,
+            retry_after: TimePoint::ORIGIN,
+        }
+    }
+
+    /// Restores the instances of a wave whose maintenance has begun.
+    pub(crate) fn restore(&mut self, wave: u64, done: Vec<InstanceName>, now: TimePoint) {
+        let progress = self.waves.entry(wave).or_default();
+        // Whether they are back shows in the inventory.
+        progress.out = done.iter().map(|name| (name.clone(), now)).collect();
+        progress.done.extend(done);
+    }
+}
+
+pub(crate) fn wave_key(wave: u64) -> String {
+    format!("wave/{wave}")
+}
+
+impl OwnerActor {
+    pub(super) fn wave_round(&mut self, now: TimePoint) {
+        if now < self.waves.next_round {
+            return;
+        }
+        self.waves.next_round = now.after(self.parts.policy.wave_round);
+        // Orders for instances are not fenced by the store: they need a fresh renewal.
+        let policy = &self.parts.policy;
+        let limit = policy.expiry.saturating_sub(policy.renewal);
+        if !self.parts.lease.is_younger(limit) {
+            return;
+        }
+        let wanted = self.waves.wanted.load_full();
+        let mut is_active = false;
+        for (wave, _) in wanted.values() {
+            is_active |= self.step_wave(wave, now);
+        }
+        if is_active {
+            self.read_inventory(now);
+        }
+    }
+
+    /// Continues a wave; false once it is finished.
+    fn step_wave(&mut self, wave: &MaintenanceWave, now: TimePoint) -> bool {
+        let progress = self.waves.waves.entry(wave.number).or_default();
+        let is_finished = wave
+            .instances
+            .iter()
+            .all(|name| progress.done.contains(name));
+        let is_written = progress.written == Some(is_finished);
+        if !is_written && !progress.is_writing_status {
+            self.write_status(wave.number, is_finished);
+        }
+        if is_finished {
+            return !is_written;
+        }
+        if self.waves.inventory.is_empty() || now < self.waves.retry_after {
+            return true;
+        }
+        self.empty_next(wave, now);
+        self.order_empty(wave, now);
+        true
+    }
+
+    /// Begins to empty instances.
+    fn empty_next(&mut self, wave: &MaintenanceWave, now: TimePoint) {
+        loop {
+            let progress = &self.waves.waves[&wave.number];
+            let is_open = |name: &&InstanceName| {
+                !progress.done.contains(*name) && !progress.emptied.contains(*name)
+            };
+            let open = wave.instances.iter().filter(is_open);
+            let choices: Vec<UpkeepChoice> = open
+                .filter_map(|name| self.upkeep_choice(name, now))
+                .collect();
+            let out = progress.out.len() + progress.emptied.len();
+            let Some(choice) = next_upkeep(wave.limit + EMPTIED_AHEAD, out, &choices) else {
+                return;
+            };
+            let name = choice.instance.clone();
+            info!(self.parts.logger, "instance is emptied"; "wave" => wave.number, "instance" => %name, "cpu_in_use" => choice.cpu_in_use, "out" => out);
+            if let Some(worker) = self.worker_of(&name) {
+                self.dispatcher.set_evacuating(&worker, true);
+            }
+            let progress = self.waves.waves.entry(wave.number).or_default();
+            progress.emptied.insert(name);
+        }
+    }
+
+    fn upkeep_choice(&self, name: &InstanceName, now: TimePoint) -> Option<UpkeepChoice> {
+        let report = self.waves.inventory.get(name)?;
+        if report.state != InstanceState::Up {
+            return None;
+        }
+        let idle = || UpkeepChoice {
+            instance: name.clone(),
+            is_evacuating: false,
+            is_blocked: false,
+            cpu_in_use: 0,
+        };
+        match self.worker_of(name) {
+            Some(worker) => self.dispatcher.upkeep_choice(&worker, name.clone(), now),
+            // An instance that is switched off.
+            None => Some(idle()),
+        }
+    }
+
+    fn worker_of(&self, instance: &InstanceName) -> Option<InstanceName> {
+        self.waves.inventory.get(instance)?.worker.clone()
+    }
+
+    /// Sends the orders for empty instances, within the limit of the wave.
+    fn order_empty(&mut self, wave: &MaintenanceWave, _now: TimePoint) {
+        let progress = &self.waves.waves[&wave.number];
+        let busy = progress.out.len() + progress.ordering.len();
+        let mut room = wave.limit.saturating_sub(busy);
+        let mut ready: Vec<InstanceName> = progress
+            .emptied
+            .iter()
+            .filter(|name| !progress.ordering.contains(*name))
+            .filter(|name| {
+                self.worker_of(name)
+                    .is_none_or(|worker| self.dispatcher.is_empty(&worker))
+            })
+            .cloned()
+            .collect();
+        ready.sort();
+        for name in ready {
+            if room == 0 {
+                return;
+            }
+            room -= 1;
+            self.order_upkeep(wave.number, name);
+        }
+    }
+
+    fn order_upkeep(&mut self, wave: u64, instance: InstanceName) {
+        let progress = self.waves.waves.entry(wave).or_default();
+        progress.ordering.insert(instance.clone());
+        let order = InstanceOrder {
+            instance: instance.clone(),
+            holder: self.parts.node.clone(),
+            fence: self.parts.lease.epoch,
+            pool: None,
+            wave: Some(wave),
+        };
+        let call = (self.waves.fleet.order)(order);
+        let owner = self.sender.owner.clone();
+        tokio::spawn(async move {
+            let outcome = call.await;
+            let event = OwnerEvent::Maintained {
+                wave,
+                instance,
+                outcome,
+            };
+            // The owner has gone when the ownership was lost.
+            drop(owner.send(event).await);
+        });
+    }
+
+    pub(super) fn take_maintained(
+        &mut self,
+        wave: u64,
+        instance: &InstanceName,
+        outcome: Result<OrderOutcome>,
+    ) {
+        let now = BootClock.now();
+        info!(self.parts.logger, "maintenance ordered"; "wave" => wave, "instance" => %instance, "epoch" => self.parts.lease.epoch, "outcome" => ?outcome);
+        let progress = self.waves.waves.entry(wave).or_default();
+        progress.ordering.remove(instance);
+        match outcome {
+            Ok(OrderOutcome::Accepted) => {
+                progress.emptied.remove(instance);
+                progress.done.insert(instance.clone());
+                progress.out.insert(instance.clone(), now);
+                self.store_progress(wave);
+            }
+            Ok(OrderOutcome::Fenced) => self.step_down("an instance has seen a later epoch"),
+            Ok(OrderOutcome::Refused) => {
+                progress.emptied.remove(instance);
+                progress.done.insert(instance.clone());
+                if let Some(worker) = self.worker_of(instance) {
+                    self.dispatcher.set_evacuating(&worker, false);
+                }
+                self.store_progress(wave);
+            }
+            Ok(OrderOutcome::Busy) | Err(_) => {
+                self.waves.retry_after = now.after(ORDER_RETRY);
+            }
+        }
+    }
+
+    fn store_progress(&mut self, wave: u64) {
+        let Some(progress) = self.waves.waves.get(&wave) else {
+            return;
+        };
+        let mut done: Vec<&InstanceName> = progress.done.iter().collect();
+        done.sort();
+        let row = RowName::new(StoreTable::Writer, wave_key(wave));
+        self.writer.extra.retain(|entry| entry.row != row);
+        self.writer.extra.push(put(row, encode(&done)));
+    }
+
+    fn read_inventory(&mut self, now: TimePoint) {
+        if self.waves.is_reading || now.since(self.waves.read) < self.parts.policy.inventory_period
+        {
+            return;
+        }
+        self.waves.is_reading = true;
+        self.waves.read = now;
+        let call = (self.waves.fleet.list)(());
+        let owner = self.sender.owner.clone();
+        tokio::spawn(async move {
+            let outcome = call.await;
+            let event = OwnerEvent::Inventory { sent: now, outcome };
+            // The owner has gone when the ownership was lost.
+            drop(owner.send(event).await);
+        });
+    }
+
+    pub(super) fn take_inventory(&mut self, sent: TimePoint, outcome: Result<Vec<InstanceReport>>) {
+        self.waves.is_reading = false;
+        let reports = match outcome {
+            Ok(reports) => reports,
+            Err(error) => {
+                warn!(self.parts.logger, "inventory not read"; "error" => %error);
+                return;
+            }
+        };
+        let reports = reports.into_iter();
+        self.waves.inventory = reports
+            .map(|report| (report.name.clone(), report))
+            .collect();
+        let inventory = &self.waves.inventory;
+        for progress in self.waves.waves.values_mut() {
+            progress.out.retain(|name, since| {
+                let report = inventory.get(name);
+                let is_back = report.is_none_or(|report| report.state == InstanceState::Up);
+                *since >= sent || !is_back
+            });
+        }
+    }
+
+    fn write_status(&mut self, wave: u64, is_finished: bool) {
+        let progress = self.waves.waves.entry(wave).or_default();
+        progress.is_writing_status = true;
+        let (key, value) = (self.parts.rows.wave_status)(wave, is_finished);
+        let row = RowName::new(StoreTable::WaveStatus, key);
+        let change = RowChange {
+            conditions: vec![RowCondition {
+                row: row.clone(),
+                version: progress.status_version,
+            }],
+            puts: vec![put(row, value)],
+            deletes: Vec::new(),
+        };
+        info!(self.parts.logger, "wave status"; "wave" => wave, "is_finished" => is_finished, "done" => progress.done.len());
+        progress.written = Some(is_finished);
+        let call = (self.parts.store.transact)(change);
+        let owner = self.sender.owner.clone();
+        tokio::spawn(async move {
+            let outcome = call.await;
+            // The owner has gone when the ownership was lost.
+            drop(
+                owner
+                    .send(OwnerEvent::StatusWritten { wave, outcome })
+                    .await,
+            );
+        });
+    }
+
+    pub(super) fn take_status(&mut self, wave: u64, outcome: Result<TransactOutcome>) {
+        let progress = self.waves.waves.entry(wave).or_default();
+        progress.is_writing_status = false;
+        match outcome {
+            Ok(TransactOutcome::Committed { version }) => progress.status_version = version,
+            Ok(TransactOutcome::Conflict { rows }) => {
+                progress.status_version = rows.first().map_or(0, |(_, row)| row.version);
+                progress.written = None;
+            }
+            Err(error) => {
+                progress.written = None;
+                warn!(self.parts.logger, "wave status not written"; "wave" => wave, "error" => %error);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/owner/worker_links.rs
@@ -0,0 +1,75 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamedeal_core::jobs::WorkerKey;
+use sesamedeal_core::time::TimePoint;
+use tokio::sync::Semaphore;
+
+/// State of the calls to one worker.
+#[derive(Debug, Clone)]
+pub(crate) struct WorkerLink {
+    /// Grows when calls begin anew.
+    pub generation: u64,
+    pub is_calling: bool,
+    /// When the next call for the lists is due.
+    pub due: TimePoint,
+    /// Latest time until which the next call waits for ends to be stored.
+    pub due_unstored: TimePoint,
+    /// The worker's clock, and when the answer with it arrived.
+    pub clock: Option<(u64, TimePoint)>,
+    pub failures: u32,
+    /// Orders under way at the same time.
+    pub lanes: Arc<Semaphore>,
+}
+
+impl WorkerLink {
+    /// End of a lease of length `lease` from now, on the worker's clock, in milliseconds.
+    pub(crate) fn lease_end_ms(&self, lease: Duration, now: TimePoint) -> Option<u64> {
+        let (clock_ms, read) = self.clock?;
+        let passed = now.since(read) + lease;
+        Some(clock_ms.saturating_add(u64::try_from(passed.as_millis()).unwrap_or(u64::MAX)))
+    }
+}
+
+/// Links to all workers.
+#[derive(Debug, Default)]
+pub(crate) struct WorkerLinks {
+    links: HashMap<WorkerKey, WorkerLink>,
+    generation: u64,
+}
+
+impl WorkerLinks {
+    /// Begins the calls to a worker anew.
+    pub(crate) fn open(&mut self, key: WorkerKey, lanes: usize, now: TimePoint) {
+        self.generation += 1;
+        let link = WorkerLink {
+            generation: self.generation,
+            is_calling: false,
+            due: now,
+            due_unstored: now,
+            clock: None,
+            failures: 0,
+            lanes: Arc::new(Semaphore::new(lanes)),
+        };
+        self.links.insert(key, link);
+    }
+
+    pub(crate) fn get(&self, key: WorkerKey) -> Option<&WorkerLink> {
+        self.links.get(&key)
+    }
+
+    /// The link, if its calls have not begun anew since `generation`.
+    pub(crate) fn current(&mut self, key: WorkerKey, generation: u64) -> Option<&mut WorkerLink> {
+        let link = self.links.get_mut(&key)?;
+        (link.generation == generation).then_some(link)
+    }
+
+    pub(crate) fn remove(&mut self, key: WorkerKey) {
+        self.links.remove(&key);
+    }
+
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = (WorkerKey, &mut WorkerLink)> {
+        self.links.iter_mut().map(|(key, link)| (*key, link))
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/ports/mod.rs
@@ -0,0 +1,25 @@
+//! What the runtime needs from outside: the store, the workers, the instances and the formats of
+//! rows that others write. Each port is a plain struct of closures.
+
+mod fleet_port;
+mod row_port;
+mod store_port;
+mod worker_port;
+
+use std::sync::Arc;
+
+use futures::future::BoxFuture;
+use sesamedeal_store::Result;
+
+pub use fleet_port::{FleetPort, InstanceOrder, InstanceReport, InstanceState, OrderOutcome};
+pub use row_port::{IntentRow, RowPort, RowProblem};
+pub use store_port::{
+    FollowPage, FollowRequest, RowChange, RowCondition, RowName, RowPage, RowPut, RowRange,
+    StorePort, StoreRow, StoreTable, TransactOutcome,
+};
+pub use worker_port::{
+    HoldOutcome, HoldRequest, PaceRequest, StartRequest, StopRequest, WorkerAddress, WorkerPort,
+};
+
+/// An asynchronous call.
+pub type AsyncCall<A, R> = Arc<dyn Fn(A) -> BoxFuture<'static, Result<R>> + Send + Sync>;
--- /dev/null
+++ b/crates/jobs/src/row_codec.rs
@@ -0,0 +1,83 @@
+//! Rows of our own, in MessagePack.
+
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use sesamedeal_core::ids::{InstanceName, QueueName, SessionId};
+use sesamedeal_core::jobs::{JobId, JobOrder};
+
+/// Key of the row with the ownership epoch.
+pub(crate) const EPOCH_KEY: &str = "epoch";
+
+/// Key of the row that the owner renews.
+pub(crate) const PULSE_KEY: &str = "pulse";
+
+/// Key of the row that numbers the owner's writes.
+pub(crate) const SEQUENCE_KEY: &str = "sequence";
+
+/// Ending of the key of a request to cancel a job.
+const CANCEL_ENDING: &str = ".cancel";
+
+/// Who owns the pools. The row changes only when the ownership changes hands.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct EpochRow {
+    pub epoch: u64,
+    pub holder: SessionId,
+    /// Entry instance of the holder.
+    pub node: InstanceName,
+    /// Whether the holder has given the ownership up.
+    pub is_released: bool,
+}
+
+/// Sign of life of the owner, with what others need to know.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PulseRow {
+    pub epoch: u64,
+    pub renewals: u64,
+    /// Whether runs may exist on workers that the list no longer shows.
+    pub has_unlisted_runs: bool,
+    /// Jobs by queue for which no task has started.
+    pub pending: Vec<(QueueName, u64)>,
+}
+
+/// Row of the table of jobs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum JobKey {
+    Order(JobId),
+    Cancel(JobId),
+}
+
+pub(crate) fn job_key(id: JobId) -> String {
+    id.to_string()
+}
+
+pub(crate) fn cancel_key(id: JobId) -> String {
+    format!("{id}{CANCEL_ENDING}")
+}
+
+pub(crate) fn parse_job_key(key: &str) -> Option<JobKey> {
+    match key.strip_suffix(CANCEL_ENDING) {
+        Some(id) => id.parse().ok().map(JobKey::Cancel),
+        None => key.parse().ok().map(JobKey::Order),
+    }
+}
+
+pub(crate) fn encode<T: Serialize>(content: &T) -> Bytes {
+    rmp_serde::to_vec(content)
+        .expect("rows consist of types that the codec knows")
+        .into()
+}
+
+pub(crate) fn decode<T: DeserializeOwned>(value: &[u8]) -> Result<T, rmp_serde::decode::Error> {
+    rmp_serde::from_slice(value)
+}
+
+/// Largest value of a job row that is accepted, in bytes.
+pub(crate) const MAX_JOB_BYTES: usize = 48 * 1024;
+
+/// Encodes a job; none if it is too large to be stored.
+pub(crate) fn encode_job(order: &JobOrder) -> Option<Bytes> {
+    let value = encode(order);
+    (value.len() <= MAX_JOB_BYTES).then_some(value)
+}
--- a/crates/standin/src/backend/backend_fleet.rs
+++ b/crates/standin/src/backend/backend_fleet.rs
@@ -5,7 +5,7 @@
 use compact_str::format_compact;
 use parking_lot::Mutex;
 use sesamedeal_core::ids::{ImageName, InstanceName, RackName, ZoneName};
-use sesamedeal_platform::protocol::{ListedState, PlatformInstance};
+use sesamedeal_store::protocol::{ListedState, PlatformInstance};
 use tokio::sync::broadcast::error::RecvError;
 use tokio::task::JoinHandle;
 
--- a/crates/standin/src/platform/instance_table.rs
+++ b/crates/standin/src/platform/instance_table.rs
@@ -3,7 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 use sesamedeal_core::ids::InstanceName;
-use sesamedeal_platform::protocol::{InstanceList, ListedState, PlatformInstance};
+use sesamedeal_store::protocol::{InstanceList, ListedState, PlatformInstance};
 use tokio::time::Instant;
 
 /// Something that the platform does to an instance.
--- a/crates/standin/src/platform/platform_control.rs
+++ b/crates/standin/src/platform/platform_control.rs
@@ -4,7 +4,7 @@
 use hyper::{Method, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use sesamedeal_core::ids::InstanceName;
-use sesamedeal_platform::protocol::PlatformInstance;
+use sesamedeal_store::protocol::PlatformInstance;
 
 use super::platform_state::instance_in;
 use super::{PlatformFaults, PlatformStandin, RateLimits};
--- a/crates/standin/src/platform/platform_standin.rs
+++ b/crates/standin/src/platform/platform_standin.rs
@@ -9,8 +9,8 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use parking_lot::Mutex;
 use sesamedeal_core::ids::InstanceName;
-use sesamedeal_platform::protocol::{InstanceList, PlatformInstance};
-use sesamedeal_platform::{CallTransport, PlatformCall, PlatformError, PlatformReply};
+use sesamedeal_store::protocol::{InstanceList, PlatformInstance};
+use sesamedeal_store::{CallTransport, PlatformCall, PlatformError, PlatformReply};
 use sesamedeal_wire::message_size::{request_size, response_size};
 use tokio::sync::broadcast;
 use tokio::time::{Instant, sleep};
@@ -192,8 +192,10 @@
         .await
     }
 
-    async fn call_directly(self, call: PlatformCall) -> sesamedeal_platform::Result<PlatformReply> {
-        let PlatformCall { method, path, body } = call;
+    async fn call_directly(self, call: PlatformCall) -> sesamedeal_store::Result<PlatformReply> {
+        let PlatformCall {
+            method, path, body, ..
+        } = call;
         // The call goes on when its caller gives up, as it does on the network.
         let size = request_size(&method, &path, "", &HeaderMap::new(), body.len());
         let handled = tokio::spawn(self.handle(method, path, body, size)).await;
--- a/crates/standin/src/platform/platform_state.rs
+++ b/crates/standin/src/platform/platform_state.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use sesamedeal_core::ids::InstanceName;
-use sesamedeal_platform::protocol::ObjectList;
+use sesamedeal_store::protocol::ObjectList;
 use tokio::time::Instant;
 
 use super::instance_table::InstanceTable;
--- a/crates/standin/src/platform/table_state.rs
+++ b/crates/standin/src/platform/table_state.rs
@@ -2,7 +2,7 @@
 use std::ops::Bound;
 
 use compact_str::CompactString;
-use sesamedeal_platform::protocol::{
+use sesamedeal_store::protocol::{
     ReadReply, ReadRequest, ScanRequest, TableRow, WriteReply, WriteRequest,
 };
 
--- a/crates/standin/src/run/control_client.rs
+++ b/crates/standin/src/run/control_client.rs
@@ -9,7 +9,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use sesamedeal_core::ids::InstanceName;
-use sesamedeal_platform::protocol::PlatformInstance;
+use sesamedeal_store::protocol::PlatformInstance;
 use tokio::time::timeout;
 
 use crate::loopback::check_loopback;
--- a/crates/standin/src/run/run_backend.rs
+++ b/crates/standin/src/run/run_backend.rs
@@ -4,7 +4,7 @@
 
 use compact_str::format_compact;
 use sesamedeal_core::ids::{ImageName, InstanceName, RackName, ZoneName};
-use sesamedeal_platform::protocol::{ListedState, PlatformInstance};
+use sesamedeal_store::protocol::{ListedState, PlatformInstance};
 use tokio::time::{Instant, sleep};
 
 use super::ControlClient;
--- a/crates/standin/tests/load_and_baseline.rs
+++ b/crates/standin/tests/load_and_baseline.rs
@@ -254,8 +254,8 @@
     let fleet = BackendFleet::start(&platform, &FleetSettings::new(4))
         .await
         .unwrap();
-    let client = sesamedeal_platform::PlatformClient::with_transport(
-        &sesamedeal_platform::PlatformSettings::new("127.0.0.1:9"),
+    let client = sesamedeal_store::PlatformClient::with_transport(
+        &sesamedeal_store::PlatformSettings::new("127.0.0.1:9"),
         platform.transport(),
     );
     let list = client.instances().await.unwrap().instances;
--- a/crates/standin/tests/platform_faults.rs
+++ b/crates/standin/tests/platform_faults.rs
@@ -8,13 +8,13 @@
 use bytes::Bytes;
 use common::{any_port, call, run, script, until};
 use sesamedeal_core::ids::{InstanceName, OperationId};
-use sesamedeal_platform::protocol::{ListedState, PlatformInstance};
-use sesamedeal_platform::{PlatformClient, PlatformError, PlatformSettings, PutCondition};
 use sesamedeal_standin::backend::{BackendFleet, BackendMode, FleetSettings};
 use sesamedeal_standin::observer::ViolationCounts;
 use sesamedeal_standin::platform::{
     FaultScope, InstanceEvent, PlatformControl, PlatformFaults, PlatformStandin, StoreCounters,
 };
+use sesamedeal_store::protocol::{ListedState, PlatformInstance};
+use sesamedeal_store::{PlatformClient, PlatformError, PlatformSettings, PutCondition};
 use tokio::time::sleep;
 
 fn client(platform: &PlatformStandin) -> PlatformClient {
--- a/crates/platform/src/platform_client.rs
+++ b/crates/store/src/platform_client.rs
@@ -238,8 +238,8 @@
     }
 }
 
-const fn request(method: Method, path: String, body: Bytes) -> PlatformCall {
-    PlatformCall { method, path, body }
+fn request(method: Method, path: String, body: Bytes) -> PlatformCall {
+    PlatformCall::new(method, path, body)
 }
 
 /// Encodes a POST request.
--- a/crates/platform/src/transport.rs
+++ b/crates/store/src/transport.rs
@@ -2,7 +2,9 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use bytes::Bytes;
 use futures::FutureExt;
 use futures::future::BoxFuture;
@@ -18,6 +20,10 @@
 /// Largest answer accepted, in bytes; a snapshot has at most 16 MB.
 const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
 
+/// Time within which a connection opens. Zones are a few milliseconds apart, so that a longer wait
+/// means a lost packet or a partition.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// One HTTP request to the platform.
 #[derive(Debug, Clone)]
 pub struct PlatformCall {
@@ -25,10 +31,31 @@
     pub method: Method,
     /// Path and query.
     pub path: String,
+    /// Header lines beyond those of the HTTP library.
+    pub headers: HeaderMap,
     /// Body, empty if there is none.
     pub body: Bytes,
 }
 
+impl PlatformCall {
+    /// Creates a call without further headers.
+    #[must_use]
+    pub fn new(method: Method, path: String, body: Bytes) -> Self {
+        Self {
+            method,
+            path,
+            headers: HeaderMap::new(),
+            body,
+        }
+    }
+
+    /// The same call with these header lines.
+    #[must_use]
+    pub fn with_headers(self, headers: HeaderMap) -> Self {
+        Self { headers, ..self }
+    }
+}
+
 /// Answer to a [`PlatformCall`].
 #[derive(Debug, Clone)]
 pub struct PlatformReply {
@@ -46,6 +73,7 @@
 #[derive(Clone)]
 pub struct CallTransport {
     send: Arc<SendCall>,
+    renew: Arc<dyn Fn() + Send + Sync>,
     authority: String,
 }
 
@@ -61,6 +89,7 @@
     {
         Self {
             send: Arc::new(send),
+            renew: Arc::new(|| {}),
             authority: String::new(),
         }
     }
@@ -68,26 +97,40 @@
     /// Creates a transport over HTTP to an IP address and port.
     #[must_use]
     pub fn with_http(address: &str) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        let http = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .build(connector);
+        let http = Arc::new(ArcSwap::from_pointee(http_client()));
         let base = format!("http://{address}");
+        let renewed = Arc::clone(&http);
         Self {
             authority: address.to_owned(),
-            ..Self::new(move |call| send_http(http.clone(), base.clone(), call).boxed())
+            renew: Arc::new(move || renewed.store(Arc::new(http_client()))),
+            ..Self::new(move |call| {
+                send_http(http.load().as_ref().clone(), base.clone(), call).boxed()
+            })
         }
     }
 
+    /// Abandons the open connections, so that the next call opens a new one.
+    ///
+    /// A connection that went silent without a reset is noticed only by its deadline, and others
+    /// of the pool may have gone silent with it.
+    pub fn renew(&self) {
+        (self.renew)();
+    }
+
     /// Size of a call on the network, in bytes.
     pub(crate) fn size(&self, call: &PlatformCall) -> usize {
-        let headers = HeaderMap::new();
         let body = call.body.len();
-        request_size(&call.method, &call.path, &self.authority, &headers, body)
+        request_size(
+            &call.method,
+            &call.path,
+            &self.authority,
+            &call.headers,
+            body,
+        )
     }
 
-    pub(crate) fn send(&self, call: PlatformCall) -> BoxFuture<'static, Result<PlatformReply>> {
+    /// Sends a call. There is no deadline; the caller drops the future when it gives up.
+    pub fn send(&self, call: PlatformCall) -> BoxFuture<'static, Result<PlatformReply>> {
         (self.send)(call)
     }
 }
@@ -98,18 +141,28 @@
     }
 }
 
+fn http_client() -> Client<HttpConnector, Full<Bytes>> {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .build(connector)
+}
+
 async fn send_http(
     http: Client<HttpConnector, Full<Bytes>>,
     base: String,
     call: PlatformCall,
 ) -> Result<PlatformReply> {
-    let request = Request::builder()
+    let mut request = Request::builder()
         .method(call.method)
         .uri(base + &call.path)
         .body(Full::new(call.body))
         .map_err(|error| PlatformError::Unreachable {
             reason: error.to_string(),
         })?;
+    request.headers_mut().extend(call.headers);
     let response = http.request(request).await.map_err(|error| {
         let reason = error.to_string();
         if error.is_connect() {
--- a/crates/platform/tests/change_log.rs
+++ b/crates/store/tests/change_log.rs
@@ -7,12 +7,12 @@
 use sesamedeal_core::fleet::FleetState;
 use sesamedeal_core::fleet::SessionView;
 use sesamedeal_core::ids::{Generation, OperationId};
-use sesamedeal_platform::protocol::{RowCondition, WriteReply};
-use sesamedeal_platform::rows::{CONTROLLER_LEASE, SNAPSHOT_PREFIX, change_key};
-use sesamedeal_platform::{
+use sesamedeal_standin::platform::{PlatformFaults, PlatformStandin};
+use sesamedeal_store::protocol::{RowCondition, WriteReply};
+use sesamedeal_store::rows::{CONTROLLER_LEASE, SNAPSHOT_PREFIX, change_key};
+use sesamedeal_store::{
     AppendOutcome, ChangeLog, KEPT_RECORDS, PlatformClient, PlatformError, PutCondition,
 };
-use sesamedeal_standin::platform::{PlatformFaults, PlatformStandin};
 
 /// Appends records up to a generation and returns the state there.
 async fn fill(log: &ChangeLog, mut state: FleetState, last: u64) -> FleetState {
--- a/crates/platform/tests/circuit_breaker.rs
+++ b/crates/store/tests/circuit_breaker.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sesamedeal_platform::{
+use sesamedeal_store::{
     BreakerState, CircuitBreaker, MAX_BACKOFF, MIN_BACKOFF, RetryBudget, backoff_delay,
 };
 use tokio::time::Instant;
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/store/tests/common/mod.rs
@@ -6,9 +6,9 @@
 use serde_json::json;
 use sesamedeal_core::fleet::{FleetChange, TeamRecord};
 use sesamedeal_core::ids::{OperationId, TeamName};
-use sesamedeal_platform::protocol::{RowCondition, RowPut, WriteRequest};
-use sesamedeal_platform::{PlatformClient, PlatformSettings};
 use sesamedeal_standin::platform::PlatformStandin;
+use sesamedeal_store::protocol::{RowCondition, RowPut, WriteRequest};
+use sesamedeal_store::{PlatformClient, PlatformSettings};
 
 /// Settings with the seed, and the address of no server.
 pub fn settings(seed: u64) -> PlatformSettings {
--- a/crates/platform/tests/http_calls.rs
+++ b/crates/store/tests/http_calls.rs
@@ -8,9 +8,9 @@
 use bytes::Bytes;
 use common::insert;
 use sesamedeal_core::ids::InstanceName;
-use sesamedeal_platform::protocol::WriteReply;
-use sesamedeal_platform::{CallKind, PlatformClient, PlatformError, PlatformSettings};
 use sesamedeal_standin::platform::{PlatformFaults, PlatformStandin};
+use sesamedeal_store::protocol::WriteReply;
+use sesamedeal_store::{CallKind, PlatformClient, PlatformError, PlatformSettings};
 
 fn any_port() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
--- a/crates/platform/tests/lost_answers.rs
+++ b/crates/store/tests/lost_answers.rs
@@ -7,9 +7,9 @@
 use assert_matches::assert_matches;
 use common::{client, insert, patient_client};
 use sesamedeal_core::ids::OperationId;
-use sesamedeal_platform::protocol::WriteReply;
-use sesamedeal_platform::{PlatformError, PutCondition, WithdrawOutcome};
 use sesamedeal_standin::platform::{PlatformFaults, PlatformStandin};
+use sesamedeal_store::protocol::WriteReply;
+use sesamedeal_store::{PlatformError, PutCondition, WithdrawOutcome};
 use tokio::time::sleep;
 
 fn lost() -> PlatformFaults {
--- a/crates/platform/tests/outage.rs
+++ b/crates/store/tests/outage.rs
@@ -7,11 +7,11 @@
 use assert_matches::assert_matches;
 use common::{client, insert, settings};
 use futures::future::join_all;
-use sesamedeal_platform::{
+use sesamedeal_standin::platform::{FaultScope, PlatformFaults, PlatformStandin, RateLimits};
+use sesamedeal_store::{
     BreakerState, CallKind, PlatformClient, PlatformError, PlatformService, PlatformSettings,
     RetryReason,
 };
-use sesamedeal_standin::platform::{FaultScope, PlatformFaults, PlatformStandin, RateLimits};
 use tokio::time::{Instant, sleep};
 
 fn down() -> PlatformFaults {
--- a/crates/platform/tests/outage_session.rs
+++ b/crates/store/tests/outage_session.rs
@@ -9,8 +9,8 @@
 use sesamedeal_core::evidence::EvidenceTracker;
 use sesamedeal_core::ids::{Generation, OperationId};
 use sesamedeal_core::time::TimePoint;
-use sesamedeal_platform::{AppendOutcome, ChangeLog, PlatformClient};
 use sesamedeal_standin::platform::{PlatformFaults, PlatformStandin};
+use sesamedeal_store::{AppendOutcome, ChangeLog, PlatformClient};
 use tokio::time::{Instant, sleep};
 
 /// Time between two reads of the head.
