Name the fields of stored rows

Cause: steps leave out empty fields, which rows without field names cannot express; the owner left out every job. Change: rows use the codec of sesamedeal-wire, with names.

--- a/crates/jobs/src/desk/job_desk.rs
+++ b/crates/jobs/src/desk/job_desk.rs
@@ -37,8 +37,12 @@
     /// After a call without an answer the insertion is repeated until it is known to be stored; a
     /// job whose fate is unknown at `deadline` must not be reported as refused.
     pub async fn submit(&self, id: JobId, order: &JobOrder, deadline: Instant) -> SubmitOutcome {
-        let Some(value) = encode_job(order) else {
-            return SubmitOutcome::TooLarge;
+        let value = match encode_job(order) {
+            Ok(value) => value,
+            Err(error) => {
+                info!(self.logger, "submission"; "job" => %id, "queue" => %order.queue, "error" => %error);
+                return SubmitOutcome::TooLarge;
+            }
         };
         let job = RowName::new(StoreTable::Job, job_key(id));
         let state = RowName::new(StoreTable::State, job_key(id));
--- a/crates/jobs/src/row_codec.rs
+++ b/crates/jobs/src/row_codec.rs
@@ -6,6 +6,7 @@
 
 use sesamedeal_core::ids::{InstanceName, QueueName, SessionId};
 use sesamedeal_core::jobs::{JobId, JobOrder};
+use sesamedeal_wire::codec::{self, CodecError};
 
 /// Key of the row with the ownership epoch.
 pub(crate) const EPOCH_KEY: &str = "epoch";
@@ -63,21 +64,21 @@
     }
 }
 
+/// Largest value that the store takes, in bytes.
+const MAX_ROW_BYTES: usize = 64 * 1024;
+
+/// Largest value of a job row, in bytes. It leaves room for the growth of the encoding.
+const MAX_JOB_BYTES: usize = 48 * 1024;
+
 pub(crate) fn encode<T: Serialize>(content: &T) -> Bytes {
-    rmp_serde::to_vec(content)
-        .expect("rows consist of types that the codec knows")
-        .into()
+    codec::encode(content, MAX_ROW_BYTES).expect("rows of ownership and state are small")
 }
 
-pub(crate) fn decode<T: DeserializeOwned>(value: &[u8]) -> Result<T, rmp_serde::decode::Error> {
-    rmp_serde::from_slice(value)
+pub(crate) fn decode<T: DeserializeOwned>(value: &[u8]) -> Result<T, CodecError> {
+    codec::decode(value, MAX_ROW_BYTES)
 }
 
-/// Largest value of a job row that is accepted, in bytes.
-pub(crate) const MAX_JOB_BYTES: usize = 48 * 1024;
-
-/// Encodes a job; none if it is too large to be stored.
-pub(crate) fn encode_job(order: &JobOrder) -> Option<Bytes> {
-    let value = encode(order);
-    (value.len() <= MAX_JOB_BYTES).then_some(value)
+/// Encodes a job.
+pub(crate) fn encode_job(order: &JobOrder) -> Result<Bytes, CodecError> {
+    codec::encode(order, MAX_JOB_BYTES)
 }
