Let the leases of silent workers pass, and load jobs before workers are asked

Change: silent workers get no extension and no new tasks; lists are taken after the jobs; runs of unknown jobs keep a worker closed until they are stopped; lasting tasks come first and keep a worker for themselves; waiting counts survive a takeover.

--- a/crates/core/src/jobs/dispatcher/holds.rs
+++ b/crates/core/src/jobs/dispatcher/holds.rs
@@ -17,6 +17,13 @@
         }
     }
 
+    /// Notes that a worker did not answer a call for its lists. It gets no new tasks until it does.
+    pub fn note_silence(&mut self, key: WorkerKey) {
+        if let Some(entry) = self.workers.get_mut(key) {
+            entry.is_silent = true;
+        }
+    }
+
     /// Takes the lists of a worker.
     pub fn note_hold(&mut self, key: WorkerKey, report: &HoldReport, now: TimePoint) {
         let Some(entry) = self.workers.get_mut(key) else {
@@ -27,11 +34,13 @@
         }
         let entry = &mut self.workers[key];
         entry.boot = Some(report.boot);
+        entry.is_silent = false;
         entry.held = entry.held.max(Some(report.sent));
         let seen = entry.processed_end;
         for end in report.ended.iter().filter(|end| end.number > seen) {
             self.note_end(key, end, now);
         }
+        self.workers[key].has_strangers = false;
         for run in &report.running {
             self.note_running(key, run, now);
         }
@@ -46,6 +55,7 @@
             // The job has ended or never existed here.
             let stop = WorkerOrder::Stop(key, report.task, report.run);
             self.orders.push(stop);
+            self.workers[key].has_strangers = true;
             return;
         };
         if !report.saved.is_empty() {
--- a/crates/core/src/jobs/dispatcher/placing.rs
+++ b/crates/core/src/jobs/dispatcher/placing.rs
@@ -23,11 +23,11 @@
 
 impl JobDispatcher {
     pub(super) fn place(&mut self, now: TimePoint) {
-        let pools = self.usable_workers(now);
+        let mut pools = self.usable_workers(now);
         let mut waiting = self.waiting_steps(now);
         waiting.sort_by_key(|step| (step.key, step.name));
         for step in waiting {
-            let Some(workers) = pools.get(&step.pool) else {
+            let Some(workers) = pools.get_mut(&step.pool) else {
                 continue;
             };
             let job = &self.jobs[&step.name.job];
@@ -40,12 +40,30 @@
             for &index in &step.indexes {
                 let task = step.name.task(index);
                 if !self.place_task(task, &spec, team.as_ref(), workers, now) {
+                    let is_allowed = self.is_within_limit(team.as_ref(), spec.amount);
+                    if spec.is_lasting && is_allowed {
+                        self.reserve(step.name, &spec, workers);
+                    }
                     break;
                 }
             }
         }
     }
 
+    /// Keeps the worker that is likely to have room first free of other tasks, so that a large task
+    /// is not overtaken for ever by small ones.
+    fn reserve(&self, step: StepName, spec: &StepSpec, workers: &mut Vec<WorkerKey>) {
+        let suitable = workers.iter().copied().filter(|&key| {
+            let entry = &self.workers[key];
+            self.same_step(step, spec, key).is_some()
+                && spec.worker_amount().fits(entry.report.capacity)
+        });
+        let freest = suitable.max_by_key(|&key| self.workers[key].room().cpu_millis);
+        if let Some(freest) = freest {
+            workers.retain(|&key| key != freest);
+        }
+    }
+
     fn usable_workers(&self, now: TimePoint) -> HashMap<PoolName, Vec<WorkerKey>> {
         let mut pools: HashMap<PoolName, Vec<WorkerKey>> = HashMap::new();
         for (key, entry) in &self.workers {
@@ -120,7 +138,10 @@
                 if indexes.is_empty() {
                     continue;
                 }
-                let key = self.sequence_key(job, occurrence.number, is_over_share, now);
+                let mut key = self.sequence_key(job, occurrence.number, is_over_share, now);
+                if job.order.steps[usize::from(number)].is_lasting {
+                    key = key.with_lasting();
+                }
                 waiting.push(WaitingStep {
                     key,
                     name: StepName {
@@ -216,15 +237,7 @@
         let offers = workers.iter().filter_map(|&key| {
             let entry = &self.workers[key];
             let labels = &entry.report.labels;
-            let required = spec.required_label.as_ref();
-            if required.is_some_and(|label| !labels.contains(label)) {
-                return None;
-            }
-            let same_step = entry.runs.keys().filter(|(task, _)| task.step == step);
-            let same_step = u16::try_from(same_step.count()).unwrap_or(u16::MAX);
-            if spec.max_per_worker.is_some_and(|most| same_step >= most) {
-                return None;
-            }
+            let same_step = self.same_step(step, spec, key)?;
             let rack = spec.data_rack.as_ref();
             Some(WorkerOffer {
                 key,
@@ -238,6 +251,19 @@
         choose_worker(spec.worker_amount(), offers)
     }
 
+    /// Tasks of the step on a worker; none if it may not run another one.
+    fn same_step(&self, step: StepName, spec: &StepSpec, key: WorkerKey) -> Option<u16> {
+        let entry = &self.workers[key];
+        let required = spec.required_label.as_ref();
+        if required.is_some_and(|label| !entry.report.labels.contains(label)) {
+            return None;
+        }
+        let same_step = entry.runs.keys().filter(|(task, _)| task.step == step);
+        let same_step = u16::try_from(same_step.count()).unwrap_or(u16::MAX);
+        let is_full = spec.max_per_worker.is_some_and(|most| same_step >= most);
+        (!is_full).then_some(same_step)
+    }
+
     /// Starts all tasks of a gang or none, on one rack where that has room.
     fn place_gang(
         &mut self,
--- a/crates/core/src/jobs/job_entry.rs
+++ b/crates/core/src/jobs/job_entry.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use super::task_entry::TaskEntry;
-use super::{JobId, JobOrder, JobPhase, JobRecord, ResourceAmount, StepRecord, StepSpec};
+use super::{JobId, JobOrder, JobPhase, JobRecord, StepRecord, StepSpec};
 
 /// Tasks of one step of one occurrence.
 #[derive(Debug, Clone)]
@@ -32,14 +32,11 @@
     pub next_occurrence: u32,
     /// Declared run time of the longest chain of steps.
     pub chain: Duration,
-    /// Declared work of all tasks of an occurrence, in core milliseconds.
-    pub work: u64,
 }
 
 impl JobEntry {
     pub(crate) fn new(id: JobId, order: JobOrder, record: JobRecord, is_inherited: bool) -> Self {
         let chain = longest_chain(&order.steps);
-        let work = order.steps.iter().map(step_work).sum();
         let mut entry = Self {
             id,
             order,
@@ -50,7 +47,6 @@
             occurrences: Vec::new(),
             next_occurrence: 0,
             chain,
-            work,
         };
         for step in record.steps {
             entry.restore(&step);
@@ -180,15 +176,6 @@
     }
 }
 
-fn step_work(step: &StepSpec) -> u64 {
-    let amount: ResourceAmount = step.amount;
-    let estimate = u64::try_from(step.estimate.as_millis()).unwrap_or(u64::MAX);
-    u64::from(step.count)
-        .saturating_mul(amount.cpu_millis)
-        .saturating_mul(estimate)
-        / 1_000
-}
-
 /// Declared run time of the longest chain of steps.
 fn longest_chain(steps: &[StepSpec]) -> Duration {
     let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
--- a/crates/core/src/jobs/job_sequence.rs
+++ b/crates/core/src/jobs/job_sequence.rs
@@ -24,6 +24,8 @@
 /// Place of a job in the order. The smallest comes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct SequenceKey {
+    /// Whether the tasks end; tasks that last come first, since each moment without them is lost.
+    pub is_ending: bool,
     /// Whether the team has more than its share in use.
     pub is_over_share: bool,
     /// How well the job can still do.
@@ -55,10 +57,18 @@
         };
         let millis = |time: Duration| i64::try_from(time.as_millis()).unwrap_or(i64::MAX);
         Self {
+            is_ending: true,
             is_over_share,
             class,
             priority,
             slack_ms: millis(objective).saturating_sub(millis(end)),
         }
     }
+
+    /// The same place among the tasks that last.
+    #[must_use]
+    pub const fn with_lasting(mut self) -> Self {
+        self.is_ending = false;
+        self
+    }
 }
--- a/crates/core/src/jobs/worker_entry.rs
+++ b/crates/core/src/jobs/worker_entry.rs
@@ -16,6 +16,8 @@
     pub is_listed: bool,
     /// Boot that answered last; none before the first answer under the present epoch.
     pub boot: Option<u64>,
+    /// Whether its last call for lists had no answer.
+    pub is_silent: bool,
     /// When its newest answer to a hold was requested.
     pub held: Option<TimePoint>,
     /// Latest time at which a lease that was granted by any owner ends.
@@ -27,6 +29,8 @@
     pub health: HealthRecord,
     /// Whether tasks are moved away for maintenance or a move.
     pub is_evacuating: bool,
+    /// Whether it runs something of which the amount is not known, until that has been stopped.
+    pub has_strangers: bool,
     /// Highest end that was processed, and highest that is stored.
     pub processed_end: u64,
     pub stored_end: u64,
@@ -38,12 +42,14 @@
             report,
             is_listed: true,
             boot: None,
+            is_silent: false,
             held: None,
             lease_end,
             used: ResourceAmount::default(),
             runs: HashMap::new(),
             health: HealthRecord::default(),
             is_evacuating: false,
+            has_strangers: false,
             processed_end: 0,
             stored_end: 0,
         }
@@ -53,17 +59,14 @@
     pub(crate) fn is_usable(&self, now: TimePoint) -> bool {
         self.is_listed
             && self.held.is_some()
+            && !self.is_silent
             && self.report.state == WorkerState::Ready
             && !self.is_evacuating
+            && !self.has_strangers
             && !self.health.is_avoided(now)
     }
 
     pub(crate) fn room(&self) -> ResourceAmount {
         self.report.capacity.without(self.used)
     }
-
-    /// Whether it is up, listed and not about to leave.
-    pub(crate) fn is_sound(&self) -> bool {
-        self.is_listed && self.held.is_some() && self.report.state == WorkerState::Ready
-    }
 }
--- a/crates/jobs/src/desk/job_desk.rs
+++ b/crates/jobs/src/desk/job_desk.rs
@@ -166,9 +166,10 @@
         outcome
     }
 
-    /// Jobs of a queue for which no task has started, as the owner published them last.
+    /// Jobs of a queue for which no task has started, as the owner published them last; none while
+    /// no owner is known.
     #[must_use]
-    pub fn pending(&self, queue: &QueueName) -> u64 {
+    pub fn pending(&self, queue: &QueueName) -> Option<u64> {
         self.pulse.pending(queue)
     }
 }
--- a/crates/jobs/src/owner/job_intake.rs
+++ b/crates/jobs/src/owner/job_intake.rs
@@ -1,6 +1,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use sesamedeal_core::ids::QueueName;
 use sesamedeal_core::jobs::{JobDispatcher, JobId, JobOrder, JobRecord};
 use sesamedeal_core::time::TimePoint;
 use slog::{Logger, info, warn};
@@ -19,6 +20,8 @@
     pub epoch_version: u64,
     /// States that were read when the ownership was taken.
     pub states: HashMap<JobId, JobRecord>,
+    /// Waiting jobs by queue, as the earlier owner published them.
+    pub earlier_pending: Vec<(QueueName, u64)>,
     /// Rows that wait for the next renewal.
     pub waiting: Vec<StoreRow>,
     pub logger: Logger,
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -63,6 +63,9 @@
     links: WorkerLinks,
     version: u64,
     write_after: TimePoint,
+    /// Whether the stored jobs are known. Before that, runs at workers cannot be told apart from
+    /// runs of jobs that have ended.
+    is_loaded: bool,
     /// Ends the ownership when dropped.
     ended: Option<oneshot::Sender<()>>,
 }
@@ -87,6 +90,7 @@
             links: WorkerLinks::default(),
             version: 0,
             write_after: TimePoint::ORIGIN,
+            is_loaded: false,
             ended: Some(ended),
         }
     }
@@ -106,13 +110,15 @@
         }
         let now = BootClock.now();
         self.take_rules();
-        let orders = self.dispatcher.plan(now, BootClock.unix_ms());
-        for order in orders {
-            self.send_order(order, now);
+        if self.is_loaded {
+            let orders = self.dispatcher.plan(now, BootClock.unix_ms());
+            for order in orders {
+                self.send_order(order, now);
+            }
+            self.send_holds(now);
+            self.wave_round(now);
         }
-        self.send_holds(now);
         self.write(now);
-        self.wave_round(now);
         self.parts
             .metrics
             .set_open_jobs(self.dispatcher.open_jobs());
@@ -190,11 +196,18 @@
             let is_idle = self.dispatcher.is_idle(key);
             let wait = if link.clock.is_none() {
                 Duration::ZERO
+            } else if link.failures > 0 {
+                Duration::ZERO
             } else if is_idle {
                 policy.idle_wait
             } else {
                 policy.hold_wait
             };
+            // The lease of a silent worker must pass, so that its tasks can run elsewhere.
+            let is_silent = link.failures > 0;
+            let lease_end_ms = link
+                .lease_end_ms(self.parts.dispatch.lease, now)
+                .filter(|_| !is_silent);
             let request = HoldRequest {
                 worker: WorkerAddress {
                     name: report.name.clone(),
@@ -202,13 +215,15 @@
                 },
                 fence: self.parts.lease.epoch,
                 stored_end: self.dispatcher.stored_end(key),
-                lease_end_ms: link.lease_end_ms(self.parts.dispatch.lease, now),
+                lease_end_ms,
                 wait,
             };
             link.is_calling = true;
             self.sender
                 .hold(key, link.generation, request, wait + policy.hold_margin);
-            self.dispatcher.note_extension(key, now);
+            if lease_end_ms.is_some() {
+                self.dispatcher.note_extension(key, now);
+            }
         }
     }
 
@@ -245,6 +260,7 @@
             Err(error) => {
                 link.failures += 1;
                 link.due = now.after(HOLD_RETRY);
+                self.dispatcher.note_silence(key);
                 if link.failures == 1 {
                     warn!(self.parts.logger, "worker lost"; "worker" => self.dispatcher.worker(key).map(|worker| worker.name.to_string()), "error" => %error);
                 }
@@ -307,7 +323,11 @@
             epoch: self.parts.lease.epoch,
             renewals: 0,
             has_unlisted_runs: self.dispatcher.has_unlisted_runs(),
-            pending: self.dispatcher.pending().into_iter().collect(),
+            pending: if self.is_loaded {
+                self.dispatcher.pending().into_iter().collect()
+            } else {
+                self.intake.earlier_pending.clone()
+            },
         }
     }
 
@@ -354,9 +374,14 @@
 
     /// Takes rows of jobs. While renewals fail, new jobs wait: a successor may run them.
     fn take_jobs(&mut self, event: TableEvent) {
+        let is_snapshot = matches!(event, TableEvent::Snapshot(_));
         let (TableEvent::Snapshot(rows) | TableEvent::Changes(rows)) = event;
         let policy = &self.parts.policy;
-        if self
+        if is_snapshot && !self.is_loaded {
+            info!(self.parts.logger, "jobs loaded"; "rows" => rows.len());
+            self.intake.take(rows, &mut self.dispatcher);
+            self.is_loaded = true;
+        } else if self
             .parts
             .lease
             .is_younger(policy.expiry.saturating_sub(policy.renewal))
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -163,9 +163,7 @@
         let logger = self.logger.new(o!("epoch" => lease.epoch));
         info!(logger, "ownership taken"; "is_expired" => is_expired, "row" => lease.version);
         self.metrics.set_epoch(lease.epoch);
-        let has_unlisted = pulse.is_some_and(|pulse| pulse.has_unlisted_runs);
-        self.lead(lease.clone(), has_unlisted, is_expired, logger)
-            .await;
+        self.lead(lease.clone(), pulse, is_expired, logger).await;
         self.metrics.set_epoch(0);
         // The rows that were read before are stale; the follower brings the present ones.
         *rows = OwnerRows {
@@ -248,7 +246,7 @@
     async fn lead(
         &mut self,
         lease: OwnerLease,
-        has_unlisted: bool,
+        pulse: Option<PulseRow>,
         is_expired: bool,
         logger: Logger,
     ) {
@@ -270,7 +268,7 @@
         };
         let dispatcher =
             JobDispatcher::new(self.dispatch.clone(), rules, lease.epoch, now.after(wait))
-                .with_unlisted_runs(has_unlisted);
+                .with_unlisted_runs(pulse.as_ref().is_some_and(|pulse| pulse.has_unlisted_runs));
         let sequence = writer_rows.iter().find(|row| row.key == SEQUENCE_KEY);
         let sequence = sequence.map_or(0, |row| row.version);
         let mut waves = WaveKeeper::new(self.fleet.clone(), Arc::clone(&self.waves));
@@ -295,6 +293,7 @@
         let intake = JobIntake {
             epoch_version: lease.version,
             states,
+            earlier_pending: pulse.map(|pulse| pulse.pending).unwrap_or_default(),
             waiting: Vec::new(),
             logger: logger.clone(),
         };
--- a/crates/jobs/src/owner/pulse_view.rs
+++ b/crates/jobs/src/owner/pulse_view.rs
@@ -16,11 +16,11 @@
         self.current.store(Arc::new(Some(row)));
     }
 
-    pub(crate) fn pending(&self, queue: &QueueName) -> u64 {
+    /// Waiting jobs of a queue; none while no owner is known.
+    pub(crate) fn pending(&self, queue: &QueueName) -> Option<u64> {
         let current = self.current.load();
-        let rows = current.as_ref().as_ref().map(|row| &row.pending);
-        let mut rows = rows.into_iter().flatten();
-        rows.find(|(name, _)| name == queue)
-            .map_or(0, |(_, count)| *count)
+        let mut rows = current.as_ref().as_ref()?.pending.iter();
+        let row = rows.find(|(name, _)| name == queue);
+        Some(row.map_or(0, |(_, count)| *count))
     }
 }
