--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -18,7 +18,7 @@
 use super::record_writer::{JOBS_PER_WRITE, RecordWriter};
 use super::wave_keeper::WaveKeeper;
 use super::worker_links::{WorkerLink, WorkerLinks};
-use super::{OwnerEvent, OwnerPolicy};
+use super::{OwnerEvent, OwnerPolicy, PulseView};
 use crate::feeds::TableEvent;
 use crate::ports::{
     HoldOutcome, HoldRequest, PaceRequest, RowPort, StartRequest, StopRequest, StorePort, StoreRow,
@@ -47,6 +47,7 @@
     pub store: StorePort,
     pub rows: RowPort,
     pub view: DeploymentView,
+    pub pulse: PulseView,
     pub metrics: JobMetrics,
     pub logger: Logger,
 }
@@ -194,9 +195,8 @@
                 continue;
             }
             let is_idle = self.dispatcher.is_idle(key);
-            let wait = if link.clock.is_none() {
-                Duration::ZERO
-            } else if link.failures > 0 {
+            let is_silent = link.failures > 0;
+            let wait = if link.clock.is_none() || is_silent {
                 Duration::ZERO
             } else if is_idle {
                 policy.idle_wait
@@ -204,7 +204,6 @@
                 policy.hold_wait
             };
             // The lease of a silent worker must pass, so that its tasks can run elsewhere.
-            let is_silent = link.failures > 0;
             let lease_end_ms = link
                 .lease_end_ms(self.parts.dispatch.lease, now)
                 .filter(|_| !is_silent);
@@ -298,8 +297,9 @@
             .dispatcher
             .take_records(JOBS_PER_WRITE, BootClock.unix_ms());
         let pulse = is_pulse_due.then(|| self.pulse());
-        if is_pulse_due {
+        if let Some(pulse) = &pulse {
             self.writer.pulsed = now;
+            self.parts.pulse.set(pulse.clone());
         }
         let change = self.writer.change(&batch, pulse);
         self.writer.is_writing = true;
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -305,6 +305,7 @@
             store: self.store.clone(),
             rows: self.rows,
             view: self.view.clone(),
+            pulse: self.pulse.clone(),
             metrics: self.metrics.clone(),
             logger: logger.clone(),
         };
