Keep ended jobs until their record is stored

All candidates wrote at once to a slow store, which answered 429. Change: a job is forgotten only after its record is stored; candidates wait a random multiple of the store's own answer time.

--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -103,13 +103,10 @@
 
     /// Cancels a job; true if it is known and has not ended.
     pub fn cancel_job(&mut self, id: JobId) -> bool {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return false;
-        };
-        if job.phase.is_final() {
+        let is_open = self.jobs.get(&id).is_some_and(|job| !job.phase.is_final());
+        if !is_open {
             return false;
         }
-        job.is_cancelled = true;
         self.end_job(id, JobPhase::Cancelled);
         true
     }
--- a/crates/core/src/jobs/dispatcher/records.rs
+++ b/crates/core/src/jobs/dispatcher/records.rs
@@ -54,7 +54,10 @@
             }
         }
         for (id, record) in &batch.records {
-            if record.phase.is_final() {
+            if record.phase.is_final()
+                && let Some(job) = self.jobs.get_mut(id)
+            {
+                job.is_end_stored = true;
                 self.forget_job(*id);
             }
         }
@@ -65,8 +68,7 @@
         self.dirty.extend(batch.records.iter().map(|(id, _)| *id));
     }
 
-    /// Forgets a job that has ended and of which nothing runs; otherwise it is stored again when
-    /// its last run has gone.
+    /// Forgets a job whose end is stored, once nothing of it runs.
     fn forget_job(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else {
             return;
@@ -83,7 +85,7 @@
 
     /// Forgets ended jobs whose last run has gone since their record was stored.
     pub(super) fn forget_ended(&mut self) {
-        let ended = self.jobs.iter().filter(|(_, job)| job.ended_ms > 0);
+        let ended = self.jobs.iter().filter(|(_, job)| job.is_end_stored);
         let ended: Vec<JobId> = ended.map(|(id, _)| *id).collect();
         for id in ended {
             self.forget_job(id);
--- a/crates/core/src/jobs/job_entry.rs
+++ b/crates/core/src/jobs/job_entry.rs
@@ -24,7 +24,8 @@
     pub order: JobOrder,
     pub phase: JobPhase,
     pub ended_ms: u64,
-    pub is_cancelled: bool,
+    /// Whether the record of the end is stored.
+    pub is_end_stored: bool,
     /// Whether an earlier owner may have started tasks of it.
     pub is_inherited: bool,
     pub occurrences: Vec<OccurrenceEntry>,
@@ -42,7 +43,7 @@
             order,
             phase: record.phase,
             ended_ms: record.ended_ms,
-            is_cancelled: false,
+            is_end_stored: false,
             is_inherited,
             occurrences: Vec::new(),
             next_occurrence: 0,
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -35,6 +35,10 @@
 /// Time between two looks at the ownership.
 const LOOK_PERIOD: Duration = Duration::from_millis(150);
 
+/// Longest pause before an attempt to take the ownership, as a multiple of the time that the store
+/// takes for a read. About eight entry instances compete.
+const CONTENTION_SPREAD: f64 = 4.0;
+
 /// Pause after a failed attempt to read what the owner needs.
 const READ_PAUSE: Duration = Duration::from_millis(150);
 
@@ -148,7 +152,7 @@
 
     /// Takes the ownership, if nobody has renewed it since, and exercises it.
     async fn try_lead(&mut self, rows: &mut OwnerRows, is_expired: bool) {
-        if is_expired && !self.confirm_expiry(rows).await {
+        if !self.confirm(rows).await {
             return;
         }
         let sent = BootClock.now();
@@ -180,8 +184,21 @@
         };
     }
 
-    /// Whether the rows are still as the follower saw them. The follower may have been cut off.
-    async fn confirm_expiry(&self, rows: &mut OwnerRows) -> bool {
+    /// Whether the rows are still as the follower saw them, after a pause at random. The follower
+    /// may have been cut off, and a slow store has no room for the attempts of all candidates.
+    async fn confirm(&self, rows: &mut OwnerRows) -> bool {
+        let begin = tokio::time::Instant::now();
+        if !self.is_unchanged(rows).await {
+            return false;
+        }
+        let pause = begin
+            .elapsed()
+            .mul_f64(CONTENTION_SPREAD * rand::random::<f64>());
+        sleep(pause).await;
+        pause < LOOK_PERIOD || self.is_unchanged(rows).await
+    }
+
+    async fn is_unchanged(&self, rows: &mut OwnerRows) -> bool {
         let before = rows.record();
         match read_table(&self.store, StoreTable::Owner).await {
             Ok((read, _)) => {
