Maintain an instance only when its worker is known to be empty; log the load of pools

Change: such a worker counts as unknown for 7 s; the owner logs capacity, use and waiting work of each pool every second.

--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -1,5 +1,6 @@
 mod ends;
 mod holds;
+mod loads;
 mod placing;
 mod records;
 mod relocation;
--- a/crates/core/src/jobs/dispatcher/placing.rs
+++ b/crates/core/src/jobs/dispatcher/placing.rs
@@ -14,11 +14,11 @@
 use crate::time::TimePoint;
 
 /// Tasks of a step that wait for room.
-struct WaitingStep {
+pub(super) struct WaitingStep {
     key: SequenceKey,
-    name: StepName,
-    pool: PoolName,
-    indexes: Vec<u16>,
+    pub(super) name: StepName,
+    pub(super) pool: PoolName,
+    pub(super) indexes: Vec<u16>,
 }
 
 impl JobDispatcher {
@@ -85,7 +85,7 @@
             || workers.any(|entry| entry.report.pool == *pool && entry.held.is_none())
     }
 
-    fn waiting_steps(&self, now: TimePoint) -> Vec<WaitingStep> {
+    pub(super) fn waiting_steps(&self, now: TimePoint) -> Vec<WaitingStep> {
         let mut unsettled: HashMap<&PoolName, bool> = HashMap::new();
         let shares = self.over_share();
         let mut waiting = Vec::new();
--- a/crates/core/src/jobs/dispatcher/relocation.rs
+++ b/crates/core/src/jobs/dispatcher/relocation.rs
@@ -15,11 +15,13 @@
         }
     }
 
-    /// Whether nothing runs on a worker, nor may begin.
+    /// Whether nothing runs on a worker, nor may begin; none if that is not known, because the
+    /// worker is new here or has not answered under this epoch.
     #[must_use]
-    pub fn is_empty(&self, name: &InstanceName) -> bool {
-        self.worker_key(name)
-            .is_none_or(|key| self.workers[key].runs.is_empty())
+    pub fn is_empty(&self, name: &InstanceName) -> Option<bool> {
+        let entry = &self.workers[*self.names.get(name)?];
+        entry.held?;
+        Some(entry.runs.is_empty() && !entry.has_strangers)
     }
 
     /// What speaks for taking a worker out for maintenance now.
--- /dev/null
+++ b/crates/core/src/jobs/pool_load.rs
@@ -0,0 +1,20 @@
+/// Load of a pool.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PoolLoad {
+    /// Workers that are listed.
+    pub workers: usize,
+    /// Workers that may be given tasks.
+    pub usable: usize,
+    /// Processor of the listed workers, in thousandths of a core.
+    pub capacity: u64,
+    /// Processor in use by tasks that last, in thousandths of a core. Fillers do not count.
+    pub lasting: u64,
+    /// Processor in use by tasks that end, in thousandths of a core.
+    pub ending: u64,
+    /// Processor that waiting tasks ask for, in thousandths of a core.
+    pub waiting: u64,
+    /// Work of waiting tasks by their estimates, in core milliseconds.
+    pub backlog: u64,
+    /// Tasks that wait for room.
+    pub waiting_tasks: usize,
+}
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -34,6 +34,9 @@
 /// with ends that are not acknowledged answers at once.
 const STORE_PATIENCE: Duration = Duration::from_millis(300);
 
+/// Time between two log lines about the load of a pool.
+const LOAD_PERIOD: Duration = Duration::from_secs(1);
+
 /// Pause after a write that the store turned away.
 const WRITE_RETRY: Duration = Duration::from_millis(120);
 
@@ -64,6 +67,7 @@
     links: WorkerLinks,
     version: u64,
     write_after: TimePoint,
+    loads_logged: TimePoint,
     /// Whether the stored jobs are known. Before that, runs at workers cannot be told apart from
     /// runs of jobs that have ended.
     is_loaded: bool,
@@ -91,6 +95,7 @@
             links: WorkerLinks::default(),
             version: 0,
             write_after: TimePoint::ORIGIN,
+            loads_logged: TimePoint::ORIGIN,
             is_loaded: false,
             ended: Some(ended),
         }
@@ -118,6 +123,7 @@
             }
             self.send_holds(now);
             self.wave_round(now);
+            self.log_loads(now);
         }
         self.write(now);
         self.parts
@@ -125,6 +131,16 @@
             .set_open_jobs(self.dispatcher.open_jobs());
     }
 
+    fn log_loads(&mut self, now: TimePoint) {
+        if now.since(self.loads_logged) < LOAD_PERIOD {
+            return;
+        }
+        self.loads_logged = now;
+        for (pool, load) in self.dispatcher.loads(now) {
+            info!(self.parts.logger, "pool load"; "pool" => %pool, "workers" => load.workers, "usable" => load.usable, "capacity" => load.capacity, "lasting" => load.lasting, "ending" => load.ending, "waiting" => load.waiting, "backlog" => load.backlog, "waiting_tasks" => load.waiting_tasks);
+        }
+    }
+
     fn take_rules(&mut self) {
         if let Some(deployment) = self.parts.view.load()
             && deployment.version > self.version
--- a/crates/jobs/src/owner/wave_keeper.rs
+++ b/crates/jobs/src/owner/wave_keeper.rs
@@ -21,6 +21,10 @@
 /// Instances that are emptied beyond the wave's limit, so that one is ready when another returns.
 const EMPTIED_AHEAD: usize = 1;
 
+/// Time after which an instance whose worker does not answer is maintained all the same. What it
+/// ran has lost its lease by then.
+const UNKNOWN_PATIENCE: Duration = Duration::from_secs(7);
+
 /// Pause after an order that was not accepted.
 const ORDER_RETRY: Duration = Duration::from_millis(400);
 
@@ -29,8 +33,8 @@
 struct WaveProgress {
     /// Instances whose maintenance has begun, or that are no longer part of the wave.
     done: HashSet<InstanceName>,
-    /// Instances that are emptied.
-    emptied: HashSet<InstanceName>,
+    /// Instances that are emptied, and since when.
+    emptied: HashMap<InstanceName, TimePoint>,
     /// Instances that are down, and when their order was accepted.
     out: HashMap<InstanceName, TimePoint>,
     /// Orders under way.
@@ -129,7 +133,7 @@
         loop {
             let progress = &self.waves.waves[&wave.number];
             let is_open = |name: &&InstanceName| {
-                !progress.done.contains(*name) && !progress.emptied.contains(*name)
+                !progress.done.contains(*name) && !progress.emptied.contains_key(*name)
             };
             let open = wave.instances.iter().filter(is_open);
             let choices: Vec<UpkeepChoice> = open
@@ -145,7 +149,7 @@
                 self.dispatcher.set_evacuating(&worker, true);
             }
             let progress = self.waves.waves.entry(wave.number).or_default();
-            progress.emptied.insert(name);
+            progress.emptied.insert(name, now);
         }
     }
 
@@ -172,19 +176,17 @@
     }
 
     /// Sends the orders for empty instances, within the limit of the wave.
-    fn order_empty(&mut self, wave: &MaintenanceWave, _now: TimePoint) {
+    fn order_empty(&mut self, wave: &MaintenanceWave, now: TimePoint) {
         let progress = &self.waves.waves[&wave.number];
         let busy = progress.out.len() + progress.ordering.len();
         let mut room = wave.limit.saturating_sub(busy);
         let mut ready: Vec<InstanceName> = progress
             .emptied
             .iter()
-            .filter(|name| !progress.ordering.contains(*name))
-            .filter(|name| {
-                self.worker_of(name)
-                    .is_none_or(|worker| self.dispatcher.is_empty(&worker))
+            .filter(|(name, since)| {
+                !progress.ordering.contains(*name) && self.is_ready(name, now.since(**since))
             })
-            .cloned()
+            .map(|(name, _)| name.clone())
             .collect();
         ready.sort();
         for name in ready {
@@ -196,6 +198,16 @@
         }
     }
 
+    /// Whether nothing runs on an instance that is emptied since `age`.
+    fn is_ready(&self, instance: &InstanceName, age: Duration) -> bool {
+        let Some(worker) = self.worker_of(instance) else {
+            return true;
+        };
+        self.dispatcher
+            .is_empty(&worker)
+            .unwrap_or(age > UNKNOWN_PATIENCE)
+    }
+
     fn order_upkeep(&mut self, wave: u64, instance: InstanceName) {
         let progress = self.waves.waves.entry(wave).or_default();
         progress.ordering.insert(instance.clone());
