Size pools by the demand that turns between them

Cause: one pool at a time asks for two to five times what it holds while the others use a tenth; its callers wait 2 to 10 s. Change: core::jobs::pool_sizing decides sizes from what is in use and waits, the owner moves idle instances; lasting tasks are packed so that instances come free.

--- a/crates/core/src/jobs/dispatcher/loads.rs
+++ b/crates/core/src/jobs/dispatcher/loads.rs
@@ -8,6 +8,16 @@
 use crate::time::TimePoint;
 
 impl JobDispatcher {
+    /// Average processor of the listed workers, in thousandths of a core.
+    #[must_use]
+    pub fn worker_capacity(&self) -> u64 {
+        let listed = self.workers.values().filter(|entry| entry.is_listed);
+        let (count, sum) = listed.fold((0, 0), |(count, sum), entry| {
+            (count + 1, sum + entry.report.capacity.cpu_millis)
+        });
+        sum / u64::max(count, 1)
+    }
+
     /// Load of each pool that has workers or waiting tasks.
     #[must_use]
     pub fn loads(&self, now: TimePoint) -> BTreeMap<PoolName, PoolLoad> {
--- a/crates/core/src/jobs/dispatcher/placing.rs
+++ b/crates/core/src/jobs/dispatcher/placing.rs
@@ -248,7 +248,7 @@
                 is_on_trial: entry.health.is_on_trial(),
             })
         });
-        choose_worker(spec.worker_amount(), offers)
+        choose_worker(spec.worker_amount(), spec.is_lasting, offers)
     }
 
     /// Tasks of the step on a worker; none if it may not run another one.
--- /dev/null
+++ b/crates/core/src/jobs/pool_sizing.rs
@@ -0,0 +1,222 @@
+//! How many instances each pool should have.
+//!
+//! Load pattern: the demand turns from pool to pool. Each surges for some seconds to more than its
+//! pool holds while the others are nearly idle, and the pool whose last surge lies longest ago is
+//! the likeliest to be next. A pool grows at once with what waits. It shrinks when its peak has
+//! passed; one that has just had its turn shrinks to what it needs, one whose turn is still to come
+//! keeps its size, since an instance takes longer to move than a caller likes to wait.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::PoolLoad;
+use crate::ids::PoolName;
+use crate::time::TimePoint;
+
+/// Times and shares of the sizing.
+#[derive(Debug, Clone)]
+pub struct SizingPolicy {
+    /// Room beyond what is in use and waits, as a share of it.
+    pub headroom: f64,
+    /// Time for which a peak is remembered.
+    pub peak_memory: Duration,
+    /// Fewest instances of a pool that is not a spare pool.
+    pub least_instances: usize,
+    /// Share of its capacity above which a pool counts as surging.
+    pub surge_share: f64,
+    /// Pools that keep their size because their turn may be next.
+    pub kept_pools: usize,
+}
+
+impl Default for SizingPolicy {
+    fn default() -> Self {
+        Self {
+            headroom: 0.25,
+            peak_memory: Duration::from_secs(3),
+            least_instances: 3,
+            surge_share: 0.6,
+            kept_pools: 2,
+        }
+    }
+}
+
+/// A pool as the sizing sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct PoolSize {
+    /// Load of the pool.
+    pub load: PoolLoad,
+    /// Instances that it has or that are on their way to it.
+    pub instances: usize,
+    /// Of these, instances that run nothing and can be taken away.
+    pub idle: usize,
+}
+
+/// Instances to move between pools; none stands for the spare pool.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SizeChange {
+    /// Pool that gives; none for the spare pool.
+    pub from: Option<PoolName>,
+    /// Pool that takes; none for the spare pool.
+    pub to: Option<PoolName>,
+    /// Number of instances.
+    pub count: usize,
+}
+
+#[derive(Debug, Clone, Default)]
+struct PoolHistory {
+    /// Wanted sizes of the recent past.
+    wanted: Vec<(TimePoint, usize)>,
+    surged: Option<TimePoint>,
+    /// Largest size so far without instances of the spare pool.
+    usual: usize,
+}
+
+/// Remembers the demand of the pools.
+#[derive(Debug, Default)]
+pub struct PoolSizing {
+    policy: SizingPolicy,
+    history: BTreeMap<PoolName, PoolHistory>,
+}
+
+impl PoolSizing {
+    /// Creates the sizing.
+    #[must_use]
+    pub fn new(policy: SizingPolicy) -> Self {
+        Self {
+            policy,
+            history: BTreeMap::new(),
+        }
+    }
+
+    /// Decides which instances move. `spare` is the number of instances in the spare pool, and
+    /// `capacity` the processor of an instance in thousandths of a core.
+    pub fn decide(
+        &mut self,
+        pools: &BTreeMap<PoolName, PoolSize>,
+        spare: usize,
+        capacity: u64,
+        now: TimePoint,
+    ) -> Vec<SizeChange> {
+        self.note(pools, capacity, now);
+        let kept = self.next_pools(now);
+        let mut lacks: Vec<(PoolName, usize)> = Vec::new();
+        let mut gives: Vec<(PoolName, usize)> = Vec::new();
+        for (pool, size) in pools {
+            let history = &self.history[pool];
+            let peak = history.wanted.iter().map(|(_, wanted)| *wanted).max();
+            let peak = peak.unwrap_or(0);
+            let least = if kept.contains(pool) {
+                history.usual
+            } else {
+                self.policy.least_instances
+            };
+            let target = peak.max(least);
+            if size.instances < peak {
+                lacks.push((pool.clone(), peak - size.instances));
+            } else {
+                let surplus = size.instances.saturating_sub(target).min(size.idle);
+                gives.push((pool.clone(), surplus));
+            }
+        }
+        distribute(lacks, gives, spare)
+    }
+
+    /// Takes the demand of this moment.
+    fn note(&mut self, pools: &BTreeMap<PoolName, PoolSize>, capacity: u64, now: TimePoint) {
+        for (pool, size) in pools {
+            let history = self.history.entry(pool.clone()).or_default();
+            history.usual = if history.usual == 0 {
+                size.instances
+            } else {
+                history.usual
+            };
+            let wanted = wanted_instances(&size.load, capacity, self.policy.headroom);
+            history.wanted.push((now, wanted));
+            let memory = self.policy.peak_memory;
+            history.wanted.retain(|(at, _)| now.since(*at) <= memory);
+            if is_surging(&size.load, self.policy.surge_share) {
+                history.surged = Some(now);
+            }
+        }
+    }
+
+    /// Pools whose turn may be next: those whose last surge lies longest ago.
+    fn next_pools(&self, _now: TimePoint) -> Vec<PoolName> {
+        let mut order: Vec<(&PoolName, Option<TimePoint>)> = self
+            .history
+            .iter()
+            .map(|(pool, history)| (pool, history.surged))
+            .collect();
+        order.sort_by_key(|(_, surged)| *surged);
+        let never = order.iter().filter(|(_, surged)| surged.is_none()).count();
+        let count = never.max(self.policy.kept_pools);
+        let first = order.into_iter().take(count);
+        first.map(|(pool, _)| pool.clone()).collect()
+    }
+}
+
+/// Instances that hold what is in use and what waits.
+#[must_use]
+pub fn wanted_instances(load: &PoolLoad, capacity: u64, headroom: f64) -> usize {
+    // A backlog of short tasks needs less room than its tasks at once.
+    let waiting = load.waiting.min(load.backlog.max(load.waiting / 2));
+    let used = load.lasting + load.ending + waiting;
+    #[expect(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "amounts are far below 2^52 and not negative"
+    )]
+    let instances = (used as f64 * (1.0 + headroom) / capacity.max(1) as f64).ceil() as usize;
+    instances
+}
+
+fn is_surging(load: &PoolLoad, share: f64) -> bool {
+    let demand = load.lasting + load.ending + load.waiting;
+    #[expect(clippy::cast_precision_loss, reason = "amounts are far below 2^52")]
+    let is_surging = demand as f64 > load.capacity as f64 * share;
+    is_surging && load.capacity > 0
+}
+
+/// Serves the pools that lack instances from those that have too many, then from the spare pool,
+/// and moves what is left over to the spare pool.
+fn distribute(
+    mut lacks: Vec<(PoolName, usize)>,
+    mut gives: Vec<(PoolName, usize)>,
+    mut spare: usize,
+) -> Vec<SizeChange> {
+    lacks.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+    gives.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+    let mut changes = Vec::new();
+    for (to, mut lack) in lacks {
+        for (from, surplus) in &mut gives {
+            let count = lack.min(*surplus);
+            if count > 0 {
+                lack -= count;
+                *surplus -= count;
+                changes.push(SizeChange {
+                    from: Some(from.clone()),
+                    to: Some(to.clone()),
+                    count,
+                });
+            }
+        }
+        let count = lack.min(spare);
+        if count > 0 {
+            spare -= count;
+            changes.push(SizeChange {
+                from: None,
+                to: Some(to),
+                count,
+            });
+        }
+    }
+    for (from, count) in gives.into_iter().filter(|(_, count)| *count > 0) {
+        changes.push(SizeChange {
+            from: Some(from),
+            to: None,
+            count,
+        });
+    }
+    changes
+}
--- a/crates/core/src/jobs/worker_choice.rs
+++ b/crates/core/src/jobs/worker_choice.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: the turn of a surge, in which a pool is nearly full of tasks of several sizes.
 //! Large tasks take the fullest worker that has room, so that room for the next large task stays in
-//! one piece; small ones spread out, so that one bad worker holds few of them.
+//! one piece; small ones spread out, so that one bad worker holds few of them. Tasks that last are
+//! packed by memory, so that the other workers can follow the demand to other pools.
 
 use super::ResourceAmount;
 
@@ -29,19 +30,23 @@
 /// Chooses among `offers`; none if no worker has room.
 pub fn choose_worker<K: Copy>(
     amount: ResourceAmount,
+    is_lasting: bool,
     offers: impl Iterator<Item = WorkerOffer<K>>,
 ) -> Option<K> {
     let fitting = offers.filter(|offer| amount.fits(offer.room));
     let best = fitting.min_by(|one, other| {
         let order = one.is_on_trial.cmp(&other.is_on_trial);
         let order = order.then(other.is_near.cmp(&one.is_near));
-        order.then(cost(amount, one).total_cmp(&cost(amount, other)))
+        order.then(cost(amount, is_lasting, one).total_cmp(&cost(amount, is_lasting, other)))
     });
     best.map(|offer| offer.key)
 }
 
 #[expect(clippy::cast_precision_loss, reason = "amounts are far below 2^52")]
-fn cost<K>(amount: ResourceAmount, offer: &WorkerOffer<K>) -> f64 {
+fn cost<K>(amount: ResourceAmount, is_lasting: bool, offer: &WorkerOffer<K>) -> f64 {
+    if is_lasting {
+        return offer.room.memory_mb as f64 / offer.capacity.memory_mb.max(1) as f64;
+    }
     let capacity = offer.capacity.cpu_millis.max(1) as f64;
     let free = offer.room.cpu_millis as f64 / capacity;
     if amount.cpu_millis as f64 / capacity >= LARGE_SHARE {
--- /dev/null
+++ b/crates/jobs/src/owner/inventory_view.rs
@@ -0,0 +1,78 @@
+use std::collections::HashMap;
+
+use sesamedeal_core::ids::InstanceName;
+use sesamedeal_core::time::TimePoint;
+use sesamedeal_store::Result;
+use slog::warn;
+
+use super::OwnerEvent;
+use super::owner_actor::OwnerActor;
+use crate::ports::{FleetPort, InstanceReport};
+
+/// The inventory as it was read last.
+#[derive(Debug)]
+pub(crate) struct InventoryView {
+    pub fleet: FleetPort,
+    pub reports: HashMap<InstanceName, InstanceReport>,
+    /// When the read was sent.
+    pub sent: TimePoint,
+    is_reading: bool,
+}
+
+impl InventoryView {
+    pub(crate) fn new(fleet: FleetPort) -> Self {
+        Self {
+            fleet,
+            reports: HashMap::new(),
+            sent: TimePoint::ORIGIN,
+            is_reading: false,
+        }
+    }
+}
+
+impl OwnerActor {
+    /// Reads the inventory again if it is older than the policy allows. It is read often while
+    /// instances are on their way.
+    pub(super) fn read_inventory(&mut self, is_moving: bool, now: TimePoint) {
+        let period = if is_moving {
+            self.parts.policy.inventory_period
+        } else {
+            self.parts.policy.idle_inventory_period
+        };
+        if self.inventory.is_reading || now.since(self.inventory.sent) < period {
+            return;
+        }
+        self.inventory.is_reading = true;
+        self.inventory.sent = now;
+        let call = (self.inventory.fleet.list)(());
+        let owner = self.sender.owner.clone();
+        tokio::spawn(async move {
+            let outcome = call.await;
+            let event = OwnerEvent::Inventory { sent: now, outcome };
+            // The owner has gone when the ownership was lost.
+            drop(owner.send(event).await);
+        });
+    }
+
+    pub(super) fn take_inventory(&mut self, sent: TimePoint, outcome: Result<Vec<InstanceReport>>) {
+        self.inventory.is_reading = false;
+        match outcome {
+            Ok(reports) => {
+                let reports = reports.into_iter();
+                self.inventory.reports = reports
+                    .map(|report| (report.name.clone(), report))
+                    .collect();
+                self.settle_waves(sent);
+                self.settle_moves(sent);
+            }
+            Err(error) => {
+                warn!(self.parts.logger, "inventory not read"; "error" => %error);
+            }
+        }
+    }
+
+    /// Worker of an instance, if the inventory shows one.
+    pub(super) fn worker_of(&self, instance: &InstanceName) -> Option<InstanceName> {
+        self.inventory.reports.get(instance)?.worker.clone()
+    }
+}
--- a/crates/jobs/src/owner/mod.rs
+++ b/crates/jobs/src/owner/mod.rs
@@ -1,12 +1,14 @@
 //! Ownership of the pools: who places tasks, keeps leases at workers and records ends.
 
 mod call_sender;
+mod inventory_view;
 mod job_intake;
 mod owner_actor;
 mod owner_event;
 mod owner_lease;
 mod owner_loop;
 mod owner_policy;
+mod pool_keeper;
 mod pulse_view;
 mod record_writer;
 mod wave_keeper;
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -4,7 +4,7 @@
 
 use sesamedeal_core::ids::InstanceName;
 use sesamedeal_core::jobs::{
-    DispatchPolicy, HoldReport, JobDispatcher, RecordBatch, WorkerKey, WorkerOrder,
+    DispatchPolicy, HoldReport, JobDispatcher, RecordBatch, SizingPolicy, WorkerKey, WorkerOrder,
 };
 use sesamedeal_core::time::TimePoint;
 use sesamedeal_store::{PlatformError, Result};
@@ -13,16 +13,18 @@
 use xtra::{Actor, Context, Handler};
 
 use super::call_sender::CallSender;
+use super::inventory_view::InventoryView;
 use super::job_intake::JobIntake;
 use super::owner_lease::OwnerLease;
+use super::pool_keeper::PoolKeeper;
 use super::record_writer::{JOBS_PER_WRITE, RecordWriter};
 use super::wave_keeper::WaveKeeper;
 use super::worker_links::{WorkerLink, WorkerLinks};
 use super::{OwnerEvent, OwnerPolicy, PulseView};
 use crate::feeds::TableEvent;
 use crate::ports::{
-    HoldOutcome, HoldRequest, PaceRequest, RowPort, StartRequest, StopRequest, StorePort, StoreRow,
-    TransactOutcome, WorkerAddress,
+    FleetPort, HoldOutcome, HoldRequest, PaceRequest, RowPort, StartRequest, StopRequest,
+    StorePort, StoreRow, TransactOutcome, WorkerAddress,
 };
 use crate::row_codec::PulseRow;
 use crate::{BootClock, DeploymentView, JobMetrics};
@@ -48,6 +50,7 @@
     pub dispatch: DispatchPolicy,
     pub lease: OwnerLease,
     pub store: StorePort,
+    pub fleet: FleetPort,
     pub rows: RowPort,
     pub view: DeploymentView,
     pub pulse: PulseView,
@@ -63,6 +66,8 @@
     pub(super) sender: CallSender,
     pub(super) writer: RecordWriter,
     pub(super) waves: WaveKeeper,
+    pub(super) inventory: InventoryView,
+    pub(super) pools: PoolKeeper,
     intake: JobIntake,
     links: WorkerLinks,
     version: u64,
@@ -86,11 +91,13 @@
         ended: oneshot::Sender<()>,
     ) -> Self {
         Self {
+            inventory: InventoryView::new(parts.fleet.clone()),
             parts,
             dispatcher,
             sender,
             writer,
             waves,
+            pools: PoolKeeper::new(SizingPolicy::default()),
             intake,
             links: WorkerLinks::default(),
             version: 0,
@@ -534,6 +541,7 @@
                 instance,
                 outcome,
             } => self.take_maintained(wave, &instance, outcome),
+            OwnerEvent::Moved { instance, outcome } => self.take_moved(&instance, outcome),
             OwnerEvent::StatusWritten { wave, outcome } => self.take_status(wave, outcome),
         }
     }
--- a/crates/jobs/src/owner/owner_event.rs
+++ b/crates/jobs/src/owner/owner_event.rs
@@ -53,6 +53,11 @@
         instance: sesamedeal_core::ids::InstanceName,
         outcome: Result<OrderOutcome>,
     },
+    /// The platform answered the order to move an instance.
+    Moved {
+        instance: sesamedeal_core::ids::InstanceName,
+        outcome: Result<OrderOutcome>,
+    },
     /// The store answered the write of a wave's status.
     StatusWritten {
         wave: u64,
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -288,7 +288,7 @@
                 .with_unlisted_runs(pulse.as_ref().is_some_and(|pulse| pulse.has_unlisted_runs));
         let sequence = writer_rows.iter().find(|row| row.key == SEQUENCE_KEY);
         let sequence = sequence.map_or(0, |row| row.version);
-        let mut waves = WaveKeeper::new(self.fleet.clone(), Arc::clone(&self.waves));
+        let mut waves = WaveKeeper::new(Arc::clone(&self.waves));
         for row in &writer_rows {
             let wave = row.key.strip_prefix("wave/");
             if let Some(wave) = wave.and_then(|wave| wave.parse().ok()) {
@@ -320,6 +320,7 @@
             dispatch: self.dispatch.clone(),
             lease: lease.clone(),
             store: self.store.clone(),
+            fleet: self.fleet.clone(),
             rows: self.rows,
             view: self.view.clone(),
             pulse: self.pulse.clone(),
--- a/crates/jobs/src/owner/owner_policy.rs
+++ b/crates/jobs/src/owner/owner_policy.rs
@@ -28,8 +28,10 @@
     pub order_lanes: usize,
     /// Time between two looks at maintenance.
     pub wave_round: Duration,
-    /// Time between two readings of the inventory while an instance is out.
+    /// Time between two readings of the inventory while an instance is out or moves.
     pub inventory_period: Duration,
+    /// Time between two readings of the inventory otherwise.
+    pub idle_inventory_period: Duration,
 }
 
 impl Default for OwnerPolicy {
@@ -48,6 +50,7 @@
             order_lanes: 4,
             wave_round: Duration::from_millis(200),
             inventory_period: Duration::from_millis(500),
+            idle_inventory_period: Duration::from_secs(2),
         }
     }
 }
--- /dev/null
+++ b/crates/jobs/src/owner/pool_keeper.rs
@@ -0,0 +1,206 @@
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use sesamedeal_core::ids::{InstanceName, PoolName};
+use sesamedeal_core::jobs::{PoolSize, PoolSizing, SizeChange, SizingPolicy};
+use sesamedeal_core::time::TimePoint;
+use sesamedeal_store::Result;
+use slog::info;
+
+use super::OwnerEvent;
+use super::owner_actor::OwnerActor;
+use crate::BootClock;
+use crate::ports::{InstanceOrder, InstanceState, OrderOutcome};
+
+/// Time after which an instance that moves no longer counts for its new pool unless it is there.
+const ARRIVAL_PATIENCE: Duration = Duration::from_secs(5);
+
+/// Pause before an order without an answer is sent again. Until it has an answer the instance stays
+/// empty, since the order may be carried out at any time.
+const ORDER_RETRY: Duration = Duration::from_millis(500);
+
+/// Time between two decisions. A surge doubles the demand within about a second.
+const SIZE_PERIOD: Duration = Duration::from_millis(200);
+
+/// A move of an instance.
+#[derive(Debug)]
+struct InstanceMove {
+    to: PoolName,
+    /// When the order was accepted; none before.
+    accepted: Option<TimePoint>,
+    is_ordering: bool,
+    retry_after: TimePoint,
+}
+
+/// Carries out moves between pools.
+#[derive(Debug)]
+pub(crate) struct PoolKeeper {
+    sizing: PoolSizing,
+    moves: HashMap<InstanceName, InstanceMove>,
+    next_round: TimePoint,
+}
+
+impl PoolKeeper {
+    pub(crate) fn new(policy: SizingPolicy) -> Self {
+        Self {
+            sizing: PoolSizing::new(policy),
+            moves: HashMap::new(),
+            next_round: TimePoint::ORIGIN,
+        }
+    }
+}
+
+impl OwnerActor {
+    pub(super) fn has_moves(&self) -> bool {
+        !self.pools.moves.is_empty()
+    }
+
+    /// Decides about the sizes of the pools and orders moves.
+    pub(super) fn size_pools(&mut self, now: TimePoint) {
+        self.repeat_moves(now);
+        if now < self.pools.next_round || self.inventory.reports.is_empty() {
+            return;
+        }
+        self.pools.next_round = now.after(SIZE_PERIOD);
+        let Some(spare_pool) = self.spare_pool() else {
+            return;
+        };
+        let sizes = self.pool_sizes(&spare_pool, now);
+        let spare = self.idle_instances(&spare_pool);
+        let capacity = self.dispatcher.worker_capacity();
+        let changes = self.pools.sizing.decide(&sizes, spare.len(), capacity, now);
+        for change in changes {
+            self.begin_moves(&change, &spare_pool, now);
+        }
+    }
+
+    /// The pool of instances that are switched off.
+    fn spare_pool(&self) -> Option<PoolName> {
+        let deployment = self.parts.view.load()?;
+        let mut pools = deployment.rules.pools.iter();
+        let spare = pools.find(|(_, rule)| rule.is_spare);
+        spare.map(|(pool, _)| pool.clone())
+    }
+
+    fn pool_sizes(&self, spare: &PoolName, now: TimePoint) -> BTreeMap<PoolName, PoolSize> {
+        let mut loads = self.dispatcher.loads(now);
+        loads.remove(spare);
+        let mut sizes = BTreeMap::new();
+        for (pool, load) in loads {
+            let present = self.inventory.reports.values();
+            let present = present.filter(|report| {
+                report.pool == pool && !self.pools.moves.contains_key(&report.name)
+            });
+            let arriving = self.pools.moves.values().filter(|entry| entry.to == pool);
+            let size = PoolSize {
+                load,
+                instances: present.count() + arriving.count(),
+                idle: self.idle_instances(&pool).len(),
+            };
+            sizes.insert(pool, size);
+        }
+        sizes
+    }
+
+    /// Instances of a pool that run nothing and are not needed for anything else.
+    fn idle_instances(&self, pool: &PoolName) -> Vec<InstanceName> {
+        let reports = self.inventory.reports.values();
+        let idle = reports.filter(|report| {
+            let is_free = report.pool == *pool
+                && report.state == InstanceState::Up
+                && !self.pools.moves.contains_key(&report.name)
+                && !self.is_emptied(&report.name);
+            is_free
+                && report
+                    .worker
+                    .as_ref()
+                    .is_none_or(|worker| self.dispatcher.is_empty(worker) == Some(true))
+        });
+        let mut names: Vec<InstanceName> = idle.map(|report| report.name.clone()).collect();
+        names.sort();
+        names
+    }
+
+    fn begin_moves(&mut self, change: &SizeChange, spare: &PoolName, now: TimePoint) {
+        let from = change.from.as_ref().unwrap_or(spare);
+        let to = change.to.as_ref().unwrap_or(spare);
+        let idle = self.idle_instances(from);
+        for instance in idle.into_iter().take(change.count) {
+            info!(self.parts.logger, "instance moves"; "instance" => %instance, "from" => %from, "to" => %to);
+            if let Some(worker) = self.worker_of(&instance) {
+                self.dispatcher.set_evacuating(&worker, true);
+            }
+            let entry = InstanceMove {
+                to: to.clone(),
+                accepted: None,
+                is_ordering: false,
+                retry_after: now,
+            };
+            self.pools.moves.insert(instance, entry);
+        }
+        self.repeat_moves(now);
+    }
+
+    /// Sends the orders that are due.
+    fn repeat_moves(&mut self, now: TimePoint) {
+        let due = self.pools.moves.iter().filter(|(_, entry)| {
+            entry.accepted.is_none() && !entry.is_ordering && entry.retry_after <= now
+        });
+        let due: Vec<(InstanceName, PoolName)> = due
+            .map(|(instance, entry)| (instance.clone(), entry.to.clone()))
+            .collect();
+        for (instance, to) in due {
+            if let Some(entry) = self.pools.moves.get_mut(&instance) {
+                entry.is_ordering = true;
+            }
+            let order = InstanceOrder {
+                instance: instance.clone(),
+                holder: self.parts.node.clone(),
+                fence: self.parts.lease.epoch,
+                pool: Some(to),
+                wave: None,
+            };
+            let call = (self.inventory.fleet.order)(order);
+            let owner = self.sender.owner.clone();
+            tokio::spawn(async move {
+                let outcome = call.await;
+                // The owner has gone when the ownership was lost.
+                drop(owner.send(OwnerEvent::Moved { instance, outcome }).await);
+            });
+        }
+    }
+
+    pub(super) fn take_moved(&mut self, instance: &InstanceName, outcome: Result<OrderOutcome>) {
+        let now = BootClock.now();
+        info!(self.parts.logger, "move ordered"; "instance" => %instance, "epoch" => self.parts.lease.epoch, "outcome" => ?outcome);
+        let Some(entry) = self.pools.moves.get_mut(instance) else {
+            return;
+        };
+        entry.is_ordering = false;
+        match outcome {
+            Ok(OrderOutcome::Accepted) => entry.accepted = Some(now),
+            Ok(OrderOutcome::Fenced) => self.step_down("an instance has seen a later epoch"),
+            Ok(OrderOutcome::Busy | OrderOutcome::Refused) => {
+                self.pools.moves.remove(instance);
+                if let Some(worker) = self.worker_of(instance) {
+                    self.dispatcher.set_evacuating(&worker, false);
+                }
+            }
+            Err(_) => entry.retry_after = now.after(ORDER_RETRY),
+        }
+    }
+
+    /// Forgets moves whose instance has arrived, or has not for a long time.
+    pub(super) fn settle_moves(&mut self, sent: TimePoint) {
+        let reports = &self.inventory.reports;
+        self.pools.moves.retain(|instance, entry| {
+            let Some(accepted) = entry.accepted else {
+                return true;
+            };
+            let has_arrived = reports
+                .get(instance)
+                .is_some_and(|report| report.pool == entry.to && report.state == InstanceState::Up);
+            accepted >= sent || (!has_arrived && sent.since(accepted) < ARRIVAL_PATIENCE)
+        });
+    }
+}
--- a/crates/jobs/src/owner/wave_keeper.rs
+++ b/crates/jobs/src/owner/wave_keeper.rs
@@ -13,8 +13,8 @@
 use crate::BootClock;
 use crate::feeds::WaveList;
 use crate::ports::{
-    FleetPort, InstanceOrder, InstanceReport, InstanceState, OrderOutcome, RowChange, RowCondition,
-    RowName, StoreTable, TransactOutcome,
+    InstanceOrder, InstanceState, OrderOutcome, RowChange, RowCondition, RowName, StoreTable,
+    TransactOutcome,
 };
 use crate::row_codec::encode;
 
@@ -47,25 +47,17 @@
 /// Carries out maintenance waves.
 #[derive(Debug)]
 pub(crate) struct WaveKeeper {
-    fleet: FleetPort,
     wanted: WaveList,
     waves: BTreeMap<u64, WaveProgress>,
-    inventory: HashMap<InstanceName, InstanceReport>,
-    read: TimePoint,
-    is_reading: bool,
     next_round: TimePoint,
     retry_after: TimePoint,
 }
 
 impl WaveKeeper {
-    pub(crate) fn new(fleet: FleetPort, wanted: WaveList) -> Self {
+    pub(crate) fn new(wanted: WaveList) -> Self {
         Self {
-            fleet,
             wanted,
             waves: BTreeMap::new(),
-            inventory: HashMap::new(),
-            read: TimePoint::ORIGIN,
-            is_reading: false,
             next_round: TimePoint::ORIGIN,
             retry_after: TimePoint::ORIGIN,
         }
@@ -97,13 +89,20 @@
             return;
         }
         let wanted = self.waves.wanted.load_full();
-        let mut is_active = false;
+        let mut is_moving = self.has_moves();
         for (wave, _) in wanted.values() {
-            is_active |= self.step_wave(wave, now);
-        }
-        if is_active {
-            self.read_inventory(now);
+            is_moving |= self.step_wave(wave, now);
         }
+        self.size_pools(now);
+        self.read_inventory(is_moving, now);
+    }
+
+    /// Whether an instance is part of a wave that has not maintained it yet, and is being emptied.
+    pub(super) fn is_emptied(&self, instance: &InstanceName) -> bool {
+        let mut waves = self.waves.waves.values();
+        waves.any(|progress| {
+            progress.emptied.contains_key(instance) || progress.ordering.contains(instance)
+        })
     }
 
     /// Continues a wave; false once it is finished.
@@ -120,7 +119,7 @@
         if is_finished {
             return !is_written;
         }
-        if self.waves.inventory.is_empty() || now < self.waves.retry_after {
+        if self.inventory.reports.is_empty() || now < self.waves.retry_after {
             return true;
         }
         self.empty_next(wave, now);
@@ -154,7 +153,7 @@
     }
 
     fn upkeep_choice(&self, name: &InstanceName, now: TimePoint) -> Option<UpkeepChoice> {
-        let report = self.waves.inventory.get(name)?;
+        let report = self.inventory.reports.get(name)?;
         if report.state != InstanceState::Up {
             return None;
         }
@@ -171,10 +170,6 @@
         }
     }
 
-    fn worker_of(&self, instance: &InstanceName) -> Option<InstanceName> {
-        self.waves.inventory.get(instance)?.worker.clone()
-    }
-
     /// Sends the orders for empty instances, within the limit of the wave.
     fn order_empty(&mut self, wave: &MaintenanceWave, now: TimePoint) {
         let progress = &self.waves.waves[&wave.number];
@@ -218,7 +213,7 @@
             pool: None,
             wave: Some(wave),
         };
-        let call = (self.waves.fleet.order)(order);
+        let call = (self.inventory.fleet.order)(order);
         let owner = self.sender.owner.clone();
         tokio::spawn(async move {
             let outcome = call.await;
@@ -275,37 +270,9 @@
         self.writer.extra.push(put(row, encode(&done)));
     }
 
-    fn read_inventory(&mut self, now: TimePoint) {
-        if self.waves.is_reading || now.since(self.waves.read) < self.parts.policy.inventory_period
-        {
-            return;
-        }
-        self.waves.is_reading = true;
-        self.waves.read = now;
-        let call = (self.waves.fleet.list)(());
-        let owner = self.sender.owner.clone();
-        tokio::spawn(async move {
-            let outcome = call.await;
-            let event = OwnerEvent::Inventory { sent: now, outcome };
-            // The owner has gone when the ownership was lost.
-            drop(owner.send(event).await);
-        });
-    }
-
-    pub(super) fn take_inventory(&mut self, sent: TimePoint, outcome: Result<Vec<InstanceReport>>) {
-        self.waves.is_reading = false;
-        let reports = match outcome {
-            Ok(reports) => reports,
-            Err(error) => {
-                warn!(self.parts.logger, "inventory not read"; "error" => %error);
-                return;
-            }
-        };
-        let reports = reports.into_iter();
-        self.waves.inventory = reports
-            .map(|report| (report.name.clone(), report))
-            .collect();
-        let inventory = &self.waves.inventory;
+    /// Notes which instances are back.
+    pub(super) fn settle_waves(&mut self, sent: TimePoint) {
+        let inventory = &self.inventory.reports;
         for progress in self.waves.waves.values_mut() {
             progress.out.retain(|name, since| {
                 let report = inventory.get(name);
