Let pools that lack instances take what others keep for their next turn

Change: a pool keeps at most an even part for its next turn, and gives that to pools that lack instances now.

--- a/crates/core/src/jobs/pool_sizing.rs
+++ b/crates/core/src/jobs/pool_sizing.rs
@@ -4,7 +4,8 @@
 //! pool holds while the others are nearly idle, and the pool whose last surge lies longest ago is
 //! the likeliest to be next. A pool grows at once with what waits. It shrinks when its peak has
 //! passed; one that has just had its turn shrinks to what it needs, one whose turn is still to come
-//! keeps its size, since an instance takes longer to move than a caller likes to wait.
+//! keeps an even part of all instances, since an instance takes longer to move than a caller likes
+//! to wait. What it keeps goes to pools that lack instances now.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -67,8 +68,16 @@
     /// Wanted sizes of the recent past.
     wanted: Vec<(TimePoint, usize)>,
     surged: Option<TimePoint>,
-    /// Largest size so far without instances of the spare pool.
-    usual: usize,
+}
+
+/// Instances that a pool can give.
+#[derive(Debug, Clone)]
+struct PoolSurplus {
+    pool: PoolName,
+    /// Instances that it needs neither now nor for its next turn.
+    unneeded: usize,
+    /// Further instances that it keeps for its next turn.
+    kept: usize,
 }
 
 /// Remembers the demand of the pools.
@@ -98,24 +107,31 @@
         now: TimePoint,
     ) -> Vec<SizeChange> {
         self.note(pools, capacity, now);
-        let kept = self.next_pools(now);
+        let next = self.next_pools();
+        let total = spare + pools.values().map(|size| size.instances).sum::<usize>();
+        let even = total / (pools.len() + 1);
         let mut lacks: Vec<(PoolName, usize)> = Vec::new();
-        let mut gives: Vec<(PoolName, usize)> = Vec::new();
+        let mut gives: Vec<PoolSurplus> = Vec::new();
         for (pool, size) in pools {
             let history = &self.history[pool];
             let peak = history.wanted.iter().map(|(_, wanted)| *wanted).max();
             let peak = peak.unwrap_or(0);
-            let least = if kept.contains(pool) {
-                history.usual
+            let needed = peak.max(self.policy.least_instances);
+            let target = if next.contains(pool) {
+                needed.max(even)
             } else {
-                self.policy.least_instances
+                needed
             };
-            let target = peak.max(least);
             if size.instances < peak {
                 lacks.push((pool.clone(), peak - size.instances));
             } else {
-                let surplus = size.instances.saturating_sub(target).min(size.idle);
-                gives.push((pool.clone(), surplus));
+                let unneeded = size.instances.saturating_sub(target).min(size.idle);
+                let free = size.instances.saturating_sub(needed).min(size.idle);
+                gives.push(PoolSurplus {
+                    pool: pool.clone(),
+                    unneeded,
+                    kept: free - unneeded,
+                });
             }
         }
         distribute(lacks, gives, spare)
@@ -125,11 +141,6 @@
     fn note(&mut self, pools: &BTreeMap<PoolName, PoolSize>, capacity: u64, now: TimePoint) {
         for (pool, size) in pools {
             let history = self.history.entry(pool.clone()).or_default();
-            history.usual = if history.usual == 0 {
-                size.instances
-            } else {
-                history.usual
-            };
             let wanted = wanted_instances(&size.load, capacity, self.policy.headroom);
             history.wanted.push((now, wanted));
             let memory = self.policy.peak_memory;
@@ -141,7 +152,7 @@
     }
 
     /// Pools whose turn may be next: those whose last surge lies longest ago.
-    fn next_pools(&self, _now: TimePoint) -> Vec<PoolName> {
+    fn next_pools(&self) -> Vec<PoolName> {
         let mut order: Vec<(&PoolName, Option<TimePoint>)> = self
             .history
             .iter()
@@ -178,44 +189,42 @@
     is_surging && load.capacity > 0
 }
 
-/// Serves the pools that lack instances from those that have too many, then from the spare pool,
-/// and moves what is left over to the spare pool.
+/// Serves the pools that lack instances from what others do not need, then from the spare pool, then
+/// from what others keep, and moves what nobody needs to the spare pool.
 fn distribute(
     mut lacks: Vec<(PoolName, usize)>,
-    mut gives: Vec<(PoolName, usize)>,
+    mut gives: Vec<PoolSurplus>,
     mut spare: usize,
 ) -> Vec<SizeChange> {
     lacks.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
-    gives.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+    gives.sort_by_key(|surplus| std::cmp::Reverse(surplus.unneeded));
     let mut changes = Vec::new();
-    for (to, mut lack) in lacks {
-        for (from, surplus) in &mut gives {
-            let count = lack.min(*surplus);
-            if count > 0 {
-                lack -= count;
-                *surplus -= count;
-                changes.push(SizeChange {
-                    from: Some(from.clone()),
-                    to: Some(to.clone()),
-                    count,
-                });
-            }
-        }
-        let count = lack.min(spare);
+    let mut take = |from: Option<&PoolName>, to: &PoolName, lack: &mut usize, room: &mut usize| {
+        let count = (*lack).min(*room);
         if count > 0 {
-            spare -= count;
+            *lack -= count;
+            *room -= count;
             changes.push(SizeChange {
-                from: None,
-                to: Some(to),
+                from: from.cloned(),
+                to: Some(to.clone()),
                 count,
             });
         }
+    };
+    for (to, mut lack) in lacks {
+        for surplus in &mut gives {
+            take(Some(&surplus.pool), &to, &mut lack, &mut surplus.unneeded);
+        }
+        take(None, &to, &mut lack, &mut spare);
+        for surplus in &mut gives {
+            take(Some(&surplus.pool), &to, &mut lack, &mut surplus.kept);
+        }
     }
-    for (from, count) in gives.into_iter().filter(|(_, count)| *count > 0) {
+    for surplus in gives.into_iter().filter(|surplus| surplus.unneeded > 0) {
         changes.push(SizeChange {
-            from: Some(from),
+            from: Some(surplus.pool),
             to: None,
-            count,
+            count: surplus.unneeded,
         });
     }
     changes
