Size pools by the work that arrives, and refill pools whose turn is to come

Cause: a surge showed only once tasks waited, 2 s before instances came; pools that had given their instances began their turn with four. Change: the work of jobs of the last second counts as demand; pools that may be next are refilled from what nobody needs; peaks are remembered for 2 s.

--- a/crates/core/src/jobs/dispatcher/loads.rs
+++ b/crates/core/src/jobs/dispatcher/loads.rs
@@ -1,13 +1,52 @@
 //! Load of the pools.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::JobDispatcher;
-use crate::ids::PoolName;
-use crate::jobs::PoolLoad;
+use crate::ids::{PoolName, QueueName};
+use crate::jobs::{JobOrder, PoolLoad};
 use crate::time::TimePoint;
 
+/// Time over which arriving work is added up.
+const ARRIVAL_WINDOW: Duration = Duration::from_secs(1);
+
+/// Work that came with a job.
+#[derive(Debug, Clone)]
+pub(super) struct WorkArrival {
+    pub at: TimePoint,
+    pub queue: QueueName,
+    /// Work of tasks that end, in core milliseconds.
+    pub work: u64,
+}
+
 impl JobDispatcher {
+    /// Notes the work of a job that came at `at`.
+    pub(super) fn note_arrival(&mut self, order: &JobOrder, at: TimePoint) {
+        let steps = order.steps.iter().filter(|step| !step.is_lasting);
+        let work = steps.map(|step| {
+            let estimate = u64::try_from(step.estimate.as_millis()).unwrap_or(u64::MAX);
+            let cpu = step.worker_amount().cpu_millis;
+            u64::from(step.count)
+                .saturating_mul(cpu)
+                .saturating_mul(estimate)
+                / 1_000
+        });
+        let work = work.sum();
+        while self
+            .recent
+            .front()
+            .is_some_and(|first| at.since(first.at) > ARRIVAL_WINDOW)
+        {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(WorkArrival {
+            at,
+            queue: order.queue.clone(),
+            work,
+        });
+    }
+
     /// Average processor of the listed workers, in thousandths of a core.
     #[must_use]
     pub fn worker_capacity(&self) -> u64 {
@@ -38,6 +77,15 @@
                 }
             }
         }
+        for arrival in &self.recent {
+            if now.since(arrival.at) <= ARRIVAL_WINDOW {
+                let pool = self.pool_of(&arrival.queue);
+                let load = pool.and_then(|pool| loads.get_mut(pool));
+                if let Some(load) = load {
+                    load.arriving += arrival.work;
+                }
+            }
+        }
         for step in self.waiting_steps(now) {
             let job = &self.jobs[&step.name.job];
             let spec = &job.order.steps[usize::from(step.name.step)];
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -7,7 +7,7 @@
 mod runs;
 mod watching;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use slotmap::SlotMap;
@@ -41,6 +41,7 @@
     arrivals: HashMap<JobId, TimePoint>,
     workers: SlotMap<WorkerKey, WorkerEntry>,
     names: HashMap<InstanceName, WorkerKey>,
+    recent: VecDeque<loads::WorkArrival>,
     usage: HashMap<TeamName, ResourceAmount>,
     dirty: HashSet<JobId>,
     orders: Vec<WorkerOrder>,
@@ -61,6 +62,7 @@
             arrivals: HashMap::new(),
             workers: SlotMap::with_key(),
             names: HashMap::new(),
+            recent: VecDeque::new(),
             usage: HashMap::new(),
             dirty: HashSet::new(),
             orders: Vec::new(),
@@ -97,6 +99,7 @@
         if job.order.schedule.is_none() && job.occurrences.is_empty() {
             job.open_occurrence();
         }
+        self.note_arrival(&job.order, arrived);
         self.jobs.insert(id, job);
         self.arrivals.insert(id, arrived);
         true
--- a/crates/core/src/jobs/pool_load.rs
+++ b/crates/core/src/jobs/pool_load.rs
@@ -15,6 +15,9 @@
     pub waiting: u64,
     /// Work of waiting tasks by their estimates, in core milliseconds.
     pub backlog: u64,
+    /// Work of the jobs that came within the last second, in core milliseconds; as many thousandths
+    /// of a core are busy with it if it goes on.
+    pub arriving: u64,
     /// Tasks that wait for room.
     pub waiting_tasks: usize,
 }
--- a/crates/core/src/jobs/pool_sizing.rs
+++ b/crates/core/src/jobs/pool_sizing.rs
@@ -33,10 +33,10 @@
     fn default() -> Self {
         Self {
             headroom: 0.25,
-            peak_memory: Duration::from_secs(3),
+            peak_memory: Duration::from_millis(2_000),
             least_instances: 3,
             surge_share: 0.6,
-            kept_pools: 2,
+            kept_pools: 1,
         }
     }
 }
@@ -111,6 +111,7 @@
         let total = spare + pools.values().map(|size| size.instances).sum::<usize>();
         let even = total / (pools.len() + 1);
         let mut lacks: Vec<(PoolName, usize)> = Vec::new();
+        let mut refills: Vec<(PoolName, usize)> = Vec::new();
         let mut gives: Vec<PoolSurplus> = Vec::new();
         for (pool, size) in pools {
             let history = &self.history[pool];
@@ -124,6 +125,8 @@
             };
             if size.instances < peak {
                 lacks.push((pool.clone(), peak - size.instances));
+            } else if size.instances < target {
+                refills.push((pool.clone(), target - size.instances));
             } else {
                 let unneeded = size.instances.saturating_sub(target).min(size.idle);
                 let free = size.instances.saturating_sub(needed).min(size.idle);
@@ -134,7 +137,7 @@
                 });
             }
         }
-        distribute(lacks, gives, spare)
+        distribute(lacks, refills, gives, spare)
     }
 
     /// Takes the demand of this moment.
@@ -166,12 +169,12 @@
     }
 }
 
-/// Instances that hold what is in use and what waits.
+/// Instances that hold what is in use and what waits, or what comes if that is more.
 #[must_use]
 pub fn wanted_instances(load: &PoolLoad, capacity: u64, headroom: f64) -> usize {
     // A backlog of short tasks needs less room than its tasks at once.
     let waiting = load.waiting.min(load.backlog.max(load.waiting / 2));
-    let used = load.lasting + load.ending + waiting;
+    let used = load.lasting + u64::max(load.ending + waiting, load.arriving);
     #[expect(
         clippy::cast_precision_loss,
         clippy::cast_possible_truncation,
@@ -190,9 +193,11 @@
 }
 
 /// Serves the pools that lack instances from what others do not need, then from the spare pool, then
-/// from what others keep, and moves what nobody needs to the spare pool.
+/// from what others keep. Pools whose turn is to come are refilled from the rest, and what nobody
+/// needs moves to the spare pool.
 fn distribute(
     mut lacks: Vec<(PoolName, usize)>,
+    refills: Vec<(PoolName, usize)>,
     mut gives: Vec<PoolSurplus>,
     mut spare: usize,
 ) -> Vec<SizeChange> {
@@ -220,6 +225,12 @@
             take(Some(&surplus.pool), &to, &mut lack, &mut surplus.kept);
         }
     }
+    for (to, mut lack) in refills {
+        for surplus in &mut gives {
+            take(Some(&surplus.pool), &to, &mut lack, &mut surplus.unneeded);
+        }
+        take(None, &to, &mut lack, &mut spare);
+    }
     for surplus in gives.into_iter().filter(|surplus| surplus.unneeded > 0) {
         changes.push(SizeChange {
             from: Some(surplus.pool),
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -144,7 +144,7 @@
         }
         self.loads_logged = now;
         for (pool, load) in self.dispatcher.loads(now) {
-            info!(self.parts.logger, "pool load"; "pool" => %pool, "workers" => load.workers, "usable" => load.usable, "capacity" => load.capacity, "lasting" => load.lasting, "ending" => load.ending, "waiting" => load.waiting, "backlog" => load.backlog, "waiting_tasks" => load.waiting_tasks);
+            info!(self.parts.logger, "pool load"; "pool" => %pool, "workers" => load.workers, "usable" => load.usable, "capacity" => load.capacity, "lasting" => load.lasting, "ending" => load.ending, "waiting" => load.waiting, "arriving" => load.arriving, "backlog" => load.backlog, "waiting_tasks" => load.waiting_tasks);
         }
     }
 
