Extend leases at a hand-over, release until the store answers, keep surges across takeovers

Cause: a release that the store turned away cost the expiry of 2.5 s; leases ran out in slow takeovers; a new owner took every pool for one whose turn is to come and paid for 40 idle instances. Change: a retiring owner extends all leases to the longest and repeats its release; the pulse carries the ages of the surges; expiry 2 s, renewal 0.5 s.

--- a/crates/core/src/jobs/dispatch_policy.rs
+++ b/crates/core/src/jobs/dispatch_policy.rs
@@ -5,6 +5,9 @@
 pub struct DispatchPolicy {
     /// Length of the lease that each call to a worker extends.
     pub lease: Duration,
+    /// Longest lease that workers grant. An owner that cannot renew its ownership asks for it, so
+    /// that tasks outlive the takeover.
+    pub longest_lease: Duration,
     /// Share by which a worker's clock may be slow.
     pub clock_slowness: f64,
     /// Time after which a stop without a listed end is sent again.
@@ -33,6 +36,7 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_millis(4_800),
+            longest_lease: Duration::from_secs(6),
             clock_slowness: 0.02,
             stop_repeat: Duration::from_millis(1_200),
             avoid: Duration::from_secs(4),
--- a/crates/core/src/jobs/dispatcher/holds.rs
+++ b/crates/core/src/jobs/dispatcher/holds.rs
@@ -1,5 +1,7 @@
 //! What workers list as running and ended.
 
+use std::time::Duration;
+
 use super::JobDispatcher;
 use crate::jobs::run_entry::{RunEntry, RunState};
 use crate::jobs::{HoldReport, RunReport, WorkerKey, WorkerOrder};
@@ -9,9 +11,9 @@
 const FULL_LIST: usize = 500;
 
 impl JobDispatcher {
-    /// Notes that a call which extends the worker's lease is about to be sent.
-    pub fn note_extension(&mut self, key: WorkerKey, now: TimePoint) {
-        let lease = self.policy.lease.mul_f64(1.0 + self.policy.clock_slowness);
+    /// Notes that a call which extends the worker's lease by `lease` is about to be sent.
+    pub fn note_extension(&mut self, key: WorkerKey, lease: Duration, now: TimePoint) {
+        let lease = lease.mul_f64(1.0 + self.policy.clock_slowness);
         if let Some(entry) = self.workers.get_mut(key) {
             entry.lease_end = entry.lease_end.max(now.after(lease));
         }
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -51,7 +51,7 @@
     /// Creates a dispatcher for ownership epoch `epoch`, counted from 1.
     #[must_use]
     pub fn new(policy: DispatchPolicy, rules: Arc<FleetRules>, epoch: u64, now: TimePoint) -> Self {
-        let lease = policy.lease.mul_f64(1.0 + policy.clock_slowness);
+        let lease = policy.longest_lease.mul_f64(1.0 + policy.clock_slowness);
         Self {
             inherited_until: now.after(lease),
             policy,
--- a/crates/core/src/jobs/pool_sizing.rs
+++ b/crates/core/src/jobs/pool_sizing.rs
@@ -97,6 +97,27 @@
         }
     }
 
+    /// Takes over what another owner knew: how long ago each pool surged last.
+    #[must_use]
+    pub fn with_surges(mut self, surges: &[(PoolName, Duration)], now: TimePoint) -> Self {
+        for (pool, age) in surges {
+            let at = now.since_origin().saturating_sub(*age);
+            let history = self.history.entry(pool.clone()).or_default();
+            history.surged = Some(TimePoint::new(at));
+        }
+        self
+    }
+
+    /// How long ago each pool surged last; pools that never did are left out.
+    #[must_use]
+    pub fn surges(&self, now: TimePoint) -> Vec<(PoolName, Duration)> {
+        let surged = self.history.iter().filter_map(|(pool, history)| {
+            let surged = history.surged?;
+            Some((pool.clone(), now.since(surged)))
+        });
+        surged.collect()
+    }
+
     /// Decides which instances move. `spare` is the number of instances in the spare pool, and
     /// `capacity` the processor of an instance in thousandths of a core.
     pub fn decide(
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -76,6 +76,7 @@
     /// Whether the stored jobs are known. Before that, runs at workers cannot be told apart from
     /// runs of jobs that have ended.
     is_loaded: bool,
+    is_retiring: bool,
     /// Ends the ownership when dropped.
     ended: Option<oneshot::Sender<()>>,
 }
@@ -87,9 +88,10 @@
         sender: CallSender,
         writer: RecordWriter,
         waves: WaveKeeper,
-        intake: JobIntake,
+        mut intake: JobIntake,
         ended: oneshot::Sender<()>,
     ) -> Self {
+        let surges = std::mem::take(&mut intake.earlier_surges);
         Self {
             inventory: InventoryView::new(parts.fleet.clone()),
             parts,
@@ -97,13 +99,14 @@
             sender,
             writer,
             waves,
-            pools: PoolKeeper::new(SizingPolicy::default()),
+            pools: PoolKeeper::new(SizingPolicy::default(), &surges),
             intake,
             links: WorkerLinks::default(),
             version: 0,
             write_after: TimePoint::ORIGIN,
             loads_logged: TimePoint::ORIGIN,
             is_loaded: false,
+            is_retiring: false,
             ended: Some(ended),
         }
     }
@@ -148,6 +151,31 @@
         }
     }
 
+    /// Length of the leases that are asked for. A successor needs time when this owner retires or
+    /// cannot renew.
+    fn lease(&self) -> Duration {
+        let is_fresh = self.parts.lease.is_younger(self.parts.policy.renewal * 2);
+        if is_fresh && !self.is_retiring {
+            self.parts.dispatch.lease
+        } else {
+            self.parts.dispatch.longest_lease
+        }
+    }
+
+    /// Extends the leases for a successor.
+    fn retire(&mut self) {
+        let now = BootClock.now();
+        self.is_retiring = true;
+        for (_, link) in self.links.iter_mut() {
+            link.due = now;
+            link.due_unstored = now;
+            link.is_calling = false;
+        }
+        self.send_holds(now);
+        self.writer.sent = TimePoint::ORIGIN;
+        self.write(now);
+    }
+
     fn take_rules(&mut self) {
         if let Some(deployment) = self.parts.view.load()
             && deployment.version > self.version
@@ -173,7 +201,7 @@
         };
         match order {
             WorkerOrder::Start(_, order) => {
-                let Some(lease_end_ms) = link.lease_end_ms(self.parts.dispatch.lease, now) else {
+                let Some(lease_end_ms) = link.lease_end_ms(self.lease(), now) else {
                     return;
                 };
                 let request = StartRequest {
@@ -183,7 +211,7 @@
                     order,
                 };
                 self.sender.start(key, lanes, request);
-                self.dispatcher.note_extension(key, now);
+                self.dispatcher.note_extension(key, self.lease(), now);
             }
             WorkerOrder::Stop(_, task, run) => {
                 self.sender.stop(key, lanes, stop_request(task, run));
@@ -206,6 +234,7 @@
 
     /// Calls the workers whose lists are due.
     fn send_holds(&mut self, now: TimePoint) {
+        let lease = self.lease();
         let policy = &self.parts.policy;
         for (key, link) in self.links.iter_mut() {
             if link.is_calling || link.due > now {
@@ -219,7 +248,7 @@
             }
             let is_idle = self.dispatcher.is_idle(key);
             let is_silent = link.failures > 0;
-            let wait = if link.clock.is_none() || is_silent {
+            let wait = if link.clock.is_none() || is_silent || self.is_retiring {
                 Duration::ZERO
             } else if is_idle {
                 policy.idle_wait
@@ -227,9 +256,7 @@
                 policy.hold_wait
             };
             // The lease of a silent worker must pass, so that its tasks can run elsewhere.
-            let lease_end_ms = link
-                .lease_end_ms(self.parts.dispatch.lease, now)
-                .filter(|_| !is_silent);
+            let lease_end_ms = link.lease_end_ms(lease, now).filter(|_| !is_silent);
             let request = HoldRequest {
                 worker: WorkerAddress {
                     name: report.name.clone(),
@@ -244,7 +271,7 @@
             self.sender
                 .hold(key, link.generation, request, wait + policy.hold_margin);
             if lease_end_ms.is_some() {
-                self.dispatcher.note_extension(key, now);
+                self.dispatcher.note_extension(key, lease, now);
             }
         }
     }
@@ -351,6 +378,7 @@
             } else {
                 self.intake.earlier_pending.clone()
             },
+            surges_ms: self.surges_ms(),
         }
     }
 
@@ -495,6 +523,7 @@
                 self.round();
                 self.close_links();
             }
+            OwnerEvent::Retire => self.retire(),
             OwnerEvent::Jobs(event) => self.take_jobs(event),
             OwnerEvent::Workers(event) => self.take_workers(event),
             OwnerEvent::Held {
--- a/crates/jobs/src/owner/owner_event.rs
+++ b/crates/jobs/src/owner/owner_event.rs
@@ -10,6 +10,8 @@
 pub(crate) enum OwnerEvent {
     /// A round of decisions is due.
     Round,
+    /// The process is about to stop.
+    Retire,
     /// The table of jobs changed.
     Jobs(TableEvent),
     /// The list of workers changed.
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -39,6 +39,9 @@
 /// takes for a read. About eight entry instances compete.
 const CONTENTION_SPREAD: f64 = 4.0;
 
+/// Time in which a retiring owner extends leases and stores what it knows.
+const RETIRE_TIME: Duration = Duration::from_millis(150);
+
 /// Pause after a failed attempt to read what the owner needs.
 const READ_PAUSE: Duration = Duration::from_millis(150);
 
@@ -310,7 +313,11 @@
         let intake = JobIntake {
             epoch_version: lease.version,
             states,
-            earlier_pending: pulse.map(|pulse| pulse.pending).unwrap_or_default(),
+            earlier_pending: pulse
+                .as_ref()
+                .map(|pulse| pulse.pending.clone())
+                .unwrap_or_default(),
+            earlier_surges: pulse.map(|pulse| pulse.surges_ms).unwrap_or_default(),
             waiting: Vec::new(),
             logger: logger.clone(),
         };
@@ -345,6 +352,7 @@
             OwnerEvent::Workers,
         );
         let round = self.policy.round;
+        let owner = address.clone();
         tasks.spawn(async move {
             let mut rounds = interval(round);
             rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -360,6 +368,11 @@
             _ = end => false,
             result = self.stopping.wait_for(|stopping| *stopping) => result.is_ok(),
         };
+        if is_stopping {
+            // The owner has gone when the ownership was lost meanwhile.
+            drop(owner.send(OwnerEvent::Retire).await);
+            sleep(RETIRE_TIME).await;
+        }
         lease.lose();
         tasks.shutdown().await;
         if is_stopping {
@@ -414,7 +427,8 @@
         None
     }
 
-    /// Lets another entry instance take the ownership at once.
+    /// Lets another entry instance take the ownership at once. A repetition after a release that
+    /// took effect finds another version and changes nothing.
     async fn release(&self, lease: &OwnerLease, logger: &Logger) {
         let row = EpochRow {
             epoch: lease.epoch,
@@ -430,8 +444,14 @@
             )],
             deletes: Vec::new(),
         };
-        let outcome = (self.store.transact)(change).await;
-        info!(logger, "ownership released"; "outcome" => ?outcome);
+        loop {
+            let outcome = (self.store.transact)(change.clone()).await;
+            info!(logger, "ownership released"; "outcome" => ?outcome);
+            if outcome.is_ok() {
+                return;
+            }
+            sleep(READ_PAUSE).await;
+        }
     }
 }
 
--- a/crates/jobs/src/owner/owner_policy.rs
+++ b/crates/jobs/src/owner/owner_policy.rs
@@ -37,8 +37,8 @@
 impl Default for OwnerPolicy {
     fn default() -> Self {
         Self {
-            expiry: Duration::from_millis(2_500),
-            renewal: Duration::from_millis(600),
+            expiry: Duration::from_millis(2_000),
+            renewal: Duration::from_millis(500),
             extension: Duration::from_secs(8),
             round: Duration::from_millis(25),
             hold_gap: Duration::from_millis(100),
--- a/crates/jobs/src/owner/pool_keeper.rs
+++ b/crates/jobs/src/owner/pool_keeper.rs
@@ -41,9 +41,14 @@
 }
 
 impl PoolKeeper {
-    pub(crate) fn new(policy: SizingPolicy) -> Self {
+    /// Creates a keeper that knows how long ago each pool surged last, in milliseconds.
+    pub(crate) fn new(policy: SizingPolicy, surges_ms: &[(PoolName, u64)]) -> Self {
+        let surges: Vec<(PoolName, Duration)> = surges_ms
+            .iter()
+            .map(|(pool, age)| (pool.clone(), Duration::from_millis(*age)))
+            .collect();
         Self {
-            sizing: PoolSizing::new(policy),
+            sizing: PoolSizing::new(policy).with_surges(&surges, BootClock.now()),
             moves: HashMap::new(),
             next_round: TimePoint::ORIGIN,
         }
@@ -51,6 +56,13 @@
 }
 
 impl OwnerActor {
+    /// How long ago each pool surged last, in milliseconds.
+    pub(super) fn surges_ms(&self) -> Vec<(PoolName, u64)> {
+        let surges = self.pools.sizing.surges(BootClock.now()).into_iter();
+        let millis = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        surges.map(|(pool, age)| (pool, millis(age))).collect()
+    }
+
     pub(super) fn has_moves(&self) -> bool {
         !self.pools.moves.is_empty()
     }
--- a/crates/jobs/src/row_codec.rs
+++ b/crates/jobs/src/row_codec.rs
@@ -4,7 +4,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use sesamedeal_core::ids::{InstanceName, QueueName, SessionId};
+use sesamedeal_core::ids::{InstanceName, PoolName, QueueName, SessionId};
 use sesamedeal_core::jobs::{JobId, JobOrder};
 use sesamedeal_wire::codec::{self, CodecError};
 
@@ -40,6 +40,9 @@
     pub has_unlisted_runs: bool,
     /// Jobs by queue for which no task has started.
     pub pending: Vec<(QueueName, u64)>,
+    /// How long ago each pool surged last, in milliseconds.
+    #[serde(default)]
+    pub surges_ms: Vec<(PoolName, u64)>,
 }
 
 /// Row of the table of jobs.
