Claim maintenance in the store before ordering it; tasks that were seen running need no wait

Change: an instance is claimed in the wave's row first and counts as down until its order has an answer; a task that was seen running or started under the epoch is settled; stopped tasks restart without a pause; an owner that cannot renew goes on for 6 s.

--- a/crates/core/src/jobs/dispatcher/ends.rs
+++ b/crates/core/src/jobs/dispatcher/ends.rs
@@ -20,7 +20,7 @@
             EndKind::Done => self.note_done(key, end.task),
             EndKind::Failed => self.note_failed(key, end, now),
             EndKind::Lapsed | EndKind::Broken | EndKind::Alone | EndKind::Stopped => {
-                self.pause_restart(end.task, now);
+                task.at_work = None;
             }
         }
     }
--- a/crates/core/src/jobs/dispatcher/holds.rs
+++ b/crates/core/src/jobs/dispatcher/holds.rs
@@ -63,6 +63,7 @@
         if !report.saved.is_empty() {
             task.saved.clone_from(&report.saved);
         }
+        task.is_settled = true;
         if is_lasting && report.percent >= 100.0 {
             task.at_work = Some(now);
         }
--- a/crates/core/src/jobs/dispatcher/placing.rs
+++ b/crates/core/src/jobs/dispatcher/placing.rs
@@ -100,15 +100,13 @@
                 && *unsettled
                     .entry(pool)
                     .or_insert_with(|| self.is_unsettled(pool, now));
-            if is_unsettled {
-                continue;
-            }
             let is_over_share = job
                 .order
                 .team
                 .as_ref()
                 .is_some_and(|team| shares.get(team).copied().unwrap_or(false));
-            self.waiting_of(job, pool, is_over_share, now, &mut waiting);
+            let state = (is_over_share, is_unsettled);
+            self.waiting_of(job, pool, state, now, &mut waiting);
         }
         waiting
     }
@@ -117,7 +115,7 @@
         &self,
         job: &JobEntry,
         pool: &PoolName,
-        is_over_share: bool,
+        (is_over_share, is_unsettled): (bool, bool),
         now: TimePoint,
         waiting: &mut Vec<WaitingStep>,
     ) {
@@ -130,7 +128,8 @@
                 }
                 let tasks = step.tasks.iter().enumerate().filter(|(_, task)| {
                     let failures = u32::try_from(task.failed_runs.len()).unwrap_or(u32::MAX);
-                    task.is_waiting(now) && failures < attempts
+                    let is_safe = task.is_settled || !is_unsettled;
+                    task.is_waiting(now) && failures < attempts && is_safe
                 });
                 let indexes: Vec<u16> = tasks
                     .map(|(index, _)| u16::try_from(index).unwrap_or(u16::MAX))
@@ -352,6 +351,7 @@
             return;
         };
         task.last_run = run;
+        task.is_settled = true;
         task.runs.push(RunEntry::new(key, run, now));
         let saved = task.saved.clone();
         self.occupy(name, run, key);
--- a/crates/core/src/jobs/task_entry.rs
+++ b/crates/core/src/jobs/task_entry.rs
@@ -17,6 +17,9 @@
     pub last_run: u64,
     /// Earliest time of the next start.
     pub not_before: TimePoint,
+    /// Whether this owner has started it or seen it run, so that no run of an earlier owner exists
+    /// elsewhere.
+    pub is_settled: bool,
     /// When the task was last seen at work; lasting tasks only.
     pub at_work: Option<TimePoint>,
 }
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -335,7 +335,7 @@
         let is_pulse_due = now.since(self.writer.pulsed) >= self.parts.policy.renewal;
         let has_records = self.dispatcher.has_records()
             && now.since(self.writer.sent) >= self.parts.policy.record_gap;
-        if !is_pulse_due && !has_records && self.writer.extra.is_empty() {
+        if !is_pulse_due && !has_records && !self.writer.has_rows() {
             // Ends that changed no record need no write before they are acknowledged.
             if !self.dispatcher.has_records() {
                 let batch = self.dispatcher.take_records(0, 0);
@@ -392,6 +392,8 @@
         match outcome {
             Ok(TransactOutcome::Committed { version }) => {
                 self.writer.commit(version, sent);
+                let rows = self.writer.take_sent();
+                self.note_wave_rows(&rows);
                 self.dispatcher.note_stored(batch);
                 let rows = std::mem::take(&mut self.intake.waiting);
                 self.intake.take(rows, &mut self.dispatcher);
@@ -403,6 +405,7 @@
             }
             Ok(TransactOutcome::Conflict { rows }) => {
                 self.dispatcher.return_records(batch);
+                self.writer.fail();
                 self.parts.metrics.count_store_failure("conflict");
                 if !self.writer.resume(&rows) {
                     self.step_down("the epoch row has changed");
@@ -410,6 +413,7 @@
             }
             Err(error) => {
                 self.dispatcher.return_records(batch);
+                self.writer.fail();
                 self.writer.pulsed = TimePoint::ORIGIN;
                 self.write_after = BootClock.now().after(WRITE_RETRY);
                 let kind = match error {
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -296,7 +296,7 @@
             let wave = row.key.strip_prefix("wave/");
             if let Some(wave) = wave.and_then(|wave| wave.parse().ok()) {
                 match decode(&row.value) {
-                    Ok(done) => waves.restore(wave, done, now),
+                    Ok(row) => waves.restore(wave, row, now),
                     Err(error) => {
                         warn!(logger, "row left out"; "key" => %row.key, "error" => %error);
                     }
--- a/crates/jobs/src/owner/owner_policy.rs
+++ b/crates/jobs/src/owner/owner_policy.rs
@@ -39,7 +39,7 @@
         Self {
             expiry: Duration::from_millis(2_000),
             renewal: Duration::from_millis(500),
-            extension: Duration::from_secs(8),
+            extension: Duration::from_secs(6),
             round: Duration::from_millis(25),
             hold_gap: Duration::from_millis(100),
             hold_wait: Duration::from_millis(800),
--- a/crates/jobs/src/owner/record_writer.rs
+++ b/crates/jobs/src/owner/record_writer.rs
@@ -24,7 +24,9 @@
     pub pulsed: TimePoint,
     renewals: u64,
     /// Rows that go with the next write.
-    pub extra: Vec<RowPut>,
+    extra: Vec<RowPut>,
+    /// Rows that go with the write under way.
+    sent_extra: Vec<RowPut>,
 }
 
 impl RecordWriter {
@@ -38,6 +40,32 @@
             pulsed: TimePoint::ORIGIN,
             renewals: 0,
             extra: Vec::new(),
+            sent_extra: Vec::new(),
+        }
+    }
+
+    /// Adds a row to the next write, in place of an earlier value.
+    pub(crate) fn add(&mut self, entry: RowPut) {
+        self.extra.retain(|other| other.row != entry.row);
+        self.extra.push(entry);
+    }
+
+    /// Whether rows wait for the next write.
+    pub(crate) const fn has_rows(&self) -> bool {
+        !self.extra.is_empty()
+    }
+
+    /// Rows of the write that has just taken effect.
+    pub(crate) fn take_sent(&mut self) -> Vec<RowPut> {
+        std::mem::take(&mut self.sent_extra)
+    }
+
+    /// Puts the rows of a failed write back, unless they have newer values.
+    pub(crate) fn fail(&mut self) {
+        for entry in std::mem::take(&mut self.sent_extra) {
+            if !self.extra.iter().any(|other| other.row == entry.row) {
+                self.extra.push(entry);
+            }
         }
     }
 
@@ -72,14 +100,14 @@
                     .push(RowName::new(StoreTable::Job, cancel_key(*id)));
             }
         }
-        change.puts.extend(self.extra.iter().cloned());
+        self.sent_extra = std::mem::take(&mut self.extra);
+        change.puts.extend(self.sent_extra.iter().cloned());
         change
     }
 
     /// Notes that a write has taken effect.
     pub(crate) fn commit(&mut self, version: u64, sent: TimePoint) {
         self.sequence = version;
-        self.extra.clear();
         self.lease.renew(sent);
     }
 
--- a/crates/jobs/src/owner/wave_keeper.rs
+++ b/crates/jobs/src/owner/wave_keeper.rs
@@ -13,10 +13,10 @@
 use crate::BootClock;
 use crate::feeds::WaveList;
 use crate::ports::{
-    InstanceOrder, InstanceState, OrderOutcome, RowChange, RowCondition, RowName, StoreTable,
-    TransactOutcome,
+    InstanceOrder, InstanceState, OrderOutcome, RowChange, RowCondition, RowName, RowPut,
+    StoreTable, TransactOutcome,
 };
-use crate::row_codec::encode;
+use crate::row_codec::{WaveRow, decode, encode};
 
 /// Instances that are emptied beyond the wave's limit, so that one is ready when another returns.
 const EMPTIED_AHEAD: usize = 1;
@@ -28,6 +28,17 @@
 /// Pause after an order that was not accepted.
 const ORDER_RETRY: Duration = Duration::from_millis(400);
 
+/// State of the order for an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum UpkeepClaim {
+    /// The claim is not stored yet. An order before that could be unknown to a successor.
+    Unstored,
+    /// The order is due.
+    Due(TimePoint),
+    /// The order is under way.
+    Ordering,
+}
+
 /// Progress of a wave.
 #[derive(Debug, Default)]
 struct WaveProgress {
@@ -37,8 +48,9 @@
     emptied: HashMap<InstanceName, TimePoint>,
     /// Instances that are down, and when their order was accepted.
     out: HashMap<InstanceName, TimePoint>,
-    /// Orders under way.
-    ordering: HashSet<InstanceName>,
+    /// Instances whose order was sent or is about to be. They count as down until the order has an
+    /// answer.
+    claimed: HashMap<InstanceName, UpkeepClaim>,
     status_version: u64,
     is_writing_status: bool,
     written: Option<bool>,
@@ -50,7 +62,6 @@
     wanted: WaveList,
     waves: BTreeMap<u64, WaveProgress>,
     next_round: TimePoint,
-    retry_after: TimePoint,
 }
 
 impl WaveKeeper {
@@ -59,16 +70,18 @@
             wanted,
             waves: BTreeMap::new(),
             next_round: TimePoint::ORIGIN,
-            retry_after: TimePoint::ORIGIN,
         }
     }
 
-    /// Restores the instances of a wave whose maintenance has begun.
-    pub(crate) fn restore(&mut self, wave: u64, done: Vec<InstanceName>, now: TimePoint) {
+    /// Restores the progress of a wave. Claimed instances are ordered again, which changes nothing
+    /// if the earlier order took effect.
+    pub(crate) fn restore(&mut self, wave: u64, row: WaveRow, now: TimePoint) {
         let progress = self.waves.entry(wave).or_default();
         // Whether they are back shows in the inventory.
-        progress.out = done.iter().map(|name| (name.clone(), now)).collect();
-        progress.done.extend(done);
+        progress.out = row.done.iter().map(|name| (name.clone(), now)).collect();
+        progress.done.extend(row.done);
+        let claimed = row.claimed.into_iter();
+        progress.claimed = claimed.map(|name| (name, UpkeepClaim::Due(now))).collect();
     }
 }
 
@@ -101,7 +114,7 @@
     pub(super) fn is_emptied(&self, instance: &InstanceName) -> bool {
         let mut waves = self.waves.waves.values();
         waves.any(|progress| {
-            progress.emptied.contains_key(instance) || progress.ordering.contains(instance)
+            progress.emptied.contains_key(instance) || progress.claimed.contains_key(instance)
         })
     }
 
@@ -119,7 +132,7 @@
         if is_finished {
             return !is_written;
         }
-        if self.inventory.reports.is_empty() || now < self.waves.retry_after {
+        if self.inventory.reports.is_empty() {
             return true;
         }
         self.empty_next(wave, now);
@@ -132,13 +145,15 @@
         loop {
             let progress = &self.waves.waves[&wave.number];
             let is_open = |name: &&InstanceName| {
-                !progress.done.contains(*name) && !progress.emptied.contains_key(*name)
+                !progress.done.contains(*name)
+                    && !progress.emptied.contains_key(*name)
+                    && !progress.claimed.contains_key(*name)
             };
             let open = wave.instances.iter().filter(is_open);
             let choices: Vec<UpkeepChoice> = open
                 .filter_map(|name| self.upkeep_choice(name, now))
                 .collect();
-            let out = progress.out.len() + progress.emptied.len();
+            let out = progress.out.len() + progress.emptied.len() + progress.claimed.len();
             let Some(choice) = next_upkeep(wave.limit + EMPTIED_AHEAD, out, &choices) else {
                 return;
             };
@@ -170,29 +185,61 @@
         }
     }
 
-    /// Sends the orders for empty instances, within the limit of the wave.
+    /// Claims empty instances, within the limit of the wave, and sends the orders that are due.
     fn order_empty(&mut self, wave: &MaintenanceWave, now: TimePoint) {
         let progress = &self.waves.waves[&wave.number];
-        let busy = progress.out.len() + progress.ordering.len();
-        let mut room = wave.limit.saturating_sub(busy);
+        let busy = progress.out.len() + progress.claimed.len();
         let mut ready: Vec<InstanceName> = progress
             .emptied
             .iter()
-            .filter(|(name, since)| {
-                !progress.ordering.contains(*name) && self.is_ready(name, now.since(**since))
-            })
+            .filter(|(name, since)| self.is_ready(name, now.since(**since)))
             .map(|(name, _)| name.clone())
             .collect();
         ready.sort();
-        for name in ready {
-            if room == 0 {
-                return;
-            }
-            room -= 1;
+        ready.truncate(wave.limit.saturating_sub(busy));
+        let progress = self.waves.waves.entry(wave.number).or_default();
+        for name in &ready {
+            progress.emptied.remove(name);
+            progress.claimed.insert(name.clone(), UpkeepClaim::Unstored);
+        }
+        let claims = progress.claimed.iter();
+        let due = claims.filter(|(_, claim)| matches!(claim, UpkeepClaim::Due(at) if *at <= now));
+        let due: Vec<InstanceName> = due.map(|(name, _)| name.clone()).collect();
+        if !ready.is_empty() {
+            self.store_progress(wave.number);
+        }
+        for name in due {
             self.order_upkeep(wave.number, name);
         }
     }
 
+    /// Notes which claims are stored.
+    pub(super) fn note_wave_rows(&mut self, rows: &[RowPut]) {
+        let now = BootClock.now();
+        for entry in rows {
+            let number = entry.row.key.strip_prefix("wave/");
+            let number = number.and_then(|number| number.parse().ok());
+            let Some(progress) = number.and_then(|number: u64| self.waves.waves.get_mut(&number))
+            else {
+                continue;
+            };
+            let row: WaveRow = match decode(&entry.value) {
+                Ok(row) => row,
+                Err(error) => {
+                    warn!(self.parts.logger, "row left out"; "key" => %entry.row.key, "error" => %error);
+                    continue;
+                }
+            };
+            for name in &row.claimed {
+                if let Some(claim) = progress.claimed.get_mut(name)
+                    && *claim == UpkeepClaim::Unstored
+                {
+                    *claim = UpkeepClaim::Due(now);
+                }
+            }
+        }
+    }
+
     /// Whether nothing runs on an instance that is emptied since `age`.
     fn is_ready(&self, instance: &InstanceName, age: Duration) -> bool {
         let Some(worker) = self.worker_of(instance) else {
@@ -205,7 +252,9 @@
 
     fn order_upkeep(&mut self, wave: u64, instance: InstanceName) {
         let progress = self.waves.waves.entry(wave).or_default();
-        progress.ordering.insert(instance.clone());
+        progress
+            .claimed
+            .insert(instance.clone(), UpkeepClaim::Ordering);
         let order = InstanceOrder {
             instance: instance.clone(),
             holder: self.parts.node.clone(),
@@ -236,17 +285,16 @@
         let now = BootClock.now();
         info!(self.parts.logger, "maintenance ordered"; "wave" => wave, "instance" => %instance, "epoch" => self.parts.lease.epoch, "outcome" => ?outcome);
         let progress = self.waves.waves.entry(wave).or_default();
-        progress.ordering.remove(instance);
         match outcome {
             Ok(OrderOutcome::Accepted) => {
-                progress.emptied.remove(instance);
+                progress.claimed.remove(instance);
                 progress.done.insert(instance.clone());
                 progress.out.insert(instance.clone(), now);
                 self.store_progress(wave);
             }
             Ok(OrderOutcome::Fenced) => self.step_down("an instance has seen a later epoch"),
             Ok(OrderOutcome::Refused) => {
-                progress.emptied.remove(instance);
+                progress.claimed.remove(instance);
                 progress.done.insert(instance.clone());
                 if let Some(worker) = self.worker_of(instance) {
                     self.dispatcher.set_evacuating(&worker, false);
@@ -254,7 +302,8 @@
                 self.store_progress(wave);
             }
             Ok(OrderOutcome::Busy) | Err(_) => {
-                self.waves.retry_after = now.after(ORDER_RETRY);
+                let due = UpkeepClaim::Due(now.after(ORDER_RETRY));
+                progress.claimed.insert(instance.clone(), due);
             }
         }
     }
@@ -263,11 +312,17 @@
         let Some(progress) = self.waves.waves.get(&wave) else {
             return;
         };
-        let mut done: Vec<&InstanceName> = progress.done.iter().collect();
-        done.sort();
+        let sorted = |names: Vec<&InstanceName>| {
+            let mut names: Vec<InstanceName> = names.into_iter().cloned().collect();
+            names.sort();
+            names
+        };
+        let content = WaveRow {
+            done: sorted(progress.done.iter().collect()),
+            claimed: sorted(progress.claimed.keys().collect()),
+        };
         let row = RowName::new(StoreTable::Writer, wave_key(wave));
-        self.writer.extra.retain(|entry| entry.row != row);
-        self.writer.extra.push(put(row, encode(&done)));
+        self.writer.add(put(row, encode(&content)));
     }
 
     /// Notes which instances are back.
--- a/crates/jobs/src/row_codec.rs
+++ b/crates/jobs/src/row_codec.rs
@@ -45,6 +45,15 @@
     pub surges_ms: Vec<(PoolName, u64)>,
 }
 
+/// Progress of a maintenance wave.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct WaveRow {
+    /// Instances whose maintenance has begun, or that are no longer part of the wave.
+    pub done: Vec<InstanceName>,
+    /// Instances whose maintenance may have been ordered.
+    pub claimed: Vec<InstanceName>,
+}
+
 /// Row of the table of jobs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum JobKey {
