--- /dev/null
+++ b/crates/core/tests/job_ends.rs
@@ -0,0 +1,67 @@
+//! Ends of jobs and of runs, and what becomes of them.
+
+mod jobs;
+
+use jobs::{JobWorld, WorldFaults, at, job, step};
+use sesamedeal_core::jobs::JobPhase;
+
+/// Guards against a job of several steps that does not run to its end.
+#[test]
+fn steps_in_order() {
+    let mut world = JobWorld::new(2, 1);
+    let mut second = step(3, 1_000);
+    second.after = vec![0];
+    let id = world.submit(1, job(vec![step(4, 1_000), second]));
+    world.run(80);
+    assert_eq!(world.phase(id), JobPhase::Finished);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+/// Guards against the loss of an end whose record the store turned away: the job was forgotten
+/// while the write was under way, and its end had been acknowledged to the worker.
+#[test]
+fn refused_record() {
+    let faults = WorldFaults {
+        refused_writes: 0.7,
+        ..WorldFaults::default()
+    };
+    let mut world = JobWorld::new(2, 3).with_faults(faults);
+    let ids: Vec<_> = (0..20)
+        .map(|number| world.submit(number, job(vec![step(2, 1_000)])))
+        .collect();
+    world.run(400);
+    for id in ids {
+        assert_eq!(world.phase(id), JobPhase::Finished, "{id}");
+    }
+}
+
+/// Guards against a job that is tried for ever.
+#[test]
+fn attempts_used() {
+    let faults = WorldFaults {
+        failures: 1.0,
+        ..WorldFaults::default()
+    };
+    let mut world = JobWorld::new(3, 1).with_faults(faults);
+    let id = world.submit(1, job(vec![step(1, 1_000)]));
+    world.run(400);
+    assert_eq!(world.phase(id), JobPhase::Failed);
+    assert_eq!(world.starts, 3);
+}
+
+/// Guards against tasks that go on after their job was cancelled.
+#[test]
+fn cancelled_job() {
+    let mut world = JobWorld::new(2, 1);
+    let mut lasting = step(4, 500);
+    lasting.is_lasting = true;
+    let id = world.submit(1, job(vec![lasting]));
+    world.run(20);
+    assert!(world.dispatcher.cancel_job(id));
+    world.run(4);
+    assert_eq!(world.phase(id), JobPhase::Cancelled);
+    assert!(world.workers.iter().all(|worker| worker.tasks().is_empty()));
+    assert!(!world.dispatcher.cancel_job(id), "a job ends once");
+    let orders = world.dispatcher.plan(at(world.now), world.now);
+    assert!(orders.is_empty());
+}
--- /dev/null
+++ b/crates/core/tests/job_order.rs
@@ -0,0 +1,103 @@
+//! Load pattern: more arrives in a surge than the pool can hold.
+
+mod jobs;
+
+use std::time::Duration;
+
+use jobs::{JobWorld, job, step};
+use sesamedeal_core::jobs::{
+    ResourceAmount, SequenceKey, UrgencyClass, WorkerOffer, choose_worker, pace_percent,
+};
+
+fn key(age: u64, remaining: u64) -> SequenceKey {
+    let millis = Duration::from_millis;
+    SequenceKey::new(false, 0, millis(age), millis(remaining), millis(2_000))
+}
+
+/// Guards against room for jobs that are too late while others can still be in time.
+#[test]
+fn useful_first() {
+    let (in_time, late, too_late) = (key(500, 1_000), key(3_000, 1_000), key(9_000, 1_000));
+    assert_eq!(in_time.class, UrgencyClass::InTime);
+    assert_eq!(late.class, UrgencyClass::Late);
+    assert_eq!(too_late.class, UrgencyClass::TooLate);
+    assert!(in_time < late && late < too_late);
+    assert!(
+        key(900, 1_000) < in_time,
+        "the earliest objective comes first"
+    );
+    assert!(too_late.with_lasting() < in_time);
+}
+
+/// Guards against lasting tasks that never find room in a pool full of short ones.
+#[test]
+fn lasting_gets_room() {
+    let mut world = JobWorld::new(2, 1);
+    for number in 0..30 {
+        world.submit(number, job(vec![step(8, 2_000)]));
+    }
+    world.run(10);
+    let mut lasting = step(1, 7_000);
+    lasting.is_lasting = true;
+    world.submit(99, job(vec![lasting]));
+    world.run(60);
+    let mut tasks = world.workers.iter().flat_map(|worker| worker.tasks());
+    assert!(tasks.any(|task| task.step.job.0 == 99), "no room in 3 s");
+}
+
+fn offer(key: u32, free: u64) -> WorkerOffer<u32> {
+    let amount = |cpu_millis| ResourceAmount {
+        cpu_millis,
+        memory_mb: cpu_millis,
+        accelerators: 0,
+    };
+    WorkerOffer {
+        key,
+        room: amount(free),
+        capacity: amount(32_000),
+        is_near: false,
+        same_step: 0,
+        is_on_trial: false,
+    }
+}
+
+fn choose(cpu_millis: u64, is_lasting: bool, offers: &[WorkerOffer<u32>]) -> Option<u32> {
+    let amount = ResourceAmount {
+        cpu_millis,
+        ..ResourceAmount::default()
+    };
+    choose_worker(amount, is_lasting, offers.iter().copied())
+}
+
+/// Guards against room that is cut into pieces too small for the next large task.
+#[test]
+fn large_packed() {
+    let offers = [offer(1, 30_000), offer(2, 12_000), offer(3, 4_000)];
+    assert_eq!(choose(10_000, false, &offers), Some(2));
+    assert_eq!(choose(1_000, false, &offers), Some(1));
+    assert_eq!(choose(40_000, false, &offers), None);
+}
+
+/// Guards against lasting tasks on every worker, so that none can move to another pool.
+#[test]
+fn lasting_packed() {
+    let offers = [offer(1, 30_000), offer(2, 12_000), offer(3, 4_000)];
+    assert_eq!(choose(1_000, true, &offers), Some(3));
+}
+
+/// Guards against new tasks for a worker that has just failed several.
+#[test]
+fn trial_last() {
+    let mut suspect = offer(1, 30_000);
+    suspect.is_on_trial = true;
+    assert_eq!(choose(1_000, false, &[suspect, offer(2, 3_000)]), Some(2));
+}
+
+/// Guards against fillers that hurt serving tasks, and against a pace that swings.
+#[test]
+fn filler_pace() {
+    assert_eq!(pace_percent(100, 0.9), 50);
+    assert_eq!(pace_percent(50, 1.2), 0);
+    assert_eq!(pace_percent(50, 0.7), 50);
+    assert_eq!(pace_percent(95, 0.1), 100);
+}
--- /dev/null
+++ b/crates/core/tests/job_takeover.rs
@@ -0,0 +1,124 @@
+//! What a new owner may start, and when.
+
+mod jobs;
+
+use jobs::{JobWorld, at, job, step};
+use sesamedeal_core::jobs::{JobDispatcher, JobPhase, WorkerOrder};
+
+fn lasting(count: u16) -> sesamedeal_core::jobs::StepSpec {
+    let mut step = step(count, 500);
+    step.is_lasting = true;
+    step
+}
+
+fn starts(dispatcher: &mut JobDispatcher, now: u64) -> usize {
+    let orders = dispatcher.plan(at(now), now);
+    let starts = orders.iter();
+    starts
+        .filter(|order| matches!(order, WorkerOrder::Start(..)))
+        .count()
+}
+
+/// Guards against a second run of what a worker that cannot be reached may still run.
+#[test]
+fn silent_worker() {
+    let mut world = JobWorld::new(2, 1);
+    world.submit(1, job(vec![lasting(4)]));
+    world.run(10);
+    let silent = world
+        .workers
+        .iter()
+        .position(|worker| !worker.tasks().is_empty())
+        .unwrap();
+    let tasks = world.workers[silent].tasks().len();
+    world.workers[silent].is_reachable = false;
+    world.take_over();
+    world.run(80);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+    assert_eq!(world.starts, 4, "started while a lease may last");
+    world.run(80);
+    assert_eq!(world.starts, 4 + tasks, "not started after the leases");
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+/// Guards against a wait for other workers' leases of a task that this owner has seen running and
+/// stopped itself: it waited 12 s after an expired ownership.
+#[test]
+fn seen_running() {
+    let mut world = JobWorld::new(3, 1);
+    world.submit(1, job(vec![lasting(2)]));
+    world.run(10);
+    let busy = world
+        .workers
+        .iter()
+        .position(|worker| !worker.tasks().is_empty())
+        .unwrap();
+    let silent = (busy + 1) % 3;
+    assert!(world.workers[silent].tasks().is_empty());
+    world.workers[silent].is_reachable = false;
+    world.take_over();
+    world.run(2);
+    let name = world.workers[busy].report.name.clone();
+    world.dispatcher.set_evacuating(&name, true);
+    world.run(10);
+    assert!(world.workers[busy].tasks().is_empty());
+    let running: usize = world
+        .workers
+        .iter()
+        .map(|worker| worker.tasks().len())
+        .sum();
+    assert_eq!(running, 2, "stopped tasks wait for a silent worker");
+}
+
+/// Guards against starts on a worker that runs something of unknown size: a new owner started
+/// tasks beside runs whose jobs it had not loaded yet.
+#[test]
+fn unknown_runs() {
+    let mut world = JobWorld::new(1, 1);
+    world.submit(1, job(vec![lasting(2)]));
+    world.run(10);
+    let stored = std::mem::take(&mut world.stored);
+    world.take_over();
+    world.stored = stored;
+    world.submit(2, job(vec![step(1, 1_000)]));
+    let now = world.now;
+    assert_eq!(starts(&mut world.dispatcher, now), 0, "before any list");
+    world.run(1);
+    assert_eq!(world.starts, 2, "beside unknown runs");
+    world.run(20);
+    assert_eq!(
+        world.phase(sesamedeal_core::jobs::JobId(2)),
+        JobPhase::Finished
+    );
+}
+
+/// Guards against run numbers that an earlier owner used.
+#[test]
+fn higher_runs() {
+    let mut world = JobWorld::new(1, 1);
+    world.submit(1, job(vec![lasting(1)]));
+    world.run(10);
+    world.take_over();
+    world.workers[0].report.boot += 1;
+    world.list_workers();
+    let first: Vec<_> = world.dispatcher.plan(at(world.now), world.now);
+    assert!(first.is_empty());
+    let report = sesamedeal_core::jobs::HoldReport {
+        sent: at(world.now),
+        clock_ms: 0,
+        boot: world.workers[0].report.boot,
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
+    let key = world.workers[0].key.unwrap();
+    world.dispatcher.note_hold(key, &report, at(world.now));
+    let orders = world.dispatcher.plan(at(world.now), world.now);
+    let runs: Vec<u64> = orders
+        .iter()
+        .filter_map(|order| match order {
+            WorkerOrder::Start(_, order) => Some(order.run),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(runs, [1_001]);
+}
--- /dev/null
+++ b/crates/core/tests/jobs/mod.rs
@@ -0,0 +1,506 @@
+//! A simulated fleet of workers and a store for the tests of stored jobs, on virtual time.
+//!
+//! The world checks what must always hold when a worker is told to start a task.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use sesamedeal_core::ids::{InstanceName, PoolName, QueueName, TeamName, ZoneName};
+use sesamedeal_core::jobs::{
+    DispatchPolicy, EndKind, FleetRules, HoldReport, JobDispatcher, JobId, JobOrder, JobPhase,
+    JobRecord, PoolRule, QueueRule, ResourceAmount, RunEnd, RunReport, StartOrder, StartOutcome,
+    StepSpec, TaskName, TeamRule, WorkerKey, WorkerOrder, WorkerReport, WorkerState,
+};
+use sesamedeal_core::time::TimePoint;
+
+/// Failed runs after which a job has failed.
+pub const ATTEMPTS: u32 = 3;
+
+/// Lease that the world's owner asks for.
+pub const LEASE: Duration = Duration::from_millis(4_800);
+
+pub fn amount(cpu_millis: u64, memory_mb: u64) -> ResourceAmount {
+    ResourceAmount {
+        cpu_millis,
+        memory_mb,
+        accelerators: 0,
+    }
+}
+
+pub fn step(count: u16, cpu_millis: u64) -> StepSpec {
+    StepSpec {
+        count,
+        amount: amount(cpu_millis, 1_000),
+        estimate: Duration::from_millis(500),
+        ..StepSpec::default()
+    }
+}
+
+pub fn job(steps: Vec<StepSpec>) -> JobOrder {
+    JobOrder {
+        queue: QueueName::new("queue"),
+        team: Some(TeamName::new("team")),
+        accepted_ms: 0,
+        spec: CompactString::from("spec"),
+        steps,
+        schedule: None,
+    }
+}
+
+pub fn rules(limit: ResourceAmount) -> Arc<FleetRules> {
+    let queue = QueueRule {
+        pool: PoolName::new("pool"),
+        priority: 0,
+        attempts: ATTEMPTS,
+        stretch: 1.6,
+        slack: Duration::from_millis(600),
+        needs_ticket: false,
+    };
+    let team = TeamRule { weight: 1.0, limit };
+    Arc::new(FleetRules {
+        version: 1,
+        queues: HashMap::from([(QueueName::new("queue"), queue)]),
+        pools: HashMap::from([(PoolName::new("pool"), PoolRule { is_spare: false })]),
+        teams: HashMap::from([(TeamName::new("team"), team)]),
+    })
+}
+
+pub fn worker_report(number: usize, boot: u64) -> WorkerReport {
+    WorkerReport {
+        name: InstanceName::new(format!("worker-{number}")),
+        machine: None,
+        pool: PoolName::new("pool"),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: ZoneName::new("zone"),
+        state: WorkerState::Ready,
+        capacity: amount(8_000, 16_000),
+        labels: vec![CompactString::from("rack-1")],
+        boot,
+    }
+}
+
+pub fn at(millis: u64) -> TimePoint {
+    TimePoint::with_millis(millis)
+}
+
+/// A run at a simulated worker.
+#[derive(Debug, Clone)]
+struct SimRun {
+    ends: u64,
+    lease_end: u64,
+    fails: bool,
+    begun: u64,
+}
+
+/// A simulated worker, which starts whatever it is told to.
+#[derive(Debug)]
+pub struct SimWorker {
+    pub report: WorkerReport,
+    pub key: Option<WorkerKey>,
+    pub is_reachable: bool,
+    pub fence: u64,
+    running: BTreeMap<(TaskName, u64), SimRun>,
+    ended: Vec<RunEnd>,
+    next_end: u64,
+    highest: HashMap<TaskName, u64>,
+}
+
+impl SimWorker {
+    fn new(number: usize) -> Self {
+        Self {
+            report: worker_report(number, 1),
+            key: None,
+            is_reachable: true,
+            fence: 0,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            highest: HashMap::new(),
+        }
+    }
+
+    pub fn tasks(&self) -> Vec<TaskName> {
+        self.running.keys().map(|(task, _)| *task).collect()
+    }
+
+    fn end(&mut self, task: TaskName, run: u64, kind: EndKind) {
+        self.running.remove(&(task, run));
+        let highest = self.highest.entry(task).or_default();
+        *highest = (*highest).max(run);
+        self.ended.push(RunEnd {
+            number: self.next_end,
+            task,
+            run,
+            kind,
+            saved: CompactString::default(),
+        });
+        self.next_end += 1;
+    }
+
+    fn pass(&mut self, now: u64) {
+        let runs: Vec<_> = self
+            .running
+            .iter()
+            .map(|(id, run)| (*id, run.clone()))
+            .collect();
+        for ((task, run), state) in runs {
+            if state.lease_end <= now {
+                self.end(task, run, EndKind::Lapsed);
+            } else if state.ends <= now {
+                let kind = if state.fails {
+                    EndKind::Failed
+                } else {
+                    EndKind::Done
+                };
+                self.end(task, run, kind);
+            }
+        }
+    }
+}
+
+/// Faults of a run of the world, each as a share of the calls or rounds.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct WorldFaults {
+    /// Starts that are done and not answered.
+    pub lost_starts: f64,
+    /// Writes to the store that are turned away.
+    pub refused_writes: f64,
+    /// Rounds in which a worker is cut off or comes back.
+    pub cuts: f64,
+    /// Rounds in which another owner takes over.
+    pub takeovers: f64,
+    /// Runs that fail.
+    pub failures: f64,
+    /// Rounds in which a worker is started again under its name.
+    pub reboots: f64,
+}
+
+pub struct JobWorld {
+    pub now: u64,
+    pub epoch: u64,
+    pub dispatcher: JobDispatcher,
+    pub workers: Vec<SimWorker>,
+    pub stored: BTreeMap<JobId, (JobOrder, JobRecord)>,
+    pub violations: Vec<String>,
+    pub starts: usize,
+    faults: WorldFaults,
+    rules: Arc<FleetRules>,
+    random: Pcg64Mcg,
+    acknowledged_done: HashSet<TaskName>,
+    ended_done: HashSet<TaskName>,
+    acknowledged_failures: HashMap<TaskName, u32>,
+}
+
+impl JobWorld {
+    pub fn new(workers: usize, seed: u64) -> Self {
+        Self::with_rules(workers, seed, rules(ResourceAmount::default()))
+    }
+
+    pub fn with_rules(workers: usize, seed: u64, rules: Arc<FleetRules>) -> Self {
+        let mut world = Self {
+            now: 10_000,
+            epoch: 1,
+            dispatcher: dispatcher(&rules, 1, 10_000),
+            workers: (0..workers).map(SimWorker::new).collect(),
+            stored: BTreeMap::new(),
+            violations: Vec::new(),
+            starts: 0,
+            faults: WorldFaults::default(),
+            rules,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            acknowledged_done: HashSet::new(),
+            ended_done: HashSet::new(),
+            acknowledged_failures: HashMap::new(),
+        };
+        world.list_workers();
+        world
+    }
+
+    pub fn with_faults(mut self, faults: WorldFaults) -> Self {
+        self.faults = faults;
+        self
+    }
+
+    pub fn submit(&mut self, id: u64, order: JobOrder) -> JobId {
+        let id = JobId(id);
+        self.stored.insert(id, (order.clone(), JobRecord::new()));
+        self.dispatcher
+            .add_job(id, order, JobRecord::new(), false, at(self.now));
+        id
+    }
+
+    pub fn phase(&self, id: JobId) -> JobPhase {
+        self.stored[&id].1.phase
+    }
+
+    fn chance(&mut self, share: f64) -> bool {
+        share > 0.0 && self.random.random::<f64>() < share
+    }
+
+    pub fn list_workers(&mut self) {
+        for worker in &mut self.workers {
+            let (key, _) = self
+                .dispatcher
+                .set_worker(worker.report.clone(), at(self.now));
+            worker.key = Some(key);
+        }
+    }
+
+    /// Lets time pass in rounds of 50 ms.
+    pub fn run(&mut self, rounds: usize) {
+        for _ in 0..rounds {
+            self.round();
+        }
+    }
+
+    pub fn round(&mut self) {
+        self.now += 50;
+        let now = self.now;
+        for worker in &mut self.workers {
+            worker.pass(now);
+        }
+        self.note_truth();
+        self.disturb();
+        for index in 0..self.workers.len() {
+            self.hold(index);
+        }
+        self.write();
+        let orders = self.dispatcher.plan(at(now), now);
+        for order in orders {
+            self.deliver(order);
+        }
+    }
+
+    /// Ends that have happened, whether anyone knows of them or not.
+    fn note_truth(&mut self) {
+        for worker in &self.workers {
+            for end in worker.ended.iter().filter(|end| end.kind == EndKind::Done) {
+                self.ended_done.insert(end.task);
+            }
+        }
+    }
+
+    fn disturb(&mut self) {
+        if self.chance(self.faults.cuts) {
+            let index = self.random.random_range(0..self.workers.len());
+            let worker = &mut self.workers[index];
+            worker.is_reachable = !worker.is_reachable;
+        }
+        if self.chance(self.faults.reboots) {
+            let index = self.random.random_range(0..self.workers.len());
+            let worker = &mut self.workers[index];
+            worker.report.boot += 1;
+            worker.running.clear();
+            worker.ended.clear();
+            worker.next_end = 1;
+            worker.fence = 0;
+            worker.highest.clear();
+            self.list_workers();
+        }
+        if self.chance(self.faults.takeovers) {
+            self.take_over();
+        }
+    }
+
+    /// Another owner begins with what is stored.
+    pub fn take_over(&mut self) {
+        self.epoch += 1;
+        self.dispatcher = dispatcher(&self.rules, self.epoch, self.now);
+        for (id, (order, record)) in &self.stored {
+            let record = record.clone();
+            self.dispatcher
+                .add_job(*id, order.clone(), record, true, at(self.now));
+        }
+        self.list_workers();
+    }
+
+    fn hold(&mut self, index: usize) {
+        let now = self.now;
+        let worker = &mut self.workers[index];
+        let key = worker.key.unwrap();
+        if !worker.is_reachable {
+            self.dispatcher.note_silence(key);
+            return;
+        }
+        worker.fence = worker.fence.max(self.epoch);
+        self.dispatcher.note_extension(key, LEASE, at(now));
+        for run in worker.running.values_mut() {
+            run.lease_end = run.lease_end.max(now + 4_800);
+        }
+        let stored = self.dispatcher.stored_end(key);
+        for end in worker.ended.iter().filter(|end| end.number <= stored) {
+            match end.kind {
+                EndKind::Done => {
+                    self.acknowledged_done.insert(end.task);
+                }
+                EndKind::Failed => {
+                    *self.acknowledged_failures.entry(end.task).or_default() += 1;
+                }
+                _ => {}
+            }
+        }
+        worker.ended.retain(|end| end.number > stored);
+        let running = worker.running.iter().map(|((task, run), state)| RunReport {
+            task: *task,
+            run: *run,
+            saved: CompactString::default(),
+            percent: if state.ends == u64::MAX {
+                100.0
+            } else {
+                #[expect(clippy::cast_precision_loss, reason = "times of tests are small")]
+                let percent = (now - state.begun) as f64;
+                percent
+            },
+            gauge: None,
+        });
+        let report = HoldReport {
+            sent: at(now),
+            clock_ms: now,
+            boot: worker.report.boot,
+            running: running.collect(),
+            ended: worker.ended.clone(),
+        };
+        self.dispatcher.note_hold(key, &report, at(now));
+    }
+
+    fn write(&mut self) {
+        let batch = self.dispatcher.take_records(28, self.now);
+        if self.chance(self.faults.refused_writes) {
+            // The round goes on while the write is under way.
+            let orders = self.dispatcher.plan(at(self.now), self.now);
+            for order in orders {
+                self.deliver(order);
+            }
+            self.dispatcher.return_records(&batch);
+            return;
+        }
+        for (id, record) in &batch.records {
+            if let Some(entry) = self.stored.get_mut(id) {
+                entry.1 = record.clone();
+            }
+        }
+        self.dispatcher.note_stored(&batch);
+    }
+
+    fn deliver(&mut self, order: WorkerOrder) {
+        match order {
+            WorkerOrder::Start(key, order) => self.deliver_start(key, &order),
+            WorkerOrder::Stop(key, task, run) => self.deliver_stop(key, task, run),
+            WorkerOrder::Pace(..) => {}
+        }
+    }
+
+    fn index(&self, key: WorkerKey) -> usize {
+        let mut workers = self.workers.iter();
+        workers.position(|worker| worker.key == Some(key)).unwrap()
+    }
+
+    fn deliver_start(&mut self, key: WorkerKey, order: &StartOrder) {
+        let index = self.index(key);
+        let is_lost = self.chance(self.faults.lost_starts);
+        let fails = self.chance(self.faults.failures);
+        let length = self.random.random_range(200..1_200);
+        let now = self.now;
+        self.dispatcher.note_extension(key, LEASE, at(now));
+        if !self.workers[index].is_reachable {
+            let outcome = StartOutcome::Unknown;
+            self.dispatcher
+                .note_start(key, order.task, order.run, outcome, at(now));
+            return;
+        }
+        let worker = &self.workers[index];
+        let is_old = worker
+            .highest
+            .get(&order.task)
+            .is_some_and(|run| order.run <= *run);
+        if self.epoch < worker.fence || is_old {
+            let outcome = StartOutcome::Refused;
+            self.dispatcher
+                .note_start(key, order.task, order.run, outcome, at(now));
+            return;
+        }
+        self.check_start(index, order);
+        let is_lasting = self.step_of(order.task).is_lasting;
+        let worker = &mut self.workers[index];
+        worker.fence = worker.fence.max(self.epoch);
+        let run = SimRun {
+            begun: now,
+            ends: if is_lasting { u64::MAX } else { now + length },
+            lease_end: now + 4_800,
+            fails: fails && !is_lasting,
+        };
+        worker.running.insert((order.task, order.run), run);
+        self.starts += 1;
+        let outcome = if is_lost {
+            StartOutcome::Unknown
+        } else {
+            StartOutcome::Started
+        };
+        self.dispatcher
+            .note_start(key, order.task, order.run, outcome, at(now));
+    }
+
+    fn deliver_stop(&mut self, key: WorkerKey, task: TaskName, run: u64) {
+        let index = self.index(key);
+        let worker = &mut self.workers[index];
+        if !worker.is_reachable {
+            return;
+        }
+        if worker.running.contains_key(&(task, run)) {
+            worker.end(task, run, EndKind::Stopped);
+        }
+        let highest = worker.highest.entry(task).or_default();
+        *highest = (*highest).max(run);
+        self.dispatcher.note_stop(key, task, run, at(self.now));
+    }
+
+    fn step_of(&self, task: TaskName) -> &StepSpec {
+        &self.stored[&task.step.job].0.steps[usize::from(task.step.step)]
+    }
+
+    /// What must hold whenever a worker begins a task.
+    fn check_start(&mut self, index: usize, order: &StartOrder) {
+        let task = order.task;
+        let mut problems = Vec::new();
+        let mut used = self.step_of(task).worker_amount();
+        for (other, _) in self.workers[index].running.keys() {
+            used += self.step_of(*other).worker_amount();
+        }
+        if !used.fits(self.workers[index].report.capacity) {
+            problems.push("over capacity");
+        }
+        let is_running = |worker: &SimWorker| worker.running.keys().any(|(name, _)| *name == task);
+        if self.workers.iter().any(is_running) {
+            problems.push("runs twice");
+        }
+        if self.acknowledged_done.contains(&task) {
+            problems.push("started after an acknowledged end");
+        }
+        let failures = self.acknowledged_failures.get(&task);
+        if failures.is_some_and(|failures| *failures >= ATTEMPTS) {
+            problems.push("started beyond its attempts");
+        }
+        let order_entry = &self.stored[&task.step.job].0;
+        for earlier in &order_entry.steps[usize::from(task.step.step)].after {
+            let mut name = task.step;
+            name.step = *earlier;
+            let count = order_entry.steps[usize::from(*earlier)].count;
+            if (0..count).any(|number| !self.ended_done.contains(&name.task(number))) {
+                problems.push("started before an earlier step was done");
+            }
+        }
+        for problem in problems {
+            let text = format!("{} ms: {task} run {} {problem}", self.now, order.run);
+            self.violations.push(text);
+        }
+    }
+}
+
+fn dispatcher(rules: &Arc<FleetRules>, epoch: u64, now: u64) -> JobDispatcher {
+    JobDispatcher::new(DispatchPolicy::default(), Arc::clone(rules), epoch, at(now))
+}
