Look at the workers on an instance before it is maintained or moved

Change: an instance is empty only if every worker that the list or the inventory names for it is; instances that move are not chosen; claims of an earlier owner are ordered again once the instance is empty.

--- a/crates/core/src/jobs/dispatcher/relocation.rs
+++ b/crates/core/src/jobs/dispatcher/relocation.rs
@@ -15,13 +15,27 @@
         }
     }
 
-    /// Whether nothing runs on a worker, nor may begin; none if that is not known, because the
+    /// Whether nothing runs on an instance, nor may begin; none if that is not known, because its
     /// worker is new here or has not answered under this epoch.
+    ///
+    /// `worker` is the worker of the instance by the inventory, which lags. Workers that the list
+    /// names for the instance count too.
     #[must_use]
-    pub fn is_empty(&self, name: &InstanceName) -> Option<bool> {
-        let entry = &self.workers[*self.names.get(name)?];
-        entry.held?;
-        Some(entry.runs.is_empty() && !entry.has_strangers)
+    pub fn is_empty(&self, instance: &InstanceName, worker: Option<&InstanceName>) -> Option<bool> {
+        let named = match worker {
+            Some(worker) => Some(&self.workers[*self.names.get(worker)?]),
+            None => None,
+        };
+        let on_instance = self
+            .workers
+            .values()
+            .filter(|entry| entry.is_listed && entry.report.machine.as_ref() == Some(instance));
+        let mut is_empty = true;
+        for entry in named.into_iter().chain(on_instance) {
+            entry.held?;
+            is_empty &= entry.runs.is_empty() && !entry.has_strangers;
+        }
+        Some(is_empty)
     }
 
     /// What speaks for taking a worker out for maintenance now.
--- a/crates/jobs/src/owner/inventory_view.rs
+++ b/crates/jobs/src/owner/inventory_view.rs
@@ -71,6 +71,17 @@
         }
     }
 
+    /// Whether nothing runs on an instance; none if that is not known.
+    pub(super) fn is_instance_empty(&self, instance: &InstanceName) -> Option<bool> {
+        let report = self.inventory.reports.get(instance)?;
+        let is_off = report.worker.is_none();
+        if is_off && Some(&report.pool) != self.spare_pool().as_ref() {
+            // Its worker has not registered yet.
+            return None;
+        }
+        self.dispatcher.is_empty(instance, report.worker.as_ref())
+    }
+
     /// Worker of an instance, if the inventory shows one.
     pub(super) fn worker_of(&self, instance: &InstanceName) -> Option<InstanceName> {
         self.inventory.reports.get(instance)?.worker.clone()
--- a/crates/jobs/src/owner/pool_keeper.rs
+++ b/crates/jobs/src/owner/pool_keeper.rs
@@ -63,6 +63,11 @@
         surges.map(|(pool, age)| (pool, millis(age))).collect()
     }
 
+    /// Whether an instance is on its way to another pool.
+    pub(super) fn is_moving(&self, instance: &InstanceName) -> bool {
+        self.pools.moves.contains_key(instance)
+    }
+
     pub(super) fn has_moves(&self) -> bool {
         !self.pools.moves.is_empty()
     }
@@ -87,7 +92,7 @@
     }
 
     /// The pool of instances that are switched off.
-    fn spare_pool(&self) -> Option<PoolName> {
+    pub(super) fn spare_pool(&self) -> Option<PoolName> {
         let deployment = self.parts.view.load()?;
         let mut pools = deployment.rules.pools.iter();
         let spare = pools.find(|(_, rule)| rule.is_spare);
@@ -122,11 +127,7 @@
                 && report.state == InstanceState::Up
                 && !self.pools.moves.contains_key(&report.name)
                 && !self.is_emptied(&report.name);
-            is_free
-                && report
-                    .worker
-                    .as_ref()
-                    .is_none_or(|worker| self.dispatcher.is_empty(worker) == Some(true))
+            is_free && self.is_instance_empty(&report.name) == Some(true)
         });
         let mut names: Vec<InstanceName> = idle.map(|report| report.name.clone()).collect();
         names.sort();
--- a/crates/jobs/src/owner/wave_keeper.rs
+++ b/crates/jobs/src/owner/wave_keeper.rs
@@ -33,6 +33,8 @@
 enum UpkeepClaim {
     /// The claim is not stored yet. An order before that could be unknown to a successor.
     Unstored,
+    /// An earlier owner may have sent the order. It is sent again once the instance is empty.
+    Inherited(TimePoint),
     /// The order is due.
     Due(TimePoint),
     /// The order is under way.
@@ -81,7 +83,9 @@
         progress.out = row.done.iter().map(|name| (name.clone(), now)).collect();
         progress.done.extend(row.done);
         let claimed = row.claimed.into_iter();
-        progress.claimed = claimed.map(|name| (name, UpkeepClaim::Due(now))).collect();
+        progress.claimed = claimed
+            .map(|name| (name, UpkeepClaim::Inherited(now)))
+            .collect();
     }
 }
 
@@ -169,7 +173,7 @@
 
     fn upkeep_choice(&self, name: &InstanceName, now: TimePoint) -> Option<UpkeepChoice> {
         let report = self.inventory.reports.get(name)?;
-        if report.state != InstanceState::Up {
+        if report.state != InstanceState::Up || self.is_moving(name) {
             return None;
         }
         let idle = || UpkeepChoice {
@@ -197,6 +201,23 @@
             .collect();
         ready.sort();
         ready.truncate(wave.limit.saturating_sub(busy));
+        let inherited = progress
+            .claimed
+            .iter()
+            .filter_map(|(name, claim)| match claim {
+                UpkeepClaim::Inherited(since) => Some((name.clone(), *since)),
+                _ => None,
+            });
+        let inherited: Vec<(InstanceName, TimePoint)> = inherited.collect();
+        for (name, since) in inherited {
+            if let Some(worker) = self.worker_of(&name) {
+                self.dispatcher.set_evacuating(&worker, true);
+            }
+            if self.is_ready(&name, now.since(since)) {
+                let progress = self.waves.waves.entry(wave.number).or_default();
+                progress.claimed.insert(name, UpkeepClaim::Due(now));
+            }
+        }
         let progress = self.waves.waves.entry(wave.number).or_default();
         for name in &ready {
             progress.emptied.remove(name);
@@ -242,11 +263,7 @@
 
     /// Whether nothing runs on an instance that is emptied since `age`.
     fn is_ready(&self, instance: &InstanceName, age: Duration) -> bool {
-        let Some(worker) = self.worker_of(instance) else {
-            return true;
-        };
-        self.dispatcher
-            .is_empty(&worker)
+        self.is_instance_empty(instance)
             .unwrap_or(age > UNKNOWN_PATIENCE)
     }
 
