Grow beside a backlog, and refuse at once while the store is down for an instance

Cause: a pool in a surge grew in steps of two seconds, since what came while the backlog was worked off did not count, and pools whose turn was to come gave their instances for mere forecasts. Callers of an instance without the store got 504, after which they cannot try again.

--- a/crates/core/src/jobs/pool_sizing.rs
+++ b/crates/core/src/jobs/pool_sizing.rs
@@ -65,11 +65,21 @@
 
 #[derive(Debug, Clone, Default)]
 struct PoolHistory {
-    /// Wanted sizes of the recent past.
-    wanted: Vec<(TimePoint, usize)>,
+    /// Wanted sizes of the recent past, and sizes for what was in use and waited.
+    wanted: Vec<(TimePoint, usize, usize)>,
     surged: Option<TimePoint>,
 }
 
+/// Instances that a pool lacks.
+#[derive(Debug, Clone)]
+struct PoolLack {
+    pool: PoolName,
+    /// For what is in use and waits.
+    urgent: usize,
+    /// For what comes if the arrivals go on.
+    foreseen: usize,
+}
+
 /// Instances that a pool can give.
 #[derive(Debug, Clone)]
 struct PoolSurplus {
@@ -131,13 +141,14 @@
         let next = self.next_pools();
         let total = spare + pools.values().map(|size| size.instances).sum::<usize>();
         let even = total / (pools.len() + 1);
-        let mut lacks: Vec<(PoolName, usize)> = Vec::new();
+        let mut lacks: Vec<PoolLack> = Vec::new();
         let mut refills: Vec<(PoolName, usize)> = Vec::new();
         let mut gives: Vec<PoolSurplus> = Vec::new();
         for (pool, size) in pools {
             let history = &self.history[pool];
-            let peak = history.wanted.iter().map(|(_, wanted)| *wanted).max();
+            let peak = history.wanted.iter().map(|(_, wanted, _)| *wanted).max();
             let peak = peak.unwrap_or(0);
+            let present = history.wanted.last().map_or(0, |(_, _, present)| *present);
             let needed = peak.max(self.policy.least_instances);
             let target = if next.contains(pool) {
                 needed.max(even)
@@ -145,7 +156,11 @@
                 needed
             };
             if size.instances < peak {
-                lacks.push((pool.clone(), peak - size.instances));
+                lacks.push(PoolLack {
+                    pool: pool.clone(),
+                    urgent: present.saturating_sub(size.instances),
+                    foreseen: peak - size.instances.max(present),
+                });
             } else if size.instances < target {
                 refills.push((pool.clone(), target - size.instances));
             } else {
@@ -165,10 +180,16 @@
     fn note(&mut self, pools: &BTreeMap<PoolName, PoolSize>, capacity: u64, now: TimePoint) {
         for (pool, size) in pools {
             let history = self.history.entry(pool.clone()).or_default();
-            let wanted = wanted_instances(&size.load, capacity, self.policy.headroom);
-            history.wanted.push((now, wanted));
+            let headroom = self.policy.headroom;
+            let wanted = wanted_instances(&size.load, capacity, headroom);
+            let present = PoolLoad {
+                arriving: 0,
+                ..size.load
+            };
+            let present = wanted_instances(&present, capacity, headroom);
+            history.wanted.push((now, wanted, present));
             let memory = self.policy.peak_memory;
-            history.wanted.retain(|(at, _)| now.since(*at) <= memory);
+            history.wanted.retain(|(at, ..)| now.since(*at) <= memory);
             if is_surging(&size.load, self.policy.surge_share) {
                 history.surged = Some(now);
             }
@@ -195,7 +216,13 @@
 pub fn wanted_instances(load: &PoolLoad, capacity: u64, headroom: f64) -> usize {
     // A backlog of short tasks needs less room than its tasks at once.
     let waiting = load.waiting.min(load.backlog.max(load.waiting / 2));
-    let used = load.lasting + u64::max(load.ending + waiting, load.arriving);
+    // While a backlog is worked off, what comes needs room beside it.
+    let ending = if waiting > 0 {
+        load.ending + waiting + load.arriving / 2
+    } else {
+        load.ending
+    };
+    let used = load.lasting + u64::max(ending, load.arriving);
     #[expect(
         clippy::cast_precision_loss,
         clippy::cast_possible_truncation,
@@ -213,16 +240,16 @@
     is_surging && load.capacity > 0
 }
 
-/// Serves the pools that lack instances from what others do not need, then from the spare pool, then
-/// from what others keep. Pools whose turn is to come are refilled from the rest, and what nobody
-/// needs moves to the spare pool.
+/// Serves the pools that lack instances from what others do not need, then from the spare pool, and
+/// for what waits already also from what others keep. Pools whose turn is to come are refilled from
+/// the rest, and what nobody needs moves to the spare pool.
 fn distribute(
-    mut lacks: Vec<(PoolName, usize)>,
+    mut lacks: Vec<PoolLack>,
     refills: Vec<(PoolName, usize)>,
     mut gives: Vec<PoolSurplus>,
     mut spare: usize,
 ) -> Vec<SizeChange> {
-    lacks.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+    lacks.sort_by_key(|lack| std::cmp::Reverse((lack.urgent, lack.foreseen)));
     gives.sort_by_key(|surplus| std::cmp::Reverse(surplus.unneeded));
     let mut changes = Vec::new();
     let mut take = |from: Option<&PoolName>, to: &PoolName, lack: &mut usize, room: &mut usize| {
@@ -237,14 +264,35 @@
             });
         }
     };
-    for (to, mut lack) in lacks {
+    for lack in &mut lacks {
         for surplus in &mut gives {
-            take(Some(&surplus.pool), &to, &mut lack, &mut surplus.unneeded);
+            take(
+                Some(&surplus.pool),
+                &lack.pool,
+                &mut lack.urgent,
+                &mut surplus.unneeded,
+            );
         }
-        take(None, &to, &mut lack, &mut spare);
+        take(None, &lack.pool, &mut lack.urgent, &mut spare);
+        for surplus in &mut gives {
+            take(
+                Some(&surplus.pool),
+                &lack.pool,
+                &mut lack.urgent,
+                &mut surplus.kept,
+            );
+        }
+    }
+    for lack in &mut lacks {
         for surplus in &mut gives {
-            take(Some(&surplus.pool), &to, &mut lack, &mut surplus.kept);
+            take(
+                Some(&surplus.pool),
+                &lack.pool,
+                &mut lack.foreseen,
+                &mut surplus.unneeded,
+            );
         }
+        take(None, &lack.pool, &mut lack.foreseen, &mut spare);
     }
     for (to, mut lack) in refills {
         for surplus in &mut gives {
--- a/crates/jobs/src/desk/job_desk.rs
+++ b/crates/jobs/src/desk/job_desk.rs
@@ -7,6 +7,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::{CancelOutcome, StatusOutcome, SubmitOutcome};
+use crate::StoreHealth;
 use crate::job_metrics::JobMetrics;
 use crate::owner::PulseView;
 use crate::ports::{RowChange, RowCondition, RowName, RowPut, RowRange, StorePort, StoreTable};
@@ -26,6 +27,7 @@
 #[derive(Debug, Clone)]
 pub struct JobDesk {
     pub(crate) store: StorePort,
+    pub(crate) health: StoreHealth,
     pub(crate) pulse: PulseView,
     pub(crate) metrics: JobMetrics,
     pub(crate) logger: Logger,
@@ -73,7 +75,12 @@
         let mut attempts = 0;
         loop {
             attempts += 1;
-            let refusal = match (self.store.transact)(change.clone()).await {
+            if !is_open && self.health.refuses() {
+                return (Err(InsertFailure::NotDone), attempts - 1);
+            }
+            let result = (self.store.transact)(change.clone()).await;
+            self.health.note(&result);
+            let refusal = match result {
                 // A conflict means that the row is there already.
                 Ok(_) => return (Ok(()), attempts),
                 Err(PlatformError::NoAnswer { reason }) => {
@@ -100,7 +107,9 @@
     pub async fn status(&self, id: JobId, deadline: Instant) -> StatusOutcome {
         let mut attempts = 0;
         loop {
-            match self.read_state(id).await {
+            let result = self.read_state(id).await;
+            self.health.note(&result);
+            match result {
                 Ok(Some(phase)) => return StatusOutcome::Known(phase),
                 Ok(None) => {
                     info!(self.logger, "status of an unknown job"; "job" => %id);
@@ -166,6 +175,12 @@
         outcome
     }
 
+    /// Whether the store answers this entry instance.
+    #[must_use]
+    pub const fn health(&self) -> &StoreHealth {
+        &self.health
+    }
+
     /// Jobs of a queue for which no task has started, as the owner published them last; none while
     /// no owner is known.
     #[must_use]
--- a/crates/jobs/src/feeds/intent_follower.rs
+++ b/crates/jobs/src/feeds/intent_follower.rs
@@ -10,7 +10,7 @@
 
 use super::{TableEvent, TableFollower};
 use crate::ports::{IntentRow, RowPort, StorePort, StoreRow, StoreTable};
-use crate::{BootClock, DeploymentView};
+use crate::{BootClock, DeploymentView, StoreHealth};
 
 /// Events that may wait for the follower.
 const EVENT_QUEUE: usize = 16;
@@ -22,6 +22,7 @@
 #[derive(Debug)]
 pub(crate) struct IntentFollower {
     pub store: StorePort,
+    pub health: StoreHealth,
     pub rows: RowPort,
     pub view: DeploymentView,
     pub waves: WaveList,
@@ -36,6 +37,7 @@
         let follower = TableFollower {
             store: self.store.clone(),
             table: StoreTable::Intent,
+            health: self.health.clone(),
             logger: self.logger.clone(),
         };
         let follow = follower.run(sender);
--- a/crates/jobs/src/feeds/table_follower.rs
+++ b/crates/jobs/src/feeds/table_follower.rs
@@ -5,6 +5,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
+use crate::StoreHealth;
 use crate::ports::{FollowPage, FollowRequest, RowRange, StorePort, StoreRow, StoreTable};
 
 /// Longest time that the store waits for a change before it answers. A longer wait saves calls, a
@@ -28,6 +29,7 @@
 pub(crate) struct TableFollower {
     pub store: StorePort,
     pub table: StoreTable,
+    pub health: StoreHealth,
     pub logger: Logger,
 }
 
@@ -41,6 +43,7 @@
                 None => self.read(&events).await,
                 Some(after) => self.follow(after, &events).await,
             };
+            self.health.note(&result);
             match result {
                 Ok(next) => {
                     if failures > 0 {
--- a/crates/jobs/src/job_node.rs
+++ b/crates/jobs/src/job_node.rs
@@ -10,7 +10,7 @@
 use crate::feeds::IntentFollower;
 use crate::owner::{OwnerLoop, OwnerPolicy, PulseView};
 use crate::ports::{FleetPort, RowPort, StorePort, WorkerPort};
-use crate::{DeploymentView, JobDesk, JobMetrics};
+use crate::{DeploymentView, JobDesk, JobMetrics, StoreHealth};
 
 /// What a [`JobNode`] is built from.
 #[derive(Debug)]
@@ -59,8 +59,10 @@
         let waves = Arc::new(ArcSwap::default());
         let (version, versions) = watch::channel(0);
         let (stopping, stopped) = watch::channel(false);
+        let health = StoreHealth::default();
         let desk = JobDesk {
             store: parts.store.clone(),
+            health: health.clone(),
             pulse: pulse.clone(),
             metrics: metrics.clone(),
             logger: logger.clone(),
@@ -68,6 +70,7 @@
         let mut followers = JoinSet::new();
         let intents = IntentFollower {
             store: parts.store.clone(),
+            health: health.clone(),
             rows: parts.rows,
             view: view.clone(),
             waves: Arc::clone(&waves),
@@ -82,6 +85,7 @@
             policy: parts.policy,
             dispatch: parts.dispatch,
             store: parts.store,
+            health,
             workers: parts.workers,
             fleet: parts.fleet,
             rows: parts.rows,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -13,6 +13,7 @@
 mod owner;
 pub mod ports;
 mod row_codec;
+mod store_health;
 
 pub use boot_clock::BootClock;
 pub use deployment::{Deployment, DeploymentView, QueueRoute};
@@ -20,3 +21,4 @@
 pub use job_metrics::JobMetrics;
 pub use job_node::{JobNode, NodeParts};
 pub use owner::{OwnerLoop, OwnerPolicy};
+pub use store_health::StoreHealth;
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -24,7 +24,7 @@
     WorkerPort,
 };
 use crate::row_codec::{EPOCH_KEY, EpochRow, PULSE_KEY, PulseRow, SEQUENCE_KEY, decode, encode};
-use crate::{BootClock, DeploymentView, JobMetrics};
+use crate::{BootClock, DeploymentView, JobMetrics, StoreHealth};
 
 /// Events that may wait for the owner.
 const OWNER_QUEUE: usize = 1_024;
@@ -53,6 +53,7 @@
     pub(crate) policy: OwnerPolicy,
     pub(crate) dispatch: DispatchPolicy,
     pub(crate) store: StorePort,
+    pub(crate) health: StoreHealth,
     pub(crate) workers: WorkerPort,
     pub(crate) fleet: FleetPort,
     pub(crate) rows: RowPort,
@@ -105,6 +106,7 @@
         let follower = TableFollower {
             store: self.store.clone(),
             table: StoreTable::Owner,
+            health: self.health.clone(),
             logger: self.logger.clone(),
         };
         let follower = tokio::spawn(follower.run(sender));
@@ -391,6 +393,7 @@
         let follower = TableFollower {
             store: self.store.clone(),
             table,
+            health: self.health.clone(),
             logger: self.logger.clone(),
         };
         tasks.spawn(follower.run(sender));
--- /dev/null
+++ b/crates/jobs/src/store_health.rs
@@ -0,0 +1,52 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+
+use sesamedeal_store::Result;
+
+use crate::BootClock;
+
+/// Failures in a row after which the store counts as down for this entry instance. One may be a
+/// connection that broke.
+const DOWN_FAILURES: u32 = 2;
+
+/// Time after a failure in which callers are refused without another attempt. After it, one call
+/// finds out whether the store is back.
+const REFUSAL_TIME: Duration = Duration::from_millis(400);
+
+/// Whether the store answers this entry instance.
+#[derive(Debug, Clone, Default)]
+pub struct StoreHealth {
+    failures: Arc<AtomicU32>,
+    failed_ms: Arc<AtomicU64>,
+}
+
+impl StoreHealth {
+    /// Notes how a call ended.
+    pub(crate) fn note<T>(&self, result: &Result<T>) {
+        if result.is_ok() {
+            self.failures.store(0, Ordering::Release);
+        } else {
+            self.failures.fetch_add(1, Ordering::AcqRel);
+            self.failed_ms.store(now_ms(), Ordering::Release);
+        }
+    }
+
+    /// Whether the last calls failed.
+    #[must_use]
+    pub fn is_down(&self) -> bool {
+        self.failures.load(Ordering::Acquire) >= DOWN_FAILURES
+    }
+
+    /// Whether a caller is refused without asking the store: a caller that is refused at once can
+    /// try another entry instance, one whose write has no answer cannot.
+    #[must_use]
+    pub fn refuses(&self) -> bool {
+        let age = now_ms().saturating_sub(self.failed_ms.load(Ordering::Acquire));
+        self.is_down() && u128::from(age) < REFUSAL_TIME.as_millis()
+    }
+}
+
+fn now_ms() -> u64 {
+    u64::try_from(BootClock.now().since_origin().as_millis()).unwrap_or(u64::MAX)
+}
