Test the runtime of stored jobs over ports in memory; fix three faults that the tests found

Cause: (1) a worker that came back under its name after maintenance stayed closed for tasks; (2) an owner that lost its epoch to nobody, as after an outage of over 6 s, never took it again; (3) a stopping process could take the ownership again right after its release, which cost the expiry of 2 s. Change: a new boot of a worker begins open; an instance takes its own abandoned epoch at once; a stopping process takes nothing over.

--- a/crates/core/src/jobs/dispatcher/runs.rs
+++ b/crates/core/src/jobs/dispatcher/runs.rs
@@ -4,7 +4,7 @@
 use crate::jobs::job_entry::JobEntry;
 use crate::jobs::run_entry::{RunEntry, RunState};
 use crate::jobs::task_entry::TaskEntry;
-use crate::jobs::{StartOutcome, TaskName, WorkerKey};
+use crate::jobs::{HealthRecord, StartOutcome, TaskName, WorkerKey};
 use crate::time::TimePoint;
 
 impl JobDispatcher {
@@ -121,6 +121,9 @@
         let entry = &mut self.workers[key];
         entry.boot = None;
         entry.held = None;
+        entry.is_evacuating = false;
+        entry.has_strangers = false;
+        entry.health = HealthRecord::default();
         entry.processed_end = 0;
         entry.stored_end = 0;
         entry.lease_end = now;
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -133,13 +133,18 @@
                 _ = looks.tick() => {}
                 _ = stopping.wait_for(|stopping| *stopping) => break,
             }
+            if *self.stopping.borrow() {
+                // Several branches can be ready, and a stopping process takes nothing over.
+                break;
+            }
             if !is_read || self.view.load().is_none() {
                 continue;
             }
             let record = rows.record();
             let action = candidate.step(record.as_ref(), BootClock.now());
             let is_vacant = rows.epoch.as_ref().is_none_or(|(epoch, _)| {
-                epoch.is_released || (epoch.node == self.node && epoch.holder != self.session)
+                // An earlier process of this instance has ended, and this one does not lead here.
+                epoch.is_released || epoch.node == self.node
             });
             if is_vacant || matches!(action, LeaseAction::Acquire(_)) {
                 self.try_lead(&mut rows, !is_vacant).await;
@@ -180,7 +185,7 @@
                 EpochRow {
                     epoch: lease.epoch,
                     holder: self.session,
-                    node: InstanceName::new("-"),
+                    node: self.node.clone(),
                     is_released: false,
                 },
                 lease.version,
--- /dev/null
+++ b/crates/jobs/tests/common/memory_fleet.rs
@@ -0,0 +1,115 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use parking_lot::Mutex;
+use sesamedeal_core::ids::{InstanceName, PoolName};
+use sesamedeal_jobs::ports::{
+    FleetPort, InstanceOrder, InstanceReport, InstanceState, OrderOutcome, StoreTable,
+};
+use tokio::time::Instant;
+
+use super::{MemoryStore, MemoryWorkers};
+
+/// Time that maintenance takes.
+const MAINTENANCE: Duration = Duration::from_millis(400);
+
+#[derive(Debug)]
+struct Inventory {
+    count: usize,
+    out: BTreeMap<InstanceName, Instant>,
+    /// Orders in their sequence.
+    orders: Vec<InstanceName>,
+    most_out: usize,
+    /// Tasks that were ended by maintenance.
+    ended: usize,
+}
+
+/// An inventory in memory: instance `machine-N` runs `worker-N`.
+#[derive(Debug, Clone)]
+pub struct MemoryFleet {
+    store: MemoryStore,
+    workers: MemoryWorkers,
+    inventory: Arc<Mutex<Inventory>>,
+}
+
+impl MemoryFleet {
+    pub fn new(count: usize, store: MemoryStore, workers: MemoryWorkers) -> Self {
+        let inventory = Inventory {
+            count,
+            out: BTreeMap::new(),
+            orders: Vec::new(),
+            most_out: 0,
+            ended: 0,
+        };
+        Self {
+            store,
+            workers,
+            inventory: Arc::new(Mutex::new(inventory)),
+        }
+    }
+
+    /// Maintained instances in sequence, and the most that were out at once.
+    pub fn maintained(&self) -> (Vec<InstanceName>, usize) {
+        let inventory = self.inventory.lock();
+        (inventory.orders.clone(), inventory.most_out)
+    }
+
+    /// Tasks that were ended by maintenance.
+    pub fn ended(&self) -> usize {
+        self.inventory.lock().ended
+    }
+
+    pub fn port(&self) -> FleetPort {
+        let (lists, orders) = (self.clone(), self.clone());
+        FleetPort {
+            list: Arc::new(move |()| {
+                let reports = lists.list();
+                async move { Ok(reports) }.boxed()
+            }),
+            order: Arc::new(move |order| {
+                let outcome = orders.order(&order);
+                async move { Ok(outcome) }.boxed()
+            }),
+        }
+    }
+
+    fn list(&self) -> Vec<InstanceReport> {
+        let inventory = self.inventory.lock();
+        let reports = (0..inventory.count).map(|number| {
+            let name = InstanceName::new(format!("machine-{number}"));
+            let until = inventory.out.get(&name);
+            let is_out = until.is_some_and(|until| Instant::now() < *until);
+            InstanceReport {
+                name,
+                pool: PoolName::new("pool"),
+                state: if is_out {
+                    InstanceState::Maintained
+                } else {
+                    InstanceState::Up
+                },
+                worker: Some(InstanceName::new(format!("worker-{number}"))),
+            }
+        });
+        reports.collect()
+    }
+
+    fn order(&self, order: &InstanceOrder) -> OrderOutcome {
+        let mut inventory = self.inventory.lock();
+        let now = Instant::now();
+        inventory.orders.push(order.instance.clone());
+        inventory
+            .out
+            .insert(order.instance.clone(), now + MAINTENANCE);
+        let out = inventory.out.values().filter(|until| now < **until).count();
+        inventory.most_out = inventory.most_out.max(out);
+        let number = &order.instance.as_str()["machine-".len()..];
+        let (boot, ended) = self.workers.reboot(number.parse().unwrap());
+        inventory.ended += ended;
+        let key = format!("worker-{number}");
+        self.store
+            .put(StoreTable::WorkerList, &key, boot.to_string().as_bytes());
+        OrderOutcome::Accepted
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/common/memory_store.rs
@@ -0,0 +1,205 @@
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use futures::FutureExt;
+use parking_lot::Mutex;
+use sesamedeal_jobs::ports::{
+    FollowPage, FollowRequest, RowChange, RowPage, RowRange, StorePort, StoreRow, StoreTable,
+    TransactOutcome,
+};
+use sesamedeal_store::{PlatformError, Result};
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+#[derive(Debug, Default)]
+struct StoreState {
+    version: u64,
+    rows: HashMap<StoreTable, BTreeMap<CompactString, StoreRow>>,
+    changes: Vec<(StoreTable, StoreRow)>,
+}
+
+/// A store in memory. Its pages are small, so that tables have several.
+#[derive(Debug, Clone, Default)]
+pub struct MemoryStore {
+    state: Arc<Mutex<StoreState>>,
+    changed: Arc<Notify>,
+    /// Whether calls are turned away.
+    pub is_down: Arc<AtomicBool>,
+    /// Whether changes are made and not answered.
+    pub loses_answers: Arc<AtomicBool>,
+    /// Changes that were made.
+    pub transactions: Arc<AtomicU64>,
+}
+
+/// Rows of a page.
+const PAGE: usize = 3;
+
+impl MemoryStore {
+    pub fn port(&self) -> StorePort {
+        let (changes, reads, follows) = (self.clone(), self.clone(), self.clone());
+        StorePort {
+            transact: Arc::new(move |change| {
+                let store = changes.clone();
+                async move { store.transact(&change) }.boxed()
+            }),
+            read: Arc::new(move |range| {
+                let store = reads.clone();
+                async move { store.read(&range) }.boxed()
+            }),
+            follow: Arc::new(move |request| {
+                let store = follows.clone();
+                async move { store.follow(request).await }.boxed()
+            }),
+        }
+    }
+
+    /// Writes a row as another writer does.
+    pub fn put(&self, table: StoreTable, key: &str, value: &[u8]) {
+        self.apply(table, key.into(), Bytes::copy_from_slice(value), false);
+        self.changed.notify_waiters();
+    }
+
+    pub fn rows(&self, table: StoreTable) -> Vec<StoreRow> {
+        let state = self.state.lock();
+        let rows = state.rows.get(&table).into_iter();
+        rows.flat_map(|rows| rows.values().cloned()).collect()
+    }
+
+    fn apply(&self, table: StoreTable, key: CompactString, value: Bytes, is_deleted: bool) {
+        let mut state = self.state.lock();
+        state.version += 1;
+        let row = StoreRow {
+            key: key.clone(),
+            value,
+            version: state.version,
+            is_deleted,
+        };
+        let rows = state.rows.entry(table).or_default();
+        if is_deleted {
+            rows.remove(&key);
+        } else {
+            rows.insert(key, row.clone());
+        }
+        state.changes.push((table, row));
+    }
+
+    fn check(&self) -> Result<()> {
+        if self.is_down.load(Ordering::Acquire) {
+            return Err(PlatformError::Unreachable {
+                reason: "down".to_owned(),
+            });
+        }
+        Ok(())
+    }
+
+    fn transact(&self, change: &RowChange) -> Result<TransactOutcome> {
+        self.check()?;
+        let mut state = self.state.lock();
+        let found = |state: &StoreState, table, key: &CompactString| {
+            state
+                .rows
+                .get(&table)
+                .and_then(|rows| rows.get(key))
+                .cloned()
+        };
+        let holds = change.conditions.iter().all(|condition| {
+            let row = found(&state, condition.row.table, &condition.row.key);
+            row.map_or(0, |row| row.version) == condition.version
+        });
+        if !holds {
+            let rows = change.conditions.iter().filter_map(|condition| {
+                let row = found(&state, condition.row.table, &condition.row.key)?;
+                Some((condition.row.table, row))
+            });
+            let rows = rows.collect();
+            return Ok(TransactOutcome::Conflict { rows });
+        }
+        state.version += 1;
+        let version = state.version;
+        for put in &change.puts {
+            let row = StoreRow {
+                key: put.row.key.clone(),
+                value: put.value.clone(),
+                version,
+                is_deleted: false,
+            };
+            let rows = state.rows.entry(put.row.table).or_default();
+            rows.insert(put.row.key.clone(), row.clone());
+            state.changes.push((put.row.table, row));
+        }
+        for name in &change.deletes {
+            let rows = state.rows.entry(name.table).or_default();
+            rows.remove(&name.key);
+            let row = StoreRow {
+                key: name.key.clone(),
+                value: Bytes::new(),
+                version,
+                is_deleted: true,
+            };
+            state.changes.push((name.table, row));
+        }
+        drop(state);
+        self.transactions.fetch_add(1, Ordering::AcqRel);
+        self.changed.notify_waiters();
+        if self.loses_answers.load(Ordering::Acquire) {
+            return Err(PlatformError::NoAnswer {
+                reason: "lost".to_owned(),
+            });
+        }
+        Ok(TransactOutcome::Committed { version })
+    }
+
+    fn read(&self, range: &RowRange) -> Result<RowPage> {
+        self.check()?;
+        let state = self.state.lock();
+        let rows = state.rows.get(&range.table).into_iter();
+        let mut rows: Vec<StoreRow> = rows
+            .flat_map(|rows| rows.range(range.from.clone()..))
+            .map(|(_, row)| row.clone())
+            .collect();
+        let limit = range.limit.map_or(PAGE, |limit| limit as usize);
+        let has_more = rows.len() > limit;
+        rows.truncate(limit);
+        Ok(RowPage {
+            rows,
+            has_more,
+            version: state.version,
+        })
+    }
+
+    async fn follow(&self, request: FollowRequest) -> Result<FollowPage> {
+        let wait = async {
+            loop {
+                let changed = self.changed.notified();
+                self.check()?;
+                let page = self.changes(request);
+                if page.1 {
+                    return Ok(page.0);
+                }
+                changed.await;
+            }
+        };
+        match timeout(request.wait, wait).await {
+            Ok(result) => result,
+            Err(_) => {
+                self.check()?;
+                Ok(self.changes(request).0)
+            }
+        }
+    }
+
+    fn changes(&self, request: FollowRequest) -> (FollowPage, bool) {
+        let state = self.state.lock();
+        let rows = state
+            .changes
+            .iter()
+            .filter(|(table, row)| *table == request.table && row.version > request.after);
+        let rows: Vec<StoreRow> = rows.map(|(_, row)| row.clone()).collect();
+        let has_rows = !rows.is_empty();
+        let version = state.version;
+        (FollowPage::Changes { rows, version }, has_rows)
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/deployment.rs
@@ -0,0 +1,43 @@
+//! Versions of the configuration and routes of callers.
+
+mod common;
+
+use std::time::Duration;
+
+use common::Stage;
+use sesamedeal_jobs::DeploymentView;
+use tokio::time::timeout;
+
+/// Guards against a configuration that is replaced by an older one.
+#[tokio::test]
+async fn never_older() {
+    let stage = Stage::new(1);
+    let node = stage.node("entry-1");
+    let mut versions = node.versions();
+    timeout(Duration::from_secs(5), versions.changed())
+        .await
+        .unwrap()
+        .unwrap();
+    let current = node.view().load().unwrap();
+    let view = DeploymentView::default();
+    let mut newer = current.as_ref().clone();
+    newer.version = 5;
+    assert!(view.offer(newer.clone()));
+    assert!(!view.offer(newer));
+    assert!(!view.offer(current.as_ref().clone()));
+    assert_eq!(view.load().unwrap().version, 5);
+}
+
+/// Guards against jobs that go to a queue with a shorter prefix.
+#[tokio::test]
+async fn longest_prefix() {
+    let stage = Stage::new(1);
+    let node = stage.node("entry-1");
+    let mut versions = node.versions();
+    versions.changed().await.unwrap();
+    let deployment = node.view().load().unwrap();
+    assert_eq!(deployment.route("host", "/a/b/1").unwrap().prefix, "/a/b/");
+    assert_eq!(deployment.route("host", "/a/1").unwrap().prefix, "/a/");
+    assert!(deployment.route("other", "/a/1").is_none());
+    assert!(deployment.route("host", "/b/1").is_none());
+}
