Ask the policy service for tickets

Cause: queues whose policy allows only some workers were served without tickets, so that every start would be rejected.

--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -1,3 +1,4 @@
+mod advice;
 mod ends;
 mod holds;
 mod loads;
@@ -15,10 +16,11 @@
 pub use records::RecordBatch;
 
 use super::job_entry::JobEntry;
+use super::ticket_book::TicketBook;
 use super::worker_entry::WorkerEntry;
 use super::{
-    DispatchPolicy, FleetRules, JobId, JobOrder, JobPhase, JobRecord, ResourceAmount, WorkerKey,
-    WorkerOrder, WorkerReport,
+    DispatchPolicy, FleetRules, JobId, JobOrder, JobPhase, JobRecord, ResourceAmount, StepName,
+    WorkerKey, WorkerOrder, WorkerReport,
 };
 use crate::ids::{InstanceName, PoolName, QueueName, TeamName};
 use crate::time::TimePoint;
@@ -43,6 +45,7 @@
     names: HashMap<InstanceName, WorkerKey>,
     recent: VecDeque<loads::WorkArrival>,
     usage: HashMap<TeamName, ResourceAmount>,
+    tickets: HashMap<StepName, TicketBook>,
     dirty: HashSet<JobId>,
     orders: Vec<WorkerOrder>,
 }
@@ -64,6 +67,7 @@
             names: HashMap::new(),
             recent: VecDeque::new(),
             usage: HashMap::new(),
+            tickets: HashMap::new(),
             dirty: HashSet::new(),
             orders: Vec::new(),
         }
--- a/crates/core/src/jobs/dispatcher/placing.rs
+++ b/crates/core/src/jobs/dispatcher/placing.rs
@@ -15,7 +15,7 @@
 
 /// Tasks of a step that wait for room.
 pub(super) struct WaitingStep {
-    key: SequenceKey,
+    pub(super) key: SequenceKey,
     pub(super) name: StepName,
     pub(super) pool: PoolName,
     pub(super) indexes: Vec<u16>,
@@ -64,7 +64,7 @@
         }
     }
 
-    fn usable_workers(&self, now: TimePoint) -> HashMap<PoolName, Vec<WorkerKey>> {
+    pub(super) fn usable_workers(&self, now: TimePoint) -> HashMap<PoolName, Vec<WorkerKey>> {
         let mut pools: HashMap<PoolName, Vec<WorkerKey>> = HashMap::new();
         for (key, entry) in &self.workers {
             if entry.is_usable(now) {
@@ -223,7 +223,7 @@
         if !self.is_within_limit(team, spec.amount) {
             return false;
         }
-        let Some(key) = self.choose(task.step, spec, workers) else {
+        let Some(key) = self.choose(task.step, spec, workers, now) else {
             return false;
         };
         let last = self.task(task).map_or(0, |entry| entry.last_run);
@@ -232,11 +232,21 @@
         true
     }
 
-    fn choose(&self, step: StepName, spec: &StepSpec, workers: &[WorkerKey]) -> Option<WorkerKey> {
+    fn choose(
+        &self,
+        step: StepName,
+        spec: &StepSpec,
+        workers: &[WorkerKey],
+        now: TimePoint,
+    ) -> Option<WorkerKey> {
+        let needs_ticket = self.needs_ticket(step);
         let offers = workers.iter().filter_map(|&key| {
             let entry = &self.workers[key];
             let labels = &entry.report.labels;
             let same_step = self.same_step(step, spec, key)?;
+            if needs_ticket {
+                self.ticket(step, key, now)?;
+            }
             let rack = spec.data_rack.as_ref();
             Some(WorkerOffer {
                 key,
@@ -320,7 +330,7 @@
             let task = step.name.task(index);
             let key = self
                 .is_within_limit(team, spec.amount)
-                .then(|| self.choose(step.name, spec, workers))
+                .then(|| self.choose(step.name, spec, workers, now))
                 .flatten();
             let Some(key) = key else {
                 self.orders.truncate(orders);
@@ -361,7 +371,7 @@
             run,
             spec,
             saved,
-            ticket: None,
+            ticket: self.ticket(name.step, key, now),
         };
         self.orders.push(WorkerOrder::Start(key, order));
         self.note_begun(name.step.job);
--- a/crates/core/src/jobs/dispatcher/watching.rs
+++ b/crates/core/src/jobs/dispatcher/watching.rs
@@ -18,6 +18,7 @@
         self.set_paces(now);
         self.place(now);
         self.forget_ended();
+        self.forget_tickets();
         std::mem::take(&mut self.orders)
     }
 
--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -22,6 +22,7 @@
 mod step_spec;
 mod task_entry;
 mod task_name;
+mod ticket_book;
 mod upkeep_plan;
 mod worker_choice;
 mod worker_entry;
@@ -44,6 +45,7 @@
 pub use resource_amount::ResourceAmount;
 pub use step_spec::StepSpec;
 pub use task_name::{StepName, TaskName};
+pub use ticket_book::AdviceRequest;
 pub use upkeep_plan::{MaintenanceWave, UpkeepChoice, next_upkeep};
 pub use worker_choice::{WorkerOffer, choose_worker};
 pub use worker_entry::WorkerKey;
--- /dev/null
+++ b/crates/core/tests/job_tickets.rs
@@ -0,0 +1,76 @@
+//! Queues whose tasks need a ticket of the policy service.
+
+mod jobs;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use jobs::{JobWorld, at, job, rules, step};
+use sesamedeal_core::ids::QueueName;
+use sesamedeal_core::jobs::{AdviceRequest, ResourceAmount};
+
+fn world() -> JobWorld {
+    let mut rules = Arc::unwrap_or_clone(rules(ResourceAmount::default()));
+    let queue = rules.queues.get_mut(&QueueName::new("queue")).unwrap();
+    queue.needs_ticket = true;
+    let mut world = JobWorld::with_rules(3, 1, Arc::new(rules));
+    world.submit(1, job(vec![step(2, 1_000)]));
+    world.run(2);
+    world
+}
+
+fn ask(world: &mut JobWorld) -> Vec<AdviceRequest> {
+    world.dispatcher.take_questions(at(world.now))
+}
+
+/// Guards against starts without a ticket, and on workers that the service does not allow.
+#[test]
+fn allowed_workers() {
+    let mut world = world();
+    assert_eq!(world.starts, 0, "started without a ticket");
+    let request = ask(&mut world).remove(0);
+    assert_eq!(request.workers.len(), 3);
+    assert!(ask(&mut world).is_empty(), "asked again before the answer");
+    let allowed = HashMap::from([(request.workers[1], CompactString::from("ticket"))]);
+    let valid = Duration::from_secs(3);
+    let now = at(world.now);
+    world
+        .dispatcher
+        .note_advice(&request, Some((&allowed, valid)), now, now);
+    world.run(2);
+    assert_eq!(world.starts, 2);
+    let key = Some(request.workers[1]);
+    let worker = world.workers.iter().find(|worker| worker.key == key);
+    assert_eq!(worker.unwrap().tasks().len(), 2);
+}
+
+/// Guards against tickets that are used after their time, and questions that are not repeated.
+#[test]
+fn tickets_expire() {
+    let mut world = world();
+    let request = ask(&mut world).remove(0);
+    let allowed = HashMap::from([(request.workers[0], CompactString::from("ticket"))]);
+    let now = at(world.now);
+    world.dispatcher.note_advice(
+        &request,
+        Some((&allowed, Duration::from_millis(300))),
+        now,
+        now,
+    );
+    world.run(2);
+    assert_eq!(world.starts, 0, "the ticket ends on the way");
+    let again = ask(&mut world).remove(0);
+    assert_eq!(
+        again.workers,
+        [request.workers[0]],
+        "denied workers are not asked again"
+    );
+    world
+        .dispatcher
+        .note_advice(&again, None, now, at(world.now));
+    assert!(ask(&mut world).is_empty(), "asked again at once");
+    world.run(8);
+    assert_eq!(ask(&mut world).len(), 1);
+}
--- a/crates/jobs/src/job_node.rs
+++ b/crates/jobs/src/job_node.rs
@@ -9,7 +9,7 @@
 
 use crate::feeds::IntentFollower;
 use crate::owner::{OwnerLoop, OwnerPolicy, PulseView};
-use crate::ports::{FleetPort, RowPort, StorePort, WorkerPort};
+use crate::ports::{AdvicePort, FleetPort, RowPort, StorePort, WorkerPort};
 use crate::{DeploymentView, JobDesk, JobMetrics, StoreHealth};
 
 /// What a [`JobNode`] is built from.
@@ -23,6 +23,8 @@
     pub workers: WorkerPort,
     /// The inventory of instances.
     pub fleet: FleetPort,
+    /// The policy service of queues that need tickets, if there is one.
+    pub advice: Option<AdvicePort>,
     /// Formats of rows of other writers.
     pub rows: RowPort,
     /// Times of the owner.
@@ -88,6 +90,7 @@
             health,
             workers: parts.workers,
             fleet: parts.fleet,
+            advice: parts.advice,
             rows: parts.rows,
             view: view.clone(),
             waves,
--- a/crates/jobs/src/owner/mod.rs
+++ b/crates/jobs/src/owner/mod.rs
@@ -1,5 +1,6 @@
 //! Ownership of the pools: who places tasks, keeps leases at workers and records ends.
 
+mod advice_desk;
 mod call_sender;
 mod inventory_view;
 mod job_intake;
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -23,8 +23,8 @@
 use super::{OwnerEvent, OwnerPolicy, PulseView};
 use crate::feeds::TableEvent;
 use crate::ports::{
-    FleetPort, HoldOutcome, HoldRequest, PaceRequest, RowPort, StartRequest, StopRequest,
-    StorePort, StoreRow, TransactOutcome, WorkerAddress,
+    AdvicePort, FleetPort, HoldOutcome, HoldRequest, PaceRequest, RowPort, StartRequest,
+    StopRequest, StorePort, StoreRow, TransactOutcome, WorkerAddress,
 };
 use crate::row_codec::PulseRow;
 use crate::{BootClock, DeploymentView, JobMetrics};
@@ -51,6 +51,7 @@
     pub lease: OwnerLease,
     pub store: StorePort,
     pub fleet: FleetPort,
+    pub advice: Option<AdvicePort>,
     pub rows: RowPort,
     pub view: DeploymentView,
     pub pulse: PulseView,
@@ -131,6 +132,7 @@
             for order in orders {
                 self.send_order(order, now);
             }
+            self.ask_advice(now);
             self.send_holds(now);
             self.wave_round(now);
             self.log_loads(now);
@@ -575,6 +577,11 @@
                 outcome,
             } => self.take_maintained(wave, &instance, outcome),
             OwnerEvent::Moved { instance, outcome } => self.take_moved(&instance, outcome),
+            OwnerEvent::Advised {
+                request,
+                asked,
+                outcome,
+            } => self.take_advice(&request, asked, outcome),
             OwnerEvent::StatusWritten { wave, outcome } => self.take_status(wave, outcome),
         }
     }
--- a/crates/jobs/src/owner/owner_event.rs
+++ b/crates/jobs/src/owner/owner_event.rs
@@ -1,9 +1,9 @@
-use sesamedeal_core::jobs::{RecordBatch, StartOutcome, TaskName, WorkerKey};
+use sesamedeal_core::jobs::{AdviceRequest, RecordBatch, StartOutcome, TaskName, WorkerKey};
 use sesamedeal_core::time::TimePoint;
 use sesamedeal_store::Result;
 
 use crate::feeds::TableEvent;
-use crate::ports::{HoldOutcome, InstanceReport, OrderOutcome, TransactOutcome};
+use crate::ports::{AdviceAnswer, HoldOutcome, InstanceReport, OrderOutcome, TransactOutcome};
 
 /// What the owner reacts to.
 #[derive(Debug)]
@@ -60,6 +60,12 @@
         instance: sesamedeal_core::ids::InstanceName,
         outcome: Result<OrderOutcome>,
     },
+    /// The policy service answered.
+    Advised {
+        request: AdviceRequest,
+        asked: TimePoint,
+        outcome: Result<AdviceAnswer>,
+    },
     /// The store answered the write of a wave's status.
     StatusWritten {
         wave: u64,
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -20,8 +20,8 @@
 use super::{OwnerEvent, OwnerPolicy, PulseView};
 use crate::feeds::{TableEvent, TableFollower, WaveList, read_table};
 use crate::ports::{
-    FleetPort, RowChange, RowName, RowPort, StorePort, StoreRow, StoreTable, TransactOutcome,
-    WorkerPort,
+    AdvicePort, FleetPort, RowChange, RowName, RowPort, StorePort, StoreRow, StoreTable,
+    TransactOutcome, WorkerPort,
 };
 use crate::row_codec::{EPOCH_KEY, EpochRow, PULSE_KEY, PulseRow, SEQUENCE_KEY, decode, encode};
 use crate::{BootClock, DeploymentView, JobMetrics, StoreHealth};
@@ -56,6 +56,7 @@
     pub(crate) health: StoreHealth,
     pub(crate) workers: WorkerPort,
     pub(crate) fleet: FleetPort,
+    pub(crate) advice: Option<AdvicePort>,
     pub(crate) rows: RowPort,
     pub(crate) view: DeploymentView,
     pub(crate) waves: WaveList,
@@ -335,6 +336,7 @@
             lease: lease.clone(),
             store: self.store.clone(),
             fleet: self.fleet.clone(),
+            advice: self.advice.clone(),
             rows: self.rows,
             view: self.view.clone(),
             pulse: self.pulse.clone(),
--- a/crates/jobs/src/ports/mod.rs
+++ b/crates/jobs/src/ports/mod.rs
@@ -1,6 +1,7 @@
 //! What the runtime needs from outside: the store, the workers, the instances and the formats of
 //! rows that others write. Each port is a plain struct of closures.
 
+mod advice_port;
 mod fleet_port;
 mod row_port;
 mod store_port;
@@ -11,6 +12,7 @@
 use futures::future::BoxFuture;
 use sesamedeal_store::Result;
 
+pub use advice_port::{AdviceAnswer, AdviceCall, AdvicePort};
 pub use fleet_port::{FleetPort, InstanceOrder, InstanceReport, InstanceState, OrderOutcome};
 pub use row_port::{IntentRow, RowPort, RowProblem};
 pub use store_port::{
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -61,6 +61,7 @@
             store: self.store.port(),
             workers: self.workers.port(),
             fleet: self.fleet.port(),
+            advice: None,
             rows: RowPort {
                 intent: decode_intent,
                 worker: decode_worker,
