--- a/crates/core/src/jobs/dispatch_policy.rs
+++ b/crates/core/src/jobs/dispatch_policy.rs
@@ -28,7 +28,7 @@
     pub missing_notice: Duration,
     /// Least time between two pace orders for one task.
     pub pace_period: Duration,
-    /// Time that a final record is kept.
+    /// Time that the record of an ended job is kept for callers who ask for it.
     pub keep_ended: Duration,
 }
 
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -46,6 +46,10 @@
     recent: VecDeque<loads::WorkArrival>,
     usage: HashMap<TeamName, ResourceAmount>,
     tickets: HashMap<StepName, TicketBook>,
+    /// Jobs whose end is stored. A table that is read while a job ends still shows it.
+    ended: HashSet<JobId>,
+    /// When their records expire, in order.
+    expiring: VecDeque<(TimePoint, JobId)>,
     dirty: HashSet<JobId>,
     orders: Vec<WorkerOrder>,
 }
@@ -68,6 +72,8 @@
             recent: VecDeque::new(),
             usage: HashMap::new(),
             tickets: HashMap::new(),
+            ended: HashSet::new(),
+            expiring: VecDeque::new(),
             dirty: HashSet::new(),
             orders: Vec::new(),
         }
@@ -85,7 +91,7 @@
         self.rules = rules;
     }
 
-    /// Adds a job; a known one stays as it is.
+    /// Adds a job; a known one stays as it is, also one that has ended.
     ///
     /// `is_inherited` says that an earlier owner may have started tasks of it.
     pub fn add_job(
@@ -96,7 +102,8 @@
         is_inherited: bool,
         arrived: TimePoint,
     ) -> bool {
-        if record.phase.is_final() || self.jobs.contains_key(&id) {
+        let is_known = self.jobs.contains_key(&id) || self.ended.contains(&id);
+        if record.phase.is_final() || is_known {
             return false;
         }
         let mut job = JobEntry::new(id, order, record, is_inherited);
--- a/crates/core/src/jobs/dispatcher/records.rs
+++ b/crates/core/src/jobs/dispatcher/records.rs
@@ -2,6 +2,7 @@
 
 use super::JobDispatcher;
 use crate::jobs::{JobId, JobRecord, WorkerKey};
+use crate::time::TimePoint;
 
 /// Records to store together, and the ends that may be acknowledged afterwards.
 #[derive(Debug, Default)]
@@ -46,7 +47,7 @@
     }
 
     /// Notes that a batch is stored. Jobs that have ended are forgotten once nothing of them runs.
-    pub fn note_stored(&mut self, batch: &RecordBatch) {
+    pub fn note_stored(&mut self, batch: &RecordBatch, now: TimePoint) {
         for &(key, end) in &batch.ends {
             if let Some(entry) = self.workers.get_mut(key) {
                 // A worker that was started again counts its ends anew.
@@ -58,11 +59,32 @@
                 && let Some(job) = self.jobs.get_mut(id)
             {
                 job.is_end_stored = true;
+                self.note_ended(*id, now);
                 self.forget_job(*id);
             }
         }
     }
 
+    /// Notes a job whose end was stored at `at`. Its record expires after a time.
+    pub fn note_ended(&mut self, id: JobId, at: TimePoint) {
+        if self.ended.insert(id) {
+            let expiry = at.after(self.policy.keep_ended);
+            self.expiring.push_back((expiry, id));
+        }
+    }
+
+    /// Takes at most `limit` jobs whose records have expired.
+    pub fn take_expired(&mut self, limit: usize, now: TimePoint) -> Vec<JobId> {
+        let mut expired = Vec::new();
+        while expired.len() < limit
+            && let Some((_, id)) = self.expiring.pop_front_if(|(expiry, _)| *expiry <= now)
+        {
+            self.ended.remove(&id);
+            expired.push(id);
+        }
+        expired
+    }
+
     /// Puts the records of a batch that was not stored back.
     pub fn return_records(&mut self, batch: &RecordBatch) {
         self.dirty.extend(batch.records.iter().map(|(id, _)| *id));
--- a/crates/core/tests/job_ends.rs
+++ b/crates/core/tests/job_ends.rs
@@ -3,7 +3,7 @@
 mod jobs;
 
 use jobs::{JobWorld, WorldFaults, at, job, step};
-use sesamedeal_core::jobs::JobPhase;
+use sesamedeal_core::jobs::{JobPhase, JobRecord};
 
 /// Guards against a job of several steps that does not run to its end.
 #[test]
@@ -65,3 +65,44 @@
     let orders = world.dispatcher.plan(at(world.now), world.now);
     assert!(orders.is_empty());
 }
+
+/// Guards against a second run of a job that ended while the table of jobs was read: the reading
+/// still showed it.
+#[test]
+fn ended_stays_ended() {
+    let mut world = JobWorld::new(2, 1);
+    let order = job(vec![step(2, 1_000)]);
+    let id = world.submit(1, order.clone());
+    world.run(40);
+    assert_eq!(world.phase(id), JobPhase::Finished);
+    let now = at(world.now);
+    let record = JobRecord::new();
+    assert!(!world.dispatcher.add_job(id, order, record, false, now));
+    world.run(10);
+    assert_eq!(world.starts, 2);
+}
+
+/// Guards against records that stay for ever, or go before callers have asked for them.
+#[test]
+fn records_expire() {
+    let mut world = JobWorld::new(2, 1);
+    world.submit(1, job(vec![step(2, 1_000)]));
+    world.run(40);
+    let keep = 240_000;
+    assert!(
+        world
+            .dispatcher
+            .take_expired(8, at(world.now + keep - 3_000))
+            .is_empty()
+    );
+    assert_eq!(
+        world.dispatcher.take_expired(8, at(world.now + keep)).len(),
+        1
+    );
+    assert!(
+        world
+            .dispatcher
+            .take_expired(8, at(world.now + keep))
+            .is_empty()
+    );
+}
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -384,7 +384,7 @@
                 entry.1 = record.clone();
             }
         }
-        self.dispatcher.note_stored(&batch);
+        self.dispatcher.note_stored(&batch, at(self.now));
     }
 
     fn deliver(&mut self, order: WorkerOrder) {
--- a/crates/jobs/src/boot_clock.rs
+++ b/crates/jobs/src/boot_clock.rs
@@ -20,6 +20,13 @@
         TimePoint::new(Duration::new(seconds, nanos))
     }
 
+    /// The present or past time that a clock of another instance showed as Unix time.
+    #[must_use]
+    pub fn time_of(self, unix_ms: u64) -> TimePoint {
+        let age = Duration::from_millis(self.unix_ms().saturating_sub(unix_ms));
+        TimePoint::new(self.now().since_origin().saturating_sub(age))
+    }
+
     /// Unix time in milliseconds.
     #[must_use]
     pub fn unix_ms(self) -> u64 {
--- a/crates/jobs/src/owner/job_intake.rs
+++ b/crates/jobs/src/owner/job_intake.rs
@@ -74,7 +74,6 @@
 
 /// When a job was accepted, on the clock of this process.
 fn arrival(accepted_ms: u64) -> TimePoint {
-    let age = BootClock.unix_ms().saturating_sub(accepted_ms);
-    let age = Duration::from_millis(age).min(MAX_AGE);
-    TimePoint::new(BootClock.now().since_origin().saturating_sub(age))
+    let earliest = BootClock.now().since_origin().saturating_sub(MAX_AGE);
+    BootClock.time_of(accepted_ms).max(TimePoint::new(earliest))
 }
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -17,7 +17,7 @@
 use super::job_intake::JobIntake;
 use super::owner_lease::OwnerLease;
 use super::pool_keeper::PoolKeeper;
-use super::record_writer::{JOBS_PER_WRITE, RecordWriter};
+use super::record_writer::{EXPIRED_PER_WRITE, JOBS_PER_WRITE, RecordWriter};
 use super::wave_keeper::WaveKeeper;
 use super::worker_links::{WorkerLink, WorkerLinks};
 use super::{OwnerEvent, OwnerPolicy, PulseView};
@@ -341,7 +341,7 @@
             // Ends that changed no record need no write before they are acknowledged.
             if !self.dispatcher.has_records() {
                 let batch = self.dispatcher.take_records(0, 0);
-                self.dispatcher.note_stored(&batch);
+                self.dispatcher.note_stored(&batch, now);
             }
             return;
         }
@@ -353,7 +353,8 @@
             self.writer.pulsed = now;
             self.parts.pulse.set(pulse.clone());
         }
-        let change = self.writer.change(&batch, pulse);
+        let expired = self.dispatcher.take_expired(EXPIRED_PER_WRITE, now);
+        let change = self.writer.change(&batch, &expired, pulse);
         self.writer.is_writing = true;
         self.writer.sent = now;
         let call = (self.parts.store.transact)(change);
@@ -396,7 +397,7 @@
                 self.writer.commit(version, sent);
                 let rows = self.writer.take_sent();
                 self.note_wave_rows(&rows);
-                self.dispatcher.note_stored(batch);
+                self.dispatcher.note_stored(batch, BootClock.now());
                 let rows = std::mem::take(&mut self.intake.waiting);
                 self.intake.take(rows, &mut self.dispatcher);
                 for (id, record) in &batch.records {
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -1,3 +1,4 @@
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -278,7 +279,7 @@
         is_expired: bool,
         logger: Logger,
     ) {
-        let Some((states, writer_rows)) = self.read_records(&lease, &logger).await else {
+        let Some(((states, ended), writer_rows)) = self.read_records(&lease, &logger).await else {
             warn!(logger, "ownership lost"; "reason" => "the records could not be read in time");
             return;
         };
@@ -294,9 +295,12 @@
         } else {
             Duration::ZERO
         };
-        let dispatcher =
+        let mut dispatcher =
             JobDispatcher::new(self.dispatch.clone(), rules, lease.epoch, now.after(wait))
                 .with_unlisted_runs(pulse.as_ref().is_some_and(|pulse| pulse.has_unlisted_runs));
+        for (id, at) in ended {
+            dispatcher.note_ended(id, at);
+        }
         let sequence = writer_rows.iter().find(|row| row.key == SEQUENCE_KEY);
         let sequence = sequence.map_or(0, |row| row.version);
         let mut waves = WaveKeeper::new(Arc::clone(&self.waves));
@@ -418,7 +422,7 @@
         &self,
         lease: &OwnerLease,
         logger: &Logger,
-    ) -> Option<(std::collections::HashMap<JobId, JobRecord>, Vec<StoreRow>)> {
+    ) -> Option<(StoredStates, Vec<StoreRow>)> {
         while lease.is_younger(self.policy.extension) && !*self.stopping.borrow() {
             let reads = tokio::try_join!(
                 read_table(&self.store, StoreTable::State),
@@ -465,18 +469,21 @@
     }
 }
 
-fn decode_states(
-    rows: &[StoreRow],
-    logger: &Logger,
-) -> std::collections::HashMap<JobId, JobRecord> {
-    let mut states = std::collections::HashMap::new();
+/// States of open jobs, and ended jobs with the time of their end, the earliest first.
+type StoredStates = (HashMap<JobId, JobRecord>, Vec<(JobId, TimePoint)>);
+
+fn decode_states(rows: &[StoreRow], logger: &Logger) -> StoredStates {
+    let mut states = HashMap::new();
+    let mut ended = Vec::new();
     for row in rows {
         let id = row.key.parse::<JobId>();
         match (id, decode::<JobRecord>(&row.value)) {
-            (Ok(id), Ok(record)) if !record.phase.is_final() => {
+            (Ok(id), Ok(record)) if record.phase.is_final() => {
+                ended.push((id, BootClock.time_of(record.ended_ms)));
+            }
+            (Ok(id), Ok(record)) => {
                 states.insert(id, record);
             }
-            (Ok(_), Ok(_)) => {}
             (_, Err(error)) => {
                 warn!(logger, "row left out"; "key" => %row.key, "error" => %error);
             }
@@ -485,5 +492,6 @@
             }
         }
     }
-    states
+    ended.sort_by_key(|(_, at)| *at);
+    (states, ended)
 }
--- a/crates/jobs/src/owner/record_writer.rs
+++ b/crates/jobs/src/owner/record_writer.rs
@@ -1,5 +1,5 @@
 use bytes::Bytes;
-use sesamedeal_core::jobs::RecordBatch;
+use sesamedeal_core::jobs::{JobId, RecordBatch};
 use sesamedeal_core::time::TimePoint;
 
 use super::owner_lease::OwnerLease;
@@ -7,7 +7,10 @@
 use crate::row_codec::{EPOCH_KEY, PULSE_KEY, PulseRow, SEQUENCE_KEY, cancel_key, encode, job_key};
 
 /// Jobs in one write: three rows each stay below the 100 entries that the store takes.
-pub(crate) const JOBS_PER_WRITE: usize = 28;
+pub(crate) const JOBS_PER_WRITE: usize = 24;
+
+/// Expired records that go with a write.
+pub(crate) const EXPIRED_PER_WRITE: usize = 8;
 
 /// State of the owner's writes, of which one is under way at a time.
 ///
@@ -69,8 +72,14 @@
         }
     }
 
-    /// Builds the write of a batch, with a pulse if one is due.
-    pub(crate) fn change(&mut self, batch: &RecordBatch, pulse: Option<PulseRow>) -> RowChange {
+    /// Builds the write of a batch, with a pulse if one is due. Expired records that a failed write
+    /// leaves behind are removed by the next owner.
+    pub(crate) fn change(
+        &mut self,
+        batch: &RecordBatch,
+        expired: &[JobId],
+        pulse: Option<PulseRow>,
+    ) -> RowChange {
         let mut change = RowChange {
             conditions: vec![
                 condition(StoreTable::Owner, EPOCH_KEY, self.lease.version),
@@ -100,6 +109,15 @@
                     .push(RowName::new(StoreTable::Job, cancel_key(*id)));
             }
         }
+        for id in expired {
+            // A request to cancel may have come after the end.
+            change
+                .deletes
+                .push(RowName::new(StoreTable::Job, cancel_key(*id)));
+            change
+                .deletes
+                .push(RowName::new(StoreTable::State, job_key(*id)));
+        }
         self.sent_extra = std::mem::take(&mut self.extra);
         change.puts.extend(self.sent_extra.iter().cloned());
         change
