Publish what may run on workers out of the owner's reach

Change: the pulse lists silent and dropped workers with the tasks that may run on them; such a worker gets no start until a pulse without it is stored, so that the list is complete; a successor holds back only the listed tasks.

--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -20,7 +20,7 @@
 use super::worker_entry::WorkerEntry;
 use super::{
     DispatchPolicy, FleetRules, JobId, JobOrder, JobPhase, JobRecord, ResourceAmount, StepName,
-    WorkerKey, WorkerOrder, WorkerReport,
+    TaskName, WorkerKey, WorkerOrder, WorkerReport,
 };
 use crate::ids::{InstanceName, PoolName, QueueName, TeamName};
 use crate::time::TimePoint;
@@ -37,8 +37,8 @@
     first_run: u64,
     /// Until when an earlier owner's leases may last.
     inherited_until: TimePoint,
-    /// Whether an earlier owner may have runs on workers that are no longer listed.
-    has_unlisted_runs: bool,
+    /// Workers that were out of the earlier owner's reach, and all that may run on them.
+    out_of_reach: HashMap<InstanceName, HashSet<TaskName>>,
     jobs: HashMap<JobId, JobEntry>,
     arrivals: HashMap<JobId, TimePoint>,
     workers: SlotMap<WorkerKey, WorkerEntry>,
@@ -64,7 +64,7 @@
             policy,
             rules,
             first_run: epoch.saturating_sub(1) * RUNS_PER_EPOCH,
-            has_unlisted_runs: false,
+            out_of_reach: HashMap::new(),
             jobs: HashMap::new(),
             arrivals: HashMap::new(),
             workers: SlotMap::with_key(),
@@ -79,10 +79,13 @@
         }
     }
 
-    /// Notes that an earlier owner had runs on workers which the list no longer shows.
+    /// Takes over what the earlier owner published of workers out of its reach.
     #[must_use]
-    pub const fn with_unlisted_runs(mut self, has_unlisted_runs: bool) -> Self {
-        self.has_unlisted_runs = has_unlisted_runs;
+    pub fn with_out_of_reach(mut self, published: Vec<(InstanceName, Vec<TaskName>)>) -> Self {
+        let published = published.into_iter();
+        self.out_of_reach = published
+            .map(|(name, tasks)| (name, tasks.into_iter().collect()))
+            .collect();
         self
     }
 
@@ -220,11 +223,40 @@
             .is_none_or(|entry| entry.runs.is_empty())
     }
 
-    /// Whether runs may exist on workers that the list no longer shows.
+    /// Workers out of reach, and all tasks that may run on them, for a successor.
+    ///
+    /// A worker that has not answered this owner is left out unless the earlier owner has published
+    /// what may run on it.
     #[must_use]
-    pub fn has_unlisted_runs(&self) -> bool {
-        let mut workers = self.workers.values();
-        workers.any(|entry| !entry.is_listed && !entry.runs.is_empty())
+    pub fn out_of_reach(&self, now: TimePoint) -> Vec<(InstanceName, Vec<TaskName>)> {
+        let is_over = now >= self.inherited_until;
+        let mut rows = Vec::new();
+        for entry in self.workers.values() {
+            let name = &entry.report.name;
+            let mut tasks: HashSet<TaskName> = entry.runs.keys().map(|(task, _)| *task).collect();
+            let is_known = entry.held.is_some() || is_over;
+            match self.out_of_reach.get(name) {
+                _ if is_known && !entry.is_out_of_reach() => continue,
+                _ if is_known => {}
+                Some(inherited) => tasks.extend(inherited),
+                None => continue,
+            }
+            rows.push((name.clone(), tasks.into_iter().collect()));
+        }
+        if !is_over {
+            let gone = self.out_of_reach.iter();
+            let gone = gone.filter(|(name, _)| !self.names.contains_key(*name));
+            rows.extend(gone.map(|(name, tasks)| (name.clone(), tasks.iter().copied().collect())));
+        }
+        rows
+    }
+
+    /// Notes which workers a stored publication shows as out of reach.
+    pub fn note_published(&mut self, published: &[(InstanceName, Vec<TaskName>)]) {
+        for entry in self.workers.values_mut() {
+            let mut names = published.iter().map(|(name, _)| name);
+            entry.is_published = names.any(|name| *name == entry.report.name);
+        }
     }
 
     /// Number of jobs by queue for which no task has started. Jobs with a schedule do not count.
--- a/crates/core/src/jobs/dispatcher/placing.rs
+++ b/crates/core/src/jobs/dispatcher/placing.rs
@@ -1,6 +1,6 @@
 //! Starts of waiting tasks.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use super::JobDispatcher;
@@ -21,6 +21,20 @@
     pub(super) indexes: Vec<u16>,
 }
 
+/// Tasks that may run where this owner cannot ask.
+#[derive(Default)]
+struct UnsettledTasks<'a> {
+    /// Whether it may be any task: the earlier owner has published nothing of a silent worker.
+    is_any: bool,
+    listed: Vec<&'a HashSet<TaskName>>,
+}
+
+impl UnsettledTasks<'_> {
+    fn contains(&self, task: TaskName) -> bool {
+        self.is_any || self.listed.iter().any(|tasks| tasks.contains(&task))
+    }
+}
+
 impl JobDispatcher {
     pub(super) fn place(&mut self, now: TimePoint) {
         let mut pools = self.usable_workers(now);
@@ -75,18 +89,30 @@
         pools
     }
 
-    /// Pools in which an earlier owner may still have runs that are not known here.
-    fn is_unsettled(&self, pool: &PoolName, now: TimePoint) -> bool {
+    /// Tasks that an earlier owner may have running in a pool without this one knowing.
+    fn unsettled_tasks(&self, pool: &PoolName, now: TimePoint) -> UnsettledTasks<'_> {
+        let mut unsettled = UnsettledTasks::default();
         if now >= self.inherited_until {
-            return false;
+            return unsettled;
+        }
+        for entry in self.workers.values() {
+            if entry.held.is_none() && entry.report.pool == *pool {
+                match self.out_of_reach.get(&entry.report.name) {
+                    Some(tasks) => unsettled.listed.push(tasks),
+                    None => unsettled.is_any = true,
+                }
+            }
+        }
+        for (name, tasks) in &self.out_of_reach {
+            if !self.names.contains_key(name) {
+                unsettled.listed.push(tasks);
+            }
         }
-        let mut workers = self.workers.values();
-        self.has_unlisted_runs
-            || workers.any(|entry| entry.report.pool == *pool && entry.held.is_none())
+        unsettled
     }
 
     pub(super) fn waiting_steps(&self, now: TimePoint) -> Vec<WaitingStep> {
-        let mut unsettled: HashMap<&PoolName, bool> = HashMap::new();
+        let mut unsettled: HashMap<&PoolName, UnsettledTasks<'_>> = HashMap::new();
         let shares = self.over_share();
         let mut waiting = Vec::new();
         for job in self.jobs.values() {
@@ -96,17 +122,15 @@
             let Some(pool) = self.pool_of(&job.order.queue) else {
                 continue;
             };
-            let is_unsettled = job.is_inherited
-                && *unsettled
-                    .entry(pool)
-                    .or_insert_with(|| self.is_unsettled(pool, now));
             let is_over_share = job
                 .order
                 .team
                 .as_ref()
                 .is_some_and(|team| shares.get(team).copied().unwrap_or(false));
-            let state = (is_over_share, is_unsettled);
-            self.waiting_of(job, pool, state, now, &mut waiting);
+            let unsettled = unsettled
+                .entry(pool)
+                .or_insert_with(|| self.unsettled_tasks(pool, now));
+            self.waiting_of(job, pool, (is_over_share, unsettled), now, &mut waiting);
         }
         waiting
     }
@@ -115,7 +139,7 @@
         &self,
         job: &JobEntry,
         pool: &PoolName,
-        (is_over_share, is_unsettled): (bool, bool),
+        (is_over_share, unsettled): (bool, &UnsettledTasks<'_>),
         now: TimePoint,
         waiting: &mut Vec<WaitingStep>,
     ) {
@@ -126,9 +150,17 @@
                 if step.undone == 0 || !job.is_step_open(occurrence.number, number) {
                     continue;
                 }
-                let tasks = step.tasks.iter().enumerate().filter(|(_, task)| {
+                let name = StepName {
+                    job: job.id,
+                    occurrence: occurrence.number,
+                    step: number,
+                };
+                let tasks = step.tasks.iter().enumerate().filter(|(index, task)| {
+                    let index = u16::try_from(*index).unwrap_or(u16::MAX);
                     let failures = u32::try_from(task.failed_runs.len()).unwrap_or(u32::MAX);
-                    let is_safe = task.is_settled || !is_unsettled;
+                    let is_safe = !job.is_inherited
+                        || task.is_settled
+                        || !unsettled.contains(name.task(index));
                     task.is_waiting(now) && failures < attempts && is_safe
                 });
                 let indexes: Vec<u16> = tasks
@@ -143,11 +175,7 @@
                 }
                 waiting.push(WaitingStep {
                     key,
-                    name: StepName {
-                        job: job.id,
-                        occurrence: occurrence.number,
-                        step: number,
-                    },
+                    name,
                     pool: pool.clone(),
                     indexes,
                 });
--- a/crates/core/src/jobs/task_name.rs
+++ b/crates/core/src/jobs/task_name.rs
@@ -1,6 +1,8 @@
 use std::fmt;
 use std::str::FromStr;
 
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+
 use super::JobId;
 
 /// A step of one occurrence of a job, as text `job.occurrence.step`.
@@ -15,7 +17,9 @@
 }
 
 /// A task of a step, as text `job.occurrence.step.index`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
 pub struct TaskName {
     /// The step.
     pub step: StepName,
--- a/crates/core/src/jobs/worker_entry.rs
+++ b/crates/core/src/jobs/worker_entry.rs
@@ -18,6 +18,9 @@
     pub boot: Option<u64>,
     /// Whether its last call for lists had no answer.
     pub is_silent: bool,
+    /// Whether the owner has published it as out of reach. It gets no new tasks until the owner has
+    /// published that it is not, so that a successor knows all that may run on it.
+    pub is_published: bool,
     /// When its newest answer to a hold was requested.
     pub held: Option<TimePoint>,
     /// Latest time at which a lease that was granted by any owner ends.
@@ -43,6 +46,7 @@
             is_listed: true,
             boot: None,
             is_silent: false,
+            is_published: false,
             held: None,
             lease_end,
             used: ResourceAmount::default(),
@@ -60,12 +64,18 @@
         self.is_listed
             && self.held.is_some()
             && !self.is_silent
+            && !self.is_published
             && self.report.state == WorkerState::Ready
             && !self.is_evacuating
             && !self.has_strangers
             && !self.health.is_avoided(now)
     }
 
+    /// Whether a successor may be unable to ask it what it runs.
+    pub(crate) const fn is_out_of_reach(&self) -> bool {
+        self.is_silent || !self.is_listed
+    }
+
     pub(crate) fn room(&self) -> ResourceAmount {
         self.report.capacity.without(self.used)
     }
--- a/crates/core/tests/job_takeover.rs
+++ b/crates/core/tests/job_takeover.rs
@@ -122,3 +122,30 @@
         .collect();
     assert_eq!(runs, [1_001]);
 }
+
+/// Guards against tasks that wait 10 s after a takeover because a worker is silent on which they
+/// cannot be: the earlier owner had published what may run there.
+#[test]
+fn published_silence() {
+    let mut world = JobWorld::new(3, 1);
+    world.submit(1, job(vec![lasting(2)]));
+    world.run(10);
+    let silent = world
+        .workers
+        .iter()
+        .position(|worker| !worker.tasks().is_empty())
+        .unwrap();
+    let held = world.workers[silent].tasks().len();
+    world.workers[silent].is_reachable = false;
+    world.run(20);
+    let id = world.submit(2, job(vec![step(2, 1_000)]));
+    world.take_over();
+    world.run(40);
+    assert_eq!(
+        world.phase(id),
+        JobPhase::Finished,
+        "waits for a silent worker"
+    );
+    assert_eq!(world.starts, 2 + 2, "{held} tasks may still run");
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -194,6 +194,8 @@
     acknowledged_done: HashSet<TaskName>,
     ended_done: HashSet<TaskName>,
     acknowledged_failures: HashMap<TaskName, u32>,
+    /// What the owner published last of workers out of its reach.
+    published: Vec<(InstanceName, Vec<TaskName>)>,
 }
 
 impl JobWorld {
@@ -216,6 +218,7 @@
             acknowledged_done: HashSet::new(),
             ended_done: HashSet::new(),
             acknowledged_failures: HashMap::new(),
+            published: Vec::new(),
         };
         world.list_workers();
         world
@@ -310,7 +313,9 @@
     /// Another owner begins with what is stored.
     pub fn take_over(&mut self) {
         self.epoch += 1;
-        self.dispatcher = dispatcher(&self.rules, self.epoch, self.now);
+        let published = self.published.clone();
+        self.dispatcher =
+            dispatcher(&self.rules, self.epoch, self.now).with_out_of_reach(published);
         for (id, (order, record)) in &self.stored {
             let record = record.clone();
             self.dispatcher
@@ -385,6 +390,10 @@
             }
         }
         self.dispatcher.note_stored(&batch, at(self.now));
+        if self.now.is_multiple_of(500) {
+            self.published = self.dispatcher.out_of_reach(at(self.now));
+            self.dispatcher.note_published(&self.published);
+        }
     }
 
     fn deliver(&mut self, order: WorkerOrder) {
--- a/crates/jobs/src/owner/job_intake.rs
+++ b/crates/jobs/src/owner/job_intake.rs
@@ -1,8 +1,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use sesamedeal_core::ids::{PoolName, QueueName};
-use sesamedeal_core::jobs::{JobDispatcher, JobId, JobOrder, JobRecord};
+use sesamedeal_core::ids::{InstanceName, PoolName, QueueName};
+use sesamedeal_core::jobs::{JobDispatcher, JobId, JobOrder, JobRecord, TaskName};
 use sesamedeal_core::time::TimePoint;
 use slog::{Logger, info, warn};
 
@@ -22,6 +22,8 @@
     pub states: HashMap<JobId, JobRecord>,
     /// Waiting jobs by queue, as the earlier owner published them.
     pub earlier_pending: Vec<(QueueName, u64)>,
+    /// Workers out of reach, as the earlier owner published them.
+    pub earlier_out_of_reach: Vec<(InstanceName, Vec<TaskName>)>,
     /// How long ago each pool surged last, as the earlier owner published it, in milliseconds.
     pub earlier_surges: Vec<(PoolName, u64)>,
     /// Rows that wait for the next renewal.
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -4,7 +4,8 @@
 
 use sesamedeal_core::ids::InstanceName;
 use sesamedeal_core::jobs::{
-    DispatchPolicy, HoldReport, JobDispatcher, RecordBatch, SizingPolicy, WorkerKey, WorkerOrder,
+    DispatchPolicy, HoldReport, JobDispatcher, RecordBatch, SizingPolicy, TaskName, WorkerKey,
+    WorkerOrder,
 };
 use sesamedeal_core::time::TimePoint;
 use sesamedeal_store::{PlatformError, Result};
@@ -74,6 +75,8 @@
     version: u64,
     write_after: TimePoint,
     loads_logged: TimePoint,
+    /// What the last pulse shows of workers out of reach.
+    publication: Vec<(InstanceName, Vec<TaskName>)>,
     /// Whether the stored jobs are known. Before that, runs at workers cannot be told apart from
     /// runs of jobs that have ended.
     is_loaded: bool,
@@ -106,6 +109,7 @@
             version: 0,
             write_after: TimePoint::ORIGIN,
             loads_logged: TimePoint::ORIGIN,
+            publication: Vec::new(),
             is_loaded: false,
             is_retiring: false,
             ended: Some(ended),
@@ -350,6 +354,7 @@
             .take_records(JOBS_PER_WRITE, BootClock.unix_ms());
         let pulse = is_pulse_due.then(|| self.pulse());
         if let Some(pulse) = &pulse {
+            self.publication = pulse.out_of_reach.clone();
             self.writer.pulsed = now;
             self.parts.pulse.set(pulse.clone());
         }
@@ -375,7 +380,11 @@
         PulseRow {
             epoch: self.parts.lease.epoch,
             renewals: 0,
-            has_unlisted_runs: self.dispatcher.has_unlisted_runs(),
+            out_of_reach: if self.is_loaded {
+                self.dispatcher.out_of_reach(BootClock.now())
+            } else {
+                self.intake.earlier_out_of_reach.clone()
+            },
             pending: if self.is_loaded {
                 self.dispatcher.pending().into_iter().collect()
             } else {
@@ -398,6 +407,7 @@
                 let rows = self.writer.take_sent();
                 self.note_wave_rows(&rows);
                 self.dispatcher.note_stored(batch, BootClock.now());
+                self.dispatcher.note_published(&self.publication);
                 let rows = std::mem::take(&mut self.intake.waiting);
                 self.intake.take(rows, &mut self.dispatcher);
                 for (id, record) in &batch.records {
@@ -409,6 +419,7 @@
             Ok(TransactOutcome::Conflict { rows }) => {
                 self.dispatcher.return_records(batch);
                 self.writer.fail();
+                self.writer.pulsed = TimePoint::ORIGIN;
                 self.parts.metrics.count_store_failure("conflict");
                 if !self.writer.resume(&rows) {
                     self.step_down("the epoch row has changed");
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -295,9 +295,13 @@
         } else {
             Duration::ZERO
         };
+        let out_of_reach = pulse
+            .as_ref()
+            .map(|pulse| pulse.out_of_reach.clone())
+            .unwrap_or_default();
         let mut dispatcher =
             JobDispatcher::new(self.dispatch.clone(), rules, lease.epoch, now.after(wait))
-                .with_unlisted_runs(pulse.as_ref().is_some_and(|pulse| pulse.has_unlisted_runs));
+                .with_out_of_reach(out_of_reach.clone());
         for (id, at) in ended {
             dispatcher.note_ended(id, at);
         }
@@ -329,6 +333,7 @@
                 .as_ref()
                 .map(|pulse| pulse.pending.clone())
                 .unwrap_or_default(),
+            earlier_out_of_reach: out_of_reach,
             earlier_surges: pulse.map(|pulse| pulse.surges_ms).unwrap_or_default(),
             waiting: Vec::new(),
             logger: logger.clone(),
--- a/crates/jobs/src/row_codec.rs
+++ b/crates/jobs/src/row_codec.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use sesamedeal_core::ids::{InstanceName, PoolName, QueueName, SessionId};
-use sesamedeal_core::jobs::{JobId, JobOrder};
+use sesamedeal_core::jobs::{JobId, JobOrder, TaskName};
 use sesamedeal_wire::codec::{self, CodecError};
 
 /// Key of the row with the ownership epoch.
@@ -36,8 +36,9 @@
 pub(crate) struct PulseRow {
     pub epoch: u64,
     pub renewals: u64,
-    /// Whether runs may exist on workers that the list no longer shows.
-    pub has_unlisted_runs: bool,
+    /// Workers that do not answer the owner, or that the list has dropped, and all tasks that may
+    /// run on them.
+    pub out_of_reach: Vec<(InstanceName, Vec<TaskName>)>,
     /// Jobs by queue for which no task has started.
     pub pending: Vec<(QueueName, u64)>,
     /// How long ago each pool surged last, in milliseconds.
