Take no task with a disruption budget out right after a takeover

Change: tasks with a disruption budget stay for 2 s after a takeover; refusals name the path and the reason of the store.

--- a/crates/core/src/jobs/dispatch_policy.rs
+++ b/crates/core/src/jobs/dispatch_policy.rs
@@ -24,8 +24,9 @@
     pub stall_floor: Duration,
     /// Difference that a scheduled start may lie before its time; 0 to start in time or later.
     pub early_start: Duration,
-    /// Time that a planned stop counts as missing until the task is at work again.
-    pub missing_notice: Duration,
+    /// Time after a takeover in which no task with a disruption budget is taken out. A stop of the
+    /// earlier owner takes effect within 0.9 s, and until then its task is listed as at work.
+    pub quiet_takeover: Duration,
     /// Least time between two pace orders for one task.
     pub pace_period: Duration,
     /// Time that the record of an ended job is kept for callers who ask for it.
@@ -45,7 +46,7 @@
             stall_factor: 2.5,
             stall_floor: Duration::from_millis(1_800),
             early_start: Duration::ZERO,
-            missing_notice: Duration::from_millis(4_500),
+            quiet_takeover: Duration::from_secs(2),
             pace_period: Duration::from_millis(400),
             keep_ended: Duration::from_secs(240),
         }
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -10,6 +10,7 @@
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
+use std::time::Duration;
 
 use slotmap::SlotMap;
 
@@ -35,6 +36,8 @@
     rules: Arc<FleetRules>,
     /// Run numbers of this epoch lie above this one.
     first_run: u64,
+    /// When this owner took over.
+    taken: TimePoint,
     /// Until when an earlier owner's leases may last.
     inherited_until: TimePoint,
     /// Workers that were out of the earlier owner's reach, and all that may run on them.
@@ -60,6 +63,7 @@
     pub fn new(policy: DispatchPolicy, rules: Arc<FleetRules>, epoch: u64, now: TimePoint) -> Self {
         let lease = policy.longest_lease.mul_f64(1.0 + policy.clock_slowness);
         Self {
+            taken: now,
             inherited_until: now.after(lease),
             policy,
             rules,
@@ -79,6 +83,13 @@
         }
     }
 
+    /// Notes that the earlier owner may have gone on for `extension` after this one took over.
+    #[must_use]
+    pub const fn with_extension(mut self, extension: Duration) -> Self {
+        self.inherited_until = self.inherited_until.after(extension);
+        self
+    }
+
     /// Takes over what the earlier owner published of workers out of its reach.
     #[must_use]
     pub fn with_out_of_reach(mut self, published: Vec<(InstanceName, Vec<TaskName>)>) -> Self {
--- a/crates/core/src/jobs/dispatcher/relocation.rs
+++ b/crates/core/src/jobs/dispatcher/relocation.rs
@@ -98,11 +98,12 @@
         let Some(budget) = spec.disruption_budget else {
             return true;
         };
-        self.missing(job, name.step, name.index, now) < usize::from(budget)
+        let is_quiet = now.since(self.taken) < self.policy.quiet_takeover;
+        !is_quiet && self.missing(job, name.step, name.index) < usize::from(budget)
     }
 
-    /// Tasks of a step, except for one, that are not at work or were taken out a short time ago.
-    fn missing(&self, job: &JobEntry, name: StepName, except: u16, _now: TimePoint) -> usize {
+    /// Tasks of a step, except for one, that are not at work.
+    fn missing(&self, job: &JobEntry, name: StepName, except: u16) -> usize {
         let Some(step) = job.step(name.occurrence, name.step) else {
             return 0;
         };
--- a/crates/core/tests/job_takeover.rs
+++ b/crates/core/tests/job_takeover.rs
@@ -149,3 +149,31 @@
     assert_eq!(world.starts, 2 + 2, "{held} tasks may still run");
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
+
+/// Guards against two tasks of a step taken out at once: a stop of the earlier owner was still
+/// under way, so that its task was listed as at work.
+#[test]
+fn quiet_takeover() {
+    let mut world = JobWorld::new(3, 1);
+    let mut step = lasting(3);
+    step.disruption_budget = Some(1);
+    world.submit(1, job(vec![step]));
+    world.run(10);
+    let busy = world
+        .workers
+        .iter()
+        .position(|worker| !worker.tasks().is_empty())
+        .unwrap();
+    let tasks = world.workers[busy].tasks().len();
+    world.take_over();
+    let name = world.workers[busy].report.name.clone();
+    world.dispatcher.set_evacuating(&name, true);
+    world.run(30);
+    assert_eq!(
+        world.workers[busy].tasks().len(),
+        tasks,
+        "taken out too soon"
+    );
+    world.run(60);
+    assert!(world.workers[busy].tasks().is_empty());
+}
--- a/crates/jobs/src/desk/job_desk.rs
+++ b/crates/jobs/src/desk/job_desk.rs
@@ -54,15 +54,16 @@
             deletes: Vec::new(),
         };
         let (result, attempts) = self.insert(&change, deadline).await;
-        let outcome = match result {
-            Ok(()) => SubmitOutcome::Accepted,
-            Err(InsertFailure::NotDone) => SubmitOutcome::Refused {
-                retry_after: STORE_RETRY,
-            },
-            Err(InsertFailure::Unknown) => SubmitOutcome::Unknown,
+        let (outcome, reason) = match result {
+            Ok(()) => (SubmitOutcome::Accepted, None),
+            Err(InsertFailure::NotDone(reason)) => {
+                let retry_after = STORE_RETRY;
+                (SubmitOutcome::Refused { retry_after }, Some(reason))
+            }
+            Err(InsertFailure::Unknown(reason)) => (SubmitOutcome::Unknown, Some(reason)),
         };
         self.metrics.count_submission(outcome);
-        info!(self.logger, "submission"; "job" => %id, "queue" => %order.queue, "attempts" => attempts, "outcome" => ?outcome);
+        info!(self.logger, "submission"; "job" => %id, "queue" => %order.queue, "attempts" => attempts, "outcome" => ?outcome, "reason" => reason);
         outcome
     }
 
@@ -76,7 +77,8 @@
         loop {
             attempts += 1;
             if !is_open && self.health.refuses() {
-                return (Err(InsertFailure::NotDone), attempts - 1);
+                let reason = "the last calls to the store failed".to_owned();
+                return (Err(InsertFailure::NotDone(reason)), attempts - 1);
             }
             let result = (self.store.transact)(change.clone()).await;
             self.health.note(&result);
@@ -89,14 +91,13 @@
                 }
                 Err(error) => error.to_string(),
             };
-            let failure = if is_open {
-                InsertFailure::Unknown
-            } else {
-                InsertFailure::NotDone
-            };
             let is_last = Instant::now() + REPEAT_PAUSE >= deadline;
             if is_last || (!is_open && attempts > MAX_REFUSALS) {
-                warn!(self.logger, "store does not take a row"; "attempts" => attempts, "error" => refusal);
+                let failure = if is_open {
+                    InsertFailure::Unknown(refusal)
+                } else {
+                    InsertFailure::NotDone(refusal)
+                };
                 return (Err(failure), attempts);
             }
             sleep(REPEAT_PAUSE).await;
@@ -164,8 +165,8 @@
                 };
                 match self.insert(&change, deadline).await.0 {
                     Ok(()) => CancelOutcome::Accepted,
-                    Err(InsertFailure::Unknown) => CancelOutcome::Unknown,
-                    Err(InsertFailure::NotDone) => CancelOutcome::Unavailable {
+                    Err(InsertFailure::Unknown(_)) => CancelOutcome::Unknown,
+                    Err(InsertFailure::NotDone(_)) => CancelOutcome::Unavailable {
                         retry_after: STORE_RETRY,
                     },
                 }
@@ -189,10 +190,13 @@
     }
 }
 
-#[derive(Debug, Clone, Copy)]
+/// Why a row is not known to be stored, with the last error.
+#[derive(Debug)]
 enum InsertFailure {
-    NotDone,
-    Unknown,
+    /// It is not stored, and no attempt can store it any more.
+    NotDone(String),
+    /// An attempt without an answer may have stored it, or may yet.
+    Unknown(String),
 }
 
 fn absent(row: &RowName) -> RowCondition {
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -299,9 +299,9 @@
             .as_ref()
             .map(|pulse| pulse.out_of_reach.clone())
             .unwrap_or_default();
-        let mut dispatcher =
-            JobDispatcher::new(self.dispatch.clone(), rules, lease.epoch, now.after(wait))
-                .with_out_of_reach(out_of_reach.clone());
+        let mut dispatcher = JobDispatcher::new(self.dispatch.clone(), rules, lease.epoch, now)
+            .with_extension(wait)
+            .with_out_of_reach(out_of_reach.clone());
         for (id, at) in ended {
             dispatcher.note_ended(id, at);
         }
