--- a/crates/daemon/src/settings/setting_list.rs
+++ b/crates/daemon/src/settings/setting_list.rs
@@ -102,7 +102,7 @@
         "",
         Choice(FORMATS),
         Value("\"text\""),
-        "Form of the log records on standard error.",
+        "Form of the log records on standard output.",
     ),
     spec(
         "utc_offset_minutes",
