--- /dev/null
+++ b/crates/core/src/jobs/dispatcher/gangs.rs
@@ -0,0 +1,94 @@
+//! Starts of gangs.
+
+use std::collections::HashMap;
+
+use super::JobDispatcher;
+use super::waiting::WaitingStep;
+use crate::ids::TeamName;
+use crate::jobs::{StepSpec, TaskName, WorkerKey};
+use crate::time::TimePoint;
+
+impl JobDispatcher {
+    /// Starts all tasks of a gang or none, on one rack where that has room.
+    pub(super) fn place_gang(
+        &mut self,
+        step: &WaitingStep,
+        spec: &StepSpec,
+        team: Option<&TeamName>,
+        workers: &[WorkerKey],
+        now: TimePoint,
+    ) {
+        if step.indexes.len() < usize::from(spec.count) {
+            return;
+        }
+        let last = step.indexes.iter().filter_map(|&index| {
+            let task = self.task(step.name.task(index))?;
+            Some(task.last_run)
+        });
+        let run = last.max().unwrap_or(0).max(self.first_run) + 1;
+        let racks = if spec.prefers_one_rack {
+            self.racks(workers)
+        } else {
+            Vec::new()
+        };
+        for rack in &racks {
+            if self.try_gang(step, spec, team, rack, run, now) {
+                return;
+            }
+        }
+        self.try_gang(step, spec, team, workers, run, now);
+    }
+
+    fn racks(&self, workers: &[WorkerKey]) -> Vec<Vec<WorkerKey>> {
+        let mut racks: HashMap<&str, Vec<WorkerKey>> = HashMap::new();
+        for &key in workers {
+            if let Some(rack) = self.workers[key].report.labels.last() {
+                racks.entry(rack.as_str()).or_default().push(key);
+            }
+        }
+        let mut racks: Vec<_> = racks.into_iter().collect();
+        racks.sort_unstable();
+        racks.into_iter().map(|(_, workers)| workers).collect()
+    }
+
+    fn try_gang(
+        &mut self,
+        step: &WaitingStep,
+        spec: &StepSpec,
+        team: Option<&TeamName>,
+        workers: &[WorkerKey],
+        run: u64,
+        now: TimePoint,
+    ) -> bool {
+        let mut placed: Vec<TaskName> = Vec::new();
+        let orders = self.orders.len();
+        for &index in &step.indexes {
+            let task = step.name.task(index);
+            let key = self
+                .is_within_limit(team, spec.amount)
+                .then(|| self.choose(step.name, spec, workers, now))
+                .flatten();
+            let Some(key) = key else {
+                self.orders.truncate(orders);
+                for task in placed {
+                    self.take_back(task, run);
+                }
+                return false;
+            };
+            self.start(task, run, key, now);
+            placed.push(task);
+        }
+        true
+    }
+
+    /// Undoes a start whose order has not been sent.
+    fn take_back(&mut self, name: TaskName, run: u64) {
+        let runs = self.task(name).map(|task| task.runs.clone());
+        for entry in runs.unwrap_or_default() {
+            self.release(name, run, entry.worker);
+        }
+        if let Some(task) = self.task_mut(name) {
+            task.last_run = run - 1;
+        }
+    }
+}
--- a/crates/core/src/jobs/pool_sizing.rs
+++ b/crates/core/src/jobs/pool_sizing.rs
@@ -10,37 +10,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::PoolLoad;
+use super::{PoolLoad, SizingPolicy};
 use crate::ids::PoolName;
 use crate::time::TimePoint;
 
-/// Times and shares of the sizing.
-#[derive(Debug, Clone)]
-pub struct SizingPolicy {
-    /// Room beyond what is in use and waits, as a share of it.
-    pub headroom: f64,
-    /// Time for which a peak is remembered.
-    pub peak_memory: Duration,
-    /// Fewest instances of a pool that is not a spare pool.
-    pub least_instances: usize,
-    /// Share of its capacity above which a pool counts as surging.
-    pub surge_share: f64,
-    /// Pools that keep their size because their turn may be next.
-    pub kept_pools: usize,
-}
-
-impl Default for SizingPolicy {
-    fn default() -> Self {
-        Self {
-            headroom: 0.25,
-            peak_memory: Duration::from_millis(2_000),
-            least_instances: 3,
-            surge_share: 0.6,
-            kept_pools: 1,
-        }
-    }
-}
-
 /// A pool as the sizing sees it.
 #[derive(Debug, Clone, Copy)]
 pub struct PoolSize {
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -3,6 +3,9 @@
 //! The world checks what must always hold when a worker is told to start a task.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+mod order_delivery;
+mod sim_worker;
+
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,11 +16,13 @@
 use sesamedeal_core::ids::{InstanceName, PoolName, QueueName, TeamName, ZoneName};
 use sesamedeal_core::jobs::{
     DispatchPolicy, EndKind, FleetRules, HoldReport, JobDispatcher, JobId, JobOrder, JobPhase,
-    JobRecord, PoolRule, QueueRule, ResourceAmount, RunEnd, RunReport, StartOrder, StartOutcome,
-    StepSpec, TaskName, TeamRule, WorkerKey, WorkerOrder, WorkerReport, WorkerState,
+    JobRecord, PoolRule, QueueRule, ResourceAmount, RunReport, StepSpec, TaskName, TeamRule,
+    WorkerReport, WorkerState,
 };
 use sesamedeal_core::time::TimePoint;
 
+pub use sim_worker::{SimRun, SimWorker};
+
 /// Failed runs after which a job has failed.
 pub const ATTEMPTS: u32 = 3;
 
@@ -88,81 +93,6 @@
     TimePoint::with_millis(millis)
 }
 
-/// A run at a simulated worker.
-#[derive(Debug, Clone)]
-struct SimRun {
-    ends: u64,
-    lease_end: u64,
-    fails: bool,
-    begun: u64,
-}
-
-/// A simulated worker, which starts whatever it is told to.
-#[derive(Debug)]
-pub struct SimWorker {
-    pub report: WorkerReport,
-    pub key: Option<WorkerKey>,
-    pub is_reachable: bool,
-    pub fence: u64,
-    running: BTreeMap<(TaskName, u64), SimRun>,
-    ended: Vec<RunEnd>,
-    next_end: u64,
-    highest: HashMap<TaskName, u64>,
-}
-
-impl SimWorker {
-    fn new(number: usize) -> Self {
-        Self {
-            report: worker_report(number, 1),
-            key: None,
-            is_reachable: true,
-            fence: 0,
-            running: BTreeMap::new(),
-            ended: Vec::new(),
-            next_end: 1,
-            highest: HashMap::new(),
-        }
-    }
-
-    pub fn tasks(&self) -> Vec<TaskName> {
-        self.running.keys().map(|(task, _)| *task).collect()
-    }
-
-    fn end(&mut self, task: TaskName, run: u64, kind: EndKind) {
-        self.running.remove(&(task, run));
-        let highest = self.highest.entry(task).or_default();
-        *highest = (*highest).max(run);
-        self.ended.push(RunEnd {
-            number: self.next_end,
-            task,
-            run,
-            kind,
-            saved: CompactString::default(),
-        });
-        self.next_end += 1;
-    }
-
-    fn pass(&mut self, now: u64) {
-        let runs: Vec<_> = self
-            .running
-            .iter()
-            .map(|(id, run)| (*id, run.clone()))
-            .collect();
-        for ((task, run), state) in runs {
-            if state.lease_end <= now {
-                self.end(task, run, EndKind::Lapsed);
-            } else if state.ends <= now {
-                let kind = if state.fails {
-                    EndKind::Failed
-                } else {
-                    EndKind::Done
-                };
-                self.end(task, run, kind);
-            }
-        }
-    }
-}
-
 /// Faults of a run of the world, each as a share of the calls or rounds.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct WorldFaults {
@@ -395,119 +325,6 @@
             self.dispatcher.note_published(&self.published);
         }
     }
-
-    fn deliver(&mut self, order: WorkerOrder) {
-        match order {
-            WorkerOrder::Start(key, order) => self.deliver_start(key, &order),
-            WorkerOrder::Stop(key, task, run) => self.deliver_stop(key, task, run),
-            WorkerOrder::Pace(..) => {}
-        }
-    }
-
-    fn index(&self, key: WorkerKey) -> usize {
-        let mut workers = self.workers.iter();
-        workers.position(|worker| worker.key == Some(key)).unwrap()
-    }
-
-    fn deliver_start(&mut self, key: WorkerKey, order: &StartOrder) {
-        let index = self.index(key);
-        let is_lost = self.chance(self.faults.lost_starts);
-        let fails = self.chance(self.faults.failures);
-        let length = self.random.random_range(200..1_200);
-        let now = self.now;
-        self.dispatcher.note_extension(key, LEASE, at(now));
-        if !self.workers[index].is_reachable {
-            let outcome = StartOutcome::Unknown;
-            self.dispatcher
-                .note_start(key, order.task, order.run, outcome, at(now));
-            return;
-        }
-        let worker = &self.workers[index];
-        let is_old = worker
-            .highest
-            .get(&order.task)
-            .is_some_and(|run| order.run <= *run);
-        if self.epoch < worker.fence || is_old {
-            let outcome = StartOutcome::Refused;
-            self.dispatcher
-                .note_start(key, order.task, order.run, outcome, at(now));
-            return;
-        }
-        self.check_start(index, order);
-        let is_lasting = self.step_of(order.task).is_lasting;
-        let worker = &mut self.workers[index];
-        worker.fence = worker.fence.max(self.epoch);
-        let run = SimRun {
-            begun: now,
-            ends: if is_lasting { u64::MAX } else { now + length },
-            lease_end: now + 4_800,
-            fails: fails && !is_lasting,
-        };
-        worker.running.insert((order.task, order.run), run);
-        self.starts += 1;
-        let outcome = if is_lost {
-            StartOutcome::Unknown
-        } else {
-            StartOutcome::Started
-        };
-        self.dispatcher
-            .note_start(key, order.task, order.run, outcome, at(now));
-    }
-
-    fn deliver_stop(&mut self, key: WorkerKey, task: TaskName, run: u64) {
-        let index = self.index(key);
-        let worker = &mut self.workers[index];
-        if !worker.is_reachable {
-            return;
-        }
-        if worker.running.contains_key(&(task, run)) {
-            worker.end(task, run, EndKind::Stopped);
-        }
-        let highest = worker.highest.entry(task).or_default();
-        *highest = (*highest).max(run);
-        self.dispatcher.note_stop(key, task, run, at(self.now));
-    }
-
-    fn step_of(&self, task: TaskName) -> &StepSpec {
-        &self.stored[&task.step.job].0.steps[usize::from(task.step.step)]
-    }
-
-    /// What must hold whenever a worker begins a task.
-    fn check_start(&mut self, index: usize, order: &StartOrder) {
-        let task = order.task;
-        let mut problems = Vec::new();
-        let mut used = self.step_of(task).worker_amount();
-        for (other, _) in self.workers[index].running.keys() {
-            used += self.step_of(*other).worker_amount();
-        }
-        if !used.fits(self.workers[index].report.capacity) {
-            problems.push("over capacity");
-        }
-        let is_running = |worker: &SimWorker| worker.running.keys().any(|(name, _)| *name == task);
-        if self.workers.iter().any(is_running) {
-            problems.push("runs twice");
-        }
-        if self.acknowledged_done.contains(&task) {
-            problems.push("started after an acknowledged end");
-        }
-        let failures = self.acknowledged_failures.get(&task);
-        if failures.is_some_and(|failures| *failures >= ATTEMPTS) {
-            problems.push("started beyond its attempts");
-        }
-        let order_entry = &self.stored[&task.step.job].0;
-        for earlier in &order_entry.steps[usize::from(task.step.step)].after {
-            let mut name = task.step;
-            name.step = *earlier;
-            let count = order_entry.steps[usize::from(*earlier)].count;
-            if (0..count).any(|number| !self.ended_done.contains(&name.task(number))) {
-                problems.push("started before an earlier step was done");
-            }
-        }
-        for problem in problems {
-            let text = format!("{} ms: {task} run {} {problem}", self.now, order.run);
-            self.violations.push(text);
-        }
-    }
 }
 
 fn dispatcher(rules: &Arc<FleetRules>, epoch: u64, now: u64) -> JobDispatcher {
--- /dev/null
+++ b/crates/core/tests/jobs/order_delivery.rs
@@ -0,0 +1,121 @@
+use rand::RngExt;
+use sesamedeal_core::jobs::{
+    EndKind, StartOrder, StartOutcome, StepSpec, TaskName, WorkerKey, WorkerOrder,
+};
+
+use super::{ATTEMPTS, JobWorld, LEASE, SimRun, SimWorker, at};
+
+impl JobWorld {
+    pub(super) fn deliver(&mut self, order: WorkerOrder) {
+        match order {
+            WorkerOrder::Start(key, order) => self.deliver_start(key, &order),
+            WorkerOrder::Stop(key, task, run) => self.deliver_stop(key, task, run),
+            WorkerOrder::Pace(..) => {}
+        }
+    }
+
+    fn index(&self, key: WorkerKey) -> usize {
+        let mut workers = self.workers.iter();
+        workers.position(|worker| worker.key == Some(key)).unwrap()
+    }
+
+    fn deliver_start(&mut self, key: WorkerKey, order: &StartOrder) {
+        let index = self.index(key);
+        let is_lost = self.chance(self.faults.lost_starts);
+        let fails = self.chance(self.faults.failures);
+        let length = self.random.random_range(200..1_200);
+        let now = self.now;
+        self.dispatcher.note_extension(key, LEASE, at(now));
+        if !self.workers[index].is_reachable {
+            let outcome = StartOutcome::Unknown;
+            self.dispatcher
+                .note_start(key, order.task, order.run, outcome, at(now));
+            return;
+        }
+        let worker = &self.workers[index];
+        let is_old = worker
+            .highest
+            .get(&order.task)
+            .is_some_and(|run| order.run <= *run);
+        if self.epoch < worker.fence || is_old {
+            let outcome = StartOutcome::Refused;
+            self.dispatcher
+                .note_start(key, order.task, order.run, outcome, at(now));
+            return;
+        }
+        self.check_start(index, order);
+        let is_lasting = self.step_of(order.task).is_lasting;
+        let worker = &mut self.workers[index];
+        worker.fence = worker.fence.max(self.epoch);
+        let run = SimRun {
+            begun: now,
+            ends: if is_lasting { u64::MAX } else { now + length },
+            lease_end: now + 4_800,
+            fails: fails && !is_lasting,
+        };
+        worker.running.insert((order.task, order.run), run);
+        self.starts += 1;
+        let outcome = if is_lost {
+            StartOutcome::Unknown
+        } else {
+            StartOutcome::Started
+        };
+        self.dispatcher
+            .note_start(key, order.task, order.run, outcome, at(now));
+    }
+
+    fn deliver_stop(&mut self, key: WorkerKey, task: TaskName, run: u64) {
+        let index = self.index(key);
+        let worker = &mut self.workers[index];
+        if !worker.is_reachable {
+            return;
+        }
+        if worker.running.contains_key(&(task, run)) {
+            worker.end(task, run, EndKind::Stopped);
+        }
+        let highest = worker.highest.entry(task).or_default();
+        *highest = (*highest).max(run);
+        self.dispatcher.note_stop(key, task, run, at(self.now));
+    }
+
+    fn step_of(&self, task: TaskName) -> &StepSpec {
+        &self.stored[&task.step.job].0.steps[usize::from(task.step.step)]
+    }
+
+    /// What must hold whenever a worker begins a task.
+    fn check_start(&mut self, index: usize, order: &StartOrder) {
+        let task = order.task;
+        let mut problems = Vec::new();
+        let mut used = self.step_of(task).worker_amount();
+        for (other, _) in self.workers[index].running.keys() {
+            used += self.step_of(*other).worker_amount();
+        }
+        if !used.fits(self.workers[index].report.capacity) {
+            problems.push("over capacity");
+        }
+        let is_running = |worker: &SimWorker| worker.running.keys().any(|(name, _)| *name == task);
+        if self.workers.iter().any(is_running) {
+            problems.push("runs twice");
+        }
+        if self.acknowledged_done.contains(&task) {
+            problems.push("started after an acknowledged end");
+        }
+        let failures = self.acknowledged_failures.get(&task);
+        if failures.is_some_and(|failures| *failures >= ATTEMPTS) {
+            problems.push("started beyond its attempts");
+        }
+        let order_entry = &self.stored[&task.step.job].0;
+        for earlier in &order_entry.steps[usize::from(task.step.step)].after {
+            let mut name = task.step;
+            name.step = *earlier;
+            let count = order_entry.steps[usize::from(*earlier)].count;
+            if (0..count).any(|number| !self.ended_done.contains(&name.task(number))) {
+                problems.push("started before an earlier step was done");
+            }
+        }
+        for problem in problems {
+            let text = format!("{} ms: {task} run {} {problem}", self.now, order.run);
+            self.violations.push(text);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/jobs/sim_worker.rs
@@ -0,0 +1,81 @@
+use std::collections::{BTreeMap, HashMap};
+
+use compact_str::CompactString;
+use sesamedeal_core::jobs::{EndKind, RunEnd, TaskName, WorkerKey, WorkerReport};
+
+use super::worker_report;
+
+/// A run at a simulated worker.
+#[derive(Debug, Clone)]
+pub struct SimRun {
+    pub ends: u64,
+    pub lease_end: u64,
+    pub fails: bool,
+    pub begun: u64,
+}
+
+/// A simulated worker, which starts whatever it is told to.
+#[derive(Debug)]
+pub struct SimWorker {
+    pub report: WorkerReport,
+    pub key: Option<WorkerKey>,
+    pub is_reachable: bool,
+    pub fence: u64,
+    pub running: BTreeMap<(TaskName, u64), SimRun>,
+    pub ended: Vec<RunEnd>,
+    pub next_end: u64,
+    pub highest: HashMap<TaskName, u64>,
+}
+
+impl SimWorker {
+    pub fn new(number: usize) -> Self {
+        Self {
+            report: worker_report(number, 1),
+            key: None,
+            is_reachable: true,
+            fence: 0,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            highest: HashMap::new(),
+        }
+    }
+
+    pub fn tasks(&self) -> Vec<TaskName> {
+        self.running.keys().map(|(task, _)| *task).collect()
+    }
+
+    pub fn end(&mut self, task: TaskName, run: u64, kind: EndKind) {
+        self.running.remove(&(task, run));
+        let highest = self.highest.entry(task).or_default();
+        *highest = (*highest).max(run);
+        self.ended.push(RunEnd {
+            number: self.next_end,
+            task,
+            run,
+            kind,
+            saved: CompactString::default(),
+        });
+        self.next_end += 1;
+    }
+
+    pub fn pass(&mut self, now: u64) {
+        let runs: Vec<_> = self
+            .running
+            .iter()
+            .map(|(id, run)| (*id, run.clone()))
+            .collect();
+        for ((task, run), state) in runs {
+            if state.lease_end <= now {
+                self.end(task, run, EndKind::Lapsed);
+            } else if state.ends <= now {
+                let kind = if state.fails {
+                    EndKind::Failed
+                } else {
+                    EndKind::Done
+                };
+                self.end(task, run, kind);
+            }
+        }
+    }
+}
--- a/crates/jobs/src/owner/mod.rs
+++ b/crates/jobs/src/owner/mod.rs
@@ -9,10 +9,17 @@
 mod owner_lease;
 mod owner_loop;
 mod owner_policy;
+mod owner_rows;
 mod pool_keeper;
 mod pulse_view;
+mod record_keeping;
 mod record_writer;
+mod stored_states;
+mod table_intake;
+mod takeover;
 mod wave_keeper;
+mod wave_orders;
+mod worker_calls;
 mod worker_links;
 
 pub(crate) use owner_event::OwnerEvent;
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -1,12 +1,9 @@
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use sesamedeal_core::ids::{InstanceName, SessionId};
-use sesamedeal_core::jobs::{DispatchPolicy, FleetRules, JobDispatcher, JobId, JobRecord};
-use sesamedeal_core::lease::{LeaseAction, LeaseCandidate, LeasePolicy, LeaseRecord};
-use sesamedeal_core::time::TimePoint;
-use sesamedeal_store::Result;
+use sesamedeal_core::jobs::{DispatchPolicy, FleetRules, JobDispatcher};
+use sesamedeal_core::lease::{LeaseAction, LeaseCandidate, LeasePolicy};
 use slog::{Logger, info, o, warn};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval, sleep};
@@ -16,15 +13,13 @@
 use super::job_intake::JobIntake;
 use super::owner_actor::{OwnerActor, OwnerParts};
 use super::owner_lease::OwnerLease;
-use super::record_writer::{RecordWriter, condition, put};
+use super::owner_rows::OwnerRows;
+use super::record_writer::RecordWriter;
 use super::wave_keeper::WaveKeeper;
 use super::{OwnerEvent, OwnerPolicy, PulseView};
-use crate::feeds::{TableEvent, TableFollower, WaveList, read_table};
-use crate::ports::{
-    AdvicePort, FleetPort, RowChange, RowName, RowPort, StorePort, StoreRow, StoreTable,
-    TransactOutcome, WorkerPort,
-};
-use crate::row_codec::{EPOCH_KEY, EpochRow, PULSE_KEY, PulseRow, SEQUENCE_KEY, decode, encode};
+use crate::feeds::{TableEvent, TableFollower, WaveList};
+use crate::ports::{AdvicePort, FleetPort, RowPort, StorePort, StoreTable, WorkerPort};
+use crate::row_codec::{EpochRow, PulseRow, SEQUENCE_KEY, decode};
 use crate::{BootClock, DeploymentView, JobMetrics, StoreHealth};
 
 /// Events that may wait for the owner.
@@ -34,17 +29,13 @@
 const TABLE_QUEUE: usize = 16;
 
 /// Time between two looks at the ownership.
-const LOOK_PERIOD: Duration = Duration::from_millis(150);
-
-/// Longest pause before an attempt to take the ownership, as a multiple of the time that the store
-/// takes for a read. About eight entry instances compete.
-const CONTENTION_SPREAD: f64 = 4.0;
+pub(super) const LOOK_PERIOD: Duration = Duration::from_millis(150);
 
 /// Time in which a retiring owner extends leases and stores what it knows.
 const RETIRE_TIME: Duration = Duration::from_millis(150);
 
 /// Pause after a failed attempt to read what the owner needs.
-const READ_PAUSE: Duration = Duration::from_millis(150);
+pub(super) const READ_PAUSE: Duration = Duration::from_millis(150);
 
 /// Competes for the ownership of the pools and exercises it.
 #[derive(Debug)]
@@ -68,39 +59,6 @@
     pub(crate) stopping: watch::Receiver<bool>,
 }
 
-/// The rows of ownership as last read.
-#[derive(Debug, Default)]
-struct OwnerRows {
-    epoch: Option<(EpochRow, u64)>,
-    pulse: Option<PulseRow>,
-}
-
-impl OwnerRows {
-    fn take(&mut self, row: &StoreRow, logger: &Logger) {
-        let result = match row.key.as_str() {
-            EPOCH_KEY => decode(&row.value).map(|epoch| self.epoch = Some((epoch, row.version))),
-            PULSE_KEY => decode(&row.value).map(|pulse| self.pulse = Some(pulse)),
-            _ => Ok(()),
-        };
-        if let Err(error) = result {
-            warn!(logger, "row left out"; "key" => %row.key, "row" => row.version, "error" => %error);
-        }
-    }
-
-    fn record(&self) -> Option<LeaseRecord> {
-        let (epoch, _) = self.epoch.as_ref()?;
-        let pulse = self.pulse.as_ref();
-        let renewals = pulse
-            .filter(|pulse| pulse.epoch == epoch.epoch)
-            .map_or(0, |pulse| pulse.renewals);
-        Some(LeaseRecord {
-            holder: epoch.holder,
-            epoch: epoch.epoch,
-            renewals,
-        })
-    }
-}
-
 impl OwnerLoop {
     /// Runs until the process stops.
     pub(crate) async fn run(mut self) {
@@ -196,82 +154,6 @@
         };
     }
 
-    /// Whether the rows are still as the follower saw them, after a pause at random. The follower
-    /// may have been cut off, and a slow store has no room for the attempts of all candidates.
-    async fn confirm(&self, rows: &mut OwnerRows) -> bool {
-        let begin = tokio::time::Instant::now();
-        if !self.is_unchanged(rows).await {
-            return false;
-        }
-        let pause = begin
-            .elapsed()
-            .mul_f64(CONTENTION_SPREAD * rand::random::<f64>());
-        sleep(pause).await;
-        pause < LOOK_PERIOD || self.is_unchanged(rows).await
-    }
-
-    async fn is_unchanged(&self, rows: &mut OwnerRows) -> bool {
-        let before = rows.record();
-        match read_table(&self.store, StoreTable::Owner).await {
-            Ok((read, _)) => {
-                for row in &read {
-                    rows.take(row, &self.logger);
-                }
-                rows.record() == before
-            }
-            Err(error) => {
-                warn!(self.logger, "ownership not read"; "error" => %error);
-                false
-            }
-        }
-    }
-
-    async fn acquire(
-        &self,
-        rows: &OwnerRows,
-        sent: TimePoint,
-    ) -> Result<Option<(OwnerLease, Option<PulseRow>)>> {
-        let known = rows.epoch.as_ref();
-        let epoch = known.map_or(0, |(row, _)| row.epoch) + 1;
-        let version = known.map_or(0, |(_, version)| *version);
-        let row = EpochRow {
-            epoch,
-            holder: self.session,
-            node: self.node.clone(),
-            is_released: false,
-        };
-        let change = RowChange {
-            conditions: vec![condition(StoreTable::Owner, EPOCH_KEY, version)],
-            puts: vec![put(
-                RowName::new(StoreTable::Owner, EPOCH_KEY),
-                encode(&row),
-            )],
-            deletes: Vec::new(),
-        };
-        let taken = match (self.store.transact)(change).await {
-            Ok(TransactOutcome::Committed { version }) => Some(version),
-            Ok(TransactOutcome::Conflict { .. }) => None,
-            Err(error) => {
-                warn!(self.logger, "taking of the ownership has no answer"; "error" => %error);
-                self.find_taken(epoch).await?
-            }
-        };
-        Ok(taken.map(|version| (OwnerLease::new(epoch, version, sent), rows.pulse.clone())))
-    }
-
-    /// Version of the epoch row if this process holds `epoch`.
-    async fn find_taken(&self, epoch: u64) -> Result<Option<u64>> {
-        let (read, _) = read_table(&self.store, StoreTable::Owner).await?;
-        let mut rows = OwnerRows::default();
-        for row in &read {
-            rows.take(row, &self.logger);
-        }
-        let own = rows
-            .epoch
-            .filter(|(row, _)| row.epoch == epoch && row.holder == self.session);
-        Ok(own.map(|(_, version)| version))
-    }
-
     async fn lead(
         &mut self,
         lease: OwnerLease,
@@ -421,82 +303,4 @@
             }
         });
     }
-
-    /// Reads the states of all jobs and the rows of the writer.
-    async fn read_records(
-        &self,
-        lease: &OwnerLease,
-        logger: &Logger,
-    ) -> Option<(StoredStates, Vec<StoreRow>)> {
-        while lease.is_younger(self.policy.extension) && !*self.stopping.borrow() {
-            let reads = tokio::try_join!(
-                read_table(&self.store, StoreTable::State),
-                read_table(&self.store, StoreTable::Writer),
-            );
-            match reads {
-                Ok(((states, _), (writer_rows, _))) => {
-                    return Some((decode_states(&states, logger), writer_rows));
-                }
-                Err(error) => {
-                    warn!(logger, "records not read"; "error" => %error);
-                    sleep(READ_PAUSE).await;
-                }
-            }
-        }
-        None
-    }
-
-    /// Lets another entry instance take the ownership at once. A repetition after a release that
-    /// took effect finds another version and changes nothing.
-    async fn release(&self, lease: &OwnerLease, logger: &Logger) {
-        let row = EpochRow {
-            epoch: lease.epoch,
-            holder: self.session,
-            node: self.node.clone(),
-            is_released: true,
-        };
-        let change = RowChange {
-            conditions: vec![condition(StoreTable::Owner, EPOCH_KEY, lease.version)],
-            puts: vec![put(
-                RowName::new(StoreTable::Owner, EPOCH_KEY),
-                encode(&row),
-            )],
-            deletes: Vec::new(),
-        };
-        loop {
-            let outcome = (self.store.transact)(change.clone()).await;
-            info!(logger, "ownership released"; "outcome" => ?outcome);
-            if outcome.is_ok() {
-                return;
-            }
-            sleep(READ_PAUSE).await;
-        }
-    }
-}
-
-/// States of open jobs, and ended jobs with the time of their end, the earliest first.
-type StoredStates = (HashMap<JobId, JobRecord>, Vec<(JobId, TimePoint)>);
-
-fn decode_states(rows: &[StoreRow], logger: &Logger) -> StoredStates {
-    let mut states = HashMap::new();
-    let mut ended = Vec::new();
-    for row in rows {
-        let id = row.key.parse::<JobId>();
-        match (id, decode::<JobRecord>(&row.value)) {
-            (Ok(id), Ok(record)) if record.phase.is_final() => {
-                ended.push((id, BootClock.time_of(record.ended_ms)));
-            }
-            (Ok(id), Ok(record)) => {
-                states.insert(id, record);
-            }
-            (_, Err(error)) => {
-                warn!(logger, "row left out"; "key" => %row.key, "error" => %error);
-            }
-            (Err(problem), _) => {
-                warn!(logger, "row left out"; "key" => %row.key, "error" => problem);
-            }
-        }
-    }
-    ended.sort_by_key(|(_, at)| *at);
-    (states, ended)
 }
--- /dev/null
+++ b/crates/jobs/src/owner/owner_rows.rs
@@ -0,0 +1,38 @@
+use sesamedeal_core::lease::LeaseRecord;
+use slog::{Logger, warn};
+
+use crate::ports::StoreRow;
+use crate::row_codec::{EPOCH_KEY, EpochRow, PULSE_KEY, PulseRow, decode};
+
+/// The rows of ownership as last read.
+#[derive(Debug, Default)]
+pub(super) struct OwnerRows {
+    pub epoch: Option<(EpochRow, u64)>,
+    pub pulse: Option<PulseRow>,
+}
+
+impl OwnerRows {
+    pub(super) fn take(&mut self, row: &StoreRow, logger: &Logger) {
+        let result = match row.key.as_str() {
+            EPOCH_KEY => decode(&row.value).map(|epoch| self.epoch = Some((epoch, row.version))),
+            PULSE_KEY => decode(&row.value).map(|pulse| self.pulse = Some(pulse)),
+            _ => Ok(()),
+        };
+        if let Err(error) = result {
+            warn!(logger, "row left out"; "key" => %row.key, "row" => row.version, "error" => %error);
+        }
+    }
+
+    pub(super) fn record(&self) -> Option<LeaseRecord> {
+        let (epoch, _) = self.epoch.as_ref()?;
+        let pulse = self.pulse.as_ref();
+        let renewals = pulse
+            .filter(|pulse| pulse.epoch == epoch.epoch)
+            .map_or(0, |pulse| pulse.renewals);
+        Some(LeaseRecord {
+            holder: epoch.holder,
+            epoch: epoch.epoch,
+            renewals,
+        })
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/owner/record_keeping.rs
@@ -0,0 +1,128 @@
+//! Writes of the owner: records, pulses and what goes with them.
+
+use std::time::Duration;
+
+use sesamedeal_core::jobs::RecordBatch;
+use sesamedeal_core::time::TimePoint;
+use sesamedeal_store::{PlatformError, Result};
+use slog::{info, warn};
+
+use super::OwnerEvent;
+use super::owner_actor::OwnerActor;
+use super::record_writer::{EXPIRED_PER_WRITE, JOBS_PER_WRITE};
+use crate::BootClock;
+use crate::ports::TransactOutcome;
+use crate::row_codec::PulseRow;
+
+/// Pause after a write that the store turned away.
+const WRITE_RETRY: Duration = Duration::from_millis(120);
+
+impl OwnerActor {
+    /// Writes what has changed, or renews the ownership.
+    pub(super) fn write(&mut self, now: TimePoint) {
+        if self.writer.is_writing || now < self.write_after {
+            return;
+        }
+        let is_pulse_due = now.since(self.writer.pulsed) >= self.parts.policy.renewal;
+        let has_records = self.dispatcher.has_records()
+            && now.since(self.writer.sent) >= self.parts.policy.record_gap;
+        if !is_pulse_due && !has_records && !self.writer.has_rows() {
+            // Ends that changed no record need no write before they are acknowledged.
+            if !self.dispatcher.has_records() {
+                let batch = self.dispatcher.take_records(0, 0);
+                self.dispatcher.note_stored(&batch, now);
+            }
+            return;
+        }
+        let batch = self
+            .dispatcher
+            .take_records(JOBS_PER_WRITE, BootClock.unix_ms());
+        let pulse = is_pulse_due.then(|| self.pulse());
+        if let Some(pulse) = &pulse {
+            self.publication = pulse.out_of_reach.clone();
+            self.writer.pulsed = now;
+            self.parts.pulse.set(pulse.clone());
+        }
+        let expired = self.dispatcher.take_expired(EXPIRED_PER_WRITE, now);
+        let change = self.writer.change(&batch, &expired, pulse);
+        self.writer.is_writing = true;
+        self.writer.sent = now;
+        let call = (self.parts.store.transact)(change);
+        let owner = self.sender.owner.clone();
+        tokio::spawn(async move {
+            let outcome = call.await;
+            let event = OwnerEvent::Written {
+                batch,
+                sent: now,
+                outcome,
+            };
+            // The owner has gone when the ownership was lost.
+            drop(owner.send(event).await);
+        });
+    }
+
+    pub(super) fn pulse(&self) -> PulseRow {
+        PulseRow {
+            epoch: self.parts.lease.epoch,
+            renewals: 0,
+            out_of_reach: if self.is_loaded {
+                self.dispatcher.out_of_reach(BootClock.now())
+            } else {
+                self.intake.earlier_out_of_reach.clone()
+            },
+            pending: if self.is_loaded {
+                self.dispatcher.pending().into_iter().collect()
+            } else {
+                self.intake.earlier_pending.clone()
+            },
+            surges_ms: self.surges_ms(),
+        }
+    }
+
+    pub(super) fn take_written(
+        &mut self,
+        batch: &RecordBatch,
+        sent: TimePoint,
+        outcome: Result<TransactOutcome>,
+    ) {
+        self.writer.is_writing = false;
+        match outcome {
+            Ok(TransactOutcome::Committed { version }) => {
+                self.writer.commit(version, sent);
+                let rows = self.writer.take_sent();
+                self.note_wave_rows(&rows);
+                self.dispatcher.note_stored(batch, BootClock.now());
+                self.dispatcher.note_published(&self.publication);
+                let rows = std::mem::take(&mut self.intake.waiting);
+                self.intake.take(rows, &mut self.dispatcher);
+                for (id, record) in &batch.records {
+                    if record.phase.is_final() {
+                        info!(self.parts.logger, "job ended"; "job" => %id, "phase" => ?record.phase, "row" => version);
+                    }
+                }
+            }
+            Ok(TransactOutcome::Conflict { rows }) => {
+                self.dispatcher.return_records(batch);
+                self.writer.fail();
+                self.writer.pulsed = TimePoint::ORIGIN;
+                self.parts.metrics.count_store_failure("conflict");
+                if !self.writer.resume(&rows) {
+                    self.step_down("the epoch row has changed");
+                }
+            }
+            Err(error) => {
+                self.dispatcher.return_records(batch);
+                self.writer.fail();
+                self.writer.pulsed = TimePoint::ORIGIN;
+                self.write_after = BootClock.now().after(WRITE_RETRY);
+                let kind = match error {
+                    PlatformError::NoAnswer { .. } => "no-answer",
+                    PlatformError::Unreachable { .. } => "unreachable",
+                    _ => "refused",
+                };
+                self.parts.metrics.count_store_failure(kind);
+                warn!(self.parts.logger, "records not written"; "jobs" => batch.records.len(), "error" => %error);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/owner/table_intake.rs
@@ -0,0 +1,82 @@
+//! Changes of the tables that the owner follows.
+
+use std::collections::HashSet;
+
+use sesamedeal_core::ids::InstanceName;
+use sesamedeal_core::time::TimePoint;
+use slog::{info, warn};
+
+use super::owner_actor::OwnerActor;
+use crate::BootClock;
+use crate::feeds::TableEvent;
+use crate::ports::StoreRow;
+
+impl OwnerActor {
+    /// Takes rows of jobs. While renewals fail, new jobs wait: a successor may run them.
+    pub(super) fn take_jobs(&mut self, event: TableEvent) {
+        let is_snapshot = matches!(event, TableEvent::Snapshot(_));
+        let (TableEvent::Snapshot(rows) | TableEvent::Changes(rows)) = event;
+        let policy = &self.parts.policy;
+        if is_snapshot && !self.is_loaded {
+            info!(self.parts.logger, "jobs loaded"; "rows" => rows.len());
+            self.intake.take(rows, &mut self.dispatcher);
+            self.is_loaded = true;
+        } else if self
+            .parts
+            .lease
+            .is_younger(policy.expiry.saturating_sub(policy.renewal))
+        {
+            self.intake.take(rows, &mut self.dispatcher);
+        } else {
+            self.intake.waiting.extend(rows);
+        }
+    }
+
+    pub(super) fn take_workers(&mut self, event: TableEvent) {
+        let now = BootClock.now();
+        match event {
+            TableEvent::Snapshot(rows) => {
+                let listed: HashSet<InstanceName> =
+                    rows.iter().map(|row| InstanceName::new(&row.key)).collect();
+                for name in self.dispatcher.worker_names() {
+                    if !listed.contains(&name) {
+                        self.unlist(&name);
+                    }
+                }
+                for row in rows {
+                    self.take_worker(&row, now);
+                }
+            }
+            TableEvent::Changes(rows) => {
+                for row in rows {
+                    if row.is_deleted {
+                        self.unlist(&InstanceName::new(&row.key));
+                    } else {
+                        self.take_worker(&row, now);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn take_worker(&mut self, row: &StoreRow, now: TimePoint) {
+        let report = match (self.parts.rows.worker)(row) {
+            Ok(report) => report,
+            Err(problem) => {
+                warn!(self.parts.logger, "row left out"; "problem" => %problem, "row" => row.version);
+                return;
+            }
+        };
+        info!(self.parts.logger, "worker listed"; "worker" => %report.name, "machine" => report.machine.as_ref().map(ToString::to_string), "pool" => %report.pool, "state" => ?report.state, "boot" => report.boot, "row" => row.version);
+        let (key, is_new) = self.dispatcher.set_worker(report, now);
+        if is_new {
+            self.links.open(key, self.parts.policy.order_lanes, now);
+        }
+    }
+
+    pub(super) fn unlist(&mut self, name: &InstanceName) {
+        if self.dispatcher.unlist_worker(name).is_some() {
+            info!(self.parts.logger, "worker no longer listed"; "worker" => %name);
+        }
+    }
+}
--- a/crates/jobs/src/owner/wave_keeper.rs
+++ b/crates/jobs/src/owner/wave_keeper.rs
@@ -4,19 +4,13 @@
 use sesamedeal_core::ids::InstanceName;
 use sesamedeal_core::jobs::{MaintenanceWave, UpkeepChoice, next_upkeep};
 use sesamedeal_core::time::TimePoint;
-use sesamedeal_store::Result;
 use slog::{info, warn};
 
-use super::OwnerEvent;
 use super::owner_actor::OwnerActor;
-use super::record_writer::put;
 use crate::BootClock;
 use crate::feeds::WaveList;
-use crate::ports::{
-    InstanceOrder, InstanceState, OrderOutcome, RowChange, RowCondition, RowName, RowPut,
-    StoreTable, TransactOutcome,
-};
-use crate::row_codec::{WaveRow, decode, encode};
+use crate::ports::{InstanceState, RowPut};
+use crate::row_codec::{WaveRow, decode};
 
 /// Instances that are emptied beyond the wave's limit, so that one is ready when another returns.
 const EMPTIED_AHEAD: usize = 1;
@@ -25,12 +19,9 @@
 /// ran has lost its lease by then.
 const UNKNOWN_PATIENCE: Duration = Duration::from_secs(7);
 
-/// Pause after an order that was not accepted.
-const ORDER_RETRY: Duration = Duration::from_millis(400);
-
 /// State of the order for an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum UpkeepClaim {
+pub(super) enum UpkeepClaim {
     /// The claim is not stored yet. An order before that could be unknown to a successor.
     Unstored,
     /// An earlier owner may have sent the order. It is sent again once the instance is empty.
@@ -43,26 +34,26 @@
 
 /// Progress of a wave.
 #[derive(Debug, Default)]
-struct WaveProgress {
+pub(super) struct WaveProgress {
     /// Instances whose maintenance has begun, or that are no longer part of the wave.
-    done: HashSet<InstanceName>,
+    pub(super) done: HashSet<InstanceName>,
     /// Instances that are emptied, and since when.
-    emptied: HashMap<InstanceName, TimePoint>,
+    pub(super) emptied: HashMap<InstanceName, TimePoint>,
     /// Instances that are down, and when their order was accepted.
-    out: HashMap<InstanceName, TimePoint>,
+    pub(super) out: HashMap<InstanceName, TimePoint>,
     /// Instances whose order was sent or is about to be. They count as down until the order has an
     /// answer.
-    claimed: HashMap<InstanceName, UpkeepClaim>,
-    status_version: u64,
-    is_writing_status: bool,
-    written: Option<bool>,
+    pub(super) claimed: HashMap<InstanceName, UpkeepClaim>,
+    pub(super) status_version: u64,
+    pub(super) is_writing_status: bool,
+    pub(super) written: Option<bool>,
 }
 
 /// Carries out maintenance waves.
 #[derive(Debug)]
 pub(crate) struct WaveKeeper {
     wanted: WaveList,
-    waves: BTreeMap<u64, WaveProgress>,
+    pub(super) waves: BTreeMap<u64, WaveProgress>,
     next_round: TimePoint,
 }
 
@@ -267,81 +258,6 @@
             .unwrap_or(age > UNKNOWN_PATIENCE)
     }
 
-    fn order_upkeep(&mut self, wave: u64, instance: InstanceName) {
-        let progress = self.waves.waves.entry(wave).or_default();
-        progress
-            .claimed
-            .insert(instance.clone(), UpkeepClaim::Ordering);
-        let order = InstanceOrder {
-            instance: instance.clone(),
-            holder: self.parts.node.clone(),
-            fence: self.parts.lease.epoch,
-            pool: None,
-            wave: Some(wave),
-        };
-        let call = (self.inventory.fleet.order)(order);
-        let owner = self.sender.owner.clone();
-        tokio::spawn(async move {
-            let outcome = call.await;
-            let event = OwnerEvent::Maintained {
-                wave,
-                instance,
-                outcome,
-            };
-            // The owner has gone when the ownership was lost.
-            drop(owner.send(event).await);
-        });
-    }
-
-    pub(super) fn take_maintained(
-        &mut self,
-        wave: u64,
-        instance: &InstanceName,
-        outcome: Result<OrderOutcome>,
-    ) {
-        let now = BootClock.now();
-        info!(self.parts.logger, "maintenance ordered"; "wave" => wave, "instance" => %instance, "epoch" => self.parts.lease.epoch, "outcome" => ?outcome);
-        let progress = self.waves.waves.entry(wave).or_default();
-        match outcome {
-            Ok(OrderOutcome::Accepted) => {
-                progress.claimed.remove(instance);
-                progress.done.insert(instance.clone());
-                progress.out.insert(instance.clone(), now);
-                self.store_progress(wave);
-            }
-            Ok(OrderOutcome::Fenced) => self.step_down("an instance has seen a later epoch"),
-            Ok(OrderOutcome::Refused) => {
-                progress.claimed.remove(instance);
-                progress.done.insert(instance.clone());
-                if let Some(worker) = self.worker_of(instance) {
-                    self.dispatcher.set_evacuating(&worker, false);
-                }
-                self.store_progress(wave);
-            }
-            Ok(OrderOutcome::Busy) | Err(_) => {
-                let due = UpkeepClaim::Due(now.after(ORDER_RETRY));
-                progress.claimed.insert(instance.clone(), due);
-            }
-        }
-    }
-
-    fn store_progress(&mut self, wave: u64) {
-        let Some(progress) = self.waves.waves.get(&wave) else {
-            return;
-        };
-        let sorted = |names: Vec<&InstanceName>| {
-            let mut names: Vec<InstanceName> = names.into_iter().cloned().collect();
-            names.sort();
-            names
-        };
-        let content = WaveRow {
-            done: sorted(progress.done.iter().collect()),
-            claimed: sorted(progress.claimed.keys().collect()),
-        };
-        let row = RowName::new(StoreTable::Writer, wave_key(wave));
-        self.writer.add(put(row, encode(&content)));
-    }
-
     /// Notes which instances are back.
     pub(super) fn settle_waves(&mut self, sent: TimePoint) {
         let inventory = &self.inventory.reports;
@@ -353,48 +269,4 @@
             });
         }
     }
-
-    fn write_status(&mut self, wave: u64, is_finished: bool) {
-        let progress = self.waves.waves.entry(wave).or_default();
-        progress.is_writing_status = true;
-        let (key, value) = (self.parts.rows.wave_status)(wave, is_finished);
-        let row = RowName::new(StoreTable::WaveStatus, key);
-        let change = RowChange {
-            conditions: vec![RowCondition {
-                row: row.clone(),
-                version: progress.status_version,
-            }],
-            puts: vec![put(row, value)],
-            deletes: Vec::new(),
-        };
-        info!(self.parts.logger, "wave status"; "wave" => wave, "is_finished" => is_finished, "done" => progress.done.len());
-        progress.written = Some(is_finished);
-        let call = (self.parts.store.transact)(change);
-        let owner = self.sender.owner.clone();
-        tokio::spawn(async move {
-            let outcome = call.await;
-            // The owner has gone when the ownership was lost.
-            drop(
-                owner
-                    .send(OwnerEvent::StatusWritten { wave, outcome })
-                    .await,
-            );
-        });
-    }
-
-    pub(super) fn take_status(&mut self, wave: u64, outcome: Result<TransactOutcome>) {
-        let progress = self.waves.waves.entry(wave).or_default();
-        progress.is_writing_status = false;
-        match outcome {
-            Ok(TransactOutcome::Committed { version }) => progress.status_version = version,
-            Ok(TransactOutcome::Conflict { rows }) => {
-                progress.status_version = rows.first().map_or(0, |(_, row)| row.version);
-                progress.written = None;
-            }
-            Err(error) => {
-                progress.written = None;
-                warn!(self.parts.logger, "wave status not written"; "wave" => wave, "error" => %error);
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/jobs/src/owner/wave_orders.rs
@@ -0,0 +1,141 @@
+//! Orders of maintenance, their answers, and the progress that is stored.
+
+use std::time::Duration;
+
+use sesamedeal_core::ids::InstanceName;
+use sesamedeal_store::Result;
+use slog::{info, warn};
+
+use super::OwnerEvent;
+use super::owner_actor::OwnerActor;
+use super::record_writer::put;
+use super::wave_keeper::{UpkeepClaim, wave_key};
+use crate::BootClock;
+use crate::ports::{
+    InstanceOrder, OrderOutcome, RowChange, RowCondition, RowName, StoreTable, TransactOutcome,
+};
+use crate::row_codec::{WaveRow, encode};
+
+/// Pause after an order that was not accepted.
+const ORDER_RETRY: Duration = Duration::from_millis(400);
+
+impl OwnerActor {
+    pub(super) fn order_upkeep(&mut self, wave: u64, instance: InstanceName) {
+        let progress = self.waves.waves.entry(wave).or_default();
+        progress
+            .claimed
+            .insert(instance.clone(), UpkeepClaim::Ordering);
+        let order = InstanceOrder {
+            instance: instance.clone(),
+            holder: self.parts.node.clone(),
+            fence: self.parts.lease.epoch,
+            pool: None,
+            wave: Some(wave),
+        };
+        let call = (self.inventory.fleet.order)(order);
+        let owner = self.sender.owner.clone();
+        tokio::spawn(async move {
+            let outcome = call.await;
+            let event = OwnerEvent::Maintained {
+                wave,
+                instance,
+                outcome,
+            };
+            // The owner has gone when the ownership was lost.
+            drop(owner.send(event).await);
+        });
+    }
+
+    pub(super) fn take_maintained(
+        &mut self,
+        wave: u64,
+        instance: &InstanceName,
+        outcome: Result<OrderOutcome>,
+    ) {
+        let now = BootClock.now();
+        info!(self.parts.logger, "maintenance ordered"; "wave" => wave, "instance" => %instance, "epoch" => self.parts.lease.epoch, "outcome" => ?outcome);
+        let progress = self.waves.waves.entry(wave).or_default();
+        match outcome {
+            Ok(OrderOutcome::Accepted) => {
+                progress.claimed.remove(instance);
+                progress.done.insert(instance.clone());
+                progress.out.insert(instance.clone(), now);
+                self.store_progress(wave);
+            }
+            Ok(OrderOutcome::Fenced) => self.step_down("an instance has seen a later epoch"),
+            Ok(OrderOutcome::Refused) => {
+                progress.claimed.remove(instance);
+                progress.done.insert(instance.clone());
+                if let Some(worker) = self.worker_of(instance) {
+                    self.dispatcher.set_evacuating(&worker, false);
+                }
+                self.store_progress(wave);
+            }
+            Ok(OrderOutcome::Busy) | Err(_) => {
+                let due = UpkeepClaim::Due(now.after(ORDER_RETRY));
+                progress.claimed.insert(instance.clone(), due);
+            }
+        }
+    }
+
+    pub(super) fn store_progress(&mut self, wave: u64) {
+        let Some(progress) = self.waves.waves.get(&wave) else {
+            return;
+        };
+        let sorted = |names: Vec<&InstanceName>| {
+            let mut names: Vec<InstanceName> = names.into_iter().cloned().collect();
+            names.sort();
+            names
+        };
+        let content = WaveRow {
+            done: sorted(progress.done.iter().collect()),
+            claimed: sorted(progress.claimed.keys().collect()),
+        };
+        let row = RowName::new(StoreTable::Writer, wave_key(wave));
+        self.writer.add(put(row, encode(&content)));
+    }
+
+    pub(super) fn write_status(&mut self, wave: u64, is_finished: bool) {
+        let progress = self.waves.waves.entry(wave).or_default();
+        progress.is_writing_status = true;
+        let (key, value) = (self.parts.rows.wave_status)(wave, is_finished);
+        let row = RowName::new(StoreTable::WaveStatus, key);
+        let change = RowChange {
+            conditions: vec![RowCondition {
+                row: row.clone(),
+                version: progress.status_version,
+            }],
+            puts: vec![put(row, value)],
+            deletes: Vec::new(),
+        };
+        info!(self.parts.logger, "wave status"; "wave" => wave, "is_finished" => is_finished, "done" => progress.done.len());
+        progress.written = Some(is_finished);
+        let call = (self.parts.store.transact)(change);
+        let owner = self.sender.owner.clone();
+        tokio::spawn(async move {
+            let outcome = call.await;
+            // The owner has gone when the ownership was lost.
+            drop(
+                owner
+                    .send(OwnerEvent::StatusWritten { wave, outcome })
+                    .await,
+            );
+        });
+    }
+
+    pub(super) fn take_status(&mut self, wave: u64, outcome: Result<TransactOutcome>) {
+        let progress = self.waves.waves.entry(wave).or_default();
+        progress.is_writing_status = false;
+        match outcome {
+            Ok(TransactOutcome::Committed { version }) => progress.status_version = version,
+            Ok(TransactOutcome::Conflict { rows }) => {
+                progress.status_version = rows.first().map_or(0, |(_, row)| row.version);
+                progress.written = None;
+            }
+            Err(error) => {
+                progress.written = None;
+                warn!(self.parts.logger, "wave status not written"; "wave" => wave, "error" => %error);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/owner/worker_calls.rs
@@ -0,0 +1,180 @@
+//! Calls of the owner to workers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamedeal_core::jobs::{HoldReport, WorkerKey, WorkerOrder};
+use sesamedeal_core::time::TimePoint;
+use sesamedeal_store::Result;
+use slog::{debug, info, warn};
+
+use super::owner_actor::OwnerActor;
+use super::worker_links::WorkerLink;
+use crate::BootClock;
+use crate::ports::{
+    HoldOutcome, HoldRequest, PaceRequest, StartRequest, StopRequest, WorkerAddress,
+};
+
+/// Pause after a call for lists that failed.
+const HOLD_RETRY: Duration = Duration::from_millis(150);
+
+/// Longest time that a call for lists waits until the ends that are known are stored. A worker
+/// with ends that are not acknowledged answers at once.
+const STORE_PATIENCE: Duration = Duration::from_millis(300);
+
+impl OwnerActor {
+    pub(super) fn send_order(&mut self, order: WorkerOrder, now: TimePoint) {
+        let (WorkerOrder::Start(key, _) | WorkerOrder::Stop(key, ..) | WorkerOrder::Pace(key, ..)) =
+            order;
+        let Some((link, worker)) = self.link(key) else {
+            return;
+        };
+        let lanes = Arc::clone(&link.lanes);
+        let fence = self.parts.lease.epoch;
+        let stop_request = |task, run| StopRequest {
+            worker: worker.clone(),
+            fence,
+            task,
+            run,
+        };
+        match order {
+            WorkerOrder::Start(_, order) => {
+                let Some(lease_end_ms) = link.lease_end_ms(self.lease(), now) else {
+                    return;
+                };
+                let request = StartRequest {
+                    worker,
+                    fence,
+                    lease_end_ms,
+                    order,
+                };
+                self.sender.start(key, lanes, request);
+                self.dispatcher.note_extension(key, self.lease(), now);
+            }
+            WorkerOrder::Stop(_, task, run) => {
+                self.sender.stop(key, lanes, stop_request(task, run));
+            }
+            WorkerOrder::Pace(_, task, run, percent) => {
+                let run = stop_request(task, run);
+                self.sender.pace(lanes, PaceRequest { run, percent });
+            }
+        }
+    }
+
+    pub(super) fn link(&self, key: WorkerKey) -> Option<(&WorkerLink, WorkerAddress)> {
+        let report = self.dispatcher.worker(key)?;
+        let worker = WorkerAddress {
+            name: report.name.clone(),
+            address: report.address,
+        };
+        Some((self.links.get(key)?, worker))
+    }
+
+    /// Calls the workers whose lists are due.
+    pub(super) fn send_holds(&mut self, now: TimePoint) {
+        let lease = self.lease();
+        let policy = &self.parts.policy;
+        for (key, link) in self.links.iter_mut() {
+            if link.is_calling || link.due > now {
+                continue;
+            }
+            let Some(report) = self.dispatcher.worker(key) else {
+                continue;
+            };
+            if self.dispatcher.has_unstored_ends(key) && now < link.due_unstored {
+                continue;
+            }
+            let is_idle = self.dispatcher.is_idle(key);
+            let is_silent = link.failures > 0;
+            let wait = if link.clock.is_none() || is_silent || self.is_retiring {
+                Duration::ZERO
+            } else if is_idle {
+                policy.idle_wait
+            } else {
+                policy.hold_wait
+            };
+            // The lease of a silent worker must pass, so that its tasks can run elsewhere.
+            let lease_end_ms = link.lease_end_ms(lease, now).filter(|_| !is_silent);
+            let request = HoldRequest {
+                worker: WorkerAddress {
+                    name: report.name.clone(),
+                    address: report.address,
+                },
+                fence: self.parts.lease.epoch,
+                stored_end: self.dispatcher.stored_end(key),
+                lease_end_ms,
+                wait,
+            };
+            link.is_calling = true;
+            self.sender
+                .hold(key, link.generation, request, wait + policy.hold_margin);
+            if lease_end_ms.is_some() {
+                self.dispatcher.note_extension(key, lease, now);
+            }
+        }
+    }
+
+    pub(super) fn take_held(
+        &mut self,
+        key: WorkerKey,
+        generation: u64,
+        sent: TimePoint,
+        outcome: Result<HoldOutcome>,
+    ) {
+        let now = BootClock.now();
+        let Some(link) = self.links.current(key, generation) else {
+            return;
+        };
+        link.is_calling = false;
+        match outcome {
+            Ok(HoldOutcome::Held(report)) => {
+                if link.failures > 0 || link.clock.is_none() {
+                    info!(self.parts.logger, "worker reached"; "worker" => self.dispatcher.worker(key).map(|worker| worker.name.to_string()), "failures" => link.failures, "running" => report.running.len());
+                }
+                link.failures = 0;
+                link.clock = Some((report.clock_ms, now));
+                link.due = sent.after(self.parts.policy.hold_gap).max(now);
+                link.due_unstored = now.after(STORE_PATIENCE);
+                self.log_ends(key, &report);
+                self.dispatcher.note_hold(key, &report, now);
+            }
+            Ok(HoldOutcome::Fenced) => self.step_down("a worker has seen a later epoch"),
+            Ok(HoldOutcome::Replaced) => {
+                link.failures += 1;
+                link.due = now.after(HOLD_RETRY);
+                debug!(self.parts.logger, "another worker answers"; "worker" => ?key);
+            }
+            Err(error) => {
+                link.failures += 1;
+                link.due = now.after(HOLD_RETRY);
+                self.dispatcher.note_silence(key);
+                if link.failures == 1 {
+                    warn!(self.parts.logger, "worker lost"; "worker" => self.dispatcher.worker(key).map(|worker| worker.name.to_string()), "error" => %error);
+                }
+            }
+        }
+    }
+
+    pub(super) fn log_ends(&self, key: WorkerKey, report: &HoldReport) {
+        for end in &report.ended {
+            if end.number > self.dispatcher.processed_end(key) {
+                let kind = format!("{:?}", end.kind);
+                self.parts.metrics.count_end(&kind.to_lowercase());
+                info!(self.parts.logger, "end"; "task" => %end.task, "run" => end.run, "worker" => self.dispatcher.worker(key).map(|worker| worker.name.to_string()), "number" => end.number, "kind" => kind);
+            }
+        }
+    }
+
+    /// Ends the calls to workers that the dispatcher has forgotten.
+    pub(super) fn close_links(&mut self) {
+        let gone: Vec<WorkerKey> = self
+            .links
+            .iter_mut()
+            .map(|(key, _)| key)
+            .filter(|key| self.dispatcher.worker(*key).is_none())
+            .collect();
+        for key in gone {
+            self.links.remove(key);
+        }
+    }
+}
