Give a pool another instance when its lasting tasks wait

The sizing saw free processor and did not help. Change: lasting tasks that wait ask for up to two more instances at a time, up to an even part of all.

--- a/crates/core/src/jobs/dispatcher/loads.rs
+++ b/crates/core/src/jobs/dispatcher/loads.rs
@@ -96,6 +96,9 @@
             load.waiting += cpu;
             load.backlog += cpu.saturating_mul(estimate) / 1_000;
             load.waiting_tasks += step.indexes.len();
+            if spec.is_lasting {
+                load.waiting_lasting += step.indexes.len();
+            }
         }
         loads
     }
--- a/crates/core/src/jobs/pool_sizing.rs
+++ b/crates/core/src/jobs/pool_sizing.rs
@@ -14,6 +14,9 @@
 use crate::ids::PoolName;
 use crate::time::TimePoint;
 
+/// Most instances that a pool gets at once for lasting tasks that wait.
+const FURTHER_INSTANCES: usize = 2;
+
 /// A pool as the sizing sees it.
 #[derive(Debug, Clone, Copy)]
 pub struct PoolSize {
@@ -110,10 +113,10 @@
         capacity: u64,
         now: TimePoint,
     ) -> Vec<SizeChange> {
-        self.note(pools, capacity, now);
-        let next = self.next_pools();
         let total = spare + pools.values().map(|size| size.instances).sum::<usize>();
         let even = total / (pools.len() + 1);
+        self.note(pools, even, capacity, now);
+        let next = self.next_pools();
         let mut lacks: Vec<PoolLack> = Vec::new();
         let mut refills: Vec<(PoolName, usize)> = Vec::new();
         let mut gives: Vec<PoolSurplus> = Vec::new();
@@ -150,7 +153,13 @@
     }
 
     /// Takes the demand of this moment.
-    fn note(&mut self, pools: &BTreeMap<PoolName, PoolSize>, capacity: u64, now: TimePoint) {
+    fn note(
+        &mut self,
+        pools: &BTreeMap<PoolName, PoolSize>,
+        even: usize,
+        capacity: u64,
+        now: TimePoint,
+    ) {
         for (pool, size) in pools {
             let history = self.history.entry(pool.clone()).or_default();
             let headroom = self.policy.headroom;
@@ -160,7 +169,18 @@
                 ..size.load
             };
             let present = wanted_instances(&present, capacity, headroom);
-            history.wanted.push((now, wanted, present));
+            // A lasting task can wait beside free processor, for memory or for a worker that is not
+            // being emptied. Another instance helps in each case, up to an even part of all: the
+            // limit of a team can hold the task back too.
+            let further = size.load.waiting_lasting.min(FURTHER_INSTANCES);
+            let least = if further > 0 {
+                (size.instances + further).min(even)
+            } else {
+                0
+            };
+            history
+                .wanted
+                .push((now, wanted.max(least), present.max(least)));
             let memory = self.policy.peak_memory;
             history.wanted.retain(|(at, ..)| now.since(*at) <= memory);
             if is_surging(&size.load, self.policy.surge_share) {
--- a/crates/core/tests/pool_turns.rs
+++ b/crates/core/tests/pool_turns.rs
@@ -131,3 +131,29 @@
     let changes = decide(&mut sizing, &[("a", surging)], 20, 0);
     assert!(moved(&changes, Some("a")) >= 10, "{changes:?}");
 }
+
+/// Guards against lasting tasks that wait for ever in a small pool whose other workers are being
+/// emptied: processor is free, but none of it on a worker that takes them, and the workers cannot be
+/// emptied while the tasks are away.
+#[test]
+fn lasting_tasks_wait() {
+    let mut sizing = PoolSizing::new(SizingPolicy::default());
+    let mut stuck = size(4, 0, 0, 3_000);
+    stuck.load.waiting_lasting = 1;
+    let spare = 5;
+    let changes = decide(
+        &mut sizing,
+        &[("a", stuck), ("b", size(9, 9, 0, 0))],
+        spare,
+        0,
+    );
+    assert_eq!(moved(&changes, Some("a")), 1, "{changes:?}");
+    let mut large = size(9, 0, 0, 3_000);
+    large.load.waiting_lasting = 1;
+    let changes = decide(&mut sizing, &[("a", large), ("b", size(9, 9, 0, 0))], 0, 5);
+    assert_eq!(
+        moved(&changes, Some("a")),
+        0,
+        "grows without end: {changes:?}"
+    );
+}
