Count tasks on workers without a fresh list as away

A rack went dark at 11.0 s; its tasks kept counting as at work until their lease passed 4.9 s later, while the rule counts them as away after 4.5 s, so that at 15.67 s another task of the step was taken out for a wave.

Change: a lasting task is at work only if its worker answers and its newest list is younger than 1.1 s. Tests disruption_budget::silent_worker and ::unanswered_call failed before.

--- a/crates/core/src/jobs/dispatch_policy.rs
+++ b/crates/core/src/jobs/dispatch_policy.rs
@@ -27,6 +27,9 @@
     /// Time after a takeover in which no task with a disruption budget is taken out. A stop of the
     /// earlier owner takes effect within 0.9 s, and until then its task is listed as at work.
     pub quiet_takeover: Duration,
+    /// Longest age of a worker's list that shows a task as at work. A worker with tasks answers at
+    /// least every 0.9 s.
+    pub list_age: Duration,
     /// Least time between two pace orders for one task.
     pub pace_period: Duration,
     /// Time that the record of an ended job is kept for callers who ask for it.
@@ -47,6 +50,7 @@
             stall_floor: Duration::from_millis(1_800),
             early_start: Duration::ZERO,
             quiet_takeover: Duration::from_secs(2),
+            list_age: Duration::from_millis(1_100),
             pace_period: Duration::from_millis(400),
             keep_ended: Duration::from_secs(240),
         }
--- a/crates/core/src/jobs/dispatcher/holds.rs
+++ b/crates/core/src/jobs/dispatcher/holds.rs
@@ -38,6 +38,7 @@
         entry.boot = Some(report.boot);
         entry.is_silent = false;
         entry.held = entry.held.max(Some(report.sent));
+        entry.heard = Some(now);
         let seen = entry.processed_end;
         for end in report.ended.iter().filter(|end| end.number > seen) {
             self.note_end(key, end, now);
--- a/crates/core/src/jobs/dispatcher/relocation.rs
+++ b/crates/core/src/jobs/dispatcher/relocation.rs
@@ -3,7 +3,7 @@
 use super::JobDispatcher;
 use crate::ids::InstanceName;
 use crate::jobs::job_entry::JobEntry;
-use crate::jobs::run_entry::RunState;
+use crate::jobs::run_entry::{RunEntry, RunState};
 use crate::jobs::{StepName, TaskName, UpkeepChoice, WorkerKey, WorkerState};
 use crate::time::TimePoint;
 
@@ -99,22 +99,27 @@
             return true;
         };
         let is_quiet = now.since(self.taken) < self.policy.quiet_takeover;
-        !is_quiet && self.missing(job, name.step, name.index) < usize::from(budget)
+        !is_quiet && self.missing(job, name.step, name.index, now) < usize::from(budget)
     }
 
-    /// Tasks of a step, except for one, that are not at work.
-    fn missing(&self, job: &JobEntry, name: StepName, except: u16) -> usize {
+    /// Tasks of a step, except for one, that are not known to be at work. A task on a worker whose
+    /// newest list is old may have ended with it.
+    fn missing(&self, job: &JobEntry, name: StepName, except: u16, now: TimePoint) -> usize {
         let Some(step) = job.step(name.occurrence, name.step) else {
             return 0;
         };
         let tasks = step.tasks.iter().enumerate();
         let missing = tasks.filter(|(index, task)| {
-            *index != usize::from(except)
-                && !task
-                    .runs
-                    .iter()
-                    .any(|run| run.state == RunState::Running && run.percent >= 100.0)
+            *index != usize::from(except) && !task.runs.iter().any(|run| self.is_at_work(run, now))
         });
         missing.count()
     }
+
+    fn is_at_work(&self, run: &RunEntry, now: TimePoint) -> bool {
+        let worker = &self.workers[run.worker];
+        let is_fresh = worker
+            .heard
+            .is_some_and(|heard| now.since(heard) <= self.policy.list_age);
+        is_fresh && !worker.is_silent && run.state == RunState::Running && run.percent >= 100.0
+    }
 }
--- a/crates/core/src/jobs/dispatcher/runs.rs
+++ b/crates/core/src/jobs/dispatcher/runs.rs
@@ -121,6 +121,7 @@
         let entry = &mut self.workers[key];
         entry.boot = None;
         entry.held = None;
+        entry.heard = None;
         entry.is_evacuating = false;
         entry.has_strangers = false;
         entry.health = HealthRecord::default();
--- a/crates/core/src/jobs/worker_entry.rs
+++ b/crates/core/src/jobs/worker_entry.rs
@@ -23,6 +23,8 @@
     pub is_published: bool,
     /// When its newest answer to a hold was requested.
     pub held: Option<TimePoint>,
+    /// When that answer came.
+    pub heard: Option<TimePoint>,
     /// Latest time at which a lease that was granted by any owner ends.
     pub lease_end: TimePoint,
     /// Capacity in use, by runs that exist or may exist.
@@ -48,6 +50,7 @@
             is_silent: false,
             is_published: false,
             held: None,
+            heard: None,
             lease_end,
             used: ResourceAmount::default(),
             runs: HashMap::new(),
--- /dev/null
+++ b/crates/core/tests/disruption_budget.rs
@@ -0,0 +1,78 @@
+//! Planned actions and the disruption budget of a step.
+//!
+//! Load pattern: a rack is lost while instances are emptied for maintenance.
+
+mod jobs;
+
+use jobs::{JobWorld, job, step};
+use sesamedeal_core::ids::InstanceName;
+
+/// Rounds of 50 ms until the tasks are at work and the quiet time after the takeover has passed.
+const SETTLED: usize = 60;
+
+/// A job of three lasting tasks, one a worker, of which planned actions may take out one. The fourth
+/// worker is free.
+fn spread_world() -> JobWorld {
+    let mut world = JobWorld::new(4, 1);
+    let mut lasting = step(3, 500);
+    lasting.is_lasting = true;
+    lasting.max_per_worker = Some(1);
+    lasting.disruption_budget = Some(1);
+    world.submit(1, job(vec![lasting]));
+    world.run(SETTLED);
+    world
+}
+
+/// Workers with a task.
+fn busy_workers(world: &JobWorld) -> Vec<usize> {
+    let workers = world.workers.iter().enumerate();
+    let busy = workers.filter(|(_, worker)| !worker.tasks().is_empty());
+    busy.map(|(index, _)| index).collect()
+}
+
+fn evacuate(world: &mut JobWorld, worker: usize) {
+    let name: InstanceName = world.workers[worker].report.name.clone();
+    world.dispatcher.set_evacuating(&name, true);
+}
+
+/// Guards against a check that passes because nothing is ever moved.
+#[test]
+fn budget_used() {
+    let mut world = spread_world();
+    let busy = busy_workers(&world);
+    evacuate(&mut world, busy[1]);
+    world.run(40);
+    assert!(world.workers[busy[1]].tasks().is_empty(), "not moved");
+    assert_eq!(busy_workers(&world).len(), 3);
+}
+
+/// Guards against a task that is taken out while another of its step is on a worker that does not
+/// answer: until the lease passes, its run was counted as at work.
+#[test]
+fn silent_worker() {
+    let mut world = spread_world();
+    let busy = busy_workers(&world);
+    world.workers[busy[0]].is_reachable = false;
+    world.run(2);
+    evacuate(&mut world, busy[1]);
+    world.run(90);
+    assert!(
+        !world.workers[busy[1]].tasks().is_empty(),
+        "taken out while another task may be gone"
+    );
+}
+
+/// Guards against the same before the call to the lost worker has failed.
+#[test]
+fn unanswered_call() {
+    let mut world = spread_world();
+    let busy = busy_workers(&world);
+    world.workers[busy[0]].is_hanging = true;
+    world.run(24);
+    evacuate(&mut world, busy[1]);
+    world.run(10);
+    assert!(
+        !world.workers[busy[1]].tasks().is_empty(),
+        "taken out on a list that is 1.2 s old"
+    );
+}
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -258,6 +258,9 @@
         let now = self.now;
         let worker = &mut self.workers[index];
         let key = worker.key.unwrap();
+        if worker.is_hanging {
+            return;
+        }
         if !worker.is_reachable {
             self.dispatcher.note_silence(key);
             return;
--- a/crates/core/tests/jobs/sim_worker.rs
+++ b/crates/core/tests/jobs/sim_worker.rs
@@ -20,6 +20,8 @@
     pub report: WorkerReport,
     pub key: Option<WorkerKey>,
     pub is_reachable: bool,
+    /// Whether calls to it have no answer yet.
+    pub is_hanging: bool,
     pub fence: u64,
     pub running: BTreeMap<(TaskName, u64), SimRun>,
     pub ended: Vec<RunEnd>,
@@ -33,6 +35,7 @@
             report: worker_report(number, 1),
             key: None,
             is_reachable: true,
+            is_hanging: false,
             fence: 0,
             running: BTreeMap::new(),
             ended: Vec::new(),
