Pack tasks that end on the fullest worker

Change: tasks that end take the fullest worker with room, as large ones did. A worker that fails what it runs, and so is empty, no longer attracts tasks.

--- a/crates/core/src/jobs/dispatcher/placing.rs
+++ b/crates/core/src/jobs/dispatcher/placing.rs
@@ -45,8 +45,7 @@
     fn reserve(&self, step: StepName, spec: &StepSpec, workers: &mut Vec<WorkerKey>) {
         let suitable = workers.iter().copied().filter(|&key| {
             let entry = &self.workers[key];
-            self.same_step(step, spec, key).is_some()
-                && spec.worker_amount().fits(entry.report.capacity)
+            self.is_suitable(step, spec, key) && spec.worker_amount().fits(entry.report.capacity)
         });
         let freest = suitable.max_by_key(|&key| self.workers[key].room().cpu_millis);
         if let Some(freest) = freest {
@@ -113,7 +112,9 @@
         let offers = workers.iter().filter_map(|&key| {
             let entry = &self.workers[key];
             let labels = &entry.report.labels;
-            let same_step = self.same_step(step, spec, key)?;
+            if !self.is_suitable(step, spec, key) {
+                return None;
+            }
             if needs_ticket {
                 self.ticket(step, key, now)?;
             }
@@ -123,24 +124,24 @@
                 room: entry.room(),
                 capacity: entry.report.capacity,
                 is_near: rack.is_some_and(|rack| labels.contains(rack)),
-                same_step,
                 is_on_trial: entry.health.is_on_trial(),
             })
         });
         choose_worker(spec.worker_amount(), spec.is_lasting, offers)
     }
 
-    /// Tasks of the step on a worker; none if it may not run another one.
-    fn same_step(&self, step: StepName, spec: &StepSpec, key: WorkerKey) -> Option<u16> {
+    /// Whether a worker may run another task of the step, as far as labels and the number of the
+    /// step's tasks go.
+    fn is_suitable(&self, step: StepName, spec: &StepSpec, key: WorkerKey) -> bool {
         let entry = &self.workers[key];
         let required = spec.required_label.as_ref();
         if required.is_some_and(|label| !entry.report.labels.contains(label)) {
-            return None;
+            return false;
         }
-        let same_step = entry.runs.keys().filter(|(task, _)| task.step == step);
-        let same_step = u16::try_from(same_step.count()).unwrap_or(u16::MAX);
-        let is_full = spec.max_per_worker.is_some_and(|most| same_step >= most);
-        (!is_full).then_some(same_step)
+        spec.max_per_worker.is_none_or(|most| {
+            let same_step = entry.runs.keys().filter(|(task, _)| task.step == step);
+            same_step.count() < usize::from(most)
+        })
     }
 
     pub(super) fn start(&mut self, name: TaskName, run: u64, key: WorkerKey, now: TimePoint) {
--- a/crates/core/src/jobs/worker_choice.rs
+++ b/crates/core/src/jobs/worker_choice.rs
@@ -1,15 +1,13 @@
 //! Choice of the worker for a task.
 //!
-//! Load pattern: the turn of a surge, in which a pool is nearly full of tasks of several sizes.
-//! Large tasks take the fullest worker that has room, so that room for the next large task stays in
-//! one piece; small ones spread out, so that one bad worker holds few of them. Tasks that last are
-//! packed by memory, so that the other workers can follow the demand to other pools.
+//! Load pattern: the turn of a surge, in which a pool is nearly full of tasks of several sizes and
+//! then empties within seconds. Tasks that end take the fullest worker that has room: room for the
+//! next large task stays in one piece, a worker that fails what it runs is empty and gets little,
+//! and the other workers empty soon and can follow the demand to other pools. Tasks that last are
+//! packed by memory for the same reason.
 
 use super::ResourceAmount;
 
-/// Share of a worker above which a task counts as large.
-const LARGE_SHARE: f64 = 0.25;
-
 /// A worker that may run a task.
 #[derive(Debug, Clone, Copy)]
 pub struct WorkerOffer<K> {
@@ -21,8 +19,6 @@
     pub capacity: ResourceAmount,
     /// Whether it is on the rack with the data, or on the rack of the step's other tasks.
     pub is_near: bool,
-    /// Tasks of the same step that it runs.
-    pub same_step: u16,
     /// Whether it is on trial after failures.
     pub is_on_trial: bool,
 }
@@ -37,21 +33,15 @@
     let best = fitting.min_by(|one, other| {
         let order = one.is_on_trial.cmp(&other.is_on_trial);
         let order = order.then(other.is_near.cmp(&one.is_near));
-        order.then(cost(amount, is_lasting, one).total_cmp(&cost(amount, is_lasting, other)))
+        order.then(cost(is_lasting, one).total_cmp(&cost(is_lasting, other)))
     });
     best.map(|offer| offer.key)
 }
 
 #[expect(clippy::cast_precision_loss, reason = "amounts are far below 2^52")]
-fn cost<K>(amount: ResourceAmount, is_lasting: bool, offer: &WorkerOffer<K>) -> f64 {
+fn cost<K>(is_lasting: bool, offer: &WorkerOffer<K>) -> f64 {
     if is_lasting {
         return offer.room.memory_mb as f64 / offer.capacity.memory_mb.max(1) as f64;
     }
-    let capacity = offer.capacity.cpu_millis.max(1) as f64;
-    let free = offer.room.cpu_millis as f64 / capacity;
-    if amount.cpu_millis as f64 / capacity >= LARGE_SHARE {
-        free
-    } else {
-        f64::from(offer.same_step) - free
-    }
+    offer.room.cpu_millis as f64 / offer.capacity.cpu_millis.max(1) as f64
 }
