Change the owner without waiting for the expiry

Change: each entry instance watches the process of the owner over a TCP connection. When it breaks and the address refuses a new one, the process has ended and the ownership is vacant. An owner whose writes fail (three in a row, or one after 1 s without a renewal) offers the ownership over these connections; a peer that reads the store within 100 ms takes it. While offering, the owner gives no orders for instances. A stopping instance no longer takes the ownership, and instances that were started lately go first, so that a restart in turn needs fewer changes. Tests hand_over::killed_owner and ::refused_owner failed without the watch; ::store_down checks that nothing changes hands in an outage for all.

A machine without power still costs the 2 s of the expiry.

--- a/crates/jobs/src/job_node.rs
+++ b/crates/jobs/src/job_node.rs
@@ -9,8 +9,8 @@
 
 use crate::feeds::IntentFollower;
 use crate::owner::{OwnerLoop, OwnerPolicy, PulseView};
-use crate::ports::{AdvicePort, FleetPort, RowPort, StorePort, WorkerPort};
-use crate::{DeploymentView, JobDesk, JobMetrics, StoreHealth};
+use crate::ports::{AdvicePort, FleetPort, PeerPort, RowPort, StorePort, WorkerPort};
+use crate::{BootClock, DeploymentView, JobDesk, JobMetrics, StoreHealth};
 
 /// What a [`JobNode`] is built from.
 #[derive(Debug)]
@@ -25,6 +25,8 @@
     pub fleet: FleetPort,
     /// The policy service of queues that need tickets, if there is one.
     pub advice: Option<AdvicePort>,
+    /// The other entry instances.
+    pub peers: PeerPort,
     /// Formats of rows of other writers.
     pub rows: RowPort,
     /// Times of the owner.
@@ -92,11 +94,13 @@
             fleet: parts.fleet,
             advice: parts.advice,
             rows: parts.rows,
+            peers: parts.peers,
             view: view.clone(),
             waves,
             pulse,
             metrics: metrics.clone(),
             logger,
+            started: BootClock.now(),
             stopping: stopped,
         };
         owner.spawn(contender.run());
--- a/crates/jobs/src/owner/mod.rs
+++ b/crates/jobs/src/owner/mod.rs
@@ -2,6 +2,7 @@
 
 mod advice_desk;
 mod call_sender;
+mod hand_over;
 mod inventory_view;
 mod job_intake;
 mod owner_actor;
@@ -10,6 +11,7 @@
 mod owner_loop;
 mod owner_policy;
 mod owner_rows;
+mod owner_watch;
 mod pool_keeper;
 mod pulse_view;
 mod record_keeping;
@@ -17,6 +19,7 @@
 mod stored_states;
 mod table_intake;
 mod takeover;
+mod takeover_kind;
 mod wave_keeper;
 mod wave_orders;
 mod worker_calls;
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -9,6 +9,7 @@
 use xtra::{Actor, Context, Handler};
 
 use super::call_sender::CallSender;
+use super::hand_over::HandOver;
 use super::inventory_view::InventoryView;
 use super::job_intake::JobIntake;
 use super::owner_lease::OwnerLease;
@@ -17,7 +18,7 @@
 use super::wave_keeper::WaveKeeper;
 use super::worker_links::WorkerLinks;
 use super::{OwnerEvent, OwnerPolicy, PulseView};
-use crate::ports::{AdvicePort, FleetPort, RowPort, StorePort};
+use crate::ports::{AdvicePort, FleetPort, PeerPort, RowPort, StorePort};
 use crate::{BootClock, DeploymentView, JobMetrics};
 
 /// Time between two log lines about the load of a pool.
@@ -33,6 +34,7 @@
     pub store: StorePort,
     pub fleet: FleetPort,
     pub advice: Option<AdvicePort>,
+    pub peers: PeerPort,
     pub rows: RowPort,
     pub view: DeploymentView,
     pub pulse: PulseView,
@@ -52,6 +54,7 @@
     pub(super) pools: PoolKeeper,
     pub(super) intake: JobIntake,
     pub(super) links: WorkerLinks,
+    pub(super) hand_over: HandOver,
     pub(super) version: u64,
     pub(super) write_after: TimePoint,
     pub(super) loads_logged: TimePoint,
@@ -86,6 +89,7 @@
             pools: PoolKeeper::new(SizingPolicy::default(), &surges),
             intake,
             links: WorkerLinks::default(),
+            hand_over: HandOver::default(),
             version: 0,
             write_after: TimePoint::ORIGIN,
             loads_logged: TimePoint::ORIGIN,
@@ -122,6 +126,7 @@
             self.log_loads(now);
         }
         self.write(now);
+        self.offer_ownership(now);
         self.parts
             .metrics
             .set_open_jobs(self.dispatcher.open_jobs());
@@ -191,6 +196,7 @@
                 self.close_links();
             }
             OwnerEvent::Retire => self.retire(),
+            OwnerEvent::Offered(outcome) => self.take_offered(outcome),
             OwnerEvent::Jobs(event) => self.take_jobs(event),
             OwnerEvent::Workers(event) => self.take_workers(event),
             OwnerEvent::Held {
--- a/crates/jobs/src/owner/owner_event.rs
+++ b/crates/jobs/src/owner/owner_event.rs
@@ -16,6 +16,8 @@
     Jobs(TableEvent),
     /// The list of workers changed.
     Workers(TableEvent),
+    /// Entry instances answered the offer of the ownership: whether one has taken it.
+    Offered(Result<bool>),
     /// A worker answered a call for its lists, or did not.
     Held {
         key: WorkerKey,
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -4,7 +4,8 @@
 use sesamedeal_core::ids::{InstanceName, SessionId};
 use sesamedeal_core::jobs::{DispatchPolicy, FleetRules, JobDispatcher};
 use sesamedeal_core::lease::{LeaseAction, LeaseCandidate, LeasePolicy};
-use slog::{Logger, info, o, warn};
+use sesamedeal_core::time::TimePoint;
+use slog::{Logger, debug, info, o, warn};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use xtra::Mailbox;
@@ -14,12 +15,16 @@
 use super::owner_actor::{OwnerActor, OwnerParts};
 use super::owner_lease::OwnerLease;
 use super::owner_rows::OwnerRows;
+use super::owner_watch::OwnerWatch;
 use super::record_writer::RecordWriter;
+use super::takeover_kind::TakeoverKind;
 use super::wave_keeper::WaveKeeper;
 use super::{OwnerEvent, OwnerPolicy, PulseView};
 use crate::feeds::{TableEvent, TableFollower, WaveList};
-use crate::ports::{AdvicePort, FleetPort, RowPort, StorePort, StoreTable, WorkerPort};
-use crate::row_codec::{EpochRow, PulseRow, SEQUENCE_KEY, decode};
+use crate::ports::{
+    AdvicePort, FleetPort, HandOverOffer, PeerPort, RowPort, StorePort, StoreTable, WorkerPort,
+};
+use crate::row_codec::{PulseRow, SEQUENCE_KEY, decode};
 use crate::{BootClock, DeploymentView, JobMetrics, StoreHealth};
 
 /// Events that may wait for the owner.
@@ -34,9 +39,32 @@
 /// Time in which a retiring owner extends leases and stores what it knows.
 const RETIRE_TIME: Duration = Duration::from_millis(150);
 
+/// Offers of the ownership, or owners whose process has ended, that may wait.
+const PEER_QUEUE: usize = 1;
+
+/// Pause after a failed attempt to take the ownership.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Longest time for reading the ownership within which this instance accepts an offer. An owner
+/// that has a slow store would gain nothing from a successor with a slow store.
+const OFFER_READ_LIMIT: Duration = Duration::from_millis(100);
+
 /// Pause after a failed attempt to read what the owner needs.
 pub(super) const READ_PAUSE: Duration = Duration::from_millis(150);
 
+/// What the loop reacts to.
+#[derive(Debug)]
+enum LoopStep {
+    /// Rows of the ownership changed.
+    Rows(TableEvent),
+    /// The process of the owner under an epoch has ended.
+    Gone(u64),
+    /// The owner offers the ownership.
+    Offered(HandOverOffer),
+    /// It is time to look at the ownership.
+    Look,
+}
+
 /// Competes for the ownership of the pools and exercises it.
 #[derive(Debug)]
 pub struct OwnerLoop {
@@ -50,11 +78,14 @@
     pub(crate) fleet: FleetPort,
     pub(crate) advice: Option<AdvicePort>,
     pub(crate) rows: RowPort,
+    pub(crate) peers: PeerPort,
     pub(crate) view: DeploymentView,
     pub(crate) waves: WaveList,
     pub(crate) pulse: PulseView,
     pub(crate) metrics: JobMetrics,
     pub(crate) logger: Logger,
+    /// When this process was started.
+    pub(crate) started: TimePoint,
     /// Whether the process is stopping.
     pub(crate) stopping: watch::Receiver<bool>,
 }
@@ -77,79 +108,148 @@
         };
         let mut candidate = LeaseCandidate::new(self.session, policy);
         let mut is_read = false;
+        let mut retry_after = TimePoint::ORIGIN;
+        let (offered, mut offers) = mpsc::channel(PEER_QUEUE);
+        let (ended, mut gone) = mpsc::channel(PEER_QUEUE);
+        let logger = self.logger.clone();
+        let mut watch = OwnerWatch::new(self.peers.clone(), offered, ended, logger);
         let mut looks = interval(LOOK_PERIOD);
         looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut stopping = self.stopping.clone();
         loop {
-            tokio::select! {
-                Some(event) = events.recv() => {
-                    let (TableEvent::Snapshot(changed) | TableEvent::Changes(changed)) = event;
-                    is_read = true;
-                    for row in &changed {
-                        rows.take(row, &self.logger);
-                    }
-                    self.publish(&rows);
-                }
-                _ = looks.tick() => {}
+            let step = tokio::select! {
+                Some(event) = events.recv() => LoopStep::Rows(event),
+                Some(epoch) = gone.recv() => LoopStep::Gone(epoch),
+                Some(offer) = offers.recv() => LoopStep::Offered(offer),
+                _ = looks.tick() => LoopStep::Look,
                 _ = stopping.wait_for(|stopping| *stopping) => break,
-            }
+            };
             if *self.stopping.borrow() {
                 // Several branches can be ready, and a stopping process takes nothing over.
                 break;
             }
+            let mut is_gone = false;
+            match step {
+                LoopStep::Rows(event) => {
+                    is_read = true;
+                    self.take_rows(event, &mut rows);
+                    // Rows that came while this process owned the pools have waited.
+                    while let Ok(event) = events.try_recv() {
+                        self.take_rows(event, &mut rows);
+                    }
+                }
+                LoopStep::Gone(epoch) => is_gone = rows.is_held(epoch),
+                LoopStep::Offered(offer) => self.take_offer(&mut rows, offer).await,
+                LoopStep::Look => {}
+            }
             if !is_read || self.view.load().is_none() {
                 continue;
             }
+            if let Some((epoch, _)) = &rows.epoch {
+                watch.follow(epoch.epoch, epoch.address);
+            }
             let record = rows.record();
             let action = candidate.step(record.as_ref(), BootClock.now());
-            let is_vacant = rows.epoch.as_ref().is_none_or(|(epoch, _)| {
-                // An earlier process of this instance has ended, and this one does not lead here.
-                epoch.is_released || epoch.node == self.node
-            });
-            if is_vacant || matches!(action, LeaseAction::Acquire(_)) {
-                self.try_lead(&mut rows, !is_vacant).await;
+            let is_vacant = is_gone
+                || rows.epoch.as_ref().is_none_or(|(epoch, _)| {
+                    // An earlier process of this instance has ended, and this one does not lead here.
+                    epoch.is_released || epoch.node == self.node
+                });
+            let is_free = is_vacant || matches!(action, LeaseAction::Acquire(_));
+            if is_free && retry_after <= BootClock.now() {
+                let kind = if is_vacant {
+                    TakeoverKind::Vacant
+                } else {
+                    TakeoverKind::Expired
+                };
+                if !self.try_lead(&mut rows, kind).await {
+                    retry_after = BootClock.now().after(RETRY_PAUSE);
+                }
                 candidate = LeaseCandidate::new(self.session, policy);
             }
         }
         follower.abort();
     }
 
-    fn publish(&self, rows: &OwnerRows) {
+    /// Takes rows of the ownership, and publishes the newest sign of life.
+    fn take_rows(&self, event: TableEvent, rows: &mut OwnerRows) {
+        let (TableEvent::Snapshot(changed) | TableEvent::Changes(changed)) = event;
+        for row in &changed {
+            rows.take(row, &self.logger);
+        }
         if let Some(pulse) = &rows.pulse {
             self.pulse.set(pulse.clone());
         }
     }
 
-    /// Takes the ownership, if nobody has renewed it since, and exercises it.
-    async fn try_lead(&mut self, rows: &mut OwnerRows, is_expired: bool) {
+    /// Takes the ownership, if nobody has renewed it since, and exercises it; false if the store
+    /// failed or another instance was first.
+    async fn try_lead(&mut self, rows: &mut OwnerRows, kind: TakeoverKind) -> bool {
         if !self.confirm(rows).await {
-            return;
+            return false;
         }
-        let sent = BootClock.now();
-        let (lease, pulse) = match self.acquire(rows, sent).await {
-            Ok(Some(taken)) => taken,
-            Ok(None) => return,
+        let Some((lease, pulse)) = self.take(rows).await else {
+            return false;
+        };
+        self.exercise(rows, lease, pulse, kind).await;
+        true
+    }
+
+    /// Takes the ownership that another entry instance offers, and exercises it.
+    async fn take_offer(&mut self, rows: &mut OwnerRows, offer: HandOverOffer) {
+        let begin = tokio::time::Instant::now();
+        let is_known = match self.read_rows(rows).await {
+            Ok(()) => rows.is_held(offer.epoch) && begin.elapsed() < OFFER_READ_LIMIT,
             Err(error) => {
-                warn!(self.logger, "ownership not taken"; "error" => %error);
-                return;
+                warn!(self.logger, "ownership not read"; "error" => %error);
+                false
             }
         };
+        let taken = if is_known {
+            self.take(rows).await
+        } else {
+            None
+        };
+        info!(self.logger, "ownership offered to this instance"; "epoch" => offer.epoch, "is_taken" => taken.is_some());
+        if offer.reply.send(taken.is_some()).is_err() {
+            debug!(self.logger, "the connection of the offer has ended"; "epoch" => offer.epoch);
+        }
+        if let Some((lease, pulse)) = taken {
+            let kind = TakeoverKind::HandedOver;
+            self.exercise(rows, lease, pulse, kind).await;
+        }
+    }
+
+    async fn take(&self, rows: &OwnerRows) -> Option<(OwnerLease, Option<PulseRow>)> {
+        if *self.stopping.borrow() {
+            return None;
+        }
+        match self.acquire(rows, BootClock.now()).await {
+            Ok(taken) => taken,
+            Err(error) => {
+                warn!(self.logger, "ownership not taken"; "error" => %error);
+                None
+            }
+        }
+    }
+
+    /// Owns the pools until the ownership is lost.
+    async fn exercise(
+        &mut self,
+        rows: &mut OwnerRows,
+        lease: OwnerLease,
+        pulse: Option<PulseRow>,
+        kind: TakeoverKind,
+    ) {
         let logger = self.logger.new(o!("epoch" => lease.epoch));
-        info!(logger, "ownership taken"; "is_expired" => is_expired, "row" => lease.version);
+        info!(logger, "ownership taken"; "kind" => ?kind, "row" => lease.version);
         self.metrics.set_epoch(lease.epoch);
-        self.lead(lease.clone(), pulse, is_expired, logger).await;
+        self.lead(lease.clone(), pulse, kind, logger).await;
         self.metrics.set_epoch(0);
         // The rows that were read before are stale; the follower brings the present ones.
+        let row = self.epoch_row(lease.epoch, false);
         *rows = OwnerRows {
-            epoch: Some((
-                EpochRow {
-                    epoch: lease.epoch,
-                    holder: self.session,
-                    node: self.node.clone(),
-                    is_released: false,
-                },
-                lease.version,
-            )),
+            epoch: Some((row, lease.version)),
             pulse: None,
         };
     }
@@ -158,11 +258,15 @@
         &mut self,
         lease: OwnerLease,
         pulse: Option<PulseRow>,
-        is_expired: bool,
+        kind: TakeoverKind,
         logger: Logger,
     ) {
         let Some(((states, ended), writer_rows)) = self.read_records(&lease, &logger).await else {
             warn!(logger, "ownership lost"; "reason" => "the records could not be read in time");
+            lease.lose();
+            if *self.stopping.borrow() {
+                self.release(&lease, &logger).await;
+            }
             return;
         };
         let now = BootClock.now();
@@ -171,12 +275,7 @@
             .load()
             .map(|deployment| Arc::clone(&deployment.rules));
         let rules = rules.unwrap_or_else(|| Arc::new(FleetRules::default()));
-        let wait = if is_expired {
-            // The earlier owner may extend leases for a while after its last renewal.
-            self.policy.extension.saturating_sub(self.policy.expiry)
-        } else {
-            Duration::ZERO
-        };
+        let wait = kind.extension(&self.policy);
         let out_of_reach = pulse
             .as_ref()
             .map(|pulse| pulse.out_of_reach.clone())
@@ -228,6 +327,7 @@
             store: self.store.clone(),
             fleet: self.fleet.clone(),
             advice: self.advice.clone(),
+            peers: self.peers.clone(),
             rows: self.rows,
             view: self.view.clone(),
             pulse: self.pulse.clone(),
--- a/crates/jobs/src/owner/owner_rows.rs
+++ b/crates/jobs/src/owner/owner_rows.rs
@@ -23,6 +23,12 @@
         }
     }
 
+    /// Whether the ownership is held under an epoch.
+    pub(super) fn is_held(&self, epoch: u64) -> bool {
+        let row = self.epoch.as_ref();
+        row.is_some_and(|(row, _)| row.epoch == epoch && !row.is_released)
+    }
+
     pub(super) fn record(&self) -> Option<LeaseRecord> {
         let (epoch, _) = self.epoch.as_ref()?;
         let pulse = self.pulse.as_ref();
--- /dev/null
+++ b/crates/jobs/src/owner/owner_watch.rs
@@ -0,0 +1,89 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use slog::{Logger, debug, info};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use crate::ports::{HandOverOffer, PeerPort, WatchCall, WatchEnd};
+
+/// Pause before an owner is watched again after the connection to it has ended.
+const WATCH_PAUSE: Duration = Duration::from_millis(30);
+
+/// Watches the process of the present owner.
+#[derive(Debug)]
+pub(super) struct OwnerWatch {
+    peers: PeerPort,
+    offers: mpsc::Sender<HandOverOffer>,
+    gone: mpsc::Sender<u64>,
+    logger: Logger,
+    epoch: u64,
+    task: Option<JoinHandle<()>>,
+}
+
+impl OwnerWatch {
+    /// `offers` takes what owners offer, `gone` the epochs whose owner's process has ended.
+    pub(super) const fn new(
+        peers: PeerPort,
+        offers: mpsc::Sender<HandOverOffer>,
+        gone: mpsc::Sender<u64>,
+        logger: Logger,
+    ) -> Self {
+        Self {
+            peers,
+            offers,
+            gone,
+            logger,
+            epoch: 0,
+            task: None,
+        }
+    }
+
+    /// Watches the owner under `epoch` in place of an earlier one.
+    pub(super) fn follow(&mut self, epoch: u64, address: SocketAddr) {
+        if epoch == self.epoch || address == self.peers.own {
+            return;
+        }
+        if let Some(task) = self.task.take() {
+            task.abort();
+        }
+        self.epoch = epoch;
+        let watch = watch_owner(
+            self.peers.clone(),
+            WatchCall {
+                address,
+                offers: self.offers.clone(),
+            },
+            epoch,
+            self.gone.clone(),
+            self.logger.clone(),
+        );
+        self.task = Some(tokio::spawn(watch));
+    }
+}
+
+impl Drop for OwnerWatch {
+    fn drop(&mut self) {
+        if let Some(task) = self.task.take() {
+            task.abort();
+        }
+    }
+}
+
+async fn watch_owner(
+    peers: PeerPort,
+    call: WatchCall,
+    epoch: u64,
+    gone: mpsc::Sender<u64>,
+    logger: Logger,
+) {
+    let address = call.address;
+    while !matches!((peers.watch)(call.clone()).await, Ok(WatchEnd::Gone)) {
+        sleep(WATCH_PAUSE).await;
+    }
+    info!(logger, "process of the owner has ended"; "epoch" => epoch, "address" => %address);
+    if gone.send(epoch).await.is_err() {
+        debug!(logger, "this instance no longer competes"; "epoch" => epoch);
+    }
+}
--- a/crates/jobs/src/owner/record_keeping.rs
+++ b/crates/jobs/src/owner/record_keeping.rs
@@ -89,6 +89,7 @@
         match outcome {
             Ok(TransactOutcome::Committed { version }) => {
                 self.writer.commit(version, sent);
+                self.hand_over.failures = 0;
                 let rows = self.writer.take_sent();
                 self.note_wave_rows(&rows);
                 self.dispatcher.note_stored(batch, BootClock.now());
@@ -115,6 +116,7 @@
                 self.writer.fail();
                 self.writer.pulsed = TimePoint::ORIGIN;
                 self.write_after = BootClock.now().after(WRITE_RETRY);
+                self.hand_over.failures += 1;
                 let kind = match error {
                     PlatformError::NoAnswer { .. } => "no-answer",
                     PlatformError::Unreachable { .. } => "unreachable",
--- a/crates/jobs/src/owner/takeover.rs
+++ b/crates/jobs/src/owner/takeover.rs
@@ -1,5 +1,7 @@
 //! Taking the ownership and giving it up.
 
+use std::time::Duration;
+
 use sesamedeal_core::time::TimePoint;
 use sesamedeal_store::Result;
 use slog::{Logger, info, warn};
@@ -9,6 +11,7 @@
 use super::owner_loop::{LOOK_PERIOD, OwnerLoop, READ_PAUSE};
 use super::owner_rows::OwnerRows;
 use super::record_writer::{condition, put};
+use crate::BootClock;
 use crate::feeds::read_table;
 use crate::ports::{RowChange, RowName, StoreTable, TransactOutcome};
 use crate::row_codec::{EPOCH_KEY, EpochRow, PulseRow, encode};
@@ -17,6 +20,12 @@
 /// takes for a read. About eight entry instances compete.
 const CONTENTION_SPREAD: f64 = 4.0;
 
+/// Age from which instances count as equally old. A restart of about eight in turn takes a minute.
+const SENIOR_AGE: Duration = Duration::from_secs(60);
+
+/// Pause of the oldest instances before an attempt. A change of the ownership takes about 20 ms.
+const SENIORITY_PAUSE: Duration = Duration::from_millis(120);
+
 impl OwnerLoop {
     /// Whether the rows are still as the follower saw them, after a pause at random. The follower
     /// may have been cut off, and a slow store has no room for the attempts of all candidates.
@@ -27,20 +36,23 @@
         }
         let pause = begin
             .elapsed()
-            .mul_f64(CONTENTION_SPREAD * rand::random::<f64>());
+            .mul_f64(CONTENTION_SPREAD * rand::random::<f64>())
+            + self.seniority_pause();
         sleep(pause).await;
         pause < LOOK_PERIOD || self.is_unchanged(rows).await
     }
 
+    /// Pause that lets instances which were started lately go first. While the instances are
+    /// restarted in turn, they are the ones that stay.
+    fn seniority_pause(&self) -> Duration {
+        let age = BootClock.now().since(self.started).min(SENIOR_AGE);
+        SENIORITY_PAUSE.mul_f64(age.as_secs_f64() / SENIOR_AGE.as_secs_f64())
+    }
+
     pub(super) async fn is_unchanged(&self, rows: &mut OwnerRows) -> bool {
         let before = rows.record();
-        match read_table(&self.store, StoreTable::Owner).await {
-            Ok((read, _)) => {
-                for row in &read {
-                    rows.take(row, &self.logger);
-                }
-                rows.record() == before
-            }
+        match self.read_rows(rows).await {
+            Ok(()) => rows.record() == before,
             Err(error) => {
                 warn!(self.logger, "ownership not read"; "error" => %error);
                 false
@@ -48,6 +60,25 @@
         }
     }
 
+    pub(super) async fn read_rows(&self, rows: &mut OwnerRows) -> Result<()> {
+        let (read, _) = read_table(&self.store, StoreTable::Owner).await?;
+        for row in &read {
+            rows.take(row, &self.logger);
+        }
+        Ok(())
+    }
+
+    /// Row of an epoch of this process.
+    pub(super) fn epoch_row(&self, epoch: u64, is_released: bool) -> EpochRow {
+        EpochRow {
+            epoch,
+            holder: self.session,
+            node: self.node.clone(),
+            address: self.peers.own,
+            is_released,
+        }
+    }
+
     pub(super) async fn acquire(
         &self,
         rows: &OwnerRows,
@@ -56,12 +87,7 @@
         let known = rows.epoch.as_ref();
         let epoch = known.map_or(0, |(row, _)| row.epoch) + 1;
         let version = known.map_or(0, |(_, version)| *version);
-        let row = EpochRow {
-            epoch,
-            holder: self.session,
-            node: self.node.clone(),
-            is_released: false,
-        };
+        let row = self.epoch_row(epoch, false);
         let change = RowChange {
             conditions: vec![condition(StoreTable::Owner, EPOCH_KEY, version)],
             puts: vec![put(
@@ -83,11 +109,8 @@
 
     /// Version of the epoch row if this process holds `epoch`.
     pub(super) async fn find_taken(&self, epoch: u64) -> Result<Option<u64>> {
-        let (read, _) = read_table(&self.store, StoreTable::Owner).await?;
         let mut rows = OwnerRows::default();
-        for row in &read {
-            rows.take(row, &self.logger);
-        }
+        self.read_rows(&mut rows).await?;
         let own = rows
             .epoch
             .filter(|(row, _)| row.epoch == epoch && row.holder == self.session);
@@ -97,12 +120,7 @@
     /// Lets another entry instance take the ownership at once. A repetition after a release that
     /// took effect finds another version and changes nothing.
     pub(super) async fn release(&self, lease: &OwnerLease, logger: &Logger) {
-        let row = EpochRow {
-            epoch: lease.epoch,
-            holder: self.session,
-            node: self.node.clone(),
-            is_released: true,
-        };
+        let row = self.epoch_row(lease.epoch, true);
         let change = RowChange {
             conditions: vec![condition(StoreTable::Owner, EPOCH_KEY, lease.version)],
             puts: vec![put(
--- /dev/null
+++ b/crates/jobs/src/owner/takeover_kind.rs
@@ -0,0 +1,26 @@
+use std::time::Duration;
+
+use super::OwnerPolicy;
+
+/// How an ownership came free.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum TakeoverKind {
+    /// It was released, or the process of its holder has ended.
+    Vacant,
+    /// It was not renewed. The holder may live.
+    Expired,
+    /// The holder has offered it.
+    HandedOver,
+}
+
+impl TakeoverKind {
+    /// Time for which the earlier holder may go on to extend leases.
+    pub(super) const fn extension(self, policy: &OwnerPolicy) -> Duration {
+        match self {
+            Self::Vacant => Duration::ZERO,
+            Self::Expired => policy.extension.saturating_sub(policy.expiry),
+            // The answer to the offer may be lost on its way back.
+            Self::HandedOver => policy.extension,
+        }
+    }
+}
--- a/crates/jobs/src/owner/wave_keeper.rs
+++ b/crates/jobs/src/owner/wave_keeper.rs
@@ -93,7 +93,7 @@
         // Orders for instances are not fenced by the store: they need a fresh renewal.
         let policy = &self.parts.policy;
         let limit = policy.expiry.saturating_sub(policy.renewal);
-        if !self.parts.lease.is_younger(limit) {
+        if !self.parts.lease.is_younger(limit) || self.is_handing_over() {
             return;
         }
         let wanted = self.waves.wanted.load_full();
--- /dev/null
+++ b/crates/jobs/src/peers/peer_watch.rs
@@ -0,0 +1,43 @@
+use std::io::ErrorKind;
+use std::time::Duration;
+
+use futures::{SinkExt, StreamExt};
+use sesamedeal_store::Result;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::peer_message::{PeerMessage, framed};
+use crate::ports::{HandOverOffer, WatchCall, WatchEnd};
+
+/// Time within which a connection is made. A machine without power does not answer at all.
+const CONNECT_DEADLINE: Duration = Duration::from_millis(500);
+
+/// Watches an owner until the connection ends, and passes its offers on.
+pub(super) async fn watch(call: WatchCall) -> Result<WatchEnd> {
+    let stream = match timeout(CONNECT_DEADLINE, TcpStream::connect(call.address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            return Ok(WatchEnd::Gone);
+        }
+        Ok(Err(_)) | Err(_) => return Ok(WatchEnd::Unknown),
+    };
+    let mut frames = framed(stream);
+    while let Some(Ok(frame)) = frames.next().await {
+        let Ok(PeerMessage::Offer { epoch }) = PeerMessage::decode(&frame) else {
+            break;
+        };
+        let (reply, answer) = oneshot::channel();
+        // A receiver that is gone or busy takes nothing over.
+        let is_sent = call.offers.try_send(HandOverOffer { epoch, reply }).is_ok();
+        let is_taken = is_sent && answer.await.unwrap_or(false);
+        let answer = PeerMessage::Answer { epoch, is_taken };
+        let Ok(answer) = answer.encode() else {
+            break;
+        };
+        if frames.send(answer).await.is_err() {
+            break;
+        }
+    }
+    Ok(WatchEnd::Unknown)
+}
--- a/crates/jobs/src/ports/mod.rs
+++ b/crates/jobs/src/ports/mod.rs
@@ -1,8 +1,9 @@
-//! What the runtime needs from outside: the store, the workers, the instances and the formats of
-//! rows that others write. Each port is a plain struct of closures.
+//! What the runtime needs from outside: the store, the workers, the instances, the other entry
+//! instances and the formats of rows that others write. Each port is a plain struct of closures.
 
 mod advice_port;
 mod fleet_port;
+mod peer_port;
 mod row_port;
 mod store_port;
 mod worker_port;
@@ -14,6 +15,7 @@
 
 pub use advice_port::{AdviceAnswer, AdviceCall, AdvicePort};
 pub use fleet_port::{FleetPort, InstanceOrder, InstanceReport, InstanceState, OrderOutcome};
+pub use peer_port::{HandOverOffer, PeerPort, WatchCall, WatchEnd};
 pub use row_port::{IntentRow, RowPort, RowProblem};
 pub use store_port::{
     FollowPage, FollowRequest, RowChange, RowCondition, RowName, RowPage, RowPut, RowRange,
--- a/crates/jobs/src/row_codec.rs
+++ b/crates/jobs/src/row_codec.rs
@@ -1,5 +1,7 @@
 //! Rows of our own, in MessagePack.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -27,6 +29,8 @@
     pub holder: SessionId,
     /// Entry instance of the holder.
     pub node: InstanceName,
+    /// Where the holder's process is watched.
+    pub address: SocketAddr,
     /// Whether the holder has given the ownership up.
     pub is_released: bool,
 }
--- a/crates/jobs/tests/common/memory_store.rs
+++ b/crates/jobs/tests/common/memory_store.rs
@@ -56,6 +56,14 @@
         }
     }
 
+    /// The same store for a client that can be turned away by itself.
+    pub fn separate_access(&self) -> Self {
+        Self {
+            is_down: Arc::default(),
+            ..self.clone()
+        }
+    }
+
     /// Writes a row as another writer does.
     pub fn put(&self, table: StoreTable, key: &str, value: &[u8]) {
         self.apply(table, key.into(), Bytes::copy_from_slice(value), false);
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -6,6 +6,7 @@
 mod memory_workers;
 
 use std::collections::HashMap;
+use std::ops::Deref;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,8 +19,11 @@
 use sesamedeal_jobs::ports::{IntentRow, RowPort, RowProblem, StoreRow, StoreTable};
 use sesamedeal_jobs::{
     Deployment, JobNode, NodeParts, OwnerPolicy, QueueRoute, StatusOutcome, SubmitOutcome,
+    WatcherList, peer_port,
 };
 use slog::{Discard, Logger, o};
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
 pub use memory_fleet::MemoryFleet;
@@ -55,10 +59,23 @@
         stage
     }
 
-    pub fn node(&self, name: &str) -> JobNode {
-        JobNode::start(NodeParts {
+    pub fn node(&self, name: &str) -> StageNode {
+        self.node_with(name, &self.store)
+    }
+
+    /// An entry instance with an access to the store of its own.
+    pub fn node_with(&self, name: &str, store: &MemoryStore) -> StageNode {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let address = listener.local_addr().unwrap();
+        let watchers = WatcherList::default();
+        let peers = peer_port(address, &watchers);
+        let logger = Logger::root(Discard, o!());
+        let mut watched = JoinSet::new();
+        watched.spawn(watchers.serve(TcpListener::from_std(listener).unwrap(), logger.clone()));
+        let node = JobNode::start(NodeParts {
             node: InstanceName::new(name),
-            store: self.store.port(),
+            store: store.port(),
             workers: self.workers.port(),
             fleet: self.fleet.port(),
             advice: None,
@@ -71,8 +88,37 @@
             },
             policy: OwnerPolicy::default(),
             dispatch: DispatchPolicy::default(),
-            logger: Logger::root(Discard, o!()),
-        })
+            peers,
+            logger,
+        });
+        StageNode { node, watched }
+    }
+}
+
+/// An entry instance with the address at which others watch it. Both end when it is dropped, as
+/// they do when a process ends.
+pub struct StageNode {
+    node: JobNode,
+    watched: JoinSet<()>,
+}
+
+impl StageNode {
+    /// Hands over, as at the end of a process that is asked to stop.
+    pub async fn hand_over(&mut self) {
+        self.node.hand_over().await;
+    }
+
+    /// Ends nothing but the work, so that the process seems to live: it is suspended.
+    pub fn suspend(self) -> JoinSet<()> {
+        self.watched
+    }
+}
+
+impl Deref for StageNode {
+    type Target = JobNode;
+
+    fn deref(&self) -> &JobNode {
+        &self.node
     }
 }
 
--- /dev/null
+++ b/crates/jobs/tests/hand_over.rs
@@ -0,0 +1,82 @@
+//! Changes of the ownership that do not wait for its expiry.
+
+mod common;
+
+use std::collections::HashSet;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use common::{Stage, StageNode, job, phase, submit, wait_until};
+use sesamedeal_core::jobs::JobPhase;
+use tokio::time::{Instant, sleep};
+
+/// Time within which another entry instance works. An ownership expires after 2 s.
+const PROMPT: Duration = Duration::from_millis(1_200);
+
+/// Epochs under which tasks were started.
+fn epochs(stage: &Stage) -> HashSet<u64> {
+    let starts = stage.workers.starts.lock();
+    starts.iter().map(|(_, _, fence)| *fence).collect()
+}
+
+async fn run_job(node: &StageNode, id: u64) {
+    submit(node, id, &job(1, false)).await;
+    wait_until("the job ends", async || {
+        phase(node, id).await == Some(JobPhase::Finished)
+    })
+    .await;
+}
+
+/// Guards against pools that stand still for the time of the expiry when the owner's process is
+/// killed, although its machine refuses connections.
+#[tokio::test]
+async fn killed_owner() {
+    let stage = Stage::new(1);
+    let first = stage.node("entry-1");
+    run_job(&first, 1).await;
+    let second = stage.node("entry-2");
+    run_job(&second, 2).await;
+    let begin = Instant::now();
+    drop(first);
+    run_job(&second, 3).await;
+    assert!(begin.elapsed() < PROMPT, "{:?}", begin.elapsed());
+    assert_eq!(epochs(&stage), HashSet::from([1, 2]));
+}
+
+/// Guards against pools that stand still while the store turns only the owner away.
+#[tokio::test]
+async fn refused_owner() {
+    let stage = Stage::new(2);
+    let access = stage.store.separate_access();
+    let first = stage.node_with("entry-1", &access);
+    run_job(&first, 1).await;
+    let second = stage.node("entry-2");
+    run_job(&second, 2).await;
+    *stage.workers.lasting.lock() = true;
+    submit(&second, 3, &job(4, true)).await;
+    wait_until("four tasks run", async || stage.workers.running() == 4).await;
+    let starts = stage.workers.starts.lock().len();
+    let begin = Instant::now();
+    access.is_down.store(true, Ordering::Release);
+    submit(&second, 4, &job(2, true)).await;
+    wait_until("six tasks run", async || stage.workers.running() == 6).await;
+    assert!(begin.elapsed() < PROMPT, "{:?}", begin.elapsed());
+    let after = stage.workers.starts.lock().len();
+    assert_eq!(after, starts + 2, "a task was started again");
+    assert_eq!(epochs(&stage), HashSet::from([1, 2]));
+}
+
+/// Guards against an ownership that changes hands when the store turns everybody away.
+#[tokio::test]
+async fn store_down() {
+    let stage = Stage::new(1);
+    let first = stage.node("entry-1");
+    run_job(&first, 1).await;
+    let second = stage.node("entry-2");
+    run_job(&second, 2).await;
+    stage.store.is_down.store(true, Ordering::Release);
+    sleep(Duration::from_millis(1_000)).await;
+    stage.store.is_down.store(false, Ordering::Release);
+    run_job(&second, 3).await;
+    assert_eq!(epochs(&stage), HashSet::from([1]));
+}
--- a/crates/jobs/tests/ownership.rs
+++ b/crates/jobs/tests/ownership.rs
@@ -79,7 +79,8 @@
     })
     .await;
     let second = stage.node("entry-2");
-    drop(first);
+    // Its machine still holds the connections of those who watch it.
+    let _suspended = first.suspend();
     submit(&second, 2, &job(1, false)).await;
     wait_until("the job ends", async || {
         phase(&second, 2).await == Some(JobPhase::Finished)
