Let successors wait only for leases that may still last

Each new owner waited a lease and the extension of its predecessor anew, 12.1 s after a hand-over, although nobody extends the lease of a worker out of reach.

Change: the pulse shows for each worker out of reach how long its last lease may last, and the owner extends no lease of a worker that it has published. An owner that offers its ownership goes on for at most 1.2 s unless it renews or every watcher has refused, so that the successor waits for no more than that. Offers that were read late are refused. Test job_takeover::published_lease failed before (10.6 s after the loss).

--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -24,7 +24,7 @@
 use super::worker_entry::WorkerEntry;
 use super::{
     DispatchPolicy, FleetRules, JobId, JobOrder, JobPhase, JobRecord, ResourceAmount, StepName,
-    TaskName, WorkerKey, WorkerOrder, WorkerReport,
+    WorkerKey, WorkerOrder, WorkerReport,
 };
 use crate::ids::{InstanceName, PoolName, QueueName, TeamName};
 use crate::time::TimePoint;
@@ -43,8 +43,8 @@
     taken: TimePoint,
     /// Until when an earlier owner's leases may last.
     inherited_until: TimePoint,
-    /// Workers that were out of the earlier owner's reach, and all that may run on them.
-    out_of_reach: HashMap<InstanceName, HashSet<TaskName>>,
+    /// Workers that were out of the earlier owner's reach.
+    out_of_reach: HashMap<InstanceName, reach::UnreachedRuns>,
     jobs: HashMap<JobId, JobEntry>,
     arrivals: HashMap<JobId, TimePoint>,
     workers: SlotMap<WorkerKey, WorkerEntry>,
--- a/crates/core/src/jobs/dispatcher/reach.rs
+++ b/crates/core/src/jobs/dispatcher/reach.rs
@@ -3,54 +3,92 @@
 use std::collections::HashSet;
 
 use super::JobDispatcher;
-use crate::ids::InstanceName;
-use crate::jobs::TaskName;
+use crate::jobs::{TaskName, UnreachedWorker, WorkerKey};
 use crate::time::TimePoint;
 
+/// What may run on a worker that an earlier owner could not reach.
+#[derive(Debug, Clone)]
+pub(super) struct UnreachedRuns {
+    /// When the last lease there has passed.
+    pub until: TimePoint,
+    pub tasks: HashSet<TaskName>,
+}
+
 impl JobDispatcher {
     /// Takes over what the earlier owner published of workers out of its reach.
     #[must_use]
-    pub fn with_out_of_reach(mut self, published: Vec<(InstanceName, Vec<TaskName>)>) -> Self {
+    pub fn with_out_of_reach(mut self, published: Vec<UnreachedWorker>) -> Self {
         let published = published.into_iter();
         self.out_of_reach = published
-            .map(|(name, tasks)| (name, tasks.into_iter().collect()))
+            .map(|worker| {
+                let runs = UnreachedRuns {
+                    until: self.taken.after(worker.lease_left),
+                    tasks: worker.tasks.into_iter().collect(),
+                };
+                (worker.name, runs)
+            })
             .collect();
         self
     }
 
-    /// Workers out of reach, and all tasks that may run on them, for a successor.
+    /// Workers out of reach, for a successor.
     ///
     /// A worker that has not answered this owner is left out unless the earlier owner has published
     /// what may run on it.
     #[must_use]
-    pub fn out_of_reach(&self, now: TimePoint) -> Vec<(InstanceName, Vec<TaskName>)> {
+    pub fn out_of_reach(&self, now: TimePoint) -> Vec<UnreachedWorker> {
         let is_over = now >= self.inherited_until;
         let mut rows = Vec::new();
         for entry in self.workers.values() {
             let name = &entry.report.name;
             let mut tasks: HashSet<TaskName> = entry.runs.keys().map(|(task, _)| *task).collect();
             let is_known = entry.held.is_some() || is_over;
-            match self.out_of_reach.get(name) {
+            let until = match self.out_of_reach.get(name) {
                 _ if is_known && !entry.is_out_of_reach() => continue,
-                _ if is_known => {}
-                Some(inherited) => tasks.extend(inherited),
+                _ if is_known => entry.lease_end,
+                Some(inherited) => {
+                    tasks.extend(&inherited.tasks);
+                    inherited.until
+                }
                 None => continue,
-            }
-            rows.push((name.clone(), tasks.into_iter().collect()));
-        }
-        if !is_over {
-            let gone = self.out_of_reach.iter();
-            let gone = gone.filter(|(name, _)| !self.names.contains_key(*name));
-            rows.extend(gone.map(|(name, tasks)| (name.clone(), tasks.iter().copied().collect())));
+            };
+            rows.push(UnreachedWorker {
+                name: name.clone(),
+                tasks: tasks.into_iter().collect(),
+                lease_left: until.since(now),
+            });
         }
+        let gone = self.out_of_reach.iter();
+        let gone = gone.filter(|(name, runs)| now < runs.until && !self.names.contains_key(*name));
+        rows.extend(gone.map(|(name, runs)| UnreachedWorker {
+            name: name.clone(),
+            tasks: runs.tasks.iter().copied().collect(),
+            lease_left: runs.until.since(now),
+        }));
         rows
     }
 
-    /// Notes which workers a stored publication shows as out of reach.
-    pub fn note_published(&mut self, published: &[(InstanceName, Vec<TaskName>)]) {
+    /// Notes which workers a publication that is about to be stored shows as out of reach.
+    pub fn note_publishing(&mut self, published: &[UnreachedWorker]) {
+        for entry in self.workers.values_mut() {
+            let mut names = published.iter().map(|worker| &worker.name);
+            entry.is_published |= names.any(|name| *name == entry.report.name);
+        }
+    }
+
+    /// Notes which workers the stored publication shows as out of reach.
+    pub fn note_published(&mut self, published: &[UnreachedWorker]) {
         for entry in self.workers.values_mut() {
-            let mut names = published.iter().map(|(name, _)| name);
+            let mut names = published.iter().map(|worker| &worker.name);
             entry.is_published = names.any(|name| *name == entry.report.name);
         }
     }
+
+    /// Whether a stored publication may show a worker as out of reach. Its lease is not extended.
+    #[must_use]
+    pub fn is_published(&self, key: WorkerKey) -> bool {
+        self.workers
+            .get(key)
+            .is_some_and(|entry| entry.is_published)
+    }
 }
--- a/crates/core/src/jobs/dispatcher/waiting.rs
+++ b/crates/core/src/jobs/dispatcher/waiting.rs
@@ -35,20 +35,18 @@
     /// Tasks that an earlier owner may have running in a pool without this one knowing.
     fn unsettled_tasks(&self, pool: &PoolName, now: TimePoint) -> UnsettledTasks<'_> {
         let mut unsettled = UnsettledTasks::default();
-        if now >= self.inherited_until {
-            return unsettled;
-        }
         for entry in self.workers.values() {
             if entry.held.is_none() && entry.report.pool == *pool {
                 match self.out_of_reach.get(&entry.report.name) {
-                    Some(tasks) => unsettled.listed.push(tasks),
-                    None => unsettled.is_any = true,
+                    Some(runs) if now < runs.until => unsettled.listed.push(&runs.tasks),
+                    Some(_) => {}
+                    None => unsettled.is_any |= now < self.inherited_until,
                 }
             }
         }
-        for (name, tasks) in &self.out_of_reach {
-            if !self.names.contains_key(name) {
-                unsettled.listed.push(tasks);
+        for (name, runs) in &self.out_of_reach {
+            if now < runs.until && !self.names.contains_key(name) {
+                unsettled.listed.push(&runs.tasks);
             }
         }
         unsettled
--- a/crates/core/src/jobs/pool_sizing.rs
+++ b/crates/core/src/jobs/pool_sizing.rs
@@ -10,13 +10,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{PoolLoad, SizingPolicy};
+use super::pool_history::PoolHistory;
+use super::size_change::{PoolLack, PoolSurplus, distribute};
+use super::{PoolLoad, SizeChange, SizingPolicy};
 use crate::ids::PoolName;
 use crate::time::TimePoint;
 
-/// Most instances that a pool gets at once for lasting tasks that wait.
-const FURTHER_INSTANCES: usize = 2;
-
 /// A pool as the sizing sees it.
 #[derive(Debug, Clone, Copy)]
 pub struct PoolSize {
@@ -28,49 +27,13 @@
     pub idle: usize,
 }
 
-/// Instances to move between pools; none stands for the spare pool.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SizeChange {
-    /// Pool that gives; none for the spare pool.
-    pub from: Option<PoolName>,
-    /// Pool that takes; none for the spare pool.
-    pub to: Option<PoolName>,
-    /// Number of instances.
-    pub count: usize,
-}
-
-#[derive(Debug, Clone, Default)]
-struct PoolHistory {
-    /// Wanted sizes of the recent past, and sizes for what was in use and waited.
-    wanted: Vec<(TimePoint, usize, usize)>,
-    surged: Option<TimePoint>,
-}
-
-/// Instances that a pool lacks.
-#[derive(Debug, Clone)]
-struct PoolLack {
-    pool: PoolName,
-    /// For what is in use and waits.
-    urgent: usize,
-    /// For what comes if the arrivals go on.
-    foreseen: usize,
-}
-
-/// Instances that a pool can give.
-#[derive(Debug, Clone)]
-struct PoolSurplus {
-    pool: PoolName,
-    /// Instances that it needs neither now nor for its next turn.
-    unneeded: usize,
-    /// Further instances that it keeps for its next turn.
-    kept: usize,
-}
-
 /// Remembers the demand of the pools.
 #[derive(Debug, Default)]
 pub struct PoolSizing {
     policy: SizingPolicy,
     history: BTreeMap<PoolName, PoolHistory>,
+    /// When the first decision was made.
+    begun: Option<TimePoint>,
 }
 
 impl PoolSizing {
@@ -80,6 +43,7 @@
         Self {
             policy,
             history: BTreeMap::new(),
+            begun: None,
         }
     }
 
@@ -115,16 +79,17 @@
     ) -> Vec<SizeChange> {
         let total = spare + pools.values().map(|size| size.instances).sum::<usize>();
         let even = total / (pools.len() + 1);
-        self.note(pools, even, capacity, now);
+        for (pool, size) in pools {
+            let history = self.history.entry(pool.clone()).or_default();
+            history.note(size, even, capacity, &self.policy, now);
+        }
         let next = self.next_pools();
         let mut lacks: Vec<PoolLack> = Vec::new();
         let mut refills: Vec<(PoolName, usize)> = Vec::new();
         let mut gives: Vec<PoolSurplus> = Vec::new();
         for (pool, size) in pools {
             let history = &self.history[pool];
-            let peak = history.wanted.iter().map(|(_, wanted, _)| *wanted).max();
-            let peak = peak.unwrap_or(0);
-            let present = history.wanted.last().map_or(0, |(_, _, present)| *present);
+            let (peak, present) = (history.peak(), history.present());
             let needed = peak.max(self.policy.least_instances);
             let target = if next.contains(pool) {
                 needed.max(even)
@@ -149,44 +114,14 @@
                 });
             }
         }
-        distribute(lacks, refills, gives, spare)
-    }
-
-    /// Takes the demand of this moment.
-    fn note(
-        &mut self,
-        pools: &BTreeMap<PoolName, PoolSize>,
-        even: usize,
-        capacity: u64,
-        now: TimePoint,
-    ) {
-        for (pool, size) in pools {
-            let history = self.history.entry(pool.clone()).or_default();
-            let headroom = self.policy.headroom;
-            let wanted = wanted_instances(&size.load, capacity, headroom);
-            let present = PoolLoad {
-                arriving: 0,
-                ..size.load
-            };
-            let present = wanted_instances(&present, capacity, headroom);
-            // A lasting task can wait beside free processor, for memory or for a worker that is not
-            // being emptied. Another instance helps in each case, up to an even part of all: the
-            // limit of a team can hold the task back too.
-            let further = size.load.waiting_lasting.min(FURTHER_INSTANCES);
-            let least = if further > 0 {
-                (size.instances + further).min(even)
-            } else {
-                0
-            };
-            history
-                .wanted
-                .push((now, wanted.max(least), present.max(least)));
-            let memory = self.policy.peak_memory;
-            history.wanted.retain(|(at, ..)| now.since(*at) <= memory);
-            if is_surging(&size.load, self.policy.surge_share) {
-                history.surged = Some(now);
-            }
+        let begun = *self.begun.get_or_insert(now);
+        let mut changes = distribute(lacks, refills, gives, spare);
+        if now.since(begun) < self.policy.peak_memory {
+            // The peaks before are not known, and an instance that is switched off is away for the
+            // time of two moves.
+            changes.retain(|change| change.to.is_some());
         }
+        changes
     }
 
     /// Pools whose turn may be next: those whose last surge lies longest ago.
@@ -203,102 +138,3 @@
         first.map(|(pool, _)| pool.clone()).collect()
     }
 }
-
-/// Instances that hold what is in use and what waits, or what comes if that is more.
-#[must_use]
-pub fn wanted_instances(load: &PoolLoad, capacity: u64, headroom: f64) -> usize {
-    // A backlog of short tasks needs less room than its tasks at once.
-    let waiting = load.waiting.min(load.backlog.max(load.waiting / 2));
-    // While a backlog is worked off, what comes needs room beside it.
-    let ending = if waiting > 0 {
-        load.ending + waiting + load.arriving / 2
-    } else {
-        load.ending
-    };
-    let used = load.lasting + u64::max(ending, load.arriving);
-    #[expect(
-        clippy::cast_precision_loss,
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "amounts are far below 2^52 and not negative"
-    )]
-    let instances = (used as f64 * (1.0 + headroom) / capacity.max(1) as f64).ceil() as usize;
-    instances
-}
-
-fn is_surging(load: &PoolLoad, share: f64) -> bool {
-    let demand = load.lasting + load.ending + load.waiting;
-    #[expect(clippy::cast_precision_loss, reason = "amounts are far below 2^52")]
-    let is_surging = demand as f64 > load.capacity as f64 * share;
-    is_surging && load.capacity > 0
-}
-
-/// Serves the pools that lack instances from what others do not need, then from the spare pool, and
-/// for what waits already also from what others keep. Pools whose turn is to come are refilled from
-/// the rest, and what nobody needs moves to the spare pool.
-fn distribute(
-    mut lacks: Vec<PoolLack>,
-    refills: Vec<(PoolName, usize)>,
-    mut gives: Vec<PoolSurplus>,
-    mut spare: usize,
-) -> Vec<SizeChange> {
-    lacks.sort_by_key(|lack| std::cmp::Reverse((lack.urgent, lack.foreseen)));
-    gives.sort_by_key(|surplus| std::cmp::Reverse(surplus.unneeded));
-    let mut changes = Vec::new();
-    let mut take = |from: Option<&PoolName>, to: &PoolName, lack: &mut usize, room: &mut usize| {
-        let count = (*lack).min(*room);
-        if count > 0 {
-            *lack -= count;
-            *room -= count;
-            changes.push(SizeChange {
-                from: from.cloned(),
-                to: Some(to.clone()),
-                count,
-            });
-        }
-    };
-    for lack in &mut lacks {
-        for surplus in &mut gives {
-            take(
-                Some(&surplus.pool),
-                &lack.pool,
-                &mut lack.urgent,
-                &mut surplus.unneeded,
-            );
-        }
-        take(None, &lack.pool, &mut lack.urgent, &mut spare);
-        for surplus in &mut gives {
-            take(
-                Some(&surplus.pool),
-                &lack.pool,
-                &mut lack.urgent,
-                &mut surplus.kept,
-            );
-        }
-    }
-    for lack in &mut lacks {
-        for surplus in &mut gives {
-            take(
-                Some(&surplus.pool),
-                &lack.pool,
-                &mut lack.foreseen,
-                &mut surplus.unneeded,
-            );
-        }
-        take(None, &lack.pool, &mut lack.foreseen, &mut spare);
-    }
-    for (to, mut lack) in refills {
-        for surplus in &mut gives {
-            take(Some(&surplus.pool), &to, &mut lack, &mut surplus.unneeded);
-        }
-        take(None, &to, &mut lack, &mut spare);
-    }
-    for surplus in gives.into_iter().filter(|surplus| surplus.unneeded > 0) {
-        changes.push(SizeChange {
-            from: Some(surplus.pool),
-            to: None,
-            count: surplus.unneeded,
-        });
-    }
-    changes
-}
--- a/crates/core/src/jobs/sizing_policy.rs
+++ b/crates/core/src/jobs/sizing_policy.rs
@@ -11,6 +11,8 @@
     pub least_instances: usize,
     /// Share of its capacity above which a pool counts as surging.
     pub surge_share: f64,
+    /// Time from the order to move an instance until it is in its new pool.
+    pub move_time: Duration,
     /// Pools that keep their size because their turn may be next.
     pub kept_pools: usize,
 }
@@ -22,6 +24,7 @@
             peak_memory: Duration::from_millis(2_000),
             least_instances: 3,
             surge_share: 0.6,
+            move_time: Duration::from_millis(1_500),
             kept_pools: 1,
         }
     }
--- a/crates/core/tests/job_takeover.rs
+++ b/crates/core/tests/job_takeover.rs
@@ -150,6 +150,30 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// Guards against tasks of a lost worker that wait for as long as owners follow one another: each
+/// waited for a lease of its own time, although nobody extends the lease of a worker out of reach.
+#[test]
+fn published_lease() {
+    let mut world = JobWorld::new(3, 1);
+    world.submit(1, job(vec![lasting(2)]));
+    world.run(10);
+    let silent = world
+        .workers
+        .iter()
+        .position(|worker| !worker.tasks().is_empty())
+        .unwrap();
+    let held = world.workers[silent].tasks().len();
+    world.workers[silent].is_reachable = false;
+    for _ in 0..3 {
+        world.run(30);
+        world.take_over();
+    }
+    // The lease of 4.9 s, and half a second for each publication that was taken over.
+    world.run(38);
+    assert_eq!(world.starts, 2 + held, "not started 6.4 s after the loss");
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
 /// Guards against two tasks of a step taken out at once: a stop of the earlier owner was still
 /// under way, so that its task was listed as at work.
 #[test]
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -17,7 +17,7 @@
 use sesamedeal_core::jobs::{
     DispatchPolicy, EndKind, FleetRules, HoldReport, JobDispatcher, JobId, JobOrder, JobPhase,
     JobRecord, PoolRule, QueueRule, ResourceAmount, RunReport, StepSpec, TaskName, TeamRule,
-    WorkerReport, WorkerState,
+    UnreachedWorker, WorkerReport, WorkerState,
 };
 use sesamedeal_core::time::TimePoint;
 
@@ -125,7 +125,7 @@
     ended_done: HashSet<TaskName>,
     acknowledged_failures: HashMap<TaskName, u32>,
     /// What the owner published last of workers out of its reach.
-    published: Vec<(InstanceName, Vec<TaskName>)>,
+    published: Vec<UnreachedWorker>,
 }
 
 impl JobWorld {
@@ -266,9 +266,11 @@
             return;
         }
         worker.fence = worker.fence.max(self.epoch);
-        self.dispatcher.note_extension(key, LEASE, at(now));
-        for run in worker.running.values_mut() {
-            run.lease_end = run.lease_end.max(now + 4_800);
+        if !self.dispatcher.is_published(key) {
+            self.dispatcher.note_extension(key, LEASE, at(now));
+            for run in worker.running.values_mut() {
+                run.lease_end = run.lease_end.max(now + 4_800);
+            }
         }
         let stored = self.dispatcher.stored_end(key);
         for end in worker.ended.iter().filter(|end| end.number <= stored) {
--- a/crates/core/tests/pool_turns.rs
+++ b/crates/core/tests/pool_turns.rs
@@ -118,8 +118,26 @@
         ("b", size(12, 12, 0, 0)),
         ("c", size(12, 12, 0, 0)),
     ];
+    let first = decide(&mut sizing, &sizes, 0, 0);
+    assert_eq!(moved(&first, None), 0, "{first:?}");
+    let later = decide(&mut sizing, &sizes, 0, 3);
+    assert_eq!(moved(&later, None), 3 + 9 + 9, "{later:?}");
+}
+
+/// Guards against a new owner that switches off what the next surge needs: it knows no peaks yet,
+/// and an instance takes two moves to come back.
+#[test]
+fn takeover_keeps() {
+    let mut sizing = PoolSizing::new(SizingPolicy::default());
+    let sizes = [("a", size(30, 21, 250_000, 0)), ("b", size(9, 9, 0, 0))];
     let changes = decide(&mut sizing, &sizes, 0, 0);
-    assert_eq!(moved(&changes, None), 3 + 9 + 9, "{changes:?}");
+    assert_eq!(moved(&changes, None), 0, "{changes:?}");
+    let surging = [
+        ("a", size(30, 21, 250_000, 0)),
+        ("b", size(9, 0, 280_000, 300_000)),
+    ];
+    let changes = decide(&mut sizing, &surging, 0, 1);
+    assert!(moved(&changes, Some("b")) >= 10, "{changes:?}");
 }
 
 /// Guards against a surge that shows only once tasks wait.
--- a/crates/jobs/src/owner/hand_over.rs
+++ b/crates/jobs/src/owner/hand_over.rs
@@ -9,6 +9,7 @@
 use super::OwnerEvent;
 use super::owner_actor::OwnerActor;
 use crate::BootClock;
+use crate::ports::OfferEnd;
 
 /// Failed writes in a row after which the ownership is offered. With the pause between them, that
 /// is about 0.3 s if the store refuses at once.
@@ -18,6 +19,10 @@
 /// 0.9 s to fail.
 const OFFER_AGE: Duration = Duration::from_secs(1);
 
+/// Time after an offer for which the owner goes on, unless it renews its ownership or knows that
+/// nobody has taken it. An attempt asks three instances for 0.4 s each.
+pub(super) const OFFER_EXTENSION: Duration = Duration::from_millis(1_200);
+
 /// Pause before the ownership is offered again.
 const OFFER_PAUSE: Duration = Duration::from_millis(400);
 
@@ -25,11 +30,29 @@
 #[derive(Debug, Default)]
 pub(super) struct HandOver {
     /// Writes to the store that failed in a row.
-    pub(super) failures: u32,
+    failures: u32,
     is_offering: bool,
+    /// When the owner gives up because an offer may have been taken.
+    give_up: Option<TimePoint>,
+    /// Whether an instance that was asked has not answered.
+    is_doubtful: bool,
     next_offer: TimePoint,
 }
 
+impl HandOver {
+    /// Notes that a write has failed.
+    pub(super) const fn note_failure(&mut self) {
+        self.failures += 1;
+    }
+
+    /// Notes that the ownership was renewed, so that nobody has taken it.
+    pub(super) const fn note_renewal(&mut self) {
+        self.failures = 0;
+        self.give_up = None;
+        self.is_doubtful = false;
+    }
+}
+
 impl OwnerActor {
     /// Whether this owner tries to hand over. It gives no orders for instances meanwhile, because
     /// a successor may give some at any moment.
@@ -41,11 +64,18 @@
 
     /// Offers the ownership if it is time.
     pub(super) fn offer_ownership(&mut self, now: TimePoint) {
+        if self.hand_over.give_up.is_some_and(|at| at <= now) {
+            self.step_down("an offer of it may have been taken");
+            return;
+        }
         if !self.is_handing_over() || self.hand_over.is_offering || now < self.hand_over.next_offer
         {
             return;
         }
         self.hand_over.is_offering = true;
+        self.hand_over
+            .give_up
+            .get_or_insert(now.after(OFFER_EXTENSION));
         let epoch = self.parts.lease.epoch;
         info!(self.parts.logger, "ownership offered"; "failures" => self.hand_over.failures);
         let call = (self.parts.peers.offer)(epoch);
@@ -57,12 +87,15 @@
         });
     }
 
-    pub(super) fn take_offered(&mut self, outcome: Result<bool>) {
+    pub(super) fn take_offered(&mut self, outcome: Result<OfferEnd>) {
         self.hand_over.is_offering = false;
         self.hand_over.next_offer = BootClock.now().after(OFFER_PAUSE);
         info!(self.parts.logger, "ownership answered"; "outcome" => ?outcome);
-        if matches!(outcome, Ok(true)) {
-            self.step_down("handed over");
+        match outcome {
+            Ok(OfferEnd::Taken) => self.step_down("handed over"),
+            Ok(OfferEnd::Refused) if !self.hand_over.is_doubtful => self.hand_over.give_up = None,
+            Ok(OfferEnd::Refused) => {}
+            Ok(OfferEnd::Unknown) | Err(_) => self.hand_over.is_doubtful = true,
         }
     }
 }
--- a/crates/jobs/src/owner/inventory_view.rs
+++ b/crates/jobs/src/owner/inventory_view.rs
@@ -32,14 +32,15 @@
 
 impl OwnerActor {
     /// Reads the inventory again if it is older than the policy allows. It is read often while
-    /// instances are on their way.
+    /// instances are on their way, and when one should have arrived.
     pub(super) fn read_inventory(&mut self, is_moving: bool, now: TimePoint) {
         let period = if is_moving {
             self.parts.policy.inventory_period
         } else {
             self.parts.policy.idle_inventory_period
         };
-        if self.inventory.is_reading || now.since(self.inventory.sent) < period {
+        let is_due = now.since(self.inventory.sent) >= period || self.has_arrivals(now);
+        if self.inventory.is_reading || !is_due {
             return;
         }
         self.inventory.is_reading = true;
--- a/crates/jobs/src/owner/job_intake.rs
+++ b/crates/jobs/src/owner/job_intake.rs
@@ -1,8 +1,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use sesamedeal_core::ids::{InstanceName, PoolName, QueueName};
-use sesamedeal_core::jobs::{JobDispatcher, JobId, JobOrder, JobRecord, TaskName};
+use sesamedeal_core::ids::{PoolName, QueueName};
+use sesamedeal_core::jobs::{JobDispatcher, JobId, JobOrder, JobRecord, UnreachedWorker};
 use sesamedeal_core::time::TimePoint;
 use slog::{Logger, info, warn};
 
@@ -23,7 +23,7 @@
     /// Waiting jobs by queue, as the earlier owner published them.
     pub earlier_pending: Vec<(QueueName, u64)>,
     /// Workers out of reach, as the earlier owner published them.
-    pub earlier_out_of_reach: Vec<(InstanceName, Vec<TaskName>)>,
+    pub earlier_out_of_reach: Vec<UnreachedWorker>,
     /// How long ago each pool surged last, as the earlier owner published it, in milliseconds.
     pub earlier_surges: Vec<(PoolName, u64)>,
     /// Rows that wait for the next renewal.
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use sesamedeal_core::ids::InstanceName;
-use sesamedeal_core::jobs::{DispatchPolicy, JobDispatcher, SizingPolicy, TaskName};
+use sesamedeal_core::jobs::{DispatchPolicy, JobDispatcher, UnreachedWorker};
 use sesamedeal_core::time::TimePoint;
 use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
@@ -59,7 +59,7 @@
     pub(super) write_after: TimePoint,
     pub(super) loads_logged: TimePoint,
     /// What the last pulse shows of workers out of reach.
-    pub(super) publication: Vec<(InstanceName, Vec<TaskName>)>,
+    pub(super) publication: Vec<UnreachedWorker>,
     /// Whether the stored jobs are known. Before that, runs at workers cannot be told apart from
     /// runs of jobs that have ended.
     pub(super) is_loaded: bool,
@@ -79,6 +79,7 @@
         ended: oneshot::Sender<()>,
     ) -> Self {
         let surges = std::mem::take(&mut intake.earlier_surges);
+        let sizing = parts.policy.sizing.clone();
         Self {
             inventory: InventoryView::new(parts.fleet.clone()),
             parts,
@@ -86,7 +87,7 @@
             sender,
             writer,
             waves,
-            pools: PoolKeeper::new(SizingPolicy::default(), &surges),
+            pools: PoolKeeper::new(sizing, &surges),
             intake,
             links: WorkerLinks::default(),
             hand_over: HandOver::default(),
--- a/crates/jobs/src/owner/owner_event.rs
+++ b/crates/jobs/src/owner/owner_event.rs
@@ -3,7 +3,9 @@
 use sesamedeal_store::Result;
 
 use crate::feeds::TableEvent;
-use crate::ports::{AdviceAnswer, HoldOutcome, InstanceReport, OrderOutcome, TransactOutcome};
+use crate::ports::{
+    AdviceAnswer, HoldOutcome, InstanceReport, OfferEnd, OrderOutcome, TransactOutcome,
+};
 
 /// What the owner reacts to.
 #[derive(Debug)]
@@ -16,8 +18,8 @@
     Jobs(TableEvent),
     /// The list of workers changed.
     Workers(TableEvent),
-    /// Entry instances answered the offer of the ownership: whether one has taken it.
-    Offered(Result<bool>),
+    /// An offer of the ownership has ended.
+    Offered(Result<OfferEnd>),
     /// A worker answered a call for its lists, or did not.
     Held {
         key: WorkerKey,
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -45,8 +45,8 @@
 /// Pause after a failed attempt to take the ownership.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
-/// Longest time for reading the ownership within which this instance accepts an offer. An owner
-/// that has a slow store would gain nothing from a successor with a slow store.
+/// Longest time from an offer until this instance has read the ownership. An owner whose store is
+/// slow would gain nothing from a successor whose store is slow, and it may give up meanwhile.
 const OFFER_READ_LIMIT: Duration = Duration::from_millis(100);
 
 /// Pause after a failed attempt to read what the owner needs.
@@ -197,9 +197,8 @@
 
     /// Takes the ownership that another entry instance offers, and exercises it.
     async fn take_offer(&mut self, rows: &mut OwnerRows, offer: HandOverOffer) {
-        let begin = tokio::time::Instant::now();
         let is_known = match self.read_rows(rows).await {
-            Ok(()) => rows.is_held(offer.epoch) && begin.elapsed() < OFFER_READ_LIMIT,
+            Ok(()) => rows.is_held(offer.epoch) && offer.received.elapsed() < OFFER_READ_LIMIT,
             Err(error) => {
                 warn!(self.logger, "ownership not read"; "error" => %error);
                 false
--- a/crates/jobs/src/owner/owner_policy.rs
+++ b/crates/jobs/src/owner/owner_policy.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use sesamedeal_core::jobs::SizingPolicy;
+
 /// Times of the owner.
 #[derive(Debug, Clone)]
 pub struct OwnerPolicy {
@@ -32,6 +34,8 @@
     pub inventory_period: Duration,
     /// Time between two readings of the inventory otherwise.
     pub idle_inventory_period: Duration,
+    /// How pools are sized.
+    pub sizing: SizingPolicy,
 }
 
 impl Default for OwnerPolicy {
@@ -48,9 +52,10 @@
             order_deadline: Duration::from_millis(900),
             record_gap: Duration::from_millis(40),
             order_lanes: 4,
-            wave_round: Duration::from_millis(200),
+            wave_round: Duration::from_millis(100),
             inventory_period: Duration::from_millis(500),
             idle_inventory_period: Duration::from_secs(2),
+            sizing: SizingPolicy::default(),
         }
     }
 }
--- a/crates/jobs/src/owner/pool_keeper.rs
+++ b/crates/jobs/src/owner/pool_keeper.rs
@@ -15,6 +15,9 @@
 /// Time after which an instance that moves no longer counts for its new pool unless it is there.
 const ARRIVAL_PATIENCE: Duration = Duration::from_secs(5);
 
+/// Time beyond that of a move after which the instance shows in the inventory.
+const ARRIVAL_MARGIN: Duration = Duration::from_millis(40);
+
 /// Pause before an order without an answer is sent again. Until it has an answer the instance stays
 /// empty, since the order may be carried out at any time.
 const ORDER_RETRY: Duration = Duration::from_millis(500);
@@ -37,6 +40,7 @@
 pub(crate) struct PoolKeeper {
     sizing: PoolSizing,
     moves: HashMap<InstanceName, InstanceMove>,
+    move_time: Duration,
     next_round: TimePoint,
 }
 
@@ -48,6 +52,7 @@
             .map(|(pool, age)| (pool.clone(), Duration::from_millis(*age)))
             .collect();
         Self {
+            move_time: policy.move_time,
             sizing: PoolSizing::new(policy).with_surges(&surges, BootClock.now()),
             moves: HashMap::new(),
             next_round: TimePoint::ORIGIN,
@@ -72,6 +77,15 @@
         !self.pools.moves.is_empty()
     }
 
+    /// Whether an instance should have arrived since the inventory was read.
+    pub(super) fn has_arrivals(&self, now: TimePoint) -> bool {
+        let moves = self.pools.moves.values();
+        let mut arrivals = moves
+            .filter_map(|entry| entry.accepted)
+            .map(|accepted| accepted.after(self.pools.move_time + ARRIVAL_MARGIN));
+        arrivals.any(|arrival| self.inventory.sent < arrival && arrival <= now)
+    }
+
     /// Decides about the sizes of the pools and orders moves.
     pub(super) fn size_pools(&mut self, now: TimePoint) {
         self.repeat_moves(now);
--- a/crates/jobs/src/owner/record_keeping.rs
+++ b/crates/jobs/src/owner/record_keeping.rs
@@ -39,6 +39,7 @@
             .take_records(JOBS_PER_WRITE, BootClock.unix_ms());
         let pulse = is_pulse_due.then(|| self.pulse());
         if let Some(pulse) = &pulse {
+            self.dispatcher.note_publishing(&pulse.out_of_reach);
             self.publication = pulse.out_of_reach.clone();
             self.writer.pulsed = now;
             self.parts.pulse.set(pulse.clone());
@@ -89,7 +90,7 @@
         match outcome {
             Ok(TransactOutcome::Committed { version }) => {
                 self.writer.commit(version, sent);
-                self.hand_over.failures = 0;
+                self.hand_over.note_renewal();
                 let rows = self.writer.take_sent();
                 self.note_wave_rows(&rows);
                 self.dispatcher.note_stored(batch, BootClock.now());
@@ -116,7 +117,7 @@
                 self.writer.fail();
                 self.writer.pulsed = TimePoint::ORIGIN;
                 self.write_after = BootClock.now().after(WRITE_RETRY);
-                self.hand_over.failures += 1;
+                self.hand_over.note_failure();
                 let kind = match error {
                     PlatformError::NoAnswer { .. } => "no-answer",
                     PlatformError::Unreachable { .. } => "unreachable",
--- a/crates/jobs/src/owner/takeover_kind.rs
+++ b/crates/jobs/src/owner/takeover_kind.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use super::OwnerPolicy;
+use super::hand_over::OFFER_EXTENSION;
 
 /// How an ownership came free.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,8 +20,7 @@
         match self {
             Self::Vacant => Duration::ZERO,
             Self::Expired => policy.extension.saturating_sub(policy.expiry),
-            // The answer to the offer may be lost on its way back.
-            Self::HandedOver => policy.extension,
+            Self::HandedOver => OFFER_EXTENSION,
         }
     }
 }
--- a/crates/jobs/src/owner/worker_calls.rs
+++ b/crates/jobs/src/owner/worker_calls.rs
@@ -93,8 +93,10 @@
             } else {
                 policy.hold_wait
             };
-            // The lease of a silent worker must pass, so that its tasks can run elsewhere.
-            let lease_end_ms = link.lease_end_ms(lease, now).filter(|_| !is_silent);
+            // The lease of a silent worker must pass, so that its tasks can run elsewhere. A
+            // successor counts on that for all that were published as out of reach.
+            let is_kept = !is_silent && !self.dispatcher.is_published(key);
+            let lease_end_ms = link.lease_end_ms(lease, now).filter(|_| is_kept);
             let request = HoldRequest {
                 worker: WorkerAddress {
                     name: report.name.clone(),
--- a/crates/jobs/src/peers/peer_watch.rs
+++ b/crates/jobs/src/peers/peer_watch.rs
@@ -5,7 +5,7 @@
 use sesamedeal_store::Result;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use super::peer_message::{PeerMessage, framed};
 use crate::ports::{HandOverOffer, WatchCall, WatchEnd};
@@ -28,8 +28,13 @@
             break;
         };
         let (reply, answer) = oneshot::channel();
+        let offer = HandOverOffer {
+            epoch,
+            received: Instant::now(),
+            reply,
+        };
         // A receiver that is gone or busy takes nothing over.
-        let is_sent = call.offers.try_send(HandOverOffer { epoch, reply }).is_ok();
+        let is_sent = call.offers.try_send(offer).is_ok();
         let is_taken = is_sent && answer.await.unwrap_or(false);
         let answer = PeerMessage::Answer { epoch, is_taken };
         let Ok(answer) = answer.encode() else {
--- a/crates/jobs/src/peers/watcher_list.rs
+++ b/crates/jobs/src/peers/watcher_list.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::peer_message::{PeerMessage, framed};
+use crate::ports::OfferEnd;
 
 /// Time within which a watcher answers an offer. It reads and writes the store meanwhile.
 const OFFER_DEADLINE: Duration = Duration::from_millis(400);
@@ -63,20 +64,23 @@
 
     /// Offers the ownership under an epoch to a few watchers, in an order at random, until one has
     /// taken it.
-    pub(super) async fn offer(&self, epoch: u64) -> bool {
+    pub(super) async fn offer(&self, epoch: u64) -> OfferEnd {
         let mut senders: Vec<mpsc::Sender<PendingOffer>> =
             self.senders.lock().values().cloned().collect();
         senders.shuffle(&mut rand::rng());
+        let mut end = OfferEnd::Refused;
         for sender in senders.into_iter().take(OFFERS_PER_ATTEMPT) {
             let (reply, answer) = oneshot::channel();
             if sender.try_send((epoch, reply)).is_err() {
                 continue;
             }
-            if let Ok(Ok(true)) = timeout(OFFER_DEADLINE, answer).await {
-                return true;
+            match timeout(OFFER_DEADLINE, answer).await {
+                Ok(Ok(true)) => return OfferEnd::Taken,
+                Ok(Ok(false)) => {}
+                Ok(Err(_)) | Err(_) => end = OfferEnd::Unknown,
             }
         }
-        false
+        end
     }
 }
 
--- a/crates/jobs/src/ports/peer_port.rs
+++ b/crates/jobs/src/ports/peer_port.rs
@@ -2,6 +2,7 @@
 use std::net::SocketAddr;
 
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 
 use super::AsyncCall;
 
@@ -10,6 +11,8 @@
 pub struct HandOverOffer {
     /// Epoch of the owner.
     pub epoch: u64,
+    /// When it was received.
+    pub received: Instant,
     /// Takes whether the instance owns the pools now.
     pub reply: oneshot::Sender<bool>,
 }
@@ -32,6 +35,17 @@
     Unknown,
 }
 
+/// What became of an offer of the ownership.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OfferEnd {
+    /// An instance has taken it.
+    Taken,
+    /// No instance took it, nor will.
+    Refused,
+    /// An instance that was asked has not answered. It may have taken the ownership.
+    Unknown,
+}
+
 /// Other entry instances.
 #[derive(Clone)]
 pub struct PeerPort {
@@ -39,9 +53,8 @@
     pub own: SocketAddr,
     /// Watches an owner until the connection ends.
     pub watch: AsyncCall<WatchCall, WatchEnd>,
-    /// Offers the ownership under an epoch to the instances that watch this one; true once one of
-    /// them has taken it.
-    pub offer: AsyncCall<u64, bool>,
+    /// Offers the ownership under an epoch to instances that watch this one.
+    pub offer: AsyncCall<u64, OfferEnd>,
 }
 
 impl fmt::Debug for PeerPort {
--- a/crates/jobs/src/row_codec.rs
+++ b/crates/jobs/src/row_codec.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use sesamedeal_core::ids::{InstanceName, PoolName, QueueName, SessionId};
-use sesamedeal_core::jobs::{JobId, JobOrder, TaskName};
+use sesamedeal_core::jobs::{JobId, JobOrder, UnreachedWorker};
 use sesamedeal_wire::codec::{self, CodecError};
 
 /// Key of the row with the ownership epoch.
@@ -40,9 +40,8 @@
 pub(crate) struct PulseRow {
     pub epoch: u64,
     pub renewals: u64,
-    /// Workers that do not answer the owner, or that the list has dropped, and all tasks that may
-    /// run on them.
-    pub out_of_reach: Vec<(InstanceName, Vec<TaskName>)>,
+    /// Workers that do not answer the owner, or that the list has dropped.
+    pub out_of_reach: Vec<UnreachedWorker>,
     /// Jobs by queue for which no task has started.
     pub pending: Vec<(QueueName, u64)>,
     /// How long ago each pool surged last, in milliseconds.
