Let the time to come back grow with an outage of the store

Change: core::jobs::retry_time names the time for which the store has been away, between 1 s and 4 s. Tests retry_time::outlasts_outage (a caller that hammers or returns each second gives up) and ::short_at_first.

--- a/crates/jobs/src/desk/job_desk.rs
+++ b/crates/jobs/src/desk/job_desk.rs
@@ -13,10 +13,6 @@
 use crate::ports::{RowChange, RowCondition, RowName, RowPut, RowRange, StorePort, StoreTable};
 use crate::row_codec::{cancel_key, decode, encode, encode_job, job_key};
 
-/// Time after which a caller comes back when the store has turned a call away. Other entry
-/// instances may be served, so that a short pause is enough.
-const STORE_RETRY: Duration = Duration::from_secs(1);
-
 /// Pause before a call to the store is repeated.
 const REPEAT_PAUSE: Duration = Duration::from_millis(60);
 
@@ -57,7 +53,7 @@
         let (outcome, reason) = match result {
             Ok(()) => (SubmitOutcome::Accepted, None),
             Err(InsertFailure::NotDone(reason)) => {
-                let retry_after = STORE_RETRY;
+                let retry_after = self.health.retry_after();
                 (SubmitOutcome::Refused { retry_after }, Some(reason))
             }
             Err(InsertFailure::Unknown(reason)) => (SubmitOutcome::Unknown, Some(reason)),
@@ -121,7 +117,7 @@
                     if Instant::now() + REPEAT_PAUSE >= deadline || attempts > MAX_REFUSALS {
                         warn!(self.logger, "status unavailable"; "job" => %id, "error" => %error);
                         return StatusOutcome::Unavailable {
-                            retry_after: STORE_RETRY,
+                            retry_after: self.health.retry_after(),
                         };
                     }
                 }
@@ -167,7 +163,7 @@
                     Ok(()) => CancelOutcome::Accepted,
                     Err(InsertFailure::Unknown(_)) => CancelOutcome::Unknown,
                     Err(InsertFailure::NotDone(_)) => CancelOutcome::Unavailable {
-                        retry_after: STORE_RETRY,
+                        retry_after: self.health.retry_after(),
                     },
                 }
             }
--- a/crates/jobs/src/store_health.rs
+++ b/crates/jobs/src/store_health.rs
@@ -2,6 +2,7 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
+use sesamedeal_core::jobs::retry_time;
 use sesamedeal_store::Result;
 
 use crate::BootClock;
@@ -19,6 +20,8 @@
 pub struct StoreHealth {
     failures: Arc<AtomicU32>,
     failed_ms: Arc<AtomicU64>,
+    /// When the first of these failures was.
+    lost_ms: Arc<AtomicU64>,
 }
 
 impl StoreHealth {
@@ -27,8 +30,11 @@
         if result.is_ok() {
             self.failures.store(0, Ordering::Release);
         } else {
-            self.failures.fetch_add(1, Ordering::AcqRel);
-            self.failed_ms.store(now_ms(), Ordering::Release);
+            let now = now_ms();
+            if self.failures.fetch_add(1, Ordering::AcqRel) == 0 {
+                self.lost_ms.store(now, Ordering::Release);
+            }
+            self.failed_ms.store(now, Ordering::Release);
         }
     }
 
@@ -38,6 +44,17 @@
         self.failures.load(Ordering::Acquire) >= DOWN_FAILURES
     }
 
+    /// Time after which a caller comes back that the store has turned away.
+    #[must_use]
+    pub fn retry_after(&self) -> Duration {
+        let outage = if self.is_down() {
+            now_ms().saturating_sub(self.lost_ms.load(Ordering::Acquire))
+        } else {
+            0
+        };
+        retry_time(Duration::from_millis(outage))
+    }
+
     /// Whether a caller is refused without asking the store: a caller that is refused at once can
     /// try another entry instance, one whose write has no answer cannot.
     #[must_use]
