Read the table of jobs when its changes do not come

Change: the owner follows the table of jobs with a wait of 0.3 s and gives up 0.25 s later, or after three times what the store took for its last answer, and reads the table then. Test job_path::changes_held_back failed before (no job begun while changes are held back).

--- a/crates/jobs/src/feeds/intent_follower.rs
+++ b/crates/jobs/src/feeds/intent_follower.rs
@@ -8,7 +8,7 @@
 use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, watch};
 
-use super::{TableEvent, TableFollower};
+use super::{FollowPace, TableEvent, TableFollower};
 use crate::ports::{IntentRow, RowPort, StorePort, StoreRow, StoreTable};
 use crate::{BootClock, DeploymentView, StoreHealth};
 
@@ -37,6 +37,7 @@
         let follower = TableFollower {
             store: self.store.clone(),
             table: StoreTable::Intent,
+            pace: FollowPace::RELAXED,
             health: self.health.clone(),
             logger: self.logger.clone(),
         };
--- a/crates/jobs/src/feeds/table_follower.rs
+++ b/crates/jobs/src/feeds/table_follower.rs
@@ -3,15 +3,12 @@
 use sesamedeal_store::{Result, backoff_delay};
 use slog::{Logger, info, warn};
 use tokio::sync::mpsc;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
+use super::FollowPace;
 use crate::StoreHealth;
 use crate::ports::{FollowPage, FollowRequest, RowRange, StorePort, StoreRow, StoreTable};
 
-/// Longest time that the store waits for a change before it answers. A longer wait saves calls, a
-/// shorter one notices silent connections sooner.
-const FOLLOW_WAIT: Duration = Duration::from_millis(2_500);
-
 /// Longest pause after a failed call. Beliefs must be fresh about two seconds after an outage.
 const MAX_PAUSE: Duration = Duration::from_millis(400);
 
@@ -29,6 +26,7 @@
 pub(crate) struct TableFollower {
     pub store: StorePort,
     pub table: StoreTable,
+    pub pace: FollowPace,
     pub health: StoreHealth,
     pub logger: Logger,
 }
@@ -37,11 +35,13 @@
     /// Sends what it learns until the receiver is gone.
     pub(crate) async fn run(self, events: mpsc::Sender<TableEvent>) {
         let mut position = None;
+        // Time that the store took for its last answer.
+        let mut slowness = Duration::ZERO;
         let mut failures: u32 = 0;
         while !events.is_closed() {
             let result = match position {
-                None => self.read(&events).await,
-                Some(after) => self.follow(after, &events).await,
+                None => self.read(&mut slowness, &events).await,
+                Some(after) => self.follow(after, &mut slowness, &events).await,
             };
             self.health.note(&result);
             match result {
@@ -59,29 +59,46 @@
                     if failures == 0 {
                         warn!(self.logger, "store lost"; "table" => ?self.table, "after" => position, "error" => %error);
                     }
-                    let delay = backoff_delay(failures, rand::random());
-                    sleep(delay.min(MAX_PAUSE)).await;
                     failures += 1;
+                    if self.pace.reads_at_once && position.take().is_some() {
+                        continue;
+                    }
+                    let delay = backoff_delay(failures - 1, rand::random());
+                    sleep(delay.min(MAX_PAUSE)).await;
                 }
             }
         }
     }
 
-    async fn read(&self, events: &mpsc::Sender<TableEvent>) -> Result<Option<u64>> {
+    async fn read(
+        &self,
+        slowness: &mut Duration,
+        events: &mpsc::Sender<TableEvent>,
+    ) -> Result<Option<u64>> {
+        let begin = Instant::now();
         let (rows, version) = read_table(&self.store, self.table).await?;
+        *slowness = begin.elapsed();
         // A closed receiver ends the loop of the caller.
         drop(events.send(TableEvent::Snapshot(rows)).await);
         Ok(Some(version))
     }
 
-    async fn follow(&self, after: u64, events: &mpsc::Sender<TableEvent>) -> Result<Option<u64>> {
+    async fn follow(
+        &self,
+        after: u64,
+        slowness: &mut Duration,
+        events: &mpsc::Sender<TableEvent>,
+    ) -> Result<Option<u64>> {
         let request = FollowRequest {
             table: self.table,
             after,
-            wait: FOLLOW_WAIT,
+            wait: self.pace.wait,
+            margin: self.pace.margin(*slowness),
         };
+        let begin = Instant::now();
         match (self.store.follow)(request).await? {
             FollowPage::Changes { rows, version } => {
+                *slowness = begin.elapsed().saturating_sub(self.pace.wait);
                 if !rows.is_empty() {
                     drop(events.send(TableEvent::Changes(rows)).await);
                 }
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -20,7 +20,7 @@
 use super::takeover_kind::TakeoverKind;
 use super::wave_keeper::WaveKeeper;
 use super::{OwnerEvent, OwnerPolicy, PulseView};
-use crate::feeds::{TableEvent, TableFollower, WaveList};
+use crate::feeds::{FollowPace, TableEvent, TableFollower, WaveList};
 use crate::ports::{
     AdvicePort, FleetPort, HandOverOffer, PeerPort, RowPort, StorePort, StoreTable, WorkerPort,
 };
@@ -97,6 +97,7 @@
         let follower = TableFollower {
             store: self.store.clone(),
             table: StoreTable::Owner,
+            pace: FollowPace::RELAXED,
             health: self.health.clone(),
             logger: self.logger.clone(),
         };
@@ -340,13 +341,13 @@
         tasks.spawn(xtra::run(mailbox, actor));
         self.follow(
             &mut tasks,
-            StoreTable::Job,
+            (StoreTable::Job, FollowPace::PROMPT),
             address.clone(),
             OwnerEvent::Jobs,
         );
         self.follow(
             &mut tasks,
-            StoreTable::WorkerList,
+            (StoreTable::WorkerList, FollowPace::RELAXED),
             address.clone(),
             OwnerEvent::Workers,
         );
@@ -382,7 +383,7 @@
     fn follow(
         &self,
         tasks: &mut tokio::task::JoinSet<()>,
-        table: StoreTable,
+        (table, pace): (StoreTable, FollowPace),
         address: xtra::Address<OwnerActor>,
         wrap: fn(TableEvent) -> OwnerEvent,
     ) {
@@ -390,6 +391,7 @@
         let follower = TableFollower {
             store: self.store.clone(),
             table,
+            pace,
             health: self.health.clone(),
             logger: self.logger.clone(),
         };
--- a/crates/jobs/src/ports/store_port.rs
+++ b/crates/jobs/src/ports/store_port.rs
@@ -133,6 +133,8 @@
     pub after: u64,
     /// Longest time that the store waits for a change.
     pub wait: Duration,
+    /// Time beyond the wait after which the answer is given up.
+    pub margin: Duration,
 }
 
 /// Changes of a table.
--- a/crates/jobs/tests/common/memory_store.rs
+++ b/crates/jobs/tests/common/memory_store.rs
@@ -12,7 +12,7 @@
 };
 use sesamedeal_store::{PlatformError, Result};
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 #[derive(Debug, Default)]
 struct StoreState {
@@ -30,6 +30,8 @@
     pub is_down: Arc<AtomicBool>,
     /// Whether changes are made and not answered.
     pub loses_answers: Arc<AtomicBool>,
+    /// Whether requests for changes get no answer.
+    pub holds_changes: Arc<AtomicBool>,
     /// Changes that were made.
     pub transactions: Arc<AtomicU64>,
 }
@@ -179,6 +181,12 @@
     }
 
     async fn follow(&self, request: FollowRequest) -> Result<FollowPage> {
+        if self.holds_changes.load(Ordering::Acquire) {
+            sleep(request.wait + request.margin).await;
+            return Err(PlatformError::NoAnswer {
+                reason: "changes are held back".to_owned(),
+            });
+        }
         let wait = async {
             loop {
                 let changed = self.changed.notified();
--- a/crates/jobs/tests/job_path.rs
+++ b/crates/jobs/tests/job_path.rs
@@ -112,6 +112,32 @@
     );
 }
 
+/// Guards against jobs that are accepted and not begun while the store holds back its changes, as it
+/// does when it drops its history.
+#[tokio::test]
+async fn changes_held_back() {
+    let stage = Stage::new(1);
+    let node = stage.node("entry-1");
+    submit(&node, 1, &job(1, false)).await;
+    wait_until("the job ends", async || {
+        phase(&node, 1).await == Some(JobPhase::Finished)
+    })
+    .await;
+    stage.store.holds_changes.store(true, Ordering::Release);
+    // Requests that were under way are answered once more.
+    submit(&node, 2, &job(1, false)).await;
+    for id in 3..6 {
+        let begin = Instant::now();
+        submit(&node, id, &job(1, false)).await;
+        wait_until("the job ends", async || {
+            phase(&node, id).await == Some(JobPhase::Finished)
+        })
+        .await;
+        let elapsed = begin.elapsed();
+        assert!(elapsed < Duration::from_millis(1_000), "{elapsed:?}");
+    }
+}
+
 /// Guards against tasks that go on after the job was cancelled at another entry instance.
 #[tokio::test]
 async fn cancels_jobs() {
