Take out fewer instances for maintenance while tasks wait

The wave had 25 s; the time by which it has to end was decoded and not used.

Change: while tasks wait for room, a wave takes out no more at once than its remaining time asks for (5 s an instance, a fifth of the time in reserve). A wave of which this instance does not know the age goes at full speed. Tests upkeep_room::spares_surge, ::ends_in_time and ::unknown_age.

--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -55,7 +55,7 @@
 pub use task_name::{StepName, TaskName};
 pub use ticket_book::AdviceRequest;
 pub use unreached_worker::UnreachedWorker;
-pub use upkeep_plan::{MaintenanceWave, UpkeepChoice, next_upkeep};
+pub use upkeep_plan::{MaintenanceWave, UpkeepChoice, next_upkeep, upkeep_room};
 pub use worker_choice::{WorkerOffer, choose_worker};
 pub use worker_entry::WorkerKey;
 pub use worker_order::{StartOrder, StartOutcome, WorkerOrder};
--- a/crates/jobs/src/feeds/intent_follower.rs
+++ b/crates/jobs/src/feeds/intent_follower.rs
@@ -15,8 +15,10 @@
 /// Events that may wait for the follower.
 const EVENT_QUEUE: usize = 16;
 
-/// Waves that the operator wants, and when each became known here.
-pub(crate) type WaveList = Arc<ArcSwap<BTreeMap<CompactString, (MaintenanceWave, TimePoint)>>>;
+/// Waves that the operator wants, and when each was made known; none if it was known before this
+/// instance read it.
+pub(crate) type WaveList =
+    Arc<ArcSwap<BTreeMap<CompactString, (MaintenanceWave, Option<TimePoint>)>>>;
 
 /// Follows what the operator wants.
 #[derive(Debug)]
@@ -44,16 +46,18 @@
         let follow = follower.run(sender);
         let take = async {
             while let Some(event) = events.recv().await {
+                let is_new = matches!(event, TableEvent::Changes(_));
                 let (TableEvent::Snapshot(rows) | TableEvent::Changes(rows)) = event;
                 for row in &rows {
-                    self.take(row);
+                    self.take(row, is_new);
                 }
             }
         };
         tokio::join!(follow, take);
     }
 
-    fn take(&self, row: &StoreRow) {
+    /// Takes a row; `is_new` says that it has just been written.
+    fn take(&self, row: &StoreRow, is_new: bool) {
         if row.is_deleted {
             return;
         }
@@ -65,7 +69,7 @@
                     self.version.send_replace(version);
                 }
             }
-            Ok(IntentRow::Wave(wave)) => self.take_wave(row, wave),
+            Ok(IntentRow::Wave(wave)) => self.take_wave(row, wave, is_new),
             Ok(IntentRow::Other) => {}
             Err(problem) => {
                 warn!(self.logger, "row left out"; "problem" => %problem, "row" => row.version);
@@ -73,11 +77,11 @@
         }
     }
 
-    fn take_wave(&self, row: &StoreRow, wave: MaintenanceWave) {
+    fn take_wave(&self, row: &StoreRow, wave: MaintenanceWave, is_new: bool) {
         let mut waves = self.waves.load().as_ref().clone();
         let since = waves
             .get(&row.key)
-            .map_or_else(|| BootClock.now(), |(_, since)| *since);
+            .map_or_else(|| is_new.then(|| BootClock.now()), |(_, since)| *since);
         info!(self.logger, "maintenance wave"; "wave" => wave.number, "instances" => wave.instances.len(), "limit" => wave.limit, "complete_by_s" => wave.complete_by.as_secs());
         waves.insert(row.key.clone(), (wave, since));
         self.waves.store(Arc::new(waves));
--- a/crates/jobs/src/owner/pool_keeper.rs
+++ b/crates/jobs/src/owner/pool_keeper.rs
@@ -42,6 +42,8 @@
     moves: HashMap<InstanceName, InstanceMove>,
     move_time: Duration,
     next_round: TimePoint,
+    /// Whether tasks waited for room at the last decision.
+    pub(super) is_short: bool,
 }
 
 impl PoolKeeper {
@@ -56,6 +58,7 @@
             sizing: PoolSizing::new(policy).with_surges(&surges, BootClock.now()),
             moves: HashMap::new(),
             next_round: TimePoint::ORIGIN,
+            is_short: false,
         }
     }
 }
@@ -97,6 +100,7 @@
             return;
         };
         let sizes = self.pool_sizes(&spare_pool, now);
+        self.pools.is_short = sizes.values().any(|size| size.load.waiting > 0);
         let spare = self.idle_instances(&spare_pool);
         let capacity = self.dispatcher.worker_capacity();
         let changes = self.pools.sizing.decide(&sizes, spare.len(), capacity, now);
--- a/crates/jobs/src/owner/wave_keeper.rs
+++ b/crates/jobs/src/owner/wave_keeper.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use sesamedeal_core::ids::InstanceName;
-use sesamedeal_core::jobs::{MaintenanceWave, UpkeepChoice, next_upkeep};
+use sesamedeal_core::jobs::{MaintenanceWave, UpkeepChoice, next_upkeep, upkeep_room};
 use sesamedeal_core::time::TimePoint;
 use slog::{info, warn};
 
@@ -12,9 +12,6 @@
 use crate::ports::{InstanceState, RowPut};
 use crate::row_codec::{WaveRow, decode};
 
-/// Instances that are emptied beyond the wave's limit, so that one is ready when another returns.
-const EMPTIED_AHEAD: usize = 1;
-
 /// Time after which an instance whose worker does not answer is maintained all the same. What it
 /// ran has lost its lease by then.
 const UNKNOWN_PATIENCE: Duration = Duration::from_secs(7);
@@ -98,8 +95,9 @@
         }
         let wanted = self.waves.wanted.load_full();
         let mut is_moving = self.has_moves();
-        for (wave, _) in wanted.values() {
-            is_moving |= self.step_wave(wave, now);
+        for (wave, since) in wanted.values() {
+            let age = since.map(|since| now.since(since));
+            is_moving |= self.step_wave(wave, age, now);
         }
         self.size_pools(now);
         self.read_inventory(is_moving, now);
@@ -114,7 +112,7 @@
     }
 
     /// Continues a wave; false once it is finished.
-    fn step_wave(&mut self, wave: &MaintenanceWave, now: TimePoint) -> bool {
+    fn step_wave(&mut self, wave: &MaintenanceWave, age: Option<Duration>, now: TimePoint) -> bool {
         let progress = self.waves.waves.entry(wave.number).or_default();
         let is_finished = wave
             .instances
@@ -130,13 +128,13 @@
         if self.inventory.reports.is_empty() {
             return true;
         }
-        self.empty_next(wave, now);
+        self.empty_next(wave, age, now);
         self.order_empty(wave, now);
         true
     }
 
     /// Begins to empty instances.
-    fn empty_next(&mut self, wave: &MaintenanceWave, now: TimePoint) {
+    fn empty_next(&mut self, wave: &MaintenanceWave, age: Option<Duration>, now: TimePoint) {
         loop {
             let progress = &self.waves.waves[&wave.number];
             let is_open = |name: &&InstanceName| {
@@ -149,7 +147,8 @@
                 .filter_map(|name| self.upkeep_choice(name, now))
                 .collect();
             let out = progress.out.len() + progress.emptied.len() + progress.claimed.len();
-            let Some(choice) = next_upkeep(wave.limit + EMPTIED_AHEAD, out, &choices) else {
+            let room = upkeep_room(wave, choices.len() + out, age, self.pools.is_short);
+            let Some(choice) = next_upkeep(room, out, &choices) else {
                 return;
             };
             let name = choice.instance.clone();
