--- a/crates/core/src/jobs/dispatcher/advice.rs
+++ b/crates/core/src/jobs/dispatcher/advice.rs
@@ -21,6 +21,9 @@
 impl JobDispatcher {
     /// Questions to ask now, for steps whose tasks wait for a worker with a ticket.
     pub fn take_questions(&mut self, now: TimePoint) -> Vec<AdviceRequest> {
+        if !self.rules.queues.values().any(|rule| rule.needs_ticket) {
+            return Vec::new();
+        }
         let mut under_way = self.tickets.values().filter(|book| book.is_asking).count();
         let mut requests = Vec::new();
         let mut waiting = self.waiting_steps(now);
--- a/crates/core/src/jobs/dispatcher/ends.rs
+++ b/crates/core/src/jobs/dispatcher/ends.rs
@@ -19,9 +19,7 @@
         match end.kind {
             EndKind::Done => self.note_done(key, end.task),
             EndKind::Failed => self.note_failed(key, end, now),
-            EndKind::Lapsed | EndKind::Broken | EndKind::Alone | EndKind::Stopped => {
-                task.at_work = None;
-            }
+            EndKind::Lapsed | EndKind::Broken | EndKind::Alone | EndKind::Stopped => {}
         }
     }
 
@@ -103,7 +101,6 @@
             && is_lasting
         {
             task.not_before = now.after(pause);
-            task.at_work = None;
         }
     }
 }
--- a/crates/core/src/jobs/dispatcher/holds.rs
+++ b/crates/core/src/jobs/dispatcher/holds.rs
@@ -53,7 +53,6 @@
     }
 
     fn note_running(&mut self, key: WorkerKey, report: &RunReport, now: TimePoint) {
-        let is_lasting = self.is_lasting(report);
         let Some(task) = self.task_mut(report.task) else {
             // The job has ended or never existed here.
             let stop = WorkerOrder::Stop(key, report.task, report.run);
@@ -65,9 +64,6 @@
             task.saved.clone_from(&report.saved);
         }
         task.is_settled = true;
-        if is_lasting && report.percent >= 100.0 {
-            task.at_work = Some(now);
-        }
         let is_known = |entry: &RunEntry| entry.run == report.run && entry.worker == key;
         if !task.runs.iter().any(is_known) {
             self.adopt(key, report, now);
@@ -137,12 +133,6 @@
         }
     }
 
-    fn is_lasting(&self, report: &RunReport) -> bool {
-        let job = self.jobs.get(&report.task.step.job);
-        job.and_then(|job| job.order.steps.get(usize::from(report.task.step.step)))
-            .is_some_and(|step| step.is_lasting)
-    }
-
     fn allows_copies(&self, report: &RunReport) -> bool {
         let job = &self.jobs[&report.task.step.job];
         job.order.steps[usize::from(report.task.step.step)].allows_copies
--- a/crates/core/src/jobs/dispatcher/relocation.rs
+++ b/crates/core/src/jobs/dispatcher/relocation.rs
@@ -29,7 +29,7 @@
         let on_instance = self
             .workers
             .values()
-            .filter(|entry| entry.is_listed && entry.report.machine.as_ref() == Some(instance));
+            .filter(|entry| entry.is_listed && entry.report.instance.as_ref() == Some(instance));
         let mut is_empty = true;
         for entry in named.into_iter().chain(on_instance) {
             entry.held?;
--- a/crates/core/src/jobs/task_entry.rs
+++ b/crates/core/src/jobs/task_entry.rs
@@ -20,8 +20,6 @@
     /// Whether this owner has started it or seen it run, so that no run of an earlier owner exists
     /// elsewhere.
     pub is_settled: bool,
-    /// When the task was last seen at work; lasting tasks only.
-    pub at_work: Option<TimePoint>,
 }
 
 impl TaskEntry {
--- a/crates/core/src/jobs/worker_report.rs
+++ b/crates/core/src/jobs/worker_report.rs
@@ -20,7 +20,7 @@
     /// Name of the worker.
     pub name: InstanceName,
     /// Machine that the worker runs on, if the list names it.
-    pub machine: Option<InstanceName>,
+    pub instance: Option<InstanceName>,
     /// Pool.
     pub pool: PoolName,
     /// IP address and port.
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -5,6 +5,7 @@
 
 mod order_delivery;
 mod sim_worker;
+mod world_faults;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
@@ -22,6 +23,7 @@
 use sesamedeal_core::time::TimePoint;
 
 pub use sim_worker::{SimRun, SimWorker};
+pub use world_faults::WorldFaults;
 
 /// Failed runs after which a job has failed.
 pub const ATTEMPTS: u32 = 3;
@@ -78,7 +80,7 @@
 pub fn worker_report(number: usize, boot: u64) -> WorkerReport {
     WorkerReport {
         name: InstanceName::new(format!("worker-{number}")),
-        machine: None,
+        instance: None,
         pool: PoolName::new("pool"),
         address: "10.0.0.1:80".parse().unwrap(),
         zone: ZoneName::new("zone"),
@@ -93,23 +95,6 @@
     TimePoint::with_millis(millis)
 }
 
-/// Faults of a run of the world, each as a share of the calls or rounds.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct WorldFaults {
-    /// Starts that are done and not answered.
-    pub lost_starts: f64,
-    /// Writes to the store that are turned away.
-    pub refused_writes: f64,
-    /// Rounds in which a worker is cut off or comes back.
-    pub cuts: f64,
-    /// Rounds in which another owner takes over.
-    pub takeovers: f64,
-    /// Runs that fail.
-    pub failures: f64,
-    /// Rounds in which a worker is started again under its name.
-    pub reboots: f64,
-}
-
 pub struct JobWorld {
     pub now: u64,
     pub epoch: u64,
--- a/crates/jobs/src/owner/advice_desk.rs
+++ b/crates/jobs/src/owner/advice_desk.rs
@@ -25,16 +25,10 @@
                 step: request.step,
                 workers: names.collect(),
             });
-            let owner = self.sender.owner.clone();
-            tokio::spawn(async move {
-                let outcome = call.await;
-                let event = OwnerEvent::Advised {
-                    request,
-                    asked: now,
-                    outcome,
-                };
-                // The owner has gone when the ownership was lost.
-                drop(owner.send(event).await);
+            self.react(call, move |outcome| OwnerEvent::Advised {
+                request,
+                asked: now,
+                outcome,
             });
         }
     }
--- a/crates/jobs/src/owner/hand_over.rs
+++ b/crates/jobs/src/owner/hand_over.rs
@@ -79,12 +79,7 @@
         let epoch = self.parts.lease.epoch;
         info!(self.parts.logger, "ownership offered"; "failures" => self.hand_over.failures);
         let call = (self.parts.peers.offer)(epoch);
-        let owner = self.sender.owner.clone();
-        tokio::spawn(async move {
-            let outcome = call.await;
-            // The owner has gone when the ownership was lost.
-            drop(owner.send(OwnerEvent::Offered(outcome)).await);
-        });
+        self.react(call, OwnerEvent::Offered);
     }
 
     pub(super) fn take_offered(&mut self, outcome: Result<OfferEnd>) {
--- a/crates/jobs/src/owner/inventory_view.rs
+++ b/crates/jobs/src/owner/inventory_view.rs
@@ -46,12 +46,9 @@
         self.inventory.is_reading = true;
         self.inventory.sent = now;
         let call = (self.inventory.fleet.list)(());
-        let owner = self.sender.owner.clone();
-        tokio::spawn(async move {
-            let outcome = call.await;
-            let event = OwnerEvent::Inventory { sent: now, outcome };
-            // The owner has gone when the ownership was lost.
-            drop(owner.send(event).await);
+        self.react(call, move |outcome| OwnerEvent::Inventory {
+            sent: now,
+            outcome,
         });
     }
 
--- /dev/null
+++ b/crates/jobs/src/owner/leadership.rs
@@ -0,0 +1,184 @@
+//! Owning the pools, from the first read of the records to the release.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamedeal_core::jobs::{FleetRules, JobDispatcher};
+use slog::{Logger, warn};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{MissedTickBehavior, interval, sleep};
+use xtra::Mailbox;
+
+use super::OwnerEvent;
+use super::call_sender::CallSender;
+use super::job_intake::JobIntake;
+use super::owner_actor::{OwnerActor, OwnerParts};
+use super::owner_lease::OwnerLease;
+use super::owner_loop::{OwnerLoop, TABLE_QUEUE};
+use super::record_writer::RecordWriter;
+use super::takeover_kind::TakeoverKind;
+use super::wave_keeper::WaveKeeper;
+use crate::BootClock;
+use crate::feeds::{FollowPace, TableEvent, TableFollower};
+use crate::ports::StoreTable;
+use crate::row_codec::{PulseRow, SEQUENCE_KEY, decode};
+
+/// Events that may wait for the owner.
+const OWNER_QUEUE: usize = 1_024;
+
+/// Time in which a retiring owner extends leases and stores what it knows.
+const RETIRE_TIME: Duration = Duration::from_millis(150);
+
+impl OwnerLoop {
+    /// Owns the pools until the ownership is lost or the process stops.
+    pub(super) async fn lead(
+        &mut self,
+        lease: OwnerLease,
+        pulse: Option<PulseRow>,
+        kind: TakeoverKind,
+        logger: Logger,
+    ) {
+        let Some(((states, ended), writer_rows)) = self.read_records(&lease, &logger).await else {
+            warn!(logger, "ownership lost"; "reason" => "the records could not be read in time");
+            lease.lose();
+            if *self.stopping.borrow() {
+                self.release(&lease, &logger).await;
+            }
+            return;
+        };
+        let now = BootClock.now();
+        let rules = self
+            .view
+            .load()
+            .map(|deployment| Arc::clone(&deployment.rules));
+        let rules = rules.unwrap_or_else(|| Arc::new(FleetRules::default()));
+        let wait = kind.extension(&self.policy);
+        let out_of_reach = pulse
+            .as_ref()
+            .map(|pulse| pulse.out_of_reach.clone())
+            .unwrap_or_default();
+        let mut dispatcher = JobDispatcher::new(self.dispatch.clone(), rules, lease.epoch, now)
+            .with_extension(wait)
+            .with_out_of_reach(out_of_reach.clone());
+        for (id, at) in ended {
+            dispatcher.note_ended(id, at);
+        }
+        let sequence = writer_rows.iter().find(|row| row.key == SEQUENCE_KEY);
+        let sequence = sequence.map_or(0, |row| row.version);
+        let mut waves = WaveKeeper::new(Arc::clone(&self.waves));
+        for row in &writer_rows {
+            let wave = row.key.strip_prefix("wave/");
+            if let Some(wave) = wave.and_then(|wave| wave.parse().ok()) {
+                match decode(&row.value) {
+                    Ok(row) => waves.restore(wave, row, now),
+                    Err(error) => {
+                        warn!(logger, "row left out"; "key" => %row.key, "error" => %error);
+                    }
+                }
+            }
+        }
+        let (address, mailbox) = Mailbox::bounded(OWNER_QUEUE);
+        let sender = CallSender {
+            workers: self.workers.clone(),
+            owner: address.clone(),
+            order_deadline: self.policy.order_deadline,
+            logger: logger.clone(),
+        };
+        let intake = JobIntake {
+            epoch_version: lease.version,
+            states,
+            earlier_pending: pulse
+                .as_ref()
+                .map(|pulse| pulse.pending.clone())
+                .unwrap_or_default(),
+            earlier_out_of_reach: out_of_reach,
+            earlier_surges: pulse.map(|pulse| pulse.surges_ms).unwrap_or_default(),
+            waiting: Vec::new(),
+            logger: logger.clone(),
+        };
+        let parts = OwnerParts {
+            node: self.node.clone(),
+            policy: self.policy.clone(),
+            dispatch: self.dispatch.clone(),
+            lease: lease.clone(),
+            store: self.store.clone(),
+            fleet: self.fleet.clone(),
+            advice: self.advice.clone(),
+            peers: self.peers.clone(),
+            rows: self.rows,
+            view: self.view.clone(),
+            pulse: self.pulse.clone(),
+            metrics: self.metrics.clone(),
+            logger: logger.clone(),
+        };
+        let (ended, end) = oneshot::channel();
+        let writer = RecordWriter::new(lease.clone(), sequence, now);
+        let actor = OwnerActor::new(parts, dispatcher, sender, writer, waves, intake, ended);
+        let mut tasks = tokio::task::JoinSet::new();
+        tasks.spawn(xtra::run(mailbox, actor));
+        self.follow(
+            &mut tasks,
+            (StoreTable::Job, FollowPace::PROMPT),
+            address.clone(),
+            OwnerEvent::Jobs,
+        );
+        self.follow(
+            &mut tasks,
+            (StoreTable::WorkerList, FollowPace::RELAXED),
+            address.clone(),
+            OwnerEvent::Workers,
+        );
+        let round = self.policy.round;
+        let owner = address.clone();
+        tasks.spawn(async move {
+            let mut rounds = interval(round);
+            rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            loop {
+                rounds.tick().await;
+                if address.send(OwnerEvent::Round).await.is_err() {
+                    return;
+                }
+            }
+        });
+        let is_stopping = tokio::select! {
+            // The sender is dropped when the ownership is lost.
+            _ = end => false,
+            result = self.stopping.wait_for(|stopping| *stopping) => result.is_ok(),
+        };
+        if is_stopping {
+            // The owner has gone when the ownership was lost meanwhile.
+            drop(owner.send(OwnerEvent::Retire).await);
+            sleep(RETIRE_TIME).await;
+        }
+        lease.lose();
+        tasks.shutdown().await;
+        if is_stopping {
+            self.release(&lease, &logger).await;
+        }
+    }
+
+    fn follow(
+        &self,
+        tasks: &mut tokio::task::JoinSet<()>,
+        (table, pace): (StoreTable, FollowPace),
+        address: xtra::Address<OwnerActor>,
+        wrap: fn(TableEvent) -> OwnerEvent,
+    ) {
+        let (sender, mut events) = mpsc::channel(TABLE_QUEUE);
+        let follower = TableFollower {
+            store: self.store.clone(),
+            table,
+            pace,
+            health: self.health.clone(),
+            logger: self.logger.clone(),
+        };
+        tasks.spawn(follower.run(sender));
+        tasks.spawn(async move {
+            while let Some(event) = events.recv().await {
+                if address.send(wrap(event)).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
--- a/crates/jobs/src/owner/mod.rs
+++ b/crates/jobs/src/owner/mod.rs
@@ -5,6 +5,7 @@
 mod hand_over;
 mod inventory_view;
 mod job_intake;
+mod leadership;
 mod owner_actor;
 mod owner_event;
 mod owner_lease;
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -101,6 +101,20 @@
         }
     }
 
+    /// Makes a call and lets this owner react to its outcome, if it still owns the pools then.
+    pub(super) fn react<T: Send + 'static>(
+        &self,
+        call: impl Future<Output = T> + Send + 'static,
+        wrap: impl FnOnce(T) -> OwnerEvent + Send + 'static,
+    ) {
+        let owner = self.sender.owner.clone();
+        tokio::spawn(async move {
+            let event = wrap(call.await);
+            // The owner has gone when the ownership was lost.
+            drop(owner.send(event).await);
+        });
+    }
+
     /// Gives the ownership up.
     pub(super) fn step_down(&mut self, reason: &str) {
         self.parts.lease.lose();
--- a/crates/jobs/src/owner/pool_keeper.rs
+++ b/crates/jobs/src/owner/pool_keeper.rs
@@ -192,12 +192,7 @@
                 wave: None,
             };
             let call = (self.inventory.fleet.order)(order);
-            let owner = self.sender.owner.clone();
-            tokio::spawn(async move {
-                let outcome = call.await;
-                // The owner has gone when the ownership was lost.
-                drop(owner.send(OwnerEvent::Moved { instance, outcome }).await);
-            });
+            self.react(call, move |outcome| OwnerEvent::Moved { instance, outcome });
         }
     }
 
--- a/crates/jobs/src/owner/record_keeping.rs
+++ b/crates/jobs/src/owner/record_keeping.rs
@@ -49,16 +49,10 @@
         self.writer.is_writing = true;
         self.writer.sent = now;
         let call = (self.parts.store.transact)(change);
-        let owner = self.sender.owner.clone();
-        tokio::spawn(async move {
-            let outcome = call.await;
-            let event = OwnerEvent::Written {
-                batch,
-                sent: now,
-                outcome,
-            };
-            // The owner has gone when the ownership was lost.
-            drop(owner.send(event).await);
+        self.react(call, move |outcome| OwnerEvent::Written {
+            batch,
+            sent: now,
+            outcome,
         });
     }
 
--- a/crates/jobs/src/owner/wave_orders.rs
+++ b/crates/jobs/src/owner/wave_orders.rs
@@ -33,16 +33,10 @@
             wave: Some(wave),
         };
         let call = (self.inventory.fleet.order)(order);
-        let owner = self.sender.owner.clone();
-        tokio::spawn(async move {
-            let outcome = call.await;
-            let event = OwnerEvent::Maintained {
-                wave,
-                instance,
-                outcome,
-            };
-            // The owner has gone when the ownership was lost.
-            drop(owner.send(event).await);
+        self.react(call, move |outcome| OwnerEvent::Maintained {
+            wave,
+            instance,
+            outcome,
         });
     }
 
@@ -111,15 +105,9 @@
         info!(self.parts.logger, "wave status"; "wave" => wave, "is_finished" => is_finished, "done" => progress.done.len());
         progress.written = Some(is_finished);
         let call = (self.parts.store.transact)(change);
-        let owner = self.sender.owner.clone();
-        tokio::spawn(async move {
-            let outcome = call.await;
-            // The owner has gone when the ownership was lost.
-            drop(
-                owner
-                    .send(OwnerEvent::StatusWritten { wave, outcome })
-                    .await,
-            );
+        self.react(call, move |outcome| OwnerEvent::StatusWritten {
+            wave,
+            outcome,
         });
     }
 
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -155,7 +155,7 @@
     };
     Ok(WorkerReport {
         name: InstanceName::new(&row.key),
-        machine: Some(InstanceName::new(format!("machine-{number}"))),
+        instance: Some(InstanceName::new(format!("machine-{number}"))),
         pool: PoolName::new("pool"),
         address: ([127, 0, 0, 1], number).into(),
         zone: ZoneName::new("zone"),
