Copy tasks that may run twice when their worker is lost or slow

Change: such a task gets a second run on another worker when the first one's worker does not answer, or when its progress shows that it needs more than twice its estimate; copies come after all other waiting tasks. After a takeover such tasks do not wait for workers out of reach.

--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -1,4 +1,5 @@
 mod advice;
+mod copies;
 mod ends;
 mod gangs;
 mod holds;
--- a/crates/core/src/jobs/dispatcher/placing.rs
+++ b/crates/core/src/jobs/dispatcher/placing.rs
@@ -29,6 +29,11 @@
             }
             for &index in &step.indexes {
                 let task = step.name.task(index);
+                if step.is_copy {
+                    let others = self.other_workers(task, workers);
+                    self.place_task(task, &spec, team.as_ref(), &others, now);
+                    continue;
+                }
                 if !self.place_task(task, &spec, team.as_ref(), workers, now) {
                     let is_allowed = self.is_within_limit(team.as_ref(), spec.amount);
                     if spec.is_lasting && is_allowed {
@@ -40,6 +45,15 @@
         }
     }
 
+    /// Workers that do not run a task already.
+    fn other_workers(&self, task: TaskName, workers: &[WorkerKey]) -> Vec<WorkerKey> {
+        let runs = self.task(task).map_or(&[][..], |task| &task.runs);
+        let others = workers.iter().copied();
+        others
+            .filter(|key| runs.iter().all(|run| run.worker != *key))
+            .collect()
+    }
+
     /// Keeps the worker that is likely to have room first free of other tasks, so that a large task
     /// is not overtaken for ever by small ones.
     fn reserve(&self, step: StepName, spec: &StepSpec, workers: &mut Vec<WorkerKey>) {
--- a/crates/core/src/jobs/dispatcher/waiting.rs
+++ b/crates/core/src/jobs/dispatcher/waiting.rs
@@ -15,6 +15,8 @@
     pub(super) name: StepName,
     pub(super) pool: PoolName,
     pub(super) indexes: Vec<u16>,
+    /// Whether the tasks run already, where they may be lost or are slow.
+    pub(super) is_copy: bool,
 }
 
 /// Tasks that may run where this owner cannot ask.
@@ -96,22 +98,39 @@
                     occurrence: occurrence.number,
                     step: number,
                 };
+                let spec = &job.order.steps[usize::from(number)];
                 let tasks = step.tasks.iter().enumerate().filter(|(index, task)| {
                     let index = u16::try_from(*index).unwrap_or(u16::MAX);
                     let failures = u32::try_from(task.failed_runs.len()).unwrap_or(u32::MAX);
                     let is_safe = !job.is_inherited
                         || task.is_settled
+                        || spec.allows_copies
                         || !unsettled.contains(name.task(index));
                     task.is_waiting(now) && failures < attempts && is_safe
                 });
                 let indexes: Vec<u16> = tasks
                     .map(|(index, _)| u16::try_from(index).unwrap_or(u16::MAX))
                     .collect();
+                let copies = step.tasks.iter().enumerate();
+                let copies = copies.filter(|(_, task)| self.needs_copy(task, spec, now));
+                let copies: Vec<u16> = copies
+                    .map(|(index, _)| u16::try_from(index).unwrap_or(u16::MAX))
+                    .collect();
+                if !copies.is_empty() {
+                    let key = self.sequence_key(job, occurrence.number, true, now);
+                    waiting.push(WaitingStep {
+                        key,
+                        name,
+                        pool: pool.clone(),
+                        indexes: copies,
+                        is_copy: true,
+                    });
+                }
                 if indexes.is_empty() {
                     continue;
                 }
                 let mut key = self.sequence_key(job, occurrence.number, is_over_share, now);
-                if job.order.steps[usize::from(number)].is_lasting {
+                if spec.is_lasting {
                     key = key.with_lasting();
                 }
                 waiting.push(WaitingStep {
@@ -119,6 +138,7 @@
                     name,
                     pool: pool.clone(),
                     indexes,
+                    is_copy: false,
                 });
             }
         }
