Bound the hand-over by the write that was sent after the offer

A write that was sent before an offer and answered after it cleared the time at which the owner gives up, although a peer may have taken the ownership in between; and a watcher on a machine without power stayed in the list for ever, so that offers waited 0.4 s for it. The loop of the owner was long.

--- a/crates/jobs/src/owner/hand_over.rs
+++ b/crates/jobs/src/owner/hand_over.rs
@@ -32,6 +32,8 @@
     /// Writes to the store that failed in a row.
     failures: u32,
     is_offering: bool,
+    /// When the newest offer was made.
+    offered: TimePoint,
     /// When the owner gives up because an offer may have been taken.
     give_up: Option<TimePoint>,
     /// Whether an instance that was asked has not answered.
@@ -45,11 +47,14 @@
         self.failures += 1;
     }
 
-    /// Notes that the ownership was renewed, so that nobody has taken it.
-    pub(super) const fn note_renewal(&mut self) {
+    /// Notes that a write which was sent at `sent` has renewed the ownership. If it was sent after
+    /// the newest offer, nobody has taken that.
+    pub(super) fn note_renewal(&mut self, sent: TimePoint) {
         self.failures = 0;
-        self.give_up = None;
-        self.is_doubtful = false;
+        if sent > self.offered {
+            self.give_up = None;
+            self.is_doubtful = false;
+        }
     }
 }
 
@@ -73,6 +78,7 @@
             return;
         }
         self.hand_over.is_offering = true;
+        self.hand_over.offered = now;
         self.hand_over
             .give_up
             .get_or_insert(now.after(OFFER_EXTENSION));
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -138,18 +138,10 @@
             }
             let record = rows.record();
             let action = candidate.step(record.as_ref(), BootClock.now());
-            let is_vacant = is_gone
-                || rows.epoch.as_ref().is_none_or(|(epoch, _)| {
-                    // An earlier process of this instance has ended, and this one does not lead here.
-                    epoch.is_released || epoch.node == self.node
-                });
-            let is_free = is_vacant || matches!(action, LeaseAction::Acquire(_));
-            if is_free && retry_after <= BootClock.now() {
-                let kind = if is_vacant {
-                    TakeoverKind::Vacant
-                } else {
-                    TakeoverKind::Expired
-                };
+            let kind = self.free_kind(&rows, is_gone, &action);
+            if let Some(kind) = kind
+                && retry_after <= BootClock.now()
+            {
                 if !self.try_lead(&mut rows, kind).await {
                     retry_after = BootClock.now().after(RETRY_PAUSE);
                 }
@@ -159,6 +151,26 @@
         follower.abort();
     }
 
+    /// How the ownership has come free; none if another instance holds it.
+    fn free_kind(
+        &self,
+        rows: &OwnerRows,
+        is_gone: bool,
+        action: &LeaseAction,
+    ) -> Option<TakeoverKind> {
+        let is_vacant = rows.epoch.as_ref().is_none_or(|(epoch, _)| {
+            // An earlier process of this instance has ended, and this one does not lead here.
+            epoch.is_released || epoch.node == self.node
+        });
+        if is_gone || is_vacant {
+            Some(TakeoverKind::Vacant)
+        } else if matches!(action, LeaseAction::Acquire(_)) {
+            Some(TakeoverKind::Expired)
+        } else {
+            None
+        }
+    }
+
     /// Takes rows of the ownership, and publishes the newest sign of life.
     fn take_rows(&self, event: TableEvent, rows: &mut OwnerRows) {
         let (TableEvent::Snapshot(changed) | TableEvent::Changes(changed)) = event;
--- a/crates/jobs/src/owner/record_keeping.rs
+++ b/crates/jobs/src/owner/record_keeping.rs
@@ -84,7 +84,7 @@
         match outcome {
             Ok(TransactOutcome::Committed { version }) => {
                 self.writer.commit(version, sent);
-                self.hand_over.note_renewal();
+                self.hand_over.note_renewal(sent);
                 let rows = self.writer.take_sent();
                 self.note_wave_rows(&rows);
                 self.dispatcher.note_stored(batch, BootClock.now());
--- a/crates/jobs/src/peers/peer_message.rs
+++ b/crates/jobs/src/peers/peer_message.rs
@@ -1,6 +1,9 @@
+use std::time::Duration;
+
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use sesamedeal_wire::codec::{self, CodecError};
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
@@ -26,8 +29,21 @@
     }
 }
 
-/// Messages with their lengths on a connection.
+/// Silence after which the other side is probed, and time between two probes.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Probes without an answer after which the connection ends.
+const PROBES: u32 = 3;
+
+/// Messages with their lengths on a connection. The other side is probed, because a machine without
+/// power never closes a connection.
 pub(super) fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_PERIOD)
+        .with_interval(PROBE_PERIOD)
+        .with_retries(PROBES);
+    // Without probes the connection ends later, when an offer has no answer.
+    drop(SockRef::from(&stream).set_tcp_keepalive(&probes));
     let codec = LengthDelimitedCodec::builder()
         .max_frame_length(MAX_BYTES)
         .new_codec();
