Keep off workers that the stored publication shows as out of reach

The ownership changed three times in 3 s, because one lost answer was enough for an offer. The second owner started tasks on a worker that the stored pulse still showed as out of reach with a lease long passed; its own pulse was not stored before the next owner read the old one, which started the tasks again.

Change: a new owner takes what its predecessor has published as published until its own pulse is stored, and starts nothing on such workers. One failed write leads to an offer only if nothing was answered for 0.8 s. Test job_takeover::unpublished_worker failed before.

--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -167,9 +167,10 @@
             return (key, moved || !was_listed);
         }
         let name = report.name.clone();
-        let key = self
-            .workers
-            .insert(WorkerEntry::new(report, self.inherited_until));
+        let mut entry = WorkerEntry::new(report, self.inherited_until);
+        // The stored publication is that of the earlier owner until this one has stored its own.
+        entry.is_published = self.out_of_reach.contains_key(&name);
+        let key = self.workers.insert(entry);
         self.names.insert(name, key);
         (key, true)
     }
--- a/crates/core/tests/job_takeover.rs
+++ b/crates/core/tests/job_takeover.rs
@@ -174,6 +174,30 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// Guards against tasks that run twice after two takeovers in quick succession: the second owner
+/// started tasks on a worker that the stored publication still showed as out of reach, so that the
+/// third one took its leases there for passed.
+#[test]
+fn unpublished_worker() {
+    let mut world = JobWorld::new(1, 1);
+    world.run(2);
+    world.workers[0].is_reachable = false;
+    world.run(120);
+    world.workers[0].is_reachable = true;
+    while !world.now.is_multiple_of(500) {
+        world.run(1);
+    }
+    world.workers[0].is_reachable = false;
+    world.run(10);
+    world.workers[0].is_reachable = true;
+    world.take_over();
+    world.submit(1, job(vec![step(1, 1_000)]));
+    world.run(4);
+    assert_eq!(world.starts, 0, "started before the publication was stored");
+    world.run(10);
+    assert_eq!(world.starts, 1);
+}
+
 /// Guards against two tasks of a step taken out at once: a stop of the earlier owner was still
 /// under way, so that its task was listed as at work.
 #[test]
--- a/crates/jobs/src/owner/hand_over.rs
+++ b/crates/jobs/src/owner/hand_over.rs
@@ -15,10 +15,14 @@
 /// is about 0.3 s if the store refuses at once.
 const OFFER_FAILURES: u32 = 3;
 
-/// Time without a renewal after which one failed write is enough. A call without an answer takes
-/// 0.9 s to fail.
+/// Time without a renewal after which one failed write is enough, if nothing else has been answered
+/// either. A call without an answer takes 0.9 s to fail.
 const OFFER_AGE: Duration = Duration::from_secs(1);
 
+/// Time without an answer after which the store counts as silent. The table of jobs is answered for
+/// at least every 0.3 s; a store that loses single answers does so for every entry instance.
+const SILENCE: Duration = Duration::from_millis(800);
+
 /// Time after an offer for which the owner goes on, unless it renews its ownership or knows that
 /// nobody has taken it. An attempt asks three instances for 0.4 s each.
 pub(super) const OFFER_EXTENSION: Duration = Duration::from_millis(1_200);
@@ -62,9 +66,11 @@
     /// Whether this owner tries to hand over. It gives no orders for instances meanwhile, because
     /// a successor may give some at any moment.
     pub(super) fn is_handing_over(&self) -> bool {
-        let has_failed = self.hand_over.failures >= OFFER_FAILURES
-            || (self.hand_over.failures > 0 && !self.parts.lease.is_younger(OFFER_AGE));
-        has_failed || self.hand_over.is_offering
+        let failures = self.hand_over.failures;
+        let is_silent = failures > 0
+            && !self.parts.lease.is_younger(OFFER_AGE)
+            && !self.parts.health.has_answered(SILENCE);
+        failures >= OFFER_FAILURES || is_silent || self.hand_over.is_offering
     }
 
     /// Offers the ownership if it is time.
--- a/crates/jobs/src/owner/leadership.rs
+++ b/crates/jobs/src/owner/leadership.rs
@@ -102,6 +102,7 @@
             dispatch: self.dispatch.clone(),
             lease: lease.clone(),
             store: self.store.clone(),
+            health: self.health.clone(),
             fleet: self.fleet.clone(),
             advice: self.advice.clone(),
             peers: self.peers.clone(),
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -19,7 +19,7 @@
 use super::worker_links::WorkerLinks;
 use super::{OwnerEvent, OwnerPolicy, PulseView};
 use crate::ports::{AdvicePort, FleetPort, PeerPort, RowPort, StorePort};
-use crate::{BootClock, DeploymentView, JobMetrics};
+use crate::{BootClock, DeploymentView, JobMetrics, StoreHealth};
 
 /// Time between two log lines about the load of a pool.
 const LOAD_PERIOD: Duration = Duration::from_secs(1);
@@ -32,6 +32,7 @@
     pub dispatch: DispatchPolicy,
     pub lease: OwnerLease,
     pub store: StorePort,
+    pub health: StoreHealth,
     pub fleet: FleetPort,
     pub advice: Option<AdvicePort>,
     pub peers: PeerPort,
--- a/crates/jobs/src/store_health.rs
+++ b/crates/jobs/src/store_health.rs
@@ -22,6 +22,8 @@
     failed_ms: Arc<AtomicU64>,
     /// When the first of these failures was.
     lost_ms: Arc<AtomicU64>,
+    /// When the last call was answered.
+    answered_ms: Arc<AtomicU64>,
 }
 
 impl StoreHealth {
@@ -29,6 +31,7 @@
     pub(crate) fn note<T>(&self, result: &Result<T>) {
         if result.is_ok() {
             self.failures.store(0, Ordering::Release);
+            self.answered_ms.store(now_ms(), Ordering::Release);
         } else {
             let now = now_ms();
             if self.failures.fetch_add(1, Ordering::AcqRel) == 0 {
@@ -44,6 +47,12 @@
         self.failures.load(Ordering::Acquire) >= DOWN_FAILURES
     }
 
+    /// Whether a call was answered within the last `time`.
+    pub(crate) fn has_answered(&self, time: Duration) -> bool {
+        let age = now_ms().saturating_sub(self.answered_ms.load(Ordering::Acquire));
+        u128::from(age) < time.as_millis()
+    }
+
     /// Time after which a caller comes back that the store has turned away.
     #[must_use]
     pub fn retry_after(&self) -> Duration {
