Share the set-up of job tests and the lane of worker orders

Cause: a read-through of the whole change. The search for a busy worker stood seven times in the tests of the core, the wait for a job's end thirteen times and the epochs of the starts twice in those of the runtime, and the lane and the deadline of an order three times in CallSender.

Change: JobWorld::busy_worker, run_job, wait_finished, Stage::epochs and Stage::wait_wave; CallSender::in_lane. No assertion, bound or order of calls changes.

--- a/crates/core/tests/job_leases.rs
+++ b/crates/core/tests/job_leases.rs
@@ -14,11 +14,7 @@
     lasting.is_lasting = true;
     world.submit(1, job(vec![lasting]));
     world.run(10);
-    let lost = world
-        .workers
-        .iter()
-        .position(|worker| !worker.tasks().is_empty())
-        .unwrap();
+    let lost = world.busy_worker();
     world.workers[lost].is_reachable = false;
     world.run(60);
     assert_eq!(world.starts, 2, "started while the lease may last");
--- a/crates/core/tests/job_takeover.rs
+++ b/crates/core/tests/job_takeover.rs
@@ -25,11 +25,7 @@
     let mut world = JobWorld::new(2, 1);
     world.submit(1, job(vec![lasting(4)]));
     world.run(10);
-    let silent = world
-        .workers
-        .iter()
-        .position(|worker| !worker.tasks().is_empty())
-        .unwrap();
+    let silent = world.busy_worker();
     let tasks = world.workers[silent].tasks().len();
     world.workers[silent].is_reachable = false;
     world.take_over();
@@ -48,11 +44,7 @@
     let mut world = JobWorld::new(3, 1);
     world.submit(1, job(vec![lasting(2)]));
     world.run(10);
-    let busy = world
-        .workers
-        .iter()
-        .position(|worker| !worker.tasks().is_empty())
-        .unwrap();
+    let busy = world.busy_worker();
     let silent = (busy + 1) % 3;
     assert!(world.workers[silent].tasks().is_empty());
     world.workers[silent].is_reachable = false;
@@ -130,11 +122,7 @@
     let mut world = JobWorld::new(3, 1);
     world.submit(1, job(vec![lasting(2)]));
     world.run(10);
-    let silent = world
-        .workers
-        .iter()
-        .position(|worker| !worker.tasks().is_empty())
-        .unwrap();
+    let silent = world.busy_worker();
     let held = world.workers[silent].tasks().len();
     world.workers[silent].is_reachable = false;
     world.run(20);
@@ -157,11 +145,7 @@
     let mut world = JobWorld::new(3, 1);
     world.submit(1, job(vec![lasting(2)]));
     world.run(10);
-    let silent = world
-        .workers
-        .iter()
-        .position(|worker| !worker.tasks().is_empty())
-        .unwrap();
+    let silent = world.busy_worker();
     let held = world.workers[silent].tasks().len();
     world.workers[silent].is_reachable = false;
     for _ in 0..3 {
@@ -207,11 +191,7 @@
     step.disruption_budget = Some(1);
     world.submit(1, job(vec![step]));
     world.run(10);
-    let busy = world
-        .workers
-        .iter()
-        .position(|worker| !worker.tasks().is_empty())
-        .unwrap();
+    let busy = world.busy_worker();
     let tasks = world.workers[busy].tasks().len();
     world.take_over();
     let name = world.workers[busy].report.name.clone();
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -156,6 +156,13 @@
         self.stored[&id].1.phase
     }
 
+    /// First worker that runs something.
+    pub fn busy_worker(&self) -> usize {
+        let mut workers = self.workers.iter();
+        let busy = workers.position(|worker| !worker.tasks().is_empty());
+        busy.expect("a worker runs something")
+    }
+
     fn chance(&mut self, share: f64) -> bool {
         share > 0.0 && self.random.random::<f64>() < share
     }
--- a/crates/core/tests/task_copies.rs
+++ b/crates/core/tests/task_copies.rs
@@ -15,11 +15,7 @@
 }
 
 fn lose_busy(world: &mut JobWorld) {
-    let busy = world
-        .workers
-        .iter()
-        .position(|worker| !worker.tasks().is_empty())
-        .unwrap();
+    let busy = world.busy_worker();
     world.workers[busy].is_reachable = false;
 }
 
--- a/crates/jobs/src/owner/call_sender.rs
+++ b/crates/jobs/src/owner/call_sender.rs
@@ -2,6 +2,7 @@
 use sesamedeal_store::PlatformError;
 use slog::{Logger, debug, info, warn};
 use tokio::sync::Semaphore;
+use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 use xtra::Address;
 
@@ -45,11 +46,8 @@
             let (task, run) = (request.order.task, request.order.run);
             let worker = request.worker.name.clone();
             let fence = request.fence;
-            let call = async {
-                let _lane = lanes.acquire().await;
-                (sender.workers.start)(request).await
-            };
-            let outcome = match timeout(sender.order_deadline, call).await {
+            let call = || (sender.workers.start)(request);
+            let outcome = match sender.in_lane(&lanes, call).await {
                 Ok(Ok(outcome)) => outcome,
                 Ok(Err(PlatformError::NoAnswer { .. })) | Err(_) => StartOutcome::Unknown,
                 Ok(Err(error)) => {
@@ -77,11 +75,8 @@
         tokio::spawn(async move {
             let (task, run) = (request.task, request.run);
             let worker = request.worker.name.clone();
-            let call = async {
-                let _lane = lanes.acquire().await;
-                (sender.workers.stop)(request).await
-            };
-            let answer = timeout(sender.order_deadline, call).await;
+            let call = || (sender.workers.stop)(request);
+            let answer = sender.in_lane(&lanes, call).await;
             info!(sender.logger, "stop"; "task" => %task, "run" => run, "worker" => %worker, "answer" => ?answer);
             if let Ok(Ok(accepted)) = answer {
                 let event = OwnerEvent::Stopped {
@@ -99,15 +94,25 @@
         let sender = self.clone();
         tokio::spawn(async move {
             let (task, run, percent) = (request.run.task, request.run.run, request.percent);
-            let call = async {
-                let _lane = lanes.acquire().await;
-                (sender.workers.pace)(request).await
-            };
-            let answer = timeout(sender.order_deadline, call).await;
+            let call = || (sender.workers.pace)(request);
+            let answer = sender.in_lane(&lanes, call).await;
             info!(sender.logger, "pace"; "task" => %task, "run" => run, "percent" => percent, "answer" => ?answer);
         });
     }
 
+    /// Makes a call once one of `lanes` is free. Its deadline begins before that.
+    async fn in_lane<F: Future>(
+        &self,
+        lanes: &Semaphore,
+        call: impl FnOnce() -> F,
+    ) -> Result<F::Output, Elapsed> {
+        let call = async {
+            let _lane = lanes.acquire().await;
+            call().await
+        };
+        timeout(self.order_deadline, call).await
+    }
+
     async fn report(&self, event: OwnerEvent) {
         // The owner has gone when the ownership was lost; nobody needs the answer then.
         drop(self.owner.send(event).await);
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -5,7 +5,7 @@
 mod memory_store;
 mod memory_workers;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::ops::Deref;
 use std::sync::Arc;
 use std::time::Duration;
@@ -63,6 +63,26 @@
         self.node_with(name, &self.store)
     }
 
+    /// Epochs under which tasks were started.
+    pub fn epochs(&self) -> HashSet<u64> {
+        let starts = self.workers.starts.lock();
+        starts.iter().map(|(_, _, fence)| *fence).collect()
+    }
+
+    /// Waits until the wave is said to be finished; returns the maintained instances, each once, and
+    /// the most that were out at the same time.
+    pub async fn wait_wave(&self) -> (Vec<InstanceName>, usize) {
+        wait_until("the wave is finished", async || {
+            let rows = self.store.rows(StoreTable::WaveStatus);
+            rows.iter().any(|row| row.value.as_ref() == b"true")
+        })
+        .await;
+        let (mut orders, most_out) = self.fleet.maintained();
+        orders.sort();
+        orders.dedup();
+        (orders, most_out)
+    }
+
     /// An entry instance with an access to the store of its own.
     pub fn node_with(&self, name: &str, store: &MemoryStore) -> StageNode {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
@@ -244,6 +264,20 @@
     }
 }
 
+/// Waits until a job is shown as finished.
+pub async fn wait_finished(node: &JobNode, id: u64) {
+    wait_until("the job ends", async || {
+        phase(node, id).await == Some(JobPhase::Finished)
+    })
+    .await;
+}
+
+/// Runs a job of one task to its end.
+pub async fn run_job(node: &JobNode, id: u64) {
+    submit(node, id, &job(1, false)).await;
+    wait_finished(node, id).await;
+}
+
 /// Waits until a condition holds.
 pub async fn wait_until(what: &str, condition: impl AsyncFn() -> bool) {
     let end = Instant::now() + PATIENCE;
--- a/crates/jobs/tests/hand_over.rs
+++ b/crates/jobs/tests/hand_over.rs
@@ -6,27 +6,12 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use common::{Stage, StageNode, job, phase, submit, wait_until};
-use sesamedeal_core::jobs::JobPhase;
+use common::{Stage, job, run_job, submit, wait_until};
 use tokio::time::{Instant, sleep};
 
 /// Time within which another entry instance works. An ownership expires after 2 s.
 const PROMPT: Duration = Duration::from_millis(1_200);
 
-/// Epochs under which tasks were started.
-fn epochs(stage: &Stage) -> HashSet<u64> {
-    let starts = stage.workers.starts.lock();
-    starts.iter().map(|(_, _, fence)| *fence).collect()
-}
-
-async fn run_job(node: &StageNode, id: u64) {
-    submit(node, id, &job(1, false)).await;
-    wait_until("the job ends", async || {
-        phase(node, id).await == Some(JobPhase::Finished)
-    })
-    .await;
-}
-
 /// Guards against pools that stand still for the time of the expiry when the owner's process is
 /// killed, although its machine refuses connections.
 #[tokio::test]
@@ -40,7 +25,7 @@
     drop(first);
     run_job(&second, 3).await;
     assert!(begin.elapsed() < PROMPT, "{:?}", begin.elapsed());
-    assert_eq!(epochs(&stage), HashSet::from([1, 2]));
+    assert_eq!(stage.epochs(), HashSet::from([1, 2]));
 }
 
 /// Guards against pools that stand still while the store turns only the owner away.
@@ -63,7 +48,7 @@
     assert!(begin.elapsed() < PROMPT, "{:?}", begin.elapsed());
     let after = stage.workers.starts.lock().len();
     assert_eq!(after, starts + 2, "a task was started again");
-    assert_eq!(epochs(&stage), HashSet::from([1, 2]));
+    assert_eq!(stage.epochs(), HashSet::from([1, 2]));
 }
 
 /// Guards against an ownership that changes hands when the store turns everybody away.
@@ -78,5 +63,5 @@
     sleep(Duration::from_millis(1_000)).await;
     stage.store.is_down.store(false, Ordering::Release);
     run_job(&second, 3).await;
-    assert_eq!(epochs(&stage), HashSet::from([1]));
+    assert_eq!(stage.epochs(), HashSet::from([1]));
 }
--- a/crates/jobs/tests/job_path.rs
+++ b/crates/jobs/tests/job_path.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use common::{Stage, job, phase, submit, wait_until};
+use common::{Stage, job, phase, run_job, submit, wait_finished, wait_until};
 use sesamedeal_core::ids::QueueName;
 use sesamedeal_core::jobs::{JobId, JobPhase};
 use sesamedeal_jobs::ports::StoreTable;
@@ -29,10 +29,7 @@
         );
     }
     for id in 0..8 {
-        wait_until("the job ends", async || {
-            phase(&node, id).await == Some(JobPhase::Finished)
-        })
-        .await;
+        wait_finished(&node, id).await;
     }
     assert!(stage.store.rows(StoreTable::Job).is_empty());
     assert_eq!(stage.workers.starts.lock().len(), 24);
@@ -47,10 +44,7 @@
         submit(&first, 7, &job(1, false)).await,
         SubmitOutcome::Accepted
     );
-    wait_until("the job ends", async || {
-        phase(&second, 7).await == Some(JobPhase::Finished)
-    })
-    .await;
+    wait_finished(&second, 7).await;
     assert_eq!(
         submit(&second, 7, &job(1, false)).await,
         SubmitOutcome::Accepted
@@ -76,10 +70,7 @@
         SubmitOutcome::Accepted,
         "the second attempt finds the row"
     );
-    wait_until("the job ends", async || {
-        phase(&node, 1).await == Some(JobPhase::Finished)
-    })
-    .await;
+    wait_finished(&node, 1).await;
 }
 
 /// Guards against callers that are kept waiting, or told a falsehood, while the store is down.
@@ -118,21 +109,13 @@
 async fn changes_held_back() {
     let stage = Stage::new(1);
     let node = stage.node("entry-1");
-    submit(&node, 1, &job(1, false)).await;
-    wait_until("the job ends", async || {
-        phase(&node, 1).await == Some(JobPhase::Finished)
-    })
-    .await;
+    run_job(&node, 1).await;
     stage.store.holds_changes.store(true, Ordering::Release);
     // Requests that were under way are answered once more.
     submit(&node, 2, &job(1, false)).await;
     for id in 3..6 {
         let begin = Instant::now();
-        submit(&node, id, &job(1, false)).await;
-        wait_until("the job ends", async || {
-            phase(&node, id).await == Some(JobPhase::Finished)
-        })
-        .await;
+        run_job(&node, id).await;
         let elapsed = begin.elapsed();
         assert!(elapsed < Duration::from_millis(1_000), "{elapsed:?}");
     }
@@ -193,8 +176,5 @@
         .put(StoreTable::State, "00000000000000ab", b"\xff\x00");
     let node = stage.node("entry-1");
     submit(&node, 1, &job(2, false)).await;
-    wait_until("the job ends", async || {
-        phase(&node, 1).await == Some(JobPhase::Finished)
-    })
-    .await;
+    wait_finished(&node, 1).await;
 }
--- a/crates/jobs/tests/maintenance.rs
+++ b/crates/jobs/tests/maintenance.rs
@@ -5,11 +5,6 @@
 use common::{Stage, job, submit, wait_until};
 use sesamedeal_jobs::ports::StoreTable;
 
-fn is_finished(stage: &Stage) -> bool {
-    let rows = stage.store.rows(StoreTable::WaveStatus);
-    rows.iter().any(|row| row.value.as_ref() == b"true")
-}
-
 /// Guards against more instances out than the wave allows, tasks that are ended by maintenance, and
 /// waves that are said to be finished too soon.
 #[tokio::test]
@@ -24,10 +19,7 @@
         "wave/machine-0,machine-1,machine-2",
         b"",
     );
-    wait_until("the wave is finished", async || is_finished(&stage)).await;
-    let (mut orders, most_out) = stage.fleet.maintained();
-    orders.sort();
-    orders.dedup();
+    let (orders, most_out) = stage.wait_wave().await;
     assert_eq!(orders.len(), 3);
     assert_eq!(most_out, 1);
     assert_eq!(stage.fleet.ended(), 0, "maintenance ended a task");
@@ -51,10 +43,7 @@
     .await;
     let _second = stage.node("entry-2");
     first.hand_over().await;
-    wait_until("the wave is finished", async || is_finished(&stage)).await;
-    let (mut orders, most_out) = stage.fleet.maintained();
-    orders.sort();
-    orders.dedup();
+    let (orders, most_out) = stage.wait_wave().await;
     assert_eq!(orders.len(), 3);
     assert_eq!(most_out, 1);
 }
--- a/crates/jobs/tests/ownership.rs
+++ b/crates/jobs/tests/ownership.rs
@@ -6,16 +6,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use common::{Stage, job, phase, submit, wait_until};
-use sesamedeal_core::jobs::JobPhase;
+use common::{Stage, job, run_job, submit, wait_finished, wait_until};
 use tokio::time::{Instant, sleep};
 
-/// Epochs under which tasks were started.
-fn epochs(stage: &Stage) -> HashSet<u64> {
-    let starts = stage.workers.starts.lock();
-    starts.iter().map(|(_, _, fence)| *fence).collect()
-}
-
 /// Guards against lasting tasks that are started again, or jobs that stand still, when the owner
 /// hands over.
 #[tokio::test]
@@ -40,7 +33,7 @@
         6,
         "a task was started again"
     );
-    assert_eq!(epochs(&stage), HashSet::from([1, 2]));
+    assert_eq!(stage.epochs(), HashSet::from([1, 2]));
 }
 
 /// Guards against a wait for the lease of an owner that has ended: its instance came back.
@@ -48,19 +41,11 @@
 async fn same_instance_returns() {
     let stage = Stage::new(1);
     let first = stage.node("entry-1");
-    submit(&first, 1, &job(1, false)).await;
-    wait_until("the job ends", async || {
-        phase(&first, 1).await == Some(JobPhase::Finished)
-    })
-    .await;
+    run_job(&first, 1).await;
     drop(first);
     let begin = Instant::now();
     let again = stage.node("entry-1");
-    submit(&again, 2, &job(1, false)).await;
-    wait_until("the job ends", async || {
-        phase(&again, 2).await == Some(JobPhase::Finished)
-    })
-    .await;
+    run_job(&again, 2).await;
     assert!(
         begin.elapsed() < Duration::from_millis(1_200),
         "{:?}",
@@ -73,20 +58,12 @@
 async fn expired_owner() {
     let stage = Stage::new(1);
     let first = stage.node("entry-1");
-    submit(&first, 1, &job(1, false)).await;
-    wait_until("the job ends", async || {
-        phase(&first, 1).await == Some(JobPhase::Finished)
-    })
-    .await;
+    run_job(&first, 1).await;
     let second = stage.node("entry-2");
     // Its machine still holds the connections of those who watch it.
     let _suspended = first.suspend();
-    submit(&second, 2, &job(1, false)).await;
-    wait_until("the job ends", async || {
-        phase(&second, 2).await == Some(JobPhase::Finished)
-    })
-    .await;
-    assert_eq!(epochs(&stage), HashSet::from([1, 2]));
+    run_job(&second, 2).await;
+    assert_eq!(stage.epochs(), HashSet::from([1, 2]));
 }
 
 /// Guards against tasks that are stopped, or ends that are lost, when the store is away for a time.
@@ -99,10 +76,7 @@
     stage.store.is_down.store(true, Ordering::Release);
     sleep(Duration::from_millis(800)).await;
     stage.store.is_down.store(false, Ordering::Release);
-    wait_until("the job ends", async || {
-        phase(&node, 1).await == Some(JobPhase::Finished)
-    })
-    .await;
+    wait_finished(&node, 1).await;
     assert_eq!(
         stage.workers.starts.lock().len(),
         8,
@@ -116,16 +90,8 @@
 async fn fenced_owner() {
     let stage = Stage::new(1);
     let node = stage.node("entry-1");
-    submit(&node, 1, &job(1, false)).await;
-    wait_until("the job ends", async || {
-        phase(&node, 1).await == Some(JobPhase::Finished)
-    })
-    .await;
+    run_job(&node, 1).await;
     stage.workers.raise_fence(0, 3);
-    submit(&node, 2, &job(1, false)).await;
-    wait_until("the job ends", async || {
-        phase(&node, 2).await == Some(JobPhase::Finished)
-    })
-    .await;
-    assert_eq!(epochs(&stage), HashSet::from([1, 3]));
+    run_job(&node, 2).await;
+    assert_eq!(stage.epochs(), HashSet::from([1, 3]));
 }
