--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -50,6 +50,9 @@
     arrivals: HashMap<JobId, TimePoint>,
     workers: SlotMap<WorkerKey, WorkerEntry>,
     names: HashMap<InstanceName, WorkerKey>,
+    /// Workers that the inventory showed as up when it was first read under this epoch, with their
+    /// pools; none before.
+    expected: Option<HashMap<InstanceName, PoolName>>,
     recent: VecDeque<loads::WorkArrival>,
     usage: HashMap<TeamName, ResourceAmount>,
     tickets: HashMap<StepName, TicketBook>,
@@ -77,6 +80,7 @@
             arrivals: HashMap::new(),
             workers: SlotMap::with_key(),
             names: HashMap::new(),
+            expected: None,
             recent: VecDeque::new(),
             usage: HashMap::new(),
             tickets: HashMap::new(),
--- a/crates/core/src/jobs/dispatcher/reach.rs
+++ b/crates/core/src/jobs/dispatcher/reach.rs
@@ -1,8 +1,9 @@
 //! Workers out of reach, and what a successor has to know of them.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 
 use super::JobDispatcher;
+use crate::ids::{InstanceName, PoolName};
 use crate::jobs::{TaskName, UnreachedWorker, WorkerKey};
 use crate::time::TimePoint;
 
@@ -68,6 +69,29 @@
         rows
     }
 
+    /// Notes the workers that the inventory shows as up, with their pools.
+    ///
+    /// Workers that came later run nothing of an earlier owner.
+    pub fn note_instances(&mut self, up: HashMap<InstanceName, PoolName>) {
+        match &mut self.expected {
+            Some(expected) => expected.retain(|name, _| up.contains_key(name)),
+            None => self.expected = Some(up),
+        }
+    }
+
+    /// Whether a worker of the pool may be up that the list has dropped, for example while the
+    /// store was away, and of which the earlier owner has published nothing.
+    pub(super) fn misses_worker(&self, pool: &PoolName) -> bool {
+        let Some(expected) = &self.expected else {
+            return true;
+        };
+        expected.iter().any(|(name, expected)| {
+            expected == pool
+                && !self.names.contains_key(name)
+                && !self.out_of_reach.contains_key(name)
+        })
+    }
+
     /// Notes which workers a publication that is about to be stored shows as out of reach.
     pub fn note_publishing(&mut self, published: &[UnreachedWorker]) {
         for entry in self.workers.values_mut() {
--- a/crates/core/src/jobs/dispatcher/waiting.rs
+++ b/crates/core/src/jobs/dispatcher/waiting.rs
@@ -22,7 +22,8 @@
 /// Tasks that may run where this owner cannot ask.
 #[derive(Default)]
 struct UnsettledTasks<'a> {
-    /// Whether it may be any task: the earlier owner has published nothing of a silent worker.
+    /// Whether it may be any task: the earlier owner has published nothing of a worker that is
+    /// silent or not listed.
     is_any: bool,
     listed: Vec<&'a HashSet<TaskName>>,
 }
@@ -36,7 +37,10 @@
 impl JobDispatcher {
     /// Tasks that an earlier owner may have running in a pool without this one knowing.
     fn unsettled_tasks(&self, pool: &PoolName, now: TimePoint) -> UnsettledTasks<'_> {
-        let mut unsettled = UnsettledTasks::default();
+        let mut unsettled = UnsettledTasks {
+            is_any: now < self.inherited_until && self.misses_worker(pool),
+            ..UnsettledTasks::default()
+        };
         for entry in self.workers.values() {
             if entry.held.is_none() && entry.report.pool == *pool {
                 match self.out_of_reach.get(&entry.report.name) {
--- a/crates/core/src/lease/mod.rs
+++ b/crates/core/src/lease/mod.rs
@@ -1,7 +1,9 @@
 //! Lease of the controller: which process may write planned changes.
 
+mod instance_capacity;
 mod lease_candidate;
 mod lease_record;
 
+pub use instance_capacity::InstanceCapacity;
 pub use lease_candidate::{LeaseAction, LeaseCandidate, LeasePolicy};
 pub use lease_record::LeaseRecord;
--- a/crates/core/tests/job_takeover.rs
+++ b/crates/core/tests/job_takeover.rs
@@ -37,6 +37,80 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// Guards against a second run of what a worker still runs that the list has dropped: entries of
+/// workers lapse while the store is away, and come back some time after it.
+#[test]
+fn unlisted_worker() {
+    let mut world = JobWorld::new(2, 1);
+    world.submit(1, job(vec![lasting(4)]));
+    world.run(10);
+    let dropped = world.busy_worker();
+    let tasks = world.workers[dropped].tasks().len();
+    assert!(tasks > 0);
+    world.workers[dropped].is_listed = false;
+    world.take_over();
+    world.run(40);
+    assert_eq!(world.starts, 4, "started while it may run elsewhere");
+    world.workers[dropped].is_listed = true;
+    world.list_workers();
+    world.run(40);
+    assert_eq!(world.starts, 4, "started although its worker is back");
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+/// Guards against tasks that wait for ever for a worker that is gone for good.
+#[test]
+fn vanished_worker() {
+    let mut world = JobWorld::new(2, 1);
+    world.submit(1, job(vec![lasting(4)]));
+    world.run(10);
+    let dropped = world.busy_worker();
+    let tasks = world.workers[dropped].tasks().len();
+    world.workers[dropped].is_listed = false;
+    world.take_over();
+    world.workers.swap_remove(dropped);
+    world.run(5);
+    assert_eq!(
+        world.starts, 4,
+        "started before the inventory says it is gone"
+    );
+    let up = world.workers.iter().map(|worker| &worker.report);
+    let up = up.map(|report| (report.name.clone(), report.pool.clone()));
+    world.dispatcher.note_instances(up.collect());
+    world.run(5);
+    assert_eq!(world.starts, 4 + tasks, "waits for a worker that is gone");
+}
+
+/// Guards against starts of what an earlier owner may have started before the inventory is known.
+#[test]
+fn unknown_instances() {
+    let mut world = JobWorld::new(1, 1);
+    world.submit(1, job(vec![lasting(2)]));
+    world.run(10);
+    let mut next = sesamedeal_core::jobs::JobDispatcher::new(
+        sesamedeal_core::jobs::DispatchPolicy::default(),
+        jobs::rules(jobs::amount(0, 0)),
+        2,
+        at(world.now),
+    );
+    let (id, (order, record)) = world.stored.first_key_value().unwrap();
+    next.add_job(*id, order.clone(), record.clone(), true, at(world.now));
+    let mut report = world.workers[0].report.clone();
+    report.name = sesamedeal_core::ids::InstanceName::new("other");
+    let (key, _) = next.set_worker(report, at(world.now));
+    let empty = sesamedeal_core::jobs::HoldReport {
+        sent: at(world.now),
+        clock_ms: 0,
+        boot: 1,
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
+    next.note_hold(key, &empty, at(world.now));
+    assert_eq!(starts(&mut next, world.now), 0);
+    next.note_instances(std::collections::HashMap::new());
+    assert_eq!(starts(&mut next, world.now), 2);
+}
+
 /// Guards against a wait for other workers' leases of a task that this owner has seen running and
 /// stopped itself: it waited 12 s after an expired ownership.
 #[test]
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -168,7 +168,7 @@
     }
 
     pub fn list_workers(&mut self) {
-        for worker in &mut self.workers {
+        for worker in self.workers.iter_mut().filter(|worker| worker.is_listed) {
             let (key, _) = self
                 .dispatcher
                 .set_worker(worker.report.clone(), at(self.now));
@@ -238,18 +238,24 @@
         let published = self.published.clone();
         self.dispatcher =
             dispatcher(&self.rules, self.epoch, self.now).with_out_of_reach(published);
+        for worker in &mut self.workers {
+            worker.key = None;
+        }
         for (id, (order, record)) in &self.stored {
             let record = record.clone();
             self.dispatcher
                 .add_job(*id, order.clone(), record, true, at(self.now));
         }
         self.list_workers();
+        self.dispatcher.note_instances(inventory(&self.workers));
     }
 
     fn hold(&mut self, index: usize) {
         let now = self.now;
         let worker = &mut self.workers[index];
-        let key = worker.key.unwrap();
+        let Some(key) = worker.key else {
+            return;
+        };
         if worker.is_hanging {
             return;
         }
@@ -324,6 +330,13 @@
     }
 }
 
+fn inventory(workers: &[SimWorker]) -> HashMap<InstanceName, PoolName> {
+    let reports = workers.iter().map(|worker| &worker.report);
+    reports
+        .map(|report| (report.name.clone(), report.pool.clone()))
+        .collect()
+}
+
 fn dispatcher(rules: &Arc<FleetRules>, epoch: u64, now: u64) -> JobDispatcher {
     JobDispatcher::new(DispatchPolicy::default(), Arc::clone(rules), epoch, at(now))
 }
--- a/crates/core/tests/jobs/sim_worker.rs
+++ b/crates/core/tests/jobs/sim_worker.rs
@@ -20,6 +20,8 @@
     pub report: WorkerReport,
     pub key: Option<WorkerKey>,
     pub is_reachable: bool,
+    /// Whether the platform's list has it.
+    pub is_listed: bool,
     /// Whether calls to it have no answer yet.
     pub is_hanging: bool,
     pub fence: u64,
@@ -35,6 +37,7 @@
             report: worker_report(number, 1),
             key: None,
             is_reachable: true,
+            is_listed: true,
             is_hanging: false,
             fence: 0,
             running: BTreeMap::new(),
--- a/crates/jobs/src/job_metrics.rs
+++ b/crates/jobs/src/job_metrics.rs
@@ -123,6 +123,12 @@
         self.epoch.set(i64::try_from(epoch).unwrap_or(i64::MAX));
     }
 
+    /// Epoch under which this entry instance owns the pools; 0 if it does not.
+    #[must_use]
+    pub fn epoch(&self) -> u64 {
+        u64::try_from(self.epoch.get()).unwrap_or(0)
+    }
+
     pub(crate) fn set_open_jobs(&self, jobs: usize) {
         self.open_jobs.set(i64::try_from(jobs).unwrap_or(i64::MAX));
     }
--- a/crates/jobs/src/owner/hand_over.rs
+++ b/crates/jobs/src/owner/hand_over.rs
@@ -1,15 +1,18 @@
-//! Handing over to another entry instance while only this one cannot reach the store.
+//! Handing over to another entry instance: while only this one cannot reach the store, or when a
+//! much larger one could own the pools.
 
 use std::time::Duration;
 
+use compact_str::CompactString;
 use sesamedeal_core::time::TimePoint;
 use sesamedeal_store::Result;
 use slog::info;
+use tokio::time::timeout;
 
 use super::OwnerEvent;
 use super::owner_actor::OwnerActor;
 use crate::BootClock;
-use crate::ports::OfferEnd;
+use crate::ports::{OfferEnd, ReadyWatcher, RowRange, StorePort, StoreTable, SuccessorQuery};
 
 /// Failed writes in a row after which the ownership is offered. With the pause between them, that
 /// is about 0.3 s if the store refuses at once.
@@ -24,25 +27,45 @@
 const SILENCE: Duration = Duration::from_millis(800);
 
 /// Time after an offer for which the owner goes on, unless it renews its ownership or knows that
-/// nobody has taken it. An attempt asks three instances for 0.4 s each.
+/// nobody has taken it. The answer to an offer takes 0.4 s at most, and a successor takes the
+/// ownership within 0.1 s after it received the offer.
 pub(super) const OFFER_EXTENSION: Duration = Duration::from_millis(1_200);
 
-/// Pause before the ownership is offered again.
-const OFFER_PAUSE: Duration = Duration::from_millis(400);
+/// Pause before a successor is looked for again while the store does not answer.
+const OFFER_PAUSE: Duration = Duration::from_millis(250);
+
+/// Time between two questions for a larger instance.
+const YIELD_PERIOD: Duration = Duration::from_secs(1);
+
+/// Time within which the owner reads the store itself before it offers the ownership. The store
+/// may have come back for everybody.
+const OWN_READ_LIMIT: Duration = Duration::from_millis(100);
+
+/// What came of the search for a successor.
+#[derive(Debug)]
+pub(crate) enum SuccessorSearch {
+    /// An instance could take the ownership.
+    Found(ReadyWatcher),
+    /// No instance could, or none answered.
+    Nobody,
+    /// The store answers this owner again.
+    Needless,
+}
 
 /// Attempts of an owner to hand over.
 #[derive(Debug, Default)]
 pub(super) struct HandOver {
     /// Writes to the store that failed in a row.
     failures: u32,
+    is_asking: bool,
     is_offering: bool,
     /// When the newest offer was made.
     offered: TimePoint,
     /// When the owner gives up because an offer may have been taken.
     give_up: Option<TimePoint>,
-    /// Whether an instance that was asked has not answered.
+    /// Whether an instance to which the ownership was offered has not answered.
     is_doubtful: bool,
-    next_offer: TimePoint,
+    next_question: TimePoint,
 }
 
 impl HandOver {
@@ -73,30 +96,81 @@
         failures >= OFFER_FAILURES || is_silent || self.hand_over.is_offering
     }
 
-    /// Offers the ownership if it is time.
-    pub(super) fn offer_ownership(&mut self, now: TimePoint) {
+    /// Looks for a successor if it is time.
+    ///
+    /// Only an offer commits this owner. It goes to an instance that has just read the store, so
+    /// that an outage of the store for everybody leaves the ownership where it is.
+    pub(super) fn seek_successor(&mut self, now: TimePoint) {
         if self.hand_over.give_up.is_some_and(|at| at <= now) {
             self.step_down("an offer of it may have been taken");
             return;
         }
-        if !self.is_handing_over() || self.hand_over.is_offering || now < self.hand_over.next_offer
-        {
+        let is_busy = self.hand_over.is_asking || self.hand_over.is_offering;
+        if is_busy || now < self.hand_over.next_question {
             return;
         }
+        let above = if self.is_handing_over() {
+            None
+        } else if self.is_loaded && self.writer.has_pulsed() && !self.is_retiring {
+            Some(self.parts.peers.capacity)
+        } else {
+            return;
+        };
+        self.hand_over.is_asking = true;
+        let epoch = self.parts.lease.epoch;
+        let call = (self.parts.peers.ask)(SuccessorQuery { epoch, above });
+        let store = self.parts.store.clone();
+        let search = async move {
+            let watcher = call.await?;
+            if watcher.is_some() && above.is_none() && can_read(&store).await {
+                return Ok(SuccessorSearch::Needless);
+            }
+            Ok(watcher.map_or(SuccessorSearch::Nobody, SuccessorSearch::Found))
+        };
+        self.react(search, move |outcome| OwnerEvent::Searched {
+            is_larger: above.is_some(),
+            outcome,
+        });
+    }
+
+    pub(super) fn take_searched(&mut self, is_larger: bool, outcome: Result<SuccessorSearch>) {
+        self.hand_over.is_asking = false;
+        let now = BootClock.now();
+        if matches!(outcome, Ok(SuccessorSearch::Needless)) {
+            info!(self.parts.logger, "store reached again"; "failures" => self.hand_over.failures);
+            self.write_after = now;
+        }
+        let pause = if self.is_handing_over() {
+            OFFER_PAUSE
+        } else {
+            YIELD_PERIOD
+        };
+        self.hand_over.next_question = now.after(pause);
+        let Ok(SuccessorSearch::Found(watcher)) = outcome else {
+            return;
+        };
+        if self.is_handing_over() {
+            self.offer_ownership(watcher, now);
+        } else if is_larger {
+            self.yield_to(watcher.capacity);
+        }
+    }
+
+    fn offer_ownership(&mut self, watcher: ReadyWatcher, now: TimePoint) {
         self.hand_over.is_offering = true;
         self.hand_over.offered = now;
         self.hand_over
             .give_up
             .get_or_insert(now.after(OFFER_EXTENSION));
         let epoch = self.parts.lease.epoch;
-        info!(self.parts.logger, "ownership offered"; "failures" => self.hand_over.failures);
-        let call = (self.parts.peers.offer)(epoch);
+        info!(self.parts.logger, "ownership offered"; "failures" => self.hand_over.failures, "watcher" => watcher.number);
+        let call = (self.parts.peers.offer)((epoch, watcher.number));
         self.react(call, OwnerEvent::Offered);
     }
 
     pub(super) fn take_offered(&mut self, outcome: Result<OfferEnd>) {
         self.hand_over.is_offering = false;
-        self.hand_over.next_offer = BootClock.now().after(OFFER_PAUSE);
+        self.hand_over.next_question = BootClock.now().after(OFFER_PAUSE);
         info!(self.parts.logger, "ownership answered"; "outcome" => ?outcome);
         match outcome {
             Ok(OfferEnd::Taken) => self.step_down("handed over"),
@@ -106,3 +180,16 @@
         }
     }
 }
+
+/// Whether the store answers this process at once.
+async fn can_read(store: &StorePort) -> bool {
+    let range = RowRange {
+        table: StoreTable::Owner,
+        from: CompactString::default(),
+        limit: Some(1),
+    };
+    matches!(
+        timeout(OWN_READ_LIMIT, (store.read)(range)).await,
+        Ok(Ok(_))
+    )
+}
--- a/crates/jobs/src/owner/inventory_view.rs
+++ b/crates/jobs/src/owner/inventory_view.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::time::Duration;
 
 use sesamedeal_core::ids::InstanceName;
 use sesamedeal_core::time::TimePoint;
@@ -7,7 +8,12 @@
 
 use super::OwnerEvent;
 use super::owner_actor::OwnerActor;
-use crate::ports::{FleetPort, InstanceReport};
+use crate::BootClock;
+use crate::ports::{FleetPort, InstanceReport, InstanceState};
+
+/// Pause after a read that failed. A new owner waits for the first one before it starts what an
+/// earlier owner may have started.
+const READ_RETRY: Duration = Duration::from_millis(300);
 
 /// The inventory as it was read last.
 #[derive(Debug)]
@@ -17,6 +23,8 @@
     /// When the read was sent.
     pub sent: TimePoint,
     is_reading: bool,
+    /// When to read again after a failure.
+    retry: Option<TimePoint>,
 }
 
 impl InventoryView {
@@ -26,6 +34,7 @@
             reports: HashMap::new(),
             sent: TimePoint::ORIGIN,
             is_reading: false,
+            retry: None,
         }
     }
 }
@@ -39,7 +48,10 @@
         } else {
             self.parts.policy.idle_inventory_period
         };
-        let is_due = now.since(self.inventory.sent) >= period || self.has_arrivals(now);
+        let is_due = match self.inventory.retry {
+            Some(retry) => retry <= now,
+            None => now.since(self.inventory.sent) >= period || self.has_arrivals(now),
+        };
         if self.inventory.is_reading || !is_due {
             return;
         }
@@ -56,19 +68,29 @@
         self.inventory.is_reading = false;
         match outcome {
             Ok(reports) => {
+                self.inventory.retry = None;
                 let reports = reports.into_iter();
                 self.inventory.reports = reports
                     .map(|report| (report.name.clone(), report))
                     .collect();
+                self.note_up();
                 self.settle_waves(sent);
                 self.settle_moves(sent);
             }
             Err(error) => {
+                self.inventory.retry = Some(BootClock.now().after(READ_RETRY));
                 warn!(self.parts.logger, "inventory not read"; "error" => %error);
             }
         }
     }
 
+    fn note_up(&mut self) {
+        let reports = self.inventory.reports.values();
+        let up = reports.filter(|report| report.state == InstanceState::Up);
+        let up = up.filter_map(|report| Some((report.worker.clone()?, report.pool.clone())));
+        self.dispatcher.note_instances(up.collect());
+    }
+
     /// Whether nothing runs on an instance; none if that is not known.
     pub(super) fn is_instance_empty(&self, instance: &InstanceName) -> Option<bool> {
         let report = self.inventory.reports.get(instance)?;
--- a/crates/jobs/src/owner/leadership.rs
+++ b/crates/jobs/src/owner/leadership.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use sesamedeal_core::jobs::{FleetRules, JobDispatcher};
+use sesamedeal_core::lease::InstanceCapacity;
 use slog::{Logger, warn};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval, sleep};
@@ -30,21 +31,22 @@
 const RETIRE_TIME: Duration = Duration::from_millis(150);
 
 impl OwnerLoop {
-    /// Owns the pools until the ownership is lost or the process stops.
+    /// Owns the pools until the ownership is lost or yielded, or the process stops. Returns the
+    /// capacity of the instance to which it was yielded.
     pub(super) async fn lead(
         &mut self,
         lease: OwnerLease,
         pulse: Option<PulseRow>,
         kind: TakeoverKind,
         logger: Logger,
-    ) {
+    ) -> Option<InstanceCapacity> {
         let Some(((states, ended), writer_rows)) = self.read_records(&lease, &logger).await else {
             warn!(logger, "ownership lost"; "reason" => "the records could not be read in time");
             lease.lose();
             if *self.stopping.borrow() {
-                self.release(&lease, &logger).await;
+                self.release(&lease, lease.largest, &logger).await;
             }
-            return;
+            return None;
         };
         let now = BootClock.now();
         let rules = self
@@ -141,21 +143,23 @@
                 }
             }
         });
-        let is_stopping = tokio::select! {
+        let (is_given_up, larger) = tokio::select! {
             // The sender is dropped when the ownership is lost.
-            _ = end => false,
-            result = self.stopping.wait_for(|stopping| *stopping) => result.is_ok(),
+            larger = end => (larger.is_ok(), larger.ok()),
+            result = self.stopping.wait_for(|stopping| *stopping) => (result.is_ok(), None),
         };
-        if is_stopping {
+        if is_given_up {
             // The owner has gone when the ownership was lost meanwhile.
             drop(owner.send(OwnerEvent::Retire).await);
             sleep(RETIRE_TIME).await;
         }
         lease.lose();
         tasks.shutdown().await;
-        if is_stopping {
-            self.release(&lease, &logger).await;
+        if is_given_up {
+            let largest = larger.unwrap_or(lease.largest);
+            self.release(&lease, largest, &logger).await;
         }
+        larger
     }
 
     fn follow(
--- a/crates/jobs/src/owner/mod.rs
+++ b/crates/jobs/src/owner/mod.rs
@@ -2,6 +2,7 @@
 
 mod advice_desk;
 mod call_sender;
+mod deference;
 mod hand_over;
 mod inventory_view;
 mod job_intake;
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -3,6 +3,7 @@
 
 use sesamedeal_core::ids::InstanceName;
 use sesamedeal_core::jobs::{DispatchPolicy, JobDispatcher, UnreachedWorker};
+use sesamedeal_core::lease::InstanceCapacity;
 use sesamedeal_core::time::TimePoint;
 use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
@@ -65,8 +66,11 @@
     /// runs of jobs that have ended.
     pub(super) is_loaded: bool,
     pub(super) is_retiring: bool,
-    /// Ends the ownership when dropped.
-    ended: Option<oneshot::Sender<()>>,
+    /// Whether a larger instance is about to take the ownership.
+    is_yielding: bool,
+    /// Ends the ownership: when dropped, it is lost; otherwise it is yielded to an instance of the
+    /// capacity that is sent.
+    ended: Option<oneshot::Sender<InstanceCapacity>>,
 }
 
 impl OwnerActor {
@@ -77,7 +81,7 @@
         writer: RecordWriter,
         waves: WaveKeeper,
         mut intake: JobIntake,
-        ended: oneshot::Sender<()>,
+        ended: oneshot::Sender<InstanceCapacity>,
     ) -> Self {
         let surges = std::mem::take(&mut intake.earlier_surges);
         let sizing = parts.policy.sizing.clone();
@@ -98,6 +102,7 @@
             publication: Vec::new(),
             is_loaded: false,
             is_retiring: false,
+            is_yielding: false,
             ended: Some(ended),
         }
     }
@@ -119,11 +124,26 @@
     /// Gives the ownership up.
     pub(super) fn step_down(&mut self, reason: &str) {
         self.parts.lease.lose();
+        self.is_yielding = false;
         if self.ended.take().is_some() {
             warn!(self.parts.logger, "ownership lost"; "epoch" => self.parts.lease.epoch, "reason" => reason);
         }
     }
 
+    /// Lets a much larger instance take the ownership.
+    pub(super) fn yield_to(&mut self, capacity: InstanceCapacity) {
+        let Some(ended) = self.ended.take() else {
+            return;
+        };
+        let own = self.parts.peers.capacity;
+        info!(self.parts.logger, "ownership yielded"; "epoch" => self.parts.lease.epoch, "own" => ?own, "larger" => ?capacity);
+        // Events still count until the ownership is released.
+        self.is_yielding = true;
+        if ended.send(capacity).is_err() {
+            info!(self.parts.logger, "the process is stopping"; "epoch" => self.parts.lease.epoch);
+        }
+    }
+
     pub(super) fn round(&mut self) {
         if !self.parts.lease.is_younger(self.parts.policy.extension) {
             self.step_down("not renewed in time");
@@ -131,6 +151,7 @@
         }
         let now = BootClock.now();
         self.take_rules();
+        self.read_inventory(false, now);
         if self.is_loaded {
             let orders = self.dispatcher.plan(now, BootClock.unix_ms());
             for order in orders {
@@ -142,7 +163,7 @@
             self.log_loads(now);
         }
         self.write(now);
-        self.offer_ownership(now);
+        self.seek_successor(now);
         self.parts
             .metrics
             .set_open_jobs(self.dispatcher.open_jobs());
@@ -203,7 +224,7 @@
     type Return = ();
 
     async fn handle(&mut self, event: OwnerEvent, _ctx: &mut Context<Self>) {
-        if self.ended.is_none() {
+        if self.ended.is_none() && !self.is_yielding {
             return;
         }
         match event {
@@ -212,6 +233,7 @@
                 self.close_links();
             }
             OwnerEvent::Retire => self.retire(),
+            OwnerEvent::Searched { is_larger, outcome } => self.take_searched(is_larger, outcome),
             OwnerEvent::Offered(outcome) => self.take_offered(outcome),
             OwnerEvent::Jobs(event) => self.take_jobs(event),
             OwnerEvent::Workers(event) => self.take_workers(event),
--- a/crates/jobs/src/owner/owner_event.rs
+++ b/crates/jobs/src/owner/owner_event.rs
@@ -2,6 +2,7 @@
 use sesamedeal_core::time::TimePoint;
 use sesamedeal_store::Result;
 
+use super::hand_over::SuccessorSearch;
 use crate::feeds::TableEvent;
 use crate::ports::{
     AdviceAnswer, HoldOutcome, InstanceReport, OfferEnd, OrderOutcome, TransactOutcome,
@@ -18,6 +19,12 @@
     Jobs(TableEvent),
     /// The list of workers changed.
     Workers(TableEvent),
+    /// A successor was looked for.
+    Searched {
+        /// Whether only larger instances were asked.
+        is_larger: bool,
+        outcome: Result<SuccessorSearch>,
+    },
     /// An offer of the ownership has ended.
     Offered(Result<OfferEnd>),
     /// A worker answered a call for its lists, or did not.
--- a/crates/jobs/src/owner/owner_lease.rs
+++ b/crates/jobs/src/owner/owner_lease.rs
@@ -2,9 +2,11 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use sesamedeal_core::lease::InstanceCapacity;
 use sesamedeal_core::time::TimePoint;
 
 use crate::BootClock;
+use crate::row_codec::EpochRow;
 
 /// Ownership that this process holds, on the clock that counts suspension.
 #[derive(Debug, Clone)]
@@ -12,16 +14,19 @@
     pub epoch: u64,
     /// Version of the epoch row, the condition of every write.
     pub version: u64,
+    /// Largest capacity of an instance that is thought to be alive.
+    pub largest: InstanceCapacity,
     renewed_ms: Arc<AtomicU64>,
     is_lost: Arc<AtomicBool>,
 }
 
 impl OwnerLease {
     /// Begins at the time at which the taking write was sent.
-    pub(crate) fn new(epoch: u64, version: u64, sent: TimePoint) -> Self {
+    pub(crate) fn new(row: &EpochRow, version: u64, sent: TimePoint) -> Self {
         Self {
-            epoch,
+            epoch: row.epoch,
             version,
+            largest: row.largest,
             renewed_ms: Arc::new(AtomicU64::new(millis(sent))),
             is_lost: Arc::default(),
         }
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -6,8 +6,9 @@
 use sesamedeal_core::time::TimePoint;
 use slog::{Logger, debug, info, o, warn};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, timeout};
 
+use super::deference::Deference;
 use super::owner_lease::OwnerLease;
 use super::owner_rows::OwnerRows;
 use super::owner_watch::OwnerWatch;
@@ -95,6 +96,8 @@
             renewal: self.policy.renewal,
         };
         let mut candidate = LeaseCandidate::new(self.session, policy);
+        let mut deference = Deference::default();
+        let mut gone_epoch: Option<u64> = None;
         let mut is_read = false;
         let mut retry_after = TimePoint::ORIGIN;
         let (offered, mut offers) = mpsc::channel(PEER_QUEUE);
@@ -116,7 +119,6 @@
                 // Several branches can be ready, and a stopping process takes nothing over.
                 break;
             }
-            let mut is_gone = false;
             match step {
                 LoopStep::Rows(event) => {
                     is_read = true;
@@ -126,7 +128,7 @@
                         self.take_rows(event, &mut rows);
                     }
                 }
-                LoopStep::Gone(epoch) => is_gone = rows.is_held(epoch),
+                LoopStep::Gone(epoch) => gone_epoch = Some(epoch),
                 LoopStep::Offered(offer) => self.take_offer(&mut rows, offer).await,
                 LoopStep::Look => {}
             }
@@ -138,8 +140,14 @@
             }
             let record = rows.record();
             let action = candidate.step(record.as_ref(), BootClock.now());
+            let is_gone = gone_epoch.is_some_and(|epoch| rows.is_held(epoch));
             let kind = self.free_kind(&rows, is_gone, &action);
+            let is_turn = kind.is_some() && deference.is_over(&rows, self.peers.capacity);
+            if kind.is_none() {
+                deference = Deference::default();
+            }
             if let Some(kind) = kind
+                && is_turn
                 && retry_after <= BootClock.now()
             {
                 if !self.try_lead(&mut rows, kind).await {
@@ -195,22 +203,28 @@
         true
     }
 
-    /// Takes the ownership that another entry instance offers, and exercises it.
+    /// Takes the ownership that another entry instance offers, and exercises it; or says whether it
+    /// could.
     async fn take_offer(&mut self, rows: &mut OwnerRows, offer: HandOverOffer) {
-        let is_known = match self.read_rows(rows).await {
-            Ok(()) => rows.is_held(offer.epoch) && offer.received.elapsed() < OFFER_READ_LIMIT,
-            Err(error) => {
+        let is_able = match timeout(OFFER_READ_LIMIT, self.read_rows(rows)).await {
+            Ok(Ok(())) => rows.is_held(offer.epoch) && offer.received.elapsed() < OFFER_READ_LIMIT,
+            Ok(Err(error)) => {
                 warn!(self.logger, "ownership not read"; "error" => %error);
                 false
             }
+            Err(_) => {
+                warn!(self.logger, "ownership not read"; "error" => "no answer in time");
+                false
+            }
         };
-        let taken = if is_known {
+        let taken = if is_able && offer.is_binding {
             self.take(rows).await
         } else {
             None
         };
-        info!(self.logger, "ownership offered to this instance"; "epoch" => offer.epoch, "is_taken" => taken.is_some());
-        if offer.reply.send(taken.is_some()).is_err() {
+        let is_accepted = taken.is_some() || (is_able && !offer.is_binding);
+        info!(self.logger, "ownership offered to this instance"; "epoch" => offer.epoch, "is_binding" => offer.is_binding, "is_accepted" => is_accepted);
+        if offer.reply.send(is_accepted).is_err() {
             debug!(self.logger, "the connection of the offer has ended"; "epoch" => offer.epoch);
         }
         if let Some((lease, pulse)) = taken {
@@ -241,12 +255,13 @@
         kind: TakeoverKind,
     ) {
         let logger = self.logger.new(o!("epoch" => lease.epoch));
-        info!(logger, "ownership taken"; "kind" => ?kind, "row" => lease.version);
+        let before = rows.epoch.as_ref().map(|(row, _)| row.largest);
+        info!(logger, "ownership taken"; "kind" => ?kind, "row" => lease.version, "capacity" => ?self.peers.capacity, "largest_before" => ?before);
         self.metrics.set_epoch(lease.epoch);
-        self.lead(lease.clone(), pulse, kind, logger).await;
+        let larger = self.lead(lease.clone(), pulse, kind, logger).await;
         self.metrics.set_epoch(0);
         // The rows that were read before are stale; the follower brings the present ones.
-        let row = self.epoch_row(lease.epoch, false);
+        let row = self.epoch_row(lease.epoch, larger.unwrap_or(lease.largest));
         *rows = OwnerRows {
             epoch: Some((row, lease.version)),
             pulse: None,
--- a/crates/jobs/src/owner/owner_rows.rs
+++ b/crates/jobs/src/owner/owner_rows.rs
@@ -12,7 +12,13 @@
 }
 
 impl OwnerRows {
+    /// Takes a row unless the same or a newer version is known: rows that wait while this process
+    /// owns the pools are older than what it wrote itself.
     pub(super) fn take(&mut self, row: &StoreRow, logger: &Logger) {
+        let known = self.epoch.as_ref().map_or(0, |(_, version)| *version);
+        if row.key == EPOCH_KEY && row.version <= known {
+            return;
+        }
         let result = match row.key.as_str() {
             EPOCH_KEY => decode(&row.value).map(|epoch| self.epoch = Some((epoch, row.version))),
             PULSE_KEY => decode(&row.value).map(|pulse| self.pulse = Some(pulse)),
--- a/crates/jobs/src/owner/record_writer.rs
+++ b/crates/jobs/src/owner/record_writer.rs
@@ -26,6 +26,8 @@
     /// When the last pulse was sent.
     pub pulsed: TimePoint,
     renewals: u64,
+    /// Whether a write has taken effect. The first one carries a pulse.
+    has_committed: bool,
     /// Rows that go with the next write.
     extra: Vec<RowPut>,
     /// Rows that go with the write under way.
@@ -42,6 +44,7 @@
             sent: now,
             pulsed: TimePoint::ORIGIN,
             renewals: 0,
+            has_committed: false,
             extra: Vec::new(),
             sent_extra: Vec::new(),
         }
@@ -126,9 +129,15 @@
     /// Notes that a write has taken effect.
     pub(crate) fn commit(&mut self, version: u64, sent: TimePoint) {
         self.sequence = version;
+        self.has_committed = true;
         self.lease.renew(sent);
     }
 
+    /// Whether a pulse under the present epoch is stored.
+    pub(crate) const fn has_pulsed(&self) -> bool {
+        self.has_committed
+    }
+
     /// Takes the rows of a refused write; false if another entry instance owns the pools.
     pub(crate) fn resume(&mut self, rows: &[(StoreTable, StoreRow)]) -> bool {
         let version = |table: StoreTable, key: &str| {
--- a/crates/jobs/src/owner/takeover.rs
+++ b/crates/jobs/src/owner/takeover.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use sesamedeal_core::lease::InstanceCapacity;
 use sesamedeal_core::time::TimePoint;
 use sesamedeal_store::Result;
 use slog::{Logger, info, warn};
@@ -26,6 +27,13 @@
 /// Pause of the oldest instances before an attempt. A change of the ownership takes about 20 ms.
 const SENIORITY_PAUSE: Duration = Duration::from_millis(120);
 
+/// Processor from which an instance competes for the first epoch without a pause, in thousandths
+/// of a core.
+const FIRST_CPU_MILLIS: u64 = 1_000;
+
+/// Pause for each thousandth of a core below it. Instances start within 0.3 s of each other.
+const FIRST_PAUSE: Duration = Duration::from_micros(300);
+
 impl OwnerLoop {
     /// Whether the rows are still as the follower saw them, after a pause at random. The follower
     /// may have been cut off, and a slow store has no room for the attempts of all candidates.
@@ -37,7 +45,8 @@
         let pause = begin
             .elapsed()
             .mul_f64(CONTENTION_SPREAD * rand::random::<f64>())
-            + self.seniority_pause();
+            + self.seniority_pause()
+            + self.first_pause(rows);
         sleep(pause).await;
         pause < LOOK_PERIOD || self.is_unchanged(rows).await
     }
@@ -49,6 +58,17 @@
         SENIORITY_PAUSE.mul_f64(age.as_secs_f64() / SENIOR_AGE.as_secs_f64())
     }
 
+    /// Pause before the first epoch, whose candidates do not know each other yet: larger instances
+    /// go first.
+    fn first_pause(&self, rows: &OwnerRows) -> Duration {
+        if rows.epoch.is_some() {
+            return Duration::ZERO;
+        }
+        let cpu = self.peers.capacity.cpu_millis.min(FIRST_CPU_MILLIS);
+        let missing = u32::try_from(FIRST_CPU_MILLIS - cpu).unwrap_or(u32::MAX);
+        FIRST_PAUSE * missing
+    }
+
     pub(super) async fn is_unchanged(&self, rows: &mut OwnerRows) -> bool {
         let before = rows.record();
         match self.read_rows(rows).await {
@@ -69,13 +89,15 @@
     }
 
     /// Row of an epoch of this process.
-    pub(super) fn epoch_row(&self, epoch: u64, is_released: bool) -> EpochRow {
+    pub(super) fn epoch_row(&self, epoch: u64, largest: InstanceCapacity) -> EpochRow {
         EpochRow {
             epoch,
             holder: self.session,
             node: self.node.clone(),
             address: self.peers.own,
-            is_released,
+            is_released: false,
+            capacity: self.peers.capacity,
+            largest,
         }
     }
 
@@ -87,7 +109,15 @@
         let known = rows.epoch.as_ref();
         let epoch = known.map_or(0, |(row, _)| row.epoch) + 1;
         let version = known.map_or(0, |(_, version)| *version);
-        let row = self.epoch_row(epoch, false);
+        // A small instance takes the ownership only when no larger one seems to be alive.
+        let own = self.peers.capacity;
+        let largest = known.map_or(own, |(row, _)| row.largest);
+        let largest = if own.is_dwarfed_by(largest) {
+            own
+        } else {
+            largest.max(own)
+        };
+        let row = self.epoch_row(epoch, largest);
         let change = RowChange {
             conditions: vec![condition(StoreTable::Owner, EPOCH_KEY, version)],
             puts: vec![put(
@@ -104,7 +134,7 @@
                 self.find_taken(epoch).await?
             }
         };
-        Ok(taken.map(|version| (OwnerLease::new(epoch, version, sent), rows.pulse.clone())))
+        Ok(taken.map(|version| (OwnerLease::new(&row, version, sent), rows.pulse.clone())))
     }
 
     /// Version of the epoch row if this process holds `epoch`.
@@ -118,9 +148,18 @@
     }
 
     /// Lets another entry instance take the ownership at once. A repetition after a release that
-    /// took effect finds another version and changes nothing.
-    pub(super) async fn release(&self, lease: &OwnerLease, logger: &Logger) {
-        let row = self.epoch_row(lease.epoch, true);
+    /// took effect finds another version and changes nothing. `largest` is the capacity to which
+    /// smaller instances defer.
+    pub(super) async fn release(
+        &self,
+        lease: &OwnerLease,
+        largest: InstanceCapacity,
+        logger: &Logger,
+    ) {
+        let row = EpochRow {
+            is_released: true,
+            ..self.epoch_row(lease.epoch, largest)
+        };
         let change = RowChange {
             conditions: vec![condition(StoreTable::Owner, EPOCH_KEY, lease.version)],
             puts: vec![put(
--- a/crates/jobs/src/peers/mod.rs
+++ b/crates/jobs/src/peers/mod.rs
@@ -14,18 +14,26 @@
 
 use futures::FutureExt;
 
+use sesamedeal_core::lease::InstanceCapacity;
+
 use crate::ports::PeerPort;
 
-/// Connects entry instances over TCP; `own` is where `watchers` listens.
+/// Connects entry instances over TCP; `own` is where `watchers` listens, and `capacity` that of
+/// this instance.
 #[must_use]
-pub fn peer_port(own: SocketAddr, watchers: &WatcherList) -> PeerPort {
-    let watchers = watchers.clone();
+pub fn peer_port(own: SocketAddr, capacity: InstanceCapacity, watchers: &WatcherList) -> PeerPort {
+    let (asked, offered) = (watchers.clone(), watchers.clone());
     PeerPort {
         own,
-        watch: Arc::new(|call| peer_watch::watch(call).boxed()),
-        offer: Arc::new(move |epoch| {
-            let watchers = watchers.clone();
-            async move { Ok(watchers.offer(epoch).await) }.boxed()
+        capacity,
+        watch: Arc::new(move |call| peer_watch::watch(call, capacity).boxed()),
+        ask: Arc::new(move |query| {
+            let watchers = asked.clone();
+            async move { Ok(watchers.ask(query).await) }.boxed()
+        }),
+        offer: Arc::new(move |(epoch, watcher)| {
+            let watchers = offered.clone();
+            async move { Ok(watchers.offer(epoch, watcher).await) }.boxed()
         }),
     }
 }
--- a/crates/jobs/src/peers/peer_message.rs
+++ b/crates/jobs/src/peers/peer_message.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use sesamedeal_core::lease::InstanceCapacity;
 use sesamedeal_wire::codec::{self, CodecError};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -13,10 +14,17 @@
 /// Message on the connection between a watcher and an owner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) enum PeerMessage {
-    /// The owner offers the ownership that it holds under an epoch.
-    Offer { epoch: u64 },
-    /// The watcher has taken the ownership that was offered, or has not.
-    Answer { epoch: u64, is_taken: bool },
+    /// The watcher begins.
+    Hello { capacity: InstanceCapacity },
+    /// The owner asks whether the watcher could take the ownership that it holds under an epoch, or
+    /// lets it do so. Requests on a connection are numbered.
+    Request {
+        number: u64,
+        epoch: u64,
+        is_binding: bool,
+    },
+    /// Answer of the watcher to a request: whether it could take the ownership, or has.
+    Answer { number: u64, is_accepted: bool },
 }
 
 impl PeerMessage {
--- a/crates/jobs/src/peers/peer_watch.rs
+++ b/crates/jobs/src/peers/peer_watch.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use futures::{SinkExt, StreamExt};
+use sesamedeal_core::lease::InstanceCapacity;
 use sesamedeal_store::Result;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
@@ -14,7 +15,7 @@
 const CONNECT_DEADLINE: Duration = Duration::from_millis(500);
 
 /// Watches an owner until the connection ends, and passes its offers on.
-pub(super) async fn watch(call: WatchCall) -> Result<WatchEnd> {
+pub(super) async fn watch(call: WatchCall, capacity: InstanceCapacity) -> Result<WatchEnd> {
     let stream = match timeout(CONNECT_DEADLINE, TcpStream::connect(call.address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
@@ -23,20 +24,35 @@
         Ok(Err(_)) | Err(_) => return Ok(WatchEnd::Unknown),
     };
     let mut frames = framed(stream);
+    let Ok(hello) = (PeerMessage::Hello { capacity }).encode() else {
+        return Ok(WatchEnd::Unknown);
+    };
+    if frames.send(hello).await.is_err() {
+        return Ok(WatchEnd::Unknown);
+    }
     while let Some(Ok(frame)) = frames.next().await {
-        let Ok(PeerMessage::Offer { epoch }) = PeerMessage::decode(&frame) else {
+        let Ok(PeerMessage::Request {
+            number,
+            epoch,
+            is_binding,
+        }) = PeerMessage::decode(&frame)
+        else {
             break;
         };
         let (reply, answer) = oneshot::channel();
         let offer = HandOverOffer {
             epoch,
+            is_binding,
             received: Instant::now(),
             reply,
         };
         // A receiver that is gone or busy takes nothing over.
         let is_sent = call.offers.try_send(offer).is_ok();
-        let is_taken = is_sent && answer.await.unwrap_or(false);
-        let answer = PeerMessage::Answer { epoch, is_taken };
+        let is_accepted = is_sent && answer.await.unwrap_or(false);
+        let answer = PeerMessage::Answer {
+            number,
+            is_accepted,
+        };
         let Ok(answer) = answer.encode() else {
             break;
         };
--- a/crates/jobs/src/peers/watcher_list.rs
+++ b/crates/jobs/src/peers/watcher_list.rs
@@ -1,10 +1,13 @@
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::stream::FuturesUnordered;
 use futures::{SinkExt, StreamExt};
 use parking_lot::Mutex;
 use rand::seq::SliceRandom;
+use sesamedeal_core::lease::InstanceCapacity;
 use slog::{Logger, debug, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
@@ -12,27 +15,43 @@
 use tokio::time::{sleep, timeout};
 
 use super::peer_message::{PeerMessage, framed};
-use crate::ports::OfferEnd;
+use crate::ports::{OfferEnd, ReadyWatcher, SuccessorQuery};
+
+/// Time within which a watcher answers whether it could take the ownership. It reads the store
+/// meanwhile, for at most 0.1 s.
+const QUERY_DEADLINE: Duration = Duration::from_millis(200);
 
 /// Time within which a watcher answers an offer. It reads and writes the store meanwhile.
 const OFFER_DEADLINE: Duration = Duration::from_millis(400);
 
-/// Watchers that are asked in one attempt, one after another.
-const OFFERS_PER_ATTEMPT: usize = 3;
+/// Watchers that are asked in one attempt.
+const ASKED_PER_ATTEMPT: usize = 3;
 
-/// Offers that may wait for a connection.
-const OFFER_QUEUE: usize = 1;
+/// Requests that may wait for a connection.
+const REQUEST_QUEUE: usize = 1;
 
 /// Pause after a failure to accept, for example when no file descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
-/// An epoch that is offered, and where the answer goes.
-type PendingOffer = (u64, oneshot::Sender<bool>);
+/// Request to a watcher, and where the answer goes.
+#[derive(Debug)]
+struct WatcherRequest {
+    epoch: u64,
+    is_binding: bool,
+    reply: oneshot::Sender<bool>,
+}
+
+/// A watcher that has said what it can carry.
+#[derive(Debug, Clone)]
+struct WatcherEntry {
+    capacity: InstanceCapacity,
+    requests: mpsc::Sender<WatcherRequest>,
+}
 
 /// Entry instances that watch this one.
 #[derive(Debug, Clone, Default)]
 pub struct WatcherList {
-    senders: Arc<Mutex<HashMap<u64, mpsc::Sender<PendingOffer>>>>,
+    entries: Arc<Mutex<HashMap<u64, WatcherEntry>>>,
 }
 
 impl WatcherList {
@@ -51,72 +70,124 @@
                     continue;
                 }
             };
-            let (sender, offers) = mpsc::channel(OFFER_QUEUE);
-            self.senders.lock().insert(number, sender);
             let (list, logger) = (self.clone(), logger.clone());
             connections.spawn(async move {
-                let reason = serve_watcher(stream, offers, &logger).await;
-                list.senders.lock().remove(&number);
+                let reason = list.serve_watcher(number, stream, &logger).await;
+                list.entries.lock().remove(&number);
                 debug!(logger, "watcher gone"; "reason" => reason);
             });
         }
     }
 
-    /// Offers the ownership under an epoch to a few watchers, in an order at random, until one has
-    /// taken it.
-    pub(super) async fn offer(&self, epoch: u64) -> OfferEnd {
-        let mut senders: Vec<mpsc::Sender<PendingOffer>> =
-            self.senders.lock().values().cloned().collect();
-        senders.shuffle(&mut rand::rng());
-        let mut end = OfferEnd::Refused;
-        for sender in senders.into_iter().take(OFFERS_PER_ATTEMPT) {
-            let (reply, answer) = oneshot::channel();
-            if sender.try_send((epoch, reply)).is_err() {
-                continue;
-            }
-            match timeout(OFFER_DEADLINE, answer).await {
-                Ok(Ok(true)) => return OfferEnd::Taken,
-                Ok(Ok(false)) => {}
-                Ok(Err(_)) | Err(_) => end = OfferEnd::Unknown,
+    /// Asks the largest watchers at the same time; the first that could take the ownership, if one
+    /// answers in time.
+    pub(super) async fn ask(&self, query: SuccessorQuery) -> Option<ReadyWatcher> {
+        let asked = self.largest(query.above).into_iter();
+        let mut answers: FuturesUnordered<_> = asked
+            .map(|(number, entry)| async move {
+                let answer = request(&entry, query.epoch, false, QUERY_DEADLINE).await;
+                let capacity = entry.capacity;
+                (answer == Some(true)).then_some(ReadyWatcher { number, capacity })
+            })
+            .collect();
+        while let Some(answer) = answers.next().await {
+            if answer.is_some() {
+                return answer;
             }
         }
-        end
+        None
     }
-}
 
-/// Passes offers to a watcher and answers back, until the connection ends.
-async fn serve_watcher(
-    stream: TcpStream,
-    mut offers: mpsc::Receiver<PendingOffer>,
-    logger: &Logger,
-) -> &'static str {
-    let mut frames = framed(stream);
-    let mut pending: Option<PendingOffer> = None;
-    loop {
-        tokio::select! {
-            Some((epoch, reply)) = offers.recv() => {
-                let Ok(offer) = (PeerMessage::Offer { epoch }).encode() else {
-                    return "an offer could not be encoded";
-                };
-                pending = Some((epoch, reply));
-                if frames.send(offer).await.is_err() {
-                    return "the connection broke";
+    /// Offers the ownership under an epoch to a watcher.
+    pub(super) async fn offer(&self, epoch: u64, number: u64) -> OfferEnd {
+        let entry = self.entries.lock().get(&number).cloned();
+        let Some(entry) = entry else {
+            return OfferEnd::Refused;
+        };
+        match request(&entry, epoch, true, OFFER_DEADLINE).await {
+            Some(true) => OfferEnd::Taken,
+            Some(false) => OfferEnd::Refused,
+            None => OfferEnd::Unknown,
+        }
+    }
+
+    /// The largest watchers, in an order at random among equals. With `above`, only those that
+    /// dwarf it.
+    fn largest(&self, above: Option<InstanceCapacity>) -> Vec<(u64, WatcherEntry)> {
+        let entries = self.entries.lock();
+        let suitable = entries
+            .iter()
+            .filter(|(_, entry)| above.is_none_or(|own| own.is_dwarfed_by(entry.capacity)));
+        let mut watchers: Vec<(u64, WatcherEntry)> = suitable
+            .map(|(number, entry)| (*number, entry.clone()))
+            .collect();
+        drop(entries);
+        watchers.shuffle(&mut rand::rng());
+        watchers.sort_by_key(|(_, entry)| Reverse(entry.capacity));
+        watchers.truncate(ASKED_PER_ATTEMPT);
+        watchers
+    }
+
+    /// Passes requests to a watcher and answers back, until the connection ends.
+    async fn serve_watcher(&self, number: u64, stream: TcpStream, logger: &Logger) -> &'static str {
+        let mut frames = framed(stream);
+        let (sender, mut requests) = mpsc::channel(REQUEST_QUEUE);
+        let mut pending: Option<(u64, oneshot::Sender<bool>)> = None;
+        let mut last = 0;
+        loop {
+            tokio::select! {
+                Some(WatcherRequest { epoch, is_binding, reply }) = requests.recv() => {
+                    last += 1;
+                    let request = PeerMessage::Request { number: last, epoch, is_binding };
+                    let Ok(request) = request.encode() else {
+                        return "a request could not be encoded";
+                    };
+                    pending = Some((last, reply));
+                    if frames.send(request).await.is_err() {
+                        return "the connection broke";
+                    }
                 }
-            }
-            frame = frames.next() => {
-                let Some(Ok(frame)) = frame else {
-                    return "the connection ended";
-                };
-                let Ok(PeerMessage::Answer { epoch, is_taken }) = PeerMessage::decode(&frame) else {
-                    return "an unusable message";
-                };
-                if let Some((offered, reply)) = pending.take()
-                    && offered == epoch
-                    && reply.send(is_taken).is_err()
-                {
-                    debug!(logger, "an offer was answered too late"; "epoch" => epoch, "is_taken" => is_taken);
+                frame = frames.next() => {
+                    let Some(Ok(frame)) = frame else {
+                        return "the connection ended";
+                    };
+                    match PeerMessage::decode(&frame) {
+                        Ok(PeerMessage::Hello { capacity }) => {
+                            let entry = WatcherEntry { capacity, requests: sender.clone() };
+                            self.entries.lock().insert(number, entry);
+                        }
+                        Ok(PeerMessage::Answer { number: answered, is_accepted }) => {
+                            let expected = pending.take_if(|(asked, _)| *asked == answered);
+                            let is_late = expected
+                                .is_none_or(|(_, reply)| reply.send(is_accepted).is_err());
+                            if is_late {
+                                debug!(logger, "answered too late"; "is_accepted" => is_accepted);
+                            }
+                        }
+                        Ok(PeerMessage::Request { .. }) | Err(_) => return "an unusable message",
+                    }
                 }
             }
         }
     }
 }
+
+/// Answer of a watcher; none if there is none in time.
+async fn request(
+    entry: &WatcherEntry,
+    epoch: u64,
+    is_binding: bool,
+    deadline: Duration,
+) -> Option<bool> {
+    let (reply, answer) = oneshot::channel();
+    let request = WatcherRequest {
+        epoch,
+        is_binding,
+        reply,
+    };
+    if entry.requests.try_send(request).is_err() {
+        // Nothing was sent.
+        return Some(false);
+    }
+    timeout(deadline, answer).await.ok()?.ok()
+}
--- a/crates/jobs/src/ports/mod.rs
+++ b/crates/jobs/src/ports/mod.rs
@@ -15,7 +15,9 @@
 
 pub use advice_port::{AdviceAnswer, AdviceCall, AdvicePort};
 pub use fleet_port::{FleetPort, InstanceOrder, InstanceReport, InstanceState, OrderOutcome};
-pub use peer_port::{HandOverOffer, OfferEnd, PeerPort, WatchCall, WatchEnd};
+pub use peer_port::{
+    HandOverOffer, OfferEnd, PeerPort, ReadyWatcher, SuccessorQuery, WatchCall, WatchEnd,
+};
 pub use row_port::{IntentRow, RowPort, RowProblem};
 pub use store_port::{
     FollowPage, FollowRequest, RowChange, RowCondition, RowName, RowPage, RowPut, RowRange,
--- a/crates/jobs/src/ports/peer_port.rs
+++ b/crates/jobs/src/ports/peer_port.rs
@@ -1,22 +1,43 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+use sesamedeal_core::lease::InstanceCapacity;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
 use super::AsyncCall;
 
-/// Offer of an owner that cannot reach the store to an entry instance that watches it.
+/// Message of an owner that wants to hand over to an entry instance that watches it.
 #[derive(Debug)]
 pub struct HandOverOffer {
     /// Epoch of the owner.
     pub epoch: u64,
+    /// Whether the instance may take the ownership. Otherwise the owner asks whether it could.
+    pub is_binding: bool,
     /// When it was received.
     pub received: Instant,
-    /// Takes whether the instance owns the pools now.
+    /// Takes whether the instance owns the pools now, or could.
     pub reply: oneshot::Sender<bool>,
 }
 
+/// Question which watcher could take the ownership.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SuccessorQuery {
+    /// Epoch of the owner.
+    pub epoch: u64,
+    /// Capacity that dwarfs what the owner has; none if any watcher will do.
+    pub above: Option<InstanceCapacity>,
+}
+
+/// Watcher that could take the ownership: it has just read the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadyWatcher {
+    /// Number of its connection.
+    pub number: u64,
+    /// Its capacity.
+    pub capacity: InstanceCapacity,
+}
+
 /// Request to watch the process of an owner.
 #[derive(Debug, Clone)]
 pub struct WatchCall {
@@ -51,16 +72,21 @@
 pub struct PeerPort {
     /// Where this entry instance is watched while it owns the pools.
     pub own: SocketAddr,
+    /// Capacity of this entry instance.
+    pub capacity: InstanceCapacity,
     /// Watches an owner until the connection ends.
     pub watch: AsyncCall<WatchCall, WatchEnd>,
-    /// Offers the ownership under an epoch to instances that watch this one.
-    pub offer: AsyncCall<u64, OfferEnd>,
+    /// Asks the instances that watch this one which could take the ownership.
+    pub ask: AsyncCall<SuccessorQuery, Option<ReadyWatcher>>,
+    /// Offers the ownership under an epoch to a watcher, by its number.
+    pub offer: AsyncCall<(u64, u64), OfferEnd>,
 }
 
 impl fmt::Debug for PeerPort {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("PeerPort")
             .field("own", &self.own)
+            .field("capacity", &self.capacity)
             .finish_non_exhaustive()
     }
 }
--- a/crates/jobs/src/row_codec.rs
+++ b/crates/jobs/src/row_codec.rs
@@ -8,6 +8,7 @@
 
 use sesamedeal_core::ids::{InstanceName, PoolName, QueueName, SessionId};
 use sesamedeal_core::jobs::{JobId, JobOrder, UnreachedWorker};
+use sesamedeal_core::lease::InstanceCapacity;
 use sesamedeal_wire::codec::{self, CodecError};
 
 /// Key of the row with the ownership epoch.
@@ -33,6 +34,12 @@
     pub address: SocketAddr,
     /// Whether the holder has given the ownership up.
     pub is_released: bool,
+    /// Capacity of the holder.
+    #[serde(default)]
+    pub capacity: InstanceCapacity,
+    /// Largest capacity of an instance that is thought to be alive.
+    #[serde(default)]
+    pub largest: InstanceCapacity,
 }
 
 /// Sign of life of the owner, with what others need to know.
--- a/crates/jobs/tests/common/memory_store.rs
+++ b/crates/jobs/tests/common/memory_store.rs
@@ -1,6 +1,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -28,6 +29,8 @@
     changed: Arc<Notify>,
     /// Whether calls are turned away.
     pub is_down: Arc<AtomicBool>,
+    /// Whether calls get no answer at all.
+    pub is_silent: Arc<AtomicBool>,
     /// Whether changes are made and not answered.
     pub loses_answers: Arc<AtomicBool>,
     /// Whether requests for changes get no answer.
@@ -36,6 +39,9 @@
     pub transactions: Arc<AtomicU64>,
 }
 
+/// Time after which a client gives up a call without an answer.
+const CALL_DEADLINE: Duration = Duration::from_millis(900);
+
 /// Rows of a page.
 const PAGE: usize = 3;
 
@@ -45,15 +51,27 @@
         StorePort {
             transact: Arc::new(move |change| {
                 let store = changes.clone();
-                async move { store.transact(&change) }.boxed()
+                async move {
+                    store.be_silent().await?;
+                    store.transact(&change)
+                }
+                .boxed()
             }),
             read: Arc::new(move |range| {
                 let store = reads.clone();
-                async move { store.read(&range) }.boxed()
+                async move {
+                    store.be_silent().await?;
+                    store.read(&range)
+                }
+                .boxed()
             }),
             follow: Arc::new(move |request| {
                 let store = follows.clone();
-                async move { store.follow(request).await }.boxed()
+                async move {
+                    store.be_silent().await?;
+                    store.follow(request).await
+                }
+                .boxed()
             }),
         }
     }
@@ -72,6 +90,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Removes a row as another writer does.
+    pub fn delete(&self, table: StoreTable, key: &str) {
+        self.apply(table, key.into(), Bytes::new(), true);
+        self.changed.notify_waiters();
+    }
+
     pub fn rows(&self, table: StoreTable) -> Vec<StoreRow> {
         let state = self.state.lock();
         let rows = state.rows.get(&table).into_iter();
@@ -96,6 +120,17 @@
         state.changes.push((table, row));
     }
 
+    /// While the store is silent, lets a call end without an answer.
+    async fn be_silent(&self) -> Result<()> {
+        if !self.is_silent.load(Ordering::Acquire) {
+            return Ok(());
+        }
+        sleep(CALL_DEADLINE).await;
+        Err(PlatformError::NoAnswer {
+            reason: "silent".to_owned(),
+        })
+    }
+
     fn check(&self) -> Result<()> {
         if self.is_down.load(Ordering::Acquire) {
             return Err(PlatformError::Unreachable {
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -16,6 +16,7 @@
     DispatchPolicy, FleetRules, JobId, JobOrder, JobPhase, MaintenanceWave, PoolRule, QueueRule,
     ResourceAmount, StepSpec, TeamRule, WorkerReport, WorkerState,
 };
+use sesamedeal_core::lease::InstanceCapacity;
 use sesamedeal_jobs::ports::{IntentRow, RowPort, RowProblem, StoreRow, StoreTable};
 use sesamedeal_jobs::{
     Deployment, JobNode, NodeParts, OwnerPolicy, QueueRoute, StatusOutcome, SubmitOutcome,
@@ -53,12 +54,23 @@
         };
         stage.store.put(StoreTable::Intent, "config", b"config");
         for number in 0..count {
-            let key = format!("worker-{number}");
-            stage.store.put(StoreTable::WorkerList, &key, b"1");
+            stage.list_worker(number);
         }
         stage
     }
 
+    /// Adds a worker to the list.
+    pub fn list_worker(&self, number: usize) {
+        let key = format!("worker-{number}");
+        self.store.put(StoreTable::WorkerList, &key, b"1");
+    }
+
+    /// Removes a worker from the list, as the platform does when it hears nothing of it.
+    pub fn unlist_worker(&self, number: usize) {
+        let key = format!("worker-{number}");
+        self.store.delete(StoreTable::WorkerList, &key);
+    }
+
     pub fn node(&self, name: &str) -> StageNode {
         self.node_with(name, &self.store)
     }
@@ -85,11 +97,21 @@
 
     /// An entry instance with an access to the store of its own.
     pub fn node_with(&self, name: &str, store: &MemoryStore) -> StageNode {
+        self.sized_node(name, store, InstanceCapacity::default())
+    }
+
+    /// An entry instance with an access to the store and a capacity of its own.
+    pub fn sized_node(
+        &self,
+        name: &str,
+        store: &MemoryStore,
+        capacity: InstanceCapacity,
+    ) -> StageNode {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         listener.set_nonblocking(true).unwrap();
         let address = listener.local_addr().unwrap();
         let watchers = WatcherList::default();
-        let peers = peer_port(address, &watchers);
+        let peers = peer_port(address, capacity, &watchers);
         let logger = Logger::root(Discard, o!());
         let mut watched = JoinSet::new();
         watched.spawn(watchers.serve(TcpListener::from_std(listener).unwrap(), logger.clone()));
