--- a/crates/core/src/jobs/dispatcher/loads.rs
+++ b/crates/core/src/jobs/dispatcher/loads.rs
@@ -11,6 +11,9 @@
 /// Time over which arriving work is added up.
 const ARRIVAL_WINDOW: Duration = Duration::from_secs(1);
 
+/// Shorter time over which arriving work is added up. A surge doubles the arrivals within less.
+const RECENT_WINDOW: Duration = Duration::from_millis(400);
+
 /// Work that came with a job.
 #[derive(Debug, Clone)]
 pub(super) struct WorkArrival {
@@ -83,6 +86,9 @@
                 let load = pool.and_then(|pool| loads.get_mut(pool));
                 if let Some(load) = load {
                     load.arriving += arrival.work;
+                    if now.since(arrival.at) <= RECENT_WINDOW {
+                        load.arriving_now += per_second(arrival.work);
+                    }
                 }
             }
         }
@@ -103,3 +109,9 @@
         loads
     }
 }
+
+/// What work that came within the shorter time comes to in a second.
+fn per_second(work: u64) -> u64 {
+    let window = u64::try_from(RECENT_WINDOW.as_millis()).unwrap_or(u64::MAX);
+    work.saturating_mul(1_000) / window
+}
--- a/crates/core/src/jobs/dispatcher/relocation.rs
+++ b/crates/core/src/jobs/dispatcher/relocation.rs
@@ -53,10 +53,16 @@
             instance,
             is_evacuating: entry.is_evacuating,
             is_blocked: runs.any(|(task, _)| !self.may_take_out(*task, now)),
+            has_lasting: entry.runs.keys().any(|(task, _)| self.is_lasting(*task)),
             cpu_in_use: entry.used.cpu_millis,
         })
     }
 
+    fn is_lasting(&self, name: TaskName) -> bool {
+        let job = self.jobs.get(&name.step.job);
+        job.is_some_and(|job| job.order.steps[usize::from(name.step.step)].is_lasting)
+    }
+
     pub(super) fn relocate(&mut self, now: TimePoint) {
         let leaving = self.workers.iter().filter(|(_, entry)| {
             entry.is_evacuating || entry.report.state == WorkerState::Draining
--- a/crates/core/src/jobs/pool_history.rs
+++ b/crates/core/src/jobs/pool_history.rs
@@ -1,34 +1,74 @@
+use std::time::Duration;
+
 use super::{PoolLoad, PoolSize, SizingPolicy};
 use crate::time::TimePoint;
 
 /// Most instances that a pool gets at once for lasting tasks that wait.
 const FURTHER_INSTANCES: usize = 2;
 
+/// Time from the begin of a surge in which the arrivals of the last second say too little.
+const ONSET: Duration = Duration::from_millis(1_000);
+
+/// Time in which a surge that has ended does not begin again: what came last still runs.
+const REST: Duration = Duration::from_millis(1_500);
+
+/// A surge of a pool.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PoolSurge {
+    pub begun: TimePoint,
+    /// Largest arrivals so far.
+    peak: u64,
+}
+
+/// What a pool wanted at a time.
+#[derive(Debug, Clone, Copy)]
+struct WantedSize {
+    at: TimePoint,
+    /// Instances for what is in use, waits and comes.
+    wanted: usize,
+    /// Instances for what is in use and waits.
+    present: usize,
+    /// The same without headroom.
+    least: usize,
+    /// Instances for what is in use, waits and comes, without headroom.
+    coming: usize,
+}
+
 /// Demand of a pool in the recent past.
 #[derive(Debug, Clone, Default)]
 pub(super) struct PoolHistory {
-    /// Wanted sizes, and sizes for what was in use and waited.
-    wanted: Vec<(TimePoint, usize, usize)>,
-    /// When the pool surged last.
-    pub surged: Option<TimePoint>,
+    sizes: Vec<WantedSize>,
+    /// The surge under way.
+    pub surge: Option<PoolSurge>,
+    ebbed: Option<TimePoint>,
 }
 
 impl PoolHistory {
-    /// Takes the demand of this moment. `even` is an even part of all instances, `capacity` the
-    /// processor of one.
+    /// Takes the demand of this moment; true if a surge has begun. `even` is an even part of all
+    /// instances, `capacity` the processor of one, and `usual` the instances that earlier surges
+    /// took.
     pub(super) fn note(
         &mut self,
         size: &PoolSize,
-        even: usize,
+        (even, usual): (usize, usize),
         capacity: u64,
         policy: &SizingPolicy,
         now: TimePoint,
-    ) {
-        let wanted = wanted_instances(&size.load, capacity, policy.headroom);
-        let load = PoolLoad {
-            arriving: 0,
-            ..size.load
-        };
+    ) -> bool {
+        let has_begun = self.note_surge(&size.load, even, capacity, policy, now);
+        let is_onset = self
+            .surge
+            .is_some_and(|surge| now.since(surge.begun) < ONSET);
+        let mut load = size.load;
+        if is_onset {
+            load.arriving = load.arriving.max(load.arriving_now);
+        }
+        let mut wanted = wanted_instances(&load, capacity, policy.headroom);
+        let coming = wanted_instances(&load, capacity, 0.0);
+        if is_onset {
+            wanted = wanted.max(usual);
+        }
+        load.arriving = 0;
         let present = wanted_instances(&load, capacity, policy.headroom);
         // A lasting task can wait beside free processor, for memory or for a worker that is not
         // being emptied. Another instance helps in each case, up to an even part of all: the limit
@@ -39,24 +79,82 @@
         } else {
             0
         };
-        self.wanted
-            .push((now, wanted.max(least), present.max(least)));
+        self.sizes.push(WantedSize {
+            at: now,
+            wanted: wanted.max(least),
+            present: present.max(least),
+            least: wanted_instances(&load, capacity, 0.0).max(least),
+            coming: coming.max(least),
+        });
         let memory = policy.peak_memory;
-        self.wanted.retain(|(at, ..)| now.since(*at) <= memory);
-        if is_surging(&size.load, policy.surge_share) {
-            self.surged = Some(now);
+        self.sizes.retain(|size| now.since(size.at) <= memory);
+        has_begun
+    }
+
+    /// Follows the surge; true if one has begun.
+    fn note_surge(
+        &mut self,
+        load: &PoolLoad,
+        even: usize,
+        capacity: u64,
+        policy: &SizingPolicy,
+        now: TimePoint,
+    ) -> bool {
+        if let Some(surge) = &mut self.surge {
+            surge.peak = surge.peak.max(load.arriving);
+            #[expect(clippy::cast_precision_loss, reason = "amounts are far below 2^52")]
+            let is_low = (load.arriving as f64) < surge.peak as f64 * policy.ebb_share;
+            if is_low && load.waiting == 0 && now.since(surge.begun) >= ONSET {
+                self.surge = None;
+                self.ebbed = Some(now);
+                self.sizes.clear();
+            }
+            return false;
         }
+        let is_resting = self.ebbed.is_some_and(|at| now.since(at) < REST);
+        let holds = u64::try_from(even)
+            .unwrap_or(u64::MAX)
+            .saturating_mul(capacity);
+        // What a new owner finds running is all that it knows of a surge under way.
+        let found = if self.ebbed.is_none() { load.ending } else { 0 };
+        let coming = load.arriving.max(load.arriving_now);
+        let demand = coming.max(load.waiting).max(found);
+        #[expect(clippy::cast_precision_loss, reason = "amounts are far below 2^52")]
+        let is_high = demand as f64 > holds as f64 * policy.surge_share;
+        if is_resting || !is_high || holds == 0 {
+            return false;
+        }
+        self.surge = Some(PoolSurge {
+            begun: now,
+            peak: load.arriving.max(found),
+        });
+        true
+    }
+
+    /// Whether a surge has ended within the last `time`.
+    pub(super) fn has_ebbed_within(&self, time: Duration, now: TimePoint) -> bool {
+        self.ebbed.is_some_and(|at| now.since(at) < time)
     }
 
     /// Largest size wanted lately.
     pub(super) fn peak(&self) -> usize {
-        let sizes = self.wanted.iter().map(|(_, wanted, _)| *wanted);
+        let sizes = self.sizes.iter().map(|size| size.wanted);
         sizes.max().unwrap_or(0)
     }
 
     /// Size for what is in use and waits.
     pub(super) fn present(&self) -> usize {
-        self.wanted.last().map_or(0, |(_, _, present)| *present)
+        self.sizes.last().map_or(0, |size| size.present)
+    }
+
+    /// Size for what is in use, waits and comes, without headroom.
+    pub(super) fn coming(&self) -> usize {
+        self.sizes.last().map_or(0, |size| size.coming)
+    }
+
+    /// Size for what is in use and waits, without headroom.
+    pub(super) fn least(&self) -> usize {
+        self.sizes.last().map_or(0, |size| size.least)
     }
 }
 
@@ -80,10 +178,3 @@
     let instances = (used as f64 * (1.0 + headroom) / capacity.max(1) as f64).ceil() as usize;
     instances
 }
-
-fn is_surging(load: &PoolLoad, share: f64) -> bool {
-    let demand = load.lasting + load.ending + load.waiting;
-    #[expect(clippy::cast_precision_loss, reason = "amounts are far below 2^52")]
-    let is_surging = demand as f64 > load.capacity as f64 * share;
-    is_surging && load.capacity > 0
-}
--- a/crates/core/src/jobs/pool_load.rs
+++ b/crates/core/src/jobs/pool_load.rs
@@ -18,6 +18,8 @@
     /// Work of the jobs that came within the last second, in core milliseconds; as many thousandths
     /// of a core are busy with it if it goes on.
     pub arriving: u64,
+    /// The same over a shorter time: what the work of the last moments comes to in a second.
+    pub arriving_now: u64,
     /// Tasks that last and wait for room, whatever they lack: processor, memory or a worker without
     /// another task of their step.
     pub waiting_lasting: usize,
--- a/crates/core/src/jobs/size_change.rs
+++ b/crates/core/src/jobs/size_change.rs
@@ -31,10 +31,12 @@
     pub unneeded: usize,
     /// Further instances that it keeps for its next turn.
     pub kept: usize,
+    /// Further instances that run nothing at present.
+    pub resting: usize,
 }
 
 /// Serves the pools that lack instances from what others do not need, then from the spare pool, and
-/// for what waits already also from what others keep. Pools whose turn is to come are refilled from
+/// for what waits or surges already also from what others keep and from what rests there. Pools whose turn is to come are refilled from
 /// the rest, and what nobody needs moves to the spare pool.
 pub(super) fn distribute(
     mut lacks: Vec<PoolLack>,
@@ -75,6 +77,14 @@
                 &mut surplus.kept,
             );
         }
+        for surplus in &mut gives {
+            take(
+                Some(&surplus.pool),
+                &lack.pool,
+                &mut lack.urgent,
+                &mut surplus.resting,
+            );
+        }
     }
     for lack in &mut lacks {
         for surplus in &mut gives {
--- a/crates/core/src/jobs/upkeep_plan.rs
+++ b/crates/core/src/jobs/upkeep_plan.rs
@@ -1,7 +1,8 @@
 //! Which instance of a maintenance wave is taken out next.
 //!
-//! Load pattern: a wave of upkeep at the peak of a surge. Instances with the least work go first,
-//! and one is taken only while fewer than the wave's limit are out. While tasks wait for room, no
+//! Load pattern: a wave of upkeep at the peak of a surge. Instances with lasting tasks that can be
+//! taken out go first, then those with the least work, and one is taken only while fewer than the
+//! wave's limit are out. While tasks wait for room, no
 //! more are taken out at once than the time of the wave asks for.
 
 use std::time::Duration;
@@ -40,6 +41,9 @@
     pub is_evacuating: bool,
     /// Whether a task on it cannot be taken out at present.
     pub is_blocked: bool,
+    /// Whether tasks that last run on it. They are moved away a few at a time, so that such an
+    /// instance takes long, and it cannot move to another pool meanwhile.
+    pub has_lasting: bool,
     /// Processor in use on it, in thousandths of a core.
     pub cpu_in_use: u64,
 }
@@ -47,7 +51,7 @@
 /// Instances of a wave that may be out or emptied at once.
 ///
 /// `remaining` instances wait for their maintenance, `age` is the time since the wave was made
-/// known, if that is known, and `is_short` says that tasks wait for room.
+/// known, if that is known, and `is_short` says that tasks wait for room or a pool surges.
 #[must_use]
 #[expect(
     clippy::cast_precision_loss,
@@ -83,5 +87,5 @@
     choices
         .iter()
         .filter(|choice| !choice.is_evacuating)
-        .min_by_key(|choice| (choice.is_blocked, choice.cpu_in_use))
+        .min_by_key(|choice| (choice.is_blocked, !choice.has_lasting, choice.cpu_in_use))
 }
--- a/crates/core/tests/pool_turns.rs
+++ b/crates/core/tests/pool_turns.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use sesamedeal_core::ids::PoolName;
-use sesamedeal_core::jobs::{PoolLoad, PoolSize, PoolSizing, SizeChange, SizingPolicy};
+use sesamedeal_core::jobs::{FleetSize, PoolLoad, PoolSize, PoolSizing, SizeChange, SizingPolicy};
 use sesamedeal_core::time::TimePoint;
 
 /// Processor of an instance, in thousandths of a core.
@@ -41,7 +41,13 @@
         .map(|(name, size)| (pool(name), *size))
         .collect();
     let now = TimePoint::with_millis(100_000 + seconds * 1_000);
-    sizing.decide(&sizes, spare, CAPACITY, now)
+    let total = spare + sizes.values().map(|size| size.instances).sum::<usize>();
+    let fleet = FleetSize {
+        spare,
+        total,
+        capacity: CAPACITY,
+    };
+    sizing.decide(&sizes, fleet, now)
 }
 
 fn moved(changes: &[SizeChange], to: Option<&str>) -> usize {
--- a/crates/core/tests/upkeep_room.rs
+++ b/crates/core/tests/upkeep_room.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use sesamedeal_core::ids::InstanceName;
-use sesamedeal_core::jobs::{MaintenanceWave, upkeep_room};
+use sesamedeal_core::jobs::{MaintenanceWave, UpkeepChoice, next_upkeep, upkeep_room};
 
 fn wave(instances: usize, seconds: u64, limit: usize) -> MaintenanceWave {
     MaintenanceWave {
@@ -50,3 +50,28 @@
     assert_eq!(upkeep_room(&wave(21, 25, 9), 21, None, true), 10);
     assert_eq!(upkeep_room(&wave(21, 25, 9), 21, age(24), true), 10);
 }
+
+/// Guards against a wave that is late for its instances with lasting tasks, which are moved away a
+/// few at a time: they waited until all others were done.
+#[test]
+fn lasting_first() {
+    let choice = |name: &str, is_blocked, has_lasting, cpu_in_use| UpkeepChoice {
+        instance: InstanceName::new(name),
+        is_evacuating: false,
+        is_blocked,
+        has_lasting,
+        cpu_in_use,
+    };
+    let mut choices = vec![
+        choice("idle", false, false, 0),
+        choice("blocked", true, true, 8_000),
+        choice("busy", false, true, 60_000),
+        choice("lasting", false, true, 8_000),
+    ];
+    let mut order = Vec::new();
+    while let Some(next) = next_upkeep(9, 0, &choices).map(|next| next.instance.clone()) {
+        choices.retain(|choice| choice.instance != next);
+        order.push(next.to_string());
+    }
+    assert_eq!(order, ["lasting", "busy", "idle", "blocked"]);
+}
--- a/crates/jobs/src/owner/pool_keeper.rs
+++ b/crates/jobs/src/owner/pool_keeper.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use sesamedeal_core::ids::{InstanceName, PoolName};
-use sesamedeal_core::jobs::{PoolSize, PoolSizing, SizeChange, SizingPolicy};
+use sesamedeal_core::jobs::{FleetSize, PoolSize, PoolSizing, SizeChange, SizingPolicy};
 use sesamedeal_core::time::TimePoint;
 use sesamedeal_store::Result;
 use slog::info;
@@ -25,6 +25,9 @@
 /// Time between two decisions. A surge doubles the demand within about a second.
 const SIZE_PERIOD: Duration = Duration::from_millis(200);
 
+/// Time between two log lines about the size of a pool.
+const LOG_PERIOD: Duration = Duration::from_secs(1);
+
 /// A move of an instance.
 #[derive(Debug)]
 struct InstanceMove {
@@ -42,12 +45,13 @@
     moves: HashMap<InstanceName, InstanceMove>,
     move_time: Duration,
     next_round: TimePoint,
-    /// Whether tasks waited for room at the last decision.
+    logged: TimePoint,
+    /// Whether tasks waited for room, or a pool surged, at the last decision.
     pub(super) is_short: bool,
 }
 
 impl PoolKeeper {
-    /// Creates a keeper that knows how long ago each pool surged last, in milliseconds.
+    /// Creates a keeper that knows how long ago each pool began to surge last, in milliseconds.
     pub(crate) fn new(policy: SizingPolicy, surges_ms: &[(PoolName, u64)]) -> Self {
         let surges: Vec<(PoolName, Duration)> = surges_ms
             .iter()
@@ -58,13 +62,14 @@
             sizing: PoolSizing::new(policy).with_surges(&surges, BootClock.now()),
             moves: HashMap::new(),
             next_round: TimePoint::ORIGIN,
+            logged: TimePoint::ORIGIN,
             is_short: false,
         }
     }
 }
 
 impl OwnerActor {
-    /// How long ago each pool surged last, in milliseconds.
+    /// How long ago each pool began to surge last, in milliseconds.
     pub(super) fn surges_ms(&self) -> Vec<(PoolName, u64)> {
         let surges = self.pools.sizing.surges(BootClock.now()).into_iter();
         let millis = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
@@ -100,15 +105,37 @@
             return;
         };
         let sizes = self.pool_sizes(&spare_pool, now);
-        self.pools.is_short = sizes.values().any(|size| size.load.waiting > 0);
         let spare = self.idle_instances(&spare_pool);
-        let capacity = self.dispatcher.worker_capacity();
-        let changes = self.pools.sizing.decide(&sizes, spare.len(), capacity, now);
+        let fleet = FleetSize {
+            spare: spare.len(),
+            total: self.inventory.reports.len(),
+            capacity: self.dispatcher.worker_capacity(),
+        };
+        let changes = self.pools.sizing.decide(&sizes, fleet, now);
+        self.pools.is_short =
+            self.pools.sizing.is_surging() || sizes.values().any(|size| size.load.waiting > 0);
+        self.log_sizes(&sizes, &fleet, now);
         for change in changes {
             self.begin_moves(&change, &spare_pool, now);
         }
     }
 
+    fn log_sizes(
+        &mut self,
+        sizes: &BTreeMap<PoolName, PoolSize>,
+        fleet: &FleetSize,
+        now: TimePoint,
+    ) {
+        if now.since(self.pools.logged) < LOG_PERIOD {
+            return;
+        }
+        self.pools.logged = now;
+        for (pool, size) in sizes {
+            let (wanted, is_surging) = self.pools.sizing.wanted(pool);
+            info!(self.parts.logger, "pool size"; "pool" => %pool, "instances" => size.instances, "idle" => size.idle, "wanted" => wanted, "is_surging" => is_surging, "spare" => fleet.spare, "total" => fleet.total);
+        }
+    }
+
     /// The pool of instances that are switched off.
     pub(super) fn spare_pool(&self) -> Option<PoolName> {
         let deployment = self.parts.view.load()?;
--- a/crates/jobs/src/owner/wave_keeper.rs
+++ b/crates/jobs/src/owner/wave_keeper.rs
@@ -170,6 +170,7 @@
             instance: name.clone(),
             is_evacuating: false,
             is_blocked: false,
+            has_lasting: false,
             cpu_in_use: 0,
         };
         match self.worker_of(name) {
--- a/crates/jobs/src/row_codec.rs
+++ b/crates/jobs/src/row_codec.rs
@@ -51,7 +51,7 @@
     pub out_of_reach: Vec<UnreachedWorker>,
     /// Jobs by queue for which no task has started.
     pub pending: Vec<(QueueName, u64)>,
-    /// How long ago each pool surged last, in milliseconds.
+    /// How long ago each pool began to surge last, in milliseconds.
     #[serde(default)]
     pub surges_ms: Vec<(PoolName, u64)>,
 }
