End a stopping entry instance in time while the store is slow or silent

Test: platform shutdown::silent_store, which failed before with the process still there after the grace period.

--- a/crates/jobs/src/job_node.rs
+++ b/crates/jobs/src/job_node.rs
@@ -148,9 +148,9 @@
         }
     }
 
-    /// Ends everything.
+    /// Ends everything, also an attempt to hand over that is still under way.
     pub async fn stop(mut self) {
-        self.hand_over().await;
+        self.owner.shutdown().await;
         self.followers.shutdown().await;
     }
 }
