Size pools by the run times that tasks show, and foresee the backlog of an onset

Pools without a listed worker were left out of an even part at the start.

Change: the ratio of run time to estimate is learned per pool; at the onset what comes until instances have moved counts too; the usual size is what was in use.

--- a/crates/core/src/jobs/dispatcher/ends.rs
+++ b/crates/core/src/jobs/dispatcher/ends.rs
@@ -8,6 +8,9 @@
     pub(super) fn note_end(&mut self, key: WorkerKey, end: &RunEnd, now: TimePoint) {
         let entry = &mut self.workers[key];
         entry.processed_end = entry.processed_end.max(end.number);
+        if end.kind == EndKind::Done {
+            self.note_run_time(key, end, now);
+        }
         self.release(end.task, end.run, key);
         let Some(task) = self.task_mut(end.task) else {
             return;
@@ -23,6 +26,26 @@
         }
     }
 
+    /// Compares the time that a run took with its estimate. What was saved before shortens a run.
+    fn note_run_time(&mut self, key: WorkerKey, end: &RunEnd, now: TimePoint) {
+        let Some(run) = self.run_mut(end.task, end.run, key) else {
+            return;
+        };
+        let actual = now.since(run.since);
+        let job = &self.jobs[&end.task.step.job];
+        let spec = &job.order.steps[usize::from(end.task.step.step)];
+        let is_first = self
+            .task(end.task)
+            .is_some_and(|task| task.saved.is_empty());
+        if spec.is_lasting || spec.is_gang || !is_first {
+            return;
+        }
+        let (cpu, declared) = (spec.worker_amount().cpu_millis, spec.estimate);
+        let pool = self.workers[key].report.pool.clone();
+        let ratio = self.ratios.entry(pool).or_default();
+        ratio.note(cpu, actual, declared);
+    }
+
     fn note_done(&mut self, key: WorkerKey, name: TaskName) {
         self.workers[key].health.note_done();
         let Some(job) = self.jobs.get_mut(&name.step.job) else {
--- a/crates/core/src/jobs/dispatcher/loads.rs
+++ b/crates/core/src/jobs/dispatcher/loads.rs
@@ -106,6 +106,13 @@
                 load.waiting_lasting += step.indexes.len();
             }
         }
+        for (pool, load) in &mut loads {
+            if let Some(ratio) = self.ratios.get(pool) {
+                load.arriving = ratio.apply(load.arriving);
+                load.arriving_now = ratio.apply(load.arriving_now);
+                load.backlog = ratio.apply(load.backlog);
+            }
+        }
         loads
     }
 }
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -20,6 +20,7 @@
 
 pub use records::RecordBatch;
 
+use super::estimate_ratio::EstimateRatio;
 use super::job_entry::JobEntry;
 use super::ticket_book::TicketBook;
 use super::worker_entry::WorkerEntry;
@@ -54,6 +55,7 @@
     /// pools; none before.
     expected: Option<HashMap<InstanceName, PoolName>>,
     recent: VecDeque<loads::WorkArrival>,
+    ratios: HashMap<PoolName, EstimateRatio>,
     usage: HashMap<TeamName, ResourceAmount>,
     tickets: HashMap<StepName, TicketBook>,
     /// Jobs whose end is stored. A table that is read while a job ends still shows it.
@@ -82,6 +84,7 @@
             names: HashMap::new(),
             expected: None,
             recent: VecDeque::new(),
+            ratios: HashMap::new(),
             usage: HashMap::new(),
             tickets: HashMap::new(),
             ended: HashSet::new(),
--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -5,6 +5,7 @@
 
 mod dispatch_policy;
 mod dispatcher;
+mod estimate_ratio;
 mod fleet_rules;
 mod health_record;
 mod hold_report;
--- a/crates/core/src/jobs/pool_history.rs
+++ b/crates/core/src/jobs/pool_history.rs
@@ -12,6 +12,9 @@
 /// Time in which a surge that has ended does not begin again: what came last still runs.
 const REST: Duration = Duration::from_millis(1_500);
 
+/// Time within which what has waited at the begin of a surge is worked off.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 /// A surge of a pool.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct PoolSurge {
@@ -32,6 +35,8 @@
     least: usize,
     /// Instances for what is in use, waits and comes, without headroom.
     coming: usize,
+    /// Instances for what is in use.
+    used: usize,
 }
 
 /// Demand of a pool in the recent past.
@@ -61,7 +66,10 @@
             .is_some_and(|surge| now.since(surge.begun) < ONSET);
         let mut load = size.load;
         if is_onset {
-            load.arriving = load.arriving.max(load.arriving_now);
+            // What comes until the instances have moved waits, and is worked off beside the rest.
+            let backlog = policy.move_time.as_secs_f64() / DRAIN_TIME.as_secs_f64();
+            let coming = load.arriving.max(load.arriving_now);
+            load.arriving = scaled(coming, 1.0 + backlog);
         }
         let mut wanted = wanted_instances(&load, capacity, policy.headroom);
         let coming = wanted_instances(&load, capacity, 0.0);
@@ -85,6 +93,7 @@
             present: present.max(least),
             least: wanted_instances(&load, capacity, 0.0).max(least),
             coming: coming.max(least),
+            used: instances_for(load.lasting + load.ending, capacity, 0.0),
         });
         let memory = policy.peak_memory;
         self.sizes.retain(|size| now.since(size.at) <= memory);
@@ -142,6 +151,11 @@
         sizes.max().unwrap_or(0)
     }
 
+    /// Instances that are in use.
+    pub(super) fn used(&self) -> usize {
+        self.sizes.last().map_or(0, |size| size.used)
+    }
+
     /// Size for what is in use and waits.
     pub(super) fn present(&self) -> usize {
         self.sizes.last().map_or(0, |size| size.present)
@@ -169,6 +183,10 @@
         load.ending
     };
     let used = load.lasting + u64::max(ending, load.arriving);
+    instances_for(used, capacity, headroom)
+}
+
+fn instances_for(used: u64, capacity: u64, headroom: f64) -> usize {
     #[expect(
         clippy::cast_precision_loss,
         clippy::cast_possible_truncation,
@@ -178,3 +196,13 @@
     let instances = (used as f64 * (1.0 + headroom) / capacity.max(1) as f64).ceil() as usize;
     instances
 }
+
+#[expect(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "amounts are far below 2^52 and not negative"
+)]
+fn scaled(amount: u64, factor: f64) -> u64 {
+    (amount as f64 * factor) as u64
+}
--- a/crates/core/src/jobs/pool_sizing.rs
+++ b/crates/core/src/jobs/pool_sizing.rs
@@ -46,7 +46,7 @@
     policy: SizingPolicy,
     history: BTreeMap<PoolName, PoolHistory>,
     surges: SurgeClock,
-    /// Most instances that a surge has wanted.
+    /// Most instances that a surge has used.
     usual: usize,
     /// When the first decision was made.
     begun: Option<TimePoint>,
@@ -189,7 +189,7 @@
                 self.surges.note_begin(pool, now);
             }
             if history.surge.is_some() {
-                self.usual = self.usual.max(history.present());
+                self.usual = self.usual.max(history.used());
             }
         }
     }
--- a/crates/jobs/src/owner/pool_keeper.rs
+++ b/crates/jobs/src/owner/pool_keeper.rs
@@ -146,6 +146,12 @@
 
     fn pool_sizes(&self, spare: &PoolName, now: TimePoint) -> BTreeMap<PoolName, PoolSize> {
         let mut loads = self.dispatcher.loads(now);
+        if let Some(deployment) = self.parts.view.load() {
+            // Pools whose workers are not listed yet count too.
+            for pool in deployment.rules.pools.keys() {
+                loads.entry(pool.clone()).or_default();
+            }
+        }
         loads.remove(spare);
         let mut sizes = BTreeMap::new();
         for (pool, load) in loads {
