Let lasting tasks leave the instances of a wave before they are emptied

The lasting tasks of one step leave one at a time, 2.2 s each, of which up to 0.8 s until the list shows the next one at work; they began to leave only when their instance was emptied, and could move to an instance of the same wave.

Change: lasting tasks leave all instances that wait for maintenance from the begin of the wave, within their budgets, and go to others; a worker on which one starts up is asked every 0.2 s. Such instances still take other tasks.

--- a/crates/core/src/jobs/dispatcher/relocation.rs
+++ b/crates/core/src/jobs/dispatcher/relocation.rs
@@ -15,6 +15,14 @@
         }
     }
 
+    /// Notes whether the instance of a worker waits for maintenance. Its tasks that last move away
+    /// one after another, which takes longer than the maintenance of all other instances.
+    pub fn set_due(&mut self, name: &InstanceName, is_due: bool) {
+        if let Some(key) = self.worker_key(name) {
+            self.workers[key].is_due = is_due;
+        }
+    }
+
     /// Whether nothing runs on an instance, nor may begin; none if that is not known, because its
     /// worker is new here or has not answered under this epoch.
     ///
@@ -58,6 +66,23 @@
         })
     }
 
+    /// Whether a task that lasts and has a disruption budget starts up on a worker.
+    #[must_use]
+    pub fn is_starting(&self, key: WorkerKey) -> bool {
+        let Some(entry) = self.workers.get(key) else {
+            return false;
+        };
+        entry.runs.keys().any(|(name, number)| {
+            let has_budget = self.jobs.get(&name.step.job).is_some_and(|job| {
+                let spec = &job.order.steps[usize::from(name.step.step)];
+                spec.is_lasting && spec.disruption_budget.is_some()
+            });
+            let runs = self.task(*name).map_or(&[][..], |task| &task.runs);
+            let mut runs = runs.iter().filter(|run| run.run == *number);
+            has_budget && runs.any(|run| run.percent < 100.0 && !run.is_stopping())
+        })
+    }
+
     fn is_lasting(&self, name: TaskName) -> bool {
         let job = self.jobs.get(&name.step.job);
         job.is_some_and(|job| job.order.steps[usize::from(name.step.step)].is_lasting)
@@ -65,7 +90,7 @@
 
     pub(super) fn relocate(&mut self, now: TimePoint) {
         let leaving = self.workers.iter().filter(|(_, entry)| {
-            entry.is_evacuating || entry.report.state == WorkerState::Draining
+            entry.is_evacuating || entry.is_due || entry.report.state == WorkerState::Draining
         });
         let leaving: Vec<WorkerKey> = leaving.map(|(key, _)| key).collect();
         for key in leaving {
--- a/crates/core/src/jobs/worker_choice.rs
+++ b/crates/core/src/jobs/worker_choice.rs
@@ -4,7 +4,7 @@
 //! then empties within seconds. Tasks that end take the fullest worker that has room: room for the
 //! next large task stays in one piece, a worker that fails what it runs is empty and gets little,
 //! and the other workers empty soon and can follow the demand to other pools. Tasks that last are
-//! packed by memory for the same reason.
+//! packed by memory for the same reason, on instances that do not wait for maintenance.
 
 use super::ResourceAmount;
 
@@ -21,6 +21,8 @@
     pub is_near: bool,
     /// Whether it is on trial after failures.
     pub is_on_trial: bool,
+    /// Whether its instance waits for maintenance.
+    pub is_due: bool,
 }
 
 /// Chooses among `offers`; none if no worker has room.
@@ -32,6 +34,7 @@
     let fitting = offers.filter(|offer| amount.fits(offer.room));
     let best = fitting.min_by(|one, other| {
         let order = one.is_on_trial.cmp(&other.is_on_trial);
+        let order = order.then((is_lasting && one.is_due).cmp(&(is_lasting && other.is_due)));
         let order = order.then(other.is_near.cmp(&one.is_near));
         order.then(cost(is_lasting, one).total_cmp(&cost(is_lasting, other)))
     });
--- a/crates/core/src/jobs/worker_entry.rs
+++ b/crates/core/src/jobs/worker_entry.rs
@@ -34,6 +34,9 @@
     pub health: HealthRecord,
     /// Whether tasks are moved away for maintenance or a move.
     pub is_evacuating: bool,
+    /// Whether its instance waits for maintenance. Tasks that last are moved away as their budgets
+    /// allow; others may still start.
+    pub is_due: bool,
     /// Whether it runs something of which the amount is not known, until that has been stopped.
     pub has_strangers: bool,
     /// Highest end that was processed, and highest that is stored.
@@ -56,6 +59,7 @@
             runs: HashMap::new(),
             health: HealthRecord::default(),
             is_evacuating: false,
+            is_due: false,
             has_strangers: false,
             processed_end: 0,
             stored_end: 0,
--- a/crates/core/tests/disruption_budget.rs
+++ b/crates/core/tests/disruption_budget.rs
@@ -76,3 +76,40 @@
         "taken out on a list that is 1.2 s old"
     );
 }
+
+/// Guards against a wave that is late because tasks that last leave its instances only when the
+/// instances are emptied: they leave before, one at a time, to instances outside the wave, and the
+/// instances still take other tasks meanwhile.
+#[test]
+fn due_workers() {
+    let mut world = JobWorld::new(6, 1);
+    let mut lasting = step(3, 500);
+    lasting.is_lasting = true;
+    lasting.max_per_worker = Some(1);
+    lasting.disruption_budget = Some(1);
+    world.submit(1, job(vec![lasting]));
+    world.run(SETTLED);
+    let due = busy_workers(&world);
+    assert_eq!(due.len(), 3);
+    for &worker in &due {
+        let name = world.workers[worker].report.name.clone();
+        world.dispatcher.set_due(&name, true);
+    }
+    for _ in 0..200 {
+        world.run(1);
+        assert!(busy_workers(&world).len() >= 2, "two were taken out");
+    }
+    assert!(
+        busy_workers(&world)
+            .iter()
+            .all(|worker| !due.contains(worker))
+    );
+    let mut short = step(48, 1_000);
+    short.estimate = std::time::Duration::from_millis(500);
+    world.submit(2, job(vec![short]));
+    world.run(2);
+    assert!(
+        due.iter()
+            .all(|&worker| !world.workers[worker].tasks().is_empty())
+    );
+}
--- a/crates/jobs/src/owner/owner_policy.rs
+++ b/crates/jobs/src/owner/owner_policy.rs
@@ -18,6 +18,9 @@
     pub hold_gap: Duration,
     /// Longest time that a worker with tasks waits for an end before it answers.
     pub hold_wait: Duration,
+    /// Longest time that a worker waits on which a lasting task starts up. When it is at work, the
+    /// next task of its step may be taken out.
+    pub start_wait: Duration,
     /// Longest time that an idle worker waits.
     pub idle_wait: Duration,
     /// Time beyond the wait within which a worker has to answer.
@@ -47,6 +50,7 @@
             round: Duration::from_millis(25),
             hold_gap: Duration::from_millis(100),
             hold_wait: Duration::from_millis(800),
+            start_wait: Duration::from_millis(200),
             idle_wait: Duration::from_millis(1_900),
             hold_margin: Duration::from_millis(900),
             order_deadline: Duration::from_millis(900),
--- a/crates/jobs/src/owner/wave_keeper.rs
+++ b/crates/jobs/src/owner/wave_keeper.rs
@@ -128,11 +128,25 @@
         if self.inventory.reports.is_empty() {
             return true;
         }
+        self.note_due(wave);
         self.empty_next(wave, age, now);
         self.order_empty(wave, now);
         true
     }
 
+    /// Lets tasks that last leave the instances that wait for their maintenance.
+    fn note_due(&mut self, wave: &MaintenanceWave) {
+        let progress = &self.waves.waves[&wave.number];
+        let open = wave
+            .instances
+            .iter()
+            .filter(|name| !progress.done.contains(*name));
+        let workers: Vec<InstanceName> = open.filter_map(|name| self.worker_of(name)).collect();
+        for worker in workers {
+            self.dispatcher.set_due(&worker, true);
+        }
+    }
+
     /// Begins to empty instances.
     fn empty_next(&mut self, wave: &MaintenanceWave, age: Option<Duration>, now: TimePoint) {
         loop {
--- a/crates/jobs/src/owner/worker_calls.rs
+++ b/crates/jobs/src/owner/worker_calls.rs
@@ -90,6 +90,8 @@
                 Duration::ZERO
             } else if is_idle {
                 policy.idle_wait
+            } else if self.dispatcher.is_starting(key) {
+                policy.start_wait
             } else {
                 policy.hold_wait
             };
