Compare a run with the other runs of its step before it is copied

A run was called slow by its estimate alone.

Change: a run is slow if it needs twice the median of its step, or twice its estimate corrected by the pool's ratio. The simulated workers of the tests now show their true progress. Test: task_copies::short_estimate, which failed before with 20 starts for 12 tasks.

--- a/crates/core/src/jobs/dispatcher/waiting.rs
+++ b/crates/core/src/jobs/dispatcher/waiting.rs
@@ -115,8 +115,11 @@
                 let indexes: Vec<u16> = tasks
                     .map(|(index, _)| u16::try_from(index).unwrap_or(u16::MAX))
                     .collect();
+                let usual = self.usual_time(step, spec, pool);
                 let copies = step.tasks.iter().enumerate();
-                let copies = copies.filter(|(_, task)| self.needs_copy(task, spec, now));
+                let copies = copies.filter(|(_, task)| {
+                    usual.is_some_and(|usual| self.needs_copy(task, usual, now))
+                });
                 let copies: Vec<u16> = copies
                     .map(|(index, _)| u16::try_from(index).unwrap_or(u16::MAX))
                     .collect();
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -291,8 +291,8 @@
                 100.0
             } else {
                 #[expect(clippy::cast_precision_loss, reason = "times of tests are small")]
-                let percent = (now - state.begun) as f64;
-                percent
+                let share = (now - state.begun) as f64 / (state.ends - state.begun) as f64;
+                (share * 100.0).min(99.0)
             },
             gauge: None,
         });
--- a/crates/core/tests/task_copies.rs
+++ b/crates/core/tests/task_copies.rs
@@ -40,6 +40,19 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// Guards against a copy of each task of a step whose estimate is far too short: the copies took the
+/// room of other jobs at the peak of a surge, and nearly all of them were stopped unfinished.
+#[test]
+fn short_estimate() {
+    let mut world = JobWorld::new(4, 1);
+    let mut copied = step(12, 1_000);
+    copied.allows_copies = true;
+    copied.estimate = std::time::Duration::from_millis(20);
+    world.submit(1, job(vec![copied]));
+    world.run(40);
+    assert_eq!(world.starts, 12);
+}
+
 /// Guards against copies of tasks that run as they should.
 #[test]
 fn none_needed() {
