Tell a surge from one large job, and let a fading surge give what it does not use

Change: a surge needs three jobs within a second; a backlog counts once beside what comes; a rising surge is expected to grow at most twofold; a fading one keeps what it uses.

--- a/crates/core/src/jobs/dispatcher/loads.rs
+++ b/crates/core/src/jobs/dispatcher/loads.rs
@@ -86,6 +86,7 @@
                 let load = pool.and_then(|pool| loads.get_mut(pool));
                 if let Some(load) = load {
                     load.arriving += arrival.work;
+                    load.arrivals += usize::from(arrival.work > 0);
                     if now.since(arrival.at) <= RECENT_WINDOW {
                         load.arriving_now += per_second(arrival.work);
                     }
--- a/crates/core/src/jobs/pool_history.rs
+++ b/crates/core/src/jobs/pool_history.rs
@@ -15,12 +15,25 @@
 /// Time within which what has waited at the begin of a surge is worked off.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
+/// Largest multiple of what a surge wants so far up to which it is expected to grow.
+const GROWTH: usize = 2;
+
+/// Jobs within a second from which they can be a surge.
+const LEAST_ARRIVALS: usize = 3;
+
+/// Time for which wanted sizes are remembered while a surge fades.
+const FADE_MEMORY: Duration = Duration::from_millis(600);
+
 /// A surge of a pool.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct PoolSurge {
     pub begun: TimePoint,
     /// Largest arrivals so far.
     peak: u64,
+    /// Whether the arrivals grow.
+    is_rising: bool,
+    /// Whether the arrivals have fallen well below their peak.
+    is_fading: bool,
 }
 
 /// What a pool wanted at a time.
@@ -73,8 +86,9 @@
         }
         let mut wanted = wanted_instances(&load, capacity, policy.headroom);
         let coming = wanted_instances(&load, capacity, 0.0);
-        if is_onset {
-            wanted = wanted.max(usual);
+        if self.surge.is_some_and(|surge| surge.is_rising) {
+            // The surge grows as far as earlier ones did, unless it is much smaller so far.
+            wanted = wanted.max(usual.min(wanted * GROWTH));
         }
         load.arriving = 0;
         let present = wanted_instances(&load, capacity, policy.headroom);
@@ -95,7 +109,12 @@
             coming: coming.max(least),
             used: instances_for(load.lasting + load.ending, capacity, 0.0),
         });
-        let memory = policy.peak_memory;
+        let is_fading = self.surge.is_some_and(|surge| surge.is_fading);
+        let memory = if is_fading {
+            FADE_MEMORY
+        } else {
+            policy.peak_memory
+        };
         self.sizes.retain(|size| now.since(size.at) <= memory);
         has_begun
     }
@@ -110,9 +129,12 @@
         now: TimePoint,
     ) -> bool {
         if let Some(surge) = &mut self.surge {
+            surge.is_rising = load.arriving >= surge.peak;
             surge.peak = surge.peak.max(load.arriving);
             #[expect(clippy::cast_precision_loss, reason = "amounts are far below 2^52")]
-            let is_low = (load.arriving as f64) < surge.peak as f64 * policy.ebb_share;
+            let is_below = |share: f64| (load.arriving as f64) < surge.peak as f64 * share;
+            let is_low = is_below(policy.ebb_share);
+            surge.is_fading = is_below(policy.fade_share) && now.since(surge.begun) >= ONSET;
             if is_low && load.waiting == 0 && now.since(surge.begun) >= ONSET {
                 self.surge = None;
                 self.ebbed = Some(now);
@@ -126,7 +148,12 @@
             .saturating_mul(capacity);
         // What a new owner finds running is all that it knows of a surge under way.
         let found = if self.ebbed.is_none() { load.ending } else { 0 };
-        let coming = load.arriving.max(load.arriving_now);
+        // One large job is no surge.
+        let coming = if load.arrivals >= LEAST_ARRIVALS {
+            load.arriving.max(load.arriving_now)
+        } else {
+            0
+        };
         let demand = coming.max(load.waiting).max(found);
         #[expect(clippy::cast_precision_loss, reason = "amounts are far below 2^52")]
         let is_high = demand as f64 > holds as f64 * policy.surge_share;
@@ -136,6 +163,8 @@
         self.surge = Some(PoolSurge {
             begun: now,
             peak: load.arriving.max(found),
+            is_rising: true,
+            is_fading: false,
         });
         true
     }
@@ -177,12 +206,7 @@
     // A backlog of short tasks needs less room than its tasks at once.
     let waiting = load.waiting.min(load.backlog.max(load.waiting / 2));
     // While a backlog is worked off, what comes needs room beside it.
-    let ending = if waiting > 0 {
-        load.ending + waiting + load.arriving / 2
-    } else {
-        load.ending
-    };
-    let used = load.lasting + u64::max(ending, load.arriving);
+    let used = load.lasting + u64::max(load.ending, load.arriving) + waiting;
     instances_for(used, capacity, headroom)
 }
 
--- a/crates/core/src/jobs/pool_load.rs
+++ b/crates/core/src/jobs/pool_load.rs
@@ -20,6 +20,8 @@
     pub arriving: u64,
     /// The same over a shorter time: what the work of the last moments comes to in a second.
     pub arriving_now: u64,
+    /// Jobs that came within the last second.
+    pub arrivals: usize,
     /// Tasks that last and wait for room, whatever they lack: processor, memory or a worker without
     /// another task of their step.
     pub waiting_lasting: usize,
--- a/crates/core/src/jobs/sizing_policy.rs
+++ b/crates/core/src/jobs/sizing_policy.rs
@@ -12,6 +12,8 @@
     /// Share of what an even part of all instances holds, above which what comes in a second, or
     /// waits, is a surge.
     pub surge_share: f64,
+    /// Share of a surge's largest arrivals below which the surge fades: it keeps what it uses.
+    pub fade_share: f64,
     /// Share of a surge's largest arrivals below which the surge has ended.
     pub ebb_share: f64,
     /// Time from the order to move an instance until it is in its new pool.
@@ -34,6 +36,7 @@
             peak_memory: Duration::from_millis(2_000),
             least_instances: 3,
             surge_share: 0.6,
+            fade_share: 0.6,
             ebb_share: 0.25,
             move_time: Duration::from_millis(1_500),
             kept_pools: 1,
--- a/crates/core/tests/pool_turns.rs
+++ b/crates/core/tests/pool_turns.rs
@@ -23,6 +23,7 @@
             ending,
             waiting,
             backlog: waiting,
+            arrivals: usize::from(waiting > 0) * 10,
             ..PoolLoad::default()
         },
         instances,
@@ -152,6 +153,7 @@
     let mut sizing = PoolSizing::new(SizingPolicy::default());
     let mut surging = size(9, 9, 0, 0);
     surging.load.arriving = 500_000;
+    surging.load.arrivals = 10;
     let changes = decide(&mut sizing, &[("a", surging)], 20, 0);
     assert!(moved(&changes, Some("a")) >= 10, "{changes:?}");
 }
--- a/crates/core/tests/sizing/mod.rs
+++ b/crates/core/tests/sizing/mod.rs
@@ -40,11 +40,11 @@
     pub order: Vec<usize>,
     /// Time from the begin of one surge to that of the next, in milliseconds.
     pub period_ms: u64,
-    /// Length of a surge, in milliseconds.
+    /// Length of a surge, which rises and falls, in milliseconds.
     pub surge_ms: u64,
-    /// Processor that a surge keeps busy, in instances.
+    /// Processor that a surge keeps busy at its peak, in instances.
     pub surge_instances: f64,
-    /// Jobs that come in a second of a surge.
+    /// Jobs that come in a second at the peak of a surge.
     pub jobs_per_s: f64,
 }
 
@@ -64,8 +64,8 @@
     instances: usize,
     waiting: f64,
     running: VecDeque<f64>,
-    /// Work that came in each step of the last second.
-    recent: VecDeque<f64>,
+    /// Work that came in each step of the last second, and the number of its jobs.
+    recent: VecDeque<(f64, usize)>,
 }
 
 impl SimPool {
@@ -74,7 +74,7 @@
             instances,
             waiting: 0.0,
             running: VecDeque::from(vec![0.0; RUN_STEPS]),
-            recent: VecDeque::from(vec![0.0; RUN_STEPS]),
+            recent: VecDeque::from(vec![(0.0, 0); RUN_STEPS]),
         }
     }
 
@@ -83,9 +83,9 @@
     }
 
     /// Lets a step pass in which `work` instances' worth of work comes.
-    fn pass(&mut self, work: f64) {
+    fn pass(&mut self, work: f64, jobs: usize) {
         self.recent.pop_front();
-        self.recent.push_back(work);
+        self.recent.push_back((work, jobs));
         self.running.pop_front();
         self.waiting += work;
         #[expect(clippy::cast_precision_loss, reason = "instances are few")]
@@ -112,8 +112,17 @@
             ending: millis(used),
             waiting: millis(self.waiting),
             backlog: millis(self.waiting),
-            arriving: millis(self.recent.iter().sum()),
-            arriving_now: millis(self.recent.iter().rev().take(RECENT_STEPS).sum::<f64>() * 2.5),
+            arriving: millis(self.recent.iter().map(|(work, _)| work).sum()),
+            arriving_now: millis(
+                self.recent
+                    .iter()
+                    .rev()
+                    .take(RECENT_STEPS)
+                    .map(|(work, _)| work)
+                    .sum::<f64>()
+                    * 2.5,
+            ),
+            arrivals: self.recent.iter().map(|(_, jobs)| jobs).sum(),
             ..PoolLoad::default()
         };
         let busy = (used.ceil() as usize).max(hosts);
@@ -173,17 +182,29 @@
             !has_arrived
         });
         let turn = usize::try_from(now / plan.period_ms).unwrap();
-        let is_surge = now % plan.period_ms < plan.surge_ms;
+        let into = now % plan.period_ms;
+        let is_surge = into < plan.surge_ms;
+        #[expect(clippy::cast_precision_loss, reason = "times are short")]
+        let height = (std::f64::consts::PI * into as f64 / plan.surge_ms.max(1) as f64).sin();
         for (number, entry) in pools.iter_mut().enumerate() {
             let is_on = is_surge && plan.order[turn] == number;
-            let share = if is_on { 1.0 } else { 0.0125 };
+            let share = if is_on { height } else { 0.0125 };
             let chance = plan.jobs_per_s * share * step_s;
             let mut jobs = chance.floor();
             if random.random::<f64>() < chance - jobs {
                 jobs += 1.0;
             }
-            let work = jobs * plan.surge_instances / plan.jobs_per_s;
-            entry.pass(work);
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "jobs are few and not negative"
+            )]
+            let jobs = jobs as usize;
+            let mut work = 0.0;
+            for _ in 0..jobs {
+                work += random.random_range(0.2..1.8) * plan.surge_instances / plan.jobs_per_s;
+            }
+            entry.pass(work, jobs);
             waited += entry.waiting * step_s;
             worked += work;
         }
--- a/crates/core/tests/turn_simulation.rs
+++ b/crates/core/tests/turn_simulation.rs
@@ -17,10 +17,10 @@
         hosts: 35,
         spare: 76,
         order: order.to_vec(),
-        period_ms: 9_000,
-        surge_ms: 7_500,
-        surge_instances: 150.0,
-        jobs_per_s: 60.0,
+        period_ms: 8_500,
+        surge_ms: 8_500,
+        surge_instances: 170.0,
+        jobs_per_s: 20.0,
     }
 }
 
