Store the ends of jobs first, the rest in turn, and acknowledge ends by worker

A write took 24 of the changed records, in the order of a hash table, so that with 300 changed ones the same were taken again and again. Ends were acknowledged only when no record at all waited, so that the workers listed hundreds of them in each answer.

Change: ended jobs come first, the others in the order in which they changed; a write takes 72 rows, and the next follows at once while more wait than fit. Ends of a worker are acknowledged up to the first whose job is not stored. The usual time of a step counts its ended runs, since the copies of stragglers were judged by the estimate alone after the others had ended.

--- a/crates/core/src/jobs/dispatcher/copies.rs
+++ b/crates/core/src/jobs/dispatcher/copies.rs
@@ -43,8 +43,9 @@
                 .all(|run| self.workers[run.worker].is_silent || is_slow(run, usual, now))
     }
 
-    /// Time that the tasks of a step take: the median by the progress of its runs, or its estimate
-    /// as far as estimates of the pool hold. None if the step allows no copies.
+    /// Time that the tasks of a step take: the median of its ended runs and, by their progress, of
+    /// the others, or its estimate as far as estimates of the pool hold. None if the step allows no
+    /// copies.
     pub(super) fn usual_time(
         &self,
         step: &StepEntry,
@@ -56,6 +57,7 @@
         }
         let runs = step.tasks.iter().flat_map(|task| &task.runs);
         let mut totals: Vec<Duration> = runs.filter_map(projected_time).collect();
+        totals.extend(&step.run_times);
         if totals.len() >= LEAST_PEERS {
             totals.sort_unstable();
             return Some(totals[totals.len() / 2]);
--- a/crates/core/src/jobs/dispatcher/ends.rs
+++ b/crates/core/src/jobs/dispatcher/ends.rs
@@ -8,6 +8,9 @@
     pub(super) fn note_end(&mut self, key: WorkerKey, end: &RunEnd, now: TimePoint) {
         let entry = &mut self.workers[key];
         entry.processed_end = entry.processed_end.max(end.number);
+        entry
+            .unstored_ends
+            .push_back((end.number, end.task.step.job));
         if end.kind == EndKind::Done {
             self.note_run_time(key, end, now);
         }
@@ -44,6 +47,11 @@
         let pool = self.workers[key].report.pool.clone();
         let ratio = self.ratios.entry(pool).or_default();
         ratio.note(cpu, actual, declared);
+        let name = end.task.step;
+        let job = self.jobs.get_mut(&name.job);
+        if let Some(step) = job.and_then(|job| job.step_mut(name.occurrence, name.step)) {
+            step.run_times.push(actual);
+        }
     }
 
     fn note_done(&mut self, key: WorkerKey, name: TaskName) {
@@ -70,10 +78,11 @@
                 }
             }
         }
-        self.dirty.insert(name.step.job);
         if !job.phase.is_final() && job.is_done() {
             job.phase = JobPhase::Finished;
         }
+        let has_ended = job.phase.is_final();
+        self.dirty.insert(name.step.job, has_ended);
     }
 
     fn note_failed(&mut self, key: WorkerKey, end: &RunEnd, now: TimePoint) {
@@ -108,7 +117,7 @@
         }
         task.failed_runs.push(end.run);
         let failures = u32::try_from(task.failed_runs.len()).unwrap_or(u32::MAX);
-        self.dirty.insert(id);
+        self.dirty.insert(id, is_final);
         if failures >= attempts && !is_final {
             self.end_job(id, JobPhase::Failed);
         }
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -22,6 +22,7 @@
 
 use super::estimate_ratio::EstimateRatio;
 use super::job_entry::JobEntry;
+use super::record_queue::RecordQueue;
 use super::ticket_book::TicketBook;
 use super::worker_entry::WorkerEntry;
 use super::{
@@ -62,7 +63,8 @@
     ended: HashSet<JobId>,
     /// When their records expire, in order.
     expiring: VecDeque<(TimePoint, JobId)>,
-    dirty: HashSet<JobId>,
+    /// Jobs whose records are not stored yet.
+    dirty: RecordQueue,
     orders: Vec<WorkerOrder>,
 }
 
@@ -89,7 +91,7 @@
             tickets: HashMap::new(),
             ended: HashSet::new(),
             expiring: VecDeque::new(),
-            dirty: HashSet::new(),
+            dirty: RecordQueue::default(),
             orders: Vec::new(),
         }
     }
@@ -154,7 +156,7 @@
                 }
             }
         }
-        self.dirty.insert(id);
+        self.dirty.insert(id, true);
     }
 
     /// Adds a worker of the platform's list, or takes over what the list says of it now.
--- a/crates/core/src/jobs/dispatcher/placing.rs
+++ b/crates/core/src/jobs/dispatcher/placing.rs
@@ -185,7 +185,7 @@
             && job.phase == crate::jobs::JobPhase::Queued
         {
             job.phase = crate::jobs::JobPhase::Running;
-            self.dirty.insert(id);
+            self.dirty.insert(id, false);
         }
     }
 }
--- a/crates/core/src/jobs/dispatcher/records.rs
+++ b/crates/core/src/jobs/dispatcher/records.rs
@@ -4,6 +4,10 @@
 use crate::jobs::{JobId, JobRecord, WorkerKey};
 use crate::time::TimePoint;
 
+/// Rows of a write that the record of an ended job takes: the record, and the job and a request to
+/// cancel it, which are removed.
+const ROWS_OF_END: usize = 3;
+
 /// Records to store together, and the ends that may be acknowledged afterwards.
 #[derive(Debug, Default)]
 pub struct RecordBatch {
@@ -14,32 +18,42 @@
 }
 
 impl JobDispatcher {
-    /// Takes at most `limit` records that are not stored yet.
+    /// Takes records that are not stored yet, as many as fit into `rows` rows of a write. Jobs that
+    /// have ended come first, since their callers wait.
     ///
     /// Ends are acknowledged to workers only after all records that they changed are stored, since
     /// a worker forgets an acknowledged end.
-    pub fn take_records(&mut self, limit: usize, unix_ms: u64) -> RecordBatch {
-        let ids: Vec<JobId> = self.dirty.iter().copied().take(limit).collect();
+    pub fn take_records(&mut self, rows: usize, unix_ms: u64) -> RecordBatch {
         let mut batch = RecordBatch::default();
-        for id in ids {
-            self.dirty.remove(&id);
-            if let Some(job) = self.jobs.get_mut(&id) {
-                if job.phase.is_final() && job.ended_ms == 0 {
-                    job.ended_ms = unix_ms;
-                }
-                batch.records.push((id, job.record()));
+        let mut left = rows;
+        while left >= ROWS_OF_END
+            && let Some(id) = self.dirty.pop()
+        {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            if job.phase.is_final() && job.ended_ms == 0 {
+                job.ended_ms = unix_ms;
             }
+            left -= if job.phase.is_final() { ROWS_OF_END } else { 1 };
+            batch.records.push((id, job.record()));
         }
-        if self.dirty.is_empty() {
-            let workers = self.workers.iter();
-            let open = workers.filter(|(_, entry)| entry.processed_end > entry.stored_end);
-            batch.ends = open
-                .map(|(key, entry)| (key, entry.processed_end))
-                .collect();
+        for (key, entry) in &self.workers {
+            let covered = entry.unstored_ends.iter();
+            let covered = covered.take_while(|(_, job)| !self.dirty.contains(job));
+            if let Some((end, _)) = covered.last() {
+                batch.ends.push((key, *end));
+            }
         }
         batch
     }
 
+    /// Whether more records wait than fit into `rows` rows of a write.
+    #[must_use]
+    pub fn has_backlog(&self, rows: usize) -> bool {
+        self.dirty.len() * ROWS_OF_END > rows
+    }
+
     /// Whether there is something to store or to acknowledge.
     #[must_use]
     pub fn has_records(&self) -> bool {
@@ -52,6 +66,12 @@
             if let Some(entry) = self.workers.get_mut(key) {
                 // A worker that was started again counts its ends anew.
                 entry.stored_end = entry.stored_end.max(end.min(entry.processed_end));
+                let stored = entry.stored_end;
+                while entry
+                    .unstored_ends
+                    .pop_front_if(|(number, _)| *number <= stored)
+                    .is_some()
+                {}
             }
         }
         for (id, record) in &batch.records {
@@ -87,7 +107,9 @@
 
     /// Puts the records of a batch that was not stored back.
     pub fn return_records(&mut self, batch: &RecordBatch) {
-        self.dirty.extend(batch.records.iter().map(|(id, _)| *id));
+        for (id, record) in &batch.records {
+            self.dirty.insert(*id, record.phase.is_final());
+        }
     }
 
     /// Forgets a job whose end is stored, once nothing of it runs.
--- a/crates/core/src/jobs/dispatcher/runs.rs
+++ b/crates/core/src/jobs/dispatcher/runs.rs
@@ -127,6 +127,7 @@
         entry.health = HealthRecord::default();
         entry.processed_end = 0;
         entry.stored_end = 0;
+        entry.unstored_ends.clear();
         entry.lease_end = now;
     }
 
--- a/crates/core/src/jobs/job_entry.rs
+++ b/crates/core/src/jobs/job_entry.rs
@@ -8,6 +8,8 @@
 pub(crate) struct StepEntry {
     pub tasks: Vec<TaskEntry>,
     pub undone: usize,
+    /// Run times of its tasks that this owner saw begin and end.
+    pub run_times: Vec<Duration>,
 }
 
 /// One occurrence of a job.
@@ -83,6 +85,7 @@
         let steps = self.order.steps.iter().map(|step| StepEntry {
             tasks: vec![TaskEntry::default(); usize::from(step.count)],
             undone: usize::from(step.count),
+            run_times: Vec::new(),
         });
         self.occurrences.push(OccurrenceEntry {
             number: self.next_occurrence,
--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -19,6 +19,7 @@
 mod pool_history;
 mod pool_load;
 mod pool_sizing;
+mod record_queue;
 mod resource_amount;
 mod retry_time;
 mod run_entry;
--- a/crates/core/src/jobs/worker_entry.rs
+++ b/crates/core/src/jobs/worker_entry.rs
@@ -1,6 +1,6 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
-use super::{HealthRecord, ResourceAmount, TaskName, WorkerReport, WorkerState};
+use super::{HealthRecord, JobId, ResourceAmount, TaskName, WorkerReport, WorkerState};
 use crate::time::TimePoint;
 
 slotmap::new_key_type! {
@@ -42,6 +42,8 @@
     /// Highest end that was processed, and highest that is stored.
     pub processed_end: u64,
     pub stored_end: u64,
+    /// Ends between the two, in order, with the jobs whose records they may have changed.
+    pub unstored_ends: VecDeque<(u64, JobId)>,
 }
 
 impl WorkerEntry {
@@ -63,6 +65,7 @@
             has_strangers: false,
             processed_end: 0,
             stored_end: 0,
+            unstored_ends: VecDeque::new(),
         }
     }
 
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -184,6 +184,15 @@
     }
 
     pub fn round(&mut self) {
+        self.pass_round(true);
+    }
+
+    /// A round in which no write ends.
+    pub fn round_without_write(&mut self) {
+        self.pass_round(false);
+    }
+
+    fn pass_round(&mut self, writes: bool) {
         self.now += 50;
         let now = self.now;
         for worker in &mut self.workers {
@@ -194,7 +203,9 @@
         for index in 0..self.workers.len() {
             self.hold(index);
         }
-        self.write();
+        if writes {
+            self.write();
+        }
         let orders = self.dispatcher.plan(at(now), now);
         for order in orders {
             self.deliver(order);
@@ -307,7 +318,7 @@
     }
 
     fn write(&mut self) {
-        let batch = self.dispatcher.take_records(28, self.now);
+        let batch = self.dispatcher.take_records(72, self.now);
         if self.chance(self.faults.refused_writes) {
             // The round goes on while the write is under way.
             let orders = self.dispatcher.plan(at(self.now), self.now);
--- a/crates/jobs/src/owner/record_keeping.rs
+++ b/crates/jobs/src/owner/record_keeping.rs
@@ -9,7 +9,7 @@
 
 use super::OwnerEvent;
 use super::owner_actor::OwnerActor;
-use super::record_writer::{EXPIRED_PER_WRITE, JOBS_PER_WRITE};
+use super::record_writer::{EXPIRED_PER_WRITE, ROWS_PER_WRITE};
 use crate::BootClock;
 use crate::ports::TransactOutcome;
 use crate::row_codec::PulseRow;
@@ -24,8 +24,9 @@
             return;
         }
         let is_pulse_due = now.since(self.writer.pulsed) >= self.parts.policy.renewal;
+        let is_gap_over = now.since(self.writer.sent) >= self.parts.policy.record_gap;
         let has_records = self.dispatcher.has_records()
-            && now.since(self.writer.sent) >= self.parts.policy.record_gap;
+            && (is_gap_over || self.dispatcher.has_backlog(ROWS_PER_WRITE));
         if !is_pulse_due && !has_records && !self.writer.has_rows() {
             // Ends that changed no record need no write before they are acknowledged.
             if !self.dispatcher.has_records() {
@@ -36,7 +37,7 @@
         }
         let batch = self
             .dispatcher
-            .take_records(JOBS_PER_WRITE, BootClock.unix_ms());
+            .take_records(ROWS_PER_WRITE, BootClock.unix_ms());
         let pulse = is_pulse_due.then(|| self.pulse());
         if let Some(pulse) = &pulse {
             self.dispatcher.note_publishing(&pulse.out_of_reach);
--- a/crates/jobs/src/owner/record_writer.rs
+++ b/crates/jobs/src/owner/record_writer.rs
@@ -6,8 +6,9 @@
 use crate::ports::{RowChange, RowCondition, RowName, RowPut, StoreRow, StoreTable};
 use crate::row_codec::{EPOCH_KEY, PULSE_KEY, PulseRow, SEQUENCE_KEY, cancel_key, encode, job_key};
 
-/// Jobs in one write: three rows each stay below the 100 entries that the store takes.
-pub(crate) const JOBS_PER_WRITE: usize = 24;
+/// Rows of records in one write. With two conditions, the pulse, the sequence, two rows for each
+/// expired record and some rows of waves they stay below the 100 entries that the store takes.
+pub(crate) const ROWS_PER_WRITE: usize = 72;
 
 /// Expired records that go with a write.
 pub(crate) const EXPIRED_PER_WRITE: usize = 8;
