Never empty the last usable worker of a pool for maintenance

Change: an instance is not emptied while no other worker of its pool takes tasks, unless it is the only one. Test: disruption_budget::last_worker_stays, by which the third worker was emptied before.

--- a/crates/core/src/jobs/dispatcher/relocation.rs
+++ b/crates/core/src/jobs/dispatcher/relocation.rs
@@ -61,11 +61,23 @@
             instance,
             is_evacuating: entry.is_evacuating,
             is_blocked: runs.any(|(task, _)| !self.may_take_out(*task, now)),
+            is_last: self.is_last_usable(key, now),
             has_lasting: entry.runs.keys().any(|(task, _)| self.is_lasting(*task)),
             cpu_in_use: entry.used.cpu_millis,
         })
     }
 
+    /// Whether no other worker of the pool takes tasks now, although the list has others: they are
+    /// emptied, lost or new, and will be back.
+    fn is_last_usable(&self, key: WorkerKey, now: TimePoint) -> bool {
+        let pool = &self.workers[key].report.pool;
+        let others = self.workers.iter().filter(|(other, entry)| {
+            *other != key && entry.is_listed && entry.report.pool == *pool
+        });
+        let mut others = others.peekable();
+        others.peek().is_some() && !others.any(|(_, entry)| entry.is_usable(now))
+    }
+
     /// Whether a task that lasts and has a disruption budget starts up on a worker.
     #[must_use]
     pub fn is_starting(&self, key: WorkerKey) -> bool {
--- a/crates/core/src/jobs/upkeep_plan.rs
+++ b/crates/core/src/jobs/upkeep_plan.rs
@@ -41,6 +41,8 @@
     pub is_evacuating: bool,
     /// Whether a task on it cannot be taken out at present.
     pub is_blocked: bool,
+    /// Whether no other worker of its pool takes tasks now, although there are others.
+    pub is_last: bool,
     /// Whether tasks that last run on it. They are moved away a few at a time, so that such an
     /// instance takes long, and it cannot move to another pool meanwhile.
     pub has_lasting: bool,
@@ -86,6 +88,6 @@
     }
     choices
         .iter()
-        .filter(|choice| !choice.is_evacuating)
+        .filter(|choice| !choice.is_evacuating && !choice.is_last)
         .min_by_key(|choice| (choice.is_blocked, !choice.has_lasting, choice.cpu_in_use))
 }
--- a/crates/core/tests/disruption_budget.rs
+++ b/crates/core/tests/disruption_budget.rs
@@ -6,6 +6,7 @@
 
 use jobs::{JobWorld, job, step};
 use sesamedeal_core::ids::InstanceName;
+use sesamedeal_core::jobs::next_upkeep;
 
 /// Rounds of 50 ms until the tasks are at work and the quiet time after the takeover has passed.
 const SETTLED: usize = 60;
@@ -113,3 +114,44 @@
             .all(|&worker| !world.workers[worker].tasks().is_empty())
     );
 }
+
+/// Guards against a lasting task without a place: all workers of a pool of three were emptied for
+/// maintenance at once, so that a task that had been stopped found none for 11 s.
+#[test]
+fn last_worker_stays() {
+    let mut world = JobWorld::new(3, 1);
+    let mut lasting = step(1, 500);
+    lasting.is_lasting = true;
+    lasting.disruption_budget = Some(1);
+    world.submit(1, job(vec![lasting]));
+    world.run(SETTLED);
+    let mut emptied = Vec::new();
+    for worker in 0..3 {
+        let name = world.workers[worker].report.name.clone();
+        let choice = world
+            .dispatcher
+            .upkeep_choice(&name, name.clone(), jobs::at(world.now));
+        let choices: Vec<_> = choice.into_iter().collect();
+        if next_upkeep(3, 0, &choices).is_some() {
+            world.dispatcher.set_evacuating(&name, true);
+            emptied.push(worker);
+        }
+    }
+    assert_eq!(emptied.len(), 2);
+    world.run(60);
+    let busy = busy_workers(&world);
+    assert_eq!(busy.len(), 1, "no place within 3 s");
+    assert!(!emptied.contains(&busy[0]));
+}
+
+/// Guards against a wave that never ends because a pool has a single worker.
+#[test]
+fn single_worker() {
+    let mut world = JobWorld::new(1, 1);
+    world.run(2);
+    let name = world.workers[0].report.name.clone();
+    let choice = world
+        .dispatcher
+        .upkeep_choice(&name, name.clone(), jobs::at(world.now));
+    assert!(next_upkeep(1, 0, &[choice.unwrap()]).is_some());
+}
--- a/crates/core/tests/upkeep_room.rs
+++ b/crates/core/tests/upkeep_room.rs
@@ -59,6 +59,7 @@
         instance: InstanceName::new(name),
         is_evacuating: false,
         is_blocked,
+        is_last: false,
         has_lasting,
         cpu_in_use,
     };
--- a/crates/jobs/src/owner/wave_keeper.rs
+++ b/crates/jobs/src/owner/wave_keeper.rs
@@ -184,6 +184,7 @@
             instance: name.clone(),
             is_evacuating: false,
             is_blocked: false,
+            is_last: false,
             has_lasting: false,
             cpu_in_use: 0,
         };
