Spread the rows of jobs over 32 parts of the store, and probe a lost store with one call

All rows of ours shared one part, which makes its changes one after another: 5 a second then, for 40 submissions and 20 writes of the owner. The owner's writes were turned away (429) or timed out until 26 s, and the ownership changed five times. When the refusals of an entry instance paused, all its callers went through together and kept the part full after the slowness.

Change: the rows of a job are in one of 32 partitions by its id, apart from the ownership and the owner's sequence; the owner's writes span parts where the platform allows that, and everything stays in one part where it does not. While the store counts as down, one call at a time finds out whether it is back. A takeover reads the partitions at the same time.

--- a/crates/jobs/src/desk/job_desk.rs
+++ b/crates/jobs/src/desk/job_desk.rs
@@ -10,7 +10,9 @@
 use crate::StoreHealth;
 use crate::job_metrics::JobMetrics;
 use crate::owner::PulseView;
-use crate::ports::{RowChange, RowCondition, RowName, RowPut, RowRange, StorePort, StoreTable};
+use crate::ports::{
+    RowChange, RowCondition, RowName, RowPartition, RowPut, RowRange, StorePort, StoreTable,
+};
 use crate::row_codec::{cancel_key, decode, encode, encode_job, job_key};
 
 /// Pause before a call to the store is repeated.
@@ -130,6 +132,7 @@
         let key = job_key(id);
         let range = RowRange {
             table: StoreTable::State,
+            partition: RowPartition::of(StoreTable::State, &key),
             from: key.as_str().into(),
             limit: Some(1),
         };
--- a/crates/jobs/src/feeds/table_follower.rs
+++ b/crates/jobs/src/feeds/table_follower.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use futures::future::try_join_all;
 use sesamedeal_store::{Result, backoff_delay};
 use slog::{Logger, info, warn};
 use tokio::sync::mpsc;
@@ -7,7 +8,9 @@
 
 use super::FollowPace;
 use crate::StoreHealth;
-use crate::ports::{FollowPage, FollowRequest, RowRange, StorePort, StoreRow, StoreTable};
+use crate::ports::{
+    FollowPage, FollowRequest, RowPartition, RowRange, StorePort, StoreRow, StoreTable,
+};
 
 /// Longest pause after a failed call. Beliefs must be fresh about two seconds after an outage.
 const MAX_PAUSE: Duration = Duration::from_millis(400);
@@ -109,11 +112,28 @@
     }
 }
 
-/// Reads a whole table; the version is that of the first page, so that changes made while the
-/// others were read are followed.
+/// Reads a whole table, its partitions at the same time; the version is the earliest of the first
+/// pages, so that changes made while the others were read are followed.
 pub(crate) async fn read_table(
     store: &StorePort,
     table: StoreTable,
+) -> Result<(Vec<StoreRow>, u64)> {
+    let partitions = RowPartition::all(table);
+    let reads = partitions.map(|partition| read_partition(store, table, partition));
+    let mut rows = Vec::new();
+    let mut version: Option<u64> = None;
+    for (read, first) in try_join_all(reads).await? {
+        rows.extend(read);
+        version = Some(version.map_or(first, |version| version.min(first)));
+    }
+    Ok((rows, version.unwrap_or_default()))
+}
+
+/// Reads a partition; the version is that of the first page.
+async fn read_partition(
+    store: &StorePort,
+    table: StoreTable,
+    partition: RowPartition,
 ) -> Result<(Vec<StoreRow>, u64)> {
     let mut rows: Vec<StoreRow> = Vec::new();
     let mut version = None;
@@ -125,6 +145,7 @@
         });
         let range = RowRange {
             table,
+            partition,
             from: from.unwrap_or_default(),
             limit: None,
         };
--- a/crates/jobs/src/owner/hand_over.rs
+++ b/crates/jobs/src/owner/hand_over.rs
@@ -12,7 +12,9 @@
 use super::OwnerEvent;
 use super::owner_actor::OwnerActor;
 use crate::BootClock;
-use crate::ports::{OfferEnd, ReadyWatcher, RowRange, StorePort, StoreTable, SuccessorQuery};
+use crate::ports::{
+    OfferEnd, ReadyWatcher, RowPartition, RowRange, StorePort, StoreTable, SuccessorQuery,
+};
 
 /// Failed writes in a row after which the ownership is offered. With the pause between them, that
 /// is about 0.3 s if the store refuses at once.
@@ -185,6 +187,7 @@
 async fn can_read(store: &StorePort) -> bool {
     let range = RowRange {
         table: StoreTable::Owner,
+        partition: RowPartition::MAIN,
         from: CompactString::default(),
         limit: Some(1),
     };
--- a/crates/jobs/src/ports/mod.rs
+++ b/crates/jobs/src/ports/mod.rs
@@ -4,6 +4,7 @@
 mod advice_port;
 mod fleet_port;
 mod peer_port;
+mod row_partition;
 mod row_port;
 mod store_port;
 mod worker_port;
@@ -18,6 +19,7 @@
 pub use peer_port::{
     HandOverOffer, OfferEnd, PeerPort, ReadyWatcher, SuccessorQuery, WatchCall, WatchEnd,
 };
+pub use row_partition::RowPartition;
 pub use row_port::{IntentRow, RowPort, RowProblem};
 pub use store_port::{
     FollowPage, FollowRequest, RowChange, RowCondition, RowName, RowPage, RowPut, RowRange,
--- a/crates/jobs/src/ports/store_port.rs
+++ b/crates/jobs/src/ports/store_port.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 
-use super::AsyncCall;
+use super::{AsyncCall, RowPartition};
 
 /// Tables that the runtime uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -30,6 +30,8 @@
 pub struct RowName {
     /// Its table.
     pub table: StoreTable,
+    /// Its partition, which follows from the table and the key.
+    pub partition: RowPartition,
     /// Its key.
     pub key: CompactString,
 }
@@ -40,6 +42,7 @@
     pub fn new(table: StoreTable, key: impl AsRef<str>) -> Self {
         Self {
             table,
+            partition: RowPartition::of(table, key.as_ref()),
             key: CompactString::from(key.as_ref()),
         }
     }
@@ -76,7 +79,7 @@
     pub value: Bytes,
 }
 
-/// An atomic change.
+/// An atomic change. It may span partitions.
 #[derive(Debug, Clone, Default)]
 pub struct RowChange {
     /// Versions that rows must have.
@@ -102,12 +105,14 @@
     },
 }
 
-/// Range of keys in a table.
+/// Range of keys in a partition of a table.
 #[derive(Debug, Clone)]
 pub struct RowRange {
     /// The table.
     pub table: StoreTable,
-    /// First key; the beginning of the table if empty.
+    /// The partition.
+    pub partition: RowPartition,
+    /// First key; the beginning of the partition if empty.
     pub from: CompactString,
     /// Most rows; as many as the store gives if none.
     pub limit: Option<u32>,
--- a/crates/jobs/src/store_health.rs
+++ b/crates/jobs/src/store_health.rs
@@ -15,6 +15,10 @@
 /// finds out whether the store is back.
 const REFUSAL_TIME: Duration = Duration::from_millis(400);
 
+/// Time for which the call that finds out is waited for. The store answers within 0.9 s or not at
+/// all.
+const PROBE_TIME: Duration = Duration::from_millis(900);
+
 /// Whether the store answers this entry instance.
 #[derive(Debug, Clone, Default)]
 pub struct StoreHealth {
@@ -22,6 +26,8 @@
     failed_ms: Arc<AtomicU64>,
     /// When the first of these failures was.
     lost_ms: Arc<AtomicU64>,
+    /// When the last call was let through while the store counted as down.
+    probed_ms: Arc<AtomicU64>,
     /// When the last call was answered.
     answered_ms: Arc<AtomicU64>,
 }
@@ -66,10 +72,26 @@
 
     /// Whether a caller is refused without asking the store: a caller that is refused at once can
     /// try another entry instance, one whose write has no answer cannot.
+    ///
+    /// While the store counts as down, one call at a time finds out whether it is back. If all went
+    /// through, they would keep a store busy that has just come back.
     #[must_use]
     pub fn refuses(&self) -> bool {
-        let age = now_ms().saturating_sub(self.failed_ms.load(Ordering::Acquire));
-        self.is_down() && u128::from(age) < REFUSAL_TIME.as_millis()
+        if !self.is_down() {
+            return false;
+        }
+        let now = now_ms();
+        let age = now.saturating_sub(self.failed_ms.load(Ordering::Acquire));
+        if u128::from(age) < REFUSAL_TIME.as_millis() {
+            return true;
+        }
+        let last = self.probed_ms.load(Ordering::Acquire);
+        let is_probing = u128::from(now.saturating_sub(last)) < PROBE_TIME.as_millis();
+        is_probing
+            || self
+                .probed_ms
+                .compare_exchange(last, now, Ordering::AcqRel, Ordering::Acquire)
+                .is_err()
     }
 }
 
--- a/crates/jobs/tests/common/memory_store.rs
+++ b/crates/jobs/tests/common/memory_store.rs
@@ -8,8 +8,8 @@
 use futures::FutureExt;
 use parking_lot::Mutex;
 use sesamedeal_jobs::ports::{
-    FollowPage, FollowRequest, RowChange, RowPage, RowRange, StorePort, StoreRow, StoreTable,
-    TransactOutcome,
+    FollowPage, FollowRequest, RowChange, RowPage, RowPartition, RowRange, StorePort, StoreRow,
+    StoreTable, TransactOutcome,
 };
 use sesamedeal_store::{PlatformError, Result};
 use tokio::sync::Notify;
@@ -37,6 +37,8 @@
     pub holds_changes: Arc<AtomicBool>,
     /// Changes that were made.
     pub transactions: Arc<AtomicU64>,
+    /// Changes that were asked for.
+    pub calls: Arc<AtomicU64>,
 }
 
 /// Time after which a client gives up a call without an answer.
@@ -52,6 +54,7 @@
             transact: Arc::new(move |change| {
                 let store = changes.clone();
                 async move {
+                    store.calls.fetch_add(1, Ordering::AcqRel);
                     store.be_silent().await?;
                     store.transact(&change)
                 }
@@ -80,6 +83,8 @@
     pub fn separate_access(&self) -> Self {
         Self {
             is_down: Arc::default(),
+            is_silent: Arc::default(),
+            calls: Arc::default(),
             ..self.clone()
         }
     }
@@ -201,9 +206,13 @@
         self.check()?;
         let state = self.state.lock();
         let rows = state.rows.get(&range.table).into_iter();
+        let is_inside =
+            |row: &&StoreRow| RowPartition::of(range.table, &row.key) == range.partition;
         let mut rows: Vec<StoreRow> = rows
             .flat_map(|rows| rows.range(range.from.clone()..))
-            .map(|(_, row)| row.clone())
+            .map(|(_, row)| row)
+            .filter(is_inside)
+            .cloned()
             .collect();
         let limit = range.limit.map_or(PAGE, |limit| limit as usize);
         let has_more = rows.len() > limit;
--- a/crates/jobs/tests/job_path.rs
+++ b/crates/jobs/tests/job_path.rs
@@ -11,7 +11,7 @@
 use sesamedeal_core::jobs::{JobId, JobPhase};
 use sesamedeal_jobs::ports::StoreTable;
 use sesamedeal_jobs::{CancelOutcome, StatusOutcome, SubmitOutcome};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 fn soon() -> Instant {
     Instant::now() + Duration::from_secs(1)
@@ -73,6 +73,34 @@
     wait_finished(&node, 1).await;
 }
 
+/// Guards against a store that is kept busy when it comes back: all callers went through together
+/// each time the refusals paused, and each of their calls had to time out.
+#[tokio::test]
+async fn single_probe() {
+    let stage = Stage::new(1);
+    let owner = stage.node("entry-1");
+    run_job(&owner, 1).await;
+    let access = stage.store.separate_access();
+    let node = stage.node_with("entry-2", &access);
+    run_job(&node, 2).await;
+    access.is_silent.store(true, Ordering::Release);
+    wait_until("the store counts as down", async || {
+        submit(&node, 3, &job(1, false)).await;
+        node.desk().health().is_down()
+    })
+    .await;
+    sleep(Duration::from_millis(500)).await;
+    let before = access.calls.load(Ordering::Acquire);
+    let orders = (10..30).map(|id| {
+        let node = &node;
+        async move { submit(node, id, &job(1, false)).await }
+    });
+    futures::future::join_all(orders).await;
+    let calls = access.calls.load(Ordering::Acquire) - before;
+    // One caller repeats its call, which may have taken effect, until its deadline of 2 s.
+    assert!(calls <= 3, "{calls} calls");
+}
+
 /// Guards against callers that are kept waiting, or told a falsehood, while the store is down.
 #[tokio::test]
 async fn store_down() {
--- /dev/null
+++ b/crates/jobs/tests/row_partition.rs
@@ -0,0 +1,46 @@
+//! How rows are spread over the partitions of the store.
+
+use std::collections::HashMap;
+
+use sesamedeal_core::jobs::JobId;
+use sesamedeal_jobs::ports::{RowPartition, StoreTable};
+
+/// Guards against a job whose rows are in different partitions: its insertion would have to span
+/// them, and a request to cancel it would wait for another job's.
+#[test]
+fn job_together() {
+    for id in (0..200).map(JobId) {
+        let job = RowPartition::of(StoreTable::Job, &id.to_string());
+        assert_eq!(job, RowPartition::of(StoreTable::State, &id.to_string()));
+        let cancel = format!("{id}.cancel");
+        assert_eq!(job, RowPartition::of(StoreTable::Job, &cancel));
+        assert!(RowPartition::all(StoreTable::Job).any(|partition| partition == job));
+    }
+}
+
+/// Guards against a partition that takes most of the jobs.
+#[test]
+fn evenly_spread() {
+    let mut counts: HashMap<RowPartition, u32> = HashMap::new();
+    for id in (0..6_400).map(JobId) {
+        let partition = RowPartition::of(StoreTable::Job, &id.to_string());
+        *counts.entry(partition).or_default() += 1;
+    }
+    assert_eq!(counts.len(), RowPartition::all(StoreTable::Job).count());
+    assert!(
+        counts.values().all(|count| (100..300).contains(count)),
+        "{counts:?}"
+    );
+}
+
+/// Guards against owners that do not see each other: the ownership is in one place.
+#[test]
+fn others_together() {
+    for table in [StoreTable::Owner, StoreTable::Writer, StoreTable::Intent] {
+        assert_eq!(RowPartition::of(table, "epoch"), RowPartition::MAIN);
+        assert_eq!(
+            RowPartition::all(table).collect::<Vec<_>>(),
+            [RowPartition::MAIN]
+        );
+    }
+}
