--- a/crates/core/src/jobs/pool_sizing.rs
+++ b/crates/core/src/jobs/pool_sizing.rs
@@ -111,46 +111,20 @@
         let mut refills: Vec<(PoolName, usize)> = Vec::new();
         let mut gives: Vec<PoolSurplus> = Vec::new();
         for (pool, size) in pools {
-            let history = &self.history[pool];
-            let (peak, present) = (history.peak(), history.present());
-            let least = self.policy.least_instances;
-            let needed = peak.max(least);
+            if size.instances < self.history[pool].peak() {
+                lacks.push(self.lack(pool, size));
+                continue;
+            }
+            let needed = self.needed(pool);
             let target = if next.contains(pool) {
                 needed.max(kept)
             } else {
                 needed
             };
-            if size.instances < peak {
-                // What comes in a surge is as certain as what waits.
-                let urgent = if history.surge.is_some() {
-                    present.max(history.coming())
-                } else {
-                    present
-                };
-                lacks.push(PoolLack {
-                    pool: pool.clone(),
-                    urgent: urgent.saturating_sub(size.instances),
-                    foreseen: peak.saturating_sub(size.instances.max(urgent)),
-                });
-                continue;
-            }
             if size.instances < target {
                 refills.push((pool.clone(), target - size.instances));
             }
-            let free = |size_kept: usize| size.instances.saturating_sub(size_kept).min(size.idle);
-            let unneeded = free(target);
-            let kept = free(needed) - unneeded;
-            let resting = if history.surge.is_some() {
-                0
-            } else {
-                free(history.least().max(least)).saturating_sub(unneeded + kept)
-            };
-            gives.push(PoolSurplus {
-                pool: pool.clone(),
-                unneeded,
-                kept,
-                resting,
-            });
+            gives.push(self.surplus(pool, size, target));
         }
         let begun = *self.begun.get_or_insert(now);
         let mut changes = distribute(lacks, refills, gives, fleet.spare);
@@ -162,6 +136,46 @@
         changes
     }
 
+    /// Instances that a pool has wanted lately.
+    fn needed(&self, pool: &PoolName) -> usize {
+        self.history[pool].peak().max(self.policy.least_instances)
+    }
+
+    fn lack(&self, pool: &PoolName, size: &PoolSize) -> PoolLack {
+        let history = &self.history[pool];
+        // What comes in a surge is as certain as what waits.
+        let urgent = if history.surge.is_some() {
+            history.present().max(history.coming())
+        } else {
+            history.present()
+        };
+        PoolLack {
+            pool: pool.clone(),
+            urgent: urgent.saturating_sub(size.instances),
+            foreseen: history.peak().saturating_sub(size.instances.max(urgent)),
+        }
+    }
+
+    /// What a pool of the wanted size `target` can give.
+    fn surplus(&self, pool: &PoolName, size: &PoolSize, target: usize) -> PoolSurplus {
+        let history = &self.history[pool];
+        let free = |kept: usize| size.instances.saturating_sub(kept).min(size.idle);
+        let unneeded = free(target);
+        let kept = free(self.needed(pool)) - unneeded;
+        let in_use = history.least().max(self.policy.least_instances);
+        let resting = if history.surge.is_some() {
+            0
+        } else {
+            free(in_use).saturating_sub(unneeded + kept)
+        };
+        PoolSurplus {
+            pool: pool.clone(),
+            unneeded,
+            kept,
+            resting,
+        }
+    }
+
     /// Whether the next surge is far enough for instances to be switched off until then.
     fn may_switch_off(&self, now: TimePoint) -> bool {
         let limit = self.policy.rest_time;
@@ -222,8 +236,8 @@
         }
         let others = pools.keys().filter(|pool| !next.contains(pool));
         let needed: usize = others
-            .filter_map(|pool| self.history.get(pool))
-            .map(|history| history.peak().max(self.policy.least_instances))
+            .filter(|pool| self.history.contains_key(*pool))
+            .map(|pool| self.needed(pool))
             .sum();
         let share = fleet.total.saturating_sub(needed) / next.len().max(1);
         share.min(self.usual.max(even))
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -1,8 +1,9 @@
 //! A simulated fleet of workers and a store for the tests of stored jobs, on virtual time.
 //!
 //! The world checks what must always hold when a worker is told to start a task.
-#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
+mod builders;
 mod order_delivery;
 mod sim_worker;
 mod world_faults;
@@ -14,14 +15,13 @@
 use compact_str::CompactString;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use sesamedeal_core::ids::{InstanceName, PoolName, QueueName, TeamName, ZoneName};
+use sesamedeal_core::ids::{InstanceName, PoolName};
 use sesamedeal_core::jobs::{
     DispatchPolicy, EndKind, FleetRules, HoldReport, JobDispatcher, JobId, JobOrder, JobPhase,
-    JobRecord, PoolRule, QueueRule, ResourceAmount, RunReport, StepSpec, TaskName, TeamRule,
-    UnreachedWorker, WorkerReport, WorkerState,
+    JobRecord, ResourceAmount, RunReport, TaskName, UnreachedWorker,
 };
-use sesamedeal_core::time::TimePoint;
 
+pub use builders::{amount, at, job, rules, step, worker_report};
 pub use sim_worker::{SimRun, SimWorker};
 pub use world_faults::WorldFaults;
 
@@ -31,70 +31,6 @@
 /// Lease that the world's owner asks for.
 pub const LEASE: Duration = Duration::from_millis(4_800);
 
-pub fn amount(cpu_millis: u64, memory_mb: u64) -> ResourceAmount {
-    ResourceAmount {
-        cpu_millis,
-        memory_mb,
-        accelerators: 0,
-    }
-}
-
-pub fn step(count: u16, cpu_millis: u64) -> StepSpec {
-    StepSpec {
-        count,
-        amount: amount(cpu_millis, 1_000),
-        estimate: Duration::from_millis(500),
-        ..StepSpec::default()
-    }
-}
-
-pub fn job(steps: Vec<StepSpec>) -> JobOrder {
-    JobOrder {
-        queue: QueueName::new("queue"),
-        team: Some(TeamName::new("team")),
-        accepted_ms: 0,
-        spec: CompactString::from("spec"),
-        steps,
-        schedule: None,
-    }
-}
-
-pub fn rules(limit: ResourceAmount) -> Arc<FleetRules> {
-    let queue = QueueRule {
-        pool: PoolName::new("pool"),
-        priority: 0,
-        attempts: ATTEMPTS,
-        stretch: 1.6,
-        slack: Duration::from_millis(600),
-        needs_ticket: false,
-    };
-    let team = TeamRule { weight: 1.0, limit };
-    Arc::new(FleetRules {
-        version: 1,
-        queues: HashMap::from([(QueueName::new("queue"), queue)]),
-        pools: HashMap::from([(PoolName::new("pool"), PoolRule { is_spare: false })]),
-        teams: HashMap::from([(TeamName::new("team"), team)]),
-    })
-}
-
-pub fn worker_report(number: usize, boot: u64) -> WorkerReport {
-    WorkerReport {
-        name: InstanceName::new(format!("worker-{number}")),
-        instance: None,
-        pool: PoolName::new("pool"),
-        address: "10.0.0.1:80".parse().unwrap(),
-        zone: ZoneName::new("zone"),
-        state: WorkerState::Ready,
-        capacity: amount(8_000, 16_000),
-        labels: vec![CompactString::from("rack-1")],
-        boot,
-    }
-}
-
-pub fn at(millis: u64) -> TimePoint {
-    TimePoint::with_millis(millis)
-}
-
 pub struct JobWorld {
     pub now: u64,
     pub epoch: u64,
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -1,32 +1,29 @@
 //! A store, workers and an inventory in memory, behind the ports of the runtime.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+mod deployment;
 mod memory_fleet;
 mod memory_store;
 mod memory_workers;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::ops::Deref;
-use std::sync::Arc;
 use std::time::Duration;
 
 use compact_str::CompactString;
-use sesamedeal_core::ids::{InstanceName, PoolName, QueueName, TeamName, ZoneName};
-use sesamedeal_core::jobs::{
-    DispatchPolicy, FleetRules, JobId, JobOrder, JobPhase, MaintenanceWave, PoolRule, QueueRule,
-    ResourceAmount, StepSpec, TeamRule, WorkerReport, WorkerState,
-};
+use sesamedeal_core::ids::{InstanceName, QueueName, TeamName};
+use sesamedeal_core::jobs::{DispatchPolicy, JobId, JobOrder, JobPhase, ResourceAmount, StepSpec};
 use sesamedeal_core::lease::InstanceCapacity;
-use sesamedeal_jobs::ports::{IntentRow, RowPort, RowProblem, StoreRow, StoreTable};
+use sesamedeal_jobs::ports::{RowPort, StoreTable};
 use sesamedeal_jobs::{
-    Deployment, JobNode, NodeParts, OwnerPolicy, QueueRoute, StatusOutcome, SubmitOutcome,
-    WatcherList, peer_port,
+    JobNode, NodeParts, OwnerPolicy, StatusOutcome, SubmitOutcome, WatcherList, peer_port,
 };
 use slog::{Discard, Logger, o};
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
+use deployment::{amount, decode_intent, decode_worker};
 pub use memory_fleet::MemoryFleet;
 pub use memory_store::MemoryStore;
 pub use memory_workers::MemoryWorkers;
@@ -164,94 +161,6 @@
     }
 }
 
-fn decode_intent(row: &StoreRow) -> Result<IntentRow, RowProblem> {
-    if row.key == "config" {
-        return Ok(IntentRow::Deployment(Box::new(deployment())));
-    }
-    if let Some(instances) = row.key.strip_prefix("wave/") {
-        return Ok(IntentRow::Wave(MaintenanceWave {
-            number: 1,
-            instances: instances.split(',').map(InstanceName::new).collect(),
-            complete_by: Duration::from_secs(20),
-            limit: 1,
-        }));
-    }
-    Err(RowProblem {
-        key: row.key.to_string(),
-        reason: "unknown key".to_owned(),
-    })
-}
-
-fn decode_worker(row: &StoreRow) -> Result<WorkerReport, RowProblem> {
-    let number: Option<u16> = row
-        .key
-        .strip_prefix("worker-")
-        .and_then(|number| number.parse().ok());
-    let boot = std::str::from_utf8(&row.value);
-    let boot = boot.ok().and_then(|boot| boot.parse().ok());
-    let (Some(number), Some(boot)) = (number, boot) else {
-        return Err(RowProblem {
-            key: row.key.to_string(),
-            reason: "no worker".to_owned(),
-        });
-    };
-    Ok(WorkerReport {
-        name: InstanceName::new(&row.key),
-        instance: Some(InstanceName::new(format!("machine-{number}"))),
-        pool: PoolName::new("pool"),
-        address: ([127, 0, 0, 1], number).into(),
-        zone: ZoneName::new("zone"),
-        state: WorkerState::Ready,
-        capacity: amount(8_000),
-        labels: Vec::new(),
-        boot,
-    })
-}
-
-fn deployment() -> Deployment {
-    let queue = QueueRule {
-        pool: PoolName::new("pool"),
-        priority: 0,
-        attempts: 3,
-        stretch: 1.6,
-        slack: Duration::from_millis(600),
-        needs_ticket: false,
-    };
-    let team = TeamRule {
-        weight: 1.0,
-        limit: ResourceAmount::default(),
-    };
-    let rules = FleetRules {
-        version: 1,
-        queues: HashMap::from([(QueueName::new("queue"), queue)]),
-        pools: HashMap::from([(PoolName::new("pool"), PoolRule { is_spare: false })]),
-        teams: HashMap::from([(TeamName::new("team"), team)]),
-    };
-    let route = |prefix: &str| QueueRoute {
-        queue: QueueName::new("queue"),
-        host: CompactString::from("host"),
-        prefix: CompactString::from(prefix),
-        is_open: false,
-        timeout: Duration::from_secs(3),
-    };
-    Deployment {
-        version: 1,
-        rules: Arc::new(rules),
-        routes: vec![route("/a/"), route("/a/b/")],
-        keys: HashMap::new(),
-        max_body_bytes: 1_000_000,
-        max_head_bytes: 16_000,
-    }
-}
-
-fn amount(cpu_millis: u64) -> ResourceAmount {
-    ResourceAmount {
-        cpu_millis,
-        memory_mb: 1_000,
-        accelerators: 0,
-    }
-}
-
 /// A job of one step.
 pub fn job(count: u16, is_lasting: bool) -> JobOrder {
     JobOrder {
