Read the state of a job from the one part where changes cannot span parts

A read of a partition after the first was answered as empty without asking the store, also the read of one job's state.

Change: the store port says whether it keeps partitions apart; if not, whole tables are read once, and every read goes to the one part.

--- a/crates/jobs/src/feeds/table_follower.rs
+++ b/crates/jobs/src/feeds/table_follower.rs
@@ -118,7 +118,7 @@
     store: &StorePort,
     table: StoreTable,
 ) -> Result<(Vec<StoreRow>, u64)> {
-    let partitions = RowPartition::all(table);
+    let partitions = RowPartition::all(table, store.has_partitions);
     let reads = partitions.map(|partition| read_partition(store, table, partition));
     let mut rows = Vec::new();
     let mut version: Option<u64> = None;
--- a/crates/jobs/src/ports/row_partition.rs
+++ b/crates/jobs/src/ports/row_partition.rs
@@ -36,12 +36,13 @@
         Self(u16::try_from(number).unwrap_or(0) + 1)
     }
 
-    /// All partitions of a table.
-    pub fn all(table: StoreTable) -> impl Iterator<Item = Self> {
-        let numbers = if is_spread(table) {
-            1..=JOB_PARTITIONS
-        } else {
-            0..=0
+    /// All partitions of a table. In a store without partitions, any of them stands for the whole
+    /// table, so that one is enough.
+    pub fn all(table: StoreTable, has_partitions: bool) -> impl Iterator<Item = Self> {
+        let numbers = match (is_spread(table), has_partitions) {
+            (true, true) => 1..=JOB_PARTITIONS,
+            (true, false) => 1..=1,
+            (false, _) => 0..=0,
         };
         numbers.map(Self)
     }
--- a/crates/jobs/src/ports/store_port.rs
+++ b/crates/jobs/src/ports/store_port.rs
@@ -159,6 +159,8 @@
 /// The transactional store.
 #[derive(Clone)]
 pub struct StorePort {
+    /// Whether it keeps the partitions apart. Otherwise each read covers the whole table.
+    pub has_partitions: bool,
     /// Makes a change.
     pub transact: AsyncCall<RowChange, TransactOutcome>,
     /// Reads rows.
--- a/crates/jobs/tests/common/memory_store.rs
+++ b/crates/jobs/tests/common/memory_store.rs
@@ -51,6 +51,7 @@
     pub fn port(&self) -> StorePort {
         let (changes, reads, follows) = (self.clone(), self.clone(), self.clone());
         StorePort {
+            has_partitions: true,
             transact: Arc::new(move |change| {
                 let store = changes.clone();
                 async move {
--- a/crates/jobs/tests/row_partition.rs
+++ b/crates/jobs/tests/row_partition.rs
@@ -14,7 +14,7 @@
         assert_eq!(job, RowPartition::of(StoreTable::State, &id.to_string()));
         let cancel = format!("{id}.cancel");
         assert_eq!(job, RowPartition::of(StoreTable::Job, &cancel));
-        assert!(RowPartition::all(StoreTable::Job).any(|partition| partition == job));
+        assert!(RowPartition::all(StoreTable::Job, true).any(|partition| partition == job));
     }
 }
 
@@ -26,7 +26,10 @@
         let partition = RowPartition::of(StoreTable::Job, &id.to_string());
         *counts.entry(partition).or_default() += 1;
     }
-    assert_eq!(counts.len(), RowPartition::all(StoreTable::Job).count());
+    assert_eq!(
+        counts.len(),
+        RowPartition::all(StoreTable::Job, true).count()
+    );
     assert!(
         counts.values().all(|count| (100..300).contains(count)),
         "{counts:?}"
@@ -39,7 +42,7 @@
     for table in [StoreTable::Owner, StoreTable::Writer, StoreTable::Intent] {
         assert_eq!(RowPartition::of(table, "epoch"), RowPartition::MAIN);
         assert_eq!(
-            RowPartition::all(table).collect::<Vec<_>>(),
+            RowPartition::all(table, true).collect::<Vec<_>>(),
             [RowPartition::MAIN]
         );
     }
