Remove repetitions and dead state that the work on large deployments left

Found by reading the whole change once more; behaviour stays as it is.

- The look-up of a task's step stood in five places of the dispatcher, the question whether a task lasts in two: step_spec and is_lasting serve them.
- distribute repeated one loop for each part of a surplus: take_surplus.
- An amount times a factor was cast in two places: scaled_amount.
- The epoch row named the holder's capacity, which nothing read.
Assertions are unchanged.

--- a/crates/core/src/jobs/dispatcher/ends.rs
+++ b/crates/core/src/jobs/dispatcher/ends.rs
@@ -126,9 +126,7 @@
     /// Delays the next start of a lasting task, which would else fail in a tight loop.
     pub(super) fn pause_restart(&mut self, name: TaskName, now: TimePoint) {
         let pause = self.policy.restart_pause;
-        let job = self.jobs.get(&name.step.job);
-        let is_lasting =
-            job.is_some_and(|job| job.order.steps[usize::from(name.step.step)].is_lasting);
+        let is_lasting = self.is_lasting(name);
         if let Some(task) = self.task_mut(name)
             && is_lasting
         {
--- a/crates/core/src/jobs/dispatcher/holds.rs
+++ b/crates/core/src/jobs/dispatcher/holds.rs
@@ -134,7 +134,7 @@
     }
 
     fn allows_copies(&self, report: &RunReport) -> bool {
-        let job = &self.jobs[&report.task.step.job];
-        job.order.steps[usize::from(report.task.step.step)].allows_copies
+        self.step_spec(report.task)
+            .is_some_and(|spec| spec.allows_copies)
     }
 }
--- a/crates/core/src/jobs/dispatcher/records.rs
+++ b/crates/core/src/jobs/dispatcher/records.rs
@@ -48,7 +48,8 @@
         batch
     }
 
-    /// Whether more records wait than fit into `rows` rows of a write.
+    /// Whether the records that wait may need more than `rows` rows, as they do if all jobs have
+    /// ended.
     #[must_use]
     pub fn has_backlog(&self, rows: usize) -> bool {
         self.dirty.len() * ROWS_OF_END > rows
--- a/crates/core/src/jobs/dispatcher/relocation.rs
+++ b/crates/core/src/jobs/dispatcher/relocation.rs
@@ -85,19 +85,17 @@
             return false;
         };
         entry.runs.keys().any(|(name, number)| {
-            let has_budget = self.jobs.get(&name.step.job).is_some_and(|job| {
-                let spec = &job.order.steps[usize::from(name.step.step)];
-                spec.is_lasting && spec.disruption_budget.is_some()
-            });
+            let has_budget = self
+                .step_spec(*name)
+                .is_some_and(|spec| spec.is_lasting && spec.disruption_budget.is_some());
             let runs = self.task(*name).map_or(&[][..], |task| &task.runs);
             let mut runs = runs.iter().filter(|run| run.run == *number);
             has_budget && runs.any(|run| run.percent < 100.0 && !run.is_stopping())
         })
     }
 
-    fn is_lasting(&self, name: TaskName) -> bool {
-        let job = self.jobs.get(&name.step.job);
-        job.is_some_and(|job| job.order.steps[usize::from(name.step.step)].is_lasting)
+    pub(super) fn is_lasting(&self, name: TaskName) -> bool {
+        self.step_spec(name).is_some_and(|spec| spec.is_lasting)
     }
 
     pub(super) fn relocate(&mut self, now: TimePoint) {
--- a/crates/core/src/jobs/dispatcher/runs.rs
+++ b/crates/core/src/jobs/dispatcher/runs.rs
@@ -4,7 +4,7 @@
 use crate::jobs::job_entry::JobEntry;
 use crate::jobs::run_entry::{RunEntry, RunState};
 use crate::jobs::task_entry::TaskEntry;
-use crate::jobs::{HealthRecord, StartOutcome, TaskName, WorkerKey};
+use crate::jobs::{HealthRecord, StartOutcome, StepSpec, TaskName, WorkerKey};
 use crate::time::TimePoint;
 
 impl JobDispatcher {
@@ -48,6 +48,12 @@
         }
     }
 
+    /// What the job of a task says of its step; none if the job is no longer known.
+    pub(super) fn step_spec(&self, name: TaskName) -> Option<&StepSpec> {
+        let job = self.jobs.get(&name.step.job)?;
+        job.order.steps.get(usize::from(name.step.step))
+    }
+
     pub(super) fn task(&self, name: TaskName) -> Option<&TaskEntry> {
         let job = self.jobs.get(&name.step.job)?;
         let step = job.step(name.step.occurrence, name.step.step)?;
--- a/crates/core/src/jobs/estimate_ratio.rs
+++ b/crates/core/src/jobs/estimate_ratio.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use super::scaled_amount::scaled;
+
 /// Work that the ratio of one stands for before any task has ended, in core milliseconds.
 const PRIOR_WORK: f64 = 200_000.0;
 
@@ -45,14 +47,6 @@
 
     /// Applies the ratio to an amount of declared work.
     pub(super) fn apply(&self, work: u64) -> u64 {
-        let ratio = self.value();
-        #[expect(
-            clippy::cast_precision_loss,
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "amounts are far below 2^52 and not negative"
-        )]
-        let corrected = (work as f64 * ratio) as u64;
-        corrected
+        scaled(work, self.value())
     }
 }
--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -23,6 +23,7 @@
 mod resource_amount;
 mod retry_time;
 mod run_entry;
+mod scaled_amount;
 mod size_change;
 mod sizing_policy;
 mod step_spec;
--- a/crates/core/src/jobs/pool_history.rs
+++ b/crates/core/src/jobs/pool_history.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::scaled_amount::scaled;
 use super::{PoolLoad, PoolSize, SizingPolicy};
 use crate::time::TimePoint;
 
@@ -220,13 +221,3 @@
     let instances = (used as f64 * (1.0 + headroom) / capacity.max(1) as f64).ceil() as usize;
     instances
 }
-
-#[expect(
-    clippy::cast_precision_loss,
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "amounts are far below 2^52 and not negative"
-)]
-fn scaled(amount: u64, factor: f64) -> u64 {
-    (amount as f64 * factor) as u64
-}
--- a/crates/core/src/jobs/size_change.rs
+++ b/crates/core/src/jobs/size_change.rs
@@ -36,8 +36,8 @@
 }
 
 /// Serves the pools that lack instances from what others do not need, then from the spare pool, and
-/// for what waits or surges already also from what others keep and from what rests there. Pools whose turn is to come are refilled from
-/// the rest, and what nobody needs moves to the spare pool.
+/// for what waits or surges already also from what others keep and from what rests there. Pools
+/// whose turn is to come are refilled from the rest, and what nobody needs moves to the spare pool.
 pub(super) fn distribute(
     mut lacks: Vec<PoolLack>,
     refills: Vec<(PoolName, usize)>,
@@ -47,61 +47,40 @@
     lacks.sort_by_key(|lack| std::cmp::Reverse((lack.urgent, lack.foreseen)));
     gives.sort_by_key(|surplus| std::cmp::Reverse(surplus.unneeded));
     let mut changes = Vec::new();
-    let mut take = |from: Option<&PoolName>, to: &PoolName, lack: &mut usize, room: &mut usize| {
-        let count = (*lack).min(*room);
-        if count > 0 {
-            *lack -= count;
-            *room -= count;
-            changes.push(SizeChange {
-                from: from.cloned(),
-                to: Some(to.clone()),
-                count,
-            });
-        }
-    };
-    for lack in &mut lacks {
-        for surplus in &mut gives {
-            take(
-                Some(&surplus.pool),
-                &lack.pool,
-                &mut lack.urgent,
-                &mut surplus.unneeded,
-            );
-        }
-        take(None, &lack.pool, &mut lack.urgent, &mut spare);
-        for surplus in &mut gives {
-            take(
-                Some(&surplus.pool),
-                &lack.pool,
-                &mut lack.urgent,
-                &mut surplus.kept,
-            );
-        }
-        for surplus in &mut gives {
-            take(
-                Some(&surplus.pool),
-                &lack.pool,
-                &mut lack.urgent,
-                &mut surplus.resting,
-            );
-        }
+    for PoolLack { pool, urgent, .. } in &mut lacks {
+        take_surplus(
+            pool,
+            urgent,
+            &mut gives,
+            |give| &mut give.unneeded,
+            &mut changes,
+        );
+        take(None, pool, urgent, &mut spare, &mut changes);
+        take_surplus(
+            pool,
+            urgent,
+            &mut gives,
+            |give| &mut give.kept,
+            &mut changes,
+        );
+        take_surplus(
+            pool,
+            urgent,
+            &mut gives,
+            |give| &mut give.resting,
+            &mut changes,
+        );
     }
-    for lack in &mut lacks {
-        for surplus in &mut gives {
-            take(
-                Some(&surplus.pool),
-                &lack.pool,
-                &mut lack.foreseen,
-                &mut surplus.unneeded,
-            );
-        }
-        take(None, &lack.pool, &mut lack.foreseen, &mut spare);
-    }
-    for (to, mut lack) in refills {
-        for surplus in &mut gives {
-            take(Some(&surplus.pool), &to, &mut lack, &mut surplus.unneeded);
-        }
-        take(None, &to, &mut lack, &mut spare);
+    let foreseen = lacks.into_iter().map(|lack| (lack.pool, lack.foreseen));
+    for (pool, mut lack) in foreseen.chain(refills) {
+        take_surplus(
+            &pool,
+            &mut lack,
+            &mut gives,
+            |give| &mut give.unneeded,
+            &mut changes,
+        );
+        take(None, &pool, &mut lack, &mut spare, &mut changes);
     }
     for surplus in gives.into_iter().filter(|surplus| surplus.unneeded > 0) {
         changes.push(SizeChange {
@@ -112,3 +91,36 @@
     }
     changes
 }
+
+/// Takes what a pool lacks from one part of what the others can give.
+fn take_surplus(
+    to: &PoolName,
+    lack: &mut usize,
+    gives: &mut [PoolSurplus],
+    part: fn(&mut PoolSurplus) -> &mut usize,
+    changes: &mut Vec<SizeChange>,
+) {
+    for surplus in gives {
+        let from = surplus.pool.clone();
+        take(Some(from), to, lack, part(surplus), changes);
+    }
+}
+
+fn take(
+    from: Option<PoolName>,
+    to: &PoolName,
+    lack: &mut usize,
+    room: &mut usize,
+    changes: &mut Vec<SizeChange>,
+) {
+    let count = (*lack).min(*room);
+    if count > 0 {
+        *lack -= count;
+        *room -= count;
+        changes.push(SizeChange {
+            from,
+            to: Some(to.clone()),
+            count,
+        });
+    }
+}
--- a/crates/core/src/jobs/upkeep_plan.rs
+++ b/crates/core/src/jobs/upkeep_plan.rs
@@ -2,8 +2,8 @@
 //!
 //! Load pattern: a wave of upkeep at the peak of a surge. Instances with lasting tasks that can be
 //! taken out go first, then those with the least work, and one is taken only while fewer than the
-//! wave's limit are out. While tasks wait for room, no
-//! more are taken out at once than the time of the wave asks for.
+//! wave's limit are out. While tasks wait for room, no more are taken out at once than the time of
+//! the wave asks for.
 
 use std::time::Duration;
 
--- a/crates/core/tests/disruption_budget.rs
+++ b/crates/core/tests/disruption_budget.rs
@@ -11,10 +11,10 @@
 /// Rounds of 50 ms until the tasks are at work and the quiet time after the takeover has passed.
 const SETTLED: usize = 60;
 
-/// A job of three lasting tasks, one a worker, of which planned actions may take out one. The fourth
-/// worker is free.
-fn spread_world() -> JobWorld {
-    let mut world = JobWorld::new(4, 1);
+/// A job of three lasting tasks, one a worker, of which planned actions may take out one. The other
+/// workers are free.
+fn spread_world(workers: usize) -> JobWorld {
+    let mut world = JobWorld::new(workers, 1);
     let mut lasting = step(3, 500);
     lasting.is_lasting = true;
     lasting.max_per_worker = Some(1);
@@ -39,7 +39,7 @@
 /// Guards against a check that passes because nothing is ever moved.
 #[test]
 fn budget_used() {
-    let mut world = spread_world();
+    let mut world = spread_world(4);
     let busy = busy_workers(&world);
     evacuate(&mut world, busy[1]);
     world.run(40);
@@ -51,7 +51,7 @@
 /// answer: until the lease passes, its run was counted as at work.
 #[test]
 fn silent_worker() {
-    let mut world = spread_world();
+    let mut world = spread_world(4);
     let busy = busy_workers(&world);
     world.workers[busy[0]].is_reachable = false;
     world.run(2);
@@ -66,7 +66,7 @@
 /// Guards against the same before the call to the lost worker has failed.
 #[test]
 fn unanswered_call() {
-    let mut world = spread_world();
+    let mut world = spread_world(4);
     let busy = busy_workers(&world);
     world.workers[busy[0]].is_hanging = true;
     world.run(24);
@@ -83,13 +83,7 @@
 /// instances still take other tasks meanwhile.
 #[test]
 fn due_workers() {
-    let mut world = JobWorld::new(6, 1);
-    let mut lasting = step(3, 500);
-    lasting.is_lasting = true;
-    lasting.max_per_worker = Some(1);
-    lasting.disruption_budget = Some(1);
-    world.submit(1, job(vec![lasting]));
-    world.run(SETTLED);
+    let mut world = spread_world(6);
     let due = busy_workers(&world);
     assert_eq!(due.len(), 3);
     for &worker in &due {
--- a/crates/core/tests/job_takeover.rs
+++ b/crates/core/tests/job_takeover.rs
@@ -37,18 +37,25 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
-/// Guards against a second run of what a worker still runs that the list has dropped: entries of
-/// workers lapse while the store is away, and come back some time after it.
-#[test]
-fn unlisted_worker() {
+/// A world after a takeover in which the list has dropped a worker that runs tasks; returns the
+/// worker and the number of its tasks.
+fn dropped_world() -> (JobWorld, usize, usize) {
     let mut world = JobWorld::new(2, 1);
     world.submit(1, job(vec![lasting(4)]));
     world.run(10);
     let dropped = world.busy_worker();
     let tasks = world.workers[dropped].tasks().len();
-    assert!(tasks > 0);
     world.workers[dropped].is_listed = false;
     world.take_over();
+    (world, dropped, tasks)
+}
+
+/// Guards against a second run of what a worker still runs that the list has dropped: entries of
+/// workers lapse while the store is away, and come back some time after it.
+#[test]
+fn unlisted_worker() {
+    let (mut world, dropped, tasks) = dropped_world();
+    assert!(tasks > 0);
     world.run(40);
     assert_eq!(world.starts, 4, "started while it may run elsewhere");
     world.workers[dropped].is_listed = true;
@@ -61,22 +68,14 @@
 /// Guards against tasks that wait for ever for a worker that is gone for good.
 #[test]
 fn vanished_worker() {
-    let mut world = JobWorld::new(2, 1);
-    world.submit(1, job(vec![lasting(4)]));
-    world.run(10);
-    let dropped = world.busy_worker();
-    let tasks = world.workers[dropped].tasks().len();
-    world.workers[dropped].is_listed = false;
-    world.take_over();
+    let (mut world, dropped, tasks) = dropped_world();
     world.workers.swap_remove(dropped);
     world.run(5);
     assert_eq!(
         world.starts, 4,
         "started before the inventory says it is gone"
     );
-    let up = world.workers.iter().map(|worker| &worker.report);
-    let up = up.map(|report| (report.name.clone(), report.pool.clone()));
-    world.dispatcher.note_instances(up.collect());
+    world.read_inventory();
     world.run(5);
     assert_eq!(world.starts, 4 + tasks, "waits for a worker that is gone");
 }
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -15,7 +15,6 @@
 use compact_str::CompactString;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use sesamedeal_core::ids::{InstanceName, PoolName};
 use sesamedeal_core::jobs::{
     DispatchPolicy, EndKind, FleetRules, HoldReport, JobDispatcher, JobId, JobOrder, JobPhase,
     JobRecord, ResourceAmount, RunReport, TaskName, UnreachedWorker,
@@ -194,7 +193,14 @@
                 .add_job(*id, order.clone(), record, true, at(self.now));
         }
         self.list_workers();
-        self.dispatcher.note_instances(inventory(&self.workers));
+        self.read_inventory();
+    }
+
+    /// Shows the dispatcher which workers are up.
+    pub fn read_inventory(&mut self) {
+        let reports = self.workers.iter().map(|worker| &worker.report);
+        let up = reports.map(|report| (report.name.clone(), report.pool.clone()));
+        self.dispatcher.note_instances(up.collect());
     }
 
     fn hold(&mut self, index: usize) {
@@ -277,13 +283,6 @@
     }
 }
 
-fn inventory(workers: &[SimWorker]) -> HashMap<InstanceName, PoolName> {
-    let reports = workers.iter().map(|worker| &worker.report);
-    reports
-        .map(|report| (report.name.clone(), report.pool.clone()))
-        .collect()
-}
-
 fn dispatcher(rules: &Arc<FleetRules>, epoch: u64, now: u64) -> JobDispatcher {
     JobDispatcher::new(DispatchPolicy::default(), Arc::clone(rules), epoch, at(now))
 }
--- a/crates/jobs/src/owner/job_intake.rs
+++ b/crates/jobs/src/owner/job_intake.rs
@@ -24,7 +24,8 @@
     pub earlier_pending: Vec<(QueueName, u64)>,
     /// Workers out of reach, as the earlier owner published them.
     pub earlier_out_of_reach: Vec<UnreachedWorker>,
-    /// How long ago each pool began to surge last, as the earlier owner published it, in milliseconds.
+    /// How long ago each pool began to surge last, as the earlier owner published it, in
+    /// milliseconds.
     pub earlier_surges: Vec<(PoolName, u64)>,
     /// Rows that wait for the next renewal.
     pub waiting: Vec<StoreRow>,
--- a/crates/jobs/src/owner/takeover.rs
+++ b/crates/jobs/src/owner/takeover.rs
@@ -96,7 +96,6 @@
             node: self.node.clone(),
             address: self.peers.own,
             is_released: false,
-            capacity: self.peers.capacity,
             largest,
         }
     }
--- a/crates/jobs/src/row_codec.rs
+++ b/crates/jobs/src/row_codec.rs
@@ -34,9 +34,6 @@
     pub address: SocketAddr,
     /// Whether the holder has given the ownership up.
     pub is_released: bool,
-    /// Capacity of the holder.
-    #[serde(default)]
-    pub capacity: InstanceCapacity,
     /// Largest capacity of an instance that is thought to be alive.
     #[serde(default)]
     pub largest: InstanceCapacity,
