Log and measure how far the owner is behind

The logs could not tell an owner that takes jobs up late from a count that is shown late. The pulse says up to which version and time of the store its counts are complete, and each count that is shown leaves a line with its version and age. The owner logs when the newest state of the table of jobs that it has considered is older than 1 s, and measures the lateness of its rounds. No decision changes.

--- a/crates/jobs/src/desk/job_desk.rs
+++ b/crates/jobs/src/desk/job_desk.rs
@@ -7,6 +7,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::{CancelOutcome, StatusOutcome, SubmitOutcome};
+use crate::BootClock;
 use crate::StoreHealth;
 use crate::job_metrics::JobMetrics;
 use crate::owner::PulseView;
@@ -185,7 +186,14 @@
     /// no owner is known.
     #[must_use]
     pub fn pending(&self, queue: &QueueName) -> Option<u64> {
-        self.pulse.pending(queue)
+        let count = self.pulse.pending(queue)?;
+        let counted = count.counted.and_then(|counted| counted.at_ms);
+        let age = counted.and_then(|at_ms| self.health.clock.age(at_ms, BootClock.now()));
+        if let Some(age) = age {
+            self.metrics.observe_count_age(age);
+        }
+        info!(self.logger, "waiting jobs counted"; "queue" => %queue, "jobs" => count.jobs, "epoch" => count.epoch, "row" => count.counted.map(|counted| counted.version), "age_ms" => age.map(|age| age.as_millis()));
+        Some(count.jobs)
     }
 }
 
--- a/crates/jobs/src/feeds/intent_follower.rs
+++ b/crates/jobs/src/feeds/intent_follower.rs
@@ -8,7 +8,7 @@
 use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, watch};
 
-use super::{FollowPace, TableEvent, TableFollower};
+use super::{FollowPace, TableFollower};
 use crate::ports::{IntentRow, RowPort, StorePort, StoreRow, StoreTable};
 use crate::{BootClock, DeploymentView, StoreHealth};
 
@@ -46,10 +46,8 @@
         let follow = follower.run(sender);
         let take = async {
             while let Some(event) = events.recv().await {
-                let is_new = matches!(event, TableEvent::Changes(_));
-                let (TableEvent::Snapshot(rows) | TableEvent::Changes(rows)) = event;
-                for row in &rows {
-                    self.take(row, is_new);
+                for row in &event.rows {
+                    self.take(row, !event.is_snapshot);
                 }
             }
         };
--- a/crates/jobs/src/feeds/table_follower.rs
+++ b/crates/jobs/src/feeds/table_follower.rs
@@ -7,21 +7,23 @@
 use tokio::time::{Instant, sleep};
 
 use super::FollowPace;
-use crate::StoreHealth;
 use crate::ports::{
-    FollowPage, FollowRequest, RowPartition, RowRange, StorePort, StoreRow, StoreTable,
+    FollowPage, FollowRequest, RowPartition, RowRange, StorePort, StorePosition, StoreRow,
+    StoreTable,
 };
+use crate::{BootClock, StoreHealth};
 
 /// Longest pause after a failed call. Beliefs must be fresh about two seconds after an outage.
 const MAX_PAUSE: Duration = Duration::from_millis(400);
 
 /// What a follower learned.
 #[derive(Debug)]
-pub(crate) enum TableEvent {
-    /// The whole table.
-    Snapshot(Vec<StoreRow>),
-    /// Rows that have changed since.
-    Changes(Vec<StoreRow>),
+pub(crate) struct TableEvent {
+    /// Rows that have changed, or the whole table.
+    pub rows: Vec<StoreRow>,
+    pub is_snapshot: bool,
+    /// All earlier changes are known with these rows.
+    pub position: StorePosition,
 }
 
 /// Reads a table and then follows its changes.
@@ -41,6 +43,7 @@
         // Time that the store took for its last answer.
         let mut slowness = Duration::ZERO;
         let mut failures: u32 = 0;
+        let mut lost = Instant::now();
         while !events.is_closed() {
             let result = match position {
                 None => self.read(&mut slowness, &events).await,
@@ -50,7 +53,7 @@
             match result {
                 Ok(next) => {
                     if failures > 0 {
-                        info!(self.logger, "store regained"; "table" => ?self.table, "failures" => failures);
+                        info!(self.logger, "store regained"; "table" => ?self.table, "failures" => failures, "lost_ms" => lost.elapsed().as_millis());
                         failures = 0;
                     }
                     if next.is_none() {
@@ -60,6 +63,7 @@
                 }
                 Err(error) => {
                     if failures == 0 {
+                        lost = Instant::now();
                         warn!(self.logger, "store lost"; "table" => ?self.table, "after" => position, "error" => %error);
                     }
                     failures += 1;
@@ -79,11 +83,10 @@
         events: &mpsc::Sender<TableEvent>,
     ) -> Result<Option<u64>> {
         let begin = Instant::now();
-        let (rows, version) = read_table(&self.store, self.table).await?;
+        let (rows, position) = read_table(&self.store, self.table).await?;
         *slowness = begin.elapsed();
-        // A closed receiver ends the loop of the caller.
-        drop(events.send(TableEvent::Snapshot(rows)).await);
-        Ok(Some(version))
+        self.send(events, rows, true, position).await;
+        Ok(Some(position.version))
     }
 
     async fn follow(
@@ -100,43 +103,63 @@
         };
         let begin = Instant::now();
         match (self.store.follow)(request).await? {
-            FollowPage::Changes { rows, version } => {
+            FollowPage::Changes { rows, position } => {
                 *slowness = begin.elapsed().saturating_sub(self.pace.wait);
-                if !rows.is_empty() {
-                    drop(events.send(TableEvent::Changes(rows)).await);
-                }
-                Ok(Some(version.max(after)))
+                self.send(events, rows, false, position).await;
+                Ok(Some(position.version.max(after)))
             }
             FollowPage::HistoryGone => Ok(None),
         }
     }
+
+    async fn send(
+        &self,
+        events: &mpsc::Sender<TableEvent>,
+        rows: Vec<StoreRow>,
+        is_snapshot: bool,
+        position: StorePosition,
+    ) {
+        if let Some(at_ms) = position.at_ms {
+            self.health.clock.note(at_ms, BootClock.now());
+        }
+        let event = TableEvent {
+            rows,
+            is_snapshot,
+            position,
+        };
+        // A closed receiver ends the loop of the caller.
+        drop(events.send(event).await);
+    }
 }
 
-/// Reads a whole table, its partitions at the same time; the version is the earliest of the first
+/// Reads a whole table, its partitions at the same time; the position is the earliest of the first
 /// pages, so that changes made while the others were read are followed.
 pub(crate) async fn read_table(
     store: &StorePort,
     table: StoreTable,
-) -> Result<(Vec<StoreRow>, u64)> {
+) -> Result<(Vec<StoreRow>, StorePosition)> {
     let partitions = RowPartition::all(table, store.has_partitions);
     let reads = partitions.map(|partition| read_partition(store, table, partition));
     let mut rows = Vec::new();
-    let mut version: Option<u64> = None;
+    let mut position: Option<StorePosition> = None;
     for (read, first) in try_join_all(reads).await? {
         rows.extend(read);
-        version = Some(version.map_or(first, |version| version.min(first)));
+        let is_earlier = position.is_none_or(|position| first.version < position.version);
+        if is_earlier {
+            position = Some(first);
+        }
     }
-    Ok((rows, version.unwrap_or_default()))
+    Ok((rows, position.unwrap_or_default()))
 }
 
-/// Reads a partition; the version is that of the first page.
+/// Reads a partition; the position is that of the first page.
 async fn read_partition(
     store: &StorePort,
     table: StoreTable,
     partition: RowPartition,
-) -> Result<(Vec<StoreRow>, u64)> {
+) -> Result<(Vec<StoreRow>, StorePosition)> {
     let mut rows: Vec<StoreRow> = Vec::new();
-    let mut version = None;
+    let mut position = None;
     loop {
         let from = rows.last().map(|row| {
             let mut key = row.key.clone();
@@ -150,11 +173,11 @@
             limit: None,
         };
         let page = (store.read)(range).await?;
-        version.get_or_insert(page.version);
+        position.get_or_insert(page.position);
         let is_end = !page.has_more || page.rows.is_empty();
         rows.extend(page.rows);
         if is_end {
-            return Ok((rows, version.unwrap_or_default()));
+            return Ok((rows, position.unwrap_or_default()));
         }
     }
 }
--- a/crates/jobs/src/job_metrics.rs
+++ b/crates/jobs/src/job_metrics.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Gauge, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 
 use crate::SubmitOutcome;
@@ -19,6 +19,9 @@
     ends: IntCounterVec,
     store_failures: IntCounterVec,
     requests: Histogram,
+    count_ages: Histogram,
+    rounds: Histogram,
+    intake_age: Gauge,
     epoch: IntGauge,
     open_jobs: IntGauge,
 }
@@ -43,14 +46,21 @@
                 .expect("names of metrics are used once");
             gauge
         };
-        let options = HistogramOpts::new(
-            "sesamedeal_job_request_seconds",
-            "Time from the head of a request to its answer",
-        );
-        let requests = Histogram::with_opts(options.buckets(LATENCY_BOUNDS.to_vec()))
-            .expect("bounds of histograms are valid");
+        let histogram = |name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS.to_vec());
+            let histogram = Histogram::with_opts(options).expect("bounds of histograms are valid");
+            registry
+                .register(Box::new(histogram.clone()))
+                .expect("names of metrics are used once");
+            histogram
+        };
+        let intake_age = Gauge::new(
+            "sesamedeal_intake_age_seconds",
+            "Age of the newest state of the table of jobs that the owner has considered",
+        )
+        .expect("names of metrics are valid");
         registry
-            .register(Box::new(requests.clone()))
+            .register(Box::new(intake_age.clone()))
             .expect("names of metrics are used once");
         Self {
             submissions: counter(
@@ -82,7 +92,19 @@
                 "sesamedeal_open_jobs",
                 "Jobs that have not ended, at the owner",
             ),
-            requests,
+            requests: histogram(
+                "sesamedeal_job_request_seconds",
+                "Time from the head of a request to its answer",
+            ),
+            count_ages: histogram(
+                "sesamedeal_waiting_count_age_seconds",
+                "Age of the counts of waiting jobs that were shown",
+            ),
+            rounds: histogram(
+                "sesamedeal_owner_round_lateness_seconds",
+                "Time by which rounds of the owner's decisions came late",
+            ),
+            intake_age,
             registry,
         }
     }
@@ -107,6 +129,18 @@
         self.requests.observe(time.as_secs_f64());
     }
 
+    pub(crate) fn observe_count_age(&self, age: Duration) {
+        self.count_ages.observe(age.as_secs_f64());
+    }
+
+    pub(crate) fn observe_round(&self, lateness: Duration) {
+        self.rounds.observe(lateness.as_secs_f64());
+    }
+
+    pub(crate) fn set_intake_age(&self, age: Duration) {
+        self.intake_age.set(age.as_secs_f64());
+    }
+
     pub(crate) fn count_start(&self, outcome: &str) {
         self.starts.with_label_values(&[outcome]).inc();
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -14,6 +14,7 @@
 mod peers;
 pub mod ports;
 mod row_codec;
+mod store_clock;
 mod store_health;
 
 pub use boot_clock::BootClock;
@@ -23,4 +24,5 @@
 pub use job_node::{JobNode, NodeParts};
 pub use owner::{OwnerLoop, OwnerPolicy};
 pub use peers::{WatcherList, peer_port};
+pub use store_clock::StoreClock;
 pub use store_health::StoreHealth;
--- a/crates/jobs/src/owner/job_intake.rs
+++ b/crates/jobs/src/owner/job_intake.rs
@@ -7,7 +7,7 @@
 use slog::{Logger, info, warn};
 
 use crate::BootClock;
-use crate::ports::StoreRow;
+use crate::ports::{StorePosition, StoreRow};
 use crate::row_codec::{JobKey, decode, parse_job_key};
 
 /// Longest age that is taken from the accepting entry instance, whose clock may be off.
@@ -29,6 +29,12 @@
     pub earlier_surges: Vec<(PoolName, u64)>,
     /// Rows that wait for the next renewal.
     pub waiting: Vec<StoreRow>,
+    /// Where the table stood when the newest of these were read.
+    pub waiting_position: Option<StorePosition>,
+    /// Where the table stood when the newest rows were taken; none before the jobs are loaded.
+    pub taken: Option<StorePosition>,
+    /// Where it stood when the earlier owner counted the waiting jobs.
+    pub earlier_counted: Option<StorePosition>,
     pub logger: Logger,
 }
 
@@ -69,8 +75,9 @@
             BootClock.now()
         };
         let queue = order.queue.clone();
+        let age_ms = BootClock.unix_ms().saturating_sub(order.accepted_ms);
         if dispatcher.add_job(id, order, record, is_inherited, arrived) {
-            info!(self.logger, "job taken"; "job" => %id, "queue" => %queue, "row" => row.version, "is_inherited" => is_inherited);
+            info!(self.logger, "job taken"; "job" => %id, "queue" => %queue, "row" => row.version, "is_inherited" => is_inherited, "age_ms" => age_ms);
         }
     }
 }
--- a/crates/jobs/src/owner/leadership.rs
+++ b/crates/jobs/src/owner/leadership.rs
@@ -94,8 +94,14 @@
                 .map(|pulse| pulse.pending.clone())
                 .unwrap_or_default(),
             earlier_out_of_reach: out_of_reach,
-            earlier_surges: pulse.map(|pulse| pulse.surges_ms).unwrap_or_default(),
+            earlier_surges: pulse
+                .as_ref()
+                .map(|pulse| pulse.surges_ms.clone())
+                .unwrap_or_default(),
             waiting: Vec::new(),
+            waiting_position: None,
+            taken: None,
+            earlier_counted: pulse.as_ref().and_then(|pulse| pulse.counted),
             logger: logger.clone(),
         };
         let parts = OwnerParts {
--- a/crates/jobs/src/owner/mod.rs
+++ b/crates/jobs/src/owner/mod.rs
@@ -9,6 +9,7 @@
 mod leadership;
 mod owner_actor;
 mod owner_event;
+mod owner_health;
 mod owner_lease;
 mod owner_loop;
 mod owner_policy;
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -13,6 +13,7 @@
 use super::hand_over::HandOver;
 use super::inventory_view::InventoryView;
 use super::job_intake::JobIntake;
+use super::owner_health::OwnerHealth;
 use super::owner_lease::OwnerLease;
 use super::pool_keeper::PoolKeeper;
 use super::record_writer::RecordWriter;
@@ -57,6 +58,7 @@
     pub(super) intake: JobIntake,
     pub(super) links: WorkerLinks,
     pub(super) hand_over: HandOver,
+    pub(super) health: OwnerHealth,
     pub(super) version: u64,
     pub(super) write_after: TimePoint,
     pub(super) loads_logged: TimePoint,
@@ -96,6 +98,7 @@
             intake,
             links: WorkerLinks::default(),
             hand_over: HandOver::default(),
+            health: OwnerHealth::default(),
             version: 0,
             write_after: TimePoint::ORIGIN,
             loads_logged: TimePoint::ORIGIN,
@@ -150,6 +153,8 @@
             return;
         }
         let now = BootClock.now();
+        self.note_round(now);
+        self.note_intake_age(now);
         self.take_rules();
         self.read_inventory(false, now);
         if self.is_loaded {
--- /dev/null
+++ b/crates/jobs/src/owner/owner_health.rs
@@ -0,0 +1,64 @@
+use std::time::Duration;
+
+use sesamedeal_core::time::TimePoint;
+use slog::{info, warn};
+
+use super::owner_actor::OwnerActor;
+
+/// Age of the newest jobs that were considered from which the owner counts as late. It is 0.3 s
+/// without a new job, and a slow store takes 0.25 s for a call.
+const LATE_AGE: Duration = Duration::from_secs(1);
+
+/// How far the owner is behind.
+#[derive(Debug, Default)]
+pub(super) struct OwnerHealth {
+    /// When the last round of decisions was.
+    round: Option<TimePoint>,
+    /// Time by which the last round came late.
+    lateness: Duration,
+    is_late: bool,
+}
+
+impl OwnerActor {
+    /// Notes that a round begins.
+    pub(super) fn note_round(&mut self, now: TimePoint) {
+        let period = self.parts.policy.round;
+        let last = self.health.round.replace(now);
+        let gap = last.map_or(period, |last| now.since(last));
+        self.health.lateness = gap.saturating_sub(period);
+        self.parts.metrics.observe_round(self.health.lateness);
+    }
+
+    /// Age of the newest state of the table of jobs that this owner has considered; none before
+    /// the jobs are loaded, or if the store does not tell its time.
+    pub(super) fn intake_age(&self, now: TimePoint) -> Option<Duration> {
+        let at_ms = self.intake.taken?.at_ms?;
+        self.parts.health.clock.age(at_ms, now)
+    }
+
+    /// Notes how old the owner's knowledge of jobs is.
+    pub(super) fn note_intake_age(&mut self, now: TimePoint) {
+        let Some(age) = self.intake_age(now) else {
+            return;
+        };
+        self.parts.metrics.set_intake_age(age);
+        // Half of the age, so that the state does not change back and forth.
+        let is_late = if self.health.is_late {
+            age >= LATE_AGE / 2
+        } else {
+            age >= LATE_AGE
+        };
+        if is_late == self.health.is_late {
+            return;
+        }
+        self.health.is_late = is_late;
+        let age_ms = age.as_millis();
+        let lateness_ms = self.health.lateness.as_millis();
+        let version = self.intake.taken.map(|taken| taken.version);
+        if is_late {
+            warn!(self.parts.logger, "jobs are taken late"; "age_ms" => age_ms, "row" => version, "round_late_ms" => lateness_ms);
+        } else {
+            info!(self.parts.logger, "jobs are taken in time"; "age_ms" => age_ms, "row" => version, "round_late_ms" => lateness_ms);
+        }
+    }
+}
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -181,8 +181,7 @@
 
     /// Takes rows of the ownership, and publishes the newest sign of life.
     fn take_rows(&self, event: TableEvent, rows: &mut OwnerRows) {
-        let (TableEvent::Snapshot(changed) | TableEvent::Changes(changed)) = event;
-        for row in &changed {
+        for row in &event.rows {
             rows.take(row, &self.logger);
         }
         if let Some(pulse) = &rows.pulse {
--- a/crates/jobs/src/owner/pulse_view.rs
+++ b/crates/jobs/src/owner/pulse_view.rs
@@ -3,8 +3,19 @@
 use arc_swap::ArcSwap;
 use sesamedeal_core::ids::QueueName;
 
+use crate::ports::StorePosition;
 use crate::row_codec::PulseRow;
 
+/// Waiting jobs of a queue, as an owner counted them.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct WaitingCount {
+    pub jobs: u64,
+    /// Epoch of the owner that published the count.
+    pub epoch: u64,
+    /// Where the table of jobs stood.
+    pub counted: Option<StorePosition>,
+}
+
 /// Newest sign of life of the owner.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct PulseView {
@@ -17,10 +28,14 @@
     }
 
     /// Waiting jobs of a queue; none while no owner is known.
-    pub(crate) fn pending(&self, queue: &QueueName) -> Option<u64> {
+    pub(crate) fn pending(&self, queue: &QueueName) -> Option<WaitingCount> {
         let current = self.current.load();
-        let mut rows = current.as_ref().as_ref()?.pending.iter();
-        let row = rows.find(|(name, _)| name == queue);
-        Some(row.map_or(0, |(_, count)| *count))
+        let pulse = current.as_ref().as_ref()?;
+        let row = pulse.pending.iter().find(|(name, _)| name == queue);
+        Some(WaitingCount {
+            jobs: row.map_or(0, |(_, count)| *count),
+            epoch: pulse.epoch,
+            counted: pulse.counted,
+        })
     }
 }
--- a/crates/jobs/src/owner/record_keeping.rs
+++ b/crates/jobs/src/owner/record_keeping.rs
@@ -71,6 +71,11 @@
             } else {
                 self.intake.earlier_pending.clone()
             },
+            counted: if self.is_loaded {
+                self.intake.taken
+            } else {
+                self.intake.earlier_counted
+            },
             surges_ms: self.surges_ms(),
         }
     }
@@ -92,6 +97,8 @@
                 self.dispatcher.note_published(&self.publication);
                 let rows = std::mem::take(&mut self.intake.waiting);
                 self.intake.take(rows, &mut self.dispatcher);
+                let position = self.intake.waiting_position.take();
+                self.intake.taken = position.or(self.intake.taken);
                 for (id, record) in &batch.records {
                     if record.phase.is_final() {
                         info!(self.parts.logger, "job ended"; "job" => %id, "phase" => ?record.phase, "row" => version);
--- a/crates/jobs/src/owner/table_intake.rs
+++ b/crates/jobs/src/owner/table_intake.rs
@@ -14,12 +14,16 @@
 impl OwnerActor {
     /// Takes rows of jobs. While renewals fail, new jobs wait: a successor may run them.
     pub(super) fn take_jobs(&mut self, event: TableEvent) {
-        let is_snapshot = matches!(event, TableEvent::Snapshot(_));
-        let (TableEvent::Snapshot(rows) | TableEvent::Changes(rows)) = event;
+        let TableEvent {
+            rows,
+            is_snapshot,
+            position,
+        } = event;
         let policy = &self.parts.policy;
         if is_snapshot && !self.is_loaded {
             info!(self.parts.logger, "jobs loaded"; "rows" => rows.len());
             self.intake.take(rows, &mut self.dispatcher);
+            self.intake.taken = Some(position);
             self.is_loaded = true;
         } else if self
             .parts
@@ -27,34 +31,29 @@
             .is_younger(policy.expiry.saturating_sub(policy.renewal))
         {
             self.intake.take(rows, &mut self.dispatcher);
+            self.intake.taken = Some(position);
         } else {
             self.intake.waiting.extend(rows);
+            self.intake.waiting_position = Some(position);
         }
     }
 
     pub(super) fn take_workers(&mut self, event: TableEvent) {
         let now = BootClock.now();
-        match event {
-            TableEvent::Snapshot(rows) => {
-                let listed: HashSet<InstanceName> =
-                    rows.iter().map(|row| InstanceName::new(&row.key)).collect();
-                for name in self.dispatcher.worker_names() {
-                    if !listed.contains(&name) {
-                        self.unlist(&name);
-                    }
-                }
-                for row in rows {
-                    self.take_worker(&row, now);
+        if event.is_snapshot {
+            let names = event.rows.iter().map(|row| InstanceName::new(&row.key));
+            let listed: HashSet<InstanceName> = names.collect();
+            for name in self.dispatcher.worker_names() {
+                if !listed.contains(&name) {
+                    self.unlist(&name);
                 }
             }
-            TableEvent::Changes(rows) => {
-                for row in rows {
-                    if row.is_deleted {
-                        self.unlist(&InstanceName::new(&row.key));
-                    } else {
-                        self.take_worker(&row, now);
-                    }
-                }
+        }
+        for row in &event.rows {
+            if row.is_deleted {
+                self.unlist(&InstanceName::new(&row.key));
+            } else {
+                self.take_worker(row, now);
             }
         }
     }
--- a/crates/jobs/src/ports/mod.rs
+++ b/crates/jobs/src/ports/mod.rs
@@ -23,7 +23,7 @@
 pub use row_port::{IntentRow, RowPort, RowProblem};
 pub use store_port::{
     FollowPage, FollowRequest, RowChange, RowCondition, RowName, RowPage, RowPut, RowRange,
-    StorePort, StoreRow, StoreTable, TransactOutcome,
+    StorePort, StorePosition, StoreRow, StoreTable, TransactOutcome,
 };
 pub use worker_port::{
     HoldOutcome, HoldRequest, PaceRequest, StartRequest, StopRequest, WorkerAddress, WorkerPort,
--- a/crates/jobs/src/ports/store_port.rs
+++ b/crates/jobs/src/ports/store_port.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 
 use super::{AsyncCall, RowPartition};
 
@@ -118,6 +119,15 @@
     pub limit: Option<u32>,
 }
 
+/// A version of the store, and when the store stood there.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StorePosition {
+    /// Version of the newest change.
+    pub version: u64,
+    /// Reading of the store's clock, in milliseconds; none if the store did not name one.
+    pub at_ms: Option<u64>,
+}
+
 /// Rows as of one moment.
 #[derive(Debug, Clone)]
 pub struct RowPage {
@@ -125,8 +135,8 @@
     pub rows: Vec<StoreRow>,
     /// Whether more rows follow.
     pub has_more: bool,
-    /// Newest version of the store.
-    pub version: u64,
+    /// Where the store stood.
+    pub position: StorePosition,
 }
 
 /// Request for the changes of a table.
@@ -149,8 +159,8 @@
     Changes {
         /// The rows.
         rows: Vec<StoreRow>,
-        /// Version to continue after.
-        version: u64,
+        /// Where to continue.
+        position: StorePosition,
     },
     /// The store has dropped the changes; the table has to be read again.
     HistoryGone,
--- a/crates/jobs/src/row_codec.rs
+++ b/crates/jobs/src/row_codec.rs
@@ -11,6 +11,8 @@
 use sesamedeal_core::lease::InstanceCapacity;
 use sesamedeal_wire::codec::{self, CodecError};
 
+use crate::ports::StorePosition;
+
 /// Key of the row with the ownership epoch.
 pub(crate) const EPOCH_KEY: &str = "epoch";
 
@@ -48,6 +50,10 @@
     pub out_of_reach: Vec<UnreachedWorker>,
     /// Jobs by queue for which no task has started.
     pub pending: Vec<(QueueName, u64)>,
+    /// Where the table of jobs stood when these were counted. All jobs accepted before are in the
+    /// counts until a task of theirs starts.
+    #[serde(default)]
+    pub counted: Option<StorePosition>,
     /// How long ago each pool began to surge last, in milliseconds.
     #[serde(default)]
     pub surges_ms: Vec<(PoolName, u64)>,
--- a/crates/jobs/src/store_health.rs
+++ b/crates/jobs/src/store_health.rs
@@ -5,7 +5,7 @@
 use sesamedeal_core::jobs::retry_time;
 use sesamedeal_store::Result;
 
-use crate::BootClock;
+use crate::{BootClock, StoreClock};
 
 /// Failures in a row after which the store counts as down for this entry instance. One may be a
 /// connection that broke.
@@ -19,7 +19,7 @@
 /// all.
 const PROBE_TIME: Duration = Duration::from_millis(900);
 
-/// Whether the store answers this entry instance.
+/// Whether the store answers this entry instance, and its clock.
 #[derive(Debug, Clone, Default)]
 pub struct StoreHealth {
     failures: Arc<AtomicU32>,
@@ -30,6 +30,7 @@
     probed_ms: Arc<AtomicU64>,
     /// When the last call was answered.
     answered_ms: Arc<AtomicU64>,
+    pub(crate) clock: StoreClock,
 }
 
 impl StoreHealth {
--- a/crates/jobs/tests/common/memory_store.rs
+++ b/crates/jobs/tests/common/memory_store.rs
@@ -8,12 +8,12 @@
 use futures::FutureExt;
 use parking_lot::Mutex;
 use sesamedeal_jobs::ports::{
-    FollowPage, FollowRequest, RowChange, RowPage, RowPartition, RowRange, StorePort, StoreRow,
-    StoreTable, TransactOutcome,
+    FollowPage, FollowRequest, RowChange, RowPage, RowPartition, RowRange, StorePort,
+    StorePosition, StoreRow, StoreTable, TransactOutcome,
 };
 use sesamedeal_store::{PlatformError, Result};
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 #[derive(Debug, Default)]
 struct StoreState {
@@ -23,8 +23,9 @@
 }
 
 /// A store in memory. Its pages are small, so that tables have several.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct MemoryStore {
+    started: Instant,
     state: Arc<Mutex<StoreState>>,
     changed: Arc<Notify>,
     /// Whether calls are turned away.
@@ -47,6 +48,22 @@
 /// Rows of a page.
 const PAGE: usize = 3;
 
+impl Default for MemoryStore {
+    fn default() -> Self {
+        Self {
+            started: Instant::now(),
+            state: Arc::default(),
+            changed: Arc::default(),
+            is_down: Arc::default(),
+            is_silent: Arc::default(),
+            loses_answers: Arc::default(),
+            holds_changes: Arc::default(),
+            transactions: Arc::default(),
+            calls: Arc::default(),
+        }
+    }
+}
+
 impl MemoryStore {
     pub fn port(&self) -> StorePort {
         let (changes, reads, follows) = (self.clone(), self.clone(), self.clone());
@@ -221,7 +238,7 @@
         Ok(RowPage {
             rows,
             has_more,
-            version: state.version,
+            position: self.position(state.version),
         })
     }
 
@@ -252,6 +269,15 @@
         }
     }
 
+    /// A version, with the time since the store was started.
+    fn position(&self, version: u64) -> StorePosition {
+        let elapsed = self.started.elapsed().as_millis();
+        StorePosition {
+            version,
+            at_ms: u64::try_from(elapsed).ok(),
+        }
+    }
+
     fn changes(&self, request: FollowRequest) -> (FollowPage, bool) {
         let state = self.state.lock();
         let rows = state
@@ -260,7 +286,7 @@
             .filter(|(table, row)| *table == request.table && row.version > request.after);
         let rows: Vec<StoreRow> = rows.map(|(_, row)| row.clone()).collect();
         let has_rows = !rows.is_empty();
-        let version = state.version;
-        (FollowPage::Changes { rows, version }, has_rows)
+        let position = self.position(state.version);
+        (FollowPage::Changes { rows, position }, has_rows)
     }
 }
