--- a/crates/jobs/tests/common/memory_store.rs
+++ b/crates/jobs/tests/common/memory_store.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -36,6 +36,10 @@
     pub loses_answers: Arc<AtomicBool>,
     /// Whether requests for changes get no answer.
     pub holds_changes: Arc<AtomicBool>,
+    /// Tables of which reads and requests for changes get no answer.
+    pub silent_tables: Arc<Mutex<HashSet<StoreTable>>>,
+    /// A partition of the jobs of which reads get no answer.
+    pub silent_partition: Arc<Mutex<Option<RowPartition>>>,
     /// Changes that were made.
     pub transactions: Arc<AtomicU64>,
     /// Changes that were asked for.
@@ -45,6 +49,13 @@
 /// Time after which a client gives up a call without an answer.
 const CALL_DEADLINE: Duration = Duration::from_millis(900);
 
+async fn no_answer<T>(after: Duration) -> Result<T> {
+    sleep(after).await;
+    Err(PlatformError::NoAnswer {
+        reason: "silent".to_owned(),
+    })
+}
+
 /// Rows of a page.
 const PAGE: usize = 3;
 
@@ -58,6 +69,8 @@
             is_silent: Arc::default(),
             loses_answers: Arc::default(),
             holds_changes: Arc::default(),
+            silent_tables: Arc::default(),
+            silent_partition: Arc::default(),
             transactions: Arc::default(),
             calls: Arc::default(),
         }
@@ -82,6 +95,7 @@
                 let store = reads.clone();
                 async move {
                     store.be_silent().await?;
+                    store.be_partly_silent(&range).await?;
                     store.read(&range)
                 }
                 .boxed()
@@ -90,6 +104,9 @@
                 let store = follows.clone();
                 async move {
                     store.be_silent().await?;
+                    if store.is_silent_table(request.table) {
+                        return no_answer(request.wait + request.margin).await;
+                    }
                     store.follow(request).await
                 }
                 .boxed()
@@ -102,6 +119,7 @@
         Self {
             is_down: Arc::default(),
             is_silent: Arc::default(),
+            silent_tables: Arc::default(),
             calls: Arc::default(),
             ..self.clone()
         }
@@ -148,10 +166,20 @@
         if !self.is_silent.load(Ordering::Acquire) {
             return Ok(());
         }
-        sleep(CALL_DEADLINE).await;
-        Err(PlatformError::NoAnswer {
-            reason: "silent".to_owned(),
-        })
+        no_answer(CALL_DEADLINE).await
+    }
+
+    /// Lets a read end without an answer if its table or partition is silent.
+    async fn be_partly_silent(&self, range: &RowRange) -> Result<()> {
+        let is_silent = *self.silent_partition.lock() == Some(range.partition);
+        if is_silent || self.is_silent_table(range.table) {
+            return no_answer(CALL_DEADLINE).await;
+        }
+        Ok(())
+    }
+
+    fn is_silent_table(&self, table: StoreTable) -> bool {
+        self.silent_tables.lock().contains(&table)
     }
 
     fn check(&self) -> Result<()> {
--- /dev/null
+++ b/crates/jobs/tests/owner_lag.rs
@@ -0,0 +1,67 @@
+//! Owners that fall behind and go on to renew their ownership.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Stage, job, run_job, submit, wait_finished};
+use sesamedeal_core::jobs::JobId;
+use sesamedeal_jobs::SubmitOutcome;
+use sesamedeal_jobs::ports::{RowPartition, StoreTable};
+use tokio::time::{Instant, sleep};
+
+/// Longest time for which a job that could run may have nothing running.
+const IDLE_LIMIT: Duration = Duration::from_secs(3);
+
+/// Guards against jobs that nobody starts while the owner cannot read them, and renews its
+/// ownership all the while.
+#[tokio::test]
+async fn unread_jobs() {
+    let stage = Stage::new(2);
+    let access = stage.store.separate_access();
+    let owner = stage.node_with("entry-1", &access);
+    run_job(&owner, 1).await;
+    let node = stage.node("entry-2");
+    run_job(&node, 2).await;
+    access.silent_tables.lock().insert(StoreTable::Job);
+    // A request for changes that is under way is answered once more.
+    submit(&node, 3, &job(1, false)).await;
+    sleep(Duration::from_millis(400)).await;
+    let begin = Instant::now();
+    for id in 10..16 {
+        let outcome = submit(&node, id, &job(1, false)).await;
+        assert_eq!(outcome, SubmitOutcome::Accepted);
+    }
+    for id in 10..16 {
+        wait_finished(&node, id).await;
+    }
+    assert!(begin.elapsed() < IDLE_LIMIT, "{:?}", begin.elapsed());
+}
+
+/// Guards against one silent partition of the store that keeps the jobs of all others waiting.
+#[tokio::test]
+async fn silent_partition() {
+    let stage = Stage::new(2);
+    let node = stage.node("entry-1");
+    run_job(&node, 1).await;
+    let partition = |id: u64| RowPartition::of(StoreTable::Job, &JobId(id).to_string());
+    let silent = partition(10);
+    *stage.store.silent_partition.lock() = Some(silent);
+    stage
+        .store
+        .holds_changes
+        .store(true, std::sync::atomic::Ordering::Release);
+    // A request for changes that is under way is answered once more.
+    submit(&node, 2, &job(1, false)).await;
+    sleep(Duration::from_millis(600)).await;
+    let begin = Instant::now();
+    let others: Vec<u64> = (20..28).filter(|id| partition(*id) != silent).collect();
+    for id in &others {
+        let outcome = submit(&node, *id, &job(1, false)).await;
+        assert_eq!(outcome, SubmitOutcome::Accepted);
+    }
+    for id in &others {
+        wait_finished(&node, *id).await;
+    }
+    assert!(begin.elapsed() < IDLE_LIMIT, "{:?}", begin.elapsed());
+}
