Show a count of waiting jobs only while it is fresh

Cause: the owner counts the jobs that it has taken, and it publishes that with each renewal also when it has not read the table of jobs for seconds; a first owner published empty counts before it had read the jobs at all.

--- a/crates/jobs/src/desk/job_desk.rs
+++ b/crates/jobs/src/desk/job_desk.rs
@@ -22,6 +22,9 @@
 /// Repeats of a call that the store turned away, before the caller is refused.
 const MAX_REFUSALS: u32 = 2;
 
+/// Longest age of a count of waiting jobs that is shown. The platform allows 2 s.
+const MAX_COUNT_AGE: Duration = Duration::from_secs(2);
+
 /// Accepts, shows and cancels jobs through the store.
 #[derive(Debug, Clone)]
 pub struct JobDesk {
@@ -182,8 +185,9 @@
         &self.health
     }
 
-    /// Jobs of a queue for which no task has started, as the owner published them last; none while
-    /// no owner is known.
+    /// Jobs of a queue for which no task has started, as the owner published them last; none if
+    /// that is not known, or was counted too long ago. An owner that falls behind goes on to
+    /// publish what it counts.
     #[must_use]
     pub fn pending(&self, queue: &QueueName) -> Option<u64> {
         let count = self.pulse.pending(queue)?;
@@ -193,7 +197,7 @@
             self.metrics.observe_count_age(age);
         }
         info!(self.logger, "waiting jobs counted"; "queue" => %queue, "jobs" => count.jobs, "epoch" => count.epoch, "row" => count.counted.map(|counted| counted.version), "age_ms" => age.map(|age| age.as_millis()));
-        Some(count.jobs)
+        age.filter(|age| *age <= MAX_COUNT_AGE).map(|_| count.jobs)
     }
 }
 
