Replace an owner that renews its ownership and does not take up jobs

Cause: the only sign by which others judge an owner is its renewal, a small write that a slow process, or one that cannot read the table of jobs, still gets through; the work that callers wait for was not part of it. The pulse now shows what the owner has taken up. An instance of the largest capacity takes over when that is 1.5 s old, if the store shows it at once what the owner has not taken; the epoch fences the earlier owner as in any takeover. Outages for everybody are excluded by the owner's own failures and by the proof.

--- /dev/null
+++ b/crates/core/src/lease/lag_watch.rs
@@ -0,0 +1,94 @@
+use std::time::Duration;
+
+use crate::time::TimePoint;
+
+/// When an owner counts as lagging.
+#[derive(Debug, Clone, Copy)]
+pub struct LagPolicy {
+    /// Age of what an owner has taken up from which it lags.
+    pub limit: Duration,
+    /// Least age at which its newest renewal was seen. A renewal that was in time says nothing of
+    /// what came later: the store may be away for everybody.
+    pub renewal_age: Duration,
+    /// Time for which a new owner may read what there is.
+    pub load_limit: Duration,
+    /// Longest time for which failures of the store excuse an owner.
+    pub excuse_limit: Duration,
+}
+
+/// A renewal as a watcher sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct RenewalReport {
+    /// Epoch of the owner.
+    pub epoch: u64,
+    /// Its number under this epoch.
+    pub number: u64,
+    /// Age of what the owner has taken up; none if that is not known.
+    pub age: Option<Duration>,
+    /// Whether the owner has read what there was when it began.
+    pub is_loaded: bool,
+    /// Whether the store has failed the owner lately.
+    pub is_excused: bool,
+}
+
+/// Finds owners that renew their lease and fall behind all the while.
+#[derive(Debug)]
+pub struct LagWatch {
+    policy: LagPolicy,
+    epoch: u64,
+    /// When the epoch was seen first.
+    begun: TimePoint,
+    /// Newest renewal, and when it was seen.
+    newest: Option<(RenewalReport, TimePoint)>,
+    /// Since when all renewals are excused.
+    excused: Option<TimePoint>,
+}
+
+impl LagWatch {
+    /// Creates a watch that has seen nothing.
+    #[must_use]
+    pub const fn new(policy: LagPolicy) -> Self {
+        Self {
+            policy,
+            epoch: 0,
+            begun: TimePoint::ORIGIN,
+            newest: None,
+            excused: None,
+        }
+    }
+
+    /// Notes the newest renewal, which may be known already.
+    pub fn note(&mut self, report: RenewalReport, now: TimePoint) {
+        if report.epoch != self.epoch {
+            *self = Self {
+                epoch: report.epoch,
+                begun: now,
+                ..Self::new(self.policy)
+            };
+        }
+        let known = self.newest.map(|(known, _)| known.number);
+        if known == Some(report.number) {
+            return;
+        }
+        self.newest = Some((report, now));
+        self.excused = report.is_excused.then(|| self.excused.unwrap_or(now));
+    }
+
+    /// Whether the owner under an epoch lags.
+    #[must_use]
+    pub fn is_lagging(&self, epoch: u64, now: TimePoint) -> bool {
+        let Some((newest, seen)) = self.newest.filter(|_| self.epoch == epoch) else {
+            return false;
+        };
+        if !newest.is_loaded {
+            return now.since(self.begun) >= self.policy.load_limit;
+        }
+        let excuse = self.policy.excuse_limit;
+        if self.excused.is_some_and(|since| now.since(since) < excuse) {
+            return false;
+        }
+        newest.age.is_some_and(|age| {
+            age >= self.policy.renewal_age && age + now.since(seen) >= self.policy.limit
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/tests/lag_watch.rs
@@ -0,0 +1,99 @@
+//! Owners that renew their lease and fall behind.
+
+use std::time::Duration;
+
+use sesamedeal_core::lease::{LagPolicy, LagWatch, RenewalReport};
+use sesamedeal_core::time::TimePoint;
+
+const POLICY: LagPolicy = LagPolicy {
+    limit: Duration::from_millis(1_500),
+    renewal_age: Duration::from_millis(800),
+    load_limit: Duration::from_secs(5),
+    excuse_limit: Duration::from_secs(4),
+};
+
+fn renewal(number: u64, age_ms: u64) -> RenewalReport {
+    RenewalReport {
+        epoch: 1,
+        number,
+        age: Some(Duration::from_millis(age_ms)),
+        is_loaded: true,
+        is_excused: false,
+    }
+}
+
+const fn at(millis: u64) -> TimePoint {
+    TimePoint::with_millis(millis)
+}
+
+/// Guards against an owner that keeps the ownership by renewals alone.
+#[test]
+fn renewals_alone() {
+    let mut watch = LagWatch::new(POLICY);
+    watch.note(renewal(1, 300), at(1_000));
+    watch.note(renewal(2, 900), at(1_600));
+    assert!(!watch.is_lagging(1, at(2_100)));
+    assert!(watch.is_lagging(1, at(2_200)));
+    watch.note(renewal(3, 1_500), at(2_200));
+    assert!(watch.is_lagging(1, at(2_200)));
+    assert!(!watch.is_lagging(2, at(2_200)), "another owner");
+}
+
+/// Guards against a change of the owner in an outage of the store for everybody, and right after
+/// it, when every owner is behind.
+#[test]
+fn store_outage() {
+    let mut watch = LagWatch::new(POLICY);
+    watch.note(renewal(1, 300), at(1_000));
+    assert!(!watch.is_lagging(1, at(5_000)));
+    for (number, millis) in (2..).zip([5_000, 5_500, 6_000]) {
+        let excused = RenewalReport {
+            is_excused: true,
+            ..renewal(number, millis - 700)
+        };
+        watch.note(excused, at(millis));
+        assert!(!watch.is_lagging(1, at(millis + 400)));
+    }
+    watch.note(renewal(5, 300), at(6_500));
+    assert!(!watch.is_lagging(1, at(7_000)));
+}
+
+/// Guards against an owner that is excused for ever.
+#[test]
+fn lasting_excuse() {
+    let mut watch = LagWatch::new(POLICY);
+    for number in 1..12 {
+        let excused = RenewalReport {
+            is_excused: true,
+            ..renewal(number, 500 * number)
+        };
+        let now = at(500 * number);
+        watch.note(excused, now);
+        assert_eq!(watch.is_lagging(1, now), number >= 9, "renewal {number}");
+    }
+}
+
+/// Guards against a new owner that is replaced before it could read the jobs, so that no owner ever
+/// does.
+#[test]
+fn loading_owner() {
+    let mut watch = LagWatch::new(POLICY);
+    for number in 1..16 {
+        let loading = RenewalReport {
+            is_loaded: false,
+            ..renewal(number, 60_000)
+        };
+        let now = at(1_000 + 500 * number);
+        watch.note(loading, now);
+        assert_eq!(watch.is_lagging(1, now), number >= 11, "renewal {number}");
+    }
+}
+
+/// Guards against a renewal that is read again and seems new.
+#[test]
+fn same_renewal() {
+    let mut watch = LagWatch::new(POLICY);
+    watch.note(renewal(4, 300), at(1_000));
+    watch.note(renewal(4, 1_300), at(2_000));
+    assert!(!watch.is_lagging(1, at(3_000)));
+}
--- a/crates/jobs/src/owner/hand_over.rs
+++ b/crates/jobs/src/owner/hand_over.rs
@@ -43,6 +43,10 @@
 /// may have come back for everybody.
 const OWN_READ_LIMIT: Duration = Duration::from_millis(100);
 
+/// Time after a failed write within which the tables are current again, once the store answers: a
+/// call under way takes 0.9 s to fail, and the next one follows within 0.4 s.
+const RECOVERY_TIME: Duration = Duration::from_secs(2);
+
 /// What came of the search for a successor.
 #[derive(Debug)]
 pub(crate) enum SuccessorSearch {
@@ -59,6 +63,8 @@
 pub(super) struct HandOver {
     /// Writes to the store that failed in a row.
     failures: u32,
+    /// When a write failed last.
+    failed: Option<TimePoint>,
     is_asking: bool,
     is_offering: bool,
     /// When the newest offer was made.
@@ -72,8 +78,15 @@
 
 impl HandOver {
     /// Notes that a write has failed.
-    pub(super) const fn note_failure(&mut self) {
+    pub(super) const fn note_failure(&mut self, now: TimePoint) {
         self.failures += 1;
+        self.failed = Some(now);
+    }
+
+    /// Whether a write has failed lately.
+    pub(super) fn has_failed(&self, now: TimePoint) -> bool {
+        self.failed
+            .is_some_and(|failed| now.since(failed) < RECOVERY_TIME)
     }
 
     /// Notes that a write which was sent at `sent` has renewed the ownership. If it was sent after
--- a/crates/jobs/src/owner/mod.rs
+++ b/crates/jobs/src/owner/mod.rs
@@ -10,6 +10,7 @@
 mod owner_actor;
 mod owner_event;
 mod owner_health;
+mod owner_lag;
 mod owner_lease;
 mod owner_loop;
 mod owner_policy;
--- a/crates/jobs/src/owner/owner_health.rs
+++ b/crates/jobs/src/owner/owner_health.rs
@@ -16,7 +16,9 @@
     round: Option<TimePoint>,
     /// Time by which the last round came late.
     lateness: Duration,
-    is_late: bool,
+    /// Whether jobs are taken late. The owner gives no orders for instances then: a successor may
+    /// give some at any moment, and demand that is not known looks like no demand.
+    pub(super) is_late: bool,
 }
 
 impl OwnerActor {
--- /dev/null
+++ b/crates/jobs/src/owner/owner_lag.rs
@@ -0,0 +1,96 @@
+//! Owners that renew their ownership and do not take up the jobs that are accepted: their process is
+//! slow, or only they cannot read the table.
+
+use std::time::Duration;
+
+use sesamedeal_core::lease::{LagPolicy, RenewalReport};
+use slog::{info, warn};
+use tokio::time::sleep;
+
+use super::owner_loop::OwnerLoop;
+use super::owner_rows::OwnerRows;
+use crate::BootClock;
+use crate::ports::{FollowPage, FollowRequest, StoreTable};
+
+/// An owner in time has taken up what was accepted 0.4 s before its renewal is seen: it reads the
+/// table each 0.3 s. It renews each 0.5 s.
+pub(super) const LAG_POLICY: LagPolicy = LagPolicy {
+    limit: Duration::from_millis(1_500),
+    renewal_age: Duration::from_millis(800),
+    // A store that is slow for everybody lets no owner read the jobs faster.
+    load_limit: Duration::from_secs(5),
+    // A store that loses single answers does so for longer than an owner may fall behind.
+    excuse_limit: Duration::from_secs(4),
+};
+
+/// Time within which the store has to show the jobs that the owner has not taken. An instance to
+/// which the store is slow would be no better owner.
+const PROOF_LIMIT: Duration = Duration::from_millis(100);
+
+/// Longest pause at random before an attempt, so that instances do not all read the same rows.
+const CONTENTION_PAUSE: Duration = Duration::from_millis(100);
+
+impl OwnerLoop {
+    /// Notes how far the owner is behind, if its newest pulse was not known.
+    pub(super) fn note_pulse(&self, rows: &mut OwnerRows) {
+        let Some(pulse) = &rows.pulse else {
+            return;
+        };
+        let now = BootClock.now();
+        let counted = pulse.counted.and_then(|counted| counted.at_ms);
+        let age = counted.and_then(|at_ms| self.health.clock.age(at_ms, now));
+        let report = RenewalReport {
+            epoch: pulse.epoch,
+            number: pulse.renewals,
+            age,
+            is_loaded: pulse.is_loaded,
+            is_excused: pulse.has_failed,
+        };
+        rows.lag.note(report, now);
+    }
+
+    /// Whether the owner lags, as far as its pulses show, and this instance could replace it.
+    pub(super) fn seems_lagging(&self, rows: &OwnerRows) -> bool {
+        let Some((row, _)) = &rows.epoch else {
+            return false;
+        };
+        rows.lag.is_lagging(row.epoch, BootClock.now())
+            && !self.peers.capacity.is_dwarfed_by(row.largest)
+    }
+
+    /// Whether the owner lags, and the store shows this instance at once what it has not taken.
+    pub(super) async fn confirm_lag(&self, rows: &mut OwnerRows) -> bool {
+        let pause = CONTENTION_PAUSE.mul_f64(rand::random::<f64>());
+        sleep(pause + self.seniority_pause()).await;
+        if let Err(error) = self.read_rows(rows).await {
+            warn!(self.logger, "ownership not read"; "error" => %error);
+            return false;
+        }
+        let counted = rows.present_pulse().and_then(|pulse| pulse.counted);
+        let Some(counted) = counted.filter(|_| self.seems_lagging(rows)) else {
+            return false;
+        };
+        let is_lagging = self.has_jobs_after(counted.version).await;
+        let epoch = rows.epoch.as_ref().map(|(row, _)| row.epoch);
+        info!(self.logger, "owner seems to lag"; "epoch" => epoch, "row" => counted.version, "is_confirmed" => is_lagging);
+        is_lagging
+    }
+
+    /// Whether jobs were accepted after a version.
+    async fn has_jobs_after(&self, version: u64) -> bool {
+        let request = FollowRequest {
+            table: StoreTable::Job,
+            after: version,
+            wait: Duration::ZERO,
+            margin: PROOF_LIMIT,
+        };
+        match (self.store.follow)(request).await {
+            Ok(FollowPage::Changes { rows, .. }) => rows.iter().any(|row| !row.is_deleted),
+            Ok(FollowPage::HistoryGone) => true,
+            Err(error) => {
+                warn!(self.logger, "jobs not read"; "after" => version, "error" => %error);
+                false
+            }
+        }
+    }
+}
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -174,6 +174,8 @@
             Some(TakeoverKind::Vacant)
         } else if matches!(action, LeaseAction::Acquire(_)) {
             Some(TakeoverKind::Expired)
+        } else if self.seems_lagging(rows) {
+            Some(TakeoverKind::Lagging)
         } else {
             None
         }
@@ -184,6 +186,7 @@
         for row in &event.rows {
             rows.take(row, &self.logger);
         }
+        self.note_pulse(rows);
         if let Some(pulse) = &rows.pulse {
             self.pulse.set(pulse.clone());
         }
@@ -192,7 +195,11 @@
     /// Takes the ownership, if nobody has renewed it since, and exercises it; false if the store
     /// failed or another instance was first.
     async fn try_lead(&mut self, rows: &mut OwnerRows, kind: TakeoverKind) -> bool {
-        if !self.confirm(rows).await {
+        let is_confirmed = match kind {
+            TakeoverKind::Lagging => self.confirm_lag(rows).await,
+            _ => self.confirm(rows).await,
+        };
+        if !is_confirmed {
             return false;
         }
         let Some((lease, pulse)) = self.take(rows).await else {
@@ -263,7 +270,7 @@
         let row = self.epoch_row(lease.epoch, larger.unwrap_or(lease.largest));
         *rows = OwnerRows {
             epoch: Some((row, lease.version)),
-            pulse: None,
+            ..OwnerRows::default()
         };
     }
 }
--- a/crates/jobs/src/owner/owner_rows.rs
+++ b/crates/jobs/src/owner/owner_rows.rs
@@ -1,14 +1,27 @@
-use sesamedeal_core::lease::LeaseRecord;
+use sesamedeal_core::lease::{LagWatch, LeaseRecord};
 use slog::{Logger, warn};
 
+use super::owner_lag::LAG_POLICY;
 use crate::ports::StoreRow;
 use crate::row_codec::{EPOCH_KEY, EpochRow, PULSE_KEY, PulseRow, decode};
 
 /// The rows of ownership as last read.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct OwnerRows {
     pub epoch: Option<(EpochRow, u64)>,
     pub pulse: Option<PulseRow>,
+    /// How far the owner is behind, by its pulses.
+    pub lag: LagWatch,
+}
+
+impl Default for OwnerRows {
+    fn default() -> Self {
+        Self {
+            epoch: None,
+            pulse: None,
+            lag: LagWatch::new(LAG_POLICY),
+        }
+    }
 }
 
 impl OwnerRows {
@@ -35,12 +48,17 @@
         row.is_some_and(|(row, _)| row.epoch == epoch && !row.is_released)
     }
 
-    pub(super) fn record(&self) -> Option<LeaseRecord> {
+    /// The newest pulse under the present epoch.
+    pub(super) fn present_pulse(&self) -> Option<&PulseRow> {
         let (epoch, _) = self.epoch.as_ref()?;
-        let pulse = self.pulse.as_ref();
-        let renewals = pulse
+        self.pulse
+            .as_ref()
             .filter(|pulse| pulse.epoch == epoch.epoch)
-            .map_or(0, |pulse| pulse.renewals);
+    }
+
+    pub(super) fn record(&self) -> Option<LeaseRecord> {
+        let (epoch, _) = self.epoch.as_ref()?;
+        let renewals = self.present_pulse().map_or(0, |pulse| pulse.renewals);
         Some(LeaseRecord {
             holder: epoch.holder,
             epoch: epoch.epoch,
--- a/crates/jobs/src/owner/record_keeping.rs
+++ b/crates/jobs/src/owner/record_keeping.rs
@@ -76,6 +76,8 @@
             } else {
                 self.intake.earlier_counted
             },
+            is_loaded: self.is_loaded,
+            has_failed: self.hand_over.has_failed(BootClock.now()),
             surges_ms: self.surges_ms(),
         }
     }
@@ -119,7 +121,7 @@
                 self.writer.fail();
                 self.writer.pulsed = TimePoint::ORIGIN;
                 self.write_after = BootClock.now().after(WRITE_RETRY);
-                self.hand_over.note_failure();
+                self.hand_over.note_failure(BootClock.now());
                 let kind = match error {
                     PlatformError::NoAnswer { .. } => "no-answer",
                     PlatformError::Unreachable { .. } => "unreachable",
--- a/crates/jobs/src/owner/takeover.rs
+++ b/crates/jobs/src/owner/takeover.rs
@@ -53,7 +53,7 @@
 
     /// Pause that lets instances which were started lately go first. While the instances are
     /// restarted in turn, they are the ones that stay.
-    fn seniority_pause(&self) -> Duration {
+    pub(super) fn seniority_pause(&self) -> Duration {
         let age = BootClock.now().since(self.started).min(SENIOR_AGE);
         SENIORITY_PAUSE.mul_f64(age.as_secs_f64() / SENIOR_AGE.as_secs_f64())
     }
@@ -85,6 +85,7 @@
         for row in &read {
             rows.take(row, &self.logger);
         }
+        self.note_pulse(rows);
         Ok(())
     }
 
--- a/crates/jobs/src/owner/takeover_kind.rs
+++ b/crates/jobs/src/owner/takeover_kind.rs
@@ -12,6 +12,8 @@
     Expired,
     /// The holder has offered it.
     HandedOver,
+    /// The holder renews it and does not take up the jobs that are accepted.
+    Lagging,
 }
 
 impl TakeoverKind {
@@ -21,6 +23,8 @@
             Self::Vacant => Duration::ZERO,
             Self::Expired => policy.extension.saturating_sub(policy.expiry),
             Self::HandedOver => OFFER_EXTENSION,
+            // Its last renewal may have been the moment before.
+            Self::Lagging => policy.extension,
         }
     }
 }
--- a/crates/jobs/src/owner/wave_keeper.rs
+++ b/crates/jobs/src/owner/wave_keeper.rs
@@ -90,7 +90,8 @@
         // Orders for instances are not fenced by the store: they need a fresh renewal.
         let policy = &self.parts.policy;
         let limit = policy.expiry.saturating_sub(policy.renewal);
-        if !self.parts.lease.is_younger(limit) || self.is_handing_over() {
+        let is_leaving = self.is_handing_over() || self.health.is_late;
+        if !self.parts.lease.is_younger(limit) || is_leaving {
             return;
         }
         let wanted = self.waves.wanted.load_full();
--- a/crates/jobs/src/row_codec.rs
+++ b/crates/jobs/src/row_codec.rs
@@ -54,6 +54,12 @@
     /// counts until a task of theirs starts.
     #[serde(default)]
     pub counted: Option<StorePosition>,
+    /// Whether the owner has read the jobs. Before that, it repeats the counts of the earlier one.
+    #[serde(default)]
+    pub is_loaded: bool,
+    /// Whether a write of the owner has failed lately, so that it may be behind because of the store.
+    #[serde(default)]
+    pub has_failed: bool,
     /// How long ago each pool began to surge last, in milliseconds.
     #[serde(default)]
     pub surges_ms: Vec<(PoolName, u64)>,
