Read the partitions of the table of jobs one by one when its changes do not come

Cause: after one late answer the follower dropped its position and then needed all 32 partitions within one deadline, again and again. It now sends the rows of each partition as they come and keeps its position until all were read; a partition without an answer does not count as a store that is down.

--- a/crates/jobs/src/feeds/table_follower.rs
+++ b/crates/jobs/src/feeds/table_follower.rs
@@ -1,8 +1,10 @@
 use std::time::Duration;
 
+use futures::StreamExt;
 use futures::future::try_join_all;
+use futures::stream::FuturesUnordered;
 use sesamedeal_store::{Result, backoff_delay};
-use slog::{Logger, info, warn};
+use slog::{Logger, debug, info, warn};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 
@@ -22,8 +24,8 @@
     /// Rows that have changed, or the whole table.
     pub rows: Vec<StoreRow>,
     pub is_snapshot: bool,
-    /// All earlier changes are known with these rows.
-    pub position: StorePosition,
+    /// Where the table stood if all earlier changes are known with these rows.
+    pub position: Option<StorePosition>,
 }
 
 /// Reads a table and then follows its changes.
@@ -67,7 +69,10 @@
                         warn!(self.logger, "store lost"; "table" => ?self.table, "after" => position, "error" => %error);
                     }
                     failures += 1;
-                    if self.pace.reads_at_once && position.take().is_some() {
+                    if self.pace.reads_at_once
+                        && let Some(after) = position
+                        && self.read_apart(after, &mut position, &events).await
+                    {
                         continue;
                     }
                     let delay = backoff_delay(failures - 1, rand::random());
@@ -85,7 +90,7 @@
         let begin = Instant::now();
         let (rows, position) = read_table(&self.store, self.table).await?;
         *slowness = begin.elapsed();
-        self.send(events, rows, true, position).await;
+        self.send(events, rows, true, Some(position)).await;
         Ok(Some(position.version))
     }
 
@@ -105,21 +110,62 @@
         match (self.store.follow)(request).await? {
             FollowPage::Changes { rows, position } => {
                 *slowness = begin.elapsed().saturating_sub(self.pace.wait);
-                self.send(events, rows, false, position).await;
+                self.send(events, rows, false, Some(position)).await;
                 Ok(Some(position.version.max(after)))
             }
             FollowPage::HistoryGone => Ok(None),
         }
     }
 
+    /// Reads the partitions side by side and sends the rows of each as they come, so that one
+    /// without an answer delays its own rows only. True if one was read; the position moves on when
+    /// all were.
+    async fn read_apart(
+        &self,
+        after: u64,
+        position: &mut Option<u64>,
+        events: &mpsc::Sender<TableEvent>,
+    ) -> bool {
+        let partitions = RowPartition::all(self.table, self.store.has_partitions);
+        let mut reads: FuturesUnordered<_> = partitions
+            .map(|partition| read_partition(&self.store, self.table, partition))
+            .collect();
+        let mut earliest: Option<StorePosition> = None;
+        let mut failed = 0;
+        let count = reads.len();
+        while let Some(result) = reads.next().await {
+            // Single partitions without an answer do not mean that the store is down.
+            if result.is_ok() || failed + 1 == count {
+                self.health.note(&result);
+            }
+            match result {
+                Ok((rows, first)) => {
+                    self.send(events, rows, false, None).await;
+                    earliest = Some(earlier(earliest, first));
+                }
+                Err(error) => {
+                    debug!(self.logger, "partition not read"; "table" => ?self.table, "error" => %error);
+                    failed += 1;
+                }
+            }
+        }
+        if failed > 0 {
+            info!(self.logger, "table partly read"; "table" => ?self.table, "after" => after, "partitions" => count, "failed" => failed);
+        } else if let Some(earliest) = earliest {
+            *position = Some(earliest.version.max(after));
+            self.send(events, Vec::new(), false, Some(earliest)).await;
+        }
+        failed < count
+    }
+
     async fn send(
         &self,
         events: &mpsc::Sender<TableEvent>,
         rows: Vec<StoreRow>,
         is_snapshot: bool,
-        position: StorePosition,
+        position: Option<StorePosition>,
     ) {
-        if let Some(at_ms) = position.at_ms {
+        if let Some(at_ms) = position.and_then(|position| position.at_ms) {
             self.health.clock.note(at_ms, BootClock.now());
         }
         let event = TableEvent {
@@ -144,14 +190,17 @@
     let mut position: Option<StorePosition> = None;
     for (read, first) in try_join_all(reads).await? {
         rows.extend(read);
-        let is_earlier = position.is_none_or(|position| first.version < position.version);
-        if is_earlier {
-            position = Some(first);
-        }
+        position = Some(earlier(position, first));
     }
     Ok((rows, position.unwrap_or_default()))
 }
 
+fn earlier(known: Option<StorePosition>, other: StorePosition) -> StorePosition {
+    known
+        .filter(|known| known.version <= other.version)
+        .unwrap_or(other)
+}
+
 /// Reads a partition; the position is that of the first page.
 async fn read_partition(
     store: &StorePort,
--- a/crates/jobs/src/owner/table_intake.rs
+++ b/crates/jobs/src/owner/table_intake.rs
@@ -23,7 +23,7 @@
         if is_snapshot && !self.is_loaded {
             info!(self.parts.logger, "jobs loaded"; "rows" => rows.len());
             self.intake.take(rows, &mut self.dispatcher);
-            self.intake.taken = Some(position);
+            self.intake.taken = position;
             self.is_loaded = true;
         } else if self
             .parts
@@ -31,10 +31,10 @@
             .is_younger(policy.expiry.saturating_sub(policy.renewal))
         {
             self.intake.take(rows, &mut self.dispatcher);
-            self.intake.taken = Some(position);
+            self.intake.taken = position.or(self.intake.taken);
         } else {
             self.intake.waiting.extend(rows);
-            self.intake.waiting_position = Some(position);
+            self.intake.waiting_position = position.or(self.intake.waiting_position);
         }
     }
 
