Let the expiry of an owner that lags run on

Found by review: an owner that had fallen behind and then fell silent was never replaced. Cause: each attempt to replace it for its lag, one each 0.3 s, began the 2 s of its expiry anew, also when the lag could not be shown because no job was accepted. Only attempts after an expiry begin it anew now. owner_lag::silent_laggard failed before (no takeover within twice the expiry).

--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -150,10 +150,14 @@
                 && is_turn
                 && retry_after <= BootClock.now()
             {
-                if !self.try_lead(&mut rows, kind).await {
+                let has_led = self.try_lead(&mut rows, kind).await;
+                if !has_led {
                     retry_after = BootClock.now().after(RETRY_PAUSE);
                 }
-                candidate = LeaseCandidate::new(self.session, policy);
+                // An owner that lags may fall silent: its expiry runs on.
+                if has_led || kind != TakeoverKind::Lagging {
+                    candidate = LeaseCandidate::new(self.session, policy);
+                }
             }
         }
         follower.abort();
--- a/crates/jobs/tests/common/memory_store.rs
+++ b/crates/jobs/tests/common/memory_store.rs
@@ -8,7 +8,7 @@
 use futures::FutureExt;
 use parking_lot::Mutex;
 use sesamedeal_jobs::ports::{
-    FollowPage, FollowRequest, RowChange, RowPage, RowPartition, RowRange, StorePort,
+    FollowPage, FollowRequest, RowChange, RowPage, RowPartition, RowPut, RowRange, StorePort,
     StorePosition, StoreRow, StoreTable, TransactOutcome,
 };
 use sesamedeal_store::{PlatformError, Result};
@@ -40,6 +40,8 @@
     pub silent_tables: Arc<Mutex<HashSet<StoreTable>>>,
     /// A partition of the jobs of which reads get no answer.
     pub silent_partition: Arc<Mutex<Option<RowPartition>>>,
+    /// Time that a change of the ownership or of its pulse takes longer.
+    pub owner_delay: Arc<Mutex<Duration>>,
     /// Changes that were made.
     pub transactions: Arc<AtomicU64>,
     /// Changes that were asked for.
@@ -71,6 +73,7 @@
             holds_changes: Arc::default(),
             silent_tables: Arc::default(),
             silent_partition: Arc::default(),
+            owner_delay: Arc::default(),
             transactions: Arc::default(),
             calls: Arc::default(),
         }
@@ -87,6 +90,7 @@
                 async move {
                     store.calls.fetch_add(1, Ordering::AcqRel);
                     store.be_silent().await?;
+                    store.delay_owner(&change).await;
                     store.transact(&change)
                 }
                 .boxed()
@@ -178,6 +182,14 @@
         Ok(())
     }
 
+    async fn delay_owner(&self, change: &RowChange) {
+        let is_owner = |put: &RowPut| put.row.table == StoreTable::Owner;
+        if change.puts.iter().any(is_owner) {
+            let delay = *self.owner_delay.lock();
+            sleep(delay).await;
+        }
+    }
+
     fn is_silent_table(&self, table: StoreTable) -> bool {
         self.silent_tables.lock().contains(&table)
     }
--- a/crates/jobs/tests/owner_lag.rs
+++ b/crates/jobs/tests/owner_lag.rs
@@ -6,8 +6,8 @@
 
 use common::{Stage, job, run_job, submit, wait_finished};
 use sesamedeal_core::jobs::JobId;
-use sesamedeal_jobs::SubmitOutcome;
 use sesamedeal_jobs::ports::{RowPartition, StoreTable};
+use sesamedeal_jobs::{OwnerPolicy, SubmitOutcome};
 use tokio::time::{Instant, sleep};
 
 /// Longest time for which a job that could run may have nothing running.
@@ -38,6 +38,26 @@
     assert!(begin.elapsed() < IDLE_LIMIT, "{:?}", begin.elapsed());
 }
 
+/// Guards against an owner that falls behind, then falls silent, and is never replaced: attempts to
+/// replace it for its lag began the time of its expiry anew.
+#[tokio::test]
+async fn silent_laggard() {
+    let stage = Stage::new(2);
+    let access = stage.store.separate_access();
+    let owner = stage.node_with("entry-1", &access);
+    run_job(&owner, 1).await;
+    let node = stage.node("entry-2");
+    run_job(&node, 2).await;
+    access.silent_tables.lock().insert(StoreTable::Job);
+    // No job is accepted that could show the lag, and a late pulse is seen.
+    sleep(Duration::from_millis(2_500)).await;
+    let watched = owner.suspend();
+    let expiry = OwnerPolicy::default().expiry;
+    sleep(expiry * 2).await;
+    assert_eq!(node.metrics().epoch(), 2, "not replaced");
+    drop(watched);
+}
+
 /// Guards against one silent partition of the store that keeps the jobs of all others waiting.
 #[tokio::test]
 async fn silent_partition() {
