Judge an owner's lag by its own measure, and let a successor stay

Found by review: with writes of the ownership that take 850 ms for everybody the ownership changed hands 8 times in 20 s. Cause: the age of what an owner had taken up included the time that its pulse was on its way, and the proof, a job after the published version, nearly always succeeds under traffic. The pulse now carries the age when it was made, so that slow writes are no lag; and the successor of an owner that lagged is not replaced for the same reason within 3 s. owner_lag::slow_writes failed before (replaced); lag_watch::slow_successor is new.

--- a/crates/core/src/lease/lag_watch.rs
+++ b/crates/core/src/lease/lag_watch.rs
@@ -7,9 +7,12 @@
 pub struct LagPolicy {
     /// Age of what an owner has taken up from which it lags.
     pub limit: Duration,
-    /// Least age at which its newest renewal was seen. A renewal that was in time says nothing of
+    /// Least age when the owner made its newest renewal. A renewal that was in time says nothing of
     /// what came later: the store may be away for everybody.
     pub renewal_age: Duration,
+    /// Time for which the successor of an owner that lagged is not replaced for the same reason, so
+    /// that the ownership does not change hands again and again while all are slow.
+    pub tenure: Duration,
     /// Time for which a new owner may read what there is.
     pub load_limit: Duration,
     /// Longest time for which failures of the store excuse an owner.
@@ -23,7 +26,8 @@
     pub epoch: u64,
     /// Its number under this epoch.
     pub number: u64,
-    /// Age of what the owner has taken up; none if that is not known.
+    /// Age of what the owner had taken up when it made the renewal, without the time that the
+    /// renewal was on its way; none if that is not known.
     pub age: Option<Duration>,
     /// Whether the owner has read what there was when it began.
     pub is_loaded: bool,
@@ -38,6 +42,8 @@
     epoch: u64,
     /// When the epoch was seen first.
     begun: TimePoint,
+    /// Whether the owner before this one lagged.
+    follows_lag: bool,
     /// Newest renewal, and when it was seen.
     newest: Option<(RenewalReport, TimePoint)>,
     /// Since when all renewals are excused.
@@ -52,6 +58,7 @@
             policy,
             epoch: 0,
             begun: TimePoint::ORIGIN,
+            follows_lag: false,
             newest: None,
             excused: None,
         }
@@ -63,6 +70,7 @@
             *self = Self {
                 epoch: report.epoch,
                 begun: now,
+                follows_lag: self.is_lagging(self.epoch, now),
                 ..Self::new(self.policy)
             };
         }
@@ -80,8 +88,12 @@
         let Some((newest, seen)) = self.newest.filter(|_| self.epoch == epoch) else {
             return false;
         };
+        let held = now.since(self.begun);
         if !newest.is_loaded {
-            return now.since(self.begun) >= self.policy.load_limit;
+            return held >= self.policy.load_limit;
+        }
+        if self.follows_lag && held < self.policy.tenure {
+            return false;
         }
         let excuse = self.policy.excuse_limit;
         if self.excused.is_some_and(|since| now.since(since) < excuse) {
--- a/crates/core/tests/lag_watch.rs
+++ b/crates/core/tests/lag_watch.rs
@@ -8,6 +8,7 @@
 const POLICY: LagPolicy = LagPolicy {
     limit: Duration::from_millis(1_500),
     renewal_age: Duration::from_millis(800),
+    tenure: Duration::from_secs(3),
     load_limit: Duration::from_secs(5),
     excuse_limit: Duration::from_secs(4),
 };
@@ -39,6 +40,21 @@
     assert!(!watch.is_lagging(2, at(2_200)), "another owner");
 }
 
+/// Guards against an ownership that changes hands again and again while all instances are slow.
+#[test]
+fn slow_successor() {
+    let mut watch = LagWatch::new(POLICY);
+    watch.note(renewal(1, 2_000), at(1_000));
+    assert!(watch.is_lagging(1, at(1_000)));
+    let slow = RenewalReport {
+        epoch: 2,
+        ..renewal(1, 2_000)
+    };
+    watch.note(slow, at(1_500));
+    assert!(!watch.is_lagging(2, at(4_400)));
+    assert!(watch.is_lagging(2, at(4_500)));
+}
+
 /// Guards against a change of the owner in an outage of the store for everybody, and right after
 /// it, when every owner is behind.
 #[test]
--- a/crates/jobs/src/owner/owner_health.rs
+++ b/crates/jobs/src/owner/owner_health.rs
@@ -38,6 +38,12 @@
         self.parts.health.clock.age(at_ms, now)
     }
 
+    /// The same in milliseconds.
+    pub(super) fn intake_age_ms(&self, now: TimePoint) -> Option<u64> {
+        let age = self.intake_age(now)?;
+        Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+    }
+
     /// Notes how old the owner's knowledge of jobs is.
     pub(super) fn note_intake_age(&mut self, now: TimePoint) {
         let Some(age) = self.intake_age(now) else {
--- a/crates/jobs/src/owner/owner_lag.rs
+++ b/crates/jobs/src/owner/owner_lag.rs
@@ -12,11 +12,13 @@
 use crate::BootClock;
 use crate::ports::{FollowPage, FollowRequest, StoreTable};
 
-/// An owner in time has taken up what was accepted 0.4 s before its renewal is seen: it reads the
-/// table each 0.3 s. It renews each 0.5 s.
+/// An owner in time makes its pulse when it has taken up what was accepted 0.4 s before: it reads
+/// the table each 0.3 s. It renews each 0.5 s.
 pub(super) const LAG_POLICY: LagPolicy = LagPolicy {
     limit: Duration::from_millis(1_500),
     renewal_age: Duration::from_millis(800),
+    // Below the time after which an instance may have orders of one owner after those of another.
+    tenure: Duration::from_secs(3),
     // A store that is slow for everybody lets no owner read the jobs faster.
     load_limit: Duration::from_secs(5),
     // A store that loses single answers does so for longer than an owner may fall behind.
@@ -36,17 +38,14 @@
         let Some(pulse) = &rows.pulse else {
             return;
         };
-        let now = BootClock.now();
-        let counted = pulse.counted.and_then(|counted| counted.at_ms);
-        let age = counted.and_then(|at_ms| self.health.clock.age(at_ms, now));
         let report = RenewalReport {
             epoch: pulse.epoch,
             number: pulse.renewals,
-            age,
+            age: pulse.counted_age_ms.map(Duration::from_millis),
             is_loaded: pulse.is_loaded,
             is_excused: pulse.has_failed,
         };
-        rows.lag.note(report, now);
+        rows.lag.note(report, BootClock.now());
     }
 
     /// Whether the owner lags, as far as its pulses show, and this instance could replace it.
--- a/crates/jobs/src/owner/record_keeping.rs
+++ b/crates/jobs/src/owner/record_keeping.rs
@@ -76,6 +76,7 @@
             } else {
                 self.intake.earlier_counted
             },
+            counted_age_ms: self.intake_age_ms(BootClock.now()),
             is_loaded: self.is_loaded,
             has_failed: self.hand_over.has_failed(BootClock.now()),
             surges_ms: self.surges_ms(),
--- a/crates/jobs/src/row_codec.rs
+++ b/crates/jobs/src/row_codec.rs
@@ -54,6 +54,10 @@
     /// counts until a task of theirs starts.
     #[serde(default)]
     pub counted: Option<StorePosition>,
+    /// How old that was when the pulse was made, in milliseconds, as the owner estimates it; none if
+    /// that is not known.
+    #[serde(default)]
+    pub counted_age_ms: Option<u64>,
     /// Whether the owner has read the jobs. Before that, it repeats the counts of the earlier one.
     #[serde(default)]
     pub is_loaded: bool,
--- a/crates/jobs/tests/owner_lag.rs
+++ b/crates/jobs/tests/owner_lag.rs
@@ -58,6 +58,23 @@
     drop(watched);
 }
 
+/// Guards against an ownership that changes hands again and again while writes of the owner are
+/// slow for everybody.
+#[tokio::test]
+async fn slow_writes() {
+    let stage = Stage::new(2);
+    let first = stage.node("entry-1");
+    run_job(&first, 1).await;
+    let second = stage.node("entry-2");
+    run_job(&second, 2).await;
+    *stage.store.owner_delay.lock() = Duration::from_millis(850);
+    for id in 10..60 {
+        submit(&second, id, &job(1, false)).await;
+        sleep(Duration::from_millis(150)).await;
+    }
+    assert_eq!(first.metrics().epoch(), 1, "replaced");
+}
+
 /// Guards against one silent partition of the store that keeps the jobs of all others waiting.
 #[tokio::test]
 async fn silent_partition() {
