Take the ownership only with the newest pulse

Found by review: an owner that lags goes on to renew, so that a newer pulse could be stored between the read and the takeover; the successor then went by an older list of workers out of reach, and could start tasks elsewhere before the lease of a worker that the earlier owner had reached again. The takeover is now conditional on the version of the pulse that was read. A pulse that cannot be decoded counts by its version, so that it keeps nobody from taking over (ownership::unusable_pulse). The race itself has no test: it needs a write between two reads of one process.

--- a/crates/jobs/src/owner/owner_rows.rs
+++ b/crates/jobs/src/owner/owner_rows.rs
@@ -10,6 +10,8 @@
 pub(super) struct OwnerRows {
     pub epoch: Option<(EpochRow, u64)>,
     pub pulse: Option<PulseRow>,
+    /// Version of the row of the pulse; 0 if none was read.
+    pub pulse_version: u64,
     /// How far the owner is behind, by its pulses.
     pub lag: LagWatch,
 }
@@ -19,6 +21,7 @@
         Self {
             epoch: None,
             pulse: None,
+            pulse_version: 0,
             lag: LagWatch::new(LAG_POLICY),
         }
     }
@@ -29,9 +32,15 @@
     /// owns the pools are older than what it wrote itself.
     pub(super) fn take(&mut self, row: &StoreRow, logger: &Logger) {
         let known = self.epoch.as_ref().map_or(0, |(_, version)| *version);
-        if row.key == EPOCH_KEY && row.version <= known {
+        let is_old_pulse = row.key == PULSE_KEY && row.version < self.pulse_version;
+        if (row.key == EPOCH_KEY && row.version <= known) || is_old_pulse {
             return;
         }
+        if row.key == PULSE_KEY {
+            // A pulse that cannot be used must not keep successors from taking over.
+            self.pulse = None;
+            self.pulse_version = row.version;
+        }
         let result = match row.key.as_str() {
             EPOCH_KEY => decode(&row.value).map(|epoch| self.epoch = Some((epoch, row.version))),
             PULSE_KEY => decode(&row.value).map(|pulse| self.pulse = Some(pulse)),
--- a/crates/jobs/src/owner/takeover.rs
+++ b/crates/jobs/src/owner/takeover.rs
@@ -15,7 +15,7 @@
 use crate::BootClock;
 use crate::feeds::read_table;
 use crate::ports::{RowChange, RowName, StoreTable, TransactOutcome};
-use crate::row_codec::{EPOCH_KEY, EpochRow, PulseRow, encode};
+use crate::row_codec::{EPOCH_KEY, EpochRow, PULSE_KEY, PulseRow, encode};
 
 /// Longest pause before an attempt to take the ownership, as a multiple of the time that the store
 /// takes for a read. About eight entry instances compete.
@@ -118,8 +118,14 @@
             largest.max(own)
         };
         let row = self.epoch_row(epoch, largest);
+        let mut conditions = vec![condition(StoreTable::Owner, EPOCH_KEY, version)];
+        if rows.pulse_version > 0 {
+            // The successor goes by the pulse: what may run on workers out of reach is there.
+            let version = rows.pulse_version;
+            conditions.push(condition(StoreTable::Owner, PULSE_KEY, version));
+        }
         let change = RowChange {
-            conditions: vec![condition(StoreTable::Owner, EPOCH_KEY, version)],
+            conditions,
             puts: vec![put(
                 RowName::new(StoreTable::Owner, EPOCH_KEY),
                 encode(&row),
--- a/crates/jobs/tests/ownership.rs
+++ b/crates/jobs/tests/ownership.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use common::{Stage, job, run_job, submit, wait_finished, wait_until};
+use sesamedeal_jobs::ports::StoreTable;
 use tokio::time::{Instant, sleep};
 
 /// Guards against lasting tasks that are started again, or jobs that stand still, when the owner
@@ -53,6 +54,21 @@
     );
 }
 
+/// Guards against pools without an owner because a pulse cannot be read: it may be that of a later
+/// version of the software.
+#[tokio::test]
+async fn unusable_pulse() {
+    let stage = Stage::new(1);
+    let first = stage.node("entry-1");
+    run_job(&first, 1).await;
+    let second = stage.node("entry-2");
+    run_job(&second, 2).await;
+    let _watched = first.suspend();
+    stage.store.put(StoreTable::Owner, "pulse", b"\xff\x00");
+    run_job(&second, 3).await;
+    assert_eq!(stage.epochs(), HashSet::from([1, 2]));
+}
+
 /// Guards against pools without an owner after the owner died silently.
 #[tokio::test]
 async fn expired_owner() {
