Follow a clock of the store that starts anew

Found by review: had the store's clock been set back, every count would have looked minutes old for up to 20 s, owners would have ordered no instances and would have been replaced for lag.

--- a/crates/jobs/src/store_clock.rs
+++ b/crates/jobs/src/store_clock.rs
@@ -4,9 +4,13 @@
 use parking_lot::Mutex;
 use sesamedeal_core::time::TimePoint;
 
-/// Time for which a difference between the clocks counts. They drift apart.
+/// Time for which a difference between the clocks counts at least. They drift apart.
 const OFFSET_WINDOW: Duration = Duration::from_secs(10);
 
+/// Time by which a reading lags behind the estimate if the store's clock was set back: no answer is
+/// waited for that long.
+const RESTART_LAG: i64 = 30_000;
+
 /// Estimates the store's clock from the readings that its answers carry.
 ///
 /// An answer has been on its way for some time when it is read, so that the least difference
@@ -24,11 +28,23 @@
     previous: Option<i64>,
 }
 
+impl OffsetWindow {
+    fn least(&self) -> Option<i64> {
+        self.present.into_iter().chain(self.previous).min()
+    }
+}
+
 impl StoreClock {
     /// Notes an answer that was received at `received` and carried the reading `at_ms`.
     pub fn note(&self, at_ms: u64, received: TimePoint) {
         let offset = difference(millis(received), at_ms);
         let mut offsets = self.offsets.lock();
+        if offsets
+            .least()
+            .is_some_and(|least| offset > least + RESTART_LAG)
+        {
+            *offsets = OffsetWindow::default();
+        }
         if received.since(offsets.since) >= OFFSET_WINDOW {
             offsets.previous = offsets.present.take();
             offsets.since = received;
@@ -37,12 +53,11 @@
         offsets.present = Some(least);
     }
 
-    /// Time since the store's clock showed `at_ms`, at least; none before the first answer.
+    /// Time since the store's clock showed `at_ms`, less the time of the quickest answer on its way;
+    /// none before the first answer.
     #[must_use]
     pub fn age(&self, at_ms: u64, now: TimePoint) -> Option<Duration> {
-        let offsets = self.offsets.lock();
-        let least = offsets.present.into_iter().chain(offsets.previous).min()?;
-        drop(offsets);
+        let least = self.offsets.lock().least()?;
         let age = difference(millis(now), at_ms).saturating_sub(least);
         Some(Duration::from_millis(u64::try_from(age).unwrap_or(0)))
     }
