Keep the state of a late owner for a second

Found by review: the age of the jobs that were considered falls with each answer of the store, so that half of the limit was no hysteresis: a late owner ordered instances and logged a change of its state between two answers. It now counts as in time after a second without lateness.

--- a/crates/jobs/src/owner/owner_health.rs
+++ b/crates/jobs/src/owner/owner_health.rs
@@ -9,6 +9,10 @@
 /// without a new job, and a slow store takes 0.25 s for a call.
 const LATE_AGE: Duration = Duration::from_secs(1);
 
+/// Time without lateness after which jobs count as taken in time. The age falls with each answer of
+/// the store, also at an owner that goes on to fall behind.
+const CALM_TIME: Duration = Duration::from_secs(1);
+
 /// How far the owner is behind.
 #[derive(Debug, Default)]
 pub(super) struct OwnerHealth {
@@ -16,8 +20,10 @@
     round: Option<TimePoint>,
     /// Time by which the last round came late.
     lateness: Duration,
-    /// Whether jobs are taken late. The owner gives no orders for instances then: a successor may
-    /// give some at any moment, and demand that is not known looks like no demand.
+    /// When jobs were taken late last.
+    late: Option<TimePoint>,
+    /// Whether jobs are taken late. Waves and sizes of pools pause then: a successor may give orders
+    /// for instances at any moment, and demand that is not known looks like no demand.
     pub(super) is_late: bool,
 }
 
@@ -50,12 +56,13 @@
             return;
         };
         self.parts.metrics.set_intake_age(age);
-        // Half of the age, so that the state does not change back and forth.
-        let is_late = if self.health.is_late {
-            age >= LATE_AGE / 2
-        } else {
-            age >= LATE_AGE
-        };
+        if age >= LATE_AGE {
+            self.health.late = Some(now);
+        }
+        let is_late = self
+            .health
+            .late
+            .is_some_and(|late| now.since(late) < CALM_TIME);
         if is_late == self.health.is_late {
             return;
         }
