Count an instance that the inventory does not list as out of its wave

Found by review: more instances of a wave could be out at once than its limit (LIMIT). Cause: an instance in maintenance that was missing from the list counted as back, so that not known looked like up. It now goes on counting as out until a list shows it as up.

WaveProgress moves to its own file.

--- a/crates/jobs/src/owner/mod.rs
+++ b/crates/jobs/src/owner/mod.rs
@@ -26,6 +26,7 @@
 mod takeover_kind;
 mod wave_keeper;
 mod wave_orders;
+mod wave_progress;
 mod worker_calls;
 mod worker_links;
 
--- a/crates/jobs/src/owner/wave_keeper.rs
+++ b/crates/jobs/src/owner/wave_keeper.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use sesamedeal_core::ids::InstanceName;
@@ -7,6 +7,7 @@
 use slog::{info, warn};
 
 use super::owner_actor::OwnerActor;
+use super::wave_progress::{OutInstance, UpkeepClaim, WaveProgress};
 use crate::BootClock;
 use crate::feeds::WaveList;
 use crate::ports::{InstanceState, RowPut};
@@ -16,36 +17,6 @@
 /// ran has lost its lease by then.
 const UNKNOWN_PATIENCE: Duration = Duration::from_secs(7);
 
-/// State of the order for an instance.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum UpkeepClaim {
-    /// The claim is not stored yet. An order before that could be unknown to a successor.
-    Unstored,
-    /// An earlier owner may have sent the order. It is sent again once the instance is empty.
-    Inherited(TimePoint),
-    /// The order is due.
-    Due(TimePoint),
-    /// The order is under way.
-    Ordering,
-}
-
-/// Progress of a wave.
-#[derive(Debug, Default)]
-pub(super) struct WaveProgress {
-    /// Instances whose maintenance has begun, or that are no longer part of the wave.
-    pub(super) done: HashSet<InstanceName>,
-    /// Instances that are emptied, and since when.
-    pub(super) emptied: HashMap<InstanceName, TimePoint>,
-    /// Instances that are down, and when their order was accepted.
-    pub(super) out: HashMap<InstanceName, TimePoint>,
-    /// Instances whose order was sent or is about to be. They count as down until the order has an
-    /// answer.
-    pub(super) claimed: HashMap<InstanceName, UpkeepClaim>,
-    pub(super) status_version: u64,
-    pub(super) is_writing_status: bool,
-    pub(super) written: Option<bool>,
-}
-
 /// Carries out maintenance waves.
 #[derive(Debug)]
 pub(crate) struct WaveKeeper {
@@ -68,7 +39,11 @@
     pub(crate) fn restore(&mut self, wave: u64, row: WaveRow, now: TimePoint) {
         let progress = self.waves.entry(wave).or_default();
         // Whether they are back shows in the inventory.
-        progress.out = row.done.iter().map(|name| (name.clone(), now)).collect();
+        progress.out = row
+            .done
+            .iter()
+            .map(|name| (name.clone(), OutInstance::new(now)))
+            .collect();
         progress.done.extend(row.done);
         let claimed = row.claimed.into_iter();
         progress.claimed = claimed
@@ -276,12 +251,15 @@
 
     /// Notes which instances are back.
     pub(super) fn settle_waves(&mut self, sent: TimePoint) {
-        let inventory = &self.inventory.reports;
-        for progress in self.waves.waves.values_mut() {
-            progress.out.retain(|name, since| {
-                let report = inventory.get(name);
-                let is_back = report.is_none_or(|report| report.state == InstanceState::Up);
-                *since >= sent || !is_back
+        let reports = &self.inventory.reports;
+        for (wave, progress) in &mut self.waves.waves {
+            progress.out.retain(|name, entry| {
+                let state = reports.get(name).map(|report| report.state);
+                let is_out = entry.note_listed(state, sent);
+                if !is_out && state.is_none() {
+                    warn!(self.parts.logger, "instance has left"; "wave" => wave, "instance" => %name);
+                }
+                is_out
             });
         }
     }
--- a/crates/jobs/src/owner/wave_orders.rs
+++ b/crates/jobs/src/owner/wave_orders.rs
@@ -9,7 +9,8 @@
 use super::OwnerEvent;
 use super::owner_actor::OwnerActor;
 use super::record_writer::put;
-use super::wave_keeper::{UpkeepClaim, wave_key};
+use super::wave_keeper::wave_key;
+use super::wave_progress::{OutInstance, UpkeepClaim};
 use crate::BootClock;
 use crate::ports::{
     InstanceOrder, OrderOutcome, RowChange, RowCondition, RowName, StoreTable, TransactOutcome,
@@ -53,7 +54,7 @@
             Ok(OrderOutcome::Accepted) => {
                 progress.claimed.remove(instance);
                 progress.done.insert(instance.clone());
-                progress.out.insert(instance.clone(), now);
+                progress.out.insert(instance.clone(), OutInstance::new(now));
                 self.store_progress(wave);
             }
             Ok(OrderOutcome::Fenced) => self.step_down("an instance has seen a later epoch"),
--- a/crates/jobs/tests/common/memory_fleet.rs
+++ b/crates/jobs/tests/common/memory_fleet.rs
@@ -12,12 +12,22 @@
 
 use super::{MemoryStore, MemoryWorkers};
 
-/// Time that maintenance takes.
+/// Time that maintenance takes unless a test sets it.
 const MAINTENANCE: Duration = Duration::from_millis(400);
 
+/// Faults of the inventory.
+#[derive(Debug, Default)]
+pub struct FleetFaults {
+    /// Whether instances are left out of the list during their maintenance.
+    pub omits_maintained: bool,
+    /// An instance that is left out of the list.
+    pub omitted: Option<InstanceName>,
+}
+
 #[derive(Debug)]
 struct Inventory {
     count: usize,
+    maintenance: Duration,
     out: BTreeMap<InstanceName, Instant>,
     /// Orders in their sequence.
     orders: Vec<InstanceName>,
@@ -32,12 +42,14 @@
     store: MemoryStore,
     workers: MemoryWorkers,
     inventory: Arc<Mutex<Inventory>>,
+    pub faults: Arc<Mutex<FleetFaults>>,
 }
 
 impl MemoryFleet {
     pub fn new(count: usize, store: MemoryStore, workers: MemoryWorkers) -> Self {
         let inventory = Inventory {
             count,
+            maintenance: MAINTENANCE,
             out: BTreeMap::new(),
             orders: Vec::new(),
             most_out: 0,
@@ -47,9 +59,15 @@
             store,
             workers,
             inventory: Arc::new(Mutex::new(inventory)),
+            faults: Arc::default(),
         }
     }
 
+    /// Sets the time that maintenance takes.
+    pub fn set_maintenance(&self, time: Duration) {
+        self.inventory.lock().maintenance = time;
+    }
+
     /// Maintained instances in sequence, and the most that were out at once.
     pub fn maintained(&self) -> (Vec<InstanceName>, usize) {
         let inventory = self.inventory.lock();
@@ -77,6 +95,7 @@
 
     fn list(&self) -> Vec<InstanceReport> {
         let inventory = self.inventory.lock();
+        let faults = self.faults.lock();
         let reports = (0..inventory.count).map(|number| {
             let name = InstanceName::new(format!("machine-{number}"));
             let until = inventory.out.get(&name);
@@ -92,16 +111,20 @@
                 worker: Some(InstanceName::new(format!("worker-{number}"))),
             }
         });
-        reports.collect()
+        let listed = reports.filter(|report| {
+            let is_omitted = faults.omitted.as_ref() == Some(&report.name);
+            let is_out = report.state == InstanceState::Maintained;
+            !(is_omitted || faults.omits_maintained && is_out)
+        });
+        listed.collect()
     }
 
     fn order(&self, order: &InstanceOrder) -> OrderOutcome {
         let mut inventory = self.inventory.lock();
         let now = Instant::now();
         inventory.orders.push(order.instance.clone());
-        inventory
-            .out
-            .insert(order.instance.clone(), now + MAINTENANCE);
+        let until = now + inventory.maintenance;
+        inventory.out.insert(order.instance.clone(), until);
         let out = inventory.out.values().filter(|until| now < **until).count();
         inventory.most_out = inventory.most_out.max(out);
         let number = &order.instance.as_str()["machine-".len()..];
