Order nothing for instances on the ground of an old inventory

Found by review: moves and maintenance were decided on an inventory of any age. Cause: the time of the last reading advanced with each attempt, also with those that failed, and the reports had no age. While the inventory could not be read, instances were emptied, moved and maintained by a state of long ago. The time of the reading that brought the reports is now kept apart; above 4 s (it is read each 2 s at least, and a call has 1.5 s) no instance is emptied or ordered, and orders without an answer are not repeated. Readings and the status of waves go on. An inventory whose pages take more than 4 s together is never young enough.

Operators see "orders for instances pause" and "orders for instances go on" with the age, and the metric sesamedeal_inventory_age_seconds.

--- a/crates/jobs/src/job_metrics.rs
+++ b/crates/jobs/src/job_metrics.rs
@@ -22,6 +22,7 @@
     count_ages: Histogram,
     rounds: Histogram,
     intake_age: Gauge,
+    inventory_age: Gauge,
     epoch: IntGauge,
     open_jobs: IntGauge,
 }
@@ -54,14 +55,13 @@
                 .expect("names of metrics are used once");
             histogram
         };
-        let intake_age = Gauge::new(
-            "sesamedeal_intake_age_seconds",
-            "Age of the newest state of the table of jobs that the owner has considered",
-        )
-        .expect("names of metrics are valid");
-        registry
-            .register(Box::new(intake_age.clone()))
-            .expect("names of metrics are used once");
+        let age = |name: &str, help: &str| {
+            let gauge = Gauge::new(name, help).expect("names of metrics are valid");
+            registry
+                .register(Box::new(gauge.clone()))
+                .expect("names of metrics are used once");
+            gauge
+        };
         Self {
             submissions: counter(
                 "sesamedeal_job_submissions_total",
@@ -104,7 +104,14 @@
                 "sesamedeal_owner_round_lateness_seconds",
                 "Time by which rounds of the owner's decisions came late",
             ),
-            intake_age,
+            intake_age: age(
+                "sesamedeal_intake_age_seconds",
+                "Age of the newest state of the table of jobs that the owner has considered",
+            ),
+            inventory_age: age(
+                "sesamedeal_inventory_age_seconds",
+                "Age of the inventory of instances that the owner has read last",
+            ),
             registry,
         }
     }
@@ -141,6 +148,10 @@
         self.intake_age.set(age.as_secs_f64());
     }
 
+    pub(crate) fn set_inventory_age(&self, age: Duration) {
+        self.inventory_age.set(age.as_secs_f64());
+    }
+
     pub(crate) fn count_start(&self, outcome: &str) {
         self.starts.with_label_values(&[outcome]).inc();
     }
--- a/crates/jobs/src/owner/inventory_view.rs
+++ b/crates/jobs/src/owner/inventory_view.rs
@@ -4,7 +4,7 @@
 use sesamedeal_core::ids::InstanceName;
 use sesamedeal_core::time::TimePoint;
 use sesamedeal_store::Result;
-use slog::warn;
+use slog::{info, warn};
 
 use super::OwnerEvent;
 use super::owner_actor::OwnerActor;
@@ -15,13 +15,21 @@
 /// earlier owner may have started.
 const READ_RETRY: Duration = Duration::from_millis(300);
 
+/// Age of the inventory above which the owner orders nothing for instances. It is read each 2 s at
+/// least, and a call has 1.5 s, so that an older one means that reads fail or are very slow.
+const ORDER_LIMIT: Duration = Duration::from_secs(4);
+
 /// The inventory as it was read last.
 #[derive(Debug)]
 pub(crate) struct InventoryView {
     pub fleet: FleetPort,
     pub reports: HashMap<InstanceName, InstanceReport>,
-    /// When the read was sent.
+    /// When the last read was sent, whatever came of it.
     pub sent: TimePoint,
+    /// When the read was sent that brought these reports; before the first, when this owner began.
+    known: TimePoint,
+    /// Whether the reports are too old for orders.
+    is_old: bool,
     is_reading: bool,
     /// When to read again after a failure.
     retry: Option<TimePoint>,
@@ -33,10 +41,17 @@
             fleet,
             reports: HashMap::new(),
             sent: TimePoint::ORIGIN,
+            known: BootClock.now(),
+            is_old: false,
             is_reading: false,
             retry: None,
         }
     }
+
+    /// Whether orders for instances may be based on the reports.
+    pub(super) fn is_usable(&self) -> bool {
+        !self.is_old && !self.reports.is_empty()
+    }
 }
 
 impl OwnerActor {
@@ -69,6 +84,7 @@
         match outcome {
             Ok(reports) => {
                 self.inventory.retry = None;
+                self.inventory.known = sent;
                 let reports = reports.into_iter();
                 self.inventory.reports = reports
                     .map(|report| (report.name.clone(), report))
@@ -84,6 +100,23 @@
         }
     }
 
+    /// Notes how old the inventory is, and whether orders pause for that.
+    pub(super) fn note_inventory_age(&mut self, now: TimePoint) {
+        let age = now.since(self.inventory.known);
+        self.parts.metrics.set_inventory_age(age);
+        let is_old = age > ORDER_LIMIT;
+        if is_old == self.inventory.is_old {
+            return;
+        }
+        self.inventory.is_old = is_old;
+        let age_ms = age.as_millis();
+        if is_old {
+            warn!(self.parts.logger, "orders for instances pause"; "inventory_age_ms" => age_ms);
+        } else {
+            info!(self.parts.logger, "orders for instances go on"; "inventory_age_ms" => age_ms);
+        }
+    }
+
     fn note_up(&mut self) {
         let reports = self.inventory.reports.values();
         let up = reports.filter(|report| report.state == InstanceState::Up);
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -154,7 +154,7 @@
         }
         let now = BootClock.now();
         self.note_round(now);
-        self.note_intake_age(now);
+        self.note_ages(now);
         self.take_rules();
         self.read_inventory(false, now);
         if self.is_loaded {
--- a/crates/jobs/src/owner/owner_health.rs
+++ b/crates/jobs/src/owner/owner_health.rs
@@ -44,8 +44,14 @@
         Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
     }
 
+    /// Notes how old what the owner knows is.
+    pub(super) fn note_ages(&mut self, now: TimePoint) {
+        self.note_intake_age(now);
+        self.note_inventory_age(now);
+    }
+
     /// Notes how old the owner's knowledge of jobs is.
-    pub(super) fn note_intake_age(&mut self, now: TimePoint) {
+    fn note_intake_age(&mut self, now: TimePoint) {
         let Some(age) = self.intake_age(now) else {
             return;
         };
--- a/crates/jobs/src/owner/pool_keeper.rs
+++ b/crates/jobs/src/owner/pool_keeper.rs
@@ -96,8 +96,11 @@
 
     /// Decides about the sizes of the pools and orders moves.
     pub(super) fn size_pools(&mut self, now: TimePoint) {
+        if !self.inventory.is_usable() {
+            return;
+        }
         self.repeat_moves(now);
-        if now < self.pools.next_round || self.inventory.reports.is_empty() {
+        if now < self.pools.next_round {
             return;
         }
         self.pools.next_round = now.after(SIZE_PERIOD);
--- a/crates/jobs/src/owner/wave_keeper.rs
+++ b/crates/jobs/src/owner/wave_keeper.rs
@@ -101,7 +101,7 @@
         if is_finished {
             return !is_written;
         }
-        if self.inventory.reports.is_empty() {
+        if !self.inventory.is_usable() {
             return true;
         }
         self.note_due(wave);
--- a/crates/jobs/tests/common/memory_fleet.rs
+++ b/crates/jobs/tests/common/memory_fleet.rs
@@ -8,6 +8,7 @@
 use sesamedeal_jobs::ports::{
     FleetPort, InstanceOrder, InstanceReport, InstanceState, OrderOutcome, StoreTable,
 };
+use sesamedeal_store::PlatformError;
 use tokio::time::Instant;
 
 use super::{MemoryStore, MemoryWorkers};
@@ -20,6 +21,8 @@
 pub struct FleetFaults {
     /// Whether instances are left out of the list during their maintenance.
     pub omits_maintained: bool,
+    /// Whether the list is refused.
+    pub is_list_refused: bool,
     /// An instance that is left out of the list.
     pub omitted: Option<InstanceName>,
 }
@@ -83,8 +86,14 @@
         let (lists, orders) = (self.clone(), self.clone());
         FleetPort {
             list: Arc::new(move |()| {
-                let reports = lists.list();
-                async move { Ok(reports) }.boxed()
+                let outcome = if lists.faults.lock().is_list_refused {
+                    Err(PlatformError::Unreachable {
+                        reason: "refused".to_owned(),
+                    })
+                } else {
+                    Ok(lists.list())
+                };
+                async move { outcome }.boxed()
             }),
             order: Arc::new(move |order| {
                 let outcome = orders.order(&order);
--- a/crates/jobs/tests/inventory_gaps.rs
+++ b/crates/jobs/tests/inventory_gaps.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{Stage, run_job, wait_until};
+use common::{Stage, StageNode, run_job, wait_until};
 use sesamedeal_core::ids::InstanceName;
 use sesamedeal_jobs::ports::StoreTable;
 use tokio::time::sleep;
@@ -12,6 +12,9 @@
 /// Time that maintenance takes in these tests. The inventory is read three times meanwhile.
 const MAINTENANCE: Duration = Duration::from_millis(1_500);
 
+/// Age above which the owner gives no orders on the ground of an inventory.
+const INVENTORY_LIMIT: Duration = Duration::from_secs(4);
+
 /// Guards against more instances out than the wave allows when the inventory does not list those
 /// that are in maintenance: an absent instance counted as back.
 #[tokio::test]
@@ -73,3 +76,29 @@
     let (orders, _) = stage.wait_wave().await;
     assert_eq!(orders.len(), 2);
 }
+
+/// Guards against orders for instances on the ground of an inventory that was read long ago.
+#[tokio::test]
+async fn old_inventory() {
+    let stage = Stage::new(2);
+    let node = stage.node("entry-1");
+    run_job(&node, 1).await;
+    stage.fleet.faults.lock().is_list_refused = true;
+    sleep(INVENTORY_LIMIT + Duration::from_millis(500)).await;
+    let wave = "wave/machine-0,machine-1";
+    stage.store.put(StoreTable::Intent, wave, b"");
+    sleep(Duration::from_secs(1)).await;
+    assert!(stage.fleet.maintained().0.is_empty(), "ordered");
+    assert!(inventory_age(&node) > INVENTORY_LIMIT.as_secs_f64());
+    stage.fleet.faults.lock().is_list_refused = false;
+    let (orders, _) = stage.wait_wave().await;
+    assert_eq!(orders.len(), 2);
+    assert!(inventory_age(&node) < INVENTORY_LIMIT.as_secs_f64());
+}
+
+fn inventory_age(node: &StageNode) -> f64 {
+    let text = String::from_utf8(node.metrics().render()).unwrap();
+    let mut lines = text.lines();
+    let age = lines.find_map(|line| line.strip_prefix("sesamedeal_inventory_age_seconds "));
+    age.expect("the metric is shown").parse().unwrap()
+}
