Show the age of the owner's list of workers

Found by review: the owner acts on the list of workers, among them those that drain, and nothing told how old that is. It now measures the age on the store's clock, from its own beginning before the first reading: the metric sesamedeal_worker_list_age_seconds, and "list of workers is late" from 4 s on and "list of workers is in time" below 2 s. The store answers after 2.5 s if nothing changes, and an answer that does not come is given up 0.9 s later, so that an age below 3.4 s says nothing.

No decision changes. The bounds for workers that drain are 2 s to 4 s, so an age that would tell a risk within them needs shorter waits and more calls.

--- a/crates/jobs/src/job_metrics.rs
+++ b/crates/jobs/src/job_metrics.rs
@@ -23,6 +23,7 @@
     rounds: Histogram,
     intake_age: Gauge,
     inventory_age: Gauge,
+    list_age: Gauge,
     epoch: IntGauge,
     open_jobs: IntGauge,
 }
@@ -112,6 +113,10 @@
                 "sesamedeal_inventory_age_seconds",
                 "Age of the inventory of instances that the owner has read last",
             ),
+            list_age: age(
+                "sesamedeal_worker_list_age_seconds",
+                "Age of the list of workers that the owner goes by",
+            ),
             registry,
         }
     }
@@ -152,6 +157,10 @@
         self.inventory_age.set(age.as_secs_f64());
     }
 
+    pub(crate) fn set_list_age(&self, age: Duration) {
+        self.list_age.set(age.as_secs_f64());
+    }
+
     pub(crate) fn count_start(&self, outcome: &str) {
         self.starts.with_label_values(&[outcome]).inc();
     }
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -98,7 +98,7 @@
             intake,
             links: WorkerLinks::default(),
             hand_over: HandOver::default(),
-            health: OwnerHealth::default(),
+            health: OwnerHealth::new(BootClock.now()),
             version: 0,
             write_after: TimePoint::ORIGIN,
             loads_logged: TimePoint::ORIGIN,
--- a/crates/jobs/src/owner/owner_health.rs
+++ b/crates/jobs/src/owner/owner_health.rs
@@ -4,14 +4,21 @@
 use slog::{info, warn};
 
 use super::owner_actor::OwnerActor;
+use crate::ports::StorePosition;
 
 /// Age of the newest jobs that were considered from which the owner counts as late. It is 0.3 s
 /// without a new job, and a slow store takes 0.25 s for a call.
 const LATE_AGE: Duration = Duration::from_secs(1);
 
+/// Age of the list of workers from which it counts as late. Without a change the store answers
+/// after 2.5 s, and an answer that does not come is given up 0.9 s later.
+const LATE_LIST: Duration = Duration::from_secs(4);
+
 /// How far the owner is behind.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct OwnerHealth {
+    /// When this owner began.
+    began: TimePoint,
     /// When the last round of decisions was.
     round: Option<TimePoint>,
     /// Time by which the last round came late.
@@ -19,6 +26,31 @@
     /// Whether jobs are taken late. The owner gives no orders for instances then: a successor may
     /// give some at any moment, and demand that is not known looks like no demand.
     pub(super) is_late: bool,
+    /// Where the list of workers stood when it was read last; none before the first reading.
+    pub(super) list: Option<StorePosition>,
+    /// Whether the list of workers is late. Starts go on: all that is known of workers is equally
+    /// old, and in an outage for everybody known workers have to be used.
+    is_list_late: bool,
+}
+
+impl OwnerHealth {
+    pub(super) const fn new(began: TimePoint) -> Self {
+        Self {
+            began,
+            round: None,
+            lateness: Duration::ZERO,
+            is_late: false,
+            list: None,
+            is_list_late: false,
+        }
+    }
+}
+
+/// Whether knowledge of this age is late. It is no longer late below half of the limit, so that the
+/// state does not change back and forth.
+fn is_late(age: Duration, limit: Duration, was_late: bool) -> bool {
+    let limit = if was_late { limit / 2 } else { limit };
+    age >= limit
 }
 
 impl OwnerActor {
@@ -48,6 +80,7 @@
     pub(super) fn note_ages(&mut self, now: TimePoint) {
         self.note_intake_age(now);
         self.note_inventory_age(now);
+        self.note_list_age(now);
     }
 
     /// Notes how old the owner's knowledge of jobs is.
@@ -56,12 +89,7 @@
             return;
         };
         self.parts.metrics.set_intake_age(age);
-        // Half of the age, so that the state does not change back and forth.
-        let is_late = if self.health.is_late {
-            age >= LATE_AGE / 2
-        } else {
-            age >= LATE_AGE
-        };
+        let is_late = is_late(age, LATE_AGE, self.health.is_late);
         if is_late == self.health.is_late {
             return;
         }
@@ -75,4 +103,32 @@
             info!(self.parts.logger, "jobs are taken in time"; "age_ms" => age_ms, "row" => version, "round_late_ms" => lateness_ms);
         }
     }
+
+    /// Age of the list of workers, from the beginning of this owner before it is read; none if the
+    /// store does not tell its time.
+    fn list_age(&self, now: TimePoint) -> Option<Duration> {
+        match self.health.list {
+            Some(position) => self.parts.health.clock.age(position.at_ms?, now),
+            None => Some(now.since(self.health.began)),
+        }
+    }
+
+    fn note_list_age(&mut self, now: TimePoint) {
+        let Some(age) = self.list_age(now) else {
+            return;
+        };
+        self.parts.metrics.set_list_age(age);
+        let is_late = is_late(age, LATE_LIST, self.health.is_list_late);
+        if is_late == self.health.is_list_late {
+            return;
+        }
+        self.health.is_list_late = is_late;
+        let age_ms = age.as_millis();
+        let version = self.health.list.map(|list| list.version);
+        if is_late {
+            warn!(self.parts.logger, "list of workers is late"; "age_ms" => age_ms, "row" => version);
+        } else {
+            info!(self.parts.logger, "list of workers is in time"; "age_ms" => age_ms, "row" => version);
+        }
+    }
 }
--- a/crates/jobs/src/owner/table_intake.rs
+++ b/crates/jobs/src/owner/table_intake.rs
@@ -40,6 +40,7 @@
 
     pub(super) fn take_workers(&mut self, event: TableEvent) {
         let now = BootClock.now();
+        self.health.list = event.position.or(self.health.list);
         if event.is_snapshot {
             let names = event.rows.iter().map(|row| InstanceName::new(&row.key));
             let listed: HashSet<InstanceName> = names.collect();
