Test that a successor counts an unlisted instance as out of its wave

inventory_gaps::unlisted_takeover: the instance is in maintenance when the owner changes, and no list shows it. With a trial change that lets go of missing instances at once, as before, 3 were out at once (limit 1); it passes on this code.

--- a/crates/jobs/tests/inventory_gaps.rs
+++ b/crates/jobs/tests/inventory_gaps.rs
@@ -31,6 +31,28 @@
     assert_eq!(most_out, 1);
 }
 
+/// Guards against more instances out than the wave allows after a takeover: the successor knows
+/// only that the maintenance has begun.
+#[tokio::test]
+async fn unlisted_takeover() {
+    let stage = Stage::new(3);
+    stage.fleet.set_maintenance(MAINTENANCE * 2);
+    stage.fleet.faults.lock().omits_maintained = true;
+    let mut first = stage.node("entry-1");
+    run_job(&first, 1).await;
+    let wave = "wave/machine-0,machine-1,machine-2";
+    stage.store.put(StoreTable::Intent, wave, b"");
+    wait_until("one instance is maintained", async || {
+        !stage.fleet.maintained().0.is_empty()
+    })
+    .await;
+    let _second = stage.node("entry-2");
+    first.hand_over().await;
+    let (orders, most_out) = stage.wait_wave().await;
+    assert_eq!(orders.len(), 3);
+    assert_eq!(most_out, 1);
+}
+
 /// Guards against a wave that stops for good because an instance left the platform during its
 /// maintenance.
 #[tokio::test]
