--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -98,7 +98,7 @@
             intake,
             links: WorkerLinks::default(),
             hand_over: HandOver::default(),
-            health: OwnerHealth::default(),
+            health: OwnerHealth::new(BootClock.now()),
             version: 0,
             write_after: TimePoint::ORIGIN,
             loads_logged: TimePoint::ORIGIN,
@@ -154,7 +154,7 @@
         }
         let now = BootClock.now();
         self.note_round(now);
-        self.note_intake_age(now);
+        self.note_ages(now);
         self.take_rules();
         self.read_inventory(false, now);
         if self.is_loaded {
--- a/crates/jobs/src/owner/owner_health.rs
+++ b/crates/jobs/src/owner/owner_health.rs
@@ -4,6 +4,7 @@
 use slog::{info, warn};
 
 use super::owner_actor::OwnerActor;
+use crate::ports::StorePosition;
 
 /// Age of the newest jobs that were considered from which the owner counts as late. It is 0.3 s
 /// without a new job, and a slow store takes 0.25 s for a call.
@@ -13,9 +14,15 @@
 /// the store, also at an owner that goes on to fall behind.
 const CALM_TIME: Duration = Duration::from_secs(1);
 
+/// Age of the list of workers from which it counts as late. Without a change the store answers
+/// after 2.5 s, and an answer that does not come is given up 0.9 s later.
+const LATE_LIST: Duration = Duration::from_secs(4);
+
 /// How far the owner is behind.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct OwnerHealth {
+    /// When this owner began.
+    began: TimePoint,
     /// When the last round of decisions was.
     round: Option<TimePoint>,
     /// Time by which the last round came late.
@@ -25,6 +32,25 @@
     /// Whether jobs are taken late. Waves and sizes of pools pause then: a successor may give orders
     /// for instances at any moment, and demand that is not known looks like no demand.
     pub(super) is_late: bool,
+    /// Where the list of workers stood when it was read last; none before the first reading.
+    pub(super) list: Option<StorePosition>,
+    /// Whether the list of workers is late. Starts go on: all that is known of workers is equally
+    /// old, and in an outage for everybody known workers have to be used.
+    is_list_late: bool,
+}
+
+impl OwnerHealth {
+    pub(super) const fn new(began: TimePoint) -> Self {
+        Self {
+            began,
+            round: None,
+            lateness: Duration::ZERO,
+            late: None,
+            is_late: false,
+            list: None,
+            is_list_late: false,
+        }
+    }
 }
 
 impl OwnerActor {
@@ -50,8 +76,15 @@
         Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
     }
 
+    /// Notes how old what the owner knows is.
+    pub(super) fn note_ages(&mut self, now: TimePoint) {
+        self.note_intake_age(now);
+        self.note_inventory_age(now);
+        self.note_list_age(now);
+    }
+
     /// Notes how old the owner's knowledge of jobs is.
-    pub(super) fn note_intake_age(&mut self, now: TimePoint) {
+    fn note_intake_age(&mut self, now: TimePoint) {
         let Some(age) = self.intake_age(now) else {
             return;
         };
@@ -76,4 +109,38 @@
             info!(self.parts.logger, "jobs are taken in time"; "age_ms" => age_ms, "row" => version, "round_late_ms" => lateness_ms);
         }
     }
+
+    /// Age of the list of workers, from the beginning of this owner before it is read; none if the
+    /// store does not tell its time.
+    fn list_age(&self, now: TimePoint) -> Option<Duration> {
+        match self.health.list {
+            Some(position) => self.parts.health.clock.age(position.at_ms?, now),
+            None => Some(now.since(self.health.began)),
+        }
+    }
+
+    fn note_list_age(&mut self, now: TimePoint) {
+        let Some(age) = self.list_age(now) else {
+            return;
+        };
+        self.parts.metrics.set_list_age(age);
+        // Half of the age, so that the state does not change back and forth.
+        let limit = if self.health.is_list_late {
+            LATE_LIST / 2
+        } else {
+            LATE_LIST
+        };
+        let is_late = age >= limit;
+        if is_late == self.health.is_list_late {
+            return;
+        }
+        self.health.is_list_late = is_late;
+        let age_ms = age.as_millis();
+        let version = self.health.list.map(|list| list.version);
+        if is_late {
+            warn!(self.parts.logger, "list of workers is late"; "age_ms" => age_ms, "row" => version);
+        } else {
+            info!(self.parts.logger, "list of workers is in time"; "age_ms" => age_ms, "row" => version);
+        }
+    }
 }
