Store the records of jobs whose partitions answer while others do not

Cause: since the rows of jobs are spread over 32 partitions, a write of the owner spans nearly all of them and needs every one.

Change: after a failed write the owner reads a row of each partition, and again every 0.5 s while one is closed. Records of jobs in closed ones wait. If none answers, nothing changes.

Test: record_order::closed_part.

--- a/crates/core/src/jobs/dispatcher/records.rs
+++ b/crates/core/src/jobs/dispatcher/records.rs
@@ -24,10 +24,21 @@
     /// Ends are acknowledged to workers only after all records that they changed are stored, since
     /// a worker forgets an acknowledged end.
     pub fn take_records(&mut self, rows: usize, unix_ms: u64) -> RecordBatch {
+        self.take_open_records(rows, unix_ms, |_| true)
+    }
+
+    /// The same for the records that `is_open` admits, since a write that includes a part of the
+    /// store that does not answer stores nothing.
+    pub fn take_open_records(
+        &mut self,
+        rows: usize,
+        unix_ms: u64,
+        is_open: impl Fn(JobId) -> bool,
+    ) -> RecordBatch {
         let mut batch = RecordBatch::default();
         let mut left = rows;
         while left >= ROWS_OF_END
-            && let Some(id) = self.dirty.pop()
+            && let Some(id) = self.dirty.pop(&is_open)
         {
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
@@ -48,11 +59,11 @@
         batch
     }
 
-    /// Whether the records that wait may need more than `rows` rows, as they do if all jobs have
-    /// ended.
+    /// Whether the records that wait and that `is_open` admits may need more than `rows` rows, as
+    /// they do if all jobs have ended.
     #[must_use]
-    pub fn has_backlog(&self, rows: usize) -> bool {
-        self.dirty.len() * ROWS_OF_END > rows
+    pub fn has_backlog(&self, rows: usize, is_open: impl Fn(JobId) -> bool) -> bool {
+        self.dirty.count_open(is_open) * ROWS_OF_END > rows
     }
 
     /// Whether there is something to store or to acknowledge.
--- a/crates/core/src/jobs/record_queue.rs
+++ b/crates/core/src/jobs/record_queue.rs
@@ -22,22 +22,29 @@
         }
     }
 
-    /// Takes the next job. Of a job that is in both orders, the later entry is left out.
-    pub(super) fn pop(&mut self) -> Option<JobId> {
-        while let Some(id) = self.ended.pop_front().or_else(|| self.changed.pop_front()) {
-            if self.members.remove(&id) {
+    /// Takes the next job that `is_open` admits; the others keep their places. Of a job that is in
+    /// both orders, the later entry is left out.
+    pub(super) fn pop(&mut self, is_open: impl Fn(JobId) -> bool) -> Option<JobId> {
+        for order in [&mut self.ended, &mut self.changed] {
+            let members = &self.members;
+            while order.pop_front_if(|id| !members.contains(id)).is_some() {}
+            let is_next = |id: &JobId| members.contains(id) && is_open(*id);
+            if let Some(place) = order.iter().position(is_next) {
+                let id = order.remove(place)?;
+                self.members.remove(&id);
                 return Some(id);
             }
         }
         None
     }
 
-    pub(super) fn contains(&self, id: &JobId) -> bool {
-        self.members.contains(id)
+    /// Jobs that `is_open` admits.
+    pub(super) fn count_open(&self, is_open: impl Fn(JobId) -> bool) -> usize {
+        self.members.iter().filter(|id| is_open(**id)).count()
     }
 
-    pub(super) fn len(&self) -> usize {
-        self.members.len()
+    pub(super) fn contains(&self, id: &JobId) -> bool {
+        self.members.contains(id)
     }
 
     pub(super) fn is_empty(&self) -> bool {
--- a/crates/core/tests/record_order.rs
+++ b/crates/core/tests/record_order.rs
@@ -87,3 +87,29 @@
         assert_eq!(dispatcher.stored_end(key), dispatcher.processed_end(key));
     }
 }
+
+/// Guards against records of a part of the store that does not answer, which kept those of all
+/// others from being stored.
+#[test]
+fn closed_part() {
+    let mut world = begun_world(40);
+    let is_open = |id: JobId| !id.0.is_multiple_of(3);
+    assert!(world.dispatcher.cancel_job(JobId(39)));
+    assert!(world.dispatcher.cancel_job(JobId(38)));
+    let mut taken = Vec::new();
+    loop {
+        let batch = world.dispatcher.take_open_records(ROWS, world.now, is_open);
+        if batch.records.is_empty() {
+            break;
+        }
+        taken.extend(ids(&batch));
+    }
+    assert_eq!(taken[0], JobId(38), "ended jobs first");
+    assert!(taken.iter().all(|id| is_open(*id)));
+    assert_eq!(taken.len(), 26);
+    assert!(!world.dispatcher.has_backlog(ROWS, is_open));
+    assert_eq!(
+        ids(&world.dispatcher.take_records(ROWS, world.now))[0],
+        JobId(39)
+    );
+}
--- a/crates/jobs/src/owner/mod.rs
+++ b/crates/jobs/src/owner/mod.rs
@@ -16,6 +16,7 @@
 mod owner_policy;
 mod owner_rows;
 mod owner_watch;
+mod partition_check;
 mod pool_keeper;
 mod pulse_view;
 mod record_keeping;
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -280,6 +280,7 @@
                 sent,
                 outcome,
             } => self.take_written(&batch, sent, outcome),
+            OwnerEvent::PartitionsChecked(closed) => self.take_checked(closed),
             OwnerEvent::Inventory { sent, outcome } => self.take_inventory(sent, outcome),
             OwnerEvent::Maintained {
                 wave,
--- a/crates/jobs/src/owner/owner_event.rs
+++ b/crates/jobs/src/owner/owner_event.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use sesamedeal_core::jobs::{AdviceRequest, RecordBatch, StartOutcome, TaskName, WorkerKey};
 use sesamedeal_core::time::TimePoint;
 use sesamedeal_store::Result;
@@ -5,7 +7,8 @@
 use super::hand_over::SuccessorSearch;
 use crate::feeds::TableEvent;
 use crate::ports::{
-    AdviceAnswer, HoldOutcome, InstanceReport, OfferEnd, OrderOutcome, TransactOutcome,
+    AdviceAnswer, HoldOutcome, InstanceReport, OfferEnd, OrderOutcome, RowPartition,
+    TransactOutcome,
 };
 
 /// What the owner reacts to.
@@ -55,6 +58,8 @@
         sent: TimePoint,
         outcome: Result<TransactOutcome>,
     },
+    /// These partitions of the store did not answer.
+    PartitionsChecked(BTreeSet<RowPartition>),
     /// The inventory was read.
     Inventory {
         sent: TimePoint,
--- a/crates/jobs/src/owner/record_keeping.rs
+++ b/crates/jobs/src/owner/record_keeping.rs
@@ -23,10 +23,12 @@
         if self.writer.is_writing || now < self.write_after {
             return;
         }
+        self.check_partitions(now);
+        let is_open = self.writer.partitions.open_jobs();
         let is_pulse_due = now.since(self.writer.pulsed) >= self.parts.policy.renewal;
         let is_gap_over = now.since(self.writer.sent) >= self.parts.policy.record_gap;
         let has_records = self.dispatcher.has_records()
-            && (is_gap_over || self.dispatcher.has_backlog(ROWS_PER_WRITE));
+            && (is_gap_over || self.dispatcher.has_backlog(ROWS_PER_WRITE, &is_open));
         if !is_pulse_due && !has_records && !self.writer.has_rows() {
             // Ends that changed no record need no write before they are acknowledged.
             if !self.dispatcher.has_records() {
@@ -35,9 +37,9 @@
             }
             return;
         }
-        let batch = self
-            .dispatcher
-            .take_records(ROWS_PER_WRITE, BootClock.unix_ms());
+        let batch =
+            self.dispatcher
+                .take_open_records(ROWS_PER_WRITE, BootClock.unix_ms(), &is_open);
         let pulse = is_pulse_due.then(|| self.pulse());
         if let Some(pulse) = &pulse {
             self.dispatcher.note_publishing(&pulse.out_of_reach);
@@ -45,7 +47,11 @@
             self.writer.pulsed = now;
             self.parts.pulse.set(pulse.clone());
         }
-        let expired = self.dispatcher.take_expired(EXPIRED_PER_WRITE, now);
+        let expired = if self.writer.partitions.has_closed() {
+            Vec::new()
+        } else {
+            self.dispatcher.take_expired(EXPIRED_PER_WRITE, now)
+        };
         let change = self.writer.change(&batch, &expired, pulse);
         self.writer.is_writing = true;
         self.writer.sent = now;
@@ -122,6 +128,8 @@
                 self.writer.fail();
                 self.writer.pulsed = TimePoint::ORIGIN;
                 self.write_after = BootClock.now().after(WRITE_RETRY);
+                self.writer.partitions.note_failure();
+                self.check_partitions(BootClock.now());
                 self.hand_over.note_failure(BootClock.now());
                 let kind = match error {
                     PlatformError::NoAnswer { .. } => "no-answer",
--- a/crates/jobs/src/owner/record_writer.rs
+++ b/crates/jobs/src/owner/record_writer.rs
@@ -3,6 +3,7 @@
 use sesamedeal_core::time::TimePoint;
 
 use super::owner_lease::OwnerLease;
+use super::partition_check::PartitionCheck;
 use crate::ports::{RowChange, RowCondition, RowName, RowPut, StoreRow, StoreTable};
 use crate::row_codec::{EPOCH_KEY, PULSE_KEY, PulseRow, SEQUENCE_KEY, cancel_key, encode, job_key};
 
@@ -33,6 +34,8 @@
     extra: Vec<RowPut>,
     /// Rows that go with the write under way.
     sent_extra: Vec<RowPut>,
+    /// Partitions that records wait for.
+    pub partitions: PartitionCheck,
 }
 
 impl RecordWriter {
@@ -48,6 +51,7 @@
             has_committed: false,
             extra: Vec::new(),
             sent_extra: Vec::new(),
+            partitions: PartitionCheck::new(),
         }
     }
 
--- a/crates/jobs/src/ports/row_partition.rs
+++ b/crates/jobs/src/ports/row_partition.rs
@@ -14,7 +14,7 @@
 ///
 /// The rows of a job are in one partition, so that a job is accepted there without waiting for the
 /// owner's writes. All entry instances compute it alike.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RowPartition(u16);
 
 impl RowPartition {
