--- a/crates/jobs/tests/common/memory_store.rs
+++ b/crates/jobs/tests/common/memory_store.rs
@@ -38,7 +38,7 @@
     pub holds_changes: Arc<AtomicBool>,
     /// Tables of which reads and requests for changes get no answer.
     pub silent_tables: Arc<Mutex<HashSet<StoreTable>>>,
-    /// A partition of the jobs of which reads get no answer.
+    /// A partition of the jobs of which reads and changes get no answer.
     pub silent_partition: Arc<Mutex<Option<RowPartition>>>,
     /// Time that a change of the ownership or of its pulse takes longer.
     pub owner_delay: Arc<Mutex<Duration>>,
@@ -91,6 +91,9 @@
                     store.calls.fetch_add(1, Ordering::AcqRel);
                     store.be_silent().await?;
                     store.delay_owner(&change).await;
+                    if store.is_partly_silent(&change) {
+                        return no_answer(CALL_DEADLINE).await;
+                    }
                     store.transact(&change)
                 }
                 .boxed()
@@ -182,6 +185,13 @@
         Ok(())
     }
 
+    fn is_partly_silent(&self, change: &RowChange) -> bool {
+        let silent = *self.silent_partition.lock();
+        let puts = change.puts.iter().map(|put| &put.row);
+        let mut rows = puts.chain(&change.deletes);
+        silent.is_some() && rows.any(|row| Some(row.partition) == silent)
+    }
+
     async fn delay_owner(&self, change: &RowChange) {
         let is_owner = |put: &RowPut| put.row.table == StoreTable::Owner;
         if change.puts.iter().any(is_owner) {
