--- a/crates/jobs/src/owner/owner_lag.rs
+++ b/crates/jobs/src/owner/owner_lag.rs
@@ -17,7 +17,7 @@
 pub(super) const LAG_POLICY: LagPolicy = LagPolicy {
     limit: Duration::from_millis(1_500),
     renewal_age: Duration::from_millis(800),
-    // Below the time after which an instance may have orders of one owner after those of another.
+    // Two owners must not order the same instance by turns within 3 s.
     tenure: Duration::from_secs(3),
     // A store that is slow for everybody lets no owner read the jobs faster.
     load_limit: Duration::from_secs(5),
