--- a/crates/cli/src/args/measure_args.rs
+++ b/crates/cli/src/args/measure_args.rs
@@ -1,6 +1,7 @@
 use argh::FromArgs;
 
 use crate::measure::MeasuredUser;
+use crate::measure::pools::DemandFamily;
 
 /// Measure the decisions on virtual time, next to baselines. The same seed gives the same output.
 #[derive(Debug, FromArgs)]
@@ -19,6 +20,22 @@
     #[argh(switch)]
     pub requests: bool,
 
+    /// compare rules for the sizes of pools instead, under several patterns of demand
+    #[argh(switch)]
+    pub pools: bool,
+
+    /// with --pools: demand family to simulate, several times for several; all if left out
+    #[argh(option)]
+    pub family: Vec<DemandFamily>,
+
+    /// with --pools: number of successive seeds, from --seed on
+    #[argh(option, default = "20")]
+    pub seeds: u64,
+
+    /// with --pools: number of instances of the fleet
+    #[argh(option, default = "49")]
+    pub instances: usize,
+
     /// print one JSON object
     #[argh(switch)]
     pub json: bool,
--- a/crates/cli/src/commands/measure.rs
+++ b/crates/cli/src/commands/measure.rs
@@ -1,3 +1,4 @@
+use super::measure_pools::compare_pools;
 use crate::args::MeasureArgs;
 use crate::error::{CliError, Result};
 use crate::measure::{
@@ -11,6 +12,10 @@
     if args.requests {
         return request_path(args.json).await;
     }
+    if args.pools {
+        compare_pools(args);
+        return Ok(());
+    }
     let report = measure_users(args.user, &MeasureScope::new(), args.seed)?;
     if args.json {
         print_json(&report);
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -10,6 +10,7 @@
 mod load;
 mod maintenance;
 mod measure;
+mod measure_pools;
 mod pool;
 mod sheet;
 mod sheet_report;
--- a/crates/cli/src/measure/mod.rs
+++ b/crates/cli/src/measure/mod.rs
@@ -16,6 +16,7 @@
 mod lower_bound;
 mod measure_report;
 mod measure_scope;
+pub mod pools;
 mod request_fleet;
 mod request_measure;
 mod round;
