Size pools by a forecast of the known jobs and continued arrivals

Cause: the sizes were worked out from the work that arrived within a second, times a growth factor, an onset factor and a headroom, and each pool held an equal share in reserve until a surge had been seen.

Change: the dispatcher forecasts the CPU in use 1.8 s ahead, when an instance ordered now arrives: remaining times of running tasks by their progress, the later steps of the known jobs, and the arrivals of the last 8 jobs going on. The planner sizes pools by that.

--- a/crates/core/src/jobs/dispatch_policy.rs
+++ b/crates/core/src/jobs/dispatch_policy.rs
@@ -35,6 +35,9 @@
     pub max_list_age: Duration,
     /// Minimum interval between two pace orders for the same task.
     pub min_pace_interval: Duration,
+    /// How far ahead the demand of a pool is forecast: the time from a decision to move an instance
+    /// until it runs tasks in its new pool.
+    pub forecast_horizon: Duration,
     /// How long the record of an ended job remains available to callers.
     pub ended_retention: Duration,
 }
@@ -55,6 +58,7 @@
             takeover_pause: Duration::from_secs(2),
             max_list_age: Duration::from_millis(1_100),
             min_pace_interval: Duration::from_millis(400),
+            forecast_horizon: Duration::from_millis(1_800),
             ended_retention: Duration::from_secs(240),
         }
     }
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -1,4 +1,5 @@
 mod advice;
+mod demand_forecast;
 mod gangs;
 mod hold_reports;
 mod placement;
--- a/crates/core/src/jobs/dispatcher/pool_loads.rs
+++ b/crates/core/src/jobs/dispatcher/pool_loads.rs
@@ -4,51 +4,45 @@
 use std::time::Duration;
 
 use super::JobDispatcher;
+use super::demand_forecast::early_work;
 use crate::ids::{PoolName, QueueName};
 use crate::jobs::{JobOrder, PoolLoad};
 use crate::time::TimePoint;
 
-/// Window over which arriving work is summed.
-const ARRIVAL_WINDOW: Duration = Duration::from_secs(1);
+/// Number of arrivals of a pool over which the rate is taken, if they are recent.
+const RATE_ARRIVALS: usize = 8;
 
-/// Short window over which arriving work is summed. In a surge, arrivals double in less time than
-/// this.
-const RECENT_WINDOW: Duration = Duration::from_millis(400);
+/// Bounds of the time over which the rate of arrivals is taken.
+const RATE_WINDOW: (Duration, Duration) =
+    (Duration::from_millis(400), Duration::from_millis(1_500));
 
-/// Work of a job that has arrived.
+/// Job that has arrived.
 #[derive(Debug, Clone)]
 pub(super) struct WorkArrival {
     pub at: TimePoint,
     pub queue: QueueName,
-    /// Estimated work of the batch tasks, in core milliseconds.
-    pub work: u64,
+    /// Estimated work of the batch tasks within the forecast horizon, in core milliseconds.
+    pub early_work: u64,
 }
 
 impl JobDispatcher {
-    /// Records the work of a job that arrived at `at`.
+    /// Records a job that arrived at `at`.
     pub(super) fn note_arrival(&mut self, order: &JobOrder, at: TimePoint) {
-        let steps = order.steps.iter().filter(|step| !step.is_lasting);
-        let work = steps.map(|step| {
-            let estimate = u64::try_from(step.estimate.as_millis()).unwrap_or(u64::MAX);
-            let cpu = step.worker_amount().cpu_millis;
-            u64::from(step.count)
-                .saturating_mul(cpu)
-                .saturating_mul(estimate)
-                / 1_000
-        });
-        let work = work.sum();
+        let early_work = early_work(order, self.policy.forecast_horizon);
         while self
             .recent_arrivals
             .front()
-            .is_some_and(|first| at.since(first.at) > ARRIVAL_WINDOW)
+            .is_some_and(|first| at.since(first.at) > RATE_WINDOW.1)
         {
             self.recent_arrivals.pop_front();
         }
-        self.recent_arrivals.push_back(WorkArrival {
-            at,
-            queue: order.queue.clone(),
-            work,
-        });
+        if early_work > 0 {
+            self.recent_arrivals.push_back(WorkArrival {
+                at,
+                queue: order.queue.clone(),
+                early_work,
+            });
+        }
     }
 
     /// Returns the average processor capacity of the listed workers, in thousandths of a core.
@@ -81,46 +75,52 @@
                 }
             }
         }
-        for arrival in &self.recent_arrivals {
-            if now.since(arrival.at) <= ARRIVAL_WINDOW {
-                let pool = self.pool_of(&arrival.queue);
-                let load = pool.and_then(|pool| loads.get_mut(pool));
-                if let Some(load) = load {
-                    load.arriving += arrival.work;
-                    load.arrivals += usize::from(arrival.work > 0);
-                    if now.since(arrival.at) <= RECENT_WINDOW {
-                        load.arriving_now += per_second(arrival.work);
-                    }
-                }
-            }
-        }
         for step in self.waiting_steps(now) {
             let job = &self.jobs[&step.name.job];
             let spec = &job.order.steps[usize::from(step.name.step)];
             let tasks = u64::try_from(step.indexes.len()).unwrap_or(u64::MAX);
-            let estimate = u64::try_from(spec.estimate.as_millis()).unwrap_or(u64::MAX);
-            let cpu = tasks.saturating_mul(spec.worker_amount().cpu_millis);
             let load = loads.entry(step.pool).or_default();
-            load.waiting += cpu;
-            load.backlog += cpu.saturating_mul(estimate) / 1_000;
+            load.waiting += tasks.saturating_mul(spec.worker_amount().cpu_millis);
             load.waiting_tasks += step.indexes.len();
             if spec.is_lasting {
                 load.waiting_long_running += step.indexes.len();
             }
         }
-        for (pool, load) in &mut loads {
-            if let Some(ratio) = self.estimate_ratios.get(pool) {
-                load.arriving = ratio.apply(load.arriving);
-                load.arriving_now = ratio.apply(load.arriving_now);
-                load.backlog = ratio.apply(load.backlog);
+        let known = self.forecast_known(self.policy.forecast_horizon, now);
+        for (pool, cpu) in known.into_iter().chain(self.forecast_arrivals(now)) {
+            if let Some(load) = loads.get_mut(pool) {
+                load.expected += cpu;
             }
         }
         loads
     }
-}
 
-/// Extrapolates work that arrived within [`RECENT_WINDOW`] to one second.
-fn per_second(work: u64) -> u64 {
-    let window = u64::try_from(RECENT_WINDOW.as_millis()).unwrap_or(u64::MAX);
-    work.saturating_mul(1_000) / window
+    /// CPU that jobs yet to arrive will use after the forecast horizon if the rate of arrivals
+    /// continues, by pool.
+    fn forecast_arrivals(&self, now: TimePoint) -> BTreeMap<&PoolName, u64> {
+        let mut recent: BTreeMap<&PoolName, Vec<&WorkArrival>> = BTreeMap::new();
+        for arrival in &self.recent_arrivals {
+            if now.since(arrival.at) <= RATE_WINDOW.1
+                && let Some(pool) = self.pool_of(&arrival.queue)
+            {
+                recent.entry(pool).or_default().push(arrival);
+            }
+        }
+        let pools = recent.into_iter().map(|(pool, arrivals)| {
+            let first = arrivals.len().saturating_sub(RATE_ARRIVALS);
+            let window = if first == 0 {
+                RATE_WINDOW.1
+            } else {
+                now.since(arrivals[first].at).max(RATE_WINDOW.0)
+            };
+            let counted = arrivals.iter();
+            let counted = counted.filter(|arrival| now.since(arrival.at) <= window);
+            let work: u64 = counted.map(|arrival| arrival.early_work).sum();
+            let window = u64::try_from(window.as_millis()).unwrap_or(u64::MAX);
+            let cpu = work.saturating_mul(1_000) / window;
+            let ratio = self.estimate_ratios.get(pool);
+            (pool, ratio.map_or(cpu, |ratio| ratio.apply(cpu)))
+        });
+        pools.collect()
+    }
 }
--- a/crates/core/src/jobs/pool_load.rs
+++ b/crates/core/src/jobs/pool_load.rs
@@ -13,15 +13,9 @@
     pub batch: u64,
     /// CPU requested by waiting tasks, in thousandths of a core.
     pub waiting: u64,
-    /// Estimated work of waiting tasks, in core milliseconds.
-    pub backlog: u64,
-    /// Estimated work of the jobs that arrived within the last second, in core milliseconds.
-    /// Arrivals at this rate keep as many thousandths of a core busy.
-    pub arriving: u64,
-    /// Arrival rate over a shorter window, extrapolated to one second.
-    pub arriving_now: u64,
-    /// Number of jobs that arrived within the last second.
-    pub arrivals: usize,
+    /// CPU that batch tasks will use after the forecast horizon of the dispatcher's policy if
+    /// arrivals continue and none of them waits, in thousandths of a core.
+    pub expected: u64,
     /// Number of long-running tasks that wait for any resource: CPU, memory or a worker without
     /// another task of their step.
     pub waiting_long_running: usize,
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -180,7 +180,7 @@
         }
         self.last_load_log = now;
         for (pool, load) in self.dispatcher.pool_loads(now) {
-            info!(self.parts.logger, "pool load"; "pool" => %pool, "workers" => load.workers, "usable" => load.usable, "capacity" => load.capacity, "lasting" => load.long_running, "ending" => load.batch, "waiting" => load.waiting, "arriving" => load.arriving, "backlog" => load.backlog, "waiting_tasks" => load.waiting_tasks);
+            info!(self.parts.logger, "pool load"; "pool" => %pool, "workers" => load.workers, "usable" => load.usable, "capacity" => load.capacity, "lasting" => load.long_running, "ending" => load.batch, "waiting" => load.waiting, "expected" => load.expected, "waiting_tasks" => load.waiting_tasks);
         }
     }
 
--- a/crates/jobs/src/owner/pool_scaler.rs
+++ b/crates/jobs/src/owner/pool_scaler.rs
@@ -46,7 +46,7 @@
     move_time: Duration,
     next_round: TimePoint,
     last_log: TimePoint,
-    /// Whether tasks waited for capacity, or a pool surged, at the last decision.
+    /// Whether tasks waited for capacity, or a pool lacked instances, at the last decision.
     pub(super) has_shortage: bool,
 }
 
@@ -116,8 +116,10 @@
             capacity: self.dispatcher.worker_capacity(),
         };
         let changes = self.pool_scaler.planner.decide(&states, fleet, now);
-        self.pool_scaler.has_shortage = self.pool_scaler.planner.is_surging()
-            || states.values().any(|state| state.load.waiting > 0);
+        let planner = &self.pool_scaler.planner;
+        self.pool_scaler.has_shortage = states.iter().any(|(pool, state)| {
+            state.load.waiting > 0 || planner.expected(pool) > state.instances
+        });
         self.log_pools(&states, &fleet, now);
         for change in changes {
             self.start_moves(&change, &spare_pool, now);
@@ -135,8 +137,8 @@
         }
         self.pool_scaler.last_log = now;
         for (pool, state) in states {
-            let (wanted, is_surging) = self.pool_scaler.planner.wanted(pool);
-            info!(self.parts.logger, "pool size"; "pool" => %pool, "instances" => state.instances, "idle" => state.idle, "wanted" => wanted, "is_surging" => is_surging, "spare" => fleet.spare, "total" => fleet.total);
+            let expected = self.pool_scaler.planner.expected(pool);
+            info!(self.parts.logger, "pool size"; "pool" => %pool, "instances" => state.instances, "idle" => state.idle, "expected" => expected, "spare" => fleet.spare, "total" => fleet.total);
         }
     }
 
