--- a/crates/core/src/jobs/dispatcher/demand_forecast.rs
+++ b/crates/core/src/jobs/dispatcher/demand_forecast.rs
@@ -94,7 +94,7 @@
         let Some(run) = task.runs.first() else {
             // Room for short tasks is free before the horizon more often than for long ones.
             let share = estimate.as_secs_f64() / horizon.as_secs_f64().max(f64::EPSILON);
-            used += super::super::scaled_amount::scaled(cpu, share.min(1.0));
+            used += cpu;
             end = end.max(estimate);
             continue;
         };
--- a/crates/core/src/jobs/dispatcher/pool_loads.rs
+++ b/crates/core/src/jobs/dispatcher/pool_loads.rs
@@ -9,12 +9,12 @@
 use crate::jobs::{JobOrder, PoolLoad};
 use crate::time::TimePoint;
 
-/// Number of arrivals of a pool over which the rate is taken, if they are recent.
-const RATE_ARRIVALS: usize = 8;
+/// Times over which the rate of arrivals is taken; the highest rate counts. The short one detects
+/// a rise soon, and the long one is accurate.
+const RATE_WINDOWS: [Duration; 2] = [Duration::from_millis(600), LONGEST_WINDOW];
 
-/// Bounds of the time over which the rate of arrivals is taken.
-const RATE_WINDOW: (Duration, Duration) =
-    (Duration::from_millis(400), Duration::from_millis(1_500));
+/// Longest of the times over which the rate of arrivals is taken.
+const LONGEST_WINDOW: Duration = Duration::from_millis(1_500);
 
 /// Job that has arrived.
 #[derive(Debug, Clone)]
@@ -32,7 +32,7 @@
         while self
             .recent_arrivals
             .front()
-            .is_some_and(|first| at.since(first.at) > RATE_WINDOW.1)
+            .is_some_and(|first| at.since(first.at) > LONGEST_WINDOW)
         {
             self.recent_arrivals.pop_front();
         }
@@ -100,24 +100,21 @@
     fn forecast_arrivals(&self, now: TimePoint) -> BTreeMap<&PoolName, u64> {
         let mut recent: BTreeMap<&PoolName, Vec<&WorkArrival>> = BTreeMap::new();
         for arrival in &self.recent_arrivals {
-            if now.since(arrival.at) <= RATE_WINDOW.1
+            if now.since(arrival.at) <= LONGEST_WINDOW
                 && let Some(pool) = self.pool_of(&arrival.queue)
             {
                 recent.entry(pool).or_default().push(arrival);
             }
         }
         let pools = recent.into_iter().map(|(pool, arrivals)| {
-            let first = arrivals.len().saturating_sub(RATE_ARRIVALS);
-            let window = if first == 0 {
-                RATE_WINDOW.1
-            } else {
-                now.since(arrivals[first].at).max(RATE_WINDOW.0)
-            };
-            let counted = arrivals.iter();
-            let counted = counted.filter(|arrival| now.since(arrival.at) <= window);
-            let work: u64 = counted.map(|arrival| arrival.early_work).sum();
-            let window = u64::try_from(window.as_millis()).unwrap_or(u64::MAX);
-            let cpu = work.saturating_mul(1_000) / window;
+            let rates = RATE_WINDOWS.map(|window| {
+                let counted = arrivals.iter();
+                let counted = counted.filter(|arrival| now.since(arrival.at) <= window);
+                let work: u64 = counted.map(|arrival| arrival.early_work).sum();
+                let window = u64::try_from(window.as_millis()).unwrap_or(u64::MAX);
+                work.saturating_mul(1_000) / window
+            });
+            let cpu = rates.into_iter().max().unwrap_or_default();
             let ratio = self.estimate_ratios.get(pool);
             (pool, ratio.map_or(cpu, |ratio| ratio.apply(cpu)))
         });
