Maintain instances whose worker is gone from the list

Their workers ended at 4.9 s, the inventory shows the machines as up, and an instance whose worker is not listed was no candidate at all. Change: such an instance is a candidate after all listed ones. Workers of evacuating instances are marked in every round, since one may be listed again. Test: maintenance::worker_gone, which timed out before.

--- a/crates/core/src/jobs/dispatcher/relocation.rs
+++ b/crates/core/src/jobs/dispatcher/relocation.rs
@@ -66,6 +66,7 @@
         let mut runs = entry.runs.keys();
         Some(MaintenanceCandidate {
             instance,
+            is_unlisted: false,
             is_evacuating: entry.is_evacuating,
             is_blocked: runs.any(|(task, _)| !self.allows_disruption(*task, now)),
             is_last_usable: self.is_last_usable(key, now),
--- a/crates/core/src/jobs/maintenance_plan.rs
+++ b/crates/core/src/jobs/maintenance_plan.rs
@@ -38,6 +38,9 @@
 pub struct MaintenanceCandidate {
     /// Name of the instance.
     pub instance: InstanceName,
+    /// Whether the list of workers lacks the instance's worker. It may be lost, and the instance
+    /// counts as empty only when the leases of its tasks have passed.
+    pub is_unlisted: bool,
     /// Whether the instance is being evacuated already.
     pub is_evacuating: bool,
     /// Whether the disruption budget of a task on the instance does not allow to stop it now.
@@ -98,6 +101,7 @@
         .filter(|candidate| !candidate.is_evacuating && !candidate.is_last_usable)
         .min_by_key(|candidate| {
             (
+                candidate.is_unlisted,
                 candidate.is_blocked,
                 !candidate.has_long_running,
                 candidate.cpu_in_use,
--- a/crates/core/tests/maintenance_plan.rs
+++ b/crates/core/tests/maintenance_plan.rs
@@ -58,6 +58,7 @@
 #[test]
 fn long_running_first() {
     let candidate = |name: &str, is_blocked, has_long_running, cpu_in_use| MaintenanceCandidate {
+        is_unlisted: false,
         instance: InstanceName::new(name),
         is_evacuating: false,
         is_blocked,
--- a/crates/jobs/src/owner/wave_runner.rs
+++ b/crates/jobs/src/owner/wave_runner.rs
@@ -111,23 +111,31 @@
         if !self.inventory.is_usable() {
             return true;
         }
-        self.mark_maintenance_due(wave);
+        self.mark_workers(wave);
         self.evacuate_next(wave, age, now);
         self.order_evacuated(wave, now);
         true
     }
 
     /// Marks the workers of instances that wait for maintenance, so that long-running tasks leave
-    /// them.
-    fn mark_maintenance_due(&mut self, wave: &MaintenanceWave) {
+    /// them, and those that are being evacuated, which may have been missing from the list.
+    fn mark_workers(&mut self, wave: &MaintenanceWave) {
         let progress = &self.wave_runner.waves[&wave.number];
         let open = wave
             .instances
             .iter()
             .filter(|name| !progress.done.contains(*name));
-        let workers: Vec<InstanceName> = open.filter_map(|name| self.worker_of(name)).collect();
-        for worker in workers {
+        let workers: Vec<(InstanceName, bool)> = open
+            .filter_map(|name| {
+                let worker = self.worker_of(name)?;
+                Some((worker, progress.evacuating.contains_key(name)))
+            })
+            .collect();
+        for (worker, is_evacuating) in workers {
             self.dispatcher.set_maintenance_due(&worker, true);
+            if is_evacuating {
+                self.dispatcher.set_evacuating(&worker, true);
+            }
         }
     }
 
@@ -175,8 +183,9 @@
         if report.state != InventoryState::Up || self.is_moving(name) {
             return None;
         }
-        let idle = || MaintenanceCandidate {
+        let idle = |is_unlisted| MaintenanceCandidate {
             instance: name.clone(),
+            is_unlisted,
             is_evacuating: false,
             is_blocked: false,
             is_last_usable: false,
@@ -186,9 +195,10 @@
         match self.worker_of(name) {
             Some(worker) => self
                 .dispatcher
-                .maintenance_candidate(&worker, name.clone(), now),
+                .maintenance_candidate(&worker, name.clone(), now)
+                .or_else(|| Some(idle(true))),
             // The instance is switched off.
-            None => Some(idle()),
+            None => Some(idle(false)),
         }
     }
 
--- a/crates/jobs/tests/maintenance.rs
+++ b/crates/jobs/tests/maintenance.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{TestCluster, job, submit, wait_until};
+use common::{TestCluster, job, run_job, submit, wait_until};
 use sesamedeal_jobs::ports::StoreTable;
 
 /// Guards against more instances in maintenance than the wave allows, tasks that maintenance ends
@@ -47,3 +47,19 @@
     assert_eq!(orders.len(), 3);
     assert_eq!(max_in_maintenance, 1);
 }
+
+/// Guards against a wave that is never finished because the worker of one of its instances is gone
+/// from the list of workers while the inventory shows the instance as up.
+#[tokio::test]
+async fn worker_gone() {
+    let cluster = TestCluster::new(2);
+    let node = cluster.node("entry-1");
+    run_job(&node, 1).await;
+    cluster.workers.set_unreachable(1, true);
+    cluster.unlist_worker(1);
+    let wave = "wave/machine-0,machine-1";
+    cluster.store.put(StoreTable::Intent, wave, b"");
+    let (orders, max_in_maintenance) = cluster.wait_wave_finished().await;
+    assert_eq!(orders.len(), 2);
+    assert_eq!(max_in_maintenance, 1);
+}
