Close instances of a wave that have left the platform

Change: an open instance that the inventory lacks for 6 s, the limit that holds during maintenance, is closed and logged.

--- a/crates/jobs/src/owner/inventory_view.rs
+++ b/crates/jobs/src/owner/inventory_view.rs
@@ -96,6 +96,7 @@
                     .collect();
                 self.report_active_workers();
                 self.finish_maintenance(sent);
+                self.close_absent_instances(sent);
                 self.finish_moves(sent);
             }
             Err(error) => {
--- a/crates/jobs/src/owner/wave_progress.rs
+++ b/crates/jobs/src/owner/wave_progress.rs
@@ -69,8 +69,43 @@
     /// Instances whose order was sent or is about to be sent. They count as under maintenance until
     /// the order is answered.
     pub(super) claimed: HashMap<InstanceName, MaintenanceClaim>,
+    /// Open instances that the last inventory lacks, with the request time of the first of the
+    /// consecutive inventories without them.
+    absent: HashMap<InstanceName, TimePoint>,
     pub(super) status_version: u64,
     pub(super) is_writing_status: bool,
     /// Whether the last written status is finished; none if the status has to be written.
     pub(super) sent_status: Option<bool>,
 }
+
+impl WaveProgress {
+    /// Updates which of the wave's open instances are absent from the inventory that was requested
+    /// at `sent`. Closes those that have left the platform and returns them.
+    pub(super) fn close_absent(
+        &mut self,
+        instances: &[InstanceName],
+        is_present: impl Fn(&InstanceName) -> bool,
+        sent: TimePoint,
+    ) -> Vec<InstanceName> {
+        let mut gone = Vec::new();
+        for name in instances {
+            if is_present(name) {
+                self.absent.remove(name);
+                continue;
+            }
+            let is_ordered =
+                self.claimed.contains_key(name) || self.under_maintenance.contains_key(name);
+            if is_ordered || self.done.contains(name) {
+                continue;
+            }
+            let since = *self.absent.entry(name.clone()).or_insert(sent);
+            if sent.since(since) >= ABSENCE_LIMIT {
+                self.absent.remove(name);
+                self.evacuating.remove(name);
+                self.done.insert(name.clone());
+                gone.push(name.clone());
+            }
+        }
+        gone
+    }
+}
--- a/crates/jobs/src/owner/wave_runner.rs
+++ b/crates/jobs/src/owner/wave_runner.rs
@@ -283,19 +283,4 @@
         self.is_instance_empty(instance)
             .unwrap_or(age > UNREACHABLE_TIMEOUT)
     }
-
-    /// Drops instances that are back from maintenance or have left the platform.
-    pub(super) fn finish_maintenance(&mut self, sent: TimePoint) {
-        let reports = &self.inventory.reports;
-        for (wave, progress) in &mut self.wave_runner.waves {
-            progress.under_maintenance.retain(|name, entry| {
-                let state = reports.get(name).map(|report| report.state);
-                let is_maintained = entry.update_state(state, sent);
-                if !is_maintained && state.is_none() {
-                    warn!(self.parts.logger, "instance has left the platform"; "wave" => wave, "instance" => %name);
-                }
-                is_maintained
-            });
-        }
-    }
 }
--- a/crates/jobs/tests/inventory_gaps.rs
+++ b/crates/jobs/tests/inventory_gaps.rs
@@ -127,3 +127,18 @@
     let age = lines.find_map(|line| line.strip_prefix("sesamedeal_inventory_age_seconds "));
     age.expect("the metric is rendered").parse().unwrap()
 }
+
+/// Guards against a wave that is never finished because one of its instances was removed from the
+/// platform before its maintenance.
+#[tokio::test]
+async fn removed_instance() {
+    let cluster = TestCluster::new(2);
+    let removed = InstanceName::new("machine-1");
+    cluster.fleet.faults.lock().omitted = Some(removed);
+    let node = cluster.node("entry-1");
+    run_job(&node, 1).await;
+    let wave = "wave/machine-0,machine-1";
+    cluster.store.put(StoreTable::Intent, wave, b"");
+    let (orders, _) = cluster.wait_wave_finished().await;
+    assert_eq!(orders, [InstanceName::new("machine-0")]);
+}
