--- a/crates/core/src/jobs/dispatcher/demand_forecast.rs
+++ b/crates/core/src/jobs/dispatcher/demand_forecast.rs
@@ -22,7 +22,7 @@
 
 impl JobDispatcher {
     /// Adds up the CPU that the batch tasks of the known jobs will use after `horizon`, by pool, in
-    /// thousandths of a core. Waiting tasks are assumed to start by then.
+    /// thousandths of a core. Waiting tasks are assumed to run then.
     pub(super) fn forecast_known(
         &self,
         horizon: Duration,
@@ -92,8 +92,6 @@
     let mut end = Duration::ZERO;
     for task in entry.tasks.iter().filter(|task| !task.is_done) {
         let Some(run) = task.runs.first() else {
-            // Room for short tasks is free before the horizon more often than for long ones.
-            let share = estimate.as_secs_f64() / horizon.as_secs_f64().max(f64::EPSILON);
             used += cpu;
             end = end.max(estimate);
             continue;
--- a/crates/jobs/src/owner/wave_runner.rs
+++ b/crates/jobs/src/owner/wave_runner.rs
@@ -22,7 +22,7 @@
 /// Carries out maintenance waves.
 #[derive(Debug)]
 pub(crate) struct WaveRunner {
-    requested: WaveList,
+    pub(super) requested: WaveList,
     pub(super) waves: BTreeMap<u64, WaveProgress>,
     next_round: TimePoint,
 }
