--- a/crates/cli/src/commands/measure_pools.rs
+++ b/crates/cli/src/commands/measure_pools.rs
@@ -23,6 +23,7 @@
         ("foresight".to_owned(), SizingRule::Foresight),
     ];
     let seeds = args.seed..args.seed.saturating_add(args.seeds);
+    let last_seed = seeds.end.saturating_sub(1);
     let rows = compare_rules(&plan, &families, &rules, &WorldTrouble::default(), seeds);
     if args.json {
         print_json(&rows);
@@ -30,9 +31,7 @@
     }
     print_line(&format!(
         "{} instances, seeds {} to {}; mean and standard error",
-        args.instances,
-        args.seed,
-        args.seed.saturating_add(args.seeds).saturating_sub(1)
+        args.instances, args.seed, last_seed
     ));
     let cells: Vec<[String; 9]> = rows.iter().map(row).collect();
     print_table(
--- a/crates/cli/src/measure/pools/pool_comparison.rs
+++ b/crates/cli/src/measure/pools/pool_comparison.rs
@@ -4,8 +4,9 @@
 use super::demand_family::DemandFamily;
 use super::fleet_plan::FleetPlan;
 use super::pool_figures::PoolFigures;
-use super::pool_world::{WorldTrouble, simulate};
-use super::scaling_rule::SizingRule;
+use super::pool_world::simulate;
+use super::sizing_rule::SizingRule;
+use super::world_trouble::WorldTrouble;
 
 /// Mean of a figure over several seeds, and the standard error of the mean.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize)]
--- a/crates/cli/src/measure/pools/pool_world.rs
+++ b/crates/cli/src/measure/pools/pool_world.rs
@@ -1,22 +1,22 @@
 use std::collections::{BTreeMap, HashMap};
-use std::ops::Range;
 use std::time::Duration;
 
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use sesamedeal_core::ids::{InstanceName, PoolName};
+use sesamedeal_core::ids::PoolName;
 use sesamedeal_core::jobs::{
-    DispatchPolicy, FleetSize, JobDispatcher, JobId, JobPhase, JobRecord, PoolState, SizeChange,
-    StartOutcome, WorkerKey, WorkerOrder,
+    DispatchPolicy, JobDispatcher, JobId, JobPhase, JobRecord, PoolLoad, StartOutcome, WorkerKey,
+    WorkerOrder,
 };
 use sesamedeal_core::time::TimePoint;
 
 use super::demand_family::{DemandCurve, DemandFamily};
-use super::fleet_plan::{FleetPlan, pool_name};
+use super::fleet_plan::FleetPlan;
 use super::pool_figures::{DayTotals, PoolFigures};
-use super::scaling_rule::{RunningRule, SizingRule};
-use super::sim_instance::{InstancePlace, SimInstance};
+use super::sim_instance::SimInstance;
 use super::sim_job::{SimJob, draw_jobs, long_running_job};
+use super::sizing_rule::{RunningRule, SizingRule};
+use super::world_trouble::{LEAD_MS, WorldTrouble};
 
 /// Length of a simulation step, in milliseconds.
 const STEP_MS: u64 = 50;
@@ -27,18 +27,12 @@
 /// Time after that in which jobs may end, in milliseconds.
 const TAIL_MS: u64 = 12_000;
 
-/// Time between the start of the instances and the first job, in milliseconds.
-const LEAD_MS: u64 = 6_000;
-
 /// Time from the arrival of a job until the dispatcher knows it, in milliseconds.
 const NOTICE_MS: u64 = 150;
 
 /// Interval between scaling decisions, in milliseconds.
 const DECISION_MS: u64 = 200;
 
-/// Time that an instance takes to move, in milliseconds.
-const MOVE_MS: u64 = 1_500;
-
 /// Interval between hold calls to an instance with tasks, in milliseconds.
 const HOLD_MS: u64 = 500;
 
@@ -48,31 +42,6 @@
 /// Rows of a write of job records.
 const WRITE_ROWS: usize = 72;
 
-/// Time after the start of an outage of the store from which an owner orders no moves, in
-/// milliseconds.
-const RENEWAL_LIMIT_MS: u64 = 1_500;
-
-/// Trouble on a simulated day.
-#[derive(Debug, Clone, Default)]
-pub struct WorldTrouble {
-    /// Time in which the store does not answer, in milliseconds from the first job.
-    pub silent_store: Option<Range<u64>>,
-    /// Time in which a tenth of the instances has failed, in milliseconds from the first job.
-    pub failed_instances: Option<Range<u64>>,
-}
-
-impl WorldTrouble {
-    fn is_store_silent(&self, now: u64) -> bool {
-        let silence = self.silent_store.as_ref();
-        silence.is_some_and(|time| now >= LEAD_MS && time.contains(&(now - LEAD_MS)))
-    }
-
-    /// Whether the owner may order moves.
-    fn may_move(&self, now: u64) -> bool {
-        !self.is_store_silent(now) || !self.is_store_silent(now.saturating_sub(RENEWAL_LIMIT_MS))
-    }
-}
-
 /// Simulates a day and returns its figures.
 #[must_use]
 pub fn simulate(
@@ -93,20 +62,20 @@
 }
 
 /// Fleet with its dispatcher and its jobs.
-struct PoolWorld<'a> {
-    plan: &'a FleetPlan,
-    trouble: &'a WorldTrouble,
-    rule: RunningRule,
-    dispatcher: JobDispatcher,
-    instances: Vec<SimInstance>,
-    indexes: HashMap<WorkerKey, usize>,
+pub(super) struct PoolWorld<'a> {
+    pub(super) plan: &'a FleetPlan,
+    pub(super) trouble: &'a WorldTrouble,
+    pub(super) rule: RunningRule,
+    pub(super) dispatcher: JobDispatcher,
+    pub(super) instances: Vec<SimInstance>,
+    pub(super) indexes: HashMap<WorkerKey, usize>,
     /// Batch jobs; the number of a job in its identifier is its index here.
     jobs: Vec<SimJob>,
     /// Number of jobs that the dispatcher has been told of.
     noticed: usize,
     /// Batch jobs that have not ended.
     open: Vec<usize>,
-    totals: DayTotals,
+    pub(super) totals: DayTotals,
 }
 
 impl<'a> PoolWorld<'a> {
@@ -119,40 +88,32 @@
         let pools = plan.pools.iter().enumerate();
         let placed = pools.flat_map(|(pool, entry)| vec![Some(pool); entry.instances]);
         let spare = std::iter::repeat_n(None, plan.spare);
-        let mut instances: Vec<SimInstance> = placed
-            .chain(spare)
-            .enumerate()
-            .map(|(number, pool)| SimInstance::new(number, pool))
-            .collect();
+        let placed: Vec<Option<usize>> = placed.chain(spare).collect();
+        let instances = (0..placed.len()).map(SimInstance::new).collect();
         let policy = DispatchPolicy::default();
         let mut dispatcher = JobDispatcher::new(policy, plan.rules(), 1, TimePoint::ORIGIN);
-        let mut indexes = HashMap::new();
-        for (index, instance) in instances.iter_mut().enumerate() {
-            if let InstancePlace::Pool(Some(pool)) = instance.place {
-                let report = instance.start_worker(pool, plan.capacity);
-                let (key, _) = dispatcher.set_worker(report, TimePoint::ORIGIN);
-                instance.key = Some(key);
-                indexes.insert(key, index);
-            }
-        }
         let first = jobs.len();
         for (number, pool) in plan.pools.iter().enumerate() {
             let order = long_running_job(number, pool);
             let id = JobId(u64::try_from(first + number).unwrap_or(u64::MAX));
             dispatcher.add_job(id, order, JobRecord::new(), false, TimePoint::ORIGIN);
         }
-        Self {
+        let mut world = Self {
             plan,
             trouble,
             rule,
             dispatcher,
             instances,
-            indexes,
+            indexes: HashMap::new(),
             jobs,
             noticed: 0,
             open: Vec::new(),
             totals: DayTotals::default(),
+        };
+        for (index, pool) in placed.into_iter().enumerate() {
+            world.join(index, pool, 0);
         }
+        world
     }
 
     #[expect(clippy::cast_precision_loss, reason = "amounts are far below 2^52")]
@@ -188,11 +149,17 @@
             self.deliver(order, now);
         }
         self.end_jobs(now, mean_work);
-        if now.is_multiple_of(DECISION_MS) && self.trouble.may_move(now) {
-            self.scale(now);
+        if now.is_multiple_of(DECISION_MS) {
+            let loads = self.dispatcher.pool_loads(at);
+            if is_day(now) {
+                self.count_work(&loads);
+            }
+            if self.trouble.may_move(now) {
+                self.scale(&loads, now);
+            }
         }
-        if (LEAD_MS..LEAD_MS + DAY_MS).contains(&now) {
-            self.count(now);
+        if is_day(now) {
+            self.count_instances();
         }
     }
 
@@ -208,59 +175,6 @@
         (0..self.plan.pools.len()).map(mean).collect()
     }
 
-    /// Lets the instances that have arrived join their pools.
-    fn place_arrivals(&mut self, now: u64) {
-        for index in 0..self.instances.len() {
-            match self.instances[index].place {
-                InstancePlace::Moving(pool, until) | InstancePlace::Failed(pool, until)
-                    if until <= now =>
-                {
-                    self.join(index, pool, now);
-                }
-                _ => {}
-            }
-        }
-    }
-
-    fn join(&mut self, index: usize, pool: Option<usize>, now: u64) {
-        let instance = &mut self.instances[index];
-        let Some(pool) = pool else {
-            instance.place = InstancePlace::Pool(None);
-            return;
-        };
-        let report = instance.start_worker(pool, self.plan.capacity);
-        let at = TimePoint::with_millis(now);
-        let (key, _) = self.dispatcher.set_worker(report, at);
-        instance.key = Some(key);
-        self.indexes.insert(key, index);
-        self.answer_hold(index, now);
-    }
-
-    fn fail_instances(&mut self, now: u64) {
-        let Some(failure) = &self.trouble.failed_instances else {
-            return;
-        };
-        if now != LEAD_MS + failure.start {
-            return;
-        }
-        let until = LEAD_MS + failure.end;
-        for index in (0..self.instances.len()).step_by(10) {
-            if let InstancePlace::Pool(Some(pool)) = self.instances[index].place {
-                self.remove_worker(index, InstancePlace::Failed(Some(pool), until));
-            }
-        }
-    }
-
-    fn remove_worker(&mut self, index: usize, place: InstancePlace) {
-        let instance = &mut self.instances[index];
-        self.dispatcher.unlist_worker(&instance.worker_name());
-        if let Some(key) = instance.key {
-            self.dispatcher.note_unresponsive(key);
-            self.indexes.remove(&key);
-        }
-        instance.stop_worker(place);
-    }
-
     fn notice_jobs(&mut self, now: u64) {
         if self.trouble.is_store_silent(now) {
             return;
@@ -287,7 +201,7 @@
         }
     }
 
-    fn answer_hold(&mut self, index: usize, now: u64) {
+    pub(super) fn answer_hold(&mut self, index: usize, now: u64) {
         let Some(key) = self.instances[index].key else {
             return;
         };
@@ -349,76 +263,16 @@
         });
     }
 
-    fn scale(&mut self, now: u64) {
-        let loads = self.dispatcher.pool_loads(TimePoint::with_millis(now));
-        let mut states: BTreeMap<PoolName, PoolState> = BTreeMap::new();
-        for number in 0..self.plan.pools.len() {
-            let pool = pool_name(number);
-            let load = loads.get(&pool).copied().unwrap_or_default();
-            let members = self.instances.iter();
-            let members = members.filter(|instance| instance.paid_pool() == Some(number));
-            let state = PoolState {
-                load,
-                instances: members.count(),
-                idle: self.idle_instances(Some(number)).len(),
-            };
-            states.insert(pool, state);
-        }
-        let fleet = FleetSize {
-            spare: self.idle_instances(None).len(),
-            total: self.plan.instances(),
-            capacity: self.dispatcher.worker_capacity(),
-        };
-        for change in self.rule.decide(&states, fleet, now) {
-            self.move_instances(&change, now);
-        }
-    }
-
-    /// Instances of a pool that can move.
-    fn idle_instances(&self, pool: Option<usize>) -> Vec<usize> {
-        let indexes = 0..self.instances.len();
-        let idle = indexes.filter(|&index| {
-            let instance = &self.instances[index];
-            instance.place == InstancePlace::Pool(pool) && self.is_idle(instance)
-        });
-        idle.collect()
-    }
-
-    fn is_idle(&self, instance: &SimInstance) -> bool {
-        let worker: Option<InstanceName> = instance.key.map(|_| instance.worker_name());
-        let name = instance.instance_name();
-        self.dispatcher.is_instance_idle(&name, worker.as_ref()) == Some(true)
-    }
-
-    fn move_instances(&mut self, change: &SizeChange, now: u64) {
-        let number = |pool: &PoolName| {
-            let mut numbers = 0..self.plan.pools.len();
-            numbers.find(|&number| pool_name(number) == *pool)
-        };
-        let from = change.from.as_ref().and_then(number);
-        let to = change.to.as_ref().and_then(number);
-        let idle = self.idle_instances(from);
-        for index in idle.into_iter().take(change.count) {
-            self.remove_worker(index, InstancePlace::Moving(to, now + MOVE_MS));
-            if (LEAD_MS..LEAD_MS + DAY_MS).contains(&now) {
-                self.totals.moves += 1.0;
-            }
-        }
+    #[expect(clippy::cast_precision_loss, reason = "instances are few")]
+    fn count_instances(&mut self) {
+        let paid = self.instances.iter();
+        let paid = paid.filter(|instance| instance.paid_pool().is_some());
+        self.totals.instance_seconds += paid.count() as f64 * STEP_MS as f64 / 1_000.0;
     }
 
     #[expect(clippy::cast_precision_loss, reason = "amounts are far below 2^52")]
-    fn count(&mut self, now: u64) {
-        let seconds = STEP_MS as f64 / 1_000.0;
-        let paid = self.instances.iter();
-        let paid = paid
-            .filter(|instance| instance.paid_pool().is_some())
-            .count();
-        self.totals.instance_seconds += paid as f64 * seconds;
-        if !now.is_multiple_of(DECISION_MS) {
-            return;
-        }
+    fn count_work(&mut self, loads: &BTreeMap<PoolName, PoolLoad>) {
         let seconds = DECISION_MS as f64 / 1_000.0;
-        let loads = self.dispatcher.pool_loads(TimePoint::with_millis(now));
         for (load, pool) in loads.values().zip(&self.plan.pools) {
             self.totals.waited += load.waiting as f64 / 1_000.0 * seconds;
             let tasks = f64::from(pool.long_running);
@@ -429,6 +283,11 @@
     }
 }
 
+/// Whether jobs arrive at a time, in milliseconds.
+pub(super) fn is_day(now: u64) -> bool {
+    (LEAD_MS..LEAD_MS + DAY_MS).contains(&now)
+}
+
 /// Value of a job in core-seconds. It grows with its work, but a small job is worth more than its
 /// share and a very large one less.
 #[expect(clippy::cast_precision_loss, reason = "amounts are far below 2^52")]
--- a/crates/cli/src/measure/pools/sim_instance.rs
+++ b/crates/cli/src/measure/pools/sim_instance.rs
@@ -29,10 +29,8 @@
 pub(super) enum InstancePlace {
     /// In a pool; `None` is the spare pool.
     Pool(Option<usize>),
-    /// On the way to a pool, until the given time in milliseconds.
-    Moving(Option<usize>, u64),
-    /// Failed until the given time in milliseconds, when it is back in its pool.
-    Failed(Option<usize>, u64),
+    /// On the way to a pool, or failed there, until the given time in milliseconds.
+    Away(Option<usize>, u64),
 }
 
 /// Simulated instance with its worker.
@@ -51,10 +49,11 @@
 }
 
 impl SimInstance {
-    pub(super) const fn new(number: usize, pool: Option<usize>) -> Self {
+    /// Creates an instance in the spare pool.
+    pub(super) const fn new(number: usize) -> Self {
         Self {
             number,
-            place: InstancePlace::Pool(pool),
+            place: InstancePlace::Pool(None),
             key: None,
             boot: 0,
             running: BTreeMap::new(),
@@ -172,9 +171,7 @@
     /// Pool in which the instance counts as in use; none in the spare pool.
     pub(super) const fn paid_pool(&self) -> Option<usize> {
         match self.place {
-            InstancePlace::Pool(pool)
-            | InstancePlace::Moving(pool, _)
-            | InstancePlace::Failed(pool, _) => pool,
+            InstancePlace::Pool(pool) | InstancePlace::Away(pool, _) => pool,
         }
     }
 }
--- a/crates/core/src/jobs/dispatcher/demand_forecast.rs
+++ b/crates/core/src/jobs/dispatcher/demand_forecast.rs
@@ -62,7 +62,7 @@
             continue;
         }
         let estimate = ratio.apply_to_time(spec.estimate);
-        let start = latest_end(spec, &ends);
+        let start = spec.earliest_start(&ends);
         if start.is_zero() {
             let (cpu, end) = ready_step_use(entry, spec, estimate, horizon, now);
             used += cpu;
@@ -116,21 +116,13 @@
     left.max(estimate.mul_f64(OVERRUN_FRACTION))
 }
 
-fn latest_end(spec: &StepSpec, ends: &[Duration]) -> Duration {
-    let ends = spec
-        .after
-        .iter()
-        .filter_map(|&at| ends.get(usize::from(at)));
-    ends.max().copied().unwrap_or_default()
-}
-
 /// Work that the batch tasks of a job do within `horizon` of its arrival if none of them waits, in
 /// core milliseconds.
 pub(super) fn early_work(order: &JobOrder, horizon: Duration) -> u64 {
     let mut ends: Vec<Duration> = Vec::with_capacity(order.steps.len());
     let mut work: u64 = 0;
     for spec in &order.steps {
-        let start = latest_end(spec, &ends);
+        let start = spec.earliest_start(&ends);
         ends.push(start + spec.estimate);
         if spec.is_lasting || start >= horizon {
             continue;
--- a/crates/core/src/jobs/dispatcher/waiting_steps.rs
+++ b/crates/core/src/jobs/dispatcher/waiting_steps.rs
@@ -201,17 +201,12 @@
     };
     let mut ends: Vec<Duration> = Vec::with_capacity(entry.steps.len());
     for (step, spec) in entry.steps.iter().zip(&job.order.steps) {
-        let begin = spec
-            .after
-            .iter()
-            .filter_map(|&at| ends.get(usize::from(at)));
-        let begin = begin.max().copied().unwrap_or_default();
         let run_time = if step.remaining == 0 {
             Duration::ZERO
         } else {
             spec.estimate
         };
-        ends.push(begin + run_time);
+        ends.push(spec.earliest_start(&ends) + run_time);
     }
     ends.into_iter().max().unwrap_or_default()
 }
--- a/crates/core/src/jobs/job_entry.rs
+++ b/crates/core/src/jobs/job_entry.rs
@@ -186,12 +186,7 @@
 fn critical_path(steps: &[StepSpec]) -> Duration {
     let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
     for step in steps {
-        let start = step
-            .after
-            .iter()
-            .filter_map(|&at| ends.get(usize::from(at)));
-        let start = start.max().copied().unwrap_or_default();
-        ends.push(start + step.estimate);
+        ends.push(step.earliest_start(&ends) + step.estimate);
     }
     ends.into_iter().max().unwrap_or_default()
 }
--- a/crates/core/src/jobs/step_spec.rs
+++ b/crates/core/src/jobs/step_spec.rs
@@ -70,4 +70,13 @@
         }
         amount
     }
+
+    /// Returns when the step can start, given the ends of the earlier steps of its job.
+    pub(crate) fn earliest_start(&self, ends: &[Duration]) -> Duration {
+        let ends = self
+            .after
+            .iter()
+            .filter_map(|&at| ends.get(usize::from(at)));
+        ends.max().copied().unwrap_or_default()
+    }
 }
--- a/crates/jobs/src/owner/wave_progress.rs
+++ b/crates/jobs/src/owner/wave_progress.rs
@@ -24,21 +24,35 @@
     Ordering,
 }
 
+/// Absence of an instance from consecutive inventories.
+#[derive(Debug, Clone, Copy, Default)]
+struct InstanceAbsence {
+    /// When the first of these inventories was requested; none if the last one has the instance.
+    since: Option<TimePoint>,
+}
+
+impl InstanceAbsence {
+    /// Records an inventory without the instance that was requested at `sent`, and returns whether
+    /// the instance has left the platform.
+    fn record(&mut self, sent: TimePoint) -> bool {
+        let since = *self.since.get_or_insert(sent);
+        sent.since(since) >= ABSENCE_LIMIT
+    }
+}
+
 /// An instance under maintenance.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct MaintainedInstance {
     /// When its order was accepted, or when a successor restored it.
     since: TimePoint,
-    /// When the first of the consecutive lists without the instance was requested; none if the last
-    /// list has it.
-    missing_since: Option<TimePoint>,
+    absence: InstanceAbsence,
 }
 
 impl MaintainedInstance {
     pub(super) const fn new(since: TimePoint) -> Self {
         Self {
             since,
-            missing_since: None,
+            absence: InstanceAbsence { since: None },
         }
     }
 
@@ -49,10 +63,9 @@
             return true;
         }
         let Some(state) = state else {
-            let missing_since = *self.missing_since.get_or_insert(sent);
-            return sent.since(missing_since) < ABSENCE_LIMIT;
+            return !self.absence.record(sent);
         };
-        self.missing_since = None;
+        self.absence = InstanceAbsence::default();
         state != InventoryState::Up
     }
 }
@@ -69,9 +82,8 @@
     /// Instances whose order was sent or is about to be sent. They count as under maintenance until
     /// the order is answered.
     pub(super) claimed: HashMap<InstanceName, MaintenanceClaim>,
-    /// Open instances that the last inventory lacks, with the request time of the first of the
-    /// consecutive inventories without them.
-    absent: HashMap<InstanceName, TimePoint>,
+    /// Open instances that the last inventory lacks.
+    absent: HashMap<InstanceName, InstanceAbsence>,
     pub(super) status_version: u64,
     pub(super) is_writing_status: bool,
     /// Whether the last written status is finished; none if the status has to be written.
@@ -98,8 +110,7 @@
             if is_ordered || self.done.contains(name) {
                 continue;
             }
-            let since = *self.absent.entry(name.clone()).or_insert(sent);
-            if sent.since(since) >= ABSENCE_LIMIT {
+            if self.absent.entry(name.clone()).or_default().record(sent) {
                 self.absent.remove(name);
                 self.evacuating.remove(name);
                 self.done.insert(name.clone());
