Hand units over to peers at a shutdown

The view lists a session for up to 5 s after it has left (the controller reads all session rows that often), and its units become usable elsewhere only when the next generation has settled. If it owned all slots of a pool, jobs with a deadline of 2 s were refused (1012). With two workers all four blocks have to be with the session that leaves.

--- a/crates/core/src/ledger/loan_ledger.rs
+++ b/crates/core/src/ledger/loan_ledger.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::{LoanRecord, PeerLedger, ResourceKey};
 use crate::ids::{Generation, SessionId};
@@ -98,6 +98,13 @@
             .min()
     }
 
+    /// Peers that have lent units which are not returned yet.
+    pub(crate) fn lenders(&self) -> BTreeSet<SessionId> {
+        let ledgers = self.peers.iter();
+        let lenders = ledgers.filter(|(_, ledger)| !ledger.borrowed.is_empty());
+        lenders.map(|(peer, _)| *peer).collect()
+    }
+
     /// Resources with borrowed units, sorted and without duplicates.
     pub(crate) fn borrowed(&self) -> Vec<ResourceKey> {
         let mut resources: Vec<ResourceKey> = self
--- a/crates/core/src/scheduler/borrowing.rs
+++ b/crates/core/src/scheduler/borrowing.rs
@@ -96,7 +96,7 @@
         }
     }
 
-    fn return_units(&mut self, resource: ResourceKey, units: u32) {
+    pub(super) fn return_units(&mut self, resource: ResourceKey, units: u32) {
         let (given, void) = self.ledger.return_borrowed(resource, units);
         let account = self.account_mut(resource);
         account.borrowed -= given;
--- a/crates/core/src/scheduler/job_scheduler.rs
+++ b/crates/core/src/scheduler/job_scheduler.rs
@@ -189,12 +189,6 @@
         }
     }
 
-    /// Refuses all queued and all new jobs, ahead of a shutdown.
-    pub fn shut_down(&mut self, now: TimePoint) {
-        self.is_shutting_down = true;
-        self.refuse_queued(crate::code::ResultCode::ShuttingDown, now, |_| true);
-    }
-
     /// Returns the number of attempts that hold units.
     #[must_use]
     pub fn running(&self) -> usize {
--- a/crates/core/src/scheduler/lending.rs
+++ b/crates/core/src/scheduler/lending.rs
@@ -200,7 +200,7 @@
         self.refresh_worker(worker, now);
     }
 
-    fn lend(&mut self, resource: ResourceKey, units: u32, peer: SessionId) -> bool {
+    pub(super) fn lend(&mut self, resource: ResourceKey, units: u32, peer: SessionId) -> bool {
         let made_at = self.fleet.generation();
         let brief = !self.fleet.view.contains(peer);
         let ledger = self.ledger.peer(peer);
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -23,6 +23,7 @@
 mod scheduler_action;
 mod scheduler_policy;
 mod sharing;
+mod shutting_down;
 mod team_entry;
 mod timers;
 mod usage_report;
--- a/crates/daemon/src/dispatch/control_handlers.rs
+++ b/crates/daemon/src/dispatch/control_handlers.rs
@@ -16,6 +16,8 @@
     pub quiesced: Generation,
     /// Attempts that still hold units.
     pub running: usize,
+    /// Whether a peer has not confirmed a loan yet.
+    pub has_unconfirmed_loans: bool,
 }
 
 /// Builds the message to a peer.
@@ -76,6 +78,7 @@
         WorkProgress {
             quiesced: core.scheduler.quiesced(),
             running: core.scheduler.running(),
+            has_unconfirmed_loans: core.scheduler.has_unconfirmed_loans(),
         }
     }
 }
--- a/crates/daemon/src/dispatch/dispatch_actor.rs
+++ b/crates/daemon/src/dispatch/dispatch_actor.rs
@@ -3,7 +3,7 @@
 use xtra::{Actor, Context, Handler};
 
 use super::DispatchDesk;
-use super::dispatch_messages::{ApplyState, StopTaking};
+use super::dispatch_messages::{ApplyState, HandOverUnits, StopTaking};
 
 /// Passes the messages of the control loops to the scheduler.
 #[derive(Debug, Actor)]
@@ -45,3 +45,13 @@
         core.drive();
     }
 }
+
+impl Handler<HandOverUnits> for DispatchActor {
+    type Return = ();
+
+    async fn handle(&mut self, _: HandOverUnits, _: &mut Context<Self>) {
+        let mut core = self.desk.lock();
+        core.scheduler.hand_over_units();
+        core.drive();
+    }
+}
--- a/crates/daemon/src/dispatch/dispatch_messages.rs
+++ b/crates/daemon/src/dispatch/dispatch_messages.rs
@@ -71,3 +71,7 @@
 /// Takes no further jobs, ahead of a shutdown.
 #[derive(Debug)]
 pub(crate) struct StopTaking;
+
+/// Hands all units over to peers, after the last job has ended.
+#[derive(Debug)]
+pub(crate) struct HandOverUnits;
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -21,7 +21,7 @@
 pub(crate) use dispatch_actor::DispatchActor;
 pub(crate) use dispatch_core::DispatchParts;
 pub(crate) use dispatch_desk::DispatchDesk;
-pub(crate) use dispatch_messages::{ApplyState, StopTaking};
+pub(crate) use dispatch_messages::{ApplyState, HandOverUnits, StopTaking};
 pub(crate) use evidence_flag::EvidenceFlag;
 pub(crate) use job_answer::JobAnswer;
 pub(crate) use job_body::{AnswerBroken, JobBody};
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -23,7 +23,7 @@
 use crate::clock::ProcessClock;
 use crate::control::{ControlTick, ControllerActor, HealthLoop, tick_period};
 use crate::control_traffic::ControlTraffic;
-use crate::dispatch::ReadProgress;
+use crate::dispatch::{HandOverUnits, ReadProgress};
 use crate::entry_context::EntryContext;
 use crate::error::{ListenSnafu, Result, SignalSnafu};
 use crate::http::{PathParts, RequestPath, serve};
@@ -43,6 +43,10 @@
 /// Time between two checks whether a leaving entry instance has work left.
 const IDLE_CHECK: Duration = Duration::from_millis(10);
 
+/// Time that a leaving entry instance waits for the peers to confirm its units. It is a few times
+/// as long as an exchange takes across regions.
+const HAND_OVER_LIMIT: Duration = Duration::from_millis(500);
+
 /// Time between two ticks of the pause detection. It is well below the gap of 1 s that counts as
 /// a pause, so that a busy machine does not look like a paused process.
 const PAUSE_PERIOD: Duration = Duration::from_millis(100);
@@ -143,6 +147,7 @@
             // A panic of the server task has already been reported by the runtime.
             drop((&mut self.server).await);
             wait_idle(&context).await;
+            hand_over_units(&context).await;
             context.phase.send_replace(SessionState::Left);
             drop((&mut self.session).await);
         });
@@ -194,6 +199,21 @@
     }
 }
 
+/// Hands the units over to peers and waits until they have confirmed it. A peer that does not
+/// answer gets the units when the view no longer lists this session.
+async fn hand_over_units(context: &EntryContext) {
+    let limit = Instant::now() + HAND_OVER_LIMIT;
+    if context.dispatcher.send(HandOverUnits).await.is_err() {
+        return;
+    }
+    while let Ok(progress) = context.dispatcher.send(ReadProgress).await
+        && progress.has_unconfirmed_loans
+        && Instant::now() < limit
+    {
+        sleep(IDLE_CHECK).await;
+    }
+}
+
 fn context(
     settings: DaemonSettings,
     listened: SocketAddr,
