--- a/crates/cli/src/measure/pools/fleet_plan.rs
+++ b/crates/cli/src/measure/pools/fleet_plan.rs
@@ -128,6 +128,17 @@
         }
     }
 
+    /// Multiplies the run times of the tasks by `factor`; the work stays the same, since
+    /// accordingly more or fewer jobs arrive.
+    #[must_use]
+    pub fn with_run_time(mut self, factor: f64) -> Self {
+        for pool in &mut self.pools {
+            pool.shape.run_seconds *= factor;
+            pool.jobs_per_second /= factor;
+        }
+        self
+    }
+
     pub(super) fn instances(&self) -> usize {
         self.spare + self.pools.iter().map(|pool| pool.instances).sum::<usize>()
     }
--- a/crates/cli/src/measure/pools/pool_world.rs
+++ b/crates/cli/src/measure/pools/pool_world.rs
@@ -121,7 +121,8 @@
         let end = LEAD_MS + DAY_MS + TAIL_MS;
         let mean_work = self.mean_work();
         for job in &self.jobs {
-            self.totals.owed += value(job, mean_work[job.pool]);
+            let value = value(job, mean_work[job.pool]);
+            self.totals.add_owed(value, job.arrives_ms);
             self.totals.work += job.work() as f64 / 1e6;
         }
         for now in (0..end).step_by(usize::try_from(STEP_MS).unwrap_or(usize::MAX)) {
@@ -254,7 +255,7 @@
                 let value = value(job, mean_work[job.pool]);
                 let took = now - job.arrives_ms;
                 if took <= job.objective_ms() {
-                    totals.in_time += value;
+                    totals.add_in_time(value, job.arrives_ms);
                 } else if took <= job.objective_ms() * 3 {
                     totals.late += value;
                 }
--- a/crates/cli/src/measure/pools/sim_job.rs
+++ b/crates/cli/src/measure/pools/sim_job.rs
@@ -10,11 +10,14 @@
 /// Interval at which arrivals are drawn, in milliseconds.
 const ARRIVAL_STEP_MS: u64 = 10;
 
-/// Deviation of the logarithm of numbers, sizes and run times.
+/// Deviation of the logarithm of numbers of steps, sizes and run times.
 const SPREAD: f64 = 0.45;
 
+/// Deviation of the logarithm of the number of tasks of a step.
+const TASK_SPREAD: f64 = 0.6;
+
 /// Largest value of a number, size or run time, as a multiple of its mean.
-const MAX_MULTIPLE: f64 = 3.0;
+const MAX_MULTIPLE: f64 = 4.0;
 
 /// Batch job of a simulated day.
 #[derive(Debug, Clone)]
@@ -88,7 +91,8 @@
     let steps = number(shape.steps) as u16;
     let cpu_millis = number(shape.cpu_millis) as u64;
     let memory_mb = number(shape.memory_mb) as u64;
-    let counts: Vec<u16> = (0..steps).map(|_| number(shape.tasks) as u16).collect();
+    let mut width = || vary(shape.tasks, TASK_SPREAD, random).round().max(1.0) as u16;
+    let counts: Vec<u16> = (0..steps).map(|_| width()).collect();
     let mut order_steps = Vec::new();
     let mut run_ms = Vec::new();
     for (step, count) in counts.into_iter().enumerate() {
--- a/crates/core/src/jobs/dispatcher/pool_loads.rs
+++ b/crates/core/src/jobs/dispatcher/pool_loads.rs
@@ -110,7 +110,11 @@
             let rates = RATE_WINDOWS.map(|window| {
                 let counted = arrivals.iter();
                 let counted = counted.filter(|arrival| now.since(arrival.at) <= window);
-                let work: u64 = counted.map(|arrival| arrival.early_work).sum();
+                let (count, work) = counted.fold((0_u64, 0_u64), |(count, work), arrival| {
+                    (count + 1, work.saturating_add(arrival.early_work))
+                });
+                // A single arrival shows no rate.
+                let work = work / count.max(1) * count.saturating_sub(1);
                 let window = u64::try_from(window.as_millis()).unwrap_or(u64::MAX);
                 work.saturating_mul(1_000) / window
             });
--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -28,7 +28,7 @@
 mod scaling_policy;
 mod size_change;
 mod step_spec;
-mod surge_clock;
+mod surge_history;
 mod task_entry;
 mod task_name;
 mod ticket_cache;
--- a/crates/core/src/jobs/pool_history.rs
+++ b/crates/core/src/jobs/pool_history.rs
@@ -21,14 +21,32 @@
     instances: usize,
 }
 
+/// Surge in progress.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct CurrentSurge {
+    pub started: TimePoint,
+    /// Largest number of instances that its running work has needed so far.
+    size: usize,
+}
+
+/// What has become of the surges of a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum SurgeChange {
+    /// No surge has started or ended.
+    Unchanged,
+    Started,
+    /// A surge has ended that used at most the given number of instances.
+    Ended(usize),
+}
+
 /// Recent demand of a pool.
 #[derive(Debug, Clone, Default)]
 pub(super) struct PoolHistory {
     needs: VecDeque<SizeNeed>,
     /// Instances for the expected work.
     expected: usize,
-    /// Whether the pool has a surge, and when the last one ended.
-    pub(super) is_surging: bool,
+    surge: Option<CurrentSurge>,
+    /// When the last surge ended.
     surge_ended: Option<TimePoint>,
 }
 
@@ -67,7 +85,7 @@
         {}
     }
 
-    /// Updates whether the pool has a surge, and returns whether one has just started.
+    /// Updates whether the pool has a surge.
     #[expect(clippy::cast_precision_loss, reason = "amounts are far below 2^52")]
     pub(super) fn update_surge(
         &mut self,
@@ -76,22 +94,38 @@
         capacity: u64,
         policy: &ScalingPolicy,
         now: TimePoint,
-    ) -> bool {
+    ) -> SurgeChange {
         let load = &state.load;
         let work = load.expected.max(load.batch + load.waiting) as f64;
         let limit = equal_share as f64 * capacity as f64 * policy.surge_share;
-        if self.is_surging {
-            if work < limit * SURGE_END {
-                self.is_surging = false;
-                self.surge_ended = Some(now);
+        if let Some(surge) = &mut self.surge {
+            let running = load.long_running + load.batch;
+            let used = instances_for(running, capacity, policy.headroom);
+            surge.size = surge.size.max(used);
+            if work >= limit * SURGE_END {
+                return SurgeChange::Unchanged;
             }
-            return false;
+            let size = surge.size;
+            self.surge = None;
+            self.surge_ended = Some(now);
+            return SurgeChange::Ended(size);
         }
         let is_cooling_down = self
             .surge_ended
             .is_some_and(|at| now.since(at) < SURGE_COOLDOWN);
-        self.is_surging = !is_cooling_down && work > limit && limit > 0.0;
-        self.is_surging
+        if is_cooling_down || work <= limit || limit <= 0.0 {
+            return SurgeChange::Unchanged;
+        }
+        self.surge = Some(CurrentSurge {
+            started: now,
+            size: 0,
+        });
+        SurgeChange::Started
+    }
+
+    /// The surge that the pool has.
+    pub(super) const fn surge(&self) -> Option<&CurrentSurge> {
+        self.surge.as_ref()
     }
 
     /// Number of instances for the expected work.
--- a/crates/core/src/jobs/scaling_planner.rs
+++ b/crates/core/src/jobs/scaling_planner.rs
@@ -2,16 +2,18 @@
 //!
 //! Load pattern: the demand of a pool rises to several times its mean within a second and falls
 //! again after some seconds, which is only a few times as long as an instance takes to move. A pool
-//! gets the instances for the work that is expected when they arrive. Instances that it no longer
-//! needs go to the pools that lack some; they are switched off only after they have been without
-//! work for as long as it costs to switch them off and on again.
+//! gets the instances for the work that is expected when they arrive. As a rise is steeper than any
+//! forecast of it, a pool whose surge starts gets the instances of a usual surge at once, and the
+//! pools that are likely to surge next hold a part of them in reserve. Instances that a pool no
+//! longer needs go to the pools that lack some; they are switched off only after they have been
+//! without work for as long as it costs to switch them off and on again.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::pool_history::PoolHistory;
+use super::pool_history::{PoolHistory, SurgeChange};
 use super::size_change::{PoolDeficit, PoolSurplus, distribute};
-use super::surge_clock::SurgeClock;
+use super::surge_history::SurgeHistory;
 use super::{PoolLoad, ScalingPolicy, SizeChange};
 use crate::ids::PoolName;
 use crate::time::TimePoint;
@@ -43,9 +45,7 @@
 pub struct ScalingPlanner {
     policy: ScalingPolicy,
     history: BTreeMap<PoolName, PoolHistory>,
-    surges: SurgeClock,
-    /// Largest number of instances that a surge has needed.
-    largest_surge: usize,
+    surges: SurgeHistory,
     /// When this planner made its first decision.
     first_decision: Option<TimePoint>,
 }
@@ -75,9 +75,9 @@
     /// out.
     #[must_use]
     pub fn surges(&self, now: TimePoint) -> Vec<(PoolName, Duration)> {
-        let starts = self.surges.starts().iter();
+        let starts = self.surges.starts();
         starts
-            .map(|(pool, at)| (pool.clone(), now.since(*at)))
+            .map(|(pool, at)| (pool.clone(), now.since(at)))
             .collect()
     }
 
@@ -99,98 +99,93 @@
         let first_decision = *self.first_decision.get_or_insert(now);
         // A new owner has no record of earlier demand.
         let may_switch_off = now.since(first_decision) >= self.policy.off_wait;
-        for (pool, state) in pools {
-            let history = self.history.entry(pool.clone()).or_default();
-            history.record(state, equal_share, fleet.capacity, &self.policy, now);
-            if history.update_surge(state, equal_share, fleet.capacity, &self.policy, now) {
-                self.surges.record_start(pool, now);
-            }
-            if history.is_surging {
-                self.largest_surge = self.largest_surge.max(history.expected());
-            }
-        }
-        let next = self.next_pools();
-        let reserve = self.reserve(&next, (fleet, equal_share), now);
+        self.record(pools, (fleet, equal_share), now);
+        let quiet = pools.keys();
+        let quiet = quiet.filter(|pool| self.history[*pool].surge().is_none());
+        let next = self.surges.next_pools(quiet);
         let mut deficits: Vec<PoolDeficit> = Vec::new();
         let mut surpluses: Vec<PoolSurplus> = Vec::new();
         for (pool, state) in pools {
             let history = &self.history[pool];
-            let least = if next.contains(pool) {
-                reserve.max(self.policy.min_instances)
-            } else {
-                self.policy.min_instances
-            };
+            let least = self.policy.min_instances;
+            let reserve = self.reserve(pool, next.contains(&pool), equal_share, now);
             let needed = history.expected();
-            if state.instances < needed.max(least) {
+            let lacking = needed.max(least).saturating_sub(state.instances);
+            let below_reserve = reserve.saturating_sub(state.instances + lacking);
+            if lacking + below_reserve > 0 {
                 deficits.push(PoolDeficit {
                     pool: pool.clone(),
-                    needed: needed.saturating_sub(state.instances),
-                    reserve: least.saturating_sub(state.instances.max(needed)),
+                    needed: lacking,
+                    reserve: below_reserve,
                 });
+            }
+            if lacking > 0 {
                 continue;
             }
             let free = |kept: usize| state.instances.saturating_sub(kept).min(state.idle);
-            let peak = |time: Duration| history.peak(time, now).max(least);
-            let unneeded = free(peak(self.policy.keep_time));
+            let recent = history.peak(self.policy.keep_time, now).max(least);
+            let unneeded = free(recent.max(reserve));
             let unused = if may_switch_off {
-                free(peak(self.policy.off_wait))
+                free(
+                    history
+                        .peak(self.policy.off_wait, now)
+                        .max(least)
+                        .max(reserve),
+                )
             } else {
                 0
             };
             surpluses.push(PoolSurplus {
                 pool: pool.clone(),
                 unneeded,
+                reserved: free(recent) - unneeded,
                 unused,
             });
         }
         distribute(deficits, surpluses, fleet.spare)
     }
 
-    /// Returns the number of instances that a pool holds in reserve if it may surge next.
-    fn reserve(
-        &self,
-        next: &[PoolName],
+    /// Records the demand of the pools, and the surges that have started or ended.
+    fn record(
+        &mut self,
+        pools: &BTreeMap<PoolName, PoolState>,
         (fleet, equal_share): (FleetSize, usize),
         now: TimePoint,
-    ) -> usize {
-        let (before, after) = self.policy.reserve_time;
-        let is_due = self
-            .surges
-            .next_due()
-            .is_some_and(|due| now.after(before) >= due && now <= due.after(after));
-        if !is_due {
-            return 0;
+    ) {
+        for (pool, state) in pools {
+            let history = self.history.entry(pool.clone()).or_default();
+            history.record(state, equal_share, fleet.capacity, &self.policy, now);
+            match history.update_surge(state, equal_share, fleet.capacity, &self.policy, now) {
+                SurgeChange::Unchanged => {}
+                SurgeChange::Started => self.surges.record_start(pool, now),
+                SurgeChange::Ended(size) => self.surges.record_size(pool, size),
+            }
         }
-        let others = self.history.iter().filter(|(pool, _)| !next.contains(pool));
-        let needed: usize = others.map(|(_, history)| history.expected()).sum();
-        let share = fleet.total.saturating_sub(needed) / next.len().max(1);
-        #[expect(
-            clippy::cast_precision_loss,
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "instances are few and not negative"
-        )]
-        // Before the first surge, and after a takeover, nothing is known of its size.
-        let wanted =
-            (self.largest_surge.max(equal_share) as f64 * self.policy.reserve_share) as usize;
-        wanted.min(share)
     }
 
-    /// Returns the pools that are likely to surge next: those without a surge so far, or else the
-    /// one whose last surge is the oldest.
-    fn next_pools(&self) -> Vec<PoolName> {
-        let mut order: Vec<(&PoolName, Option<TimePoint>)> = self
-            .history
-            .iter()
-            .filter(|(_, history)| !history.is_surging)
-            .map(|(pool, _)| (pool, self.surges.starts().get(pool).copied()))
-            .collect();
-        order.sort_by_key(|(_, started)| *started);
-        let never = order
-            .iter()
-            .filter(|(_, started)| started.is_none())
-            .count();
-        let first = order.into_iter().take(never.max(1));
-        first.map(|(pool, _)| pool.clone()).collect()
+    /// Returns the number of instances that a pool holds for a surge that has just started, or if it
+    /// is likely to surge next.
+    fn reserve(&self, pool: &PoolName, is_next: bool, equal_share: usize, now: TimePoint) -> usize {
+        let surge = self.history[pool].surge();
+        let is_onset =
+            surge.is_some_and(|surge| now.since(surge.started) <= self.policy.onset_time);
+        let usual = self.surges.usual_size(pool);
+        match usual {
+            Some(size) if is_onset => part_of(size, self.policy.onset_share),
+            Some(size) if is_next => part_of(size, self.policy.reserve_share),
+            None if is_next => equal_share,
+            _ => 0,
+        }
     }
 }
+
+/// Returns a fraction of a number of instances, rounded down.
+#[expect(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "instances are few and not negative"
+)]
+fn part_of(instances: usize, fraction: f64) -> usize {
+    (instances as f64 * fraction) as usize
+}
--- a/crates/core/src/jobs/scaling_policy.rs
+++ b/crates/core/src/jobs/scaling_policy.rs
@@ -17,10 +17,14 @@
     /// Fraction of the capacity of an equal share of all instances. A pool has a surge while its
     /// batch work is expected to use more.
     pub surge_share: f64,
-    /// Fraction of the instances of the largest surge that the next pool holds when it is due.
+    /// Fraction of the instances of a usual surge that a pool holds in reserve if it is likely to
+    /// surge next. They serve the surge until more instances have moved to the pool.
     pub reserve_share: f64,
-    /// How long before a surge is due the reserve is built, and how long it is kept after that.
-    pub reserve_time: (Duration, Duration),
+    /// Fraction of the instances of a usual surge that a pool gets as soon as its surge starts.
+    pub onset_share: f64,
+    /// Time from the start of a surge after which the pool gets only the instances that its demand
+    /// needs, since a usual surge would have shown by then.
+    pub onset_time: Duration,
     /// Time from the order to move an instance until it joins its new pool.
     pub move_time: Duration,
 }
@@ -33,8 +37,9 @@
             off_wait: Duration::from_millis(3_000),
             min_instances: 3,
             surge_share: 0.6,
-            reserve_share: 0.3,
-            reserve_time: (Duration::from_millis(2_200), Duration::from_millis(1_500)),
+            reserve_share: 0.4,
+            onset_share: 0.9,
+            onset_time: Duration::from_millis(2_000),
             move_time: Duration::from_millis(1_500),
         }
     }
--- a/crates/core/src/jobs/size_change.rs
+++ b/crates/core/src/jobs/size_change.rs
@@ -27,14 +27,16 @@
 #[derive(Debug, Clone)]
 pub(super) struct PoolSurplus {
     pub pool: PoolName,
-    /// Instances that the pool does not need at present.
+    /// Instances that the pool does not need at present, without its reserve.
     pub unneeded: usize,
-    /// Those of them that have been without work for so long that they can be switched off.
+    /// Instances in reserve. Only a pool that needs them for expected work gets them.
+    pub reserved: usize,
+    /// Unneeded instances that have been without work for so long that they can be switched off.
     pub unused: usize,
 }
 
 /// Covers the deficits of pools with instances that other pools do not need, then from the spare
-/// pool, and switches off the instances that are unused.
+/// pool, then with reserves, and switches off the instances that are unused.
 pub(super) fn distribute(
     mut deficits: Vec<PoolDeficit>,
     mut surpluses: Vec<PoolSurplus>,
@@ -43,24 +45,20 @@
     deficits.sort_by_key(|deficit| std::cmp::Reverse(deficit.needed));
     surpluses.sort_by_key(|surplus| std::cmp::Reverse(surplus.unneeded));
     let mut changes = Vec::new();
-    let needed = deficits
-        .iter()
-        .map(|deficit| (&deficit.pool, deficit.needed));
-    let reserves = deficits
-        .iter()
-        .map(|deficit| (&deficit.pool, deficit.reserve));
-    for (pool, mut lacking) in needed.chain(reserves) {
+    for deficit in &deficits {
+        let mut lacking = deficit.needed;
+        let pool = &deficit.pool;
+        take_unneeded(pool, &mut lacking, &mut surpluses, &mut spare, &mut changes);
         for surplus in &mut surpluses {
             let from = Some(surplus.pool.clone());
-            take(
-                from,
-                pool,
-                &mut lacking,
-                &mut surplus.unneeded,
-                &mut changes,
-            );
+            let reserved = &mut surplus.reserved;
+            take(from, pool, &mut lacking, reserved, &mut changes);
         }
-        take(None, pool, &mut lacking, &mut spare, &mut changes);
+    }
+    for deficit in &deficits {
+        let mut lacking = deficit.reserve;
+        let pool = &deficit.pool;
+        take_unneeded(pool, &mut lacking, &mut surpluses, &mut spare, &mut changes);
     }
     for surplus in surpluses {
         let count = surplus.unused.min(surplus.unneeded);
@@ -75,6 +73,21 @@
     changes
 }
 
+/// Covers a deficit with unneeded instances of other pools, then from the spare pool.
+fn take_unneeded(
+    to: &PoolName,
+    lacking: &mut usize,
+    surpluses: &mut [PoolSurplus],
+    spare: &mut usize,
+    changes: &mut Vec<SizeChange>,
+) {
+    for surplus in surpluses {
+        let from = Some(surplus.pool.clone());
+        take(from, to, lacking, &mut surplus.unneeded, changes);
+    }
+    take(None, to, lacking, spare, changes);
+}
+
 /// Moves as many instances as are both lacking and available.
 fn take(
     from: Option<PoolName>,
