--- a/crates/cli/src/args/measure_args.rs
+++ b/crates/cli/src/args/measure_args.rs
@@ -36,7 +36,17 @@
     #[argh(option, default = "49")]
     pub instances: usize,
 
+    /// with --pools: factor of the run times of the tasks; as many more or fewer jobs arrive
+    #[argh(option, default = "1.0", from_str_fn(parse_factor))]
+    pub run_time: f64,
+
     /// print one JSON object
     #[argh(switch)]
     pub json: bool,
 }
+
+fn parse_factor(text: &str) -> Result<f64, String> {
+    let factor = text.parse::<f64>().ok();
+    let factor = factor.filter(|factor| factor.is_finite() && *factor > 0.0);
+    factor.ok_or_else(|| format!("{text:?} is not a number above 0"))
+}
--- a/crates/core/src/jobs/dispatcher/pool_loads.rs
+++ b/crates/core/src/jobs/dispatcher/pool_loads.rs
@@ -114,7 +114,7 @@
                     (count + 1, work.saturating_add(arrival.early_work))
                 });
                 // A single arrival shows no rate.
-                let work = work / count.max(1) * count.saturating_sub(1);
+                let work = if count > 1 { work } else { 0 };
                 let window = u64::try_from(window.as_millis()).unwrap_or(u64::MAX);
                 work.saturating_mul(1_000) / window
             });
