--- a/crates/core/src/jobs/scaling_planner.rs
+++ b/crates/core/src/jobs/scaling_planner.rs
@@ -106,45 +106,57 @@
         let mut deficits: Vec<PoolDeficit> = Vec::new();
         let mut surpluses: Vec<PoolSurplus> = Vec::new();
         for (pool, state) in pools {
-            let history = &self.history[pool];
-            let least = self.policy.min_instances;
             let reserve = self.reserve(pool, next.contains(&pool), equal_share, now);
-            let needed = history.expected();
-            let lacking = needed.max(least).saturating_sub(state.instances);
-            let below_reserve = reserve.saturating_sub(state.instances + lacking);
-            if lacking + below_reserve > 0 {
-                deficits.push(PoolDeficit {
-                    pool: pool.clone(),
-                    needed: lacking,
-                    reserve: below_reserve,
-                });
+            let deficit = self.deficit(pool, state, reserve);
+            if deficit.needed == 0 {
+                surpluses.push(self.surplus(pool, state, reserve, may_switch_off, now));
             }
-            if lacking > 0 {
-                continue;
-            }
-            let free = |kept: usize| state.instances.saturating_sub(kept).min(state.idle);
-            let recent = history.peak(self.policy.keep_time, now).max(least);
-            let unneeded = free(recent.max(reserve));
-            let unused = if may_switch_off {
-                free(
-                    history
-                        .peak(self.policy.off_wait, now)
-                        .max(least)
-                        .max(reserve),
-                )
-            } else {
-                0
-            };
-            surpluses.push(PoolSurplus {
-                pool: pool.clone(),
-                unneeded,
-                reserved: free(recent) - unneeded,
-                unused,
-            });
+            deficits.push(deficit);
         }
         distribute(deficits, surpluses, fleet.spare)
     }
 
+    /// Returns what a pool lacks, which may be nothing.
+    fn deficit(&self, pool: &PoolName, state: &PoolState, reserve: usize) -> PoolDeficit {
+        let least = self.policy.min_instances;
+        let needed = self.history[pool].expected().max(least);
+        let needed = needed.saturating_sub(state.instances);
+        PoolDeficit {
+            pool: pool.clone(),
+            needed,
+            reserve: reserve.saturating_sub(state.instances + needed),
+        }
+    }
+
+    /// Returns what a pool that lacks no instances for its work can give away.
+    fn surplus(
+        &self,
+        pool: &PoolName,
+        state: &PoolState,
+        reserve: usize,
+        may_switch_off: bool,
+        now: TimePoint,
+    ) -> PoolSurplus {
+        let peak = |time: Duration| {
+            let peak = self.history[pool].peak(time, now);
+            peak.max(self.policy.min_instances)
+        };
+        let free = |kept: usize| state.instances.saturating_sub(kept).min(state.idle);
+        let recent = peak(self.policy.keep_time);
+        let unneeded = free(recent.max(reserve));
+        let unused = if may_switch_off {
+            free(peak(self.policy.off_wait).max(reserve))
+        } else {
+            0
+        };
+        PoolSurplus {
+            pool: pool.clone(),
+            unneeded,
+            reserved: free(recent) - unneeded,
+            unused,
+        }
+    }
+
     /// Records the demand of the pools, and the surges that have started or ended.
     fn record(
         &mut self,
