Saturate the forecast of absurdly large declared sizes

Cause: CPU declared near 2^64 overflowed the sums of the forecast: the owner of a debug build stopped, and a release build took the pool for almost idle. Change: the sums saturate. Result: job_loads::absurd_size, which panicked with 'attempt to multiply with overflow' before, passes.

--- a/crates/core/src/jobs/dispatcher/demand_forecast.rs
+++ b/crates/core/src/jobs/dispatcher/demand_forecast.rs
@@ -35,12 +35,11 @@
                 continue;
             };
             let ratio = self.estimate_ratios.get(pool).unwrap_or(&default_ratio);
-            let cpu: u64 = job
-                .occurrences
-                .iter()
-                .map(|occurrence| occurrence_use(job, occurrence, ratio, horizon, now))
-                .sum();
-            *expected.entry(pool).or_default() += cpu;
+            let total = expected.entry(pool).or_default();
+            for occurrence in &job.occurrences {
+                let cpu = occurrence_use(job, occurrence, ratio, horizon, now);
+                *total = total.saturating_add(cpu);
+            }
         }
         expected
     }
@@ -55,7 +54,7 @@
     now: TimePoint,
 ) -> u64 {
     let mut ends: Vec<Duration> = Vec::with_capacity(occurrence.steps.len());
-    let mut used = 0;
+    let mut used: u64 = 0;
     for (entry, spec) in occurrence.steps.iter().zip(&job.order.steps) {
         if spec.is_lasting || entry.remaining == 0 {
             ends.push(Duration::ZERO);
@@ -65,12 +64,12 @@
         let start = spec.earliest_start(&ends);
         if start.is_zero() {
             let (cpu, end) = ready_step_use(entry, spec, estimate, horizon, now);
-            used += cpu;
+            used = used.saturating_add(cpu);
             ends.push(end);
         } else {
             let end = start + estimate;
             if start <= horizon && horizon < end {
-                used += spec.worker_amount().cpu_millis * u64::from(spec.count);
+                used = used.saturating_add(total_cpu(spec));
             }
             ends.push(end);
         }
@@ -88,17 +87,17 @@
     now: TimePoint,
 ) -> (u64, Duration) {
     let cpu = spec.worker_amount().cpu_millis;
-    let mut used = 0;
+    let mut used: u64 = 0;
     let mut end = Duration::ZERO;
     for task in entry.tasks.iter().filter(|task| !task.is_done) {
         let Some(run) = task.runs.first() else {
-            used += cpu;
+            used = used.saturating_add(cpu);
             end = end.max(estimate);
             continue;
         };
         let remaining = remaining_time(run, estimate, now);
         if remaining > horizon {
-            used += cpu;
+            used = used.saturating_add(cpu);
         }
         end = end.max(remaining);
     }
@@ -129,8 +128,14 @@
         }
         let time = spec.estimate.min(horizon - start);
         let time = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-        let cpu = spec.worker_amount().cpu_millis * u64::from(spec.count);
-        work = work.saturating_add(cpu.saturating_mul(time) / 1_000);
+        work = work.saturating_add(total_cpu(spec).saturating_mul(time) / 1_000);
     }
     work
 }
+
+/// CPU of all tasks of a step, in thousandths of a core. It saturates, since declarations are not
+/// bounded.
+fn total_cpu(spec: &StepSpec) -> u64 {
+    let cpu = spec.worker_amount().cpu_millis;
+    cpu.saturating_mul(u64::from(spec.count))
+}
--- a/crates/core/src/jobs/dispatcher/pool_loads.rs
+++ b/crates/core/src/jobs/dispatcher/pool_loads.rs
@@ -80,7 +80,8 @@
             let spec = &job.order.steps[usize::from(step.name.step)];
             let tasks = u64::try_from(step.indexes.len()).unwrap_or(u64::MAX);
             let load = loads.entry(step.pool).or_default();
-            load.waiting += tasks.saturating_mul(spec.worker_amount().cpu_millis);
+            let cpu = tasks.saturating_mul(spec.worker_amount().cpu_millis);
+            load.waiting = load.waiting.saturating_add(cpu);
             load.waiting_tasks += step.indexes.len();
             if spec.is_lasting {
                 load.waiting_long_running += step.indexes.len();
@@ -89,7 +90,7 @@
         let known = self.forecast_known(self.policy.forecast_horizon, now);
         for (pool, cpu) in known.into_iter().chain(self.forecast_arrivals(now)) {
             if let Some(load) = loads.get_mut(pool) {
-                load.expected += cpu;
+                load.expected = load.expected.saturating_add(cpu);
             }
         }
         loads
--- a/crates/core/src/jobs/pool_history.rs
+++ b/crates/core/src/jobs/pool_history.rs
@@ -63,7 +63,8 @@
     ) {
         let load = &state.load;
         let count = |cpu: u64| instances_for(cpu, capacity, policy.headroom);
-        let current = count(load.long_running + load.batch + load.waiting);
+        let running = load.long_running + load.batch;
+        let current = count(running.saturating_add(load.waiting));
         // A long-running task can wait despite free CPU: for memory, or for a worker that is not
         // being evacuated. An additional instance helps in both cases. Growth stops at an equal
         // share of all instances, because the task may be waiting for its team's limit instead.
@@ -73,7 +74,7 @@
         } else {
             0
         };
-        self.expected = count(load.long_running + load.expected).max(least);
+        self.expected = count(load.long_running.saturating_add(load.expected)).max(least);
         self.needs.push_back(SizeNeed {
             at: now,
             instances: self.expected.max(current),
@@ -96,7 +97,7 @@
         now: TimePoint,
     ) -> SurgeChange {
         let load = &state.load;
-        let work = load.expected.max(load.batch + load.waiting) as f64;
+        let work = load.expected.max(load.batch.saturating_add(load.waiting)) as f64;
         let limit = equal_share as f64 * capacity as f64 * policy.surge_share;
         if let Some(surge) = &mut self.surge {
             let running = load.long_running + load.batch;
--- a/crates/core/tests/job_loads.rs
+++ b/crates/core/tests/job_loads.rs
@@ -92,3 +92,16 @@
     let seen = load(&world);
     assert!(seen.expected >= 20_000, "{seen:?}");
 }
+
+/// Guards against an absurd declaration that makes the load of its pool small, or stops the owner.
+#[test]
+fn absurd_size() {
+    let mut world = JobWorld::new(40, 1);
+    let mut absurd = step(8, 1_000);
+    absurd.amount.cpu_millis = u64::MAX / 4;
+    for id in 0..3 {
+        world.submit(id, job(vec![absurd.clone()]));
+    }
+    let seen = load(&world);
+    assert_eq!((seen.waiting, seen.expected), (u64::MAX, u64::MAX));
+}
