--- a/crates/core/src/jobs/scaling_planner.rs
+++ b/crates/core/src/jobs/scaling_planner.rs
@@ -185,7 +185,7 @@
         match usual {
             Some(size) if is_onset => part_of(size, self.policy.onset_share),
             Some(size) if is_next => part_of(size, self.policy.reserve_share),
-            None if is_next => equal_share,
+            None if is_next => part_of(equal_share, self.policy.first_reserve_share),
             _ => 0,
         }
     }
--- a/crates/core/src/jobs/scaling_policy.rs
+++ b/crates/core/src/jobs/scaling_policy.rs
@@ -20,6 +20,9 @@
     /// Fraction of the instances of a usual surge that a pool holds in reserve if it is likely to
     /// surge next. They serve the surge until more instances have moved to the pool.
     pub reserve_share: f64,
+    /// Fraction of an equal share of all instances that each pool holds in reserve until the first
+    /// surge has ended, as the size of surges is not known before that.
+    pub first_reserve_share: f64,
     /// Fraction of the instances of a usual surge that a pool gets as soon as its surge starts.
     pub onset_share: f64,
     /// Time from the start of a surge after which the pool gets only the instances that its demand
@@ -38,6 +41,7 @@
             min_instances: 3,
             surge_share: 0.6,
             reserve_share: 0.4,
+            first_reserve_share: 0.5,
             onset_share: 0.9,
             onset_time: Duration::from_millis(2_000),
             move_time: Duration::from_millis(1_500),
--- a/crates/core/src/scheduler/shutting_down.rs
+++ b/crates/core/src/scheduler/shutting_down.rs
@@ -9,7 +9,7 @@
 use crate::time::TimePoint;
 
 /// Maximum number of peers to which a leaving entry instance lends its units.
-const MAX_HEIRS: usize = 8;
+const MAX_BORROWERS: usize = 8;
 
 impl JobScheduler {
     /// Refuses all queued and all new jobs, ahead of a shutdown.
@@ -46,9 +46,9 @@
     /// Divides the free units of each resource among some peers, and returns these peers.
     fn lend_all(&mut self) -> BTreeSet<SessionId> {
         let sessions = self.fleet.view.sessions.iter().copied();
-        let mut heirs: Vec<SessionId> = sessions.filter(|peer| *peer != self.session).collect();
-        heirs.shuffle(&mut self.rng);
-        heirs.truncate(MAX_HEIRS);
+        let mut borrowers: Vec<SessionId> = sessions.filter(|peer| *peer != self.session).collect();
+        borrowers.shuffle(&mut self.rng);
+        borrowers.truncate(MAX_BORROWERS);
         let mut lent = BTreeSet::new();
         let teams = (0..self.fleet.teams.len()).map(TeamIndex::with_position);
         let workers = self.fleet.order.iter().copied();
@@ -57,10 +57,10 @@
             .chain(workers.map(ResourceKey::Worker))
             .collect();
         for resource in resources {
-            let first = self.rng.random_range(0..heirs.len().max(1));
-            let (before, after) = heirs.split_at(first.min(heirs.len()));
+            let first = self.rng.random_range(0..borrowers.len().max(1));
+            let (before, after) = borrowers.split_at(first.min(borrowers.len()));
             for (place, peer) in after.iter().chain(before).enumerate() {
-                let others = u32::try_from(heirs.len() - place).unwrap_or(u32::MAX);
+                let others = u32::try_from(borrowers.len() - place).unwrap_or(u32::MAX);
                 let units = self.account(resource).lendable().div_ceil(others);
                 if units > 0 && self.lend(resource, units, *peer) {
                     lent.insert(*peer);
