--- a/crates/cli/src/measure/pools/pool_figures.rs
+++ b/crates/cli/src/measure/pools/pool_figures.rs
@@ -41,7 +41,7 @@
 
 /// Values of the jobs that arrived in a window, in core-seconds.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct WindowTotals {
+struct WindowTotals {
     owed: f64,
     in_time: f64,
 }
@@ -49,12 +49,10 @@
 /// Sums over a simulated day.
 #[derive(Debug, Default)]
 pub(super) struct DayTotals {
-    /// Value of all jobs, in core-seconds.
-    pub owed: f64,
-    pub in_time: f64,
+    /// Values of the jobs by the window of their arrival.
+    windows: Vec<WindowTotals>,
+    /// Value of the jobs that ended late, in core-seconds.
     pub late: f64,
-    /// Values by the window of their arrival.
-    pub windows: Vec<WindowTotals>,
     pub long_running_at_work: f64,
     pub long_running: f64,
     pub instance_seconds: f64,
@@ -68,13 +66,11 @@
 impl DayTotals {
     /// Adds the value of a job that arrived at `arrives_ms`.
     pub(super) fn add_owed(&mut self, value: f64, arrives_ms: u64) {
-        self.owed += value;
         self.window(arrives_ms).owed += value;
     }
 
     /// Adds the value of a job that arrived at `arrives_ms` and ended within its objective.
     pub(super) fn add_in_time(&mut self, value: f64, arrives_ms: u64) {
-        self.in_time += value;
         self.window(arrives_ms).in_time += value;
     }
 
@@ -99,8 +95,9 @@
 
     /// Returns the figures of a day of `seconds` on instances with `cores`.
     pub(super) fn figures(&self, seconds: f64, cores: f64) -> PoolFigures {
-        let in_time = self.in_time / self.owed;
-        let late = self.late / self.owed;
+        let owed: f64 = self.windows.iter().map(|window| window.owed).sum();
+        let in_time: f64 = self.windows.iter().map(|window| window.in_time).sum();
+        let (in_time, late) = (in_time / owed, self.late / owed);
         let price = (self.instance_seconds + self.moves * MOVE_SECONDS) * cores * INSTANCE_PRICE;
         PoolFigures {
             in_time,
@@ -110,7 +107,7 @@
             instances: self.instance_seconds / seconds,
             moves: self.moves,
             wait_seconds: self.waited / self.work,
-            net: in_time + late * LATE_VALUE - price / self.owed,
+            net: in_time + late * LATE_VALUE - price / owed,
         }
     }
 }
--- a/crates/core/src/jobs/pool_history.rs
+++ b/crates/core/src/jobs/pool_history.rs
@@ -51,8 +51,9 @@
 }
 
 impl PoolHistory {
-    /// Records the current demand. `equal_share` is an equal share of all instances, and `capacity`
-    /// the CPU of an instance in thousandths of a core.
+    /// Records the current demand and returns whether a surge has started or ended. `equal_share` is
+    /// an equal share of all instances, and `capacity` the CPU of an instance in thousandths of a
+    /// core.
     pub(super) fn record(
         &mut self,
         state: &PoolState,
@@ -60,7 +61,7 @@
         capacity: u64,
         policy: &ScalingPolicy,
         now: TimePoint,
-    ) {
+    ) -> SurgeChange {
         let load = &state.load;
         let count = |cpu: u64| instances_for(cpu, capacity, policy.headroom);
         let running = load.long_running + load.batch;
@@ -84,24 +85,18 @@
             .pop_front_if(|need| now.since(need.at) > policy.off_wait)
             .is_some()
         {}
+        #[expect(clippy::cast_precision_loss, reason = "amounts are far below 2^52")]
+        let limit = equal_share as f64 * capacity as f64 * policy.surge_share;
+        let work = load.expected.max(load.batch.saturating_add(load.waiting));
+        self.update_surge(work, limit, count(running), now)
     }
 
-    /// Updates whether the pool has a surge.
+    /// Updates whether the pool has a surge: its batch work exceeds `limit`, in thousandths of a
+    /// core. `used` is the number of instances for the running work.
     #[expect(clippy::cast_precision_loss, reason = "amounts are far below 2^52")]
-    pub(super) fn update_surge(
-        &mut self,
-        state: &PoolState,
-        equal_share: usize,
-        capacity: u64,
-        policy: &ScalingPolicy,
-        now: TimePoint,
-    ) -> SurgeChange {
-        let load = &state.load;
-        let work = load.expected.max(load.batch.saturating_add(load.waiting)) as f64;
-        let limit = equal_share as f64 * capacity as f64 * policy.surge_share;
+    fn update_surge(&mut self, work: u64, limit: f64, used: usize, now: TimePoint) -> SurgeChange {
+        let work = work as f64;
         if let Some(surge) = &mut self.surge {
-            let running = load.long_running + load.batch;
-            let used = instances_for(running, capacity, policy.headroom);
             surge.size = surge.size.max(used);
             if work >= limit * SURGE_END {
                 return SurgeChange::Unchanged;
--- a/crates/core/src/jobs/scaling_planner.rs
+++ b/crates/core/src/jobs/scaling_planner.rs
@@ -166,8 +166,7 @@
     ) {
         for (pool, state) in pools {
             let history = self.history.entry(pool.clone()).or_default();
-            history.record(state, equal_share, fleet.capacity, &self.policy, now);
-            match history.update_surge(state, equal_share, fleet.capacity, &self.policy, now) {
+            match history.record(state, equal_share, fleet.capacity, &self.policy, now) {
                 SurgeChange::Unchanged => {}
                 SurgeChange::Started => self.surges.record_start(pool, now),
                 SurgeChange::Ended(size) => self.surges.record_size(pool, size),
--- a/crates/core/tests/loan_requests.rs
+++ b/crates/core/tests/loan_requests.rs
@@ -5,24 +5,17 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use scheduling::{at, dispatches, drain, fleet, job};
+use scheduling::{at, dispatches, drain, fleet, job, scheduler_of};
 use sesamedeal_core::exchange::{LoanRequest, RequestedUnits};
 use sesamedeal_core::fleet::FleetState;
 use sesamedeal_core::ids::{SessionId, TeamName};
-use sesamedeal_core::scheduler::{AttemptOutcome, JobScheduler, SchedulerAction, SchedulerPolicy};
-use sesamedeal_core::time::TimePoint;
+use sesamedeal_core::scheduler::{AttemptOutcome, SchedulerAction};
 
 const SESSIONS: u64 = 8;
 
 /// Time limit for the first loan request: two consecutive updates of the team order.
 const FIRST_REQUEST_LIMIT: Duration = Duration::from_millis(400);
 
-fn scheduler_of(state: &FleetState, session: u64) -> JobScheduler {
-    let mut scheduler = JobScheduler::new(SessionId(session), SchedulerPolicy::new(), 7);
-    scheduler.apply(state, state.generation, TimePoint::ORIGIN);
-    scheduler
-}
-
 /// Sessions that own slots on which they can start a job.
 fn owners(state: &FleetState) -> BTreeSet<SessionId> {
     let owns = |session: &u64| {
--- a/crates/core/tests/scheduling/mod.rs
+++ b/crates/core/tests/scheduling/mod.rs
@@ -89,7 +89,12 @@
 
 /// Returns a scheduler of session 1 to which `state` is applied as settled.
 pub fn scheduler(state: &FleetState) -> JobScheduler {
-    let mut scheduler = JobScheduler::new(SessionId(1), SchedulerPolicy::new(), 7);
+    scheduler_of(state, 1)
+}
+
+/// Returns a scheduler of a session to which `state` is applied as settled.
+pub fn scheduler_of(state: &FleetState, session: u64) -> JobScheduler {
+    let mut scheduler = JobScheduler::new(SessionId(session), SchedulerPolicy::new(), 7);
     scheduler.apply(state, state.generation, TimePoint::ORIGIN);
     scheduler
 }
--- a/crates/core/tests/shutdown_loans.rs
+++ b/crates/core/tests/shutdown_loans.rs
@@ -8,20 +8,19 @@
 use proptest::prelude::*;
 use scheduling::fuzz_step::{Step, apply_step, step};
 use scheduling::world::{UNLISTED_TIMEOUT, World};
-use scheduling::{at, dispatches, drain, fleet, job};
-use sesamedeal_core::fleet::FleetState;
+use scheduling::{at, dispatches, drain, fleet, job, scheduler_of};
 use sesamedeal_core::ids::SessionId;
-use sesamedeal_core::scheduler::{AttemptOutcome, JobScheduler, SchedulerAction, SchedulerPolicy};
+use sesamedeal_core::scheduler::{AttemptOutcome, JobScheduler, SchedulerAction};
 use sesamedeal_core::time::TimePoint;
 use support::fuzz::fuzz_config;
 
 /// Slots of a worker.
 const SLOTS: usize = 8;
 
-fn scheduler_of(state: &FleetState, session: u64) -> JobScheduler {
-    let mut scheduler = JobScheduler::new(SessionId(session), SchedulerPolicy::new(), 7);
-    scheduler.apply(state, state.generation, TimePoint::ORIGIN);
-    scheduler
+/// Schedulers of the two sessions that share three workers.
+fn two_sessions() -> (JobScheduler, JobScheduler) {
+    let state = fleet(3, &[("clock", 1, 1_000)], 2);
+    (scheduler_of(&state, 1), scheduler_of(&state, 2))
 }
 
 fn submit_jobs(scheduler: &mut JobScheduler, count: usize, now: TimePoint) {
@@ -34,9 +33,7 @@
 /// session that has left: its units were owned by nobody else.
 #[test]
 fn units_handed_over() {
-    let state = fleet(3, &[("clock", 1, 1_000)], 2);
-    let mut leaving = scheduler_of(&state, 1);
-    let mut staying = scheduler_of(&state, 2);
+    let (mut leaving, mut staying) = two_sessions();
     submit_jobs(&mut staying, 3 * SLOTS, at(0));
     let before = dispatches(&mut staying, at(0)).len();
     assert!(before < 3 * SLOTS);
@@ -57,9 +54,7 @@
 /// Guards against borrowed units that are lost with their borrower.
 #[test]
 fn loans_returned() {
-    let state = fleet(3, &[("clock", 1, 1_000)], 2);
-    let mut leaving = scheduler_of(&state, 1);
-    let mut staying = scheduler_of(&state, 2);
+    let (mut leaving, mut staying) = two_sessions();
     submit_jobs(&mut leaving, 3 * SLOTS, at(0));
     let mut orders = dispatches(&mut leaving, at(0));
     for now in (200..2_000).step_by(200) {
--- a/crates/daemon/src/dispatch/control_handlers.rs
+++ b/crates/daemon/src/dispatch/control_handlers.rs
@@ -16,10 +16,12 @@
     pub quiesced: Generation,
     /// Attempts that still hold units.
     pub running: usize,
-    /// Whether a peer has not confirmed a loan yet.
-    pub has_unconfirmed_loans: bool,
 }
 
+/// Asks whether a peer has not confirmed a loan yet.
+#[derive(Debug)]
+pub(crate) struct ReadUnconfirmed;
+
 /// Builds the message to a peer.
 #[derive(Debug)]
 pub(crate) struct BuildExchange {
@@ -78,11 +80,18 @@
         WorkProgress {
             quiesced: core.scheduler.quiesced(),
             running: core.scheduler.running(),
-            has_unconfirmed_loans: core.scheduler.has_unconfirmed_loans(),
         }
     }
 }
 
+impl Handler<ReadUnconfirmed> for DispatchActor {
+    type Return = bool;
+
+    async fn handle(&mut self, _: ReadUnconfirmed, _: &mut Context<Self>) -> bool {
+        self.desk.lock().scheduler.has_unconfirmed_loans()
+    }
+}
+
 impl Handler<BuildExchange> for DispatchActor {
     type Return = ExchangeMessage;
 
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -16,7 +16,7 @@
 
 pub(crate) use cancel_list::CancelList;
 pub(crate) use control_handlers::{
-    BuildExchange, ReadProgress, ReadSuggestions, ReadUsage, TakeExchange,
+    BuildExchange, ReadProgress, ReadSuggestions, ReadUnconfirmed, ReadUsage, TakeExchange,
 };
 pub(crate) use dispatch_actor::DispatchActor;
 pub(crate) use dispatch_core::DispatchParts;
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -16,15 +16,15 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{JoinHandle, JoinSet};
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout_at};
 use xtra::Mailbox;
 
 use crate::admin::AdminService;
 use crate::clock::ProcessClock;
 use crate::control::{ControlTick, ControllerActor, HealthLoop, tick_period};
 use crate::control_traffic::ControlTraffic;
-use crate::dispatch::{HandOverUnits, ReadProgress};
 use crate::entry_context::EntryContext;
+use crate::entry_shutdown::{hand_over_units, wait_idle};
 use crate::error::{ListenSnafu, Result, SignalSnafu};
 use crate::http::{PathParts, RequestPath, serve};
 use crate::logging::root_logger;
@@ -40,13 +40,6 @@
 /// Exchanges that the scheduler may ask for ahead of the peer loop.
 const WANTED_EXCHANGES: usize = 64;
 
-/// Time between two checks whether a leaving entry instance has work left.
-const IDLE_CHECK: Duration = Duration::from_millis(10);
-
-/// Time that a leaving entry instance waits for the peers to confirm its units. It is a few times
-/// as long as an exchange takes across regions.
-const HAND_OVER_LIMIT: Duration = Duration::from_millis(500);
-
 /// Time between two ticks of the pause detection. It is well below the gap of 1 s that counts as
 /// a pause, so that a busy machine does not look like a paused process.
 const PAUSE_PERIOD: Duration = Duration::from_millis(100);
@@ -189,31 +182,6 @@
     }
 }
 
-/// Waits until no attempt holds units.
-async fn wait_idle(context: &EntryContext) {
-    while let Ok(progress) = context.dispatcher.send(ReadProgress).await {
-        if progress.running == 0 {
-            return;
-        }
-        sleep(IDLE_CHECK).await;
-    }
-}
-
-/// Hands the units over to peers and waits until they have confirmed it. A peer that does not
-/// answer gets the units when the view no longer lists this session.
-async fn hand_over_units(context: &EntryContext) {
-    let limit = Instant::now() + HAND_OVER_LIMIT;
-    if context.dispatcher.send(HandOverUnits).await.is_err() {
-        return;
-    }
-    while let Ok(progress) = context.dispatcher.send(ReadProgress).await
-        && progress.has_unconfirmed_loans
-        && Instant::now() < limit
-    {
-        sleep(IDLE_CHECK).await;
-    }
-}
-
 fn context(
     settings: DaemonSettings,
     listened: SocketAddr,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod entry;
 mod entry_context;
+mod entry_shutdown;
 mod error;
 mod http;
 mod logging;
--- a/crates/jobs/tests/inventory_gaps.rs
+++ b/crates/jobs/tests/inventory_gaps.rs
@@ -15,6 +15,14 @@
 /// Age of the inventory above which the owner orders no maintenance.
 const MAX_INVENTORY_AGE: Duration = Duration::from_secs(4);
 
+/// Starts an entry instance that has run a job, and requests a wave.
+async fn start_wave(cluster: &TestCluster, wave: &str) -> TestNode {
+    let node = cluster.node("entry-1");
+    run_job(&node, 1).await;
+    cluster.store.put(StoreTable::Intent, wave, b"");
+    node
+}
+
 /// Guards against more instances in maintenance than the wave allows if the inventory omits those
 /// in maintenance: an omitted instance was once counted as back in service.
 #[tokio::test]
@@ -22,10 +30,7 @@
     let cluster = TestCluster::new(3);
     cluster.fleet.set_maintenance_time(MAINTENANCE_TIME);
     cluster.fleet.faults.lock().omits_maintained = true;
-    let node = cluster.node("entry-1");
-    run_job(&node, 1).await;
-    let wave = "wave/machine-0,machine-1,machine-2";
-    cluster.store.put(StoreTable::Intent, wave, b"");
+    let _node = start_wave(&cluster, "wave/machine-0,machine-1,machine-2").await;
     let (orders, max_in_maintenance) = cluster.wait_wave_finished().await;
     assert_eq!(orders.len(), 3);
     assert_eq!(max_in_maintenance, 1);
@@ -58,10 +63,7 @@
 #[tokio::test]
 async fn dropped_instance() {
     let cluster = TestCluster::new(2);
-    let node = cluster.node("entry-1");
-    run_job(&node, 1).await;
-    let wave = "wave/machine-0,machine-1";
-    cluster.store.put(StoreTable::Intent, wave, b"");
+    let _node = start_wave(&cluster, "wave/machine-0,machine-1").await;
     wait_until("one instance is maintained", async || {
         !cluster.fleet.maintained().0.is_empty()
     })
@@ -80,10 +82,7 @@
     let cluster = TestCluster::new(2);
     let absent = InstanceName::new("machine-1");
     cluster.fleet.faults.lock().omitted = Some(absent);
-    let node = cluster.node("entry-1");
-    run_job(&node, 1).await;
-    let wave = "wave/machine-0,machine-1";
-    cluster.store.put(StoreTable::Intent, wave, b"");
+    let _node = start_wave(&cluster, "wave/machine-0,machine-1").await;
     wait_until("one instance is maintained", async || {
         !cluster.fleet.maintained().0.is_empty()
     })
@@ -135,10 +134,7 @@
     let cluster = TestCluster::new(2);
     let removed = InstanceName::new("machine-1");
     cluster.fleet.faults.lock().omitted = Some(removed);
-    let node = cluster.node("entry-1");
-    run_job(&node, 1).await;
-    let wave = "wave/machine-0,machine-1";
-    cluster.store.put(StoreTable::Intent, wave, b"");
+    let _node = start_wave(&cluster, "wave/machine-0,machine-1").await;
     let (orders, _) = cluster.wait_wave_finished().await;
     assert_eq!(orders, [InstanceName::new("machine-0")]);
 }
