--- a/crates/jobs/src/deployment.rs
+++ b/crates/jobs/src/deployment.rs
@@ -4,8 +4,12 @@
 
 use arc_swap::ArcSwapOption;
 use compact_str::CompactString;
+use parking_lot::Mutex;
 use sesamedeal_core::ids::{QueueName, TeamName};
 use sesamedeal_core::jobs::FleetRules;
+use sesamedeal_core::time::TimePoint;
+
+use crate::{BootClock, FeedStatus};
 
 /// Route from a host and path prefix to a queue.
 #[derive(Debug, Clone)]
@@ -55,6 +59,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct DeploymentView {
     current: Arc<ArcSwapOption<Deployment>>,
+    updated: Arc<Mutex<Option<TimePoint>>>,
+    feed: FeedStatus,
 }
 
 impl DeploymentView {
@@ -74,6 +80,20 @@
             return false;
         }
         self.current.store(Some(Arc::new(deployment)));
+        *self.updated.lock() = Some(BootClock.now());
         true
     }
+
+    /// Returns the time since the configuration was last replaced, or `None` if none has been read.
+    #[must_use]
+    pub fn update_age(&self) -> Option<Duration> {
+        let updated = *self.updated.lock();
+        updated.map(|updated| BootClock.now().since(updated))
+    }
+
+    /// Returns the state of the follower that delivers the configuration.
+    #[must_use]
+    pub const fn feed(&self) -> &FeedStatus {
+        &self.feed
+    }
 }
--- a/crates/jobs/src/feeds/intent_follower.rs
+++ b/crates/jobs/src/feeds/intent_follower.rs
@@ -41,6 +41,7 @@
             table: StoreTable::Intent,
             timing: FollowTiming::RELAXED,
             health: self.health.clone(),
+            status: self.view.feed().clone(),
             logger: self.logger.clone(),
         };
         let follow = follower.run(sender);
--- a/crates/jobs/src/feeds/mod.rs
+++ b/crates/jobs/src/feeds/mod.rs
@@ -1,9 +1,11 @@
 //! Followers, which read tables of the store and receive their changes.
 
+mod feed_status;
 mod follow_timing;
 mod intent_follower;
 mod table_follower;
 
+pub use feed_status::{FeedPhase, FeedSnapshot, FeedStatus};
 pub(crate) use follow_timing::FollowTiming;
 pub(crate) use intent_follower::{IntentFollower, WaveList};
 pub(crate) use table_follower::{TableEvent, TableFollower, read_table};
--- a/crates/jobs/src/feeds/table_follower.rs
+++ b/crates/jobs/src/feeds/table_follower.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 
-use super::FollowTiming;
+use super::{FeedPhase, FeedStatus, FollowTiming};
 use crate::ports::{
     FollowPage, FollowRequest, RowPartition, RowRange, StorePort, StorePosition, StoreRow,
     StoreTable,
@@ -37,6 +37,7 @@
     pub table: StoreTable,
     pub timing: FollowTiming,
     pub health: StoreHealth,
+    pub status: FeedStatus,
     pub logger: Logger,
 }
 
@@ -56,6 +57,7 @@
             self.health.record(&result);
             match result {
                 Ok(next) => {
+                    self.status.record_answer(next.or(position));
                     if failures > 0 {
                         info!(self.logger, "store reachable again"; "table" => ?self.table, "failures" => failures, "lost_ms" => lost_at.elapsed().as_millis());
                         failures = 0;
@@ -71,6 +73,7 @@
                         warn!(self.logger, "call to the store failed; retrying"; "table" => ?self.table, "after" => position, "error" => %error);
                     }
                     failures += 1;
+                    self.status.record_failure();
                     if self.timing.reads_on_failure
                         && let Some(after) = position
                         && self.read_partitions(after, &mut position, &events).await
@@ -78,6 +81,7 @@
                         continue;
                     }
                     let delay = backoff_delay(failures - 1, rand::random());
+                    self.status.enter(FeedPhase::Paused);
                     sleep(delay.min(MAX_PAUSE)).await;
                 }
             }
@@ -89,9 +93,14 @@
         response_time: &mut Duration,
         events: &mpsc::Sender<TableEvent>,
     ) -> Result<Option<u64>> {
+        self.status.enter(FeedPhase::Reading);
         let start = Instant::now();
         let (rows, position) = read_table(&self.store, self.table).await?;
         *response_time = start.elapsed();
+        let age = position
+            .at_ms
+            .and_then(|at_ms| self.health.clock.age(at_ms, BootClock.now()));
+        info!(self.logger, "table read"; "table" => ?self.table, "rows" => rows.len(), "row" => position.version, "age_ms" => age.map(|age| age.as_millis()), "took_ms" => response_time.as_millis());
         self.send(events, rows, true, Some(position)).await;
         Ok(Some(position.version))
     }
@@ -108,6 +117,7 @@
             wait: self.timing.wait,
             margin: self.timing.margin(*response_time),
         };
+        self.status.enter(FeedPhase::Following);
         let start = Instant::now();
         match (self.store.follow)(request).await? {
             FollowPage::Changes { rows, position } => {
--- a/crates/jobs/src/job_metrics.rs
+++ b/crates/jobs/src/job_metrics.rs
@@ -24,6 +24,7 @@
     intake_age: Gauge,
     inventory_age: Gauge,
     list_age: Gauge,
+    config_age: Gauge,
     epoch: IntGauge,
     open_jobs: IntGauge,
 }
@@ -117,6 +118,10 @@
                 "sesamedeal_worker_list_age_seconds",
                 "Age of the list of workers that the owner goes by",
             ),
+            config_age: float_gauge(
+                "sesamedeal_configuration_age_seconds",
+                "Time since the store last answered about the configuration",
+            ),
             registry,
         }
     }
@@ -161,6 +166,11 @@
         self.list_age.set(age.as_secs_f64());
     }
 
+    /// Sets the time since the store last answered about the configuration.
+    pub fn set_config_age(&self, age: Duration) {
+        self.config_age.set(age.as_secs_f64());
+    }
+
     pub(crate) fn count_start(&self, outcome: &str) {
         self.starts.with_label_values(&[outcome]).inc();
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -21,6 +21,7 @@
 pub use api::{CancelOutcome, JobApi, StatusOutcome, SubmitOutcome};
 pub use boot_clock::BootClock;
 pub use deployment::{Deployment, DeploymentView, QueueRoute};
+pub use feeds::{FeedPhase, FeedSnapshot, FeedStatus};
 pub use job_metrics::JobMetrics;
 pub use job_node::{JobNode, NodeParts};
 pub use owner::{OwnerLoop, OwnerPolicy};
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -14,7 +14,7 @@
 use super::takeover_delay::TakeoverDelay;
 use super::takeover_kind::TakeoverKind;
 use super::{HeartbeatView, OwnerPolicy};
-use crate::feeds::{FollowTiming, TableEvent, TableFollower, WaveList};
+use crate::feeds::{FeedStatus, FollowTiming, TableEvent, TableFollower, WaveList};
 use crate::ports::{
     AdvicePort, FleetPort, HandOverOffer, PeerPort, RowPort, StorePort, StoreTable, WorkerPort,
 };
@@ -87,6 +87,7 @@
             table: StoreTable::Owner,
             timing: FollowTiming::RELAXED,
             health: self.health.clone(),
+            status: FeedStatus::default(),
             logger: self.logger.clone(),
         };
         let follower = tokio::spawn(follower.run(sender));
--- a/crates/jobs/src/owner/ownership.rs
+++ b/crates/jobs/src/owner/ownership.rs
@@ -20,7 +20,7 @@
 use super::takeover_kind::TakeoverKind;
 use super::wave_runner::WaveRunner;
 use crate::BootClock;
-use crate::feeds::{FollowTiming, TableEvent, TableFollower};
+use crate::feeds::{FeedStatus, FollowTiming, TableEvent, TableFollower};
 use crate::ports::StoreTable;
 use crate::row_codec::{HeartbeatRow, SEQUENCE_KEY, decode};
 
@@ -189,6 +189,7 @@
             table,
             timing,
             health: self.health.clone(),
+            status: FeedStatus::default(),
             logger: self.logger.clone(),
         };
         tasks.spawn(follower.run(sender));
