Reproduce late changes of the configuration on virtual time

Callers are refused as an older version says, up to 3.6 s after the end of a short disruption of the store or of the connections to it; 3.0 s are allowed.

--- a/crates/jobs/tests/common/deployment.rs
+++ b/crates/jobs/tests/common/deployment.rs
@@ -13,9 +13,14 @@
 use sesamedeal_jobs::ports::{IntentRow, RowError, StoreRow};
 use sesamedeal_jobs::{Deployment, QueueRoute};
 
+/// Version of a configuration whose row does not contain one.
+const FIRST_VERSION: u64 = 1;
+
 pub fn decode_intent(row: &StoreRow) -> Result<IntentRow, RowError> {
     if row.key == "config" {
-        return Ok(IntentRow::Deployment(Box::new(deployment())));
+        let version = std::str::from_utf8(&row.value).unwrap();
+        let version = version.parse().unwrap_or(FIRST_VERSION);
+        return Ok(IntentRow::Deployment(Box::new(deployment(version))));
     }
     if let Some(instances) = row.key.strip_prefix("wave/") {
         return Ok(IntentRow::Wave(MaintenanceWave {
@@ -57,7 +62,7 @@
     })
 }
 
-fn deployment() -> Deployment {
+fn deployment(version: u64) -> Deployment {
     let queue = QueueRule {
         pool: PoolName::new("pool"),
         priority: 0,
@@ -71,7 +76,7 @@
         limit: ResourceAmount::default(),
     };
     let rules = FleetRules {
-        version: 1,
+        version,
         queues: HashMap::from([(QueueName::new("queue"), queue)]),
         pools: HashMap::from([(PoolName::new("pool"), PoolRule { is_spare: false })]),
         teams: HashMap::from([(TeamName::new("team"), team)]),
@@ -84,7 +89,7 @@
         timeout: Duration::from_secs(3),
     };
     Deployment {
-        version: 1,
+        version,
         rules: Arc::new(rules),
         routes: vec![route("/a/"), route("/a/b/")],
         keys: HashMap::new(),
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -5,6 +5,7 @@
 mod memory_fleet;
 mod memory_store;
 mod memory_workers;
+pub mod timed_store;
 
 use std::collections::HashSet;
 use std::ops::Deref;
@@ -14,7 +15,7 @@
 use sesamedeal_core::ids::{InstanceName, QueueName, TeamName};
 use sesamedeal_core::jobs::{DispatchPolicy, JobId, JobOrder, JobPhase, ResourceAmount, StepSpec};
 use sesamedeal_core::lease::InstanceCapacity;
-use sesamedeal_jobs::ports::{RowPort, StoreTable};
+use sesamedeal_jobs::ports::{RowPort, StorePort, StoreTable};
 use sesamedeal_jobs::{
     JobNode, NodeParts, OwnerPolicy, StatusOutcome, SubmitOutcome, WatcherList, peer_port,
 };
@@ -105,6 +106,16 @@
         name: &str,
         store: &MemoryStore,
         capacity: InstanceCapacity,
+    ) -> TestNode {
+        self.node_with_port(name, store.port(), capacity)
+    }
+
+    /// Starts an entry instance that calls the store through `store`.
+    pub fn node_with_port(
+        &self,
+        name: &str,
+        store: StorePort,
+        capacity: InstanceCapacity,
     ) -> TestNode {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         listener.set_nonblocking(true).unwrap();
@@ -117,7 +128,7 @@
             .spawn(watchers.serve(TcpListener::from_std(listener).unwrap(), logger.clone()));
         let node = JobNode::start(NodeParts {
             node: InstanceName::new(name),
-            store: store.port(),
+            store,
             workers: self.workers.port(),
             fleet: self.fleet.port(),
             advice: None,
