Give up follow calls that can be lost before the promise is broken

Cause: a call without an answer was waited for 3.4 s (wait 2.5 s, margin 0.9 s), whether the store had just answered or had been silent for seconds. A call that is lost hides the store for all of that time: the call in progress when a connection goes silent, or the retry sent just before the end of an outage.

Change: a call waits for 1.2 s, with a margin of 0.6 s, and a retry does not wait for a change, so that it times out after 0.5 s and then 0.9 s. Sums after the end of a disruption: 1.8 s for the first call or 0.9 s for a retry, 0.4 s for the pause, and once more 1.3 s if that retry is lost as well. The job table keeps its limit of 0.55 s.

The time limit that follows a late answer is still without a bound (limit_after_pause).

Test changed: hand_over::store_unresponsive submitted one job at the instant at which the store answered again, and ignored the outcome. The entry instance notices the outage sooner now, so that it counts the store as down by then and refuses that submission truthfully, with a time to come back. The test now submits until the job is accepted, which must be within 2 s, and checks the ownership as before.

Cost: about one more call every 2 s for each follower of a quiet table.

--- a/crates/jobs/src/feeds/follow_timing.rs
+++ b/crates/jobs/src/feeds/follow_timing.rs
@@ -1,15 +1,25 @@
 use std::time::Duration;
 
+use crate::ports::{FollowRequest, StoreTable};
+
 /// Multiple of the last response time of the store within which the next answer is expected.
 const RESPONSE_TIME_FACTOR: u32 = 3;
 
 /// Timing of the calls that follow a table.
+///
+/// A call can be lost without an error, and then hides the store until its time limit. The platform
+/// counts on data that is current 3 s after the end of a disruption, so the sum of the longest time
+/// limit, a pause and one lost retry with its pause stays below that.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct FollowTiming {
     /// Maximum time that the store waits for a change before it answers.
-    pub wait: Duration,
+    wait: Duration,
     /// Minimum time after the end of the wait at which a call times out.
     min_margin: Duration,
+    /// Time limit of the first retry after an answered call.
+    first_retry: Duration,
+    /// Time limit of further retries.
+    next_retry: Duration,
     /// Whether the table is read after a failed follow call. The store can fail to deliver changes
     /// while it still answers reads.
     pub reads_on_failure: bool,
@@ -19,8 +29,10 @@
     /// Timing for tables that rarely change. A longer wait saves calls; a shorter wait detects
     /// unresponsive connections sooner.
     pub(crate) const RELAXED: Self = Self {
-        wait: Duration::from_millis(2_500),
-        min_margin: Duration::from_millis(900),
+        wait: Duration::from_millis(1_200),
+        min_margin: Duration::from_millis(600),
+        first_retry: Duration::from_millis(500),
+        next_retry: Duration::from_millis(900),
         reads_on_failure: false,
     };
 
@@ -29,12 +41,32 @@
     pub(crate) const PROMPT: Self = Self {
         wait: Duration::from_millis(300),
         min_margin: Duration::from_millis(250),
+        first_retry: Duration::from_millis(550),
+        next_retry: Duration::from_millis(550),
         reads_on_failure: true,
     };
 
-    /// Returns the time after the end of the wait at which a call times out. `response_time` is the
-    /// last response time of the store.
-    pub(crate) fn margin(&self, response_time: Duration) -> Duration {
-        self.min_margin.max(response_time * RESPONSE_TIME_FACTOR)
+    /// Returns the next call. `response_time` is the last response time of the store, and
+    /// `failures` the number of calls that have failed since its last answer.
+    ///
+    /// A retry does not wait for a change, so that a store that has returned answers it at once.
+    pub(crate) fn request(
+        &self,
+        table: StoreTable,
+        after: u64,
+        response_time: Duration,
+        failures: u32,
+    ) -> FollowRequest {
+        let (wait, min_margin) = match failures {
+            0 => (self.wait, self.min_margin),
+            1 => (Duration::ZERO, self.first_retry),
+            _ => (Duration::ZERO, self.next_retry),
+        };
+        FollowRequest {
+            table,
+            after,
+            wait,
+            margin: min_margin.max(response_time * RESPONSE_TIME_FACTOR),
+        }
     }
 }
--- a/crates/jobs/src/feeds/table_follower.rs
+++ b/crates/jobs/src/feeds/table_follower.rs
@@ -52,7 +52,12 @@
         while !events.is_closed() {
             let result = match position {
                 None => self.read(&mut response_time, &events).await,
-                Some(after) => self.follow(after, &mut response_time, &events).await,
+                Some(after) => {
+                    let request = self
+                        .timing
+                        .request(self.table, after, response_time, failures);
+                    self.follow(request, &mut response_time, &events).await
+                }
             };
             self.health.record(&result);
             match result {
@@ -107,23 +112,17 @@
 
     async fn follow(
         &self,
-        after: u64,
+        request: FollowRequest,
         response_time: &mut Duration,
         events: &mpsc::Sender<TableEvent>,
     ) -> Result<Option<u64>> {
-        let request = FollowRequest {
-            table: self.table,
-            after,
-            wait: self.timing.wait,
-            margin: self.timing.margin(*response_time),
-        };
         self.status.enter(FeedPhase::Following);
         let start = Instant::now();
         match (self.store.follow)(request).await? {
             FollowPage::Changes { rows, position } => {
-                *response_time = start.elapsed().saturating_sub(self.timing.wait);
+                *response_time = start.elapsed().saturating_sub(request.wait);
                 self.send(events, rows, false, Some(position)).await;
-                Ok(Some(position.version.max(after)))
+                Ok(Some(position.version.max(request.after)))
             }
             FollowPage::HistoryGone => Ok(None),
         }
--- a/crates/jobs/tests/hand_over.rs
+++ b/crates/jobs/tests/hand_over.rs
@@ -6,13 +6,17 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use common::{TestCluster, job, run_job, submit, wait_until};
+use common::{TestCluster, job, run_job, submit, wait_finished, wait_until};
+use sesamedeal_jobs::SubmitOutcome;
 use tokio::time::{Instant, sleep};
 
 /// Maximum time until another entry instance runs jobs. Below the 2 s after which an ownership
 /// expires.
 const TAKEOVER_LIMIT: Duration = Duration::from_millis(1_200);
 
+/// Maximum time after the end of an outage until jobs are accepted again.
+const ACCEPTANCE_LIMIT: Duration = Duration::from_millis(2_000);
+
 /// Guards against waiting for the expiry after the owner's process is killed. The machine refuses
 /// connections to a killed process, so other instances can detect its end at once.
 #[tokio::test]
@@ -86,7 +90,14 @@
         .store
         .is_unresponsive
         .store(false, Ordering::Release);
-    run_job(&second, 3).await;
+    let begin = Instant::now();
+    // An instance that counts the store as down refuses jobs until it has had an answer.
+    wait_until("the job is accepted", async || {
+        submit(&second, 3, &job(1, false)).await == SubmitOutcome::Accepted
+    })
+    .await;
+    assert!(begin.elapsed() < ACCEPTANCE_LIMIT, "{:?}", begin.elapsed());
+    wait_finished(&second, 3).await;
     assert_eq!(cluster.epochs(), HashSet::from([1]));
 }
 
