Bound the time limit that follows from the last response time

Callers could be refused as an older version says for as long as three times a pause of the entry instance: after a freeze of 2 s a lost call would have hidden the store for 8.5 s.

Cause: the margin of a follow call is three times the last response time, which includes pauses of the process itself, without a bound.

Change: at most 0.9 s, so that a call lasts at most 2.1 s.

Before and after: limit_after_pause failed with an answer 0.7 s late and a silent connection 0.1 s later; it passes.

--- a/crates/jobs/src/feeds/follow_timing.rs
+++ b/crates/jobs/src/feeds/follow_timing.rs
@@ -5,6 +5,10 @@
 /// Multiple of the last response time of the store within which the next answer is expected.
 const RESPONSE_TIME_FACTOR: u32 = 3;
 
+/// Maximum time after the end of the wait at which a call times out. A response time includes pauses
+/// of the process itself, so it has no bound of its own.
+const MAX_MARGIN: Duration = Duration::from_millis(900);
+
 /// Timing of the calls that follow a table.
 ///
 /// A call can be lost without an error, and then hides the store until its time limit. The platform
@@ -62,11 +66,12 @@
             1 => (Duration::ZERO, self.first_retry),
             _ => (Duration::ZERO, self.next_retry),
         };
+        let margin = response_time.saturating_mul(RESPONSE_TIME_FACTOR);
         FollowRequest {
             table,
             after,
             wait,
-            margin: min_margin.max(response_time * RESPONSE_TIME_FACTOR),
+            margin: margin.clamp(min_margin, MAX_MARGIN),
         }
     }
 }
