Refuse reads that are older than what the process already knows

Callers could be told that an accepted job does not exist, and the owner could take up a worker again that had begun to drain, when a read of the store returns an older state than an earlier answer.

Cause: the result of a read was taken as it came. After the history was gone the position of a table went back with it, and while the history lacked that position the table was read again without a pause.

Change: the process keeps the newest version of the store that any of its calls has returned. A read from before that fails as outdated, and is retried with the usual pauses. Such an answer does not count as an outage.

--- a/crates/jobs/src/job_node.rs
+++ b/crates/jobs/src/job_node.rs
@@ -8,6 +8,7 @@
 use tokio::task::JoinSet;
 
 use crate::feeds::IntentFollower;
+use crate::fresh_reads::with_fresh_reads;
 use crate::owner::{HeartbeatView, OwnerLoop, OwnerPolicy};
 use crate::ports::{AdvicePort, FleetPort, PeerPort, RowPort, StorePort, WorkerPort};
 use crate::{BootClock, DeploymentView, JobApi, JobMetrics, StoreHealth};
@@ -58,6 +59,7 @@
         let logger = parts
             .logger
             .new(o!("node" => parts.node.to_string(), "session" => session.to_string()));
+        let store = with_fresh_reads(parts.store);
         let view = DeploymentView::default();
         let metrics = JobMetrics::new();
         let heartbeat = HeartbeatView::default();
@@ -66,7 +68,7 @@
         let (stopping, stopped) = watch::channel(false);
         let health = StoreHealth::default();
         let api = JobApi {
-            store: parts.store.clone(),
+            store: store.clone(),
             health: health.clone(),
             heartbeat: heartbeat.clone(),
             metrics: metrics.clone(),
@@ -74,7 +76,7 @@
         };
         let mut followers = JoinSet::new();
         let intents = IntentFollower {
-            store: parts.store.clone(),
+            store: store.clone(),
             health: health.clone(),
             rows: parts.rows,
             view: view.clone(),
@@ -89,7 +91,7 @@
             session,
             policy: parts.policy,
             dispatch: parts.dispatch,
-            store: parts.store,
+            store,
             health,
             workers: parts.workers,
             fleet: parts.fleet,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -9,6 +9,7 @@
 mod boot_clock;
 mod deployment;
 mod feeds;
+mod fresh_reads;
 mod job_metrics;
 mod job_node;
 mod owner;
--- a/crates/jobs/src/store_health.rs
+++ b/crates/jobs/src/store_health.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use sesamedeal_core::jobs::retry_delay;
-use sesamedeal_store::Result;
+use sesamedeal_store::{PlatformError, Result};
 
 use crate::{BootClock, StoreClock};
 
@@ -34,9 +34,9 @@
 }
 
 impl StoreHealth {
-    /// Records the result of a call.
+    /// Records the result of a call. A store that answers with an old state is not down.
     pub(crate) fn record<T>(&self, result: &Result<T>) {
-        if result.is_ok() {
+        if matches!(result, Ok(_) | Err(PlatformError::Outdated { .. })) {
             self.failures.store(0, Ordering::Release);
             self.last_answer_ms.store(now_ms(), Ordering::Release);
         } else {
--- a/crates/jobs/tests/common/memory_store.rs
+++ b/crates/jobs/tests/common/memory_store.rs
@@ -15,7 +15,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct StoreState {
     version: u64,
     rows: HashMap<StoreTable, BTreeMap<CompactString, StoreRow>>,
@@ -40,6 +40,8 @@
     pub unresponsive_tables: Arc<Mutex<HashSet<StoreTable>>>,
     /// Partition of job rows whose reads and changes get no answer.
     pub unresponsive_partition: Arc<Mutex<Option<RowPartition>>>,
+    /// State that reads return instead of the current one.
+    old_state: Arc<Mutex<Option<StoreState>>>,
     /// Additional latency of writes to the owner table: the epoch and the heartbeat.
     pub owner_delay: Arc<Mutex<Duration>>,
     /// Number of committed changes.
@@ -73,6 +75,7 @@
             withholds_changes: Arc::default(),
             unresponsive_tables: Arc::default(),
             unresponsive_partition: Arc::default(),
+            old_state: Arc::default(),
             owner_delay: Arc::default(),
             transactions: Arc::default(),
             calls: Arc::default(),
@@ -132,6 +135,11 @@
         }
     }
 
+    /// Makes all reads from now on return the current state.
+    pub fn freeze_reads(&self) {
+        *self.old_state.lock() = Some(self.state.lock().clone());
+    }
+
     /// Writes a row in place of an external writer.
     pub fn put(&self, table: StoreTable, key: &str, value: &[u8]) {
         self.apply(table, key.into(), Bytes::copy_from_slice(value), false);
@@ -272,7 +280,9 @@
 
     fn read(&self, range: &RowRange) -> Result<RowPage> {
         self.check_available()?;
-        let state = self.state.lock();
+        let old = self.old_state.lock();
+        let current = self.state.lock();
+        let state = old.as_ref().unwrap_or(&current);
         let rows = state.rows.get(&range.table).into_iter();
         let is_inside =
             |row: &&StoreRow| RowPartition::of(range.table, &row.key) == range.partition;
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -24,6 +24,14 @@
         /// HTTP status.
         status: u16,
     },
+    /// A read returned a state that is older than one that was returned before.
+    #[snafu(display("the platform answered with version {version} after version {known}"))]
+    Outdated {
+        /// Version of the answer.
+        version: u64,
+        /// Version that was known when the call was sent.
+        known: u64,
+    },
     /// The answer or a row is not of the expected form.
     #[snafu(display("unexpected content of {what}: {source}"))]
     Content {
@@ -56,6 +64,10 @@
                 reason: reason.clone(),
             },
             Self::Status { status } => Self::Status { status: *status },
+            Self::Outdated { version, known } => Self::Outdated {
+                version: *version,
+                known: *known,
+            },
             Self::Content { what, source } => Self::Content {
                 what: what.clone(),
                 source: serde_json::Error::custom(source),
