Saturate sums of the capacities that workers declare

The owner ended in a debug build, and counted almost no capacity in others, when two entries of the list of workers declared an absurdly large one.

Cause: capacities were added without a check (pool_loads, worker_capacity, ResourceAmount).

Change: the sums saturate.

Before and after: foreign_rows::capacity_sum failed with an overflow in pool_loads; it passes and the tasks start on the sound worker.

--- a/crates/core/src/jobs/dispatcher/pool_loads.rs
+++ b/crates/core/src/jobs/dispatcher/pool_loads.rs
@@ -50,7 +50,8 @@
     pub fn worker_capacity(&self) -> u64 {
         let listed = self.workers.values().filter(|entry| entry.is_listed);
         let (count, sum) = listed.fold((0, 0), |(count, sum), entry| {
-            (count + 1, sum + entry.report.capacity.cpu_millis)
+            let capacity = entry.report.capacity.cpu_millis;
+            (count + 1, u64::saturating_add(sum, capacity))
         });
         sum / u64::max(count, 1)
     }
@@ -63,15 +64,17 @@
             let load = loads.entry(entry.report.pool.clone()).or_default();
             load.workers += 1;
             load.usable += usize::from(entry.is_usable(now));
-            load.capacity += entry.report.capacity.cpu_millis;
+            load.capacity = load
+                .capacity
+                .saturating_add(entry.report.capacity.cpu_millis);
             for (task, _) in entry.runs.keys() {
                 let job = &self.jobs[&task.step.job];
                 let spec = &job.order.steps[usize::from(task.step.step)];
                 let cpu = spec.worker_amount().cpu_millis;
                 if spec.is_lasting {
-                    load.long_running += cpu;
+                    load.long_running = load.long_running.saturating_add(cpu);
                 } else {
-                    load.batch += cpu;
+                    load.batch = load.batch.saturating_add(cpu);
                 }
             }
         }
--- a/crates/core/src/jobs/resource_amount.rs
+++ b/crates/core/src/jobs/resource_amount.rs
@@ -41,9 +41,9 @@
 
 impl AddAssign for ResourceAmount {
     fn add_assign(&mut self, other: Self) {
-        self.cpu_millis += other.cpu_millis;
-        self.memory_mb += other.memory_mb;
-        self.accelerators += other.accelerators;
+        self.cpu_millis = self.cpu_millis.saturating_add(other.cpu_millis);
+        self.memory_mb = self.memory_mb.saturating_add(other.memory_mb);
+        self.accelerators = self.accelerators.saturating_add(other.accelerators);
     }
 }
 
