Saturate the evacuation limit of a maintenance wave

A wave with the largest limit ended a debug build of the owner, and was never started in others: the limit wrapped to zero.

Change: the limit plus the instances evacuated ahead saturates.

Before and after: foreign_rows::maintenance_waves failed with an overflow; it passes.

--- a/crates/core/src/jobs/maintenance_plan.rs
+++ b/crates/core/src/jobs/maintenance_plan.rs
@@ -72,7 +72,7 @@
     age: Option<Duration>,
     is_short: bool,
 ) -> usize {
-    let max = wave.limit + EVACUATED_AHEAD;
+    let max = wave.limit.saturating_add(EVACUATED_AHEAD);
     let Some(age) = age.filter(|_| is_short) else {
         return max;
     };
