Saturate sums of declared run times along a chain of steps

One accepted job ended each owner that loaded it: 1,100 steps one after another, each declared to run for 1.8e19 ms, overflow the sum of their run times. Durations panic on that in release builds too. Found while the fields of rows were searched; a caller can do it with one request.

Change: the sums saturate in the critical path, in what remains of it, in the forecasts and in the priority.

--- a/crates/core/src/jobs/dispatcher/demand_forecast.rs
+++ b/crates/core/src/jobs/dispatcher/demand_forecast.rs
@@ -67,7 +67,7 @@
             used = used.saturating_add(cpu);
             ends.push(end);
         } else {
-            let end = start + estimate;
+            let end = start.saturating_add(estimate);
             if start <= horizon && horizon < end {
                 used = used.saturating_add(total_cpu(spec));
             }
@@ -122,7 +122,7 @@
     let mut work: u64 = 0;
     for spec in &order.steps {
         let start = spec.earliest_start(&ends);
-        ends.push(start + spec.estimate);
+        ends.push(start.saturating_add(spec.estimate));
         if spec.is_lasting || start >= horizon {
             continue;
         }
--- a/crates/core/src/jobs/dispatcher/waiting_steps.rs
+++ b/crates/core/src/jobs/dispatcher/waiting_steps.rs
@@ -218,7 +218,7 @@
         } else {
             spec.estimate
         };
-        ends.push(spec.earliest_start(&ends) + run_time);
+        ends.push(spec.earliest_start(&ends).saturating_add(run_time));
     }
     ends.into_iter().max().unwrap_or_default()
 }
--- a/crates/core/src/jobs/job_entry.rs
+++ b/crates/core/src/jobs/job_entry.rs
@@ -186,7 +186,7 @@
 fn critical_path(steps: &[StepSpec]) -> Duration {
     let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
     for step in steps {
-        ends.push(step.earliest_start(&ends) + step.estimate);
+        ends.push(step.earliest_start(&ends).saturating_add(step.estimate));
     }
     ends.into_iter().max().unwrap_or_default()
 }
--- a/crates/core/src/jobs/job_priority.rs
+++ b/crates/core/src/jobs/job_priority.rs
@@ -48,10 +48,10 @@
         remaining: Duration,
         objective: Duration,
     ) -> Self {
-        let end = age + remaining;
+        let end = age.saturating_add(remaining);
         let class = if end <= objective {
             UrgencyClass::InTime
-        } else if end <= objective * USEFUL_MULTIPLE {
+        } else if end <= objective.saturating_mul(USEFUL_MULTIPLE) {
             UrgencyClass::Late
         } else {
             UrgencyClass::TooLate
