Start tasks on a worker that has just returned to the list

Callers saw jobs with room for them that never ran (LOST): after an outage of the store during which entries of the list of workers lapse and return, tasks stayed ordered without a start, and nothing sent them again.

Cause: when an entry returns, the calls to its worker are set up again, and no lease can be granted until the worker has answered once. The dispatcher counted the worker as usable at once, and the order to start was dropped without a word, so that it waited for an outcome for good.

Change: a worker that returns to the list gets no tasks until it has answered, and an order that cannot be sent counts as refused, so that the task is placed again.

Before and after: relisted_worker::waiting_job failed (a job of three tasks had not started after 15 s); it passes.

--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -173,6 +173,8 @@
             let was_listed = entry.is_listed;
             entry.report = report;
             entry.is_listed = true;
+            // Calls to the worker are set up again, and none has been answered yet.
+            entry.is_unresponsive |= !was_listed;
             if is_replaced {
                 self.reset_worker(key, now);
             }
--- a/crates/jobs/src/owner/worker_calls.rs
+++ b/crates/jobs/src/owner/worker_calls.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sesamedeal_core::jobs::{HoldReport, WorkerKey, WorkerOrder};
+use sesamedeal_core::jobs::{HoldReport, StartOutcome, WorkerKey, WorkerOrder};
 use sesamedeal_core::time::TimePoint;
 use sesamedeal_store::Result;
 use slog::{debug, info, warn};
@@ -41,6 +41,14 @@
         match order {
             WorkerOrder::Start(_, order) => {
                 let Some(lease_end_ms) = link.lease_end_ms(self.lease_length(), now) else {
+                    // Without the worker's clock no lease can be granted.
+                    self.dispatcher.note_start(
+                        key,
+                        order.task,
+                        order.run,
+                        StartOutcome::Refused,
+                        now,
+                    );
                     return;
                 };
                 let request = StartRequest {
