Take workers off the list whose entry has become unusable

Tasks kept starting on a worker whose entry another writer had overwritten with something unusable. Such an entry names no worker to use.

Cause: an entry that cannot be decoded was skipped, and the worker's previous entry stayed in use.

Change: the worker counts as no longer listed until a usable entry returns.

Before and after: unusable_entries::overwritten_entry failed (four tasks on that worker, none allowed); it passes, and the list is followed on.

--- a/crates/jobs/src/owner/table_intake.rs
+++ b/crates/jobs/src/owner/table_intake.rs
@@ -65,6 +65,8 @@
             Ok(report) => report,
             Err(problem) => {
                 warn!(self.parts.logger, "skipped unusable row"; "problem" => %problem, "row" => row.version);
+                // Another writer may have replaced the entry of a worker.
+                self.unlist(&InstanceName::new(&row.key));
                 return;
             }
         };
