Check at compile time how long a lost follow call hides the store

The comment promised more than the constants give: a lost retry after the longest call is not within 3 s. Required is the longest call with the longest pause, 2.5 s; that is checked now. No value changes.

--- a/crates/jobs/src/feeds/follow_timing.rs
+++ b/crates/jobs/src/feeds/follow_timing.rs
@@ -1,19 +1,23 @@
 use std::time::Duration;
 
+use super::table_follower::MAX_PAUSE;
 use crate::ports::{FollowRequest, StoreTable};
 
 /// Multiple of the last response time of the store within which the next answer is expected.
 const RESPONSE_TIME_FACTOR: u32 = 3;
 
+/// Maximum time after the end of a disruption until data is current. The platform asks for it.
+const RECOVERY_BOUND: Duration = Duration::from_millis(3_000);
+
 /// Maximum time after the end of the wait at which a call times out. A response time includes pauses
 /// of the process itself, so it has no bound of its own.
 const MAX_MARGIN: Duration = Duration::from_millis(900);
 
 /// Timing of the calls that follow a table.
 ///
-/// A call can be lost without an error, and then hides the store until its time limit. The platform
-/// counts on data that is current 3 s after the end of a disruption, so the sum of the longest time
-/// limit, a pause and one lost retry with its pause stays below that.
+/// A call can be lost without an error, and then hides the store until its time limit. Data must be
+/// current within [`RECOVERY_BOUND`] after the end of a disruption, when a call that is lost may just
+/// have been sent.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct FollowTiming {
     /// Maximum time that the store waits for a change before it answers.
@@ -50,6 +54,13 @@
         reads_on_failure: true,
     };
 
+    /// Longest time that a lost call and the pause after it can hide the store.
+    const fn longest_gap(&self) -> Duration {
+        self.wait
+            .saturating_add(MAX_MARGIN)
+            .saturating_add(MAX_PAUSE)
+    }
+
     /// Returns the next call. `response_time` is the last response time of the store, and
     /// `failures` the number of calls that have failed since its last answer.
     ///
@@ -75,3 +86,9 @@
         }
     }
 }
+
+const _: () = assert!(
+    FollowTiming::RELAXED.longest_gap().as_millis() < RECOVERY_BOUND.as_millis()
+        && FollowTiming::PROMPT.longest_gap().as_millis() < RECOVERY_BOUND.as_millis(),
+    "a lost call hides the store for too long"
+);
--- a/crates/jobs/src/feeds/table_follower.rs
+++ b/crates/jobs/src/feeds/table_follower.rs
@@ -15,9 +15,8 @@
 };
 use crate::{BootClock, StoreHealth};
 
-/// Maximum pause after a failed call. The data must be current again about two seconds after the
-/// end of an outage.
-const MAX_PAUSE: Duration = Duration::from_millis(400);
+/// Maximum pause after a failed call.
+pub(super) const MAX_PAUSE: Duration = Duration::from_millis(400);
 
 /// Rows that a follower has received.
 #[derive(Debug)]
