--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -17,7 +17,7 @@
 use rand_pcg::Pcg64Mcg;
 use sesamedeal_core::jobs::{
     DispatchPolicy, EndKind, FleetRules, HoldReport, JobDispatcher, JobId, JobOrder, JobPhase,
-    JobRecord, ResourceAmount, RunReport, TaskName, UnreachableWorker,
+    JobRecord, ResourceAmount, RunReport, TaskName, UnreachableWorker, WorkerOrder,
 };
 
 pub use builders::{amount, at, job, rules, step, worker_report};
@@ -286,3 +286,12 @@
 fn dispatcher(rules: &Arc<FleetRules>, epoch: u64, now: u64) -> JobDispatcher {
     JobDispatcher::new(DispatchPolicy::default(), Arc::clone(rules), epoch, at(now))
 }
+
+/// Plans at `now` and returns the number of started tasks.
+pub fn starts(dispatcher: &mut JobDispatcher, now: u64) -> usize {
+    let orders = dispatcher.plan(at(now), now);
+    let starts = orders.iter();
+    starts
+        .filter(|order| matches!(order, WorkerOrder::Start(..)))
+        .count()
+}
