Log and count runs that are lost with their worker

A run that ends without a report was released without a line, so that the log could not tell a restart from an expired lease, nor what was lost together. 'run lost' has task, run, worker, reason, age and the number of runs lost together; sesamedeal_lost_runs_total counts them by reason. No decision changes.

--- a/crates/core/src/jobs/dispatcher/hold_reports.rs
+++ b/crates/core/src/jobs/dispatcher/hold_reports.rs
@@ -4,7 +4,7 @@
 
 use super::JobDispatcher;
 use crate::jobs::run_entry::{RunEntry, RunState};
-use crate::jobs::{HoldReport, RunReport, WorkerKey, WorkerOrder};
+use crate::jobs::{HoldReport, LossReason, RunReport, WorkerKey, WorkerOrder};
 use crate::time::TimePoint;
 
 /// Maximum number of run ends in one report. A report with this many may be truncated.
@@ -117,6 +117,7 @@
             let Some(entry) = self.run_mut(task, run, key) else {
                 continue;
             };
+            let is_stopped = entry.is_stopping();
             let is_gone = match entry.state {
                 RunState::Ordered => false,
                 RunState::Running => entry.since < report.sent,
@@ -131,6 +132,9 @@
                 }
             };
             if is_gone {
+                if !is_stopped {
+                    self.note_loss(task, run, key, (LossReason::Absent, 1), now);
+                }
                 self.release(task, run, key);
                 self.delay_restart(task, now);
             }
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -27,8 +27,8 @@
 use super::ticket_cache::TicketCache;
 use super::worker_entry::WorkerEntry;
 use super::{
-    DispatchPolicy, FleetRules, JobId, JobOrder, JobPhase, JobRecord, ResourceAmount, StepName,
-    WorkerKey, WorkerOrder, WorkerReport,
+    DispatchPolicy, FleetRules, JobId, JobOrder, JobPhase, JobRecord, LostRun, ResourceAmount,
+    StepName, WorkerKey, WorkerOrder, WorkerReport,
 };
 use crate::ids::{InstanceName, PoolName, QueueName, TeamName};
 use crate::time::TimePoint;
@@ -69,6 +69,8 @@
     /// Jobs whose records are not stored yet.
     dirty: RecordQueue,
     orders: Vec<WorkerOrder>,
+    /// Runs that were lost since they were last taken.
+    lost_runs: Vec<LostRun>,
 }
 
 impl JobDispatcher {
@@ -97,6 +99,7 @@
             expiry_queue: VecDeque::new(),
             dirty: RecordQueue::default(),
             orders: Vec::new(),
+            lost_runs: Vec::new(),
         }
     }
 
@@ -276,6 +279,11 @@
         open.count()
     }
 
+    /// Takes the runs that were lost since the last call.
+    pub fn take_lost_runs(&mut self) -> Vec<LostRun> {
+        std::mem::take(&mut self.lost_runs)
+    }
+
     /// Returns the phase of a job, or `None` if the dispatcher does not have the job.
     #[must_use]
     pub fn phase(&self, id: JobId) -> Option<JobPhase> {
--- a/crates/core/src/jobs/dispatcher/planning.rs
+++ b/crates/core/src/jobs/dispatcher/planning.rs
@@ -4,7 +4,7 @@
 use super::JobDispatcher;
 use crate::jobs::pace_control::pace_percent;
 use crate::jobs::run_entry::RunState;
-use crate::jobs::{TaskName, WorkerKey, WorkerOrder};
+use crate::jobs::{LossReason, TaskName, WorkerKey, WorkerOrder};
 use crate::time::TimePoint;
 
 impl JobDispatcher {
@@ -45,7 +45,7 @@
         });
         let expired: Vec<WorkerKey> = expired.map(|(key, _)| key).collect();
         for key in expired {
-            self.release_runs(key);
+            self.lose_runs(key, LossReason::Expired, now);
             let entry = &self.workers[key];
             if !entry.is_listed {
                 let name = entry.report.name.clone();
--- a/crates/core/src/jobs/dispatcher/runs.rs
+++ b/crates/core/src/jobs/dispatcher/runs.rs
@@ -4,7 +4,7 @@
 use crate::jobs::job_entry::JobEntry;
 use crate::jobs::run_entry::{RunEntry, RunState};
 use crate::jobs::task_entry::TaskEntry;
-use crate::jobs::{HealthRecord, StartOutcome, StepSpec, TaskName, WorkerKey};
+use crate::jobs::{HealthRecord, LossReason, LostRun, StartOutcome, StepSpec, TaskName, WorkerKey};
 use crate::time::TimePoint;
 
 impl JobDispatcher {
@@ -125,7 +125,7 @@
     /// Releases the runs of a worker that was restarted, which ended with its previous boot, and
     /// resets its state.
     pub(super) fn reset_worker(&mut self, key: WorkerKey, now: TimePoint) {
-        self.release_runs(key);
+        self.lose_runs(key, LossReason::Restarted, now);
         let entry = &mut self.workers[key];
         entry.boot = None;
         entry.list_requested = None;
@@ -139,12 +139,37 @@
         entry.lease_end = now;
     }
 
-    pub(super) fn release_runs(&mut self, key: WorkerKey) {
+    /// Releases all runs of a worker that have ended without a report.
+    pub(super) fn lose_runs(&mut self, key: WorkerKey, reason: LossReason, now: TimePoint) {
         let runs: Vec<_> = self.workers[key].runs.keys().copied().collect();
-        for (task, run) in runs {
+        for &(task, run) in &runs {
+            self.note_loss(task, run, key, (reason, runs.len()), now);
             self.release(task, run, key);
         }
     }
+
+    pub(super) fn note_loss(
+        &mut self,
+        task: TaskName,
+        run: u64,
+        key: WorkerKey,
+        (reason, lost_together): (LossReason, usize),
+        now: TimePoint,
+    ) {
+        let worker = self.workers[key].report.name.clone();
+        let Some(entry) = self.run_mut(task, run, key) else {
+            return;
+        };
+        let age = now.since(entry.since);
+        self.lost_runs.push(LostRun {
+            task,
+            run,
+            worker,
+            reason,
+            age,
+            lost_together,
+        });
+    }
 }
 
 pub(super) fn task_mut(job: &mut JobEntry, name: TaskName) -> Option<&mut TaskEntry> {
--- /dev/null
+++ b/crates/core/src/jobs/lost_run.rs
@@ -0,0 +1,34 @@
+use std::time::Duration;
+
+use super::TaskName;
+use crate::ids::InstanceName;
+
+/// How the dispatcher knows that a run has ended without a report of its end.
+///
+/// The variant names are label values of the metric `sesamedeal_lost_runs_total`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LossReason {
+    /// The worker answers with another boot, or at another address.
+    Restarted,
+    /// The lease of a worker that does not answer has expired.
+    Expired,
+    /// The worker no longer lists the run.
+    Absent,
+}
+
+/// Run that has ended without a report of its end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LostRun {
+    /// Task of the run.
+    pub task: TaskName,
+    /// Number of the run.
+    pub run: u64,
+    /// Worker of the run.
+    pub worker: InstanceName,
+    /// How the end is known.
+    pub reason: LossReason,
+    /// Time since the run was ordered, confirmed or adopted.
+    pub age: Duration,
+    /// Number of runs that were lost with the worker, this one included.
+    pub lost_together: usize,
+}
--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -15,6 +15,7 @@
 mod job_phase;
 mod job_priority;
 mod job_record;
+mod lost_run;
 mod maintenance_plan;
 mod pace_control;
 mod pool_history;
@@ -48,6 +49,7 @@
 pub use job_phase::JobPhase;
 pub use job_priority::{PriorityKey, UrgencyClass};
 pub use job_record::{JobRecord, StepRecord};
+pub use lost_run::{LossReason, LostRun};
 pub use maintenance_plan::{
     MaintenanceCandidate, MaintenanceWave, evacuation_limit, next_candidate,
 };
--- a/crates/jobs/src/job_metrics.rs
+++ b/crates/jobs/src/job_metrics.rs
@@ -17,6 +17,7 @@
     refusals: IntCounterVec,
     starts: IntCounterVec,
     ends: IntCounterVec,
+    lost_runs: IntCounterVec,
     store_failures: IntCounterVec,
     requests: Histogram,
     count_ages: Histogram,
@@ -81,6 +82,11 @@
                 "outcome",
             ),
             ends: counter("sesamedeal_task_ends_total", "Ended runs by kind", "kind"),
+            lost_runs: counter(
+                "sesamedeal_lost_runs_total",
+                "Runs that ended without a report, by how this is known",
+                "reason",
+            ),
             store_failures: counter(
                 "sesamedeal_job_store_failures_total",
                 "Failed writes of the owner by kind",
@@ -179,6 +185,10 @@
         self.ends.with_label_values(&[kind]).inc();
     }
 
+    pub(crate) fn count_lost_run(&self, reason: &str) {
+        self.lost_runs.with_label_values(&[reason]).inc();
+    }
+
     pub(crate) fn count_store_failure(&self, kind: &str) {
         self.store_failures.with_label_values(&[kind]).inc();
     }
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -162,6 +162,7 @@
             for order in orders {
                 self.send_order(order, now);
             }
+            self.log_losses();
             self.request_advice(now);
             self.send_holds(now);
             self.run_waves(now);
@@ -174,6 +175,15 @@
             .set_open_jobs(self.dispatcher.open_jobs());
     }
 
+    /// Logs and counts the runs that were lost since the last round.
+    fn log_losses(&mut self) {
+        for lost in self.dispatcher.take_lost_runs() {
+            let reason = format!("{:?}", lost.reason);
+            self.parts.metrics.count_lost_run(&reason.to_lowercase());
+            info!(self.parts.logger, "run lost"; "task" => %lost.task, "run" => lost.run, "worker" => %lost.worker, "reason" => reason, "age_ms" => lost.age.as_millis(), "lost_together" => lost.lost_together);
+        }
+    }
+
     fn log_loads(&mut self, now: TimePoint) {
         if now.since(self.last_load_log) < LOAD_LOG_PERIOD {
             return;
