Show that a task can crash worker after worker

crash_series is the measure for what must not get worse: crashes in series, of racks, beside changes of the owner and of one unstable worker fail no job.

--- /dev/null
+++ b/crates/core/tests/crash_series.rs
@@ -0,0 +1,106 @@
+//! Crashes of workers that no task causes: in series, of whole racks and at changes of the owner.
+
+mod jobs;
+
+use jobs::{JobWorld, WorldFaults, job, step};
+use sesamedeal_core::jobs::JobPhase;
+
+/// Number of random histories of each kind.
+const SEEDS: u64 = 24;
+
+/// Submits jobs for 20 s and then waits until they have ended.
+fn play(faults: WorldFaults, seed: u64, mut each_round: impl FnMut(&mut JobWorld, u64)) {
+    let mut world = JobWorld::new(8, seed).with_faults(faults);
+    let mut lasting = step(4, 1_000);
+    lasting.is_lasting = true;
+    world.submit(1_000, job(vec![lasting]));
+    for number in 0..40 {
+        let mut second = step(3, 2_500);
+        second.after = vec![0];
+        second.allows_copies = number % 3 == 0;
+        second.is_gang = number % 7 == 0;
+        world.submit(number, job(vec![step(4, 1_500), second]));
+        for round in 0..10 {
+            each_round(&mut world, number * 10 + round);
+            world.round();
+        }
+    }
+    world.run(1_000);
+    for (id, (_, record)) in &world.stored {
+        let expected = if id.0 == 1_000 {
+            JobPhase::Running
+        } else {
+            JobPhase::Finished
+        };
+        assert_eq!(record.phase, expected, "seed {seed}: job {id}");
+    }
+    let violations = &world.violations;
+    assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+}
+
+/// Guards against healthy jobs that are given up because workers crash in series under them.
+#[test]
+fn single_workers() {
+    for seed in 0..SEEDS {
+        let faults = WorldFaults {
+            kept_names: 0.5,
+            ..WorldFaults::default()
+        };
+        play(faults, seed, |world, round| {
+            if round % 12 == 0 {
+                let index = usize::from(world.pick(8));
+                world.crash(index);
+            }
+        });
+    }
+}
+
+/// Guards against healthy jobs that are given up because racks crash under them.
+#[test]
+fn whole_racks() {
+    for seed in 0..SEEDS {
+        play(WorldFaults::default(), seed, |world, round| {
+            if round % 80 == 40 {
+                let rack = usize::from(world.pick(2)) * 4;
+                (rack..rack + 4).for_each(|index| world.crash(index));
+            }
+        });
+    }
+}
+
+/// Guards against healthy jobs that are given up because workers crash while the owner changes,
+/// writes fail and starts have no answer.
+#[test]
+fn changing_owners() {
+    for seed in 0..SEEDS {
+        let faults = WorldFaults {
+            takeovers: 0.01,
+            refused_writes: 0.2,
+            lost_starts: 0.05,
+            kept_names: 0.3,
+            ..WorldFaults::default()
+        };
+        play(faults, seed, |world, round| {
+            if round % 16 == 0 {
+                let index = usize::from(world.pick(8));
+                world.crash(index);
+            }
+        });
+    }
+}
+
+/// Guards against tasks that a single worker, which crashes soon after each start, takes with it.
+#[test]
+fn unstable_worker() {
+    for seed in 0..SEEDS {
+        let faults = WorldFaults {
+            kept_names: 1.0,
+            ..WorldFaults::default()
+        };
+        play(faults, seed, |world, _| {
+            if !world.workers[0].tasks().is_empty() {
+                world.crash(0);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/tests/crashing_task.rs
@@ -0,0 +1,111 @@
+//! Tasks that crash each worker that starts them.
+//!
+//! The simulation counts a violation if a task crashes more than five workers: three, and two more
+//! by starts that are under way.
+
+mod jobs;
+
+use jobs::{JobWorld, WorldFaults, job, step};
+use sesamedeal_core::jobs::{JobId, JobOrder, JobPhase, JobSchedule, StepName, StepSpec, TaskName};
+
+/// Number of random histories of each kind of task.
+const SEEDS: u64 = 24;
+
+fn first_task(job: JobId) -> TaskName {
+    let step = StepName {
+        job,
+        occurrence: 0,
+        step: 0,
+    };
+    step.task(0)
+}
+
+/// Submits a job whose first task is deadly among healthy jobs, and plays 40 s.
+fn play(order: JobOrder, faults: WorldFaults, seed: u64) -> (JobWorld, TaskName) {
+    let mut world = JobWorld::new(6, seed).with_faults(faults);
+    let before = 5 + world.pick(10);
+    for number in 0..u64::from(before) {
+        world.submit(number, job(vec![step(4, 1_500)]));
+        world.run(4);
+    }
+    let id = world.submit(99, order);
+    world.make_deadly(first_task(id));
+    for number in 100..110 {
+        world.submit(number, job(vec![step(3, 1_500)]));
+        world.run(16);
+    }
+    world.run(800);
+    (world, first_task(id))
+}
+
+fn check(kind: &str, order: &JobOrder, faults: WorldFaults) {
+    for seed in 0..SEEDS {
+        let (world, task) = play(order.clone(), faults, seed);
+        assert!(
+            world.crashes.count(task) > 0,
+            "{kind}, seed {seed}: never started"
+        );
+        let violations = &world.violations;
+        assert!(
+            violations.is_empty(),
+            "{kind}, seed {seed}: {violations:#?}"
+        );
+        assert_eq!(
+            world.phase(task.step.job),
+            JobPhase::Failed,
+            "{kind}, seed {seed}"
+        );
+    }
+}
+
+fn check_all(faults: WorldFaults) {
+    let with = |change: fn(&mut StepSpec)| {
+        let mut spec = step(4, 1_500);
+        change(&mut spec);
+        job(vec![spec])
+    };
+    check("plain", &with(|_| {}), faults);
+    check(
+        "speculative",
+        &with(|spec| spec.allows_copies = true),
+        faults,
+    );
+    check("gang", &with(|spec| spec.is_gang = true), faults);
+    check("lasting", &with(|spec| spec.is_lasting = true), faults);
+    check("saving", &with(|spec| spec.saves_progress = true), faults);
+    let mut scheduled = with(|_| {});
+    scheduled.schedule = Some(JobSchedule {
+        count: 3,
+        start_ms: 10_000,
+        interval: std::time::Duration::from_secs(2),
+    });
+    check("scheduled", &scheduled, faults);
+}
+
+/// Guards against a task that crashes worker after worker until the end of the day.
+#[test]
+fn single_owner() {
+    check_all(WorldFaults::default());
+}
+
+/// Guards against crashes that are forgotten when workers return under their old names.
+#[test]
+fn kept_names() {
+    check_all(WorldFaults {
+        kept_names: 0.7,
+        ..WorldFaults::default()
+    });
+}
+
+/// Guards against crashes that are forgotten when the owner changes, also while writes fail and
+/// starts have no answer.
+#[test]
+fn owner_changes() {
+    check_all(WorldFaults {
+        takeovers: 0.01,
+        refused_writes: 0.2,
+        lost_starts: 0.1,
+        kept_names: 0.3,
+        ..WorldFaults::default()
+    });
+}
--- a/crates/core/tests/job_fuzz.rs
+++ b/crates/core/tests/job_fuzz.rs
@@ -21,6 +21,7 @@
         takeovers: 0.01,
         failures: 0.03,
         reboots: 0.005,
+        ..WorldFaults::default()
     };
     let mut world = JobWorld::new(4, seed).with_faults(faults);
     for number in 0..12 {
--- a/crates/core/tests/jobs/sim_worker.rs
+++ b/crates/core/tests/jobs/sim_worker.rs
@@ -1,6 +1,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use compact_str::CompactString;
+use sesamedeal_core::ids::InstanceName;
 use sesamedeal_core::jobs::{EndKind, RunEnd, TaskName, WorkerKey, WorkerReport};
 
 use super::worker_report;
@@ -29,6 +30,11 @@
     pub ended: Vec<RunEnd>,
     pub next_end: u64,
     pub highest_runs: HashMap<TaskName, u64>,
+    /// When the worker crashed, until it is back.
+    pub crashed: Option<u64>,
+    /// Number of the instance of the worker, and of crashes so far.
+    pub instance: usize,
+    pub crashes: u64,
 }
 
 impl SimWorker {
@@ -44,6 +50,33 @@
             ended: Vec::new(),
             next_end: 1,
             highest_runs: HashMap::new(),
+            crashed: None,
+            instance: number,
+            crashes: 0,
+        }
+    }
+
+    /// Ends the worker with all its runs.
+    pub fn crash(&mut self, now: u64) {
+        self.crashed = Some(now);
+        self.is_reachable = false;
+        self.running.clear();
+        self.ended.clear();
+    }
+
+    /// Starts the worker again, which knows nothing of before.
+    pub fn restart(&mut self, now: u64, keeps_name: bool) {
+        self.crashed = None;
+        self.crashes += 1;
+        self.is_reachable = true;
+        self.fence = 0;
+        self.next_end = 1;
+        self.highest_runs.clear();
+        self.report.boot = now;
+        if !keeps_name {
+            let name = format!("worker-{}-{}", self.instance, self.crashes);
+            self.report.name = InstanceName::new(name);
+            self.key = None;
         }
     }
 
