Count crashes of workers under a task and give it up after three

Cause: a run that is lost with its worker was released as if it had never been tried: after a restart and when the lease of an unreachable worker had expired. Nothing was counted or stored, and everything that was lost together started together again.

Change: a crash implicates the runs that had not been seen to run for 0.3 s. Crashes are part of the job's record, and a suspect starts again only once they are stored; a start of a suspect that is under way is stored as a crash, which the next owner retracts when the worker answers with the same boot. Suspects start apart, on the emptiest workers, away from the instances that crashed under them, and after two crashes as the only starting task of their worker, so that a third one is proof. Three crashes during starts, or five at any age, end the job as failed. A task that has run for 0.3 s is cleared.

--- a/crates/core/src/jobs/dispatcher/gangs.rs
+++ b/crates/core/src/jobs/dispatcher/gangs.rs
@@ -9,7 +9,8 @@
 use crate::time::TimePoint;
 
 impl JobDispatcher {
-    /// Starts all tasks of a gang or none. If the step prefers one rack, tries each rack first.
+    /// Starts all tasks of a gang and returns true, or starts none. If the step prefers one rack,
+    /// tries each rack first.
     pub(super) fn place_gang(
         &mut self,
         step: &WaitingStep,
@@ -17,9 +18,9 @@
         team: Option<&TeamName>,
         workers: &[WorkerKey],
         now: TimePoint,
-    ) {
+    ) -> bool {
         if step.indexes.len() < usize::from(spec.count) {
-            return;
+            return false;
         }
         let last = step.indexes.iter().filter_map(|&index| {
             let task = self.task(step.name.task(index))?;
@@ -33,10 +34,10 @@
         };
         for rack in &racks {
             if self.try_place_gang(step, spec, team, rack, run, now) {
-                return;
+                return true;
             }
         }
-        self.try_place_gang(step, spec, team, workers, run, now);
+        self.try_place_gang(step, spec, team, workers, run, now)
     }
 
     fn racks(&self, workers: &[WorkerKey]) -> Vec<Vec<WorkerKey>> {
--- a/crates/core/src/jobs/dispatcher/hold_reports.rs
+++ b/crates/core/src/jobs/dispatcher/hold_reports.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::JobDispatcher;
+use super::suspects::STARTUP_TIME;
 use crate::jobs::run_entry::{RunEntry, RunState};
 use crate::jobs::{HoldReport, LossReason, RunReport, WorkerKey, WorkerOrder};
 use crate::time::TimePoint;
@@ -24,6 +25,7 @@
     pub fn note_unresponsive(&mut self, key: WorkerKey) {
         if let Some(entry) = self.workers.get_mut(key) {
             entry.is_unresponsive = true;
+            self.implicate_runs(key, false);
         }
     }
 
@@ -36,6 +38,12 @@
             self.reset_worker(key, now);
         }
         let entry = &mut self.workers[key];
+        let was_silent = entry.is_unresponsive || entry.list_requested.is_none();
+        if was_silent {
+            let name = entry.report.name.clone();
+            self.retract_crash(&name, report.boot);
+        }
+        let entry = &mut self.workers[key];
         entry.boot = Some(report.boot);
         entry.is_unresponsive = false;
         entry.list_requested = entry.list_requested.max(Some(report.sent));
@@ -82,6 +90,9 @@
             run.progressed = now;
         }
         run.gauge = report.gauge;
+        let run_time = now.since(run.since);
+        run.is_proven |= run_time >= STARTUP_TIME;
+        self.note_run_time(report.task, run_time);
     }
 
     /// Adopts a run that a previous owner started.
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -10,17 +10,20 @@
 mod run_ends;
 mod runs;
 mod speculative_copies;
+mod suspects;
 mod unreachable_workers;
 mod waiting_steps;
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use slotmap::SlotMap;
 
 pub use records::RecordBatch;
+pub use suspects::AbandonedJob;
 
+use super::crash_history::CrashHistory;
 use super::estimate_ratio::EstimateRatio;
 use super::job_entry::JobEntry;
 use super::record_queue::RecordQueue;
@@ -28,7 +31,7 @@
 use super::worker_entry::WorkerEntry;
 use super::{
     DispatchPolicy, FleetRules, JobId, JobOrder, JobPhase, JobRecord, LostRun, ResourceAmount,
-    StepName, WorkerKey, WorkerOrder, WorkerReport,
+    StepName, TaskName, WorkerKey, WorkerOrder, WorkerReport,
 };
 use crate::ids::{InstanceName, PoolName, QueueName, TeamName};
 use crate::time::TimePoint;
@@ -71,6 +74,10 @@
     orders: Vec<WorkerOrder>,
     /// Runs that were lost since they were last taken.
     lost_runs: Vec<LostRun>,
+    /// Tasks that were implicated in crashes of workers.
+    suspects: BTreeMap<TaskName, CrashHistory>,
+    /// Jobs that were given up since they were last taken.
+    abandoned_jobs: Vec<AbandonedJob>,
 }
 
 impl JobDispatcher {
@@ -100,6 +107,8 @@
             dirty: RecordQueue::default(),
             orders: Vec::new(),
             lost_runs: Vec::new(),
+            suspects: BTreeMap::new(),
+            abandoned_jobs: Vec::new(),
         }
     }
 
@@ -141,6 +150,7 @@
             return false;
         }
         let may_be_started = is_inherited || arrived < self.overlap_end;
+        self.load_crashes(id, &record.crashes);
         let mut job = JobEntry::new(id, order, record, may_be_started);
         if job.order.schedule.is_none() && job.occurrences.is_empty() {
             job.open_occurrence();
@@ -187,13 +197,14 @@
             let is_replaced =
                 entry.report.address != report.address || entry.report.boot != report.boot;
             let was_listed = entry.is_listed;
+            if is_replaced {
+                self.reset_worker(key, now);
+            }
+            let entry = &mut self.workers[key];
             entry.report = report;
             entry.is_listed = true;
             // Calls to the worker are set up again, and none has been answered yet.
             entry.is_unresponsive |= !was_listed;
-            if is_replaced {
-                self.reset_worker(key, now);
-            }
             return (key, is_replaced || !was_listed);
         }
         let name = report.name.clone();
--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -14,6 +14,9 @@
 impl JobDispatcher {
     pub(super) fn place_waiting(&mut self, now: TimePoint) {
         let mut pools = self.usable_workers(now);
+        for workers in pools.values_mut() {
+            workers.retain(|&key| !self.is_isolated(key));
+        }
         let mut waiting = self.waiting_steps(now);
         waiting.sort_by_key(|step| (step.key, step.name));
         for step in waiting {
@@ -23,6 +26,10 @@
             let job = &self.jobs[&step.name.job];
             let spec = job.order.steps[usize::from(step.name.step)].clone();
             let team = job.order.team.clone();
+            if step.is_suspect {
+                self.place_suspects(&step, &spec, team.as_ref(), workers, now);
+                continue;
+            }
             if spec.is_gang {
                 self.place_gang(&step, &spec, team.as_ref(), workers, now);
                 continue;
@@ -46,7 +53,7 @@
     }
 
     /// Returns the workers that have no run of the task.
-    fn other_workers(&self, task: TaskName, workers: &[WorkerKey]) -> Vec<WorkerKey> {
+    pub(super) fn other_workers(&self, task: TaskName, workers: &[WorkerKey]) -> Vec<WorkerKey> {
         let runs = self.task(task).map_or(&[][..], |task| &task.runs);
         let others = workers.iter().copied();
         others
@@ -97,7 +104,7 @@
                 && within(used.accelerators, amount.accelerators, limit.accelerators))
     }
 
-    fn place_task(
+    pub(super) fn place_task(
         &mut self,
         task: TaskName,
         spec: &StepSpec,
@@ -149,7 +156,7 @@
 
     /// Whether a worker has the label that the step requires and runs fewer of its tasks than
     /// allowed on one worker.
-    fn is_suitable(&self, step: StepName, spec: &StepSpec, key: WorkerKey) -> bool {
+    pub(super) fn is_suitable(&self, step: StepName, spec: &StepSpec, key: WorkerKey) -> bool {
         let entry = &self.workers[key];
         let required = spec.required_label.as_ref();
         if required.is_some_and(|label| !entry.report.labels.contains(label)) {
@@ -179,6 +186,9 @@
             ticket: self.ticket(name.step, key, now),
         };
         self.orders.push(WorkerOrder::Start(key, order));
+        if self.suspects.contains_key(&name) {
+            self.dirty.insert(name.step.job, false);
+        }
         self.mark_started(name.step.job);
     }
 
--- a/crates/core/src/jobs/dispatcher/planning.rs
+++ b/crates/core/src/jobs/dispatcher/planning.rs
@@ -12,6 +12,7 @@
     pub fn plan(&mut self, now: TimePoint, unix_ms: u64) -> Vec<WorkerOrder> {
         self.open_due_occurrences(unix_ms);
         self.expire_leases(now);
+        self.abandon_jobs(now);
         self.stop_stalled(now);
         self.relocate(now);
         self.resend_stops(now);
@@ -45,6 +46,9 @@
         });
         let expired: Vec<WorkerKey> = expired.map(|(key, _)| key).collect();
         for key in expired {
+            if self.workers[key].is_unreachable() {
+                self.implicate_runs(key, true);
+            }
             self.lose_runs(key, LossReason::Expired, now);
             let entry = &self.workers[key];
             if !entry.is_listed {
--- a/crates/core/src/jobs/dispatcher/records.rs
+++ b/crates/core/src/jobs/dispatcher/records.rs
@@ -51,7 +51,9 @@
             } else {
                 1
             };
-            batch.records.push((id, job.record()));
+            batch
+                .records
+                .extend(self.record(id).map(|record| (id, record)));
         }
         for (key, entry) in &self.workers {
             let covered = entry.unstored_ends.iter();
@@ -91,6 +93,7 @@
             }
         }
         for (id, record) in &batch.records {
+            self.note_stored_crashes(*id, record);
             if record.phase.is_final()
                 && let Some(job) = self.jobs.get_mut(id)
             {
@@ -140,6 +143,7 @@
         if tasks.all(|task| task.runs.is_empty()) && !self.dirty.contains(&id) {
             self.jobs.remove(&id);
             self.arrival_times.remove(&id);
+            self.forget_crashes(id);
         }
     }
 
--- a/crates/core/src/jobs/dispatcher/run_ends.rs
+++ b/crates/core/src/jobs/dispatcher/run_ends.rs
@@ -23,8 +23,14 @@
             task.saved.clone_from(&end.saved);
         }
         match end.kind {
-            EndKind::Done => self.note_done(key, end.task),
-            EndKind::Failed => self.note_failed(key, end, now),
+            EndKind::Done => {
+                self.clear_suspect(end.task);
+                self.note_done(key, end.task);
+            }
+            EndKind::Failed => {
+                self.clear_suspect(end.task);
+                self.note_failed(key, end, now);
+            }
             EndKind::Lapsed | EndKind::Broken | EndKind::Alone | EndKind::Stopped => {}
         }
     }
--- a/crates/core/src/jobs/dispatcher/runs.rs
+++ b/crates/core/src/jobs/dispatcher/runs.rs
@@ -125,6 +125,7 @@
     /// Releases the runs of a worker that was restarted, which ended with its previous boot, and
     /// resets its state.
     pub(super) fn reset_worker(&mut self, key: WorkerKey, now: TimePoint) {
+        self.implicate_runs(key, true);
         self.lose_runs(key, LossReason::Restarted, now);
         let entry = &mut self.workers[key];
         entry.boot = None;
--- /dev/null
+++ b/crates/core/src/jobs/dispatcher/suspects.rs
@@ -0,0 +1,423 @@
+//! Tasks that may crash the workers that start them.
+//!
+//! A crash implicates all runs of the worker that were not seen to run for [`STARTUP_TIME`]. A
+//! suspect starts again after its crashes are stored, so that a new owner knows them, and away from
+//! other suspects; the start is stored too. After a second crash it is the only task that starts on its worker, so that a
+//! third one proves it guilty. A healthy task is cleared as soon as it has run for
+//! [`STARTUP_TIME`].
+
+use std::ops::RangeBounds;
+use std::time::Duration;
+
+use super::JobDispatcher;
+use super::waiting_steps::WaitingStep;
+use crate::ids::{InstanceName, TeamName};
+use crate::jobs::crash_history::{CrashHistory, TaskCrashes, WorkerCrash};
+use crate::jobs::{JobId, JobPhase, JobRecord, StepName, StepSpec, TaskName, WorkerKey};
+use crate::time::TimePoint;
+
+/// Time for which a worker has to run a task before a crash is no longer put down to its start.
+pub(super) const STARTUP_TIME: Duration = Duration::from_millis(300);
+
+/// Time for which a task has to run before earlier crashes are forgotten.
+const SETTLED_TIME: Duration = Duration::from_secs(10);
+
+/// Number of startup crashes from which a task starts alone on its worker.
+const ISOLATED_CRASHES: usize = 2;
+
+/// Maximum number of suspects that start on a worker at the same time.
+const MAX_SUSPECTS_PER_WORKER: usize = 2;
+
+/// Maximum number of tasks of a job whose crashes are stored. Keeps the record below the limit of
+/// the store.
+const MAX_STORED_SUSPECTS: usize = 128;
+
+/// Job that was given up because workers crashed under a task.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AbandonedJob {
+    /// Task under which the workers crashed.
+    pub task: TaskName,
+    /// The crashes.
+    pub crashes: Vec<WorkerCrash>,
+}
+
+impl AbandonedJob {
+    /// Names of the workers that crashed, separated by spaces.
+    #[must_use]
+    pub fn worker_names(&self) -> String {
+        let names = self.crashes.iter().map(|crash| crash.worker.as_str());
+        names.collect::<Vec<_>>().join(" ")
+    }
+}
+
+impl JobDispatcher {
+    /// Takes the jobs that were given up since the last call.
+    pub fn take_abandoned_jobs(&mut self) -> Vec<AbandonedJob> {
+        std::mem::take(&mut self.abandoned_jobs)
+    }
+
+    /// Number of tasks that are implicated in crashes.
+    #[must_use]
+    pub fn suspects(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Number of workers that crashed while the task started.
+    pub(super) fn startup_crashes(&self, task: TaskName) -> usize {
+        let history = self.suspects.get(&task);
+        history.map_or(0, CrashHistory::startup_crashes)
+    }
+
+    /// Whether the crashes under a task are stored and leave it another start.
+    pub(super) fn may_start_again(&self, task: TaskName) -> bool {
+        let history = self.suspects.get(&task);
+        history.is_none_or(|history| history.is_stored && !history.is_exhausted())
+    }
+
+    /// Whether a task may get a second run. One that may only start alone may not.
+    pub(super) fn may_copy(&self, task: TaskName) -> bool {
+        self.may_start_again(task) && self.startup_crashes(task) < ISOLATED_CRASHES
+    }
+
+    /// Splits tasks of a step into suspects, for which the flag is true, and others. A gang with a
+    /// suspect is one as a whole. Returns no empty groups.
+    pub(super) fn split_suspects(
+        &self,
+        step: StepName,
+        spec: &StepSpec,
+        indexes: Vec<u16>,
+    ) -> Vec<(Vec<u16>, bool)> {
+        let is_suspect = |index: &u16| self.startup_crashes(step.task(*index)) > 0;
+        let (suspects, others) = if !spec.is_gang {
+            indexes.into_iter().partition(is_suspect)
+        } else if indexes.iter().any(is_suspect) {
+            (indexes, Vec::new())
+        } else {
+            (Vec::new(), indexes)
+        };
+        let groups = [(others, false), (suspects, true)].into_iter();
+        groups.filter(|(indexes, _)| !indexes.is_empty()).collect()
+    }
+
+    /// Loads the stored crashes of a job.
+    pub(super) fn load_crashes(&mut self, id: JobId, crashes: &[TaskCrashes]) {
+        for entry in crashes.iter().filter(|entry| entry.task.step.job == id) {
+            let history = CrashHistory {
+                crashes: entry.crashes.clone(),
+                is_stored: true,
+            };
+            self.suspects.insert(entry.task, history);
+        }
+    }
+
+    /// Returns the record of a job with the crashes under its tasks.
+    ///
+    /// A start of a suspect that is under way is stored as a crash. The next owner retracts it when
+    /// the worker answers.
+    pub(super) fn record(&self, id: JobId) -> Option<JobRecord> {
+        let job = self.jobs.get(&id)?;
+        let mut record = job.record();
+        if !job.phase.is_final() {
+            let crashes = self.histories(id).map(|(task, history)| {
+                let mut presumed = history.clone();
+                for key in self.starting_runs(*task) {
+                    presumed.add(self.crash_of(key, true));
+                }
+                TaskCrashes {
+                    task: *task,
+                    crashes: presumed.crashes,
+                }
+            });
+            record.crashes = crashes.collect();
+            record
+                .crashes
+                .sort_by_key(|entry| std::cmp::Reverse(entry.crashes.len()));
+            record.crashes.truncate(MAX_STORED_SUSPECTS);
+        }
+        Some(record)
+    }
+
+    /// Marks the crashes that a stored record contains as stored.
+    pub(super) fn note_stored_crashes(&mut self, id: JobId, record: &JobRecord) {
+        let is_truncated = record.crashes.len() >= MAX_STORED_SUSPECTS;
+        let (from, to) = task_range(id);
+        for (task, history) in self.suspects.range_mut(from..=to) {
+            let mut stored = record.crashes.iter();
+            let contains = |entry: &TaskCrashes| {
+                entry.task == *task && entry.crashes.starts_with(&history.crashes)
+            };
+            history.is_stored |= is_truncated || stored.any(contains);
+        }
+    }
+
+    /// Forgets the crashes under the tasks of a job.
+    pub(super) fn forget_crashes(&mut self, id: JobId) {
+        let tasks: Vec<TaskName> = self.histories(id).map(|(task, _)| *task).collect();
+        for task in tasks {
+            self.suspects.remove(&task);
+        }
+    }
+
+    fn histories(&self, id: JobId) -> impl Iterator<Item = (&TaskName, &CrashHistory)> {
+        let (from, to) = task_range(id);
+        self.suspects.range(from..=to)
+    }
+
+    /// Implicates the runs of a worker that does not answer. Only runs that had just been started
+    /// count before the crash is certain.
+    pub(super) fn implicate_runs(&mut self, key: WorkerKey, is_certain: bool) {
+        let runs: Vec<_> = self.workers[key].runs.keys().copied().collect();
+        let is_draining = self.workers[key].is_draining();
+        for (task, run) in runs {
+            let Some(entry) = self.run_mut(task, run, key) else {
+                continue;
+            };
+            let is_startup = !entry.is_proven;
+            if is_startup || (is_certain && !is_draining) {
+                self.implicate(task, key, is_startup);
+            }
+        }
+    }
+
+    fn implicate(&mut self, task: TaskName, key: WorkerKey, is_startup: bool) {
+        let is_open = self
+            .jobs
+            .get(&task.step.job)
+            .is_some_and(|job| !job.phase.is_final());
+        if !is_open {
+            return;
+        }
+        let crash = self.crash_of(key, is_startup);
+        let history = self.suspects.entry(task).or_default();
+        history.add(crash);
+        if !history.is_stored {
+            self.dirty.insert(task.step.job, false);
+        }
+    }
+
+    fn crash_of(&self, key: WorkerKey, is_startup: bool) -> WorkerCrash {
+        let entry = &self.workers[key];
+        WorkerCrash {
+            worker: entry.report.name.clone(),
+            boot: entry.boot.unwrap_or(entry.report.boot),
+            instance: entry.report.instance.clone(),
+            is_startup,
+        }
+    }
+
+    /// Clears the tasks that were implicated in a crash of a worker that answers with the same boot
+    /// and so has not crashed.
+    pub(super) fn retract_crash(&mut self, worker: &InstanceName, boot: u64) {
+        self.retain_crashes(.., |crash| crash.worker != *worker || crash.boot != boot);
+    }
+
+    /// Clears a task that has run for `time`.
+    pub(super) fn note_run_time(&mut self, task: TaskName, time: Duration) {
+        if time >= SETTLED_TIME {
+            self.clear_suspect(task);
+        } else if time >= STARTUP_TIME {
+            self.retain_crashes(task..=task, |crash| !crash.is_startup);
+        }
+    }
+
+    /// Forgets the crashes under a task that has run on a worker without crashing it.
+    pub(super) fn clear_suspect(&mut self, task: TaskName) {
+        self.retain_crashes(task..=task, |_| false);
+    }
+
+    /// Keeps the crashes under `tasks` for which `is_kept` is true.
+    fn retain_crashes(
+        &mut self,
+        tasks: impl RangeBounds<TaskName>,
+        is_kept: impl Fn(&WorkerCrash) -> bool,
+    ) {
+        let mut cleared = Vec::new();
+        for (name, history) in self.suspects.range_mut(tasks) {
+            if history.retain(&is_kept) {
+                self.dirty.insert(name.step.job, false);
+            }
+            if history.crashes.is_empty() {
+                cleared.push(*name);
+            }
+        }
+        for name in cleared {
+            self.suspects.remove(&name);
+        }
+    }
+
+    /// Ends the jobs of tasks under which too many workers have crashed. Waits until the last run is
+    /// known to be lost, since a worker that does not answer may be cut off.
+    pub(super) fn abandon_jobs(&mut self, now: TimePoint) {
+        let exhausted = self.suspects.iter().filter(|(task, history)| {
+            history.is_exhausted() && !self.may_still_run(**task, history, now)
+        });
+        let exhausted: Vec<AbandonedJob> = exhausted
+            .map(|(task, history)| AbandonedJob {
+                task: *task,
+                crashes: history.crashes.clone(),
+            })
+            .collect();
+        for job in exhausted {
+            let id = job.task.step.job;
+            if self.phase(id).is_some_and(|phase| !phase.is_final()) {
+                self.end_job(id, JobPhase::Failed);
+                self.abandoned_jobs.push(job);
+            }
+            self.forget_crashes(id);
+        }
+    }
+
+    /// Whether a task may run on a worker whose crash is not certain yet. A crash that was loaded
+    /// from the store is certain when the lease of the worker has expired.
+    fn may_still_run(&self, name: TaskName, history: &CrashHistory, now: TimePoint) -> bool {
+        let Some(task) = self.task(name) else {
+            return false;
+        };
+        let is_open = |crash: &WorkerCrash| match self.keys_by_name.get(&crash.worker) {
+            Some(&key) => {
+                let entry = &self.workers[key];
+                entry.list_requested.is_none() && now <= entry.lease_end
+            }
+            None => now <= self.inherited_lease_end,
+        };
+        !task.runs.is_empty() || (!task.is_settled && history.crashes.iter().any(is_open))
+    }
+
+    /// Whether a task that must start alone is starting on a worker.
+    pub(super) fn is_isolated(&self, key: WorkerKey) -> bool {
+        !self.suspects.is_empty() && self.count_startups(key, ISOLATED_CRASHES) > 0
+    }
+
+    /// Whether a suspect is starting on a worker.
+    #[must_use]
+    pub fn has_starting_suspect(&self, key: WorkerKey) -> bool {
+        !self.suspects.is_empty() && self.count_startups(key, 1) > 0
+    }
+
+    /// Number of runs on a worker that are starting and whose tasks have at least `crashes` startup
+    /// crashes.
+    fn count_startups(&self, key: WorkerKey, crashes: usize) -> usize {
+        let Some(entry) = self.workers.get(key) else {
+            return 0;
+        };
+        let starting = entry.runs.keys().filter(|(task, run)| {
+            let runs = self.task(*task).map_or(&[][..], |task| &task.runs);
+            let mut runs = runs.iter();
+            let is_starting = |entry: &crate::jobs::run_entry::RunEntry| {
+                entry.run == *run && entry.worker == key && !entry.is_proven
+            };
+            runs.any(is_starting) && self.startup_crashes(*task) >= crashes
+        });
+        starting.count()
+    }
+
+    /// Starts suspects on workers on which few or no other tasks are starting.
+    pub(super) fn place_suspects(
+        &mut self,
+        step: &WaitingStep,
+        spec: &StepSpec,
+        team: Option<&TeamName>,
+        workers: &mut Vec<WorkerKey>,
+        now: TimePoint,
+    ) {
+        let groups: Vec<Vec<u16>> = if spec.is_gang {
+            vec![step.indexes.clone()]
+        } else {
+            step.indexes.iter().map(|&index| vec![index]).collect()
+        };
+        for group in groups {
+            let tasks: Vec<TaskName> = group.iter().map(|&index| step.name.task(index)).collect();
+            let crashes = tasks.iter().map(|task| self.startup_crashes(*task));
+            let is_alone = crashes.max().unwrap_or(0) >= ISOLATED_CRASHES;
+            let others = self.other_workers(tasks[0], workers);
+            let candidates = self.trial_workers(step.name, spec, &tasks, &others);
+            let quiet: Vec<WorkerKey> = candidates
+                .iter()
+                .copied()
+                .filter(|&key| self.is_quiet(key, is_alone))
+                .collect();
+            let is_placed = if spec.is_gang {
+                self.place_gang(step, spec, team, &quiet, now)
+            } else {
+                let mut quiet = quiet.iter();
+                quiet.any(|&key| self.place_task(tasks[0], spec, team, &[key], now))
+            };
+            if is_placed && is_alone {
+                workers.retain(|&key| !self.is_isolated(key));
+            } else if is_alone && self.is_within_limit(team, spec.amount) {
+                let reserved = if spec.is_gang {
+                    candidates.len().div_ceil(2)
+                } else {
+                    1
+                };
+                let reserved = &candidates[..reserved.min(candidates.len())];
+                workers.retain(|key| !reserved.contains(key));
+            }
+        }
+    }
+
+    /// Workers on which a task is starting.
+    fn starting_runs(&self, task: TaskName) -> impl Iterator<Item = WorkerKey> {
+        let runs = self.task(task).map_or(&[][..], |task| &task.runs);
+        let starting = runs.iter().filter(|run| !run.is_proven);
+        starting.map(|run| run.worker)
+    }
+
+    /// Whether few enough tasks are starting on a worker for a suspect to start there.
+    fn is_quiet(&self, key: WorkerKey, is_alone: bool) -> bool {
+        if is_alone {
+            return self.count_startups(key, 0) == 0;
+        }
+        self.count_startups(key, 1) < MAX_SUSPECTS_PER_WORKER
+    }
+
+    /// Returns the workers on which suspects may start, the emptiest first. Avoids the instances
+    /// whose crashes implicated them, unless there are no others.
+    fn trial_workers(
+        &self,
+        step: StepName,
+        spec: &StepSpec,
+        tasks: &[TaskName],
+        workers: &[WorkerKey],
+    ) -> Vec<WorkerKey> {
+        let suitable = workers.iter().copied().filter(|&key| {
+            let capacity = self.workers[key].report.capacity;
+            self.is_suitable(step, spec, key) && spec.worker_amount().fits(capacity)
+        });
+        let (mut crashed, mut others): (Vec<WorkerKey>, Vec<WorkerKey>) =
+            suitable.partition(|&key| self.has_crashed_under(key, tasks));
+        let trial = if others.is_empty() {
+            &mut crashed
+        } else {
+            &mut others
+        };
+        trial.sort_by_key(|&key| std::cmp::Reverse(self.workers[key].room().cpu_millis));
+        std::mem::take(trial)
+    }
+
+    /// Whether the worker or an earlier one on its instance has crashed under one of the tasks.
+    fn has_crashed_under(&self, key: WorkerKey, tasks: &[TaskName]) -> bool {
+        let report = &self.workers[key].report;
+        let histories = tasks.iter().filter_map(|task| self.suspects.get(task));
+        let mut crashes = histories.flat_map(|history| &history.crashes);
+        crashes.any(|crash| {
+            let is_same_instance = crash.instance.is_some() && crash.instance == report.instance;
+            crash.worker == report.name || is_same_instance
+        })
+    }
+}
+
+/// First and last possible task of a job.
+const fn task_range(job: JobId) -> (TaskName, TaskName) {
+    let first = StepName {
+        job,
+        occurrence: 0,
+        step: 0,
+    };
+    let last = StepName {
+        job,
+        occurrence: u32::MAX,
+        step: u16::MAX,
+    };
+    (first.task(0), last.task(u16::MAX))
+}
--- a/crates/core/src/jobs/dispatcher/waiting_steps.rs
+++ b/crates/core/src/jobs/dispatcher/waiting_steps.rs
@@ -20,6 +20,8 @@
     pub(super) indexes: Vec<u16>,
     /// Whether the tasks already have a run, which is slow or may be lost.
     pub(super) is_copy: bool,
+    /// Whether the tasks were implicated in crashes of workers.
+    pub(super) is_suspect: bool,
 }
 
 /// Tasks that may run on workers that this owner cannot query.
@@ -118,6 +120,7 @@
                 });
                 let indexes: Vec<u16> = tasks
                     .map(|(index, _)| u16::try_from(index).unwrap_or(u16::MAX))
+                    .filter(|index| self.may_start_again(name.task(*index)))
                     .collect();
                 let expected = self.expected_run_time(step, spec, pool);
                 let copies = step.tasks.iter().enumerate();
@@ -126,31 +129,25 @@
                 });
                 let copies: Vec<u16> = copies
                     .map(|(index, _)| u16::try_from(index).unwrap_or(u16::MAX))
+                    .filter(|index| self.may_copy(name.task(*index)))
                     .collect();
-                if !copies.is_empty() {
-                    let key = self.priority_key(job, occurrence.number, true, now);
-                    waiting.push(WaitingStep {
-                        key,
-                        name,
-                        pool: pool.clone(),
-                        indexes: copies,
-                        is_copy: true,
-                    });
-                }
-                if indexes.is_empty() {
-                    continue;
-                }
+                let copy_key = self.priority_key(job, occurrence.number, true, now);
                 let mut key = self.priority_key(job, occurrence.number, is_over_share, now);
                 if spec.is_lasting {
                     key = key.with_long_running();
                 }
-                waiting.push(WaitingStep {
-                    key,
-                    name,
-                    pool: pool.clone(),
-                    indexes,
-                    is_copy: false,
-                });
+                for (indexes, key, is_copy) in [(copies, copy_key, true), (indexes, key, false)] {
+                    for (indexes, is_suspect) in self.split_suspects(name, spec, indexes) {
+                        waiting.push(WaitingStep {
+                            key,
+                            name,
+                            pool: pool.clone(),
+                            indexes,
+                            is_copy,
+                            is_suspect,
+                        });
+                    }
+                }
             }
         }
     }
--- a/crates/core/src/jobs/job_entry.rs
+++ b/crates/core/src/jobs/job_entry.rs
@@ -153,6 +153,7 @@
             phase: self.phase,
             ended_ms: self.ended_ms,
             steps,
+            crashes: Vec::new(),
         }
     }
 
--- a/crates/core/src/jobs/job_record.rs
+++ b/crates/core/src/jobs/job_record.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use super::JobPhase;
+use super::{JobPhase, TaskCrashes};
 
 /// Stored task results of a step within one occurrence.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
@@ -24,6 +24,9 @@
     pub ended_ms: u64,
     /// Steps with at least one done task or failed run; empty once the job has ended.
     pub steps: Vec<StepRecord>,
+    /// Crashes of workers under the tasks; empty once the job has ended.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<TaskCrashes>,
 }
 
 impl JobRecord {
@@ -34,6 +37,7 @@
             phase: JobPhase::Queued,
             ended_ms: 0,
             steps: Vec::new(),
+            crashes: Vec::new(),
         }
     }
 }
--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -3,6 +3,7 @@
 //! [`JobDispatcher`] combines the parts. Its inputs are the reports of workers and the store, and
 //! its outputs are orders for the workers and records for the store.
 
+mod crash_history;
 mod dispatch_policy;
 mod dispatcher;
 mod estimate_ratio;
@@ -39,8 +40,9 @@
 mod worker_order;
 mod worker_report;
 
+pub use crash_history::{TaskCrashes, WorkerCrash};
 pub use dispatch_policy::DispatchPolicy;
-pub use dispatcher::{JobDispatcher, RecordBatch};
+pub use dispatcher::{AbandonedJob, JobDispatcher, RecordBatch};
 pub use fleet_rules::{FleetRules, PoolRule, QueueRule, TeamRule};
 pub use health_record::HealthRecord;
 pub use hold_report::{EndKind, HoldReport, RunEnd, RunReport};
--- a/crates/core/src/jobs/run_entry.rs
+++ b/crates/core/src/jobs/run_entry.rs
@@ -31,6 +31,8 @@
     pub state: RunState,
     /// When the run was ordered, confirmed or adopted.
     pub since: TimePoint,
+    /// Whether the worker has run the task long enough that a crash is not put down to its start.
+    pub is_proven: bool,
     /// Progress as last reported, in percent.
     pub percent: f64,
     /// When the progress last changed.
@@ -50,6 +52,7 @@
             run,
             state: RunState::Ordered,
             since: now,
+            is_proven: false,
             percent: 0.0,
             progressed: now,
             gauge: None,
--- a/crates/core/src/jobs/worker_entry.rs
+++ b/crates/core/src/jobs/worker_entry.rs
@@ -86,6 +86,11 @@
             && !self.health.is_quarantined(now)
     }
 
+    /// Whether the worker is about to shut down.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.report.state == WorkerState::Draining
+    }
+
     /// Whether the next owner may be unable to get the list of runs from the worker.
     pub(crate) const fn is_unreachable(&self) -> bool {
         self.is_unresponsive || !self.is_listed
--- a/crates/core/tests/crash_series.rs
+++ b/crates/core/tests/crash_series.rs
@@ -32,7 +32,11 @@
         } else {
             JobPhase::Finished
         };
-        assert_eq!(record.phase, expected, "seed {seed}: job {id}");
+        let abandoned = &world.crashes.abandoned;
+        assert_eq!(
+            record.phase, expected,
+            "seed {seed}: job {id}, given up: {abandoned:#?}"
+        );
     }
     let violations = &world.violations;
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
--- a/crates/core/tests/jobs/crashes.rs
+++ b/crates/core/tests/jobs/crashes.rs
@@ -1,7 +1,9 @@
 use std::collections::{HashMap, HashSet};
 
 use rand::RngExt;
-use sesamedeal_core::jobs::{TaskName, WorkerKey, WorkerReport};
+use sesamedeal_core::jobs::{
+    AbandonedJob, StartOrder, StepName, TaskName, WorkerKey, WorkerReport,
+};
 
 use super::{JobWorld, at};
 
@@ -29,7 +31,11 @@
 pub struct CrashLog {
     deadly: HashSet<TaskName>,
     by_task: HashMap<TaskName, u32>,
+    /// Jobs that the dispatcher gave up.
+    pub abandoned: Vec<AbandonedJob>,
     lost: Vec<LostWorker>,
+    /// Runs of gangs that lost a member.
+    broken_gangs: HashSet<(StepName, u64)>,
 }
 
 impl CrashLog {
@@ -37,6 +43,11 @@
         self.deadly.contains(&task)
     }
 
+    /// Whether the run belongs to a gang that has lost a member.
+    pub fn is_gang_broken(&self, task: TaskName, run: u64) -> bool {
+        self.broken_gangs.contains(&(task.step, run))
+    }
+
     /// Number of workers that a task has crashed.
     pub fn count(&self, task: TaskName) -> u32 {
         self.by_task.get(&task).copied().unwrap_or(0)
@@ -49,7 +60,11 @@
         self.crashes.deadly.insert(task);
     }
 
-    pub(super) fn crash_by(&mut self, index: usize, task: TaskName) {
+    pub(super) fn crash_by(&mut self, index: usize, order: &StartOrder) {
+        let task = order.task;
+        if self.step_of(task).is_gang {
+            self.crashes.broken_gangs.insert((task.step, order.run));
+        }
         let crashes = self.crashes.by_task.entry(task).or_default();
         *crashes += 1;
         if *crashes > MAX_CRASHES {
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -151,6 +151,9 @@
             self.write();
         }
         let orders = self.dispatcher.plan(at(now), now);
+        self.crashes
+            .abandoned
+            .extend(self.dispatcher.take_abandoned_jobs());
         for order in orders {
             self.deliver(order);
         }
--- a/crates/core/tests/jobs/order_delivery.rs
+++ b/crates/core/tests/jobs/order_delivery.rs
@@ -5,6 +5,9 @@
 
 use super::{ATTEMPTS, JobWorld, LEASE, SimRun, SimWorker, at};
 
+/// Time for which a member of a gang waits for the others, in milliseconds.
+const GANG_TIMEOUT: u64 = 3_000;
+
 impl JobWorld {
     pub(super) fn deliver(&mut self, order: WorkerOrder) {
         match order {
@@ -48,7 +51,7 @@
         self.check_start(index, order);
         if self.crashes.is_deadly(order.task) {
             self.starts += 1;
-            self.crash_by(index, order.task);
+            self.crash_by(index, order);
             let outcome = if is_answer_lost {
                 StartOutcome::Unknown
             } else {
@@ -58,6 +61,7 @@
                 .note_start(key, order.task, order.run, outcome, at(now));
             return;
         }
+        let is_alone = self.crashes.is_gang_broken(order.task, order.run);
         let is_long_running = self.step_of(order.task).is_lasting;
         let worker = &mut self.workers[index];
         worker.fence = worker.fence.max(self.epoch);
@@ -65,11 +69,14 @@
             started: now,
             ends: if is_long_running {
                 u64::MAX
+            } else if is_alone {
+                now + GANG_TIMEOUT
             } else {
                 now + length
             },
             lease_end: now + 4_800,
             fails: fails && !is_long_running,
+            is_alone,
         };
         worker.running.insert((order.task, order.run), run);
         self.starts += 1;
@@ -98,7 +105,7 @@
         self.dispatcher.note_stop(key, task, run, at(self.now));
     }
 
-    fn step_of(&self, task: TaskName) -> &StepSpec {
+    pub(super) fn step_of(&self, task: TaskName) -> &StepSpec {
         &self.stored[&task.step.job].0.steps[usize::from(task.step.step)]
     }
 
--- a/crates/core/tests/jobs/sim_worker.rs
+++ b/crates/core/tests/jobs/sim_worker.rs
@@ -12,6 +12,8 @@
     pub ends: u64,
     pub lease_end: u64,
     pub fails: bool,
+    /// Whether the run waits in vain for the other members of its gang.
+    pub is_alone: bool,
     pub started: u64,
 }
 
@@ -108,7 +110,9 @@
             if state.lease_end <= now {
                 self.end(task, run, EndKind::Lapsed);
             } else if state.ends <= now {
-                let kind = if state.fails {
+                let kind = if state.is_alone {
+                    EndKind::Alone
+                } else if state.fails {
                     EndKind::Failed
                 } else {
                     EndKind::Done
--- a/crates/jobs/src/job_metrics.rs
+++ b/crates/jobs/src/job_metrics.rs
@@ -1,7 +1,8 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, Gauge, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 use crate::SubmitOutcome;
@@ -28,6 +29,8 @@
     config_age: Gauge,
     epoch: IntGauge,
     open_jobs: IntGauge,
+    abandoned_jobs: IntCounter,
+    suspects: IntGauge,
 }
 
 impl JobMetrics {
@@ -43,6 +46,13 @@
                 .expect("names of metrics are used once");
             counter
         };
+        let single_counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help).expect("names of metrics are valid");
+            registry
+                .register(Box::new(counter.clone()))
+                .expect("names of metrics are used once");
+            counter
+        };
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help).expect("names of metrics are valid");
             registry
@@ -100,6 +110,14 @@
                 "sesamedeal_open_jobs",
                 "Jobs that have not ended, at the owner",
             ),
+            abandoned_jobs: single_counter(
+                "sesamedeal_abandoned_jobs_total",
+                "Jobs that were given up because workers crashed under a task",
+            ),
+            suspects: gauge(
+                "sesamedeal_suspect_tasks",
+                "Tasks that are implicated in crashes of workers, at the owner",
+            ),
             requests: histogram(
                 "sesamedeal_job_request_seconds",
                 "Time from the head of a request to its answer",
@@ -189,6 +207,14 @@
         self.lost_runs.with_label_values(&[reason]).inc();
     }
 
+    pub(crate) fn count_abandoned_job(&self) {
+        self.abandoned_jobs.inc();
+    }
+
+    pub(crate) fn set_suspects(&self, tasks: usize) {
+        self.suspects.set(i64::try_from(tasks).unwrap_or(i64::MAX));
+    }
+
     pub(crate) fn count_store_failure(&self, kind: &str) {
         self.store_failures.with_label_values(&[kind]).inc();
     }
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -163,6 +163,7 @@
                 self.send_order(order, now);
             }
             self.log_losses();
+            self.log_abandoned_jobs();
             self.request_advice(now);
             self.send_holds(now);
             self.run_waves(now);
@@ -184,6 +185,15 @@
         }
     }
 
+    /// Logs and counts the jobs that were given up since the last round.
+    fn log_abandoned_jobs(&mut self) {
+        self.parts.metrics.set_suspects(self.dispatcher.suspects());
+        for job in self.dispatcher.take_abandoned_jobs() {
+            self.parts.metrics.count_abandoned_job();
+            warn!(self.parts.logger, "job given up: workers crashed under a task"; "job" => %job.task.step.job, "task" => %job.task, "crashes" => job.crashes.len(), "workers" => job.worker_names());
+        }
+    }
+
     fn log_loads(&mut self, now: TimePoint) {
         if now.since(self.last_load_log) < LOAD_LOG_PERIOD {
             return;
--- a/crates/jobs/src/owner/worker_calls.rs
+++ b/crates/jobs/src/owner/worker_calls.rs
@@ -100,7 +100,9 @@
                 Duration::ZERO
             } else if is_idle {
                 policy.idle_wait
-            } else if self.dispatcher.has_starting_task(key) {
+            } else if self.dispatcher.has_starting_task(key)
+                || self.dispatcher.has_starting_suspect(key)
+            {
                 policy.start_wait
             } else {
                 policy.hold_wait
@@ -156,6 +158,7 @@
             Ok(HoldOutcome::Replaced) => {
                 link.failures += 1;
                 link.next_hold = now.after(HOLD_RETRY);
+                self.dispatcher.note_unresponsive(key);
                 debug!(self.parts.logger, "another worker answered at this address"; "worker" => ?key);
             }
             Err(error) => {
