Leave out a given-up task while its step must keep serving

Now such a job goes on without the task and ends as failed once no task with a disruption budget runs. crashing_task::disruption_budget failed before, when the job ended.

--- a/crates/core/src/jobs/crash_history.rs
+++ b/crates/core/src/jobs/crash_history.rs
@@ -39,6 +39,8 @@
     pub crashes: Vec<WorkerCrash>,
     /// Whether these crashes are stored.
     pub is_stored: bool,
+    /// Whether it was reported that the task is given up.
+    pub is_reported: bool,
 }
 
 impl CrashHistory {
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -21,7 +21,7 @@
 use slotmap::SlotMap;
 
 pub use records::RecordBatch;
-pub use suspects::AbandonedJob;
+pub use suspects::AbandonedTask;
 
 use super::crash_history::CrashHistory;
 use super::estimate_ratio::EstimateRatio;
@@ -76,8 +76,8 @@
     lost_runs: Vec<LostRun>,
     /// Tasks that were implicated in crashes of workers.
     suspects: BTreeMap<TaskName, CrashHistory>,
-    /// Jobs that were given up since they were last taken.
-    abandoned_jobs: Vec<AbandonedJob>,
+    /// Tasks that were given up since they were last taken.
+    abandoned_tasks: Vec<AbandonedTask>,
 }
 
 impl JobDispatcher {
@@ -108,7 +108,7 @@
             orders: Vec::new(),
             lost_runs: Vec::new(),
             suspects: BTreeMap::new(),
-            abandoned_jobs: Vec::new(),
+            abandoned_tasks: Vec::new(),
         }
     }
 
--- a/crates/core/src/jobs/dispatcher/planning.rs
+++ b/crates/core/src/jobs/dispatcher/planning.rs
@@ -12,7 +12,7 @@
     pub fn plan(&mut self, now: TimePoint, unix_ms: u64) -> Vec<WorkerOrder> {
         self.open_due_occurrences(unix_ms);
         self.expire_leases(now);
-        self.abandon_jobs(now);
+        self.abandon_tasks(now);
         self.stop_stalled(now);
         self.relocate(now);
         self.resend_stops(now);
--- a/crates/core/tests/crashing_task.rs
+++ b/crates/core/tests/crashing_task.rs
@@ -109,3 +109,32 @@
         ..WorldFaults::default()
     });
 }
+
+/// Guards against serving tasks that are stopped beyond the disruption budget of their step because
+/// another task of the step crashes workers.
+#[test]
+fn disruption_budget() {
+    for seed in 0..SEEDS {
+        let mut serving = step(4, 1_500);
+        serving.is_lasting = true;
+        serving.disruption_budget = Some(1);
+        let faults = WorldFaults {
+            takeovers: 0.005,
+            ..WorldFaults::default()
+        };
+        let (mut world, task) = play(job(vec![serving]), faults, seed);
+        let violations = &world.violations;
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+        assert_eq!(world.phase(task.step.job), JobPhase::Running, "seed {seed}");
+        let running = world.workers.iter().flat_map(|worker| worker.tasks());
+        let serving = running.filter(|name| name.step == task.step).count();
+        assert_eq!(serving, 3, "seed {seed}");
+        world.dispatcher.cancel_job(task.step.job);
+        world.run(40);
+        assert_eq!(
+            world.phase(task.step.job),
+            JobPhase::Cancelled,
+            "seed {seed}"
+        );
+    }
+}
--- a/crates/core/tests/jobs/crashes.rs
+++ b/crates/core/tests/jobs/crashes.rs
@@ -2,7 +2,7 @@
 
 use rand::RngExt;
 use sesamedeal_core::jobs::{
-    AbandonedJob, StartOrder, StepName, TaskName, WorkerKey, WorkerReport,
+    AbandonedTask, StartOrder, StepName, TaskName, WorkerKey, WorkerReport,
 };
 
 use super::{JobWorld, at};
@@ -31,8 +31,8 @@
 pub struct CrashLog {
     deadly: HashSet<TaskName>,
     by_task: HashMap<TaskName, u32>,
-    /// Jobs that the dispatcher gave up.
-    pub abandoned: Vec<AbandonedJob>,
+    /// Tasks that the dispatcher gave up.
+    pub abandoned: Vec<AbandonedTask>,
     lost: Vec<LostWorker>,
     /// Runs of gangs that lost a member.
     broken_gangs: HashSet<(StepName, u64)>,
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -153,7 +153,7 @@
         let orders = self.dispatcher.plan(at(now), now);
         self.crashes
             .abandoned
-            .extend(self.dispatcher.take_abandoned_jobs());
+            .extend(self.dispatcher.take_abandoned_tasks());
         for order in orders {
             self.deliver(order);
         }
--- a/crates/jobs/src/job_metrics.rs
+++ b/crates/jobs/src/job_metrics.rs
@@ -29,7 +29,7 @@
     config_age: Gauge,
     epoch: IntGauge,
     open_jobs: IntGauge,
-    abandoned_jobs: IntCounter,
+    abandoned_tasks: IntCounter,
     suspects: IntGauge,
 }
 
@@ -110,9 +110,9 @@
                 "sesamedeal_open_jobs",
                 "Jobs that have not ended, at the owner",
             ),
-            abandoned_jobs: single_counter(
-                "sesamedeal_abandoned_jobs_total",
-                "Jobs that were given up because workers crashed under a task",
+            abandoned_tasks: single_counter(
+                "sesamedeal_abandoned_tasks_total",
+                "Tasks that were given up because workers crashed under them",
             ),
             suspects: gauge(
                 "sesamedeal_suspect_tasks",
@@ -207,8 +207,8 @@
         self.lost_runs.with_label_values(&[reason]).inc();
     }
 
-    pub(crate) fn count_abandoned_job(&self) {
-        self.abandoned_jobs.inc();
+    pub(crate) fn count_abandoned_task(&self) {
+        self.abandoned_tasks.inc();
     }
 
     pub(crate) fn set_suspects(&self, tasks: usize) {
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -163,7 +163,7 @@
                 self.send_order(order, now);
             }
             self.log_losses();
-            self.log_abandoned_jobs();
+            self.log_abandoned_tasks();
             self.request_advice(now);
             self.send_holds(now);
             self.run_waves(now);
@@ -185,12 +185,12 @@
         }
     }
 
-    /// Logs and counts the jobs that were given up since the last round.
-    fn log_abandoned_jobs(&mut self) {
+    /// Logs and counts the tasks that were given up since the last round.
+    fn log_abandoned_tasks(&mut self) {
         self.parts.metrics.set_suspects(self.dispatcher.suspects());
-        for job in self.dispatcher.take_abandoned_jobs() {
-            self.parts.metrics.count_abandoned_job();
-            warn!(self.parts.logger, "job given up: workers crashed under a task"; "job" => %job.task.step.job, "task" => %job.task, "crashes" => job.crashes.len(), "workers" => job.worker_names());
+        for lost in self.dispatcher.take_abandoned_tasks() {
+            self.parts.metrics.count_abandoned_task();
+            warn!(self.parts.logger, "task given up: workers crashed under it"; "job" => %lost.task.step.job, "task" => %lost.task, "crashes" => lost.crashes.len(), "workers" => lost.worker_names(), "ends_job" => lost.ends_job);
         }
     }
 
