Prove crashes before a task is given up, and store starts ahead

Change: a crash is proven if the worker had confirmed the run, and if it was started again or another worker runs on its instance; the runs of such a worker are released at once instead of after its lease. A task is given up after four startup crashes, two of them proven, or five crashes within 2 s of a start. The worker of a suspect's next start is stored before the start, as a crash that the next owner retracts if the worker answers with the same boot.

--- a/crates/core/src/jobs/dispatcher/hold_reports.rs
+++ b/crates/core/src/jobs/dispatcher/hold_reports.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use super::JobDispatcher;
-use super::suspects::STARTUP_TIME;
 use crate::jobs::run_entry::{RunEntry, RunState};
 use crate::jobs::{HoldReport, LossReason, RunReport, WorkerKey, WorkerOrder};
 use crate::time::TimePoint;
@@ -90,9 +89,12 @@
             run.progressed = now;
         }
         run.gauge = report.gauge;
-        let run_time = now.since(run.since);
-        run.is_proven |= run_time >= STARTUP_TIME;
-        self.note_run_time(report.task, run_time);
+        run.is_confirmed = true;
+        run.run_time = now.since(run.since);
+        if !run.is_starting() {
+            let run_time = run.run_time;
+            self.note_run_time(report.task, run_time);
+        }
     }
 
     /// Adopts a run that a previous owner started.
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -7,6 +7,7 @@
 mod pool_loads;
 mod records;
 mod relocation;
+mod replacement;
 mod run_ends;
 mod runs;
 mod speculative_copies;
@@ -57,6 +58,8 @@
     arrival_times: HashMap<JobId, TimePoint>,
     workers: SlotMap<WorkerKey, WorkerEntry>,
     keys_by_name: HashMap<InstanceName, WorkerKey>,
+    /// Newest worker of each instance.
+    keys_by_instance: HashMap<InstanceName, WorkerKey>,
     /// Workers that have been up since the inventory was first read under this epoch, with their
     /// pools; `None` before the first reading.
     inherited_workers: Option<HashMap<InstanceName, PoolName>>,
@@ -97,6 +100,7 @@
             arrival_times: HashMap::new(),
             workers: SlotMap::with_key(),
             keys_by_name: HashMap::new(),
+            keys_by_instance: HashMap::new(),
             inherited_workers: None,
             recent_arrivals: VecDeque::new(),
             estimate_ratios: HashMap::new(),
@@ -213,6 +217,7 @@
         entry.is_published = self.inherited_unreachable.contains_key(&name);
         let key = self.workers.insert(entry);
         self.keys_by_name.insert(name, key);
+        self.settle_instance(key, now);
         (key, true)
     }
 
--- a/crates/core/src/jobs/dispatcher/planning.rs
+++ b/crates/core/src/jobs/dispatcher/planning.rs
@@ -52,9 +52,7 @@
             self.lose_runs(key, LossReason::Expired, now);
             let entry = &self.workers[key];
             if !entry.is_listed {
-                let name = entry.report.name.clone();
-                self.keys_by_name.remove(&name);
-                self.workers.remove(key);
+                self.remove_worker(key);
             }
         }
     }
--- a/crates/core/src/jobs/dispatcher/runs.rs
+++ b/crates/core/src/jobs/dispatcher/runs.rs
@@ -91,6 +91,7 @@
                 if let Some(entry) = self.run_mut(task, run, key)
                     && entry.state == RunState::Ordered
                 {
+                    entry.is_confirmed = true;
                     entry.state = RunState::Running;
                     entry.since = now;
                     entry.progressed = now;
@@ -126,6 +127,7 @@
     /// resets its state.
     pub(super) fn reset_worker(&mut self, key: WorkerKey, now: TimePoint) {
         self.implicate_runs(key, true);
+        self.confirm_end(key);
         self.lose_runs(key, LossReason::Restarted, now);
         let entry = &mut self.workers[key];
         entry.boot = None;
--- a/crates/core/src/jobs/dispatcher/suspects.rs
+++ b/crates/core/src/jobs/dispatcher/suspects.rs
@@ -1,10 +1,10 @@
 //! Tasks that may crash the workers that start them.
 //!
-//! A crash implicates all runs of the worker that were not seen to run for [`STARTUP_TIME`]. A
-//! suspect starts again after its crashes are stored, so that a new owner knows them, and away from
-//! other suspects; the start is stored too. After a second crash it is the only task that starts on its worker, so that a
-//! third one proves it guilty. A healthy task is cleared as soon as it has run for
-//! [`STARTUP_TIME`].
+//! A crash implicates all runs of the worker that were not seen to run for a moment. A
+//! suspect starts again after its crashes and the worker of its next start are stored, so that a
+//! new owner knows them, and away from other suspects. After a second crash it is the only task
+//! that starts on its worker, so that further ones prove it to be the cause. A healthy task is
+//! cleared as soon as it has run for that time.
 
 use std::ops::RangeBounds;
 use std::time::Duration;
@@ -13,14 +13,12 @@
 use super::waiting_steps::WaitingStep;
 use crate::ids::{InstanceName, TeamName};
 use crate::jobs::crash_history::{CrashHistory, TaskCrashes, WorkerCrash};
+use crate::jobs::run_entry::RunEntry;
 use crate::jobs::{JobId, JobPhase, JobRecord, StepName, StepSpec, TaskName, WorkerKey};
 use crate::time::TimePoint;
 
-/// Time for which a worker has to run a task before a crash is no longer put down to its start.
-pub(super) const STARTUP_TIME: Duration = Duration::from_millis(300);
-
 /// Time for which a task has to run before earlier crashes are forgotten.
-const SETTLED_TIME: Duration = Duration::from_secs(10);
+const SETTLED_TIME: Duration = Duration::from_secs(2);
 
 /// Number of startup crashes from which a task starts alone on its worker.
 const ISOLATED_CRASHES: usize = 2;
@@ -108,6 +106,7 @@
                 crashes: entry.crashes.clone(),
                 is_stored: true,
                 is_reported: false,
+                planned_worker: None,
             };
             self.suspects.insert(entry.task, history);
         }
@@ -121,16 +120,8 @@
         let job = self.jobs.get(&id)?;
         let mut record = job.record();
         if !job.phase.is_final() {
-            let crashes = self.histories(id).map(|(task, history)| {
-                let mut presumed = history.clone();
-                for key in self.starting_runs(*task) {
-                    presumed.add(self.crash_of(key, true));
-                }
-                TaskCrashes {
-                    task: *task,
-                    crashes: presumed.crashes,
-                }
-            });
+            let tasks = self.histories(id);
+            let crashes = tasks.map(|(task, history)| self.presumed_crashes(*task, history));
             record.crashes = crashes.collect();
             record
                 .crashes
@@ -140,16 +131,40 @@
         Some(record)
     }
 
-    /// Marks the crashes that a stored record contains as stored.
+    /// Returns the crashes under a task, with one for each start that is planned or under way.
+    fn presumed_crashes(&self, task: TaskName, history: &CrashHistory) -> TaskCrashes {
+        let mut presumed = history.clone();
+        for run in self.starting_runs(task) {
+            presumed.add(WorkerCrash {
+                is_run_confirmed: run.is_confirmed,
+                ..self.crash_of(run.worker)
+            });
+        }
+        if let Some(key) = history
+            .planned_worker
+            .filter(|key| self.workers.contains_key(*key))
+        {
+            presumed.add(self.crash_of(key));
+        }
+        TaskCrashes {
+            task,
+            crashes: presumed.crashes,
+        }
+    }
+
+    /// Marks the crashes and planned starts that a stored record contains as stored.
     pub(super) fn note_stored_crashes(&mut self, id: JobId, record: &JobRecord) {
         let is_truncated = record.crashes.len() >= MAX_STORED_SUSPECTS;
-        let (from, to) = task_range(id);
-        for (task, history) in self.suspects.range_mut(from..=to) {
+        let tasks = self.histories(id).filter(|(task, history)| {
+            let presumed = self.presumed_crashes(**task, history);
             let mut stored = record.crashes.iter();
-            let contains = |entry: &TaskCrashes| {
-                entry.task == *task && entry.crashes.starts_with(&history.crashes)
-            };
-            history.is_stored |= is_truncated || stored.any(contains);
+            is_truncated || stored.any(|entry| entry.task == **task && entry.contains(&presumed))
+        });
+        let tasks: Vec<TaskName> = tasks.map(|(task, _)| *task).collect();
+        for task in tasks {
+            if let Some(history) = self.suspects.get_mut(&task) {
+                history.is_stored = true;
+            }
         }
     }
 
@@ -166,23 +181,30 @@
         self.suspects.range(from..=to)
     }
 
-    /// Implicates the runs of a worker that does not answer. Only runs that had just been started
-    /// count before the crash is certain.
-    pub(super) fn implicate_runs(&mut self, key: WorkerKey, is_certain: bool) {
+    /// Implicates the runs of a worker that does not answer or, if `is_lost` is true, that were lost
+    /// with it. Only runs that had just been started count before they are lost.
+    pub(super) fn implicate_runs(&mut self, key: WorkerKey, is_lost: bool) {
         let runs: Vec<_> = self.workers[key].runs.keys().copied().collect();
         let is_draining = self.workers[key].is_draining();
         for (task, run) in runs {
             let Some(entry) = self.run_mut(task, run, key) else {
                 continue;
             };
-            let is_startup = !entry.is_proven;
-            if is_startup || (is_certain && !is_draining) {
-                self.implicate(task, key, is_startup);
+            let (is_startup, is_confirmed) = (entry.is_starting(), entry.is_confirmed);
+            let is_recent = entry.run_time < SETTLED_TIME;
+            if is_startup || (is_lost && is_recent && !is_draining) {
+                self.implicate(task, key, is_startup, is_confirmed);
             }
         }
     }
 
-    fn implicate(&mut self, task: TaskName, key: WorkerKey, is_startup: bool) {
+    fn implicate(
+        &mut self,
+        task: TaskName,
+        key: WorkerKey,
+        is_startup: bool,
+        is_run_confirmed: bool,
+    ) {
         let is_open = self
             .jobs
             .get(&task.step.job)
@@ -190,7 +212,11 @@
         if !is_open {
             return;
         }
-        let crash = self.crash_of(key, is_startup);
+        let crash = WorkerCrash {
+            is_startup,
+            is_run_confirmed,
+            ..self.crash_of(key)
+        };
         let history = self.suspects.entry(task).or_default();
         history.add(crash);
         if !history.is_stored {
@@ -198,13 +224,15 @@
         }
     }
 
-    fn crash_of(&self, key: WorkerKey, is_startup: bool) -> WorkerCrash {
+    fn crash_of(&self, key: WorkerKey) -> WorkerCrash {
         let entry = &self.workers[key];
         WorkerCrash {
             worker: entry.report.name.clone(),
             boot: entry.boot.unwrap_or(entry.report.boot),
             instance: entry.report.instance.clone(),
-            is_startup,
+            is_startup: true,
+            is_run_confirmed: false,
+            is_end_confirmed: false,
         }
     }
 
@@ -214,11 +242,20 @@
         self.retain_crashes(.., |crash| crash.worker != *worker || crash.boot != boot);
     }
 
-    /// Clears a task that has run for `time`.
+    /// Records that the workers for which `has_ended` is true have ended.
+    pub(super) fn confirm_crashes(&mut self, has_ended: impl Fn(&WorkerCrash) -> bool) {
+        for (task, history) in &mut self.suspects {
+            if history.confirm_ends(&has_ended) {
+                self.dirty.insert(task.step.job, false);
+            }
+        }
+    }
+
+    /// Clears a task that has started and run for `time`.
     pub(super) fn note_run_time(&mut self, task: TaskName, time: Duration) {
         if time >= SETTLED_TIME {
             self.clear_suspect(task);
-        } else if time >= STARTUP_TIME {
+        } else {
             self.retain_crashes(task..=task, |crash| !crash.is_startup);
         }
     }
@@ -314,9 +351,13 @@
         !task.runs.is_empty() || (!task.is_settled && history.crashes.iter().any(is_open))
     }
 
-    /// Whether a task that must start alone is starting on a worker.
+    /// Whether a task that must start alone is starting on a worker, or is about to.
     pub(super) fn is_isolated(&self, key: WorkerKey) -> bool {
-        !self.suspects.is_empty() && self.count_startups(key, ISOLATED_CRASHES) > 0
+        let mut suspects = self.suspects.values();
+        let is_planned = suspects.any(|history| {
+            history.planned_worker == Some(key) && history.startup_crashes() >= ISOLATED_CRASHES
+        });
+        is_planned || (!self.suspects.is_empty() && self.count_startups(key, ISOLATED_CRASHES) > 0)
     }
 
     /// Whether a suspect is starting on a worker.
@@ -332,12 +373,9 @@
             return 0;
         };
         let starting = entry.runs.keys().filter(|(task, run)| {
-            let runs = self.task(*task).map_or(&[][..], |task| &task.runs);
-            let mut runs = runs.iter();
-            let is_starting = |entry: &crate::jobs::run_entry::RunEntry| {
-                entry.run == *run && entry.worker == key && !entry.is_proven
-            };
-            runs.any(is_starting) && self.startup_crashes(*task) >= crashes
+            let mut runs = self.starting_runs(*task);
+            runs.any(|entry| entry.run == *run && entry.worker == key)
+                && self.startup_crashes(*task) >= crashes
         });
         starting.count()
     }
@@ -370,10 +408,9 @@
             let is_placed = if spec.is_gang {
                 self.place_gang(step, spec, team, &quiet, now)
             } else {
-                let mut quiet = quiet.iter();
-                quiet.any(|&key| self.place_task(tasks[0], spec, team, &[key], now))
+                self.place_suspect(tasks[0], spec, team, &quiet, now)
             };
-            if is_placed && is_alone {
+            if is_placed {
                 workers.retain(|&key| !self.is_isolated(key));
             } else if is_alone && self.is_within_limit(team, spec.amount) {
                 let reserved = if spec.is_gang {
@@ -387,11 +424,49 @@
         }
     }
 
-    /// Workers on which a task is starting.
-    fn starting_runs(&self, task: TaskName) -> impl Iterator<Item = WorkerKey> {
+    /// Runs of a task that are starting.
+    fn starting_runs(&self, task: TaskName) -> impl Iterator<Item = &RunEntry> {
         let runs = self.task(task).map_or(&[][..], |task| &task.runs);
-        let starting = runs.iter().filter(|run| !run.is_proven);
-        starting.map(|run| run.worker)
+        runs.iter().filter(|run| run.is_starting())
+    }
+
+    /// Starts a suspect on the worker that was planned, once that is stored, or plans a start on one
+    /// of `workers`. Returns false if there is no room.
+    fn place_suspect(
+        &mut self,
+        task: TaskName,
+        spec: &StepSpec,
+        team: Option<&TeamName>,
+        workers: &[WorkerKey],
+        now: TimePoint,
+    ) -> bool {
+        let history = self.suspects.get_mut(&task);
+        let planned = history.and_then(|history| history.planned_worker.take());
+        if let Some(key) = planned {
+            let is_alone = self.startup_crashes(task) >= ISOLATED_CRASHES;
+            let is_usable = self
+                .workers
+                .get(key)
+                .is_some_and(|entry| entry.is_usable(now));
+            return is_usable
+                && self.is_quiet(key, is_alone)
+                && self.place_task(task, spec, team, &[key], now);
+        }
+        let is_allowed = self.is_within_limit(team, spec.amount);
+        let mut workers = workers.iter().copied();
+        let key = workers.find(|&key| {
+            let chosen = self.select_worker(task.step, spec, &[key], now);
+            is_allowed && chosen.is_some()
+        });
+        let Some(key) = key else {
+            return false;
+        };
+        if let Some(history) = self.suspects.get_mut(&task) {
+            history.planned_worker = Some(key);
+            history.is_stored = false;
+        }
+        self.dirty.insert(task.step.job, false);
+        true
     }
 
     /// Whether few enough tasks are starting on a worker for a suspect to start there.
--- a/crates/core/src/jobs/lost_run.rs
+++ b/crates/core/src/jobs/lost_run.rs
@@ -10,6 +10,8 @@
 pub enum LossReason {
     /// The worker answers with another boot, or at another address.
     Restarted,
+    /// Another worker was started on the instance of the worker.
+    Replaced,
     /// The lease of a worker that does not answer has expired.
     Expired,
     /// The worker no longer lists the run.
--- a/crates/core/src/jobs/run_entry.rs
+++ b/crates/core/src/jobs/run_entry.rs
@@ -1,6 +1,11 @@
+use std::time::Duration;
+
 use super::WorkerKey;
 use crate::time::TimePoint;
 
+/// Time for which a worker has to run a task before a crash is no longer put down to its start.
+const STARTUP_TIME: Duration = Duration::from_millis(300);
+
 /// State of a run as far as the owner can tell.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RunState {
@@ -31,8 +36,10 @@
     pub state: RunState,
     /// When the run was ordered, confirmed or adopted.
     pub since: TimePoint,
-    /// Whether the worker has run the task long enough that a crash is not put down to its start.
-    pub is_proven: bool,
+    /// Whether the worker has confirmed the run, by its answer or in a list.
+    pub is_confirmed: bool,
+    /// Time for which the worker is known to have run the task.
+    pub run_time: Duration,
     /// Progress as last reported, in percent.
     pub percent: f64,
     /// When the progress last changed.
@@ -52,7 +59,8 @@
             run,
             state: RunState::Ordered,
             since: now,
-            is_proven: false,
+            is_confirmed: false,
+            run_time: Duration::ZERO,
             percent: 0.0,
             progressed: now,
             gauge: None,
@@ -61,6 +69,12 @@
         }
     }
 
+    /// Whether the worker has not been seen to run the task for [`STARTUP_TIME`], so that a crash may
+    /// be put down to the start.
+    pub(crate) fn is_starting(&self) -> bool {
+        self.run_time < STARTUP_TIME
+    }
+
     pub(crate) const fn is_stopping(&self) -> bool {
         matches!(self.state, RunState::Stopping { .. })
     }
--- a/crates/core/tests/crash_series.rs
+++ b/crates/core/tests/crash_series.rs
@@ -108,3 +108,14 @@
         });
     }
 }
+
+/// Guards against a job that is given up although its task has never run: the orders were lost, and
+/// their workers crashed for another reason.
+#[test]
+fn unanswered_starts() {
+    let mut world = JobWorld::new(4, 1);
+    world.crashes.lost_orders = 3;
+    let id = world.submit(1, job(vec![step(1, 1_000)]));
+    world.run(800);
+    assert_eq!(world.phase(id), JobPhase::Finished);
+}
--- a/crates/core/tests/jobs/crashes.rs
+++ b/crates/core/tests/jobs/crashes.rs
@@ -31,6 +31,9 @@
 pub struct CrashLog {
     deadly: HashSet<TaskName>,
     by_task: HashMap<TaskName, u32>,
+    /// Number of start orders that are still to be lost before they reach their worker, which crashes
+    /// soon after.
+    pub lost_orders: u32,
     /// Tasks that the dispatcher gave up.
     pub abandoned: Vec<AbandonedTask>,
     lost: Vec<LostWorker>,
--- a/crates/core/tests/jobs/order_delivery.rs
+++ b/crates/core/tests/jobs/order_delivery.rs
@@ -37,6 +37,14 @@
                 .note_start(key, order.task, order.run, outcome, at(now));
             return;
         };
+        if self.crashes.lost_orders > 0 {
+            self.crashes.lost_orders -= 1;
+            self.crash(index);
+            let outcome = StartOutcome::Unknown;
+            self.dispatcher
+                .note_start(key, order.task, order.run, outcome, at(now));
+            return;
+        }
         let worker = &self.workers[index];
         let is_stale = worker
             .highest_runs
