Start nothing on a list of workers too old to show a smaller capacity

Cause: a smaller capacity counts 4.5 s after it shrank (3.0 s and one write interval of 1.5 s). The owner relied on a row of any age: with a silent store, starts went on for 6 s on capacities that the workers may have lost. Sum: 1.5 s until the row is written, its age, and 0.9 s for the order; so the age may be 2.1 s. In touch it is 1.3 s (sum 3.7 s).

Change: no starts while the list is older than 2.1 s.

--- a/crates/core/src/jobs/dispatch_policy.rs
+++ b/crates/core/src/jobs/dispatch_policy.rs
@@ -33,6 +33,10 @@
     /// Maximum age of a worker's list of runs for its tasks to count as running. A worker with
     /// tasks answers at least every 0.9 s.
     pub max_list_age: Duration,
+    /// Maximum age of the list of workers for a start to rely on a capacity. A smaller capacity
+    /// counts 4.5 s after the change; the worker writes it within 1.5 s, and a start order takes up
+    /// to 0.9 s.
+    pub max_capacity_age: Duration,
     /// Minimum interval between two pace orders for the same task.
     pub min_pace_interval: Duration,
     /// How far ahead the demand of a pool is forecast: the time from a decision to move an instance
@@ -57,6 +61,7 @@
             early_start: Duration::ZERO,
             takeover_pause: Duration::from_secs(2),
             max_list_age: Duration::from_millis(1_100),
+            max_capacity_age: Duration::from_millis(2_100),
             min_pace_interval: Duration::from_millis(400),
             forecast_horizon: Duration::from_millis(1_800),
             ended_retention: Duration::from_secs(240),
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -58,6 +58,8 @@
     arrival_times: HashMap<JobId, TimePoint>,
     workers: SlotMap<WorkerKey, WorkerEntry>,
     keys_by_name: HashMap<InstanceName, WorkerKey>,
+    /// Whether the list of workers is too old to rely on their capacities.
+    is_list_outdated: bool,
     /// Newest worker of each instance.
     keys_by_instance: HashMap<InstanceName, WorkerKey>,
     /// Workers that have been up since the inventory was first read under this epoch, with their
@@ -100,6 +102,7 @@
             arrival_times: HashMap::new(),
             workers: SlotMap::with_key(),
             keys_by_name: HashMap::new(),
+            is_list_outdated: false,
             keys_by_instance: HashMap::new(),
             inherited_workers: None,
             recent_arrivals: VecDeque::new(),
@@ -221,6 +224,12 @@
         (key, true)
     }
 
+    /// Records the age of the list of workers. Nothing starts while the list is older than
+    /// [`DispatchPolicy::max_capacity_age`].
+    pub fn note_list_age(&mut self, age: Duration) {
+        self.is_list_outdated = age > self.policy.max_capacity_age;
+    }
+
     /// Marks a worker as no longer in the platform's list. Its runs stay allocated until they are
     /// resolved or their lease has expired.
     pub fn unlist_worker(&mut self, name: &InstanceName) -> Option<WorkerKey> {
--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -13,6 +13,9 @@
 
 impl JobDispatcher {
     pub(super) fn place_waiting(&mut self, now: TimePoint) {
+        if self.is_list_outdated {
+            return;
+        }
         let mut pools = self.usable_workers(now);
         for workers in pools.values_mut() {
             workers.retain(|&key| !self.is_isolated(key));
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
 mod builders;
+mod capacities;
 mod crashes;
 mod order_delivery;
 mod sim_worker;
@@ -46,8 +47,10 @@
     done_tasks: HashSet<TaskName>,
     acknowledged_failures: HashMap<TaskName, u32>,
     pub crashes: crashes::CrashLog,
-    /// Whether the store takes no writes.
+    /// Whether the store takes no writes and shows no changes.
     pub is_store_silent: bool,
+    /// When the list of workers was last read.
+    list_read: u64,
     /// Unreachable workers in the owner's latest publication.
     published: Vec<UnreachableWorker>,
 }
@@ -74,6 +77,7 @@
             acknowledged_failures: HashMap::new(),
             crashes: crashes::CrashLog::default(),
             is_store_silent: false,
+            list_read: 10_000,
             published: Vec::new(),
         };
         world.list_workers();
@@ -142,6 +146,7 @@
         }
         self.record_done_tasks();
         self.restart_crashed();
+        self.list_capacities();
         self.inject_faults();
         for index in 0..self.workers.len() {
             self.hold(index);
--- a/crates/core/tests/jobs/sim_worker.rs
+++ b/crates/core/tests/jobs/sim_worker.rs
@@ -2,9 +2,9 @@
 
 use compact_str::CompactString;
 use sesamedeal_core::ids::InstanceName;
-use sesamedeal_core::jobs::{EndKind, RunEnd, TaskName, WorkerKey, WorkerReport};
+use sesamedeal_core::jobs::{EndKind, ResourceAmount, RunEnd, TaskName, WorkerKey, WorkerReport};
 
-use super::worker_report;
+use super::{amount, worker_report};
 
 /// A run on a simulated worker. Times are in milliseconds.
 #[derive(Debug, Clone)]
@@ -32,6 +32,10 @@
     pub ended: Vec<RunEnd>,
     pub next_end: u64,
     pub highest_runs: HashMap<TaskName, u64>,
+    /// Capacities that the worker had, with the times from which on, oldest first.
+    pub capacities: Vec<(u64, ResourceAmount)>,
+    /// When the worker writes its capacity to the list.
+    pub row_due: Option<u64>,
     /// When the worker crashed, until it is back.
     pub crashed: Option<u64>,
     /// Number of the instance of the worker, and of crashes so far.
@@ -52,6 +56,8 @@
             ended: Vec::new(),
             next_end: 1,
             highest_runs: HashMap::new(),
+            capacities: vec![(0, amount(8_000, 16_000))],
+            row_due: None,
             crashed: None,
             instance: number,
             crashes: 0,
--- a/crates/jobs/src/owner/owner_health.rs
+++ b/crates/jobs/src/owner/owner_health.rs
@@ -126,6 +126,7 @@
             return;
         };
         self.parts.metrics.set_worker_list_age(age);
+        self.dispatcher.note_list_age(age);
         // Half of the limit, so that the state does not flap.
         let limit = if self.health.is_list_late {
             LIST_AGE_LIMIT / 2
