--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -224,10 +224,13 @@
         (key, true)
     }
 
-    /// Records the age of the list of workers. Nothing starts while the list is older than
-    /// [`DispatchPolicy::max_capacity_age`].
-    pub fn note_list_age(&mut self, age: Duration) {
-        self.is_list_outdated = age > self.policy.max_capacity_age;
+    /// Records the age of the list of workers, and whether the owner can write to the store.
+    ///
+    /// Nothing starts while the store is away and the list is older than
+    /// [`DispatchPolicy::max_capacity_age`]. If only the list cannot be read, which may last, its
+    /// last state is used.
+    pub fn note_list_age(&mut self, age: Duration, is_store_writable: bool) {
+        self.is_list_outdated = !is_store_writable && age > self.policy.max_capacity_age;
     }
 
     /// Marks a worker as no longer in the platform's list. Its runs stay allocated until they are
--- a/crates/jobs/src/owner/owner_health.rs
+++ b/crates/jobs/src/owner/owner_health.rs
@@ -126,7 +126,8 @@
             return;
         };
         self.parts.metrics.set_worker_list_age(age);
-        self.dispatcher.note_list_age(age);
+        let is_writable = self.parts.lease.is_recent(self.parts.policy.renewal * 2);
+        self.dispatcher.note_list_age(age, is_writable);
         // Half of the limit, so that the state does not flap.
         let limit = if self.health.is_list_late {
             LIST_AGE_LIMIT / 2
