Limit the tasks of a job and of a heartbeat

- An accepted job may have any number of steps, each with 65,535 tasks, and any number of occurrences, all due at once if they begin in the past.
Each owner that loads it allocates all of them, and its record outgrows the row of the store, which ends the process.
A job is now refused beyond 4,096 tasks or 1,536 steps over all occurrences, at acceptance and when it is loaded.
- The heartbeat lists all tasks on workers that do not answer, so that the loss of a zone of a large fleet exceeds its row (64 KiB), which ends the owner. 1,200 tasks on 300 workers are published now; a successor waits for the leases of the pools of the others, as for workers that were never published.

--- a/crates/core/src/jobs/dispatcher/unreachable_workers.rs
+++ b/crates/core/src/jobs/dispatcher/unreachable_workers.rs
@@ -8,6 +8,12 @@
 use crate::jobs::{TaskName, UnreachableWorker, WorkerKey};
 use crate::time::TimePoint;
 
+/// Maximum number of tasks that are published. The heartbeat is limited to 64 KiB.
+const MAX_PUBLISHED_TASKS: usize = 1_200;
+
+/// Maximum number of workers that are published.
+const MAX_PUBLISHED_WORKERS: usize = 300;
+
 /// Tasks that may run on a worker that the previous owner could not reach.
 #[derive(Debug, Clone)]
 pub(super) struct InheritedRuns {
@@ -35,7 +41,8 @@
 
     /// Returns the unreachable workers to publish for a successor.
     ///
-    /// Until the inherited leases have expired, omits a worker that has not answered this owner,
+    /// Omits workers beyond the limits of a heartbeat; a successor then waits for all leases of their
+    /// pools. Until the inherited leases have expired, also omits a worker that has not answered this owner,
     /// unless the previous owner published the tasks that may run on it.
     #[must_use]
     pub fn unreachable_workers(&self, now: TimePoint) -> Vec<UnreachableWorker> {
@@ -68,6 +75,13 @@
             tasks: runs.tasks.iter().copied().collect(),
             lease_left: runs.lease_end.since(now),
         }));
+        let mut tasks = 0;
+        rows.truncate(MAX_PUBLISHED_WORKERS);
+        rows.retain(|row| {
+            let fits = tasks + row.tasks.len() <= MAX_PUBLISHED_TASKS;
+            tasks += if fits { row.tasks.len() } else { 0 };
+            fits
+        });
         rows
     }
 
--- a/crates/core/src/jobs/job_order.rs
+++ b/crates/core/src/jobs/job_order.rs
@@ -7,6 +7,12 @@
 use super::StepSpec;
 use crate::ids::{QueueName, TeamName};
 
+/// Maximum number of tasks of a job over all occurrences. The owner keeps all of them in memory.
+const MAX_TASKS: u64 = 4_096;
+
+/// Maximum number of steps of a job over all occurrences. The record has an entry for each.
+const MAX_STEPS: u64 = 1_536;
+
 /// Schedule of a repeated job.
 #[serde_as]
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
@@ -64,6 +70,15 @@
         if self.steps.is_empty() {
             return Err("a job needs at least one step");
         }
+        let occurrences = u64::from(self.occurrences());
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        let steps = u64::try_from(self.steps.len()).unwrap_or(u64::MAX);
+        if tasks.saturating_mul(occurrences) > MAX_TASKS {
+            return Err("a job can have at most 4,096 tasks over all its occurrences");
+        }
+        if steps.saturating_mul(occurrences) > MAX_STEPS {
+            return Err("a job can have at most 1,536 steps over all its occurrences");
+        }
         for (number, step) in self.steps.iter().enumerate() {
             if step.count == 0 {
                 return Err("a step needs at least one task");
--- a/crates/jobs/src/owner/job_intake.rs
+++ b/crates/jobs/src/owner/job_intake.rs
@@ -69,6 +69,10 @@
                 return;
             }
         };
+        if let Err(problem) = order.check() {
+            warn!(self.logger, "skipped unusable row"; "job" => %id, "row" => row.version, "problem" => problem);
+            return;
+        }
         let record = self.states.remove(&id).unwrap_or_default();
         let is_inherited = row.version <= self.epoch_version;
         let arrived = if is_inherited {
