--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -1,3 +1,4 @@
+mod abandoned_tasks;
 mod advice;
 mod demand_forecast;
 mod gangs;
@@ -11,6 +12,7 @@
 mod run_ends;
 mod runs;
 mod speculative_copies;
+mod suspect_starts;
 mod suspects;
 mod unreachable_workers;
 mod waiting_steps;
@@ -21,8 +23,8 @@
 
 use slotmap::SlotMap;
 
+pub use abandoned_tasks::AbandonedTask;
 pub use records::RecordBatch;
-pub use suspects::AbandonedTask;
 
 use super::crash_history::CrashHistory;
 use super::estimate_ratio::EstimateRatio;
--- /dev/null
+++ b/crates/core/src/jobs/dispatcher/suspect_starts.rs
@@ -0,0 +1,195 @@
+//! Placement of suspects: apart from each other, and alone after a second crash.
+
+use super::JobDispatcher;
+use super::waiting_steps::WaitingStep;
+use crate::ids::TeamName;
+use crate::jobs::{StepName, StepSpec, TaskName, WorkerKey};
+use crate::time::TimePoint;
+
+/// Number of startup crashes from which a task starts alone on its worker.
+const ISOLATED_CRASHES: usize = 2;
+
+/// Maximum number of suspects that start on a worker at the same time.
+const MAX_SUSPECTS_PER_WORKER: usize = 2;
+
+impl JobDispatcher {
+    /// Whether a task may get a second run. One that may only start alone may not.
+    pub(super) fn may_copy(&self, task: TaskName) -> bool {
+        self.may_start_again(task) && self.startup_crashes(task) < ISOLATED_CRASHES
+    }
+
+    /// Splits tasks of a step into suspects, for which the flag is true, and others. A gang with a
+    /// suspect is one as a whole. Returns no empty groups.
+    pub(super) fn split_suspects(
+        &self,
+        step: StepName,
+        spec: &StepSpec,
+        indexes: Vec<u16>,
+    ) -> Vec<(Vec<u16>, bool)> {
+        let is_suspect = |index: &u16| self.startup_crashes(step.task(*index)) > 0;
+        let (suspects, others) = if !spec.is_gang {
+            indexes.into_iter().partition(is_suspect)
+        } else if indexes.iter().any(is_suspect) {
+            (indexes, Vec::new())
+        } else {
+            (Vec::new(), indexes)
+        };
+        let groups = [(others, false), (suspects, true)].into_iter();
+        groups.filter(|(indexes, _)| !indexes.is_empty()).collect()
+    }
+
+    /// Whether a task that must start alone is starting on a worker, or is about to.
+    pub(super) fn is_isolated(&self, key: WorkerKey) -> bool {
+        let mut suspects = self.suspects.values();
+        let is_planned = suspects.any(|history| {
+            history.planned_worker == Some(key) && history.startup_crashes() >= ISOLATED_CRASHES
+        });
+        is_planned || (!self.suspects.is_empty() && self.count_startups(key, ISOLATED_CRASHES) > 0)
+    }
+
+    /// Whether a suspect is starting on a worker.
+    #[must_use]
+    pub fn has_starting_suspect(&self, key: WorkerKey) -> bool {
+        !self.suspects.is_empty() && self.count_startups(key, 1) > 0
+    }
+
+    /// Number of runs on a worker that are starting and whose tasks have at least `crashes` startup
+    /// crashes.
+    fn count_startups(&self, key: WorkerKey, crashes: usize) -> usize {
+        let Some(entry) = self.workers.get(key) else {
+            return 0;
+        };
+        let starting = entry.runs.keys().filter(|(task, run)| {
+            let mut runs = self.starting_runs(*task);
+            runs.any(|entry| entry.run == *run && entry.worker == key)
+                && self.startup_crashes(*task) >= crashes
+        });
+        starting.count()
+    }
+
+    /// Starts suspects on workers on which few or no other tasks are starting.
+    pub(super) fn place_suspects(
+        &mut self,
+        step: &WaitingStep,
+        spec: &StepSpec,
+        team: Option<&TeamName>,
+        workers: &mut Vec<WorkerKey>,
+        now: TimePoint,
+    ) {
+        let groups: Vec<Vec<u16>> = if spec.is_gang {
+            vec![step.indexes.clone()]
+        } else {
+            step.indexes.iter().map(|&index| vec![index]).collect()
+        };
+        for group in groups {
+            let tasks: Vec<TaskName> = group.iter().map(|&index| step.name.task(index)).collect();
+            let crashes = tasks.iter().map(|task| self.startup_crashes(*task));
+            let is_alone = crashes.max().unwrap_or(0) >= ISOLATED_CRASHES;
+            let others = self.other_workers(tasks[0], workers);
+            let candidates = self.trial_workers(step.name, spec, &tasks, &others);
+            let quiet: Vec<WorkerKey> = candidates
+                .iter()
+                .copied()
+                .filter(|&key| self.is_quiet(key, is_alone))
+                .collect();
+            let is_placed = if spec.is_gang {
+                self.place_gang(step, spec, team, &quiet, now)
+            } else {
+                self.place_suspect(tasks[0], spec, team, &quiet, now)
+            };
+            if is_placed {
+                workers.retain(|&key| !self.is_isolated(key));
+            } else if is_alone && self.is_within_limit(team, spec.amount) {
+                let reserved = if spec.is_gang {
+                    candidates.len().div_ceil(2)
+                } else {
+                    1
+                };
+                let reserved = &candidates[..reserved.min(candidates.len())];
+                workers.retain(|key| !reserved.contains(key));
+            }
+        }
+    }
+
+    /// Starts a suspect on the worker that was planned, once that is stored, or plans a start on one
+    /// of `workers`. Returns false if there is no room.
+    fn place_suspect(
+        &mut self,
+        task: TaskName,
+        spec: &StepSpec,
+        team: Option<&TeamName>,
+        workers: &[WorkerKey],
+        now: TimePoint,
+    ) -> bool {
+        let history = self.suspects.get_mut(&task);
+        let planned = history.and_then(|history| history.planned_worker.take());
+        if let Some(key) = planned {
+            let is_alone = self.startup_crashes(task) >= ISOLATED_CRASHES;
+            let is_usable = self
+                .workers
+                .get(key)
+                .is_some_and(|entry| entry.is_usable(now));
+            return is_usable
+                && self.is_quiet(key, is_alone)
+                && self.place_task(task, spec, team, &[key], now);
+        }
+        let is_allowed = self.is_within_limit(team, spec.amount);
+        let mut workers = workers.iter().copied();
+        let key = workers.find(|&key| {
+            let chosen = self.select_worker(task.step, spec, &[key], now);
+            is_allowed && chosen.is_some()
+        });
+        let Some(key) = key else {
+            return false;
+        };
+        if let Some(history) = self.suspects.get_mut(&task) {
+            history.planned_worker = Some(key);
+            history.is_stored = false;
+        }
+        self.dirty.insert(task.step.job, false);
+        true
+    }
+
+    /// Whether few enough tasks are starting on a worker for a suspect to start there.
+    fn is_quiet(&self, key: WorkerKey, is_alone: bool) -> bool {
+        if is_alone {
+            return self.count_startups(key, 0) == 0;
+        }
+        self.count_startups(key, 1) < MAX_SUSPECTS_PER_WORKER
+    }
+
+    /// Returns the workers on which suspects may start, the emptiest first. Avoids the instances
+    /// whose crashes implicated them, unless there are no others.
+    fn trial_workers(
+        &self,
+        step: StepName,
+        spec: &StepSpec,
+        tasks: &[TaskName],
+        workers: &[WorkerKey],
+    ) -> Vec<WorkerKey> {
+        let suitable = workers.iter().copied().filter(|&key| {
+            let capacity = self.workers[key].report.capacity;
+            self.is_suitable(step, spec, key) && spec.worker_amount().fits(capacity)
+        });
+        let (mut crashed, mut others): (Vec<WorkerKey>, Vec<WorkerKey>) =
+            suitable.partition(|&key| self.has_crashed_under(key, tasks));
+        let trial = if others.is_empty() {
+            &mut crashed
+        } else {
+            &mut others
+        };
+        trial.sort_by_key(|&key| std::cmp::Reverse(self.workers[key].room().cpu_millis));
+        std::mem::take(trial)
+    }
+
+    /// Whether the worker or an earlier one on its instance has crashed under one of the tasks.
+    fn has_crashed_under(&self, key: WorkerKey, tasks: &[TaskName]) -> bool {
+        let report = &self.workers[key].report;
+        let histories = tasks.iter().filter_map(|task| self.suspects.get(task));
+        let mut crashes = histories.flat_map(|history| &history.crashes);
+        crashes.any(|crash| {
+            let is_same_instance = crash.instance.is_some() && crash.instance == report.instance;
+            crash.worker == report.name || is_same_instance
+        })
+    }
+}
