Compute the priority of a step only if tasks of it wait

Cause: since suspects are told apart, the key of each unfinished step was computed twice in each round, also for steps whose tasks all run.

Change: the key is computed once for each group of waiting tasks, as before. No decision changes.

--- a/crates/core/src/jobs/dispatcher/waiting_steps.rs
+++ b/crates/core/src/jobs/dispatcher/waiting_steps.rs
@@ -131,12 +131,15 @@
                     .map(|(index, _)| u16::try_from(index).unwrap_or(u16::MAX))
                     .filter(|index| self.may_copy(name.task(*index)))
                     .collect();
-                let copy_key = self.priority_key(job, occurrence.number, true, now);
-                let mut key = self.priority_key(job, occurrence.number, is_over_share, now);
-                if spec.is_lasting {
-                    key = key.with_long_running();
-                }
-                for (indexes, key, is_copy) in [(copies, copy_key, true), (indexes, key, false)] {
+                for (indexes, is_copy) in [(copies, true), (indexes, false)] {
+                    if indexes.is_empty() {
+                        continue;
+                    }
+                    let is_last = is_copy || is_over_share;
+                    let mut key = self.priority_key(job, occurrence.number, is_last, now);
+                    if spec.is_lasting && !is_copy {
+                        key = key.with_long_running();
+                    }
                     for (indexes, is_suspect) in self.split_suspects(name, spec, indexes) {
                         waiting.push(WaitingStep {
                             key,
