Ask the suspects, not all runs, which workers start one

Each round asked for every usable worker, and each hold call for its worker, which of all its runs belongs to a suspect. The suspects are few and know their runs, so the question goes to them.

--- a/crates/core/src/jobs/dispatcher/suspect_starts.rs
+++ b/crates/core/src/jobs/dispatcher/suspect_starts.rs
@@ -40,17 +40,23 @@
 
     /// Whether a task that must start alone is starting on a worker, or is about to.
     pub(super) fn is_isolated(&self, key: WorkerKey) -> bool {
-        let mut suspects = self.suspects.values();
-        let is_planned = suspects.any(|history| {
-            history.planned_worker == Some(key) && history.startup_crashes() >= ISOLATED_CRASHES
-        });
-        is_planned || (!self.suspects.is_empty() && self.count_startups(key, ISOLATED_CRASHES) > 0)
+        let mut suspects = self.suspects.iter();
+        suspects.any(|(task, history)| {
+            history.startup_crashes() >= ISOLATED_CRASHES
+                && (history.planned_worker == Some(key) || self.is_starting_on(*task, key))
+        })
     }
 
     /// Whether a suspect is starting on a worker.
     #[must_use]
     pub fn has_starting_suspect(&self, key: WorkerKey) -> bool {
-        !self.suspects.is_empty() && self.count_startups(key, 1) > 0
+        let mut suspects = self.suspects.iter();
+        suspects
+            .any(|(task, history)| history.startup_crashes() > 0 && self.is_starting_on(*task, key))
+    }
+
+    fn is_starting_on(&self, task: TaskName, key: WorkerKey) -> bool {
+        self.starting_runs(task).any(|run| run.worker == key)
     }
 
     /// Number of runs on a worker that are starting and whose tasks have at least `crashes` startup
