--- a/review/kit/cases.rs
+++ b/review/kit/cases.rs
@@ -1,7 +1,8 @@
 //! The cases.
 
+use crate::advice;
 use crate::base::{micros, sleep_ms};
-use crate::fleet::{Broken, Fleet, Queue, WorkerSpec, job, job_of, step, wait_for};
+use crate::fleet::{BEAT_MS, Broken, Fleet, Queue, WorkerSpec, job, job_of, step, wait_for};
 
 const QUEUE: Queue = ("queue-1", "/queue1/", "svc-a");
 
@@ -20,6 +21,7 @@
         "moved" => moved(record, has_trouble),
         "cancel" => cancel(record, has_trouble),
         "pending" => pending(record, has_trouble),
+        "denied" => denied(record, has_trouble),
         "failing" => failing(record, has_trouble),
         "starved" => starved(record, has_trouble),
         "lease" => lease(record, has_trouble),
@@ -269,3 +271,41 @@
     fleet.note_events();
     Ok(idle.len())
 }
+
+/// The store is down while a step waits for advice, and the entries of the workers lapse.
+fn denied(record: &str, has_trouble: bool) -> Result<usize, Broken> {
+    let workers = (1..=4).map(|number| worker(&format!("w-{number}"), "svc-a", "r1", 16));
+    let (address, busy) = advice::start();
+    let fleet = Fleet::start_with(record, 2, &[QUEUE], workers.collect(), Some(address))?;
+    sleep_ms(2_000);
+    let first = step(2, 2, 3_000, "");
+    let second = step(2, 2, 3_000, ",\"after\":[0]");
+    let id = job_id(1);
+    let body = format!("{{\"spec\":\"3000\",\"steps\":[{first},{second}]}}");
+    // The workers check in at about the same time, each BEAT_MS.
+    let beat = fleet.events().iter().map(|event| event.0).max().unwrap_or(0);
+    let wait_phase = |millis: u64| while (micros().saturating_sub(beat) / 1_000) % BEAT_MS / 20 != millis / 20 {
+        sleep_ms(5);
+    };
+    wait_phase(840);
+    fleet.submit(&format!("/queue1/{id}"), &body)?;
+    wait_for(6_000, || fleet.starts(&id).len() == 2).ok_or("the first step does not start")?;
+    if has_trouble {
+        sleep_ms(1_000);
+        wait_phase(140);
+        fleet.control("down", "", "", "");
+        fleet.note("the store is down");
+        sleep_ms(4_500);
+        let since = busy.load(std::sync::atomic::Ordering::SeqCst);
+        let text = if since > 0 { "a call for advice is under way" } else { "no call for advice is under way" };
+        fleet.control("up", "", "", "");
+        fleet.note(&format!("the store answers again; the entries of the workers have lapsed meanwhile; {text}"));
+    }
+    sleep_ms(FINISH_MS + 6_000);
+    let (status, answer) = fleet.client(0, "GET", &format!("/queue1/{id}"), "", 2_000);
+    fleet.note_events();
+    let count = fleet.starts(&id).len();
+    let state = answer.get("state").text();
+    fleet.note(&format!("{count} of 4 tasks have started; status {status}, state {state:?}"));
+    Ok(usize::from(state != "finished"))
+}
--- a/review/kit/fleet.rs
+++ b/review/kit/fleet.rs
@@ -1,5 +1,6 @@
 //! A small deployment for a case: the project's own program, the stand-ins, and a client.
 
+use crate::advice;
 use crate::base::{Json, call, micros, quoted, sleep_ms};
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
@@ -113,6 +114,8 @@
     nodes: Vec<Node>,
     version: u64,
     begin: u64,
+    /// Address of the policy service, if the queues need advice.
+    advice: Option<SocketAddr>,
 }
 
 /// Why a case ends without a result.
@@ -121,6 +124,17 @@
 impl Fleet {
     /// Starts the platform, the workers and `nodes` entry instances, and waits until all are ready.
     pub fn start(record: &str, nodes: usize, queues: &[Queue], workers: Vec<WorkerSpec>) -> Result<Self, Broken> {
+        Self::start_with(record, nodes, queues, workers, None)
+    }
+
+    /// Does the same with a policy service.
+    pub fn start_with(
+        record: &str,
+        nodes: usize,
+        queues: &[Queue],
+        workers: Vec<WorkerSpec>,
+        advice: Option<SocketAddr>,
+    ) -> Result<Self, Broken> {
         let dir = std::env::temp_dir().join(format!("review-{}-{}", std::process::id(), micros()));
         std::fs::create_dir_all(&dir).map_err(|error| error.to_string())?;
         let (platform, cloud) = (free_address(), free_address());
@@ -141,6 +155,7 @@
             nodes: Vec::new(),
             version: 0,
             begin: micros(),
+            advice,
         };
         wait_for(3_000, || TcpStream::connect(platform).is_ok()).ok_or("the platform does not start")?;
         fleet.set_config(queues);
@@ -167,8 +182,12 @@
         services.extend(["svc-a", "svc-b"]);
         services.sort_unstable();
         services.dedup();
+        let advice = match self.advice {
+            Some(_) => format!(",\"advice\":{{\"decideMs\":{},\"perWorkerMs\":{},\"validMs\":{}}}", advice::DECIDE_MS, advice::PER_WORKER_MS, advice::VALID_MS),
+            None => String::new(),
+        };
         let routes = queues.iter().map(|(name, prefix, service)| format!(
-            "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"prefix\":\"{prefix}\",\"kind\":\"mutating\",\"timeoutMs\":3000,\"sloMs\":600,\"prio\":0,\"svc\":\"{service}\",\"attempts\":4,\"stretch\":1.6,\"public\":false}}"
+            "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"prefix\":\"{prefix}\",\"kind\":\"mutating\",\"timeoutMs\":3000,\"sloMs\":600,\"prio\":0,\"svc\":\"{service}\",\"attempts\":4,\"stretch\":1.6,\"public\":false{advice}}}"
         ));
         let routes = routes.collect::<Vec<_>>().join(",");
         let services = services.iter().map(|name| format!(
@@ -223,8 +242,9 @@
             }
         };
         let settings = format!(
-            "node = \"edge-z1-{number}\"\nrole = \"entry\"\nclass = \"edge\"\nserves = [\"edge\"]\nip = \"127.0.0.1\"\nzone = \"z1\"\nregion = \"r1\"\ninternalPorts = [{internal},{}]\nseeds = []\nbootstrap = true\ninTolerance = false\ndiscovery = \"platform\"\nentry = \"vip\"\nheartbeatMs = {BEAT_MS}\ncontracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\",\"tenants\",\"quota\",\"platform\",\"upkeep\",\"sharing\"]\norders = \"invoke\"\nadvice = \"\"\n[zones]\nz1 = \"r1\"\n[listen]\nfront = \"{front}\"\nready = \"{ready}\"\ncontrol = \"{control}\"\n[limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = 260\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n[tolerate]\nmachines = 1\nzones = 0\nregions = 0\n[bounds]\nstableMs = 3000\nackMs = 4000\ndrainMs = 2000\ngraceS = 6\nconfigMs = 2000\nholdMaxMs = 6000\nstopMs = 900\ngangTimeoutMs = 3000\ncancel_ms = 3000\nvisible_ms = 3000\nearly_ms = 250\nstatus_s = 120\nmoveS = 1.5\nmaintS = 2\nrequireFence = true\nleaseMs = 3000\n[platform]\naddr = \"{}\"\nform = \"table\"\nwritesPerS = 800\nreadsPerS = 2000\ntxMs = 3.0\npartWritesS = 300\nrowBytes = 65536\nacross = true\nhistoryS = 20\n[cloud]\naddr = \"{}\"\nratePerS = 64.0\nduties = []\ndutyPerS = 64.0\n",
+            "node = \"edge-z1-{number}\"\nrole = \"entry\"\nclass = \"edge\"\nserves = [\"edge\"]\nip = \"127.0.0.1\"\nzone = \"z1\"\nregion = \"r1\"\ninternalPorts = [{internal},{}]\nseeds = []\nbootstrap = true\ninTolerance = false\ndiscovery = \"platform\"\nentry = \"vip\"\nheartbeatMs = {BEAT_MS}\ncontracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\",\"tenants\",\"quota\",\"platform\",\"upkeep\",\"sharing\"]\norders = \"invoke\"\nadvice = \"{}\"\n[zones]\nz1 = \"r1\"\n[listen]\nfront = \"{front}\"\nready = \"{ready}\"\ncontrol = \"{control}\"\n[limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = 260\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n[tolerate]\nmachines = 1\nzones = 0\nregions = 0\n[bounds]\nstableMs = 3000\nackMs = 4000\ndrainMs = 2000\ngraceS = 6\nconfigMs = 2000\nholdMaxMs = 6000\nstopMs = 900\ngangTimeoutMs = 3000\ncancel_ms = 3000\nvisible_ms = 3000\nearly_ms = 250\nstatus_s = 120\nmoveS = 1.5\nmaintS = 2\nrequireFence = true\nleaseMs = 3000\n[platform]\naddr = \"{}\"\nform = \"table\"\nwritesPerS = 800\nreadsPerS = 2000\ntxMs = 3.0\npartWritesS = 300\nrowBytes = 65536\nacross = true\nhistoryS = 20\n[cloud]\naddr = \"{}\"\nratePerS = 64.0\nduties = []\ndutyPerS = 64.0\n",
             internal + 1,
+            self.advice.map(|address| address.to_string()).unwrap_or_default(),
             self.platform,
             self.cloud
         );
--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -7,6 +7,7 @@
 //! A case exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With
 //! `TROUBLE=0` it leaves the disruption out.
 
+mod advice;
 mod base;
 mod cases;
 mod fleet;
--- a/review/kit/platform.rs
+++ b/review/kit/platform.rs
@@ -41,6 +41,8 @@
     /// Keys of rows of which the next transactions get no answer and are performed late, with the
     /// delay in milliseconds and the number of transactions.
     late: BTreeMap<String, (u64, u32)>,
+    /// Whether the store refuses all calls.
+    is_down: bool,
     moves: u64,
 }
 
@@ -124,6 +126,9 @@
     }
 
     fn answer(&self, request: &Request) -> Reply {
+        if request.path.starts_with("/-/") && self.state.lock().unwrap().is_down {
+            return Reply::Answer(503, "{}".into());
+        }
         match request.path.as_str() {
             "/-/rows-tx" => self.transact(request.json()),
             "/-/rows-get" => self.read(request),
@@ -231,6 +236,9 @@
                     ),
                 });
             }
+            if state.is_down {
+                return Reply::Answer(503, "{}".into());
+            }
             let left = end.saturating_duration_since(Instant::now());
             if !rows.is_empty() || left.is_zero() {
                 return ok(format!(
@@ -263,7 +271,7 @@
         match path {
             // A worker checks in.
             "/ctl/beat" => {
-                if state.cut.contains(&id) {
+                if state.is_down || state.cut.contains(&id) {
                     return Reply::Break;
                 }
                 state.beats.insert(id.clone(), Instant::now());
@@ -275,6 +283,8 @@
             "/ctl/machine" => drop(state.machines.insert(id, Json::Text(text))),
             "/ctl/cut" => drop(state.cut.insert(id)),
             "/ctl/heal" => drop(state.cut.remove(&id)),
+            "/ctl/down" => state.is_down = true,
+            "/ctl/up" => state.is_down = false,
             "/ctl/late" => {
                 let delay = request.param("ms").parse().unwrap_or(1_000);
                 let count = request.param("count").parse().unwrap_or(1);
