--- a/review/kit/cases.rs
+++ b/review/kit/cases.rs
@@ -22,6 +22,7 @@
         "cancel" => cancel(record, has_trouble),
         "pending" => pending(record, has_trouble),
         "denied" => denied(record, has_trouble),
+        "shed" => shed(record, has_trouble),
         "failing" => failing(record, has_trouble),
         "starved" => starved(record, has_trouble),
         "lease" => lease(record, has_trouble),
@@ -309,3 +310,22 @@
     fleet.note(&format!("{count} of 4 tasks have started; status {status}, state {state:?}"));
     Ok(usize::from(state != "finished"))
 }
+
+/// A worker refuses starts for a second. Only it has the label that the jobs require.
+fn shed(record: &str, has_trouble: bool) -> Result<usize, Broken> {
+    let fleet = Fleet::start(record, 2, &[QUEUE], racks())?;
+    sleep_ms(2_000);
+    if has_trouble {
+        fleet.shed("w-1", 1_000);
+    }
+    let ids: Vec<String> = (1..=2).map(job_id).collect();
+    for id in &ids {
+        fleet.submit(&format!("/queue1/{id}"), &job(800, &step(8, 1, 800, ",\"requires\":\"r1\"")))?;
+    }
+    fleet.note("end of the traffic");
+    sleep_ms(FINISH_MS + 3_000);
+    fleet.note_events();
+    let lost = ids.iter().filter(|id| fleet.starts(id).is_empty()).count();
+    fleet.note(&format!("{lost} of {} jobs were never started; the worker is idle", ids.len()));
+    Ok(lost)
+}
--- a/review/kit/fleet.rs
+++ b/review/kit/fleet.rs
@@ -344,6 +344,14 @@
         self.note(&format!("worker {id} {text}"));
     }
 
+    /// Makes a worker refuse starts for a while, as an unhealthy one does.
+    pub fn shed(&self, id: &str, millis: u64) {
+        let path = format!("/ctl/shed?ms={millis}");
+        let limit = Duration::from_secs(2);
+        assert!(call(self.workers[id].listen, "POST", &path, &[], "", limit).is_some());
+        self.note(&format!("worker {id} refuses starts with 503 for {millis} ms"));
+    }
+
     pub fn entry_address(&self, id: &str) -> SocketAddr {
         self.workers[id].proxy.address
     }
@@ -422,7 +430,7 @@
         };
         for (at, event, task, _, _) in self.events() {
             match event.as_str() {
-                "boot" => {}
+                "boot" | "refused" => {}
                 "start" => {
                     if let Some(since) = ended.remove(&task) {
                         check(&task, since, at);
--- a/review/kit/worker.rs
+++ b/review/kit/worker.rs
@@ -84,6 +84,8 @@
     ends: u64,
     /// Highest run of each task that was stopped or has ended here.
     closed: BTreeMap<String, u64>,
+    /// Time until which the worker is unhealthy and refuses starts.
+    sheds_until: Option<Instant>,
 }
 
 struct Worker {
@@ -192,6 +194,11 @@
         if request.path == "/health" {
             return ok("{}".into());
         }
+        if request.path == "/ctl/shed" {
+            let millis = request.param("ms").parse().unwrap_or(1_000);
+            self.state.lock().unwrap().sheds_until = Some(Instant::now() + Duration::from_millis(millis));
+            return ok("{}".into());
+        }
         let expected = request.header("x-expect-instance");
         if !expected.is_empty() && expected != self.options.id {
             return Reply::Answer(421, "{}".into());
@@ -210,6 +217,10 @@
         }
         match request.path.as_str() {
             "/-/run-start" => {
+                if state.sheds_until.is_some_and(|end| Instant::now() < end) {
+                    self.note("refused", &name.0, name.1);
+                    return Reply::Answer(503, "{}".into());
+                }
                 let until = body.get("untilMs").number().unwrap_or(0);
                 if state.running.contains_key(&name) {
                     return ok(format!("{{\"clockMs\":{clock}}}"));
