--- a/review/kit/cases.rs
+++ b/review/kit/cases.rs
@@ -23,6 +23,7 @@
         "pending" => pending(record, has_trouble),
         "denied" => denied(record, has_trouble),
         "shed" => shed(record, has_trouble),
+        "timed" => timed(record, has_trouble),
         "failing" => failing(record, has_trouble),
         "starved" => starved(record, has_trouble),
         "lease" => lease(record, has_trouble),
@@ -329,3 +330,51 @@
     fleet.note(&format!("{lost} of {} jobs were never started; the worker is idle", ids.len()));
     Ok(lost)
 }
+
+/// Scheduled jobs and a job of many steps, while the owner is killed or frozen.
+fn timed(record: &str, has_trouble: bool) -> Result<usize, Broken> {
+    let mut fleet = Fleet::start(record, 4, &[QUEUE], racks())?;
+    let start = micros() / 1_000 + 1_500;
+    let ids: Vec<String> = (1..=3).map(job_id).collect();
+    let one = step(3, 1, 900, "");
+    let two = step(3, 1, 900, ",\"after\":[0]");
+    for id in &ids {
+        let body = format!("{{\"spec\":\"900\",\"steps\":[{one},{two}],\"repeats\":16,\"startMs\":{start},\"intervalMs\":700}}");
+        fleet.submit(&format!("/queue1/{id}"), &body)?;
+    }
+    if has_trouble {
+        for round in 0..2 {
+            sleep_ms(3_137);
+            let owner = fleet.owner().ok_or("no owner is known")?;
+            if round % 2 == 0 {
+                fleet.kill_node(owner);
+            } else {
+                fleet.freeze_node(owner, 3_000);
+            }
+        }
+    }
+    sleep_ms(22_000);
+    let mut wrong = judge_overlaps(&fleet);
+    for line in fleet.starts_after_done() {
+        fleet.note(&format!("TWICE: {line}"));
+        wrong += 1;
+    }
+    for id in &ids {
+        let path = format!("/queue1/{id}");
+        let (_, answer) = (0..4).map(|node| fleet.client(node, "GET", &path, "", 2_000)).find(|answer| answer.0 == 200).unwrap_or((0, crate::base::Json::Null));
+        let state = answer.get("state").text().to_owned();
+        let count = fleet.starts(id).len();
+        fleet.note(&format!("{id}: {count} starts, state {state}"));
+        wrong += usize::from(state != "finished");
+    }
+    for (at, task, run, worker) in ids.iter().flat_map(|id| fleet.starts(id)) {
+        let number: u64 = task.split('.').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
+        let due = start + number * 700;
+        let begun = fleet.begin_ms() + at;
+        if begun + 250 < due {
+            fleet.note(&format!("ORDER: {task} run {run} on {worker} {} ms early", due - begun));
+            wrong += 1;
+        }
+    }
+    Ok(wrong)
+}
--- a/review/kit/fleet.rs
+++ b/review/kit/fleet.rs
@@ -141,6 +141,7 @@
         let own = std::env::current_exe().map_err(|error| error.to_string())?;
         let platform_child = Command::new(own)
             .args(["platform", &platform.to_string(), &cloud.to_string(), &BEAT_MS.to_string()])
+            .stdin(Stdio::piped())
             .stdout(std::fs::File::create(dir.join("platform.log")).unwrap())
             .spawn()
             .map_err(|error| error.to_string())?;
@@ -225,6 +226,7 @@
             .args(["--cpu", &spec.cpu.to_string(), "--platform", &self.platform.to_string()])
             .args(["--log", &log.display().to_string(), "--beat", &BEAT_MS.to_string()])
             .args(["--rate", &spec.rate.to_string()])
+            .stdin(Stdio::piped())
             .spawn()
             .map_err(|error| error.to_string())?;
         wait_for(3_000, || TcpStream::connect(listen).is_ok()).ok_or("a worker does not start")?;
@@ -269,6 +271,11 @@
         Ok(())
     }
 
+    /// Unix time at which the case began, in milliseconds.
+    pub fn begin_ms(&self) -> u64 {
+        self.begin / 1_000
+    }
+
     /// Milliseconds since the case began.
     pub fn now_ms(&self) -> u64 {
         (micros() - self.begin) / 1_000
@@ -325,6 +332,33 @@
         }
     }
 
+    /// Freezes a process for a while.
+    pub fn freeze_node(&self, node: usize, millis: u64) {
+        let Some(child) = &self.nodes[node].child else {
+            return;
+        };
+        let signal = |name: &str| drop(Command::new("kill").args([name, &child.id().to_string()]).status());
+        signal("-STOP");
+        self.note(&format!("node {} freezes", node + 1));
+        sleep_ms(millis);
+        signal("-CONT");
+        self.note(&format!("node {} wakes", node + 1));
+    }
+
+    /// Starts of a task after one of its runs has ended `done`.
+    pub fn starts_after_done(&self) -> Vec<String> {
+        let mut done = std::collections::BTreeSet::new();
+        let mut found = Vec::new();
+        for (at, event, task, run, worker) in self.events() {
+            if event == "done" {
+                done.insert(task);
+            } else if event == "start" && done.contains(&task) {
+                found.push(format!("task {task} run {run} started on {worker} at {:.3} s after an end `done`", (at - self.begin) as f64 / 1e6));
+            }
+        }
+        found
+    }
+
     /// Kills the process of a worker and starts it again under the same id, at the same address.
     pub fn restart_worker(&mut self, id: &str, pause_ms: u64) -> Result<(), Broken> {
         let mut worker = self.workers.remove(id).unwrap();
