--- a/review/kit/cases.rs
+++ b/review/kit/cases.rs
@@ -24,6 +24,7 @@
         "denied" => denied(record, has_trouble),
         "shed" => shed(record, has_trouble),
         "timed" => timed(record, has_trouble),
+        "halted" => halted(record, has_trouble),
         "failing" => failing(record, has_trouble),
         "starved" => starved(record, has_trouble),
         "lease" => lease(record, has_trouble),
@@ -280,21 +281,22 @@
     let (address, busy) = advice::start();
     let fleet = Fleet::start_with(record, 2, &[QUEUE], workers.collect(), Some(address))?;
     sleep_ms(2_000);
-    let first = step(2, 2, 3_000, "");
-    let second = step(2, 2, 3_000, ",\"after\":[0]");
-    let id = job_id(1);
-    let body = format!("{{\"spec\":\"3000\",\"steps\":[{first},{second}]}}");
-    // The workers check in at about the same time, each BEAT_MS.
-    let beat = fleet.events().iter().map(|event| event.0).max().unwrap_or(0);
-    let wait_phase = |millis: u64| while (micros().saturating_sub(beat) / 1_000) % BEAT_MS / 20 != millis / 20 {
-        sleep_ms(5);
-    };
-    wait_phase(840);
-    fleet.submit(&format!("/queue1/{id}"), &body)?;
-    wait_for(6_000, || fleet.starts(&id).len() == 2).ok_or("the first step does not start")?;
+    let first = step(2, 1, 4_000, "");
+    let second = step(2, 1, 4_000, ",\"after\":[0]");
+    let body = format!("{{\"spec\":\"4000\",\"steps\":[{first},{second}]}}");
+    let ids: Vec<String> = (1..=4).map(job_id).collect();
+    for id in &ids {
+        fleet.submit(&format!("/queue1/{id}"), &body)?;
+    }
+    // Each call for advice takes a second, and the service answers one after another.
+    wait_for(12_000, || ids.iter().all(|id| fleet.starts(id).len() >= 2)).ok_or("the first steps do not start")?;
     if has_trouble {
-        sleep_ms(1_000);
-        wait_phase(140);
+        // The workers check in at about the same time, each BEAT_MS. The outage ends soon after they
+        // have tried, so that they are back when they try again.
+        let beat = fleet.events().iter().filter(|event| event.1 == "boot").map(|event| event.0).max().unwrap_or(0);
+        while (micros().saturating_sub(beat) / 1_000) % BEAT_MS / 20 != 6 {
+            sleep_ms(5);
+        }
         fleet.control("down", "", "", "");
         fleet.note("the store is down");
         sleep_ms(4_500);
@@ -303,13 +305,21 @@
         fleet.control("up", "", "", "");
         fleet.note(&format!("the store answers again; the entries of the workers have lapsed meanwhile; {text}"));
     }
-    sleep_ms(FINISH_MS + 6_000);
-    let (status, answer) = fleet.client(0, "GET", &format!("/queue1/{id}"), "", 2_000);
+    fleet.note("end of the traffic");
+    sleep_ms(FINISH_MS + 8_000);
     fleet.note_events();
-    let count = fleet.starts(&id).len();
-    let state = answer.get("state").text();
-    fleet.note(&format!("{count} of 4 tasks have started; status {status}, state {state:?}"));
-    Ok(usize::from(state != "finished"))
+    let mut lost = 0;
+    for id in &ids {
+        let (status, answer) = fleet.client(0, "GET", &format!("/queue1/{id}"), "", 2_000);
+        let state = answer.get("state").text();
+        if state != "finished" {
+            let count = fleet.starts(id).len();
+            fleet.note(&format!("LOST: job {id}: {count} of 4 tasks have ever been started, status {status}, state {state:?}; all workers are empty"));
+            lost += 1;
+        }
+    }
+    fleet.note(&format!("{lost} of {} jobs are not finished", ids.len()));
+    Ok(lost)
 }
 
 /// A worker refuses starts for a second. Only it has the label that the jobs require.
@@ -378,3 +388,56 @@
     }
     Ok(wrong)
 }
+
+const SCHEDULES: u64 = 40;
+const OCCURRENCES: u64 = 100;
+const INTERVAL_MS: u64 = 600;
+
+/// The store is down for two seconds while many scheduled jobs have come far.
+fn halted(record: &str, has_trouble: bool) -> Result<usize, Broken> {
+    let fleet = Fleet::start(record, 2, &[QUEUE], racks())?;
+    let task = "{\"count\":1,\"cpu\":100,\"memMb\":16,\"estMs\":100}";
+    let steps = [task; 12].join(",");
+    let start = micros() / 1_000 + 2_000;
+    let ids: Vec<String> = (0..SCHEDULES).map(|number| job_id(number + 1)).collect();
+    for (number, id) in (0..).zip(&ids) {
+        let due = start + number * INTERVAL_MS / SCHEDULES;
+        let body = format!("{{\"spec\":\"100\",\"steps\":[{steps}],\"repeats\":{OCCURRENCES},\"startMs\":{due},\"intervalMs\":{INTERVAL_MS}}}");
+        fleet.submit(&format!("/queue1/{id}"), &body)?;
+    }
+    let end = start + OCCURRENCES * INTERVAL_MS;
+    let sleep_until = |at: u64| sleep_ms(at.saturating_sub(micros() / 1_000));
+    sleep_until(end - 4_500);
+    if has_trouble {
+        fleet.control("down", "", "", "");
+        fleet.note("the store is down");
+        sleep_ms(2_000);
+        fleet.control("up", "", "", "");
+        fleet.note("the store answers again");
+    }
+    sleep_until(end);
+    let small: Vec<String> = (101..=103).map(job_id).collect();
+    for id in &small {
+        fleet.submit(&format!("/queue1/{id}"), &job(800, &step(2, 1, 800, "")))?;
+    }
+    fleet.note("end of the traffic");
+    sleep_ms(FINISH_MS + 3_000);
+    let events = fleet.events();
+    let last = events.iter().filter(|event| event.1 == "start").map(|event| event.0 / 1_000).max().unwrap_or(0);
+    let mut lost = 0;
+    for id in small.iter().chain(&ids) {
+        let done = events.iter().filter(|event| event.1 == "done" && event.2.starts_with(id.as_str())).count();
+        let (status, answer) = fleet.client(0, "GET", &format!("/queue1/{id}"), "", 2_000);
+        let state = answer.get("state").text();
+        if state != "finished" {
+            fleet.note(&format!("LOST: job {id}: {done} runs done, status {status}, state {state:?}"));
+            lost += 1;
+        }
+    }
+    for line in fleet.refused_transactions().iter().take(5) {
+        fleet.note(&format!("store: {line}"));
+    }
+    fleet.note(&format!("{} transactions refused as too large", fleet.refused_transactions().len()));
+    fleet.note(&format!("{lost} of {} jobs are not finished; the last start was {} ms before the end of the case", ids.len() + small.len(), micros() / 1_000 - last));
+    Ok(lost)
+}
--- a/review/kit/fleet.rs
+++ b/review/kit/fleet.rs
@@ -7,7 +7,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -17,9 +17,18 @@
 pub const HOST: &str = "jobs.example";
 pub const KEY: &str = "key-of-tenant-1";
 
+/// A free port below those that the system picks for outgoing connections, and free with the one
+/// after it.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    listener.local_addr().unwrap()
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    loop {
+        let seed = u64::from(std::process::id()).wrapping_mul(7_919) + NEXT.fetch_add(2, Ordering::SeqCst);
+        let port = 20_000 + (seed % 12_000) as u16;
+        let is_free = |port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok();
+        if is_free(port) && is_free(port + 1) {
+            return (Ipv4Addr::LOCALHOST, port).into();
+        }
+    }
 }
 
 /// A proxy before a worker. While it is cut, it holds all bytes back and answers nothing.
@@ -237,12 +246,7 @@
         let ports: Vec<SocketAddr> = (0..3).map(|_| free_address()).collect();
         let (front, ready, control) = (ports[0], ports[1], ports[2]);
         // Two neighbouring ports for the node's own use.
-        let internal = loop {
-            let first = free_address().port();
-            if first < 65_000 && TcpListener::bind((Ipv4Addr::LOCALHOST, first + 1)).is_ok() {
-                break first;
-            }
-        };
+        let internal = free_address().port();
         let settings = format!(
             "node = \"edge-z1-{number}\"\nrole = \"entry\"\nclass = \"edge\"\nserves = [\"edge\"]\nip = \"127.0.0.1\"\nzone = \"z1\"\nregion = \"r1\"\ninternalPorts = [{internal},{}]\nseeds = []\nbootstrap = true\ninTolerance = false\ndiscovery = \"platform\"\nentry = \"vip\"\nheartbeatMs = {BEAT_MS}\ncontracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\",\"tenants\",\"quota\",\"platform\",\"upkeep\",\"sharing\"]\norders = \"invoke\"\nadvice = \"{}\"\n[zones]\nz1 = \"r1\"\n[listen]\nfront = \"{front}\"\nready = \"{ready}\"\ncontrol = \"{control}\"\n[limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = 260\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n[tolerate]\nmachines = 1\nzones = 0\nregions = 0\n[bounds]\nstableMs = 3000\nackMs = 4000\ndrainMs = 2000\ngraceS = 6\nconfigMs = 2000\nholdMaxMs = 6000\nstopMs = 900\ngangTimeoutMs = 3000\ncancel_ms = 3000\nvisible_ms = 3000\nearly_ms = 250\nstatus_s = 120\nmoveS = 1.5\nmaintS = 2\nrequireFence = true\nleaseMs = 3000\n[platform]\naddr = \"{}\"\nform = \"table\"\nwritesPerS = 800\nreadsPerS = 2000\ntxMs = 3.0\npartWritesS = 300\nrowBytes = 65536\nacross = true\nhistoryS = 20\n[cloud]\naddr = \"{}\"\nratePerS = 64.0\nduties = []\ndutyPerS = 64.0\n",
             internal + 1,
@@ -451,6 +455,13 @@
         found
     }
 
+    /// Transactions that the store refused as too large.
+    pub fn refused_transactions(&self) -> Vec<String> {
+        let text = std::fs::read_to_string(self.dir.join("platform.log")).unwrap_or_default();
+        let lines = text.lines().filter(|line| line.contains("refused a transaction"));
+        lines.map(str::to_owned).collect()
+    }
+
     /// Spans longer than `limit_ms` in which a task had no run after one had ended.
     pub fn idle_tasks(&self, limit_ms: u64) -> Vec<String> {
         let mut ended: BTreeMap<String, u64> = BTreeMap::new();
--- a/review/kit/platform.rs
+++ b/review/kit/platform.rs
@@ -11,6 +11,10 @@
 /// Time that a transaction or a read takes.
 const CALL_MS: u64 = 3;
 
+/// Most entries and bytes of a transaction.
+const MAX_ENTRIES: usize = 100;
+const MAX_BYTES: usize = 1_048_576;
+
 /// Check-in intervals of silence after which the entry of a worker is removed.
 const SILENT_BEATS: u64 = 3;
 
@@ -130,7 +134,16 @@
             return Reply::Answer(503, "{}".into());
         }
         match request.path.as_str() {
-            "/-/rows-tx" => self.transact(request.json()),
+            "/-/rows-tx" => {
+                let body = request.json();
+                let lists = ["expectRev", "puts", "deletes"].map(|name| body.get(name).list().len());
+                let entries: usize = lists.iter().sum();
+                if entries > MAX_ENTRIES || request.body.len() > MAX_BYTES {
+                    println!("{} refused a transaction of {entries} entries and {} bytes", micros(), request.body.len());
+                    return Reply::Answer(413, "{}".into());
+                }
+                self.transact(body)
+            }
             "/-/rows-get" => self.read(request),
             "/-/rows-feed" => self.feed(request),
             path if path.starts_with("/ctl/") => self.control(path, request),
