--- a/review/kit/cases.rs
+++ b/review/kit/cases.rs
@@ -434,6 +434,7 @@
             lost += 1;
         }
     }
+    fleet.note_summary();
     for line in fleet.refused_transactions().iter().take(5) {
         fleet.note(&format!("store: {line}"));
     }
--- a/review/kit/fleet.rs
+++ b/review/kit/fleet.rs
@@ -498,7 +498,27 @@
         self.record.lock().unwrap().write_all(lines.as_bytes()).unwrap();
     }
 
-    /// Names of a job's entry.
+    /// Writes to the record how many runs began and ended in each second, and the first tasks that
+    /// ran again after an end `done`.
+    pub fn note_summary(&self) {
+        let mut counts: BTreeMap<u64, BTreeMap<String, u32>> = BTreeMap::new();
+        for (at, event, _, _, _) in self.events() {
+            let second = at.saturating_sub(self.begin) / 1_000_000;
+            *counts.entry(second).or_default().entry(event).or_default() += 1;
+        }
+        let mut lines = String::from("what the workers ran, by second:\n");
+        for (second, events) in counts {
+            lines += &format!("{second:9} {events:?}\n");
+        }
+        let again = self.starts_after_done();
+        lines += &format!("{} starts of tasks that had ended `done` before, the first of them:\n", again.len());
+        for line in again.iter().take(20) {
+            lines += &format!("          {line}\n");
+        }
+        self.record.lock().unwrap().write_all(lines.as_bytes()).unwrap();
+    }
+
+    /// Replaces the entry of a worker, as another writer.
     pub fn foreign_entry(&self, id: &str, text: &str) {
         self.control("foreign", id, "", text);
         self.note(&format!("another writer replaces the entry servers/{id}: {text}"));
