Log boots, stored tickets and reserved workers

Change: the line 'advice' has the number of stored tickets, 'pool load' the reserved workers, 'worker reached' the boot. Tickets are matched with workers in the core, as before by the list; the tests answer by name. No change of behaviour.

--- a/crates/core/src/jobs/dispatcher/advice.rs
+++ b/crates/core/src/jobs/dispatcher/advice.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 
 use super::JobDispatcher;
+use crate::ids::InstanceName;
 use crate::jobs::{AdviceRequest, StepName, WorkerKey};
 use crate::time::TimePoint;
 
@@ -63,22 +64,38 @@
     /// Processes the response of the policy service to a request that was sent at `requested`.
     ///
     /// `answer` is `None` if there was no response. Otherwise it holds the tickets of the allowed
-    /// workers and the time for which these are valid.
+    /// workers and the time for which these are valid. Returns the number of tickets that were
+    /// stored.
     pub fn note_advice(
         &mut self,
         request: &AdviceRequest,
-        answer: Option<(&HashMap<WorkerKey, CompactString>, Duration)>,
+        answer: Option<(&HashMap<InstanceName, CompactString>, Duration)>,
         requested: TimePoint,
         now: TimePoint,
-    ) {
+    ) -> usize {
+        let tickets = answer.map(|(allowed, valid)| (self.match_tickets(allowed), valid));
         let Some(cache) = self.tickets.get_mut(&request.step) else {
-            return;
+            return 0;
         };
         cache.is_requesting = false;
-        match answer {
-            Some((allowed, valid)) => cache.store(&request.workers, allowed, valid, requested),
-            None => cache.retry_after = now.after(RETRY_DELAY),
-        }
+        let Some((tickets, valid)) = tickets else {
+            cache.retry_after = now.after(RETRY_DELAY);
+            return 0;
+        };
+        cache.store(&request.workers, &tickets, valid, requested);
+        tickets.len()
+    }
+
+    /// Returns the tickets of an answer by the keys of the workers.
+    fn match_tickets(
+        &self,
+        allowed: &HashMap<InstanceName, CompactString>,
+    ) -> HashMap<WorkerKey, CompactString> {
+        let tickets = allowed.iter().filter_map(|(name, ticket)| {
+            let key = self.worker_key(name)?;
+            Some((key, ticket.clone()))
+        });
+        tickets.collect()
     }
 
     pub(super) fn needs_ticket(&self, step: StepName) -> bool {
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -71,6 +71,8 @@
     estimate_ratios: HashMap<PoolName, EstimateRatio>,
     team_usage: HashMap<TeamName, ResourceAmount>,
     tickets: HashMap<StepName, TicketCache>,
+    /// Workers that the last round kept free for a waiting task.
+    reserved_workers: HashSet<WorkerKey>,
     /// Jobs whose end is stored. A read of the job table that overlaps with the end of a job may
     /// still return the job as open.
     ended_jobs: HashSet<JobId>,
@@ -111,6 +113,7 @@
             estimate_ratios: HashMap::new(),
             team_usage: HashMap::new(),
             tickets: HashMap::new(),
+            reserved_workers: HashSet::new(),
             ended_jobs: HashSet::new(),
             expiry_queue: VecDeque::new(),
             dirty: RecordQueue::default(),
--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -13,6 +13,7 @@
 
 impl JobDispatcher {
     pub(super) fn place_waiting(&mut self, now: TimePoint) {
+        self.reserved_workers.clear();
         if self.is_list_outdated {
             return;
         }
@@ -67,7 +68,7 @@
     /// Reserves the suitable worker with the most free processor capacity, which is likely to have
     /// room first, by removing it from `workers`. Without the reservation, small tasks could starve
     /// a large one.
-    fn reserve_worker(&self, step: StepName, spec: &StepSpec, workers: &mut Vec<WorkerKey>) {
+    fn reserve_worker(&mut self, step: StepName, spec: &StepSpec, workers: &mut Vec<WorkerKey>) {
         let suitable = workers.iter().copied().filter(|&key| {
             let entry = &self.workers[key];
             self.is_suitable(step, spec, key) && spec.worker_amount().fits(entry.report.capacity)
@@ -75,6 +76,7 @@
         let reserved = suitable.max_by_key(|&key| self.workers[key].room().cpu_millis);
         if let Some(reserved) = reserved {
             workers.retain(|&key| key != reserved);
+            self.reserved_workers.insert(reserved);
         }
     }
 
--- a/crates/core/src/jobs/dispatcher/pool_loads.rs
+++ b/crates/core/src/jobs/dispatcher/pool_loads.rs
@@ -60,10 +60,11 @@
     #[must_use]
     pub fn pool_loads(&self, now: TimePoint) -> BTreeMap<PoolName, PoolLoad> {
         let mut loads: BTreeMap<PoolName, PoolLoad> = BTreeMap::new();
-        for entry in self.workers.values().filter(|entry| entry.is_listed) {
+        for (key, entry) in self.workers.iter().filter(|(_, entry)| entry.is_listed) {
             let load = loads.entry(entry.report.pool.clone()).or_default();
             load.workers += 1;
             load.usable += usize::from(entry.is_usable(now));
+            load.reserved += usize::from(self.reserved_workers.contains(&key));
             load.capacity = load
                 .capacity
                 .saturating_add(entry.report.capacity.cpu_millis);
--- a/crates/core/src/jobs/dispatcher/suspect_starts.rs
+++ b/crates/core/src/jobs/dispatcher/suspect_starts.rs
@@ -113,6 +113,7 @@
                 };
                 let reserved = &candidates[..reserved.min(candidates.len())];
                 workers.retain(|key| !reserved.contains(key));
+                self.reserved_workers.extend(reserved);
             }
         }
     }
--- a/crates/core/src/jobs/pool_load.rs
+++ b/crates/core/src/jobs/pool_load.rs
@@ -5,6 +5,8 @@
     pub workers: usize,
     /// Number of listed workers that accept new tasks.
     pub usable: usize,
+    /// Number of workers that are kept free for a waiting task.
+    pub reserved: usize,
     /// CPU of the listed workers, in thousandths of a core.
     pub capacity: u64,
     /// CPU in use by long-running tasks, in thousandths of a core. Fillers do not count.
--- a/crates/core/tests/job_tickets.rs
+++ b/crates/core/tests/job_tickets.rs
@@ -25,6 +25,15 @@
     world.dispatcher.take_advice_requests(at(world.now))
 }
 
+/// Answers a request with a ticket for one of its workers.
+fn allow(world: &mut JobWorld, request: &AdviceRequest, index: usize, valid: Duration) {
+    let worker = world.dispatcher.worker(request.workers[index]).unwrap();
+    let allowed = HashMap::from([(worker.name.clone(), CompactString::from("ticket"))]);
+    let now = at(world.now);
+    let answer = Some((&allowed, valid));
+    world.dispatcher.note_advice(request, answer, now, now);
+}
+
 /// Guards against starts without a ticket or on workers that the service does not allow.
 #[test]
 fn allowed_workers() {
@@ -36,12 +45,7 @@
         take_requests(&mut world).is_empty(),
         "requested again before the response"
     );
-    let allowed = HashMap::from([(request.workers[1], CompactString::from("ticket"))]);
-    let valid = Duration::from_secs(3);
-    let now = at(world.now);
-    world
-        .dispatcher
-        .note_advice(&request, Some((&allowed, valid)), now, now);
+    allow(&mut world, &request, 1, Duration::from_secs(3));
     world.run(2);
     assert_eq!(world.starts, 2);
     let key = Some(request.workers[1]);
@@ -54,14 +58,7 @@
 fn tickets_expire() {
     let mut world = world();
     let request = take_requests(&mut world).remove(0);
-    let allowed = HashMap::from([(request.workers[0], CompactString::from("ticket"))]);
-    let now = at(world.now);
-    world.dispatcher.note_advice(
-        &request,
-        Some((&allowed, Duration::from_millis(300))),
-        now,
-        now,
-    );
+    allow(&mut world, &request, 0, Duration::from_millis(300));
     world.run(2);
     assert_eq!(
         world.starts, 0,
@@ -73,9 +70,8 @@
         [request.workers[0]],
         "denied workers are not requested again"
     );
-    world
-        .dispatcher
-        .note_advice(&again, None, now, at(world.now));
+    let now = at(world.now);
+    world.dispatcher.note_advice(&again, None, now, now);
     assert!(
         take_requests(&mut world).is_empty(),
         "requested again at once"
--- a/crates/jobs/src/owner/advice_calls.rs
+++ b/crates/jobs/src/owner/advice_calls.rs
@@ -42,14 +42,12 @@
         let now = BootClock.now();
         match outcome {
             Ok(answer) => {
-                info!(self.parts.logger, "advice"; "step" => %request.step, "asked" => request.workers.len(), "allowed" => answer.allowed.len(), "valid_ms" => answer.valid.as_millis() as u64);
-                let allowed = answer.allowed.into_iter().filter_map(|(name, ticket)| {
-                    let key = self.dispatcher.worker_key(&name)?;
-                    Some((key, ticket))
-                });
-                let allowed: HashMap<_, _> = allowed.collect();
-                let answer = Some((&allowed, answer.valid));
-                self.dispatcher.note_advice(request, answer, sent, now);
+                let valid = answer.valid;
+                let allowed: HashMap<_, _> = answer.allowed.into_iter().collect();
+                let stored =
+                    self.dispatcher
+                        .note_advice(request, Some((&allowed, valid)), sent, now);
+                info!(self.parts.logger, "advice"; "step" => %request.step, "asked" => request.workers.len(), "allowed" => allowed.len(), "stored" => stored, "valid_ms" => valid.as_millis() as u64);
             }
             Err(error) => {
                 warn!(self.parts.logger, "advice request failed"; "step" => %request.step, "error" => %error);
--- a/crates/jobs/src/owner/worker_calls.rs
+++ b/crates/jobs/src/owner/worker_calls.rs
@@ -145,7 +145,7 @@
         match outcome {
             Ok(HoldOutcome::Held(report)) => {
                 if link.failures > 0 || link.clock.is_none() {
-                    info!(self.parts.logger, "worker reached"; "worker" => self.dispatcher.worker(key).map(|worker| worker.name.to_string()), "failures" => link.failures, "running" => report.running.len());
+                    info!(self.parts.logger, "worker reached"; "worker" => self.dispatcher.worker(key).map(|worker| worker.name.to_string()), "failures" => link.failures, "boot" => report.boot, "running" => report.running.len());
                 }
                 link.failures = 0;
                 link.clock = Some((report.clock_ms, now));
