Match advice with the workers that were asked about

Cause: the answer of the policy service was looked up in the list of workers. An answer that came while the entries had lapsed during an outage of the store lost its tickets, and a worker without a ticket counts as denied for good. Log of the case: asked 4, allowed 4, stored 0, and no further request. Change: the answer is matched with the workers that the request named. Before: job_tickets::unlisted_worker failed, 0 starts of 2 (left: 0, right: 2). After: all four tests of job_tickets pass; denied_worker, the other side, passes before and after. Conclusion: a grant no longer depends on the list at the time of the answer; denials stay.

--- a/crates/core/src/jobs/dispatcher/advice.rs
+++ b/crates/core/src/jobs/dispatcher/advice.rs
@@ -73,7 +73,7 @@
         requested: TimePoint,
         now: TimePoint,
     ) -> usize {
-        let tickets = answer.map(|(allowed, valid)| (self.match_tickets(allowed), valid));
+        let tickets = answer.map(|(allowed, valid)| (self.match_tickets(request, allowed), valid));
         let Some(cache) = self.tickets.get_mut(&request.step) else {
             return 0;
         };
@@ -86,14 +86,16 @@
         tickets.len()
     }
 
-    /// Returns the tickets of an answer by the keys of the workers.
+    /// Returns the tickets of an answer by the keys of the workers that the request named. Some of
+    /// them may be missing from the list meanwhile.
     fn match_tickets(
         &self,
+        request: &AdviceRequest,
         allowed: &HashMap<InstanceName, CompactString>,
     ) -> HashMap<WorkerKey, CompactString> {
-        let tickets = allowed.iter().filter_map(|(name, ticket)| {
-            let key = self.worker_key(name)?;
-            Some((key, ticket.clone()))
+        let tickets = request.workers.iter().filter_map(|key| {
+            let name = &self.worker(*key)?.name;
+            Some((*key, allowed.get(name)?.clone()))
         });
         tickets.collect()
     }
--- a/crates/core/tests/job_tickets.rs
+++ b/crates/core/tests/job_tickets.rs
@@ -8,8 +8,8 @@
 
 use compact_str::CompactString;
 use jobs::{JobWorld, at, job, rules, step};
-use sesamedeal_core::ids::QueueName;
-use sesamedeal_core::jobs::{AdviceRequest, ResourceAmount};
+use sesamedeal_core::ids::{InstanceName, QueueName};
+use sesamedeal_core::jobs::{AdviceRequest, ResourceAmount, WorkerKey};
 
 fn world() -> JobWorld {
     let mut rules = Arc::unwrap_or_clone(rules(ResourceAmount::default()));
@@ -25,10 +25,14 @@
     world.dispatcher.take_advice_requests(at(world.now))
 }
 
+fn name(world: &JobWorld, key: WorkerKey) -> InstanceName {
+    world.dispatcher.worker(key).unwrap().name.clone()
+}
+
 /// Answers a request with a ticket for one of its workers.
 fn allow(world: &mut JobWorld, request: &AdviceRequest, index: usize, valid: Duration) {
-    let worker = world.dispatcher.worker(request.workers[index]).unwrap();
-    let allowed = HashMap::from([(worker.name.clone(), CompactString::from("ticket"))]);
+    let worker = name(world, request.workers[index]);
+    let allowed = HashMap::from([(worker, CompactString::from("ticket"))]);
     let now = at(world.now);
     let answer = Some((&allowed, valid));
     world.dispatcher.note_advice(request, answer, now, now);
@@ -79,3 +83,41 @@
     world.run(8);
     assert_eq!(take_requests(&mut world).len(), 1);
 }
+
+/// Guards against a worker that counts as denied for good because the list did not have it when the
+/// answer with its ticket came.
+#[test]
+fn unlisted_worker() {
+    let mut world = world();
+    let request = take_requests(&mut world).remove(0);
+    let names: Vec<InstanceName> = request
+        .workers
+        .iter()
+        .map(|key| name(&world, *key))
+        .collect();
+    for name in &names {
+        world.dispatcher.unlist_worker(name);
+    }
+    allow(&mut world, &request, 0, Duration::from_secs(3));
+    world.run(2);
+    assert_eq!(world.starts, 0, "started on a worker that is not listed");
+    world.list_workers();
+    world.run(2);
+    assert_eq!(world.starts, 2);
+}
+
+/// Guards against requests that are repeated for denied workers which the list has dropped for a
+/// while.
+#[test]
+fn denied_worker() {
+    let mut world = world();
+    let request = take_requests(&mut world).remove(0);
+    world
+        .dispatcher
+        .unlist_worker(&name(&world, request.workers[1]));
+    allow(&mut world, &request, 0, Duration::from_millis(300));
+    world.list_workers();
+    world.run(2);
+    let again = take_requests(&mut world).remove(0);
+    assert_eq!(again.workers, [request.workers[0]]);
+}
