End the evacuation of a worker that the list does not have

Cause: set_evacuating and set_maintenance_due looked the worker up among the listed ones. Change: they look it up among all known ones. Conclusion: the mark follows the order, not the list.

--- a/crates/core/src/jobs/dispatcher/relocation.rs
+++ b/crates/core/src/jobs/dispatcher/relocation.rs
@@ -8,9 +8,9 @@
 use crate::time::TimePoint;
 
 impl JobDispatcher {
-    /// Starts or ends the evacuation of a worker.
+    /// Starts or ends the evacuation of a worker, also while the list does not have it.
     pub fn set_evacuating(&mut self, name: &InstanceName, is_evacuating: bool) {
-        if let Some(key) = self.worker_key(name) {
+        if let Some(&key) = self.keys_by_name.get(name) {
             self.workers[key].is_evacuating = is_evacuating;
         }
     }
@@ -20,7 +20,7 @@
     /// The long-running tasks of such a worker are relocated one after another ahead of the
     /// maintenance, because this takes longer than the maintenance of all other instances.
     pub fn set_maintenance_due(&mut self, name: &InstanceName, is_maintenance_due: bool) {
-        if let Some(key) = self.worker_key(name) {
+        if let Some(&key) = self.keys_by_name.get(name) {
             self.workers[key].is_maintenance_due = is_maintenance_due;
         }
     }
