Forget the advice about a worker that was started again

Before: job_tickets::restarted_worker failed (asked about 1 worker of 3). After: passes. Conclusion: what was said of one start of a worker ends with it.

--- a/crates/core/src/jobs/dispatcher/advice.rs
+++ b/crates/core/src/jobs/dispatcher/advice.rs
@@ -77,12 +77,14 @@
         let Some(cache) = self.tickets.get_mut(&request.step) else {
             return 0;
         };
-        cache.is_requesting = false;
+        let restarted = cache.end_request();
         let Some((tickets, valid)) = tickets else {
             cache.retry_after = now.after(RETRY_DELAY);
             return 0;
         };
-        cache.store(&request.workers, &tickets, valid, requested);
+        let mut asked = request.workers.clone();
+        asked.retain(|key| !restarted.contains(key));
+        cache.store(&asked, &tickets, valid, requested);
         tickets.len()
     }
 
--- a/crates/core/src/jobs/dispatcher/runs.rs
+++ b/crates/core/src/jobs/dispatcher/runs.rs
@@ -136,6 +136,10 @@
         entry.is_evacuating = false;
         entry.has_unknown_runs = false;
         entry.health = HealthRecord::default();
+        self.tickets
+            .values_mut()
+            .for_each(|cache| cache.forget(key));
+        let entry = &mut self.workers[key];
         entry.processed_end = 0;
         entry.stored_end = 0;
         entry.unstored_ends.clear();
--- a/crates/core/src/jobs/ticket_cache.rs
+++ b/crates/core/src/jobs/ticket_cache.rs
@@ -26,6 +26,8 @@
     tickets: HashMap<WorkerKey, (CompactString, TimePoint)>,
     /// Workers that may not run the step.
     denied: HashSet<WorkerKey>,
+    /// Workers that were started again since the request in progress was sent.
+    restarted: HashSet<WorkerKey>,
     /// Whether a request is in progress.
     pub is_requesting: bool,
     /// Earliest time of the next request after one that failed.
@@ -44,6 +46,23 @@
         !self.denied.contains(&key) && self.ticket(key, now).is_none()
     }
 
+    /// Forgets what is known about a worker that was started again. A ticket is valid for one life of
+    /// the worker, and its next one may be of another kind.
+    pub(crate) fn forget(&mut self, key: WorkerKey) {
+        self.tickets.remove(&key);
+        self.denied.remove(&key);
+        if self.is_requesting {
+            self.restarted.insert(key);
+        }
+    }
+
+    /// Records that the request in progress has ended, and returns the workers that were started
+    /// again meanwhile.
+    pub(crate) fn end_request(&mut self) -> HashSet<WorkerKey> {
+        self.is_requesting = false;
+        std::mem::take(&mut self.restarted)
+    }
+
     /// Stores the answer to a request for `workers` that was sent at `sent`. Its tickets are valid
     /// for `valid` from then on. Workers without a ticket in `allowed` may not run the step.
     pub(crate) fn store(
--- a/crates/core/tests/job_tickets.rs
+++ b/crates/core/tests/job_tickets.rs
@@ -121,3 +121,30 @@
     let again = take_requests(&mut world).remove(0);
     assert_eq!(again.workers, [request.workers[0]]);
 }
+
+/// Guards against tickets and denials that outlive the start of the worker which they are for, also
+/// if the worker is started again while a request is under way.
+#[test]
+fn restarted_worker() {
+    for is_requesting in [false, true] {
+        let mut world = world();
+        let request = take_requests(&mut world).remove(0);
+        if !is_requesting {
+            allow(&mut world, &request, 0, Duration::from_millis(300));
+        }
+        for worker in &mut world.workers {
+            worker.report.boot += 1;
+        }
+        world.list_workers();
+        if is_requesting {
+            allow(&mut world, &request, 0, Duration::from_secs(3));
+        }
+        world.run(2);
+        assert_eq!(
+            world.starts, 0,
+            "started with a ticket for an earlier start"
+        );
+        let again = take_requests(&mut world).remove(0);
+        assert_eq!(again.workers.len(), 3);
+    }
+}
