Count starts refused in a moment as one quarantine

Change: a refusal or failure during a quarantine does not extend it; what fails then was sent before. Before: worker_health::refused_starts failed (left: Running, right: Finished). After: passes. quarantined_worker and failed_trial, the other side, pass before and after. Conclusion: only a trial after the quarantine doubles the next one.

--- a/crates/core/src/jobs/dispatcher/planning.rs
+++ b/crates/core/src/jobs/dispatcher/planning.rs
@@ -79,10 +79,7 @@
             if let Some(entry) = self.run_mut(name, run, key) {
                 entry.request_stop();
             }
-            let health = &mut self.workers[key].health;
-            if !health.is_quarantined(now) {
-                health.quarantine(now, quarantine_time);
-            }
+            self.workers[key].health.quarantine(now, quarantine_time);
         }
     }
 
--- a/crates/core/src/jobs/health_record.rs
+++ b/crates/core/src/jobs/health_record.rs
@@ -35,8 +35,12 @@
         self.failed_jobs.len() >= usize::try_from(needed).unwrap_or(usize::MAX)
     }
 
-    /// Quarantines the worker for `base`, doubled for each failed trial up to a factor of eight.
+    /// Quarantines the worker for `base`, doubled for each failed trial up to a factor of eight. Does
+    /// nothing during a quarantine: what fails then was sent before it and is no trial.
     pub fn quarantine(&mut self, now: TimePoint, base: std::time::Duration) {
+        if self.is_quarantined(now) {
+            return;
+        }
         const MAX_DOUBLINGS: u32 = 3;
         let delay = base * 2_u32.pow(self.quarantines.min(MAX_DOUBLINGS));
         self.quarantined_until = Some(now.after(delay));
--- /dev/null
+++ b/crates/core/tests/worker_health.rs
@@ -0,0 +1,69 @@
+//! Quarantine of workers that refuse or fail tasks.
+
+mod jobs;
+
+use jobs::{JobWorld, at, job, step};
+use sesamedeal_core::jobs::{JobId, JobPhase, StartOutcome, WorkerOrder};
+
+/// Rounds of the first quarantine, which lasts 4 s, and of the tasks afterwards.
+const ROUNDS: usize = 100 + 20;
+
+/// Plans a round in which the only worker refuses all starts, and returns their number.
+fn refuse_starts(world: &mut JobWorld) -> usize {
+    let now = at(world.now);
+    let orders = world.dispatcher.plan(now, world.now);
+    let starts = orders.into_iter().filter_map(|order| match order {
+        WorkerOrder::Start(key, order) => Some((key, order)),
+        _ => None,
+    });
+    let mut refused = 0;
+    for (key, order) in starts {
+        let outcome = StartOutcome::Unavailable;
+        world
+            .dispatcher
+            .note_start(key, order.task, order.run, outcome, now);
+        refused += 1;
+    }
+    refused
+}
+
+/// A world with one worker, which has just refused all tasks of a job of `count`.
+fn refusing_world(count: u16) -> JobWorld {
+    let mut world = JobWorld::new(1, 1);
+    world.run(2);
+    world.submit(1, job(vec![step(count, 500)]));
+    assert_eq!(refuse_starts(&mut world), usize::from(count));
+    world
+}
+
+/// Guards against a worker that gets no tasks for half a minute because it refused several starts
+/// within a moment: each one counted as a failed trial.
+#[test]
+fn refused_starts() {
+    let mut world = refusing_world(16);
+    world.run(ROUNDS);
+    assert_eq!(world.phase(JobId(1)), JobPhase::Finished);
+}
+
+/// Guards against starts on a worker that has just refused one.
+#[test]
+fn quarantined_worker() {
+    let mut world = refusing_world(1);
+    world.run(70);
+    assert_eq!(world.starts, 0);
+}
+
+/// Guards against a worker that is tried again as soon as before although its trial failed.
+#[test]
+fn failed_trial() {
+    let mut world = refusing_world(1);
+    world.now += 4_100;
+    assert_eq!(refuse_starts(&mut world), 1);
+    world.run(150);
+    assert_eq!(
+        world.starts, 0,
+        "started within the second quarantine of 8 s"
+    );
+    world.run(20);
+    assert_eq!(world.starts, 1);
+}
