Tie runs to the start of the worker that listed them

Cause: the boot of a worker comes in its answers and in its list entry. Each was compared with the last one by the same way, so that one restart was processed twice, and the second time dropped the runs of the new start. Log: 'worker reached' boot at 26.224, four starts at 27.224, 'worker listed' with the same boot at 32.195, 'run lost' Restarted at 32.198, four starts on w-2 at 32.199. The reset also ended the lease that the adopted runs had: 'run lost' Expired at 32.223. Change: a restart releases the runs that another boot has listed. An entry shows one only if its boot is new to the owner. Another address releases nothing, and a lease never ends earlier than granted.

--- a/crates/core/src/jobs/dispatch_policy.rs
+++ b/crates/core/src/jobs/dispatch_policy.rs
@@ -35,7 +35,7 @@
     pub max_list_age: Duration,
     /// Maximum age of the list of workers for a start to rely on a capacity. A smaller capacity
     /// counts 4.5 s after the change; the worker writes it within 1.5 s, and a start order takes up
-    /// to 0.9 s.
+    /// to 0.9 s. Also the time for which an entry of an earlier start of a worker is relied on.
     pub max_capacity_age: Duration,
     /// Minimum interval between two pace orders for the same task.
     pub min_pace_interval: Duration,
--- a/crates/core/src/jobs/dispatcher/hold_reports.rs
+++ b/crates/core/src/jobs/dispatcher/hold_reports.rs
@@ -34,7 +34,9 @@
             return;
         };
         if entry.boot.is_some_and(|boot| boot != report.boot) {
-            self.reset_worker(key, now);
+            self.reset_worker(key, report.boot, now);
+            // The worker is about to write its new entry.
+            self.workers[key].entry_limit = now.after(self.policy.max_capacity_age);
         }
         let entry = &mut self.workers[key];
         let was_silent = entry.is_unresponsive || entry.list_requested.is_none();
@@ -43,7 +45,7 @@
             self.retract_crash(&name, report.boot);
         }
         let entry = &mut self.workers[key];
-        entry.boot = Some(report.boot);
+        entry.set_boot(report.boot);
         entry.is_unresponsive = false;
         entry.list_requested = entry.list_requested.max(Some(report.sent));
         entry.list_received = Some(now);
@@ -61,6 +63,7 @@
     }
 
     fn note_running(&mut self, key: WorkerKey, report: &RunReport, now: TimePoint) {
+        let boot = self.workers[key].boot;
         let Some(task) = self.task_mut(report.task) else {
             // The job has ended, or the dispatcher has never had it.
             let stop = WorkerOrder::Stop(key, report.task, report.run);
@@ -90,6 +93,7 @@
         }
         run.gauge = report.gauge;
         run.is_confirmed = true;
+        run.listed_boot = boot;
         run.run_time = now.since(run.since);
         if !run.is_starting() {
             let run_time = run.run_time;
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -205,19 +205,19 @@
     /// was restarted, or has another address.
     pub fn set_worker(&mut self, report: WorkerReport, now: TimePoint) -> (WorkerKey, bool) {
         if let Some(&key) = self.keys_by_name.get(&report.name) {
-            let entry = &mut self.workers[key];
-            let is_replaced =
-                entry.report.address != report.address || entry.report.boot != report.boot;
+            let entry = &self.workers[key];
+            let is_restarted = entry.is_restart(report.boot);
+            let is_moved = entry.report.address != report.address;
             let was_listed = entry.is_listed;
-            if is_replaced {
-                self.reset_worker(key, now);
+            if is_restarted {
+                self.reset_worker(key, report.boot, now);
             }
             let entry = &mut self.workers[key];
-            entry.report = report;
+            entry.set_report(report);
             entry.is_listed = true;
             // Calls to the worker are set up again, and none has been answered yet.
-            entry.is_unresponsive |= !was_listed;
-            return (key, is_replaced || !was_listed);
+            entry.is_unresponsive |= is_moved || !was_listed;
+            return (key, is_restarted || is_moved || !was_listed);
         }
         let name = report.name.clone();
         let mut entry = WorkerEntry::new(report, self.inherited_lease_end);
--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -164,7 +164,7 @@
     pub(super) fn is_suitable(&self, step: StepName, spec: &StepSpec, key: WorkerKey) -> bool {
         let entry = &self.workers[key];
         let required = spec.required_label.as_ref();
-        if required.is_some_and(|label| !entry.report.labels.contains(label)) {
+        if required.is_some_and(|label| !entry.has_label(label)) {
             return false;
         }
         spec.max_per_worker.is_none_or(|max| {
--- a/crates/core/src/jobs/dispatcher/planning.rs
+++ b/crates/core/src/jobs/dispatcher/planning.rs
@@ -49,7 +49,7 @@
             if self.workers[key].is_unreachable() {
                 self.implicate_runs(key, true);
             }
-            self.lose_runs(key, LossReason::Expired, now);
+            self.lose_runs(key, LossReason::Expired, |_| true, now);
             let entry = &self.workers[key];
             if !entry.is_listed {
                 self.remove_worker(key);
--- a/crates/core/src/jobs/dispatcher/replacement.rs
+++ b/crates/core/src/jobs/dispatcher/replacement.rs
@@ -38,7 +38,7 @@
         }
         self.implicate_runs(key, true);
         self.confirm_end(key);
-        self.lose_runs(key, LossReason::Replaced, now);
+        self.lose_runs(key, LossReason::Replaced, |_| true, now);
         let entry = &mut self.workers[key];
         entry.is_listed = false;
         entry.lease_end = now;
--- a/crates/core/src/jobs/dispatcher/runs.rs
+++ b/crates/core/src/jobs/dispatcher/runs.rs
@@ -65,6 +65,11 @@
         task_mut(self.jobs.get_mut(&name.step.job)?, name)
     }
 
+    pub(super) fn run(&self, name: TaskName, run: u64, key: WorkerKey) -> Option<&RunEntry> {
+        let mut runs = self.task(name)?.runs.iter();
+        runs.find(|entry| entry.run == run && entry.worker == key)
+    }
+
     pub(super) fn run_mut(
         &mut self,
         name: TaskName,
@@ -123,14 +128,16 @@
         }
     }
 
-    /// Releases the runs of a worker that was restarted, which ended with its previous boot, and
-    /// resets its state.
-    pub(super) fn reset_worker(&mut self, key: WorkerKey, now: TimePoint) {
+    /// Resets the state of a worker that was restarted as `boot`, and releases the runs that a list
+    /// of an earlier boot has shown. Whether the others exist is known from the next lists, as the
+    /// new boot may have received their orders.
+    pub(super) fn reset_worker(&mut self, key: WorkerKey, boot: u64, now: TimePoint) {
         self.implicate_runs(key, true);
         self.confirm_end(key);
-        self.lose_runs(key, LossReason::Restarted, now);
+        let ended = |run: &RunEntry| run.listed_boot.is_some_and(|listed| listed != boot);
+        self.lose_runs(key, LossReason::Restarted, ended, now);
         let entry = &mut self.workers[key];
-        entry.boot = None;
+        entry.forget_boot();
         entry.list_requested = None;
         entry.list_received = None;
         entry.is_evacuating = false;
@@ -143,12 +150,19 @@
         entry.processed_end = 0;
         entry.stored_end = 0;
         entry.unstored_ends.clear();
-        entry.lease_end = now;
     }
 
-    /// Releases all runs of a worker that have ended without a report.
-    pub(super) fn lose_runs(&mut self, key: WorkerKey, reason: LossReason, now: TimePoint) {
-        let runs: Vec<_> = self.workers[key].runs.keys().copied().collect();
+    /// Releases the runs of a worker that have ended without a report, which are those for which
+    /// `has_ended` is true.
+    pub(super) fn lose_runs(
+        &mut self,
+        key: WorkerKey,
+        reason: LossReason,
+        has_ended: impl Fn(&RunEntry) -> bool,
+        now: TimePoint,
+    ) {
+        let mut runs: Vec<_> = self.workers[key].runs.keys().copied().collect();
+        runs.retain(|&(task, run)| self.run(task, run, key).is_none_or(&has_ended));
         for &(task, run) in &runs {
             self.note_loss(task, run, key, (reason, runs.len()), now);
             self.release(task, run, key);
--- a/crates/core/src/jobs/lost_run.rs
+++ b/crates/core/src/jobs/lost_run.rs
@@ -8,7 +8,7 @@
 /// The variant names are label values of the metric `sesamedeal_lost_runs_total`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LossReason {
-    /// The worker answers with another boot, or at another address.
+    /// The worker was started again after a list showed the run.
     Restarted,
     /// Another worker was started on the instance of the worker.
     Replaced,
--- a/crates/core/src/jobs/run_entry.rs
+++ b/crates/core/src/jobs/run_entry.rs
@@ -38,6 +38,8 @@
     pub since: TimePoint,
     /// Whether the worker has confirmed the run, by its answer or in a list.
     pub is_confirmed: bool,
+    /// Start of the worker in whose list of runs this one last appeared; none before that.
+    pub listed_boot: Option<u64>,
     /// Time for which the worker is known to have run the task.
     pub run_time: Duration,
     /// Progress as last reported, in percent.
@@ -60,6 +62,7 @@
             state: RunState::Ordered,
             since: now,
             is_confirmed: false,
+            listed_boot: None,
             run_time: Duration::ZERO,
             percent: 0.0,
             progressed: now,
--- a/crates/core/src/jobs/worker_entry.rs
+++ b/crates/core/src/jobs/worker_entry.rs
@@ -1,8 +1,14 @@
 use std::collections::{HashMap, VecDeque};
 
+use compact_str::CompactString;
+
 use super::{HealthRecord, JobId, ResourceAmount, TaskName, WorkerReport, WorkerState};
 use crate::time::TimePoint;
 
+/// Maximum number of ended boots that are remembered per worker. The list is behind by a few restarts
+/// at most.
+const MAX_ENDED_BOOTS: usize = 8;
+
 slotmap::new_key_type! {
     /// Key of a worker in the dispatcher.
     pub struct WorkerKey;
@@ -15,8 +21,13 @@
     pub report: WorkerReport,
     /// Whether the platform's list still contains the worker.
     pub is_listed: bool,
-    /// Boot of the worker at its last answer; none before its first answer in this epoch.
+    /// Boot of the worker at its last answer; none before its first answer in this epoch, and
+    /// after the list showed a restart.
     pub boot: Option<u64>,
+    /// Until when the capacity in an entry of another boot is relied on.
+    pub entry_limit: TimePoint,
+    /// Boots of the worker that have ended. The list may show them again.
+    ended_boots: VecDeque<u64>,
     /// Whether the worker did not answer the last hold call.
     pub is_unresponsive: bool,
     /// Whether the owner has published the worker as unreachable. The worker gets no new tasks
@@ -57,6 +68,8 @@
             report,
             is_listed: true,
             boot: None,
+            entry_limit: TimePoint::ORIGIN,
+            ended_boots: VecDeque::new(),
             is_unresponsive: false,
             is_published: false,
             list_requested: None,
@@ -74,10 +87,64 @@
         }
     }
 
+    /// Whether the boot of a list entry shows a restart that is not known yet. The list may be
+    /// behind the worker's answers, which show a restart as well.
+    pub(crate) fn is_restart(&self, listed: u64) -> bool {
+        listed != self.report.boot
+            && self.boot != Some(listed)
+            && !self.ended_boots.contains(&listed)
+    }
+
+    /// Replaces the list entry.
+    pub(crate) fn set_report(&mut self, report: WorkerReport) {
+        let replaced = std::mem::replace(&mut self.report, report);
+        if replaced.boot != self.report.boot {
+            self.end_boot(replaced.boot);
+        }
+    }
+
+    /// Records the boot that has answered.
+    pub(crate) fn set_boot(&mut self, boot: u64) {
+        if let Some(replaced) = self.boot.replace(boot).filter(|replaced| *replaced != boot) {
+            self.end_boot(replaced);
+        }
+        // The worker itself knows best.
+        self.ended_boots.retain(|ended| *ended != boot);
+    }
+
+    /// Records that the boot that answered last has ended.
+    pub(crate) fn forget_boot(&mut self) {
+        if let Some(boot) = self.boot.take() {
+            self.end_boot(boot);
+        }
+    }
+
+    /// Records that a boot has ended, unless it is the one that answers.
+    fn end_boot(&mut self, boot: u64) {
+        if self.boot == Some(boot) || self.ended_boots.contains(&boot) {
+            return;
+        }
+        if self.ended_boots.len() >= MAX_ENDED_BOOTS {
+            self.ended_boots.pop_front();
+        }
+        self.ended_boots.push_back(boot);
+    }
+
+    /// Whether the list entry is of the boot that answers. A later boot may be of another kind.
+    fn is_entry_current(&self) -> bool {
+        self.boot == Some(self.report.boot)
+    }
+
+    /// Whether the worker is known to have a label.
+    pub(crate) fn has_label(&self, label: &CompactString) -> bool {
+        self.is_entry_current() && self.report.labels.contains(label)
+    }
+
     /// Whether the worker accepts new tasks.
     pub(crate) fn is_usable(&self, now: TimePoint) -> bool {
         self.is_listed
             && self.list_requested.is_some()
+            && (self.is_entry_current() || now < self.entry_limit)
             && !self.is_unresponsive
             && !self.is_published
             && self.report.state == WorkerState::Ready
--- a/crates/core/tests/jobs/capacities.rs
+++ b/crates/core/tests/jobs/capacities.rs
@@ -28,13 +28,20 @@
         let now = self.now;
         if !self.is_store_silent {
             self.list_read = now;
+            let mut is_restart_listed = false;
             let due = self.workers.iter_mut();
             for worker in due.filter(|worker| worker.row_due.is_some_and(|due| due <= now)) {
+                is_restart_listed |= worker.outdated_entry.is_some();
                 worker.row_due = None;
+                worker.outdated_entry = None;
                 worker.report.capacity = worker.capacities[worker.capacities.len() - 1].1;
                 let report = worker.report.clone();
                 worker.key = Some(self.dispatcher.set_worker(report, at(now)).0);
             }
+            if is_restart_listed {
+                // Before the workers answer again.
+                self.plan();
+            }
         }
         let age = Duration::from_millis(now - self.list_read);
         self.dispatcher.note_list_age(age, !self.is_store_silent);
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -32,6 +32,9 @@
 /// Lease that the simulated owner requests from workers.
 pub const LEASE: Duration = Duration::from_millis(4_800);
 
+/// Longest time until the list shows a restart, in milliseconds.
+const MAX_ENTRY_DELAY: u64 = 5_000;
+
 pub struct JobWorld {
     pub now: u64,
     pub epoch: u64,
@@ -114,9 +117,7 @@
 
     pub fn list_workers(&mut self) {
         for worker in self.workers.iter_mut().filter(|worker| worker.is_listed) {
-            let (key, _) = self
-                .dispatcher
-                .set_worker(worker.report.clone(), at(self.now));
+            let (key, _) = self.dispatcher.set_worker(worker.entry(), at(self.now));
             worker.key = Some(key);
         }
         self.list_lost();
@@ -155,7 +156,12 @@
         if is_writing && !self.is_store_silent {
             self.write();
         }
-        let orders = self.dispatcher.plan(at(now), now);
+        self.plan();
+    }
+
+    /// Plans and delivers the orders.
+    pub fn plan(&mut self) {
+        let orders = self.dispatcher.plan(at(self.now), self.now);
         self.crashes
             .abandoned
             .extend(self.dispatcher.take_abandoned_tasks());
@@ -181,13 +187,13 @@
         }
         if self.chance(self.faults.reboots) {
             let index = self.random.random_range(0..self.workers.len());
-            let worker = &mut self.workers[index];
-            worker.report.boot += 1;
-            worker.running.clear();
-            worker.ended.clear();
-            worker.next_end = 1;
-            worker.fence = 0;
-            worker.highest_runs.clear();
+            let entry = self.workers[index].entry();
+            self.restart(index);
+            if self.chance(self.faults.late_entries) {
+                let worker = &mut self.workers[index];
+                worker.outdated_entry = Some(entry);
+                worker.row_due = Some(self.now + self.random.random_range(0..MAX_ENTRY_DELAY));
+            }
             self.list_workers();
         }
         if self.chance(self.faults.crashes) {
@@ -199,6 +205,17 @@
         }
     }
 
+    /// Starts a worker again under its name. It knows nothing of before.
+    pub fn restart(&mut self, index: usize) {
+        let worker = &mut self.workers[index];
+        worker.report.boot += 1;
+        worker.running.clear();
+        worker.ended.clear();
+        worker.next_end = 1;
+        worker.fence = 0;
+        worker.highest_runs.clear();
+    }
+
     /// Replaces the dispatcher by that of a new owner, which loads the stored jobs.
     pub fn take_over(&mut self) {
         self.epoch += 1;
--- a/crates/core/tests/jobs/sim_worker.rs
+++ b/crates/core/tests/jobs/sim_worker.rs
@@ -34,6 +34,8 @@
     pub highest_runs: HashMap<TaskName, u64>,
     /// Capacities that the worker had, with the times from which on, oldest first.
     pub capacities: Vec<(u64, ResourceAmount)>,
+    /// Entry that the list has in place of the worker's newest one.
+    pub outdated_entry: Option<WorkerReport>,
     /// When the worker writes its capacity to the list.
     pub row_due: Option<u64>,
     /// When the worker crashed, until it is back.
@@ -57,6 +59,7 @@
             next_end: 1,
             highest_runs: HashMap::new(),
             capacities: vec![(0, amount(8_000, 16_000))],
+            outdated_entry: None,
             row_due: None,
             crashed: None,
             instance: number,
@@ -88,6 +91,11 @@
         }
     }
 
+    /// Returns the worker's entry in the list.
+    pub fn entry(&self) -> WorkerReport {
+        self.outdated_entry.as_ref().unwrap_or(&self.report).clone()
+    }
+
     pub fn tasks(&self) -> Vec<TaskName> {
         self.running.keys().map(|(task, _)| *task).collect()
     }
--- a/crates/core/tests/jobs/world_faults.rs
+++ b/crates/core/tests/jobs/world_faults.rs
@@ -13,6 +13,8 @@
     pub failures: f64,
     /// Rounds in which a worker restarts under the same name.
     pub reboots: f64,
+    /// Share of the restarts that the list shows late.
+    pub late_entries: f64,
     /// Rounds in which a worker crashes. It returns after some seconds.
     pub crashes: f64,
     /// Share of the crashed workers that return under their old name.
