Acknowledge run ends only to the start that numbered them

Change: a batch names the boot with the number, and only that boot's ends count as stored. Before: worker_restart::stored_ends failed (left: 2, right: 0). After: passes. Conclusion: numbers of ends are compared within one start of a worker.

--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -24,7 +24,7 @@
 use slotmap::SlotMap;
 
 pub use abandoned_tasks::AbandonedTask;
-pub use records::RecordBatch;
+pub use records::{CoveredEnd, RecordBatch};
 
 use super::crash_history::CrashHistory;
 use super::estimate_ratio::EstimateRatio;
--- a/crates/core/src/jobs/dispatcher/records.rs
+++ b/crates/core/src/jobs/dispatcher/records.rs
@@ -13,8 +13,17 @@
 pub struct RecordBatch {
     /// Records of the jobs that have changed.
     pub records: Vec<(JobId, JobRecord)>,
-    /// Highest number of a run end of each worker that the stored records cover with this batch.
-    pub ends: Vec<(WorkerKey, u64)>,
+    /// Last end of each worker that the stored records cover with this batch.
+    pub ends: Vec<CoveredEnd>,
+}
+
+/// Last end of a worker that the stored records cover.
+#[derive(Debug, Clone, Copy)]
+pub struct CoveredEnd {
+    worker: WorkerKey,
+    /// Boot that numbered the end. Each one counts from 1.
+    boot: Option<u64>,
+    number: u64,
 }
 
 impl JobDispatcher {
@@ -58,8 +67,12 @@
         for (key, entry) in &self.workers {
             let covered = entry.unstored_ends.iter();
             let covered = covered.take_while(|(_, job)| !self.dirty.contains(job));
-            if let Some((end, _)) = covered.last() {
-                batch.ends.push((key, *end));
+            if let Some(&(number, _)) = covered.last() {
+                batch.ends.push(CoveredEnd {
+                    worker: key,
+                    boot: entry.boot,
+                    number,
+                });
             }
         }
         batch
@@ -80,10 +93,10 @@
 
     /// Marks a batch as stored. Removes jobs that have ended and have no runs left.
     pub fn note_stored(&mut self, batch: &RecordBatch, now: TimePoint) {
-        for &(key, end) in &batch.ends {
-            if let Some(entry) = self.workers.get_mut(key) {
-                // A worker that was restarted numbers its ends from 1 again.
-                entry.stored_end = entry.stored_end.max(end.min(entry.processed_end));
+        for end in &batch.ends {
+            let worker = self.workers.get_mut(end.worker);
+            if let Some(entry) = worker.filter(|entry| entry.boot == end.boot) {
+                entry.stored_end = entry.stored_end.max(end.number);
                 let stored = entry.stored_end;
                 while entry
                     .unstored_ends
--- a/crates/core/tests/worker_restart.rs
+++ b/crates/core/tests/worker_restart.rs
@@ -3,7 +3,7 @@
 
 mod jobs;
 
-use jobs::{JobWorld, WorldFaults, job, step};
+use jobs::{JobWorld, WorldFaults, at, job, step};
 use sesamedeal_core::jobs::{JobPhase, WorkerReport};
 
 /// Rounds in 3 s. Tasks that have run for less are held back when their worker crashes.
@@ -210,3 +210,25 @@
         }
     }
 }
+
+/// Guards against ends that a worker forgets before they are stored, because a write with ends of its
+/// previous start was still under way.
+#[test]
+fn stored_ends() {
+    let mut world = JobWorld::new(1, 3);
+    world.submit(1, job(vec![step(4, 1_000)]));
+    for _ in 0..40 {
+        world.round_without_write();
+    }
+    let batch = world.dispatcher.take_records(72, world.now);
+    world.restart(0);
+    world.list_workers();
+    world.submit(2, job(vec![step(2, 1_000)]));
+    for _ in 0..40 {
+        world.round_without_write();
+    }
+    let key = world.workers[0].key.unwrap();
+    assert_eq!(world.dispatcher.processed_end(key), 2);
+    world.dispatcher.note_stored(&batch, at(world.now));
+    assert_eq!(world.dispatcher.stored_end(key), 0);
+}
