Reserve workers only for tasks that can run there, and for a time

Cause: each lasting step that found no room reserved the suitable worker with the most room, without an end and without asking whether the worker can ever have room. Log: 'pool load' usable 4, reserved 4, waiting tasks 28, to the end of the case. Change: a worker is reserved if its batch tasks leave enough room when they end, the policy service does not deny it, and the team's limit allows the task. Shorter tasks start there until it is expected to have room. Suspects that start alone reserve by the same rules. Before: worker_reservations::small_jobs, long_task, denied_workers, team_limit and crashed_tasks failed. Conclusion: a reservation is a bounded bet on room that is about to come.

--- a/crates/core/src/jobs/dispatcher/advice.rs
+++ b/crates/core/src/jobs/dispatcher/advice.rs
@@ -117,6 +117,12 @@
         self.tickets.get(&step)?.ticket(key, now).cloned()
     }
 
+    /// Whether the policy service does not allow the step on a worker.
+    pub(super) fn is_denied(&self, step: StepName, key: WorkerKey) -> bool {
+        let cache = self.tickets.get(&step);
+        cache.is_some_and(|cache| cache.is_denied(key))
+    }
+
     /// Drops the tickets of jobs that the dispatcher no longer has.
     pub(super) fn drop_stale_tickets(&mut self) {
         let jobs = &self.jobs;
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -9,6 +9,7 @@
 mod records;
 mod relocation;
 mod replacement;
+mod reservations;
 mod run_ends;
 mod runs;
 mod speculative_copies;
@@ -71,8 +72,7 @@
     estimate_ratios: HashMap<PoolName, EstimateRatio>,
     team_usage: HashMap<TeamName, ResourceAmount>,
     tickets: HashMap<StepName, TicketCache>,
-    /// Workers that the last round kept free for a waiting task.
-    reserved_workers: HashSet<WorkerKey>,
+    reservations: reservations::ReservationTable,
     /// Jobs whose end is stored. A read of the job table that overlaps with the end of a job may
     /// still return the job as open.
     ended_jobs: HashSet<JobId>,
@@ -113,7 +113,7 @@
             estimate_ratios: HashMap::new(),
             team_usage: HashMap::new(),
             tickets: HashMap::new(),
-            reserved_workers: HashSet::new(),
+            reservations: reservations::ReservationTable::default(),
             ended_jobs: HashSet::new(),
             expiry_queue: VecDeque::new(),
             dirty: RecordQueue::default(),
--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -13,7 +13,7 @@
 
 impl JobDispatcher {
     pub(super) fn place_waiting(&mut self, now: TimePoint) {
-        self.reserved_workers.clear();
+        self.reservations.start_round();
         if self.is_list_outdated {
             return;
         }
@@ -30,25 +30,26 @@
             let job = &self.jobs[&step.name.job];
             let spec = job.order.steps[usize::from(step.name.step)].clone();
             let team = job.order.team.clone();
+            let open = self.open_workers(&spec, &step.pool, workers, now);
             if step.is_suspect {
-                self.place_suspects(&step, &spec, team.as_ref(), workers, now);
+                self.place_suspects(&step, &spec, team.as_ref(), &open, now);
+                workers.retain(|&key| !self.is_isolated(key));
                 continue;
             }
             if spec.is_gang {
-                self.place_gang(&step, &spec, team.as_ref(), workers, now);
+                self.place_gang(&step, &spec, team.as_ref(), &open, now);
                 continue;
             }
             for &index in &step.indexes {
                 let task = step.name.task(index);
                 if step.is_copy {
-                    let others = self.other_workers(task, workers);
+                    let others = self.other_workers(task, &open);
                     self.place_task(task, &spec, team.as_ref(), &others, now);
                     continue;
                 }
-                if !self.place_task(task, &spec, team.as_ref(), workers, now) {
-                    let is_allowed = self.is_within_limit(team.as_ref(), spec.amount);
-                    if spec.is_lasting && is_allowed {
-                        self.reserve_worker(step.name, &spec, workers);
+                if !self.place_task(task, &spec, team.as_ref(), &open, now) {
+                    if spec.is_lasting {
+                        self.reserve_worker(task, &spec, team.as_ref(), workers, now);
                     }
                     break;
                 }
@@ -65,21 +66,6 @@
             .collect()
     }
 
-    /// Reserves the suitable worker with the most free processor capacity, which is likely to have
-    /// room first, by removing it from `workers`. Without the reservation, small tasks could starve
-    /// a large one.
-    fn reserve_worker(&mut self, step: StepName, spec: &StepSpec, workers: &mut Vec<WorkerKey>) {
-        let suitable = workers.iter().copied().filter(|&key| {
-            let entry = &self.workers[key];
-            self.is_suitable(step, spec, key) && spec.worker_amount().fits(entry.report.capacity)
-        });
-        let reserved = suitable.max_by_key(|&key| self.workers[key].room().cpu_millis);
-        if let Some(reserved) = reserved {
-            workers.retain(|&key| key != reserved);
-            self.reserved_workers.insert(reserved);
-        }
-    }
-
     pub(super) fn usable_workers(&self, now: TimePoint) -> HashMap<PoolName, Vec<WorkerKey>> {
         let mut pools: HashMap<PoolName, Vec<WorkerKey>> = HashMap::new();
         for (key, entry) in &self.workers {
@@ -94,13 +80,24 @@
     /// Whether a team can run `amount` more within its limit. A team without runs is always within
     /// it.
     pub(super) fn is_within_limit(&self, team: Option<&TeamName>, amount: ResourceAmount) -> bool {
+        self.is_within_limit_beside(team, ResourceAmount::default(), amount)
+    }
+
+    /// Whether a team can run `amount` more within its limit once it runs `reserved` more.
+    pub(super) fn is_within_limit_beside(
+        &self,
+        team: Option<&TeamName>,
+        reserved: ResourceAmount,
+        amount: ResourceAmount,
+    ) -> bool {
         let Some(team) = team else {
             return true;
         };
         let Some(rule) = self.rules.teams.get(team) else {
             return false;
         };
-        let used = self.team_usage.get(team).copied().unwrap_or_default();
+        let mut used = self.team_usage.get(team).copied().unwrap_or_default();
+        used += reserved;
         let within = |used: u64, more: u64, limit: u64| limit == 0 || used + more <= limit;
         let limit = rule.limit;
         used.is_zero()
--- a/crates/core/src/jobs/dispatcher/pool_loads.rs
+++ b/crates/core/src/jobs/dispatcher/pool_loads.rs
@@ -64,7 +64,7 @@
             let load = loads.entry(entry.report.pool.clone()).or_default();
             load.workers += 1;
             load.usable += usize::from(entry.is_usable(now));
-            load.reserved += usize::from(self.reserved_workers.contains(&key));
+            load.reserved += usize::from(self.reservations.contains(key));
             load.capacity = load
                 .capacity
                 .saturating_add(entry.report.capacity.cpu_millis);
--- a/crates/core/src/jobs/dispatcher/speculative_copies.rs
+++ b/crates/core/src/jobs/dispatcher/speculative_copies.rs
@@ -48,8 +48,7 @@
     /// Returns the expected run time of a step's tasks, or `None` if the step allows no copies.
     ///
     /// This is the median over the ended runs and the projected times of the current runs. With too
-    /// few of them, it is the declared estimate, corrected by the ratio of actual to estimated run
-    /// times in the pool.
+    /// few of them, it is [`Self::estimated_time`].
     pub(super) fn expected_run_time(
         &self,
         step: &StepEntry,
@@ -66,13 +65,19 @@
             run_times.sort_unstable();
             return Some(run_times[run_times.len() / 2]);
         }
+        Some(self.estimated_time(spec, pool))
+    }
+
+    /// Returns the declared run time of a step's tasks, corrected by the ratio of actual to estimated
+    /// run times in the pool.
+    pub(super) fn estimated_time(&self, spec: &StepSpec, pool: &PoolName) -> Duration {
         let ratio = self.estimate_ratios.get(pool);
-        Some(ratio.map_or(spec.estimate, |ratio| ratio.apply_to_time(spec.estimate)))
+        ratio.map_or(spec.estimate, |ratio| ratio.apply_to_time(spec.estimate))
     }
 }
 
 /// Projects the total time of a run from its progress; `None` while there is too little progress.
-fn projected_time(run: &RunEntry) -> Option<Duration> {
+pub(super) fn projected_time(run: &RunEntry) -> Option<Duration> {
     let has_progress = run.state == RunState::Running && run.percent >= MIN_PERCENT;
     let spent = run.progressed.since(run.since);
     has_progress.then(|| spent.mul_f64(100.0 / run.percent))
--- a/crates/core/src/jobs/dispatcher/suspect_starts.rs
+++ b/crates/core/src/jobs/dispatcher/suspect_starts.rs
@@ -79,9 +79,10 @@
         step: &WaitingStep,
         spec: &StepSpec,
         team: Option<&TeamName>,
-        workers: &mut Vec<WorkerKey>,
+        workers: &[WorkerKey],
         now: TimePoint,
     ) {
+        let mut workers = workers.to_vec();
         let groups: Vec<Vec<u16>> = if spec.is_gang {
             vec![step.indexes.clone()]
         } else {
@@ -91,7 +92,7 @@
             let tasks: Vec<TaskName> = group.iter().map(|&index| step.name.task(index)).collect();
             let crashes = tasks.iter().map(|task| self.startup_crashes(*task));
             let is_alone = crashes.max().unwrap_or(0) >= ISOLATED_CRASHES;
-            let others = self.other_workers(tasks[0], workers);
+            let others = self.other_workers(tasks[0], &workers);
             let candidates = self.trial_workers(step.name, spec, &tasks, &others);
             let quiet: Vec<WorkerKey> = candidates
                 .iter()
@@ -105,15 +106,12 @@
             };
             if is_placed {
                 workers.retain(|&key| !self.is_isolated(key));
-            } else if is_alone && self.is_within_limit(team, spec.amount) {
-                let reserved = if spec.is_gang {
-                    candidates.len().div_ceil(2)
-                } else {
-                    1
-                };
-                let reserved = &candidates[..reserved.min(candidates.len())];
-                workers.retain(|key| !reserved.contains(key));
-                self.reserved_workers.extend(reserved);
+            } else if is_alone {
+                // The other half is left to other tasks.
+                for &task in tasks.iter().take(candidates.len().div_ceil(2)) {
+                    self.reserve_worker(task, spec, team, &candidates, now);
+                }
+                workers.retain(|&key| !self.reservations.contains(key));
             }
         }
     }
--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -22,6 +22,7 @@
 mod pool_history;
 mod pool_load;
 mod record_queue;
+mod reserved_worker;
 mod resource_amount;
 mod retry_delay;
 mod run_entry;
@@ -57,6 +58,7 @@
 };
 pub use pace_control::pace_percent;
 pub use pool_load::PoolLoad;
+pub use reserved_worker::ReservedWorker;
 pub use resource_amount::ResourceAmount;
 pub use retry_delay::retry_delay;
 pub use scaling_planner::{FleetSize, PoolState, ScalingPlanner};
--- a/crates/core/src/jobs/ticket_cache.rs
+++ b/crates/core/src/jobs/ticket_cache.rs
@@ -41,9 +41,14 @@
         (now < *until).then_some(ticket)
     }
 
+    /// Whether a worker may not run the step.
+    pub(crate) fn is_denied(&self, key: WorkerKey) -> bool {
+        self.denied.contains(&key)
+    }
+
     /// Whether a worker has neither a valid ticket nor a denial.
     pub(crate) fn needs_request(&self, key: WorkerKey, now: TimePoint) -> bool {
-        !self.denied.contains(&key) && self.ticket(key, now).is_none()
+        !self.is_denied(key) && self.ticket(key, now).is_none()
     }
 
     /// Forgets what is known about a worker that was started again. A ticket is valid for one life of
--- /dev/null
+++ b/crates/core/tests/worker_reservations.rs
@@ -0,0 +1,191 @@
+//! Workers that are kept free for tasks which find no room.
+
+mod jobs;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use jobs::{JobWorld, amount, at, job, rules, step};
+use sesamedeal_core::ids::{PoolName, QueueName};
+use sesamedeal_core::jobs::{JobId, JobOrder, JobPhase, ResourceAmount, StepName, TaskName};
+
+/// Rounds in 3 s, the time for which a job may wait beside free capacity.
+const MAX_WAIT: usize = 60;
+
+fn lasting(count: u16, cpu_millis: u64) -> JobOrder {
+    let mut spec = step(count, cpu_millis);
+    spec.is_lasting = true;
+    spec.max_per_worker = Some(1);
+    job(vec![spec])
+}
+
+/// A world in which each worker has a task that does not end.
+fn occupied_world(workers: u16) -> JobWorld {
+    let mut world = JobWorld::new(usize::from(workers), 5);
+    world.submit(1_000, lasting(workers, 1_000));
+    world.run(10);
+    assert_eq!(world.starts, usize::from(workers));
+    world
+}
+
+/// Submits small jobs and checks that they go on.
+fn assert_small_jobs_run(world: &mut JobWorld) {
+    let ids: Vec<JobId> = (500..506)
+        .map(|id| world.submit(id, job(vec![step(4, 1_000)])))
+        .collect();
+    world.run(MAX_WAIT);
+    for id in ids {
+        assert_eq!(world.phase(id), JobPhase::Finished, "job {id}");
+    }
+}
+
+fn reserved(world: &JobWorld) -> usize {
+    let loads = world.dispatcher.pool_loads(at(world.now));
+    loads[&PoolName::new("pool")].reserved
+}
+
+fn first_task(job: JobId) -> TaskName {
+    let step = StepName {
+        job,
+        occurrence: 0,
+        step: 0,
+    };
+    step.task(0)
+}
+
+/// Whether the first task of a job is at work.
+fn is_running(world: &JobWorld, id: JobId) -> bool {
+    let task = first_task(id);
+    world
+        .workers
+        .iter()
+        .any(|worker| worker.tasks().contains(&task))
+}
+
+/// Submits small jobs that fill all workers for `rounds` rounds, and returns whether `large` starts
+/// meanwhile.
+fn starts_beside_stream(world: &mut JobWorld, large: JobId, rounds: u64) -> bool {
+    for round in 0..rounds {
+        if round % 4 == 0 {
+            world.submit(10_000 + round, job(vec![step(8, 1_000)]));
+        }
+        world.round();
+        if is_running(world, large) {
+            return true;
+        }
+    }
+    false
+}
+
+/// Guards against small jobs that never start because each worker is kept free for a large task that
+/// can never run there.
+#[test]
+fn small_jobs() {
+    let mut world = occupied_world(4);
+    for id in 0..4 {
+        world.submit(id, lasting(1, 8_000));
+    }
+    world.run(10);
+    assert_small_jobs_run(&mut world);
+    assert_eq!(reserved(&world), 0);
+}
+
+/// Guards against a large task that never starts because small ones take the room as it comes free.
+#[test]
+fn large_task() {
+    let mut world = JobWorld::new(1, 5);
+    assert!(!starts_beside_stream(&mut world, JobId(1), 40));
+    world.submit(1, lasting(1, 8_000));
+    assert!(starts_beside_stream(&mut world, JobId(1), 100));
+}
+
+/// Guards against a large task that waits for a worker which can never become empty, while another
+/// one can.
+#[test]
+fn suitable_worker() {
+    let mut world = JobWorld::new(3, 5);
+    world.submit(1_000, lasting(2, 1_000));
+    world.run(10);
+    assert!(!starts_beside_stream(&mut world, JobId(1), 40));
+    world.submit(1, lasting(1, 8_000));
+    assert!(starts_beside_stream(&mut world, JobId(1), 100));
+}
+
+/// Guards against small jobs that wait while a worker is kept free which a long task still uses, and
+/// against a large task that does not start when this one ends.
+#[test]
+fn long_task() {
+    let mut world = JobWorld::new(1, 5);
+    let mut spec = step(1, 1_000);
+    spec.allows_copies = false;
+    world.submit(1_000, job(vec![spec]));
+    world.run(3);
+    let end = world.now + 20_000;
+    for run in world.workers[0].running.values_mut() {
+        run.ends = end;
+    }
+    world.submit(1, lasting(1, 8_000));
+    world.run(100);
+    assert_small_jobs_run(&mut world);
+    let left = (end - world.now) / 50;
+    starts_beside_stream(&mut world, JobId(1), left);
+    assert!(starts_beside_stream(&mut world, JobId(1), 100));
+}
+
+/// Guards against workers that are kept free for more tasks than the limit of their team allows.
+#[test]
+fn team_limit() {
+    let mut world = JobWorld::with_rules(4, 5, rules(amount(12_000, 0)));
+    let mut spec = step(4, 1_000);
+    spec.max_per_worker = Some(1);
+    world.submit(1_000, job(vec![spec]));
+    world.run(2);
+    for id in 0..4 {
+        world.submit(id, lasting(1, 8_000));
+    }
+    world.run(1);
+    assert!(
+        reserved(&world) <= 1,
+        "{} workers reserved",
+        reserved(&world)
+    );
+}
+
+/// Guards against workers that are kept free for a step which the policy service does not allow on
+/// them.
+#[test]
+fn denied_workers() {
+    let mut rules = Arc::unwrap_or_clone(rules(ResourceAmount::default()));
+    let mut queue = rules.queues[&QueueName::new("queue")].clone();
+    queue.needs_ticket = true;
+    rules.queues.insert(QueueName::new("advised"), queue);
+    let mut world = JobWorld::with_rules(2, 5, Arc::new(rules));
+    world.run(2);
+    for id in 0..2 {
+        let mut order = lasting(1, 1_000);
+        order.queue = QueueName::new("advised");
+        world.submit(id, order);
+    }
+    world.run(1);
+    let now = at(world.now);
+    for request in world.dispatcher.take_advice_requests(now) {
+        let answer = HashMap::new();
+        let answer = Some((&answer, std::time::Duration::from_secs(3)));
+        world.dispatcher.note_advice(&request, answer, now, now);
+    }
+    assert_small_jobs_run(&mut world);
+}
+
+/// Guards against workers that are kept free without an end for tasks that crashed workers and have
+/// no room to start alone.
+#[test]
+fn crashed_tasks() {
+    let mut world = JobWorld::new(4, 5);
+    let id = world.submit(1, lasting(4, 8_000));
+    let step = first_task(id).step;
+    (0..4).for_each(|index| world.make_deadly(step.task(index)));
+    world.run(80);
+    world.submit(1_000, lasting(4, 1_000));
+    world.run(160);
+    assert_small_jobs_run(&mut world);
+}
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -163,6 +163,7 @@
                 self.send_order(order, now);
             }
             self.log_losses();
+            self.log_reservations();
             self.log_abandoned_tasks();
             self.request_advice(now);
             self.send_holds(now);
@@ -185,6 +186,13 @@
         }
     }
 
+    /// Logs the workers that have been kept free for a task since the last round.
+    fn log_reservations(&mut self) {
+        for entry in self.dispatcher.take_reservations() {
+            info!(self.parts.logger, "worker reserved"; "task" => %entry.task, "worker" => %entry.worker, "wait_ms" => entry.wait.as_millis() as u64, "has_lapsed" => entry.has_lapsed);
+        }
+    }
+
     /// Logs and counts the tasks that were given up since the last round.
     fn log_abandoned_tasks(&mut self) {
         self.parts.metrics.set_suspects(self.dispatcher.suspects());
