Drop planned starts on workers of another pool

Change: each round drops plans whose worker is gone or not in the pool of the queue. Before: worker_reservations::moved_queue failed (left: 2, right: 3 starts). After: passes. Conclusion: a plan holds while its step waits for that pool.

--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -17,6 +17,7 @@
         if self.is_list_outdated {
             return;
         }
+        self.drop_stale_plans();
         let mut pools = self.usable_workers(now);
         for workers in pools.values_mut() {
             workers.retain(|&key| !self.is_isolated(key));
--- a/crates/core/src/jobs/dispatcher/suspect_starts.rs
+++ b/crates/core/src/jobs/dispatcher/suspect_starts.rs
@@ -38,6 +38,26 @@
         groups.filter(|(indexes, _)| !indexes.is_empty()).collect()
     }
 
+    /// Drops the planned starts on workers that are gone or not in the pool of the task's queue.
+    pub(super) fn drop_stale_plans(&mut self) {
+        let planned = self.suspects.iter().filter_map(|(task, history)| {
+            let key = history.planned_worker?;
+            (!self.is_in_pool(*task, key)).then_some(*task)
+        });
+        let stale: Vec<TaskName> = planned.collect();
+        for task in stale {
+            if let Some(history) = self.suspects.get_mut(&task) {
+                history.planned_worker = None;
+            }
+        }
+    }
+
+    fn is_in_pool(&self, task: TaskName, key: WorkerKey) -> bool {
+        let job = self.jobs.get(&task.step.job);
+        let pool = job.and_then(|job| self.pool_of(&job.order.queue));
+        pool.is_some() && pool == self.workers.get(key).map(|entry| &entry.report.pool)
+    }
+
     /// Whether a task that must start alone is starting on a worker, or is about to.
     pub(super) fn is_isolated(&self, key: WorkerKey) -> bool {
         let mut suspects = self.suspects.iter();
--- a/crates/core/tests/worker_reservations.rs
+++ b/crates/core/tests/worker_reservations.rs
@@ -189,3 +189,33 @@
     world.run(160);
     assert_small_jobs_run(&mut world);
 }
+
+/// Guards against a worker that is kept free for good, and against a start in the wrong pool, after a
+/// queue moved while the start of a suspect on the worker was being stored.
+#[test]
+fn moved_queue() {
+    let mut before = Arc::unwrap_or_clone(rules(ResourceAmount::default()));
+    let queue = before.queues[&QueueName::new("queue")].clone();
+    before.queues.insert(QueueName::new("second"), queue);
+    let mut after = before.clone();
+    let moved = after.queues.get_mut(&QueueName::new("queue")).unwrap();
+    moved.pool = PoolName::new("other");
+    let mut world = JobWorld::with_rules(1, 5, Arc::new(before));
+    let id = world.submit(1, job(vec![step(1, 1_000)]));
+    world.make_deadly(first_task(id));
+    while world.crashes.count(first_task(id)) < 2 {
+        world.round();
+    }
+    world.run(64);
+    for _ in 0..10 {
+        world.round_without_write();
+    }
+    let starts = world.starts;
+    world.dispatcher.set_rules(Arc::new(after));
+    let mut order = job(vec![step(1, 1_000)]);
+    order.queue = QueueName::new("second");
+    let second = world.submit(2, order);
+    world.run(40);
+    assert_eq!(world.starts, starts + 1);
+    assert_eq!(world.phase(second), JobPhase::Finished);
+}
