Wait for the entries of workers after an outage

Cause: the age of the list was that of its last read. A new owner knew nothing of the outage. Change: after an outage, a start relies on a capacity if the worker has renewed its entry since, or has had 1.8 s to do so. Outages in series count as one. A new owner asks its process for the last outage. 'pool load' shows the number of outdated entries. Conclusion: what counts is the age of the entry, not that of the list.

--- a/crates/core/src/jobs/dispatch_policy.rs
+++ b/crates/core/src/jobs/dispatch_policy.rs
@@ -37,6 +37,9 @@
     /// counts 4.5 s after the change; the worker writes it within 1.5 s, and a start order takes up
     /// to 0.9 s. Also the time for which an entry of an earlier start of a worker is relied on.
     pub max_capacity_age: Duration,
+    /// Longest interval at which a worker writes its entry, and the time that the list takes to show
+    /// it.
+    pub entry_interval: Duration,
     /// Minimum interval between two pace orders for the same task.
     pub min_pace_interval: Duration,
     /// How far ahead the demand of a pool is forecast: the time from a decision to move an instance
@@ -62,6 +65,7 @@
             takeover_pause: Duration::from_secs(2),
             max_list_age: Duration::from_millis(1_100),
             max_capacity_age: Duration::from_millis(2_100),
+            entry_interval: Duration::from_millis(1_800),
             min_pace_interval: Duration::from_millis(400),
             forecast_horizon: Duration::from_millis(1_800),
             ended_retention: Duration::from_secs(240),
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -3,6 +3,7 @@
 mod demand_forecast;
 mod gangs;
 mod hold_reports;
+mod list_gap;
 mod placement;
 mod planning;
 mod pool_loads;
@@ -61,8 +62,7 @@
     arrival_times: HashMap<JobId, TimePoint>,
     workers: SlotMap<WorkerKey, WorkerEntry>,
     keys_by_name: HashMap<InstanceName, WorkerKey>,
-    /// Whether the list of workers is too old to rely on their capacities.
-    is_list_outdated: bool,
+    list_age: list_gap::ListAge,
     /// Newest worker of each instance.
     keys_by_instance: HashMap<InstanceName, WorkerKey>,
     /// Workers that have been up since the inventory was first read under this epoch, with their
@@ -106,7 +106,7 @@
             arrival_times: HashMap::new(),
             workers: SlotMap::with_key(),
             keys_by_name: HashMap::new(),
-            is_list_outdated: false,
+            list_age: list_gap::ListAge::default(),
             keys_by_instance: HashMap::new(),
             inherited_workers: None,
             recent_arrivals: VecDeque::new(),
@@ -229,15 +229,6 @@
         (key, true)
     }
 
-    /// Records the age of the list of workers, and whether the owner can write to the store.
-    ///
-    /// Nothing starts while the store is away and the list is older than
-    /// [`DispatchPolicy::max_capacity_age`]. If only the list cannot be read, which may last, its
-    /// last state is used.
-    pub fn note_list_age(&mut self, age: Duration, is_store_writable: bool) {
-        self.is_list_outdated = !is_store_writable && age > self.policy.max_capacity_age;
-    }
-
     /// Marks a worker as no longer in the platform's list. Its runs stay allocated until they are
     /// resolved or their lease has expired.
     pub fn unlist_worker(&mut self, name: &InstanceName) -> Option<WorkerKey> {
--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -14,13 +14,10 @@
 impl JobDispatcher {
     pub(super) fn place_waiting(&mut self, now: TimePoint) {
         self.reservations.start_round();
-        if self.is_list_outdated {
-            return;
-        }
         self.drop_stale_plans();
         let mut pools = self.usable_workers(now);
         for workers in pools.values_mut() {
-            workers.retain(|&key| !self.is_isolated(key));
+            workers.retain(|&key| self.is_capacity_current(key, now) && !self.is_isolated(key));
         }
         let mut waiting = self.waiting_steps(now);
         waiting.sort_by_key(|step| (step.key, step.name));
--- a/crates/core/src/jobs/dispatcher/pool_loads.rs
+++ b/crates/core/src/jobs/dispatcher/pool_loads.rs
@@ -64,6 +64,7 @@
             let load = loads.entry(entry.report.pool.clone()).or_default();
             load.workers += 1;
             load.usable += usize::from(entry.is_usable(now));
+            load.outdated += usize::from(!self.is_capacity_current(key, now));
             load.reserved += usize::from(self.reservations.contains(key));
             load.capacity = load
                 .capacity
--- a/crates/core/src/jobs/dispatcher/suspect_starts.rs
+++ b/crates/core/src/jobs/dispatcher/suspect_starts.rs
@@ -155,6 +155,7 @@
                 .get(key)
                 .is_some_and(|entry| entry.is_usable(now));
             return is_usable
+                && self.is_capacity_current(key, now)
                 && self.is_quiet(key, is_alone)
                 && self.place_task(task, spec, team, &[key], now);
         }
--- a/crates/core/src/jobs/pool_load.rs
+++ b/crates/core/src/jobs/pool_load.rs
@@ -5,6 +5,9 @@
     pub workers: usize,
     /// Number of listed workers that accept new tasks.
     pub usable: usize,
+    /// Number of workers whose entries are too old, because of an outage, for a start to rely on their
+    /// capacities.
+    pub outdated: usize,
     /// Number of workers that are kept free for a waiting task.
     pub reserved: usize,
     /// CPU of the listed workers, in thousandths of a core.
--- a/crates/core/src/jobs/worker_entry.rs
+++ b/crates/core/src/jobs/worker_entry.rs
@@ -19,6 +19,8 @@
 pub(crate) struct WorkerEntry {
     /// Newest entry in the platform's list.
     pub report: WorkerReport,
+    /// When a change of the entry was last received.
+    pub renewed: TimePoint,
     /// Whether the platform's list still contains the worker.
     pub is_listed: bool,
     /// Boot of the worker at its last answer; none before its first answer in this epoch, and
@@ -66,6 +68,7 @@
     pub(crate) fn new(report: WorkerReport, lease_end: TimePoint) -> Self {
         Self {
             report,
+            renewed: TimePoint::ORIGIN,
             is_listed: true,
             boot: None,
             entry_limit: TimePoint::ORIGIN,
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -38,6 +38,12 @@
         Self(self.0.saturating_add(delay))
     }
 
+    /// The point `time` before this one; zero if there is none.
+    #[must_use]
+    pub const fn before(self, time: Duration) -> Self {
+        Self(self.0.saturating_sub(time))
+    }
+
     /// Time from `earlier` to this point; zero if `earlier` is after this point.
     #[must_use]
     pub const fn since(self, earlier: Self) -> Duration {
--- a/crates/core/tests/jobs/capacities.rs
+++ b/crates/core/tests/jobs/capacities.rs
@@ -26,7 +26,19 @@
     /// Lists the workers whose capacity has changed, unless the store is silent.
     pub(super) fn list_capacities(&mut self) {
         let now = self.now;
-        if !self.is_store_silent {
+        if self.is_store_silent {
+            self.outage = Some((self.list_read, now));
+            // A worker tries again when its next write is due.
+            for due in self
+                .workers
+                .iter_mut()
+                .filter_map(|worker| worker.row_due.as_mut())
+            {
+                if *due <= now {
+                    *due += WRITE_INTERVAL;
+                }
+            }
+        } else {
             self.list_read = now;
             let mut is_restart_listed = false;
             let due = self.workers.iter_mut();
@@ -36,7 +48,9 @@
                 worker.outdated_entry = None;
                 worker.report.capacity = worker.capacities[worker.capacities.len() - 1].1;
                 let report = worker.report.clone();
-                worker.key = Some(self.dispatcher.set_worker(report, at(now)).0);
+                let (key, _) = self.dispatcher.set_worker(report, at(now));
+                self.dispatcher.note_renewal(key, at(now));
+                worker.key = Some(key);
             }
             if is_restart_listed {
                 // Before the workers answer again.
@@ -44,7 +58,8 @@
             }
         }
         let age = Duration::from_millis(now - self.list_read);
-        self.dispatcher.note_list_age(age, !self.is_store_silent);
+        self.dispatcher
+            .note_list_age(age, !self.is_store_silent, at(now));
     }
 
     /// Largest capacity that still counts for a start.
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -52,6 +52,8 @@
     pub crashes: crashes::CrashLog,
     /// Whether the store takes no writes and shows no changes.
     pub is_store_silent: bool,
+    /// Begin and end of the last outage of the store.
+    outage: Option<(u64, u64)>,
     /// When the list of workers was last read.
     list_read: u64,
     /// Unreachable workers in the owner's latest publication.
@@ -80,6 +82,7 @@
             acknowledged_failures: HashMap::new(),
             crashes: crashes::CrashLog::default(),
             is_store_silent: false,
+            outage: None,
             list_read: 10_000,
             published: Vec::new(),
         };
@@ -220,8 +223,12 @@
     pub fn take_over(&mut self) {
         self.epoch += 1;
         let published = self.published.clone();
-        self.dispatcher =
+        let mut next =
             dispatcher(&self.rules, self.epoch, self.now).with_unreachable_workers(published);
+        if let Some((start, end)) = self.outage {
+            next = next.with_outage(at(start), at(end));
+        }
+        self.dispatcher = next;
         for worker in &mut self.workers {
             worker.key = None;
         }
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -208,7 +208,7 @@
         }
         self.last_load_log = now;
         for (pool, load) in self.dispatcher.pool_loads(now) {
-            info!(self.parts.logger, "pool load"; "pool" => %pool, "workers" => load.workers, "usable" => load.usable, "reserved" => load.reserved, "capacity" => load.capacity, "lasting" => load.long_running, "ending" => load.batch, "waiting" => load.waiting, "expected" => load.expected, "waiting_tasks" => load.waiting_tasks);
+            info!(self.parts.logger, "pool load"; "pool" => %pool, "workers" => load.workers, "usable" => load.usable, "outdated" => load.outdated, "reserved" => load.reserved, "capacity" => load.capacity, "lasting" => load.long_running, "ending" => load.batch, "waiting" => load.waiting, "expected" => load.expected, "waiting_tasks" => load.waiting_tasks);
         }
     }
 
--- a/crates/jobs/src/owner/owner_health.rs
+++ b/crates/jobs/src/owner/owner_health.rs
@@ -127,7 +127,7 @@
         };
         self.parts.metrics.set_worker_list_age(age);
         let is_writable = self.parts.lease.is_recent(self.parts.policy.renewal * 2);
-        self.dispatcher.note_list_age(age, is_writable);
+        self.dispatcher.note_list_age(age, is_writable, now);
         // Half of the limit, so that the state does not flap.
         let limit = if self.health.is_list_late {
             LIST_AGE_LIMIT / 2
--- a/crates/jobs/src/owner/ownership.rs
+++ b/crates/jobs/src/owner/ownership.rs
@@ -63,6 +63,9 @@
             .with_takeover_overlap(overlap)
             .with_arrival_overlap(kind.arrival_overlap(&self.policy))
             .with_unreachable_workers(out_of_reach.clone());
+        if let Some((start, end)) = self.health.last_outage() {
+            dispatcher = dispatcher.with_outage(start, end);
+        }
         for (id, at) in ended {
             dispatcher.schedule_expiry(id, at);
         }
--- a/crates/jobs/src/owner/table_intake.rs
+++ b/crates/jobs/src/owner/table_intake.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 
 use sesamedeal_core::ids::InstanceName;
+use sesamedeal_core::jobs::WorkerKey;
 use sesamedeal_core::time::TimePoint;
 use slog::{info, warn};
 
@@ -55,19 +56,22 @@
             if row.is_deleted {
                 self.unlist(&InstanceName::new(&row.key));
             } else {
-                self.update_worker(row, now);
+                let key = self.update_worker(row, now);
+                if let Some(key) = key.filter(|_| !event.is_snapshot) {
+                    self.dispatcher.note_renewal(key, now);
+                }
             }
         }
     }
 
-    pub(super) fn update_worker(&mut self, row: &StoreRow, now: TimePoint) {
+    fn update_worker(&mut self, row: &StoreRow, now: TimePoint) -> Option<WorkerKey> {
         let report = match (self.parts.rows.worker)(row) {
             Ok(report) => report,
             Err(problem) => {
                 warn!(self.parts.logger, "skipped unusable row"; "problem" => %problem, "row" => row.version);
                 // Another writer may have replaced the entry of a worker.
                 self.unlist(&InstanceName::new(&row.key));
-                return;
+                return None;
             }
         };
         info!(self.parts.logger, "worker listed"; "worker" => %report.name, "instance" => report.instance.as_ref().map(ToString::to_string), "pool" => %report.pool, "state" => ?report.state, "boot" => report.boot, "row" => row.version);
@@ -76,6 +80,7 @@
             self.links
                 .open(key, self.parts.policy.max_concurrent_orders, now);
         }
+        Some(key)
     }
 
     pub(super) fn unlist(&mut self, name: &InstanceName) {
--- a/crates/jobs/src/store_health.rs
+++ b/crates/jobs/src/store_health.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use sesamedeal_core::jobs::retry_delay;
+use sesamedeal_core::time::TimePoint;
 use sesamedeal_store::{PlatformError, Result};
 
 use crate::{BootClock, StoreClock};
@@ -26,6 +27,9 @@
     last_failure_ms: Arc<AtomicU64>,
     /// Time of the first of the consecutive failures.
     first_failure_ms: Arc<AtomicU64>,
+    /// First and last failure of the last outage.
+    outage_start_ms: Arc<AtomicU64>,
+    outage_end_ms: Arc<AtomicU64>,
     /// Time at which the last probe was sent.
     last_probe_ms: Arc<AtomicU64>,
     /// Time of the last answer.
@@ -41,9 +45,15 @@
             self.last_answer_ms.store(now_ms(), Ordering::Release);
         } else {
             let now = now_ms();
-            if self.failures.fetch_add(1, Ordering::AcqRel) == 0 {
+            let failures = self.failures.fetch_add(1, Ordering::AcqRel);
+            if failures == 0 {
                 self.first_failure_ms.store(now, Ordering::Release);
             }
+            if failures + 1 >= DOWN_FAILURES {
+                let start = self.first_failure_ms.load(Ordering::Acquire);
+                self.outage_start_ms.store(start, Ordering::Release);
+                self.outage_end_ms.store(now, Ordering::Release);
+            }
             self.last_failure_ms.store(now, Ordering::Release);
         }
     }
@@ -54,6 +64,14 @@
         self.failures.load(Ordering::Acquire) >= DOWN_FAILURES
     }
 
+    /// Begin and end of the last outage that this process has seen; none if there was none.
+    pub(crate) fn last_outage(&self) -> Option<(TimePoint, TimePoint)> {
+        let end = self.outage_end_ms.load(Ordering::Acquire);
+        let first_failure = self.outage_start_ms.load(Ordering::Acquire);
+        let start = TimePoint::with_millis(first_failure).before(PROBE_TIMEOUT);
+        (end > 0).then(|| (start, TimePoint::with_millis(end)))
+    }
+
     /// Whether the store answered a call within the last `time`.
     pub(crate) fn answered_within(&self, time: Duration) -> bool {
         let age = now_ms().saturating_sub(self.last_answer_ms.load(Ordering::Acquire));
