Limit the bytes of a write, not only its rows

Callers saw no job finished any more after an outage of 2 s: each write of each owner had over 2 MB and was refused, with the renewal of the ownership in it. Cause: writes were filled by rows. After an outage all records have changed, and those of scheduled jobs have up to 55 KB. Change: a batch ends with the record that brings it to 550,000 bytes, by an upper bound of their sizes. Before: record_order::large_records failed with 4,113,920 bytes in one batch. Conclusion: what the owner writes at once is bounded by both limits of the store.

--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -26,7 +26,7 @@
 use slotmap::SlotMap;
 
 pub use abandoned_tasks::AbandonedTask;
-pub use records::{CoveredEnd, RecordBatch};
+pub use records::{CoveredEnd, RecordBatch, WriteLimit};
 
 use super::crash_history::CrashHistory;
 use super::estimate_ratio::EstimateRatio;
--- a/crates/core/src/jobs/dispatcher/records.rs
+++ b/crates/core/src/jobs/dispatcher/records.rs
@@ -8,6 +8,15 @@
 /// request to cancel it are deleted.
 const ROWS_PER_END: usize = 3;
 
+/// Room for records in a write.
+#[derive(Debug, Clone, Copy)]
+pub struct WriteLimit {
+    /// Maximum number of rows.
+    pub rows: usize,
+    /// Size of the encoded records, in bytes, from which no further record is added.
+    pub bytes: usize,
+}
+
 /// Records to store in one write, and the run ends that may be acknowledged afterwards.
 #[derive(Debug, Default)]
 pub struct RecordBatch {
@@ -33,20 +42,23 @@
     /// Run ends are acknowledged to workers only after all records that they changed are stored,
     /// since a worker deletes acknowledged ends.
     pub fn take_records(&mut self, rows: usize, unix_ms: u64) -> RecordBatch {
-        self.take_writable_records(rows, unix_ms, |_| true)
+        let bytes = usize::MAX;
+        self.take_writable_records(WriteLimit { rows, bytes }, unix_ms, |_| true)
     }
 
     /// Does the same as [`Self::take_records`], but only for jobs for which `is_writable` is true.
     /// A write fails as a whole if it includes a partition of the store that does not answer.
     pub fn take_writable_records(
         &mut self,
-        rows: usize,
+        limit: WriteLimit,
         unix_ms: u64,
         is_writable: impl Fn(JobId) -> bool,
     ) -> RecordBatch {
         let mut batch = RecordBatch::default();
-        let mut left = rows;
+        let mut left = limit.rows;
+        let mut size: usize = 0;
         while left >= ROWS_PER_END
+            && size < limit.bytes
             && let Some(id) = self.dirty.pop(&is_writable)
         {
             let Some(job) = self.jobs.get_mut(&id) else {
@@ -60,9 +72,9 @@
             } else {
                 1
             };
-            batch
-                .records
-                .extend(self.record(id).map(|record| (id, record)));
+            let record = self.record(id);
+            size += record.as_ref().map_or(0, JobRecord::size_bound);
+            batch.records.extend(record.map(|record| (id, record)));
         }
         for (key, entry) in &self.workers {
             let covered = entry.unstored_ends.iter();
--- a/crates/core/src/jobs/job_record.rs
+++ b/crates/core/src/jobs/job_record.rs
@@ -2,6 +2,15 @@
 
 use super::{JobPhase, TaskCrashes};
 
+/// Upper bound of the encoded size of a number, in bytes.
+const NUMBER_BYTES: usize = 9;
+
+/// Upper bound of the encoded size of a step or of a record without its lists, in bytes.
+const STRUCT_BYTES: usize = 64;
+
+/// Upper bound of the encoded size of a crash, in bytes. It has two names of up to 200 bytes.
+const CRASH_BYTES: usize = 640;
+
 /// Stored task results of a step within one occurrence.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct StepRecord {
@@ -40,6 +49,19 @@
             crashes: Vec::new(),
         }
     }
+
+    /// Upper bound of the size of the encoded record, in bytes.
+    #[must_use]
+    pub fn size_bound(&self) -> usize {
+        let steps = self.steps.iter().map(|step| {
+            let failed = step.failed.iter();
+            let failed = failed.map(|(_, runs)| NUMBER_BYTES * (runs.len() + 2));
+            STRUCT_BYTES + NUMBER_BYTES * step.done.len() + failed.sum::<usize>()
+        });
+        let crashes = self.crashes.iter();
+        let crashes = crashes.map(|entry| CRASH_BYTES * (entry.crashes.len() + 1));
+        STRUCT_BYTES + steps.sum::<usize>() + crashes.sum::<usize>()
+    }
 }
 
 impl Default for JobRecord {
--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -43,7 +43,7 @@
 
 pub use crash_history::{TaskCrashes, WorkerCrash};
 pub use dispatch_policy::DispatchPolicy;
-pub use dispatcher::{AbandonedTask, CoveredEnd, JobDispatcher, RecordBatch};
+pub use dispatcher::{AbandonedTask, CoveredEnd, JobDispatcher, RecordBatch, WriteLimit};
 pub use fleet_rules::{FleetRules, PoolRule, QueueRule, TeamRule};
 pub use health_record::HealthRecord;
 pub use hold_report::{EndKind, HoldReport, RunEnd, RunReport};
--- a/crates/core/tests/record_order.rs
+++ b/crates/core/tests/record_order.rs
@@ -4,8 +4,12 @@
 
 mod jobs;
 
+use std::time::Duration;
+
 use jobs::{JobWorld, at, job, step};
-use sesamedeal_core::jobs::{JobId, JobPhase, RecordBatch};
+use sesamedeal_core::jobs::{
+    JobId, JobPhase, JobRecord, JobSchedule, RecordBatch, StepRecord, WriteLimit,
+};
 
 /// Maximum number of rows in a write.
 const ROWS: usize = 12;
@@ -22,6 +26,33 @@
     world
 }
 
+/// Adds a scheduled job most of whose steps are done.
+fn add_large_job(world: &mut JobWorld, id: JobId) {
+    let (occurrences, steps) = (128, 12);
+    let mut spec = step(1, 10);
+    spec.amount.memory_mb = 0;
+    let mut order = job(vec![spec; steps]);
+    order.schedule = Some(JobSchedule {
+        count: occurrences,
+        start_ms: 0,
+        interval: Duration::ZERO,
+    });
+    let mut record = JobRecord::new();
+    for occurrence in 0..occurrences {
+        for step in 1..12 {
+            record.steps.push(StepRecord {
+                occurrence,
+                step,
+                done: vec![1],
+                failed: Vec::new(),
+            });
+        }
+    }
+    world
+        .dispatcher
+        .add_job(id, order, record, false, at(world.now));
+}
+
 fn ids(batch: &RecordBatch) -> Vec<JobId> {
     batch.records.iter().map(|(id, _)| *id).collect()
 }
@@ -99,10 +130,14 @@
     assert!(world.dispatcher.cancel_job(JobId(39)));
     assert!(world.dispatcher.cancel_job(JobId(38)));
     let mut taken = Vec::new();
+    let limit = WriteLimit {
+        rows: ROWS,
+        bytes: usize::MAX,
+    };
     loop {
         let batch = world
             .dispatcher
-            .take_writable_records(ROWS, world.now, is_writable);
+            .take_writable_records(limit, world.now, is_writable);
         if batch.records.is_empty() {
             break;
         }
@@ -117,3 +152,32 @@
         JobId(39)
     );
 }
+
+/// Guards against writes that the store refuses as too large, so that nothing is stored any more: all
+/// records had changed during an outage, and only rows were counted.
+#[test]
+fn large_records() {
+    let mut world = JobWorld::new(8, 1);
+    world.run(1);
+    for number in 0..40 {
+        add_large_job(&mut world, JobId(number));
+    }
+    world.dispatcher.plan(at(world.now), world.now);
+    let limit = WriteLimit {
+        rows: 72,
+        bytes: 550_000,
+    };
+    let mut batches = Vec::new();
+    while world.dispatcher.has_records() {
+        let now = world.now;
+        let batch = world.dispatcher.take_writable_records(limit, now, |_| true);
+        let sizes = batch.records.iter().map(|(_, record)| record.size_bound());
+        let size: usize = sizes.sum();
+        assert!(size < limit.bytes + 256 * 1_024, "{size} bytes");
+        batches.push(ids(&batch));
+    }
+    let mut taken = batches.concat();
+    taken.sort_unstable();
+    taken.dedup();
+    assert_eq!(taken.len(), 40);
+}
--- a/crates/jobs/src/owner/owner_writes.rs
+++ b/crates/jobs/src/owner/owner_writes.rs
@@ -39,7 +39,7 @@
             return;
         }
         let batch = self.dispatcher.take_writable_records(
-            ROWS_PER_WRITE,
+            self.writer.record_limit(),
             BootClock.unix_ms(),
             &is_writable,
         );
--- a/crates/jobs/src/owner/record_writer.rs
+++ b/crates/jobs/src/owner/record_writer.rs
@@ -1,5 +1,5 @@
 use bytes::Bytes;
-use sesamedeal_core::jobs::{JobId, RecordBatch};
+use sesamedeal_core::jobs::{JobId, RecordBatch, WriteLimit};
 use sesamedeal_core::time::TimePoint;
 
 use super::owner_lease::OwnerLease;
@@ -14,6 +14,11 @@
 /// entries of the store.
 pub(crate) const ROWS_PER_WRITE: usize = 72;
 
+/// Size of the records in one write, in bytes, from which no further one is added. A write stays
+/// below the limit of 1 MB of the store, with a further record of 64 KiB and a heartbeat of that
+/// size, as the store's encoding adds a third.
+const BYTES_PER_WRITE: usize = 550_000;
+
 /// Maximum number of expired records removed in one write.
 pub(crate) const EXPIRED_PER_WRITE: usize = 8;
 
@@ -69,6 +74,15 @@
         !self.queued_rows.is_empty()
     }
 
+    /// Room for records in the next write, beside the queued rows.
+    pub(crate) fn record_limit(&self) -> WriteLimit {
+        let queued = self.queued_rows.iter().map(|entry| entry.value.len());
+        WriteLimit {
+            rows: ROWS_PER_WRITE,
+            bytes: BYTES_PER_WRITE.saturating_sub(queued.sum()),
+        }
+    }
+
     /// Takes the queued rows of the write that has just taken effect.
     pub(crate) fn take_in_flight(&mut self) -> Vec<RowPut> {
         std::mem::take(&mut self.in_flight_rows)
