Keep a run whose start was carried out late

The owner ordered a stop, to learn whether the run exists, and repeated it each 1.2 s, unanswered. The start was carried out late, the task came to work, and the next repetition was obeyed. Change: a stop that only revokes a start without an answer ends when a list shows the run, unless a stop is confirmed. The run is kept then. Any other reason to stop it makes it a stop as before. Conclusion: the precaution no longer ends what it only asked about. An earlier stop that is carried out late still may.

--- a/crates/core/src/jobs/dispatcher/hold_reports.rs
+++ b/crates/core/src/jobs/dispatcher/hold_reports.rs
@@ -82,7 +82,9 @@
         let Some(run) = self.run_mut(report.task, report.run, key) else {
             return;
         };
-        if matches!(run.state, RunState::Ordered | RunState::Unconfirmed { .. }) {
+        let is_new = matches!(run.state, RunState::Ordered | RunState::Unconfirmed { .. });
+        if is_new || run.is_revocation_open() {
+            run.is_revoked = false;
             run.state = RunState::Running;
             run.since = now;
             run.progressed = now;
@@ -140,7 +142,7 @@
                 RunState::Running => entry.since < report.sent,
                 RunState::Unconfirmed { since } => {
                     if since < report.sent {
-                        entry.request_stop();
+                        entry.revoke();
                     }
                     false
                 }
--- a/crates/core/src/jobs/run_entry.rs
+++ b/crates/core/src/jobs/run_entry.rs
@@ -34,6 +34,8 @@
     pub worker: WorkerKey,
     pub run: u64,
     pub state: RunState,
+    /// Whether the run is to be stopped only because its start had no answer.
+    pub is_revoked: bool,
     /// When the run was ordered, confirmed or adopted.
     pub since: TimePoint,
     /// Whether the worker has confirmed the run, by its answer or in a list.
@@ -60,6 +62,7 @@
             worker,
             run,
             state: RunState::Ordered,
+            is_revoked: false,
             since: now,
             is_confirmed: false,
             listed_boot: None,
@@ -82,8 +85,27 @@
         matches!(self.state, RunState::Stopping { .. })
     }
 
+    /// Revokes a start that had no answer. If the run turns out to exist, it is kept.
+    pub(crate) const fn revoke(&mut self) {
+        self.request_stop();
+        self.is_revoked = true;
+    }
+
+    /// Whether a revoked start may still be kept: no stop of it is confirmed.
+    pub(crate) const fn is_revocation_open(&self) -> bool {
+        self.is_revoked
+            && matches!(
+                self.state,
+                RunState::Stopping {
+                    confirmed: None,
+                    ..
+                }
+            )
+    }
+
     /// Marks the run to be stopped. Does nothing if it is already being stopped.
     pub(crate) const fn request_stop(&mut self) {
+        self.is_revoked = false;
         if !self.is_stopping() {
             self.state = RunState::Stopping {
                 sent: None,
--- a/crates/core/tests/job_leases.rs
+++ b/crates/core/tests/job_leases.rs
@@ -2,8 +2,11 @@
 
 mod jobs;
 
-use jobs::{JobWorld, WorldFaults, amount, job, rules, step};
-use sesamedeal_core::jobs::JobPhase;
+use compact_str::CompactString;
+use jobs::{JobWorld, LEASE, WorldFaults, amount, at, job, rules, step};
+use sesamedeal_core::jobs::{
+    HoldReport, JobId, JobPhase, RunReport, StartOrder, StartOutcome, WorkerOrder,
+};
 
 /// Guards against tasks that are never restarted when their worker stops answering: the unanswered
 /// calls kept extending the recorded lease.
@@ -56,3 +59,83 @@
     }
     assert_eq!(world.phase(id), JobPhase::Finished);
 }
+
+/// Answers a hold call of the only worker, which lists the runs of `orders`.
+fn hold(world: &mut JobWorld, orders: &[StartOrder]) {
+    world.now += 100;
+    let running = orders.iter().map(|order| RunReport {
+        task: order.task,
+        run: order.run,
+        saved: CompactString::default(),
+        percent: 100.0,
+        gauge: None,
+    });
+    let now = at(world.now);
+    let worker = &world.workers[0];
+    let report = HoldReport {
+        sent: now,
+        clock_ms: world.now,
+        boot: worker.report.boot,
+        running: running.collect(),
+        ended: Vec::new(),
+    };
+    let key = worker.key.unwrap();
+    world.dispatcher.note_extension(key, LEASE, now);
+    world.dispatcher.note_hold(key, &report, now);
+}
+
+/// Plans for 3 s, without any answer of the worker but its lists, and returns the number of stops.
+fn count_stops(world: &mut JobWorld, orders: &[StartOrder]) -> usize {
+    let rounds = (0..30).map(|_| {
+        hold(world, orders);
+        let planned = world.dispatcher.plan(at(world.now), world.now);
+        let stops = planned.iter();
+        stops
+            .filter(|order| matches!(order, WorkerOrder::Stop(..)))
+            .count()
+    });
+    rounds.sum()
+}
+
+/// A world whose only worker has not answered the start of a lasting task, and the order.
+fn unanswered_world() -> (JobWorld, Vec<StartOrder>) {
+    let mut world = JobWorld::new(1, 1);
+    world.run(2);
+    let mut spec = step(1, 1_000);
+    spec.is_lasting = true;
+    world.submit(1, job(vec![spec]));
+    let now = at(world.now);
+    let planned = world.dispatcher.plan(now, world.now);
+    let starts = planned.into_iter().filter_map(|order| match order {
+        WorkerOrder::Start(_, order) => Some(order),
+        _ => None,
+    });
+    let starts: Vec<StartOrder> = starts.collect();
+    let key = world.workers[0].key.unwrap();
+    for order in &starts {
+        let outcome = StartOutcome::Unknown;
+        world
+            .dispatcher
+            .note_start(key, order.task, order.run, outcome, now);
+    }
+    assert_eq!(starts.len(), 1);
+    assert!(count_stops(&mut world, &[]) > 0, "the start is not revoked");
+    (world, starts)
+}
+
+/// Guards against a task that is stopped although it is at work: its start had no answer and was
+/// carried out late, after the owner had ordered a stop as a precaution.
+#[test]
+fn late_start() {
+    let (mut world, starts) = unanswered_world();
+    assert_eq!(count_stops(&mut world, &starts), 0);
+    assert_eq!(count_stops(&mut world, &starts), 0);
+}
+
+/// Guards against a late start of a cancelled job that goes on.
+#[test]
+fn cancelled_start() {
+    let (mut world, starts) = unanswered_world();
+    assert!(world.dispatcher.cancel_job(JobId(1)));
+    assert!(count_stops(&mut world, &starts) > 0);
+}
