Show a gang as running only once it is placed

Gangs that found room for some members only were shown as running, and the count of waiting jobs left them out: 'pending' said 0 while six jobs had waited for over 5 s. Cause: each member's start marked the job as started; undoing the starts left the mark. Under a later owner the undone start also left a run number, which counts as started. Change: a job is marked when its task or whole gang is placed, and an undone start restores the number. Before: gang_phases::waiting_gang failed (left: Running, right: Queued). After: passes, as does started_gang, the other side, before and after. Conclusion: what is undone leaves no trace.

--- a/crates/core/src/jobs/dispatcher/gangs.rs
+++ b/crates/core/src/jobs/dispatcher/gangs.rs
@@ -61,7 +61,7 @@
         run: u64,
         now: TimePoint,
     ) -> bool {
-        let mut placed: Vec<TaskName> = Vec::new();
+        let mut placed: Vec<(TaskName, u64)> = Vec::new();
         let orders = self.orders.len();
         for &index in &step.indexes {
             let task = step.name.task(index);
@@ -71,25 +71,27 @@
                 .flatten();
             let Some(key) = key else {
                 self.orders.truncate(orders);
-                for task in placed {
-                    self.undo_start(task, run);
+                for (task, last_run) in placed {
+                    self.undo_start(task, run, last_run);
                 }
                 return false;
             };
+            let last_run = self.task(task).map_or(0, |entry| entry.last_run);
             self.start_run(task, run, key, now);
-            placed.push(task);
+            placed.push((task, last_run));
         }
+        self.mark_started(step.name.job);
         true
     }
 
-    /// Undoes a start whose order has not been sent.
-    fn undo_start(&mut self, name: TaskName, run: u64) {
+    /// Undoes a start whose order has not been sent. `last_run` is the task's last run before it.
+    fn undo_start(&mut self, name: TaskName, run: u64, last_run: u64) {
         let runs = self.task(name).map(|task| task.runs.clone());
         for entry in runs.unwrap_or_default() {
             self.release(name, run, entry.worker);
         }
         if let Some(task) = self.task_mut(name) {
-            task.last_run = run - 1;
+            task.last_run = last_run;
         }
     }
 }
--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -121,6 +121,7 @@
         let last = self.task(task).map_or(0, |entry| entry.last_run);
         let run = last.max(self.run_number_base) + 1;
         self.start_run(task, run, key, now);
+        self.mark_started(task.step.job);
         true
     }
 
@@ -189,10 +190,9 @@
         if self.suspects.contains_key(&name) {
             self.dirty.insert(name.step.job, false);
         }
-        self.mark_started(name.step.job);
     }
 
-    fn mark_started(&mut self, id: JobId) {
+    pub(super) fn mark_started(&mut self, id: JobId) {
         if let Some(job) = self.jobs.get_mut(&id)
             && job.phase == crate::jobs::JobPhase::Queued
         {
