Reckon leases on slow clocks in full

A task was started again just before the lease of its cut-off worker ended. Cause: a clock that is 2% slow takes 1/0.98 of a time, not 1.02 times it; and the end of a lease is computed from a reading of the clock that is up to seconds old, by which the clock has fallen behind. Change: both count in the owner's reckoning, also for inherited leases. The test also has the other side: the run is lost 2 ms later. Conclusion: the reckoning is an upper bound of the lease by the stated drift.

--- a/crates/cli/src/measure/pools/pool_world.rs
+++ b/crates/cli/src/measure/pools/pool_world.rs
@@ -207,7 +207,8 @@
             return;
         };
         let at = TimePoint::with_millis(now);
-        self.dispatcher.note_extension(key, LEASE, at);
+        self.dispatcher
+            .note_extension(key, LEASE, Duration::ZERO, at);
         let stored = self.dispatcher.stored_end(key);
         let report = self.instances[index].hold(stored, now);
         self.dispatcher.note_hold(key, &report, at);
--- a/crates/core/src/jobs/dispatch_policy.rs
+++ b/crates/core/src/jobs/dispatch_policy.rs
@@ -49,6 +49,17 @@
     pub ended_retention: Duration,
 }
 
+impl DispatchPolicy {
+    /// Longest time for which a lease lasts that ends `lease` from now on a worker's clock, if that
+    /// clock was read `clock_age` ago.
+    pub(crate) fn longest_lease(&self, lease: Duration, clock_age: Duration) -> Duration {
+        let lag = clock_age.mul_f64(self.max_clock_drift);
+        lease
+            .saturating_add(lag)
+            .div_f64(1.0 - self.max_clock_drift)
+    }
+}
+
 impl Default for DispatchPolicy {
     fn default() -> Self {
         Self {
--- a/crates/core/src/jobs/dispatcher/hold_reports.rs
+++ b/crates/core/src/jobs/dispatcher/hold_reports.rs
@@ -13,8 +13,17 @@
 impl JobDispatcher {
     /// Extends the recorded lease of a worker to `lease` from now, plus an allowance for clock
     /// drift. Must be called before the call that extends the lease is sent.
-    pub fn note_extension(&mut self, key: WorkerKey, lease: Duration, now: TimePoint) {
-        let lease = lease.mul_f64(1.0 + self.policy.max_clock_drift);
+    ///
+    /// `clock_age` is the time since the worker's clock was read, from which the end of the lease on
+    /// that clock was computed. The clock may have fallen behind since.
+    pub fn note_extension(
+        &mut self,
+        key: WorkerKey,
+        lease: Duration,
+        clock_age: Duration,
+        now: TimePoint,
+    ) {
+        let lease = self.policy.longest_lease(lease, clock_age);
         if let Some(entry) = self.workers.get_mut(key) {
             entry.lease_end = entry.lease_end.max(now.after(lease));
         }
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -93,7 +93,8 @@
     /// Creates a dispatcher for the ownership epoch `epoch`, which counts from 1.
     #[must_use]
     pub fn new(policy: DispatchPolicy, rules: Arc<FleetRules>, epoch: u64, now: TimePoint) -> Self {
-        let lease = policy.max_lease.mul_f64(1.0 + policy.max_clock_drift);
+        // Workers shorten a longer lease by their own clock, however old the reading was.
+        let lease = policy.longest_lease(policy.max_lease, Duration::ZERO);
         Self {
             takeover_time: now,
             overlap_end: now,
--- a/crates/core/tests/job_leases.rs
+++ b/crates/core/tests/job_leases.rs
@@ -2,6 +2,8 @@
 
 mod jobs;
 
+use std::time::Duration;
+
 use compact_str::CompactString;
 use jobs::{JobWorld, LEASE, WorldFaults, amount, at, job, rules, step};
 use sesamedeal_core::jobs::{
@@ -80,7 +82,9 @@
         ended: Vec::new(),
     };
     let key = worker.key.unwrap();
-    world.dispatcher.note_extension(key, LEASE, now);
+    world
+        .dispatcher
+        .note_extension(key, LEASE, Duration::ZERO, now);
     world.dispatcher.note_hold(key, &report, now);
 }
 
@@ -139,3 +143,24 @@
     assert!(world.dispatcher.cancel_job(JobId(1)));
     assert!(count_stops(&mut world, &starts) > 0);
 }
+
+/// Guards against a task that is started again a moment before its worker ends it: the worker's clock
+/// is 2% slow, also since it was read for the end of the lease.
+#[test]
+fn slow_clock() {
+    let (mut world, starts) = unanswered_world();
+    hold(&mut world, &starts);
+    let key = world.workers[0].key.unwrap();
+    let clock_age = Duration::from_secs(2);
+    let granted = world.now;
+    world
+        .dispatcher
+        .note_extension(key, LEASE, clock_age, at(granted));
+    world.dispatcher.note_unresponsive(key);
+    // 2 s and the lease of 4.8 s take 6.939 s on the worker's clock.
+    for (time, lost) in [(4_938, 0), (4_940, 1)] {
+        let now = granted + time;
+        world.dispatcher.plan(at(now), now);
+        assert_eq!(world.dispatcher.take_lost_runs().len(), lost, "{time} ms");
+    }
+}
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -263,7 +263,8 @@
         }
         worker.fence = worker.fence.max(self.epoch);
         if !self.dispatcher.is_published(key) {
-            self.dispatcher.note_extension(key, LEASE, at(now));
+            self.dispatcher
+                .note_extension(key, LEASE, Duration::ZERO, at(now));
             for run in worker.running.values_mut() {
                 run.lease_end = run.lease_end.max(now + 4_800);
             }
--- a/crates/core/tests/jobs/order_delivery.rs
+++ b/crates/core/tests/jobs/order_delivery.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use rand::RngExt;
 use sesamedeal_core::jobs::{
     EndKind, StartOrder, StartOutcome, StepSpec, TaskName, WorkerKey, WorkerOrder,
@@ -29,7 +31,8 @@
         let fails = self.chance(self.faults.failures);
         let length = self.random.random_range(200..1_200);
         let now = self.now;
-        self.dispatcher.note_extension(key, LEASE, at(now));
+        self.dispatcher
+            .note_extension(key, LEASE, Duration::ZERO, at(now));
         let index = index.filter(|index| self.workers[*index].is_reachable);
         let Some(index) = index else {
             let outcome = StartOutcome::Unknown;
--- a/crates/jobs/src/owner/worker_calls.rs
+++ b/crates/jobs/src/owner/worker_calls.rs
@@ -57,9 +57,10 @@
                     lease_end_ms,
                     order,
                 };
+                let clock_age = link.clock_age(now);
                 self.sender.start(key, semaphore, request);
                 self.dispatcher
-                    .note_extension(key, self.lease_length(), now);
+                    .note_extension(key, self.lease_length(), clock_age, now);
             }
             WorkerOrder::Stop(_, task, run) => {
                 self.sender.stop(key, semaphore, stop_request(task, run));
@@ -125,7 +126,8 @@
             self.sender
                 .hold(key, link.generation, request, wait + policy.hold_margin);
             if lease_end_ms.is_some() {
-                self.dispatcher.note_extension(key, lease, now);
+                self.dispatcher
+                    .note_extension(key, lease, link.clock_age(now), now);
             }
         }
     }
--- a/crates/jobs/src/owner/worker_links.rs
+++ b/crates/jobs/src/owner/worker_links.rs
@@ -24,6 +24,12 @@
 }
 
 impl WorkerLink {
+    /// Time since the worker's clock was read; zero if it was not.
+    pub(crate) fn clock_age(&self, now: TimePoint) -> Duration {
+        self.clock
+            .map_or(Duration::ZERO, |(_, read)| now.since(read))
+    }
+
     /// End of a lease of length `lease` that starts at `now`, on the worker's clock, in
     /// milliseconds.
     pub(crate) fn lease_end_ms(&self, lease: Duration, now: TimePoint) -> Option<u64> {
