Clear failures of a worker when lasting tasks stay at work

Change: a lasting task that is at work 5 s after its start clears them. A quarantine that has begun goes on. Before: worker_health::lasting_tasks failed at the third job. After: passes; failing_worker, the other side, passes before and after. Conclusion: both kinds of tasks can show that a worker is sound.

--- a/crates/core/src/jobs/dispatcher/hold_reports.rs
+++ b/crates/core/src/jobs/dispatcher/hold_reports.rs
@@ -10,6 +10,10 @@
 /// Maximum number of run ends in one report. A report with this many may be truncated.
 const MAX_LISTED_ENDS: usize = 500;
 
+/// Time for which a long-running task has to run to prove that its worker is sound. A task that a
+/// worker fails ends sooner.
+const PROVEN_TIME: Duration = Duration::from_secs(5);
+
 impl JobDispatcher {
     /// Extends the recorded lease of a worker to `lease` from now, plus an allowance for clock
     /// drift. Must be called before the call that extends the lease is sent.
@@ -105,11 +109,15 @@
         run.gauge = report.gauge;
         run.is_confirmed = true;
         run.listed_boot = boot;
-        run.run_time = now.since(run.since);
+        let before = std::mem::replace(&mut run.run_time, now.since(run.since));
+        let run_time = run.run_time;
         if !run.is_starting() {
-            let run_time = run.run_time;
             self.note_run_time(report.task, run_time);
         }
+        let is_reached = before < PROVEN_TIME && run_time >= PROVEN_TIME;
+        if is_reached && report.percent >= 100.0 && self.is_long_running(report.task) {
+            self.workers[key].health.record_progress();
+        }
     }
 
     /// Adopts a run that a previous owner started.
--- a/crates/core/src/jobs/health_record.rs
+++ b/crates/core/src/jobs/health_record.rs
@@ -13,7 +13,7 @@
 pub struct HealthRecord {
     failed_jobs: Vec<JobId>,
     quarantined_until: Option<TimePoint>,
-    /// Quarantines since the last successful run.
+    /// Quarantines since the last successful run, or the last progress of a long-running task.
     quarantines: u32,
 }
 
@@ -25,6 +25,13 @@
         self.quarantined_until = None;
     }
 
+    /// Records a long-running task that has been at work for a while. Earlier failures no longer
+    /// count, but a quarantine goes on.
+    pub fn record_progress(&mut self) {
+        self.failed_jobs.clear();
+        self.quarantines = 0;
+    }
+
     /// Records a failed run of `job` and returns whether the worker should be quarantined: `limit`
     /// distinct jobs have failed in a row, or one has failed during a trial.
     pub fn record_failure(&mut self, job: JobId, limit: u32) -> bool {
--- a/crates/core/tests/worker_health.rs
+++ b/crates/core/tests/worker_health.rs
@@ -3,7 +3,7 @@
 mod jobs;
 
 use jobs::{JobWorld, at, job, step};
-use sesamedeal_core::jobs::{JobId, JobPhase, StartOutcome, WorkerOrder};
+use sesamedeal_core::jobs::{EndKind, JobId, JobPhase, StartOutcome, WorkerOrder};
 
 /// Rounds of the first quarantine, which lasts 4 s, and of the tasks afterwards.
 const ROUNDS: usize = 100 + 20;
@@ -67,3 +67,50 @@
     world.run(20);
     assert_eq!(world.starts, 1);
 }
+
+/// A world with one worker, on which a lasting task of each of three jobs has run for `rounds`.
+fn lasting_world(rounds: usize) -> JobWorld {
+    let mut world = JobWorld::new(1, 1);
+    for number in 0..3 {
+        let mut spec = step(1, 500);
+        spec.is_lasting = true;
+        world.submit(number, job(vec![spec]));
+    }
+    world.run(2 + rounds);
+    assert_eq!(world.starts, 3);
+    world
+}
+
+/// Lets the run of the only task of a job fail, and returns whether the task is started again within
+/// a second.
+fn restarts_after_failure(world: &mut JobWorld, number: u64) -> bool {
+    let worker = &mut world.workers[0];
+    let runs: Vec<_> = worker.running.keys().copied().collect();
+    let of_job = runs.iter().find(|(task, _)| task.step.job == JobId(number));
+    let &(task, run) = of_job.expect("the task runs");
+    worker.end(task, run, EndKind::Failed);
+    let starts = world.starts;
+    world.run(20);
+    world.starts > starts
+}
+
+/// Guards against lasting tasks that have no run for long because others of their worker failed now
+/// and then: nothing but a task that was done cleared the failures.
+#[test]
+fn lasting_tasks() {
+    let mut world = lasting_world(120);
+    for number in [0, 1, 2, 0, 1, 2] {
+        assert!(restarts_after_failure(&mut world, number), "job {number}");
+        world.run(100);
+    }
+}
+
+/// Guards against starts on a worker on which lasting tasks of several jobs fail soon after their
+/// start.
+#[test]
+fn failing_worker() {
+    let mut world = lasting_world(10);
+    assert!(restarts_after_failure(&mut world, 0));
+    assert!(restarts_after_failure(&mut world, 1));
+    assert!(!restarts_after_failure(&mut world, 2));
+}
