Wait for published tasks whose queue has moved

A queue had moved to another service, a worker of the old one was cut off and ran on, and the owner was killed: the new owner started its tasks again at once. Cause: a new owner looked for tasks that may run on unreachable workers only in the pool to which the queue goes now. Change: it waits for a published task wherever its worker is. Before: job_takeover::moved_queue failed (left: 4 starts, right: 2). After: passes; the same test checks that the tasks start once the lease has ended. Conclusion: what is published names tasks, and they wait by name.

--- a/crates/core/src/jobs/dispatcher/waiting_steps.rs
+++ b/crates/core/src/jobs/dispatcher/waiting_steps.rs
@@ -47,12 +47,15 @@
             includes_all: now < self.inherited_lease_end && self.may_have_unlisted_worker(pool),
             ..UncertainTasks::default()
         };
-        for entry in self.workers.values() {
-            if entry.list_requested.is_none() && entry.report.pool == *pool {
-                match self.inherited_unreachable.get(&entry.report.name) {
-                    Some(runs) if now < runs.lease_end => uncertain.published.push(&runs.tasks),
-                    Some(_) => {}
-                    None => uncertain.includes_all |= now < self.inherited_lease_end,
+        let silent = self.workers.values();
+        for entry in silent.filter(|entry| entry.list_requested.is_none()) {
+            match self.inherited_unreachable.get(&entry.report.name) {
+                // Its tasks may be of queues that have moved to this pool.
+                Some(runs) if now < runs.lease_end => uncertain.published.push(&runs.tasks),
+                Some(_) => {}
+                None => {
+                    let is_in_pool = entry.report.pool == *pool;
+                    uncertain.includes_all |= is_in_pool && now < self.inherited_lease_end;
                 }
             }
         }
--- a/crates/core/tests/job_takeover.rs
+++ b/crates/core/tests/job_takeover.rs
@@ -3,6 +3,7 @@
 mod jobs;
 
 use jobs::{JobWorld, at, job, starts, step};
+use sesamedeal_core::ids::PoolName;
 use sesamedeal_core::jobs::{JobPhase, WorkerOrder};
 
 fn long_running(count: u16) -> sesamedeal_core::jobs::StepSpec {
@@ -271,3 +272,24 @@
     world.run(60);
     assert!(world.workers[busy].tasks().is_empty());
 }
+
+/// Guards against a second start of tasks whose queue has moved to another pool, while they run on a
+/// worker of the old one that the previous owner could not reach.
+#[test]
+fn moved_queue() {
+    let mut world = JobWorld::new(2, 1);
+    world.workers[0].report.pool = PoolName::new("other");
+    world.list_workers();
+    world.submit(1, job(vec![long_running(2)]));
+    world.run(10);
+    assert_eq!(world.workers[1].tasks().len(), 2);
+    world.workers[1].is_reachable = false;
+    world.run(30);
+    world.move_queue("other");
+    world.take_over();
+    world.run(20);
+    assert_eq!(world.starts, 2, "started while the lease may last");
+    world.run(120);
+    assert_eq!(world.starts, 4, "not started after the lease");
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -17,6 +17,7 @@
 use compact_str::CompactString;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use sesamedeal_core::ids::PoolName;
 use sesamedeal_core::jobs::{
     DispatchPolicy, EndKind, FleetRules, HoldReport, JobDispatcher, JobId, JobOrder, JobPhase,
     JobRecord, ResourceAmount, RunReport, TaskName, UnreachableWorker, WorkerOrder,
@@ -208,6 +209,16 @@
         }
     }
 
+    /// Sends the jobs to another pool.
+    pub fn move_queue(&mut self, pool: &str) {
+        let mut rules = FleetRules::clone(&self.rules);
+        for rule in rules.queues.values_mut() {
+            rule.pool = PoolName::new(pool);
+        }
+        self.rules = Arc::new(rules);
+        self.dispatcher.set_rules(Arc::clone(&self.rules));
+    }
+
     /// Starts a worker again under its name. It knows nothing of before.
     pub fn restart(&mut self, index: usize) {
         let worker = &mut self.workers[index];
