--- a/review/kit-2/cases.rs
+++ b/review/kit-2/cases.rs
@@ -5,13 +5,12 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use crate::http::{Link, Server, call};
+use crate::http::{Server, call};
 use crate::json::Json;
 use crate::world::{Node, Record, Store, Worker, World, inventory};
 
-/// `stableMs`, `cancel_ms` and `visible_ms` of the settings, in seconds.
+/// `stableMs` and `visible_ms` of the settings, in seconds.
 const STABLE: f64 = 3.0;
-const CANCEL: f64 = 3.0;
 const VISIBLE: f64 = 3.0;
 
 const HOST: &str = "q.example";
@@ -32,7 +31,6 @@
     let result = match name {
         "lasting-done" => lasting_done(&setup, is_troubled),
         "gang-progress" => gang_progress(&setup, is_troubled),
-        "cancelled-unknown" => cancelled_unknown(&setup, is_troubled),
         "refused-pending" => refused_pending(&setup, is_troubled),
         _ => Err(format!("no case {name}")),
     };
@@ -223,66 +221,6 @@
     }))
 }
 
-/// A client cancels a job whose submission had no outcome, is told that there is none, and it runs.
-fn cancelled_unknown(setup: &Setup, is_troubled: bool) -> Result<Option<String>, String> {
-    let _workers: Vec<Arc<Worker>> = (0..4)
-        .map(|number| Worker::start(&setup.world, number, "taller", &["a", "r1-1"]))
-        .collect();
-    let owner = setup.node("edge-norte-a-1");
-    if !owner.wait_ready() || !setup.world.wait_for_owner() {
-        return Err("the first entry instance does not hold the workers".into());
-    }
-    let link = Link::start(setup.store.addr);
-    let taker = Node::start(&setup.folder, "edge-norte-a-2", link.addr, setup.cloud.addr);
-    if !taker.wait_ready() {
-        return Err("the second entry instance is not ready".into());
-    }
-    sleep(Duration::from_secs(4));
-    setup.submit(
-        &taker,
-        "00000000000000a1",
-        r#"{"spec":"ms=300","steps":[{"count":1,"cpu":1000,"memMb":1024,"estMs":300}]}"#,
-    )?;
-    sleep(Duration::from_millis(700));
-    setup.client(&taker, "GET", "00000000000000a1", "", 3_000);
-    if is_troubled {
-        link.set_cut(true);
-        setup
-            .record
-            .line("edge-norte-a-2 is partitioned from the store");
-    }
-    let cut = setup.now();
-    let id = "5c0e7a21d94b36f8";
-    let job = r#"{"spec":"ms0=4000 ms1=3000","steps":[{"count":2,"cpu":2000,"memMb":4096,"estMs":4000},{"count":2,"cpu":2000,"memMb":4096,"estMs":3000,"after":[0]}]}"#;
-    let status = setup.client(&taker, "POST", id, job, 3_000).0;
-    if is_troubled && (status == 200 || status == 429 || status == 503) {
-        return Err(format!("the outcome of the submission was known: {status}"));
-    }
-    let cancel = setup.client(&owner, "DELETE", id, "", 3_000).0;
-    let acknowledged = setup.now();
-    if cancel != 200 && cancel != 410 {
-        return Err(format!("the cancelling was not acknowledged: {cancel}"));
-    }
-    setup.sleep_until(cut + 5.5);
-    if is_troubled {
-        link.set_cut(false);
-        setup.record.line("the partition is over");
-    }
-    setup.sleep_until(cut + 20.0);
-    setup.client(&owner, "GET", id, "", 3_000);
-    let events = setup.world.events();
-    let late = events.iter().find(|event| {
-        event.kind == "start" && event.task.starts_with(id) && event.at > acknowledged + CANCEL
-    });
-    Ok(late.map(|event| {
-        format!(
-            "{} was started {:.1} s after the cancelling of its job was answered with {cancel}",
-            event.task,
-            event.at - acknowledged
-        )
-    }))
-}
-
 /// A worker refuses all starts, and the jobs that wait for it aren't counted as pending.
 fn refused_pending(setup: &Setup, is_troubled: bool) -> Result<Option<String>, String> {
     let workers: Vec<Arc<Worker>> = (0..12)
