review: case 9, calls for advice run out in turn and jobs get no tickets

Cause: a call for advice is given up after 3 s whatever decideMs says, and two are kept in flight, though the service takes one after the other. The service is then busy with calls whose caller is gone, for good.

--- a/review/kit-2/cases.rs
+++ b/review/kit-2/cases.rs
@@ -7,12 +7,16 @@
 
 use crate::http::{Server, call};
 use crate::json::Json;
-use crate::world::{Node, Record, Store, Worker, World, inventory};
+use crate::world::{Node, Record, Store, Worker, World, inventory, policy_service};
 
 /// `stableMs` and `visible_ms` of the settings, in seconds.
 const STABLE: f64 = 3.0;
 const VISIBLE: f64 = 3.0;
 
+/// Time that the policy service takes for a call, and for which a ticket is valid, in ms.
+const DECIDE_MS: u64 = 1_600;
+const VALID_MS: u64 = 3_000;
+
 const HOST: &str = "q.example";
 const KEY: &str = "Token key-one";
 
@@ -27,10 +31,12 @@
 pub fn run(name: &str, folder: &str, temporary: &Path, is_troubled: bool) -> u8 {
     let record = Record::new(&format!("{folder}/record.txt"));
     record.line(&format!("case {name}, trouble {is_troubled}"));
-    let setup = prepare(record.clone(), temporary);
+    let needs_tickets = name == "advice-in-turn";
+    let setup = prepare(record.clone(), temporary, needs_tickets);
     let result = match name {
         "lasting-done" => lasting_done(&setup, is_troubled),
         "gang-progress" => gang_progress(&setup, is_troubled),
+        "advice-in-turn" => advice_in_turn(&setup, is_troubled),
         "refused-pending" => refused_pending(&setup, is_troubled),
         _ => Err(format!("no case {name}")),
     };
@@ -53,10 +59,15 @@
     }
 }
 
-fn prepare(record: Arc<Record>, temporary: &Path) -> Setup {
+fn prepare(record: Arc<Record>, temporary: &Path, needs_tickets: bool) -> Setup {
+    let advice = if needs_tickets {
+        format!(",\"advice\":{{\"decideMs\":{DECIDE_MS},\"perWorkerMs\":0,\"validMs\":{VALID_MS}}}")
+    } else {
+        String::new()
+    };
     let (store, server) = Store::start();
     let config = format!(
-        "{{\"version\":7,\"routes\":[{{\"name\":\"r-batch\",\"host\":\"{HOST}\",\"prefix\":\"/puxa400/\",\"kind\":\"mutating\",\"timeoutMs\":3000,\"sloMs\":600,\"prio\":0,\"svc\":\"taller\",\"attempts\":4,\"stretch\":1.6,\"public\":false}}],\"services\":[{{\"name\":\"taller\",\"healthPath\":\"/health\",\"enforcesCapacity\":false}}],\"tenants\":[{{\"name\":\"team-one\",\"apiKeys\":[\"key-one\"],\"weight\":1,\"cap\":{{\"cpu\":0,\"memMb\":0,\"gpu\":0}}}}],\"limits\":{{\"headerBytes\":16384,\"maxBodyBytes\":262144}}}}"
+        "{{\"version\":7,\"routes\":[{{\"name\":\"r-batch\",\"host\":\"{HOST}\",\"prefix\":\"/puxa400/\",\"kind\":\"mutating\",\"timeoutMs\":3000,\"sloMs\":600,\"prio\":0,\"svc\":\"taller\",\"attempts\":4,\"stretch\":1.6,\"public\":false{advice}}}],\"services\":[{{\"name\":\"taller\",\"healthPath\":\"/health\",\"enforcesCapacity\":false}}],\"tenants\":[{{\"name\":\"team-one\",\"apiKeys\":[\"key-one\"],\"weight\":1,\"cap\":{{\"cpu\":0,\"memMb\":0,\"gpu\":0}}}}],\"limits\":{{\"headerBytes\":16384,\"maxBodyBytes\":262144}}}}"
     );
     store.put("op", "config", Some(&config));
     let world = World::new(record.clone(), store);
@@ -72,7 +83,10 @@
 
 impl Setup {
     fn node(&self, name: &str) -> Node {
-        Node::start(&self.folder, name, self.store.addr, self.cloud.addr)
+        {
+            let advice = *self.world.advice.lock().unwrap();
+            Node::start(&self.folder, name, self.store.addr, self.cloud.addr, advice)
+        }
     }
 
     /// Starts an entry instance that owns the pools, and another one.
@@ -269,3 +283,50 @@
     }
     Ok(breach)
 }
+
+/// Jobs that come at once wait for tickets that never come, as the calls for them run out in turn.
+fn advice_in_turn(setup: &Setup, is_troubled: bool) -> Result<Option<String>, String> {
+    let workers: Vec<Arc<Worker>> = (0..4)
+        .map(|number| Worker::start(&setup.world, number, "taller", &["a", "r1-1"]))
+        .collect();
+    let _policy = policy_service(&setup.world, Duration::from_millis(DECIDE_MS), VALID_MS);
+    let (first, second) = setup.two_nodes()?;
+    let body = r#"{"spec":"ms=500","steps":[{"count":2,"cpu":1000,"memMb":1024,"estMs":500}]}"#;
+    // A job each 2.5 s, and 2.6 times as many for 4 s.
+    let begin = setup.now();
+    let mut ids: Vec<String> = Vec::new();
+    let mut due = 0.0;
+    while due < 20.0 {
+        setup.sleep_until(begin + due);
+        let id = format!("5c0e7a21d94b36{:02x}", ids.len());
+        setup.submit(&second, &id, body)?;
+        ids.push(id);
+        let is_burst = is_troubled && (5.0..9.0).contains(&due);
+        due += if is_burst { 2.5 / 2.6 } else { 2.5 };
+    }
+    let count = ids.len();
+    let accepted = setup.now();
+    // `finish_s` after the end of the traffic, and 3 s.
+    setup.sleep_until(accepted + 17.0);
+    let events = setup.world.events();
+    let waiting: Vec<&String> = ids
+        .iter()
+        .filter(|id| {
+            !events
+                .iter()
+                .any(|event| event.kind == "start" && event.task.starts_with(id.as_str()))
+        })
+        .collect();
+    let is_idle = workers.iter().all(|worker| worker.running().is_empty());
+    let state = waiting
+        .first()
+        .map(|id| setup.client(&first, "GET", id, "", 3_000).1);
+    Ok((!waiting.is_empty() && is_idle).then(|| {
+        format!(
+            "{} of {count} jobs have nothing running {:.0} s after the last was accepted, and all workers are empty; the first is {}",
+            waiting.len(),
+            setup.now() - accepted,
+            state.unwrap_or_default()
+        )
+    }))
+}
--- a/review/kit-2/http.rs
+++ b/review/kit-2/http.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 server and client of the stand-ins, over loopback.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -12,6 +12,8 @@
     pub query: Vec<(String, String)>,
     pub headers: Vec<(String, String)>,
     pub body: String,
+    /// Whether the caller has closed the connection.
+    pub is_gone: Box<dyn Fn() -> bool>,
 }
 
 impl Request {
@@ -114,7 +116,15 @@
     *buffer = body.split_off(length);
     let (path, query) = target.split_once('?').unwrap_or((&target, ""));
     let query = query.split('&').filter_map(|pair| pair.split_once('='));
+    let copy = stream.try_clone().ok()?;
     Some(Request {
+        is_gone: Box::new(move || {
+            copy.set_nonblocking(true).ok();
+            let peeked = copy.peek(&mut [0]);
+            copy.set_nonblocking(false).ok();
+            matches!(peeked, Ok(0))
+                || matches!(peeked, Err(error) if error.kind() != ErrorKind::WouldBlock)
+        }),
         path: path.to_owned(),
         query: query
             .map(|(key, value)| (key.to_owned(), unescape(value)))
--- a/review/kit-2/world.rs
+++ b/review/kit-2/world.rs
@@ -307,6 +307,8 @@
     pub events: Mutex<Vec<Event>>,
     pub workers: Mutex<Vec<Arc<Worker>>>,
     pub holds: Mutex<u64>,
+    /// Address of the policy service, if the queue needs tickets.
+    pub advice: Mutex<Option<SocketAddr>>,
     store: Arc<Store>,
 }
 
@@ -317,6 +319,7 @@
             events: Mutex::default(),
             workers: Mutex::default(),
             holds: Mutex::new(0),
+            advice: Mutex::default(),
             store,
         });
         let ticked = world.clone();
@@ -601,6 +604,10 @@
         if state.clock_ms() > state.until_ms {
             return self.refusal(&state, "late");
         }
+        let ticket = body.text("ticket");
+        if self.world.advice.lock().unwrap().is_some() && !self.is_ticket_valid(&task, &ticket) {
+            return self.refusal(&state, "ticket");
+        }
         let now = Instant::now();
         state.running.push(Run {
             task: task.clone(),
@@ -619,6 +626,15 @@
         (200, self.clock(&state))
     }
 
+    /// A ticket names the step, the worker and the Unix time until which it is valid.
+    fn is_ticket_valid(&self, task: &str, ticket: &str) -> bool {
+        let step = task.rsplit_once('.').map_or("", |(step, _)| step);
+        let until = ticket.strip_prefix(&format!("{step}/{}/", self.id));
+        until
+            .and_then(|until| until.parse().ok())
+            .is_some_and(|until: u64| unix_ms() <= until)
+    }
+
     fn stop_run(&self, body: &Json) -> (u16, String) {
         let (task, number) = (body.text("task"), body.number("run").unwrap_or(0.0) as u64);
         let mut state = self.state.lock().unwrap();
@@ -842,7 +858,14 @@
 }
 
 impl Node {
-    pub fn start(folder: &Path, name: &str, store: SocketAddr, cloud: SocketAddr) -> Node {
+    pub fn start(
+        folder: &Path,
+        name: &str,
+        store: SocketAddr,
+        cloud: SocketAddr,
+        advice: Option<SocketAddr>,
+    ) -> Node {
+        let advice = advice.map(|advice| advice.to_string()).unwrap_or_default();
         let port = free_ports(20);
         let address = |offset: u16| SocketAddr::from(([127, 0, 0, 1], port + offset));
         let (front, ready, control) = (address(16), address(17), address(18));
@@ -863,7 +886,7 @@
 heartbeatMs = 1500
 contracts = ["base","drain","config","cost","recover","sched","tenants","quota","platform","advice","upkeep","sharing"]
 orders = "invoke"
-advice = ""
+advice = "{advice}"
 [zones]
 norte-a = "norte"
 [listen]
@@ -988,3 +1011,52 @@
         self.kill();
     }
 }
+
+/// The policy service. It handles one call at a time, in turn, and allows all workers. A call whose
+/// caller has gone before its turn is left out.
+pub fn policy_service(world: &Arc<World>, decide: Duration, valid_ms: u64) -> Server {
+    let record = world.record.clone();
+    let turn = Arc::new(Mutex::new(()));
+    let server = Server::start(Arc::new(move |request: &Request| {
+        let Some(body) = Json::parse(&request.body) else {
+            return (400, String::new());
+        };
+        let step = body.text("step");
+        record.line(&format!("policy service is asked about {step}"));
+        let guard = turn.lock().unwrap();
+        if (request.is_gone)() {
+            return (429, String::new());
+        }
+        thread::sleep(decide);
+        drop(guard);
+        let until = unix_ms() + valid_ms;
+        let workers = body.list("workers");
+        let allowed: Vec<String> = workers
+            .iter()
+            .map(|worker| {
+                let id = match worker {
+                    Json::Str(id) => id.clone(),
+                    _ => String::new(),
+                };
+                format!(
+                    "[{},{}]",
+                    quote(&id),
+                    quote(&format!("{step}/{id}/{until}"))
+                )
+            })
+            .collect();
+        let gone = if (request.is_gone)() {
+            ", its caller is gone"
+        } else {
+            ""
+        };
+        record.line(&format!("policy service answers about {step}{gone}"));
+        let allowed = allowed.join(",");
+        (
+            200,
+            format!("{{\"allowed\":[{allowed}],\"validMs\":{valid_ms}}}"),
+        )
+    }));
+    *world.advice.lock().unwrap() = Some(server.addr);
+    server
+}
