Decide about the time limit of advice requests in the dispatcher, and log what they wait for

A request that was turned away is told apart from one without an answer. The limits themselves are unchanged.

--- a/crates/cli/src/measure/pools/fleet_plan.rs
+++ b/crates/cli/src/measure/pools/fleet_plan.rs
@@ -152,7 +152,7 @@
                 attempts: 3,
                 stretch: STRETCH,
                 slack: SLACK,
-                needs_ticket: false,
+                advice: None,
             };
             (queue_name(number), rule)
         });
--- a/crates/core/src/jobs/dispatcher/advice.rs
+++ b/crates/core/src/jobs/dispatcher/advice.rs
@@ -7,7 +7,7 @@
 
 use super::JobDispatcher;
 use crate::ids::InstanceName;
-use crate::jobs::{AdviceRequest, StepName, WorkerKey};
+use crate::jobs::{AdviceOutcome, AdviceRequest, AdviceRule, StepName, WorkerKey};
 use crate::time::TimePoint;
 
 /// Maximum number of workers in one advice request. The service takes longer for each worker.
@@ -16,6 +16,9 @@
 /// Maximum number of advice requests in flight. The service answers one at a time.
 const MAX_OPEN_REQUESTS: usize = 2;
 
+/// Time after which an advice request is given up.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Delay before an advice request that had no response is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -23,14 +26,10 @@
     /// Returns the advice requests to send now, for steps whose tasks wait for a worker with a
     /// ticket.
     pub fn take_advice_requests(&mut self, now: TimePoint) -> Vec<AdviceRequest> {
-        if !self.rules.queues.values().any(|rule| rule.needs_ticket) {
+        if !self.rules.queues.values().any(|rule| rule.advice.is_some()) {
             return Vec::new();
         }
-        let mut in_flight = self
-            .tickets
-            .values()
-            .filter(|cache| cache.is_requesting)
-            .count();
+        let mut in_flight = self.open_advice_requests();
         let mut requests = Vec::new();
         let mut waiting = self.waiting_steps(now);
         waiting.retain(|step| self.needs_ticket(step.name));
@@ -40,6 +39,9 @@
             if in_flight >= MAX_OPEN_REQUESTS {
                 break;
             }
+            let Some(rule) = self.advice_rule(step.name) else {
+                continue;
+            };
             let cache = self.tickets.entry(step.name).or_default();
             let workers = pools.get(&step.pool).into_iter().flatten();
             let mut candidates: Vec<WorkerKey> = workers
@@ -55,25 +57,29 @@
             in_flight += 1;
             requests.push(AdviceRequest {
                 step: step.name,
+                work: rule.answer_time(candidates.len()),
                 workers: candidates,
+                timeout: REQUEST_TIMEOUT,
             });
         }
         requests
     }
 
-    /// Processes the response of the policy service to a request that was sent at `requested`.
-    ///
-    /// `answer` is `None` if there was no response. Otherwise it holds the tickets of the allowed
-    /// workers and the time for which these are valid. Returns the number of tickets that were
-    /// stored.
+    /// Processes the end of a request to the policy service that was sent at `requested`. Returns the
+    /// number of tickets that were stored.
     pub fn note_advice(
         &mut self,
         request: &AdviceRequest,
-        answer: Option<(&HashMap<InstanceName, CompactString>, Duration)>,
+        outcome: AdviceOutcome<'_>,
         requested: TimePoint,
         now: TimePoint,
     ) -> usize {
-        let tickets = answer.map(|(allowed, valid)| (self.match_tickets(request, allowed), valid));
+        let tickets = match outcome {
+            AdviceOutcome::Answered { allowed, valid } => {
+                Some((self.match_tickets(request, allowed), valid))
+            }
+            AdviceOutcome::Refused | AdviceOutcome::Unanswered => None,
+        };
         let Some(cache) = self.tickets.get_mut(&request.step) else {
             return 0;
         };
@@ -103,9 +109,19 @@
     }
 
     pub(super) fn needs_ticket(&self, step: StepName) -> bool {
-        let job = self.jobs.get(&step.job);
-        let rule = job.and_then(|job| self.rules.queues.get(&job.order.queue));
-        rule.is_some_and(|rule| rule.needs_ticket)
+        self.advice_rule(step).is_some()
+    }
+
+    fn advice_rule(&self, step: StepName) -> Option<AdviceRule> {
+        let job = self.jobs.get(&step.job)?;
+        self.rules.queues.get(&job.order.queue)?.advice
+    }
+
+    /// Number of requests to the policy service that have not ended.
+    #[must_use]
+    pub fn open_advice_requests(&self) -> usize {
+        let caches = self.tickets.values();
+        caches.filter(|cache| cache.is_requesting).count()
     }
 
     pub(super) fn ticket(
--- a/crates/core/src/jobs/fleet_rules.rs
+++ b/crates/core/src/jobs/fleet_rules.rs
@@ -17,8 +17,27 @@
     pub stretch: f64,
     /// Time added to the stretched run time to get the objective.
     pub slack: Duration,
-    /// Whether a task needs a ticket from the queue's policy service to start.
-    pub needs_ticket: bool,
+    /// Set if a task needs a ticket from the policy service to start.
+    pub advice: Option<AdviceRule>,
+}
+
+/// Time that the policy service takes to decide about a step of a queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdviceRule {
+    /// Time for each call.
+    pub decide_time: Duration,
+    /// Additional time for each worker in a call.
+    pub worker_time: Duration,
+}
+
+impl AdviceRule {
+    /// Time that the service takes for a call that names `workers` workers.
+    #[must_use]
+    pub fn answer_time(&self, workers: usize) -> Duration {
+        let workers = u32::try_from(workers).unwrap_or(u32::MAX);
+        let more = self.worker_time.saturating_mul(workers);
+        self.decide_time.saturating_add(more)
+    }
 }
 
 /// Rules of a pool.
--- a/crates/core/src/jobs/ticket_cache.rs
+++ b/crates/core/src/jobs/ticket_cache.rs
@@ -4,6 +4,7 @@
 use compact_str::CompactString;
 
 use super::{StepName, WorkerKey};
+use crate::ids::InstanceName;
 use crate::time::TimePoint;
 
 /// Time before a ticket expires from which it is no longer used, to allow for the delay until it
@@ -17,6 +18,26 @@
     pub step: StepName,
     /// Workers to check. The service's response time grows with their number.
     pub workers: Vec<WorkerKey>,
+    /// Time that the service takes for this request, once it is its turn.
+    pub work: Duration,
+    /// Time after which the request is given up.
+    pub timeout: Duration,
+}
+
+/// How a request to the policy service ended.
+#[derive(Debug, Clone, Copy)]
+pub enum AdviceOutcome<'a> {
+    /// The service answered.
+    Answered {
+        /// Tickets of the workers that may run the step.
+        allowed: &'a HashMap<InstanceName, CompactString>,
+        /// Time for which the tickets are valid.
+        valid: Duration,
+    },
+    /// The service did not take the request.
+    Refused,
+    /// There was no answer in time. The service may still work on the request.
+    Unanswered,
 }
 
 /// Answers of the policy service for a step.
--- a/crates/core/tests/job_tickets.rs
+++ b/crates/core/tests/job_tickets.rs
@@ -9,12 +9,17 @@
 use compact_str::CompactString;
 use jobs::{JobWorld, at, job, rules, step};
 use sesamedeal_core::ids::{InstanceName, QueueName};
-use sesamedeal_core::jobs::{AdviceRequest, ResourceAmount, WorkerKey};
+use sesamedeal_core::jobs::{AdviceOutcome, AdviceRequest, AdviceRule, ResourceAmount, WorkerKey};
+
+const QUICK_ADVICE: AdviceRule = AdviceRule {
+    decide_time: Duration::from_millis(50),
+    worker_time: Duration::ZERO,
+};
 
 fn world() -> JobWorld {
     let mut rules = Arc::unwrap_or_clone(rules(ResourceAmount::default()));
     let queue = rules.queues.get_mut(&QueueName::new("queue")).unwrap();
-    queue.needs_ticket = true;
+    queue.advice = Some(QUICK_ADVICE);
     let mut world = JobWorld::with_rules(3, 1, Arc::new(rules));
     world.submit(1, job(vec![step(2, 1_000)]));
     world.run(2);
@@ -34,7 +39,8 @@
     let worker = name(world, request.workers[index]);
     let allowed = HashMap::from([(worker, CompactString::from("ticket"))]);
     let now = at(world.now);
-    let answer = Some((&allowed, valid));
+    let allowed = &allowed;
+    let answer = AdviceOutcome::Answered { allowed, valid };
     world.dispatcher.note_advice(request, answer, now, now);
 }
 
@@ -75,7 +81,8 @@
         "denied workers are not requested again"
     );
     let now = at(world.now);
-    world.dispatcher.note_advice(&again, None, now, now);
+    let outcome = AdviceOutcome::Unanswered;
+    world.dispatcher.note_advice(&again, outcome, now, now);
     assert!(
         take_requests(&mut world).is_empty(),
         "requested again at once"
--- a/crates/core/tests/jobs/builders.rs
+++ b/crates/core/tests/jobs/builders.rs
@@ -47,7 +47,7 @@
         attempts: ATTEMPTS,
         stretch: 1.6,
         slack: Duration::from_millis(600),
-        needs_ticket: false,
+        advice: None,
     };
     let team = TeamRule { weight: 1.0, limit };
     Arc::new(FleetRules {
--- a/crates/core/tests/jobs/order_delivery.rs
+++ b/crates/core/tests/jobs/order_delivery.rs
@@ -142,6 +142,10 @@
         if failures.is_some_and(|failures| *failures >= ATTEMPTS) {
             problems.push("started beyond its attempts");
         }
+        let expiry = order.ticket.as_ref().map(|ticket| ticket.parse::<u64>());
+        if expiry.is_some_and(|expiry| expiry.is_ok_and(|expiry| expiry < self.now)) {
+            problems.push("started with an expired ticket");
+        }
         let order_entry = &self.stored[&task.step.job].0;
         for earlier in &order_entry.steps[usize::from(task.step.step)].after {
             let mut name = task.step;
--- a/crates/core/tests/worker_reservations.rs
+++ b/crates/core/tests/worker_reservations.rs
@@ -4,10 +4,13 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use jobs::{JobWorld, amount, at, job, rules, step};
 use sesamedeal_core::ids::{PoolName, QueueName};
-use sesamedeal_core::jobs::{JobId, JobOrder, JobPhase, ResourceAmount, StepName, TaskName};
+use sesamedeal_core::jobs::{
+    AdviceOutcome, AdviceRule, JobId, JobOrder, JobPhase, ResourceAmount, StepName, TaskName,
+};
 
 /// Rounds in 3 s, the time for which a job may wait beside free capacity.
 const MAX_WAIT: usize = 60;
@@ -157,7 +160,10 @@
 fn denied_workers() {
     let mut rules = Arc::unwrap_or_clone(rules(ResourceAmount::default()));
     let mut queue = rules.queues[&QueueName::new("queue")].clone();
-    queue.needs_ticket = true;
+    queue.advice = Some(AdviceRule {
+        decide_time: Duration::from_millis(50),
+        worker_time: Duration::ZERO,
+    });
     rules.queues.insert(QueueName::new("advised"), queue);
     let mut world = JobWorld::with_rules(2, 5, Arc::new(rules));
     world.run(2);
@@ -169,8 +175,10 @@
     world.run(1);
     let now = at(world.now);
     for request in world.dispatcher.take_advice_requests(now) {
-        let answer = HashMap::new();
-        let answer = Some((&answer, std::time::Duration::from_secs(3)));
+        let answer = AdviceOutcome::Answered {
+            allowed: &HashMap::new(),
+            valid: Duration::from_secs(3),
+        };
         world.dispatcher.note_advice(&request, answer, now, now);
     }
     assert_small_jobs_run(&mut world);
--- a/crates/jobs/src/owner/advice_calls.rs
+++ b/crates/jobs/src/owner/advice_calls.rs
@@ -1,8 +1,8 @@
 use std::collections::HashMap;
 
-use sesamedeal_core::jobs::AdviceRequest;
+use sesamedeal_core::jobs::{AdviceOutcome, AdviceRequest};
 use sesamedeal_core::time::TimePoint;
-use sesamedeal_store::Result;
+use sesamedeal_store::{PlatformError, Result};
 use slog::{info, warn};
 
 use super::OwnerEvent;
@@ -24,6 +24,7 @@
             let call = (port.advise)(AdviceCall {
                 step: request.step,
                 workers: names.collect(),
+                timeout: request.timeout,
             });
             self.spawn_call(call, move |outcome| OwnerEvent::Advised {
                 request,
@@ -40,18 +41,26 @@
         outcome: Result<AdviceAnswer>,
     ) {
         let now = BootClock.now();
+        let waited_ms = now.since(sent).as_millis() as u64;
+        let open = self.dispatcher.open_advice_requests();
         match outcome {
             Ok(answer) => {
                 let valid = answer.valid;
                 let allowed: HashMap<_, _> = answer.allowed.into_iter().collect();
-                let stored =
-                    self.dispatcher
-                        .note_advice(request, Some((&allowed, valid)), sent, now);
-                info!(self.parts.logger, "advice"; "step" => %request.step, "asked" => request.workers.len(), "allowed" => allowed.len(), "stored" => stored, "valid_ms" => valid.as_millis() as u64);
+                let outcome = AdviceOutcome::Answered {
+                    allowed: &allowed,
+                    valid,
+                };
+                let stored = self.dispatcher.note_advice(request, outcome, sent, now);
+                info!(self.parts.logger, "advice"; "step" => %request.step, "asked" => request.workers.len(), "allowed" => allowed.len(), "stored" => stored, "valid_ms" => valid.as_millis() as u64, "waited_ms" => waited_ms, "work_ms" => request.work.as_millis() as u64, "open" => open);
             }
             Err(error) => {
-                warn!(self.parts.logger, "advice request failed"; "step" => %request.step, "error" => %error);
-                self.dispatcher.note_advice(request, None, sent, now);
+                warn!(self.parts.logger, "advice request failed"; "step" => %request.step, "error" => %error, "asked" => request.workers.len(), "waited_ms" => waited_ms, "work_ms" => request.work.as_millis() as u64, "timeout_ms" => request.timeout.as_millis() as u64, "open" => open);
+                let outcome = match error {
+                    PlatformError::NoAnswer { .. } => AdviceOutcome::Unanswered,
+                    _ => AdviceOutcome::Refused,
+                };
+                self.dispatcher.note_advice(request, outcome, sent, now);
             }
         }
     }
--- a/crates/jobs/src/ports/advice_port.rs
+++ b/crates/jobs/src/ports/advice_port.rs
@@ -14,6 +14,8 @@
     pub step: StepName,
     /// Candidate workers.
     pub workers: Vec<InstanceName>,
+    /// Time after which the request is given up.
+    pub timeout: Duration,
 }
 
 /// Response to an [`AdviceCall`].
--- a/crates/jobs/tests/common/deployment.rs
+++ b/crates/jobs/tests/common/deployment.rs
@@ -69,7 +69,7 @@
         attempts: 3,
         stretch: 1.6,
         slack: Duration::from_millis(600),
-        needs_ticket: false,
+        advice: None,
     };
     let team = TeamRule {
         weight: 1.0,
