--- a/crates/core/src/jobs/dispatcher/advice.rs
+++ b/crates/core/src/jobs/dispatcher/advice.rs
@@ -13,12 +13,6 @@
 /// Maximum number of workers in one advice request. The service takes longer for each worker.
 const MAX_WORKERS_PER_REQUEST: usize = 6;
 
-/// Maximum number of advice requests in flight. The service answers one at a time.
-const MAX_OPEN_REQUESTS: usize = 2;
-
-/// Time after which an advice request is given up.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// Delay before an advice request that had no response is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -29,14 +23,13 @@
         if !self.rules.queues.values().any(|rule| rule.advice.is_some()) {
             return Vec::new();
         }
-        let mut in_flight = self.open_advice_requests();
         let mut requests = Vec::new();
         let mut waiting = self.waiting_steps(now);
         waiting.retain(|step| self.needs_ticket(step.name));
         waiting.sort_by_key(|step| (step.key, step.name));
         let pools = self.usable_workers(now);
         for step in waiting {
-            if in_flight >= MAX_OPEN_REQUESTS {
+            if self.advice_backlog.is_full() {
                 break;
             }
             let Some(rule) = self.advice_rule(step.name) else {
@@ -54,43 +47,54 @@
             candidates.sort_by_key(|key| std::cmp::Reverse(self.workers[*key].room().cpu_millis));
             candidates.truncate(MAX_WORKERS_PER_REQUEST);
             cache.is_requesting = true;
-            in_flight += 1;
+            let work = rule.answer_time(candidates.len());
             requests.push(AdviceRequest {
                 step: step.name,
-                work: rule.answer_time(candidates.len()),
                 workers: candidates,
-                timeout: REQUEST_TIMEOUT,
+                work,
+                timeout: self.advice_backlog.add(work),
             });
         }
         requests
     }
 
-    /// Processes the end of a request to the policy service that was sent at `requested`. Returns the
-    /// number of tickets that were stored.
+    /// Processes the end of a request to the policy service. Returns the number of tickets that were
+    /// stored.
+    ///
+    /// Tickets count from the answer on, since the service may take longer than they are valid. A
+    /// worker refuses one that was under way for too long.
     pub fn note_advice(
         &mut self,
         request: &AdviceRequest,
         outcome: AdviceOutcome<'_>,
-        requested: TimePoint,
         now: TimePoint,
     ) -> usize {
-        let tickets = match outcome {
+        let backlog = &mut self.advice_backlog;
+        let answer = match outcome {
             AdviceOutcome::Answered { allowed, valid } => {
+                backlog.note_answer(request.work);
                 Some((self.match_tickets(request, allowed), valid))
             }
-            AdviceOutcome::Refused | AdviceOutcome::Unanswered => None,
+            AdviceOutcome::Refused => {
+                backlog.remove(request.work);
+                None
+            }
+            AdviceOutcome::Unanswered => {
+                backlog.note_timeout(request.work);
+                None
+            }
         };
         let Some(cache) = self.tickets.get_mut(&request.step) else {
             return 0;
         };
         let restarted = cache.end_request();
-        let Some((tickets, valid)) = tickets else {
+        let Some((tickets, valid)) = answer else {
             cache.retry_after = now.after(RETRY_DELAY);
             return 0;
         };
         let mut asked = request.workers.clone();
         asked.retain(|key| !restarted.contains(key));
-        cache.store(&asked, &tickets, valid, requested);
+        cache.store(&asked, &tickets, valid, now);
         tickets.len()
     }
 
@@ -119,9 +123,8 @@
 
     /// Number of requests to the policy service that have not ended.
     #[must_use]
-    pub fn open_advice_requests(&self) -> usize {
-        let caches = self.tickets.values();
-        caches.filter(|cache| cache.is_requesting).count()
+    pub const fn open_advice_requests(&self) -> usize {
+        self.advice_backlog.len()
     }
 
     pub(super) fn ticket(
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -28,6 +28,7 @@
 pub use abandoned_tasks::AbandonedTask;
 pub use records::{CoveredEnd, RecordBatch, WriteLimit};
 
+use super::advice_backlog::AdviceBacklog;
 use super::crash_history::CrashHistory;
 use super::estimate_ratio::EstimateRatio;
 use super::job_entry::JobEntry;
@@ -72,6 +73,7 @@
     estimate_ratios: HashMap<PoolName, EstimateRatio>,
     team_usage: HashMap<TeamName, ResourceAmount>,
     tickets: HashMap<StepName, TicketCache>,
+    advice_backlog: AdviceBacklog,
     reservations: reservations::ReservationTable,
     /// Jobs whose end is stored. A read of the job table that overlaps with the end of a job may
     /// still return the job as open.
@@ -114,6 +116,7 @@
             estimate_ratios: HashMap::new(),
             team_usage: HashMap::new(),
             tickets: HashMap::new(),
+            advice_backlog: AdviceBacklog::default(),
             reservations: reservations::ReservationTable::default(),
             ended_jobs: HashSet::new(),
             expiry_queue: VecDeque::new(),
--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -3,6 +3,7 @@
 //! [`JobDispatcher`] combines the parts. Its inputs are the reports of workers and the store, and
 //! its outputs are orders for the workers and records for the store.
 
+mod advice_backlog;
 mod crash_history;
 mod dispatch_policy;
 mod dispatcher;
--- a/crates/core/src/jobs/ticket_cache.rs
+++ b/crates/core/src/jobs/ticket_cache.rs
@@ -72,8 +72,8 @@
         !self.is_denied(key) && self.ticket(key, now).is_none()
     }
 
-    /// Forgets what is known about a worker that was started again. A ticket is valid for one life of
-    /// the worker, and its next one may be of another kind.
+    /// Forgets what is known about a worker that was started again or has refused its ticket. A ticket
+    /// is valid for one life of the worker, and its next one may be of another kind.
     pub(crate) fn forget(&mut self, key: WorkerKey) {
         self.tickets.remove(&key);
         self.denied.remove(&key);
@@ -89,16 +89,16 @@
         std::mem::take(&mut self.restarted)
     }
 
-    /// Stores the answer to a request for `workers` that was sent at `sent`. Its tickets are valid
-    /// for `valid` from then on. Workers without a ticket in `allowed` may not run the step.
+    /// Stores the answer to a request for `workers`. Its tickets are valid for `valid` from `now`
+    /// on. Workers without a ticket in `allowed` may not run the step.
     pub(crate) fn store(
         &mut self,
         workers: &[WorkerKey],
         allowed: &HashMap<WorkerKey, CompactString>,
         valid: Duration,
-        sent: TimePoint,
+        now: TimePoint,
     ) {
-        let until = sent.after(valid.saturating_sub(TICKET_MARGIN));
+        let until = now.after(valid.saturating_sub(TICKET_MARGIN));
         for key in workers {
             match allowed.get(key) {
                 Some(ticket) => {
--- a/crates/core/tests/job_tickets.rs
+++ b/crates/core/tests/job_tickets.rs
@@ -41,7 +41,7 @@
     let now = at(world.now);
     let allowed = &allowed;
     let answer = AdviceOutcome::Answered { allowed, valid };
-    world.dispatcher.note_advice(request, answer, now, now);
+    world.dispatcher.note_advice(request, answer, now);
 }
 
 /// Guards against starts without a ticket or on workers that the service does not allow.
@@ -82,7 +82,7 @@
     );
     let now = at(world.now);
     let outcome = AdviceOutcome::Unanswered;
-    world.dispatcher.note_advice(&again, outcome, now, now);
+    world.dispatcher.note_advice(&again, outcome, now);
     assert!(
         take_requests(&mut world).is_empty(),
         "requested again at once"
--- a/crates/core/tests/worker_reservations.rs
+++ b/crates/core/tests/worker_reservations.rs
@@ -179,7 +179,7 @@
             allowed: &HashMap::new(),
             valid: Duration::from_secs(3),
         };
-        world.dispatcher.note_advice(&request, answer, now, now);
+        world.dispatcher.note_advice(&request, answer, now);
     }
     assert_small_jobs_run(&mut world);
 }
--- a/crates/jobs/src/owner/advice_calls.rs
+++ b/crates/jobs/src/owner/advice_calls.rs
@@ -51,7 +51,7 @@
                     allowed: &allowed,
                     valid,
                 };
-                let stored = self.dispatcher.note_advice(request, outcome, sent, now);
+                let stored = self.dispatcher.note_advice(request, outcome, now);
                 info!(self.parts.logger, "advice"; "step" => %request.step, "asked" => request.workers.len(), "allowed" => allowed.len(), "stored" => stored, "valid_ms" => valid.as_millis() as u64, "waited_ms" => waited_ms, "work_ms" => request.work.as_millis() as u64, "open" => open);
             }
             Err(error) => {
@@ -60,7 +60,7 @@
                     PlatformError::NoAnswer { .. } => AdviceOutcome::Unanswered,
                     _ => AdviceOutcome::Refused,
                 };
-                self.dispatcher.note_advice(request, outcome, sent, now);
+                self.dispatcher.note_advice(request, outcome, now);
             }
         }
     }
