Ask for another ticket after a start was refused for it

Cause: a start that a worker refuses with the reason ticket counted like any refusal. The ticket was used again in each round, 40 times a second, until the owner thought it had expired. Change: the refusal is an outcome of its own; the ticket is forgotten and the policy service asked again. Evidence: job_tickets::refused_ticket fails when the outcome counts as a plain refusal (2 starts, 0 expected) and passes now. Conclusion: a refused ticket costs one start.

--- a/crates/core/src/jobs/dispatcher/runs.rs
+++ b/crates/core/src/jobs/dispatcher/runs.rs
@@ -103,6 +103,12 @@
                 }
             }
             StartOutcome::Fenced | StartOutcome::Refused => self.release(task, run, key),
+            StartOutcome::TicketRefused => {
+                self.release(task, run, key);
+                if let Some(cache) = self.tickets.get_mut(&task.step) {
+                    cache.forget(key);
+                }
+            }
             StartOutcome::Unavailable => {
                 self.release(task, run, key);
                 if let Some(worker) = self.workers.get_mut(key) {
--- a/crates/core/src/jobs/worker_order.rs
+++ b/crates/core/src/jobs/worker_order.rs
@@ -38,6 +38,8 @@
     Fenced,
     /// The worker refused the order, and the run will not start.
     Refused,
+    /// The worker refused the order because its ticket is missing or no longer valid.
+    TicketRefused,
     /// The worker is unhealthy or not the expected one, and did not start the run.
     Unavailable,
     /// The order was not answered. The run may exist already or start later.
--- a/crates/core/tests/job_tickets.rs
+++ b/crates/core/tests/job_tickets.rs
@@ -9,7 +9,9 @@
 use compact_str::CompactString;
 use jobs::{JobWorld, at, job, rules, step};
 use sesamedeal_core::ids::{InstanceName, QueueName};
-use sesamedeal_core::jobs::{AdviceOutcome, AdviceRequest, AdviceRule, ResourceAmount, WorkerKey};
+use sesamedeal_core::jobs::{
+    AdviceOutcome, AdviceRequest, AdviceRule, ResourceAmount, StartOutcome, WorkerKey, WorkerOrder,
+};
 
 const QUICK_ADVICE: AdviceRule = AdviceRule {
     decide_time: Duration::from_millis(50),
@@ -155,3 +157,30 @@
         assert_eq!(again.workers.len(), 3);
     }
 }
+
+/// Guards against starts that are repeated with a ticket which the worker has refused.
+#[test]
+fn refused_ticket() {
+    let mut world = world();
+    let request = take_requests(&mut world).remove(0);
+    allow(&mut world, &request, 0, Duration::from_secs(3));
+    let now = at(world.now);
+    let orders = world.dispatcher.plan(now, world.now);
+    assert_eq!(orders.len(), 2);
+    for order in orders {
+        let WorkerOrder::Start(key, order) = order else {
+            panic!("{order:?} is no start");
+        };
+        let outcome = StartOutcome::TicketRefused;
+        world
+            .dispatcher
+            .note_start(key, order.task, order.run, outcome, now);
+    }
+    world.run(1);
+    assert_eq!(world.starts, 0, "started with a refused ticket");
+    let again = take_requests(&mut world).remove(0);
+    assert_eq!(again.workers, [request.workers[0]]);
+    allow(&mut world, &again, 0, Duration::from_secs(3));
+    world.run(1);
+    assert_eq!(world.starts, 2);
+}
