--- a/crates/core/src/jobs/dispatcher/gangs.rs
+++ b/crates/core/src/jobs/dispatcher/gangs.rs
@@ -80,7 +80,6 @@
             self.start_run(task, run, key, now);
             placed.push((task, last_run));
         }
-        self.mark_started(step.name.job);
         true
     }
 
--- a/crates/core/src/jobs/dispatcher/hold_reports.rs
+++ b/crates/core/src/jobs/dispatcher/hold_reports.rs
@@ -92,6 +92,7 @@
         if !task.runs.iter().any(is_known) {
             self.adopt(key, report, now);
         }
+        self.mark_begun(report.task.step.job);
         let Some(run) = self.run_mut(report.task, report.run, key) else {
             return;
         };
--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -6,8 +6,8 @@
 use crate::ids::{PoolName, TeamName};
 use crate::jobs::run_entry::RunEntry;
 use crate::jobs::{
-    JobId, ResourceAmount, StartOrder, StepName, StepSpec, TaskName, WorkerKey, WorkerOffer,
-    WorkerOrder, choose_worker,
+    ResourceAmount, StartOrder, StepName, StepSpec, TaskName, WorkerKey, WorkerOffer, WorkerOrder,
+    choose_worker,
 };
 use crate::time::TimePoint;
 
@@ -121,7 +121,6 @@
         let last = self.task(task).map_or(0, |entry| entry.last_run);
         let run = last.max(self.run_number_base) + 1;
         self.start_run(task, run, key, now);
-        self.mark_started(task.step.job);
         true
     }
 
@@ -191,13 +190,4 @@
             self.dirty.insert(name.step.job, false);
         }
     }
-
-    pub(super) fn mark_started(&mut self, id: JobId) {
-        if let Some(job) = self.jobs.get_mut(&id)
-            && job.phase == crate::jobs::JobPhase::Queued
-        {
-            job.phase = crate::jobs::JobPhase::Running;
-            self.dirty.insert(id, false);
-        }
-    }
 }
--- a/crates/core/src/jobs/dispatcher/run_ends.rs
+++ b/crates/core/src/jobs/dispatcher/run_ends.rs
@@ -22,6 +22,7 @@
         if !end.saved.is_empty() {
             task.saved.clone_from(&end.saved);
         }
+        self.mark_begun(end.task.step.job);
         match end.kind {
             EndKind::Done => {
                 self.clear_suspect(end.task);
--- a/crates/core/src/jobs/dispatcher/runs.rs
+++ b/crates/core/src/jobs/dispatcher/runs.rs
@@ -4,7 +4,9 @@
 use crate::jobs::job_entry::JobEntry;
 use crate::jobs::run_entry::{RunEntry, RunState};
 use crate::jobs::task_entry::TaskEntry;
-use crate::jobs::{HealthRecord, LossReason, LostRun, StartOutcome, StepSpec, TaskName, WorkerKey};
+use crate::jobs::{
+    HealthRecord, JobId, JobPhase, LossReason, LostRun, StartOutcome, StepSpec, TaskName, WorkerKey,
+};
 use crate::time::TimePoint;
 
 impl JobDispatcher {
@@ -93,6 +95,7 @@
         let quarantine_time = self.policy.quarantine_time;
         match outcome {
             StartOutcome::Started => {
+                self.mark_begun(task.step.job);
                 if let Some(entry) = self.run_mut(task, run, key)
                     && entry.state == RunState::Ordered
                 {
@@ -125,6 +128,16 @@
         }
     }
 
+    /// Marks a job as running, because a worker has begun one of its tasks.
+    pub(super) fn mark_begun(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id)
+            && job.phase == JobPhase::Queued
+        {
+            job.phase = JobPhase::Running;
+            self.dirty.insert(id, false);
+        }
+    }
+
     /// Marks a stop order as confirmed. A stop order without an answer is sent again later.
     pub fn note_stop(&mut self, key: WorkerKey, task: TaskName, run: u64, now: TimePoint) {
         if let Some(entry) = self.run_mut(task, run, key)
--- a/crates/core/src/jobs/job_entry.rs
+++ b/crates/core/src/jobs/job_entry.rs
@@ -134,13 +134,9 @@
                 .all(|entry| entry.steps.iter().all(|step| step.remaining == 0))
     }
 
-    /// Whether no task of the job has started.
+    /// Whether no worker has begun a task of the job, as far as is known.
     pub(crate) fn is_unstarted(&self) -> bool {
         self.phase == JobPhase::Queued
-            && self.occurrences.iter().all(|entry| {
-                let mut tasks = entry.steps.iter().flat_map(|step| &step.tasks);
-                !tasks.any(TaskEntry::has_started)
-            })
     }
 
     pub(crate) fn record(&self) -> JobRecord {
--- a/crates/core/src/jobs/task_entry.rs
+++ b/crates/core/src/jobs/task_entry.rs
@@ -27,9 +27,4 @@
     pub(crate) fn is_waiting(&self, now: TimePoint) -> bool {
         !self.is_done && self.runs.is_empty() && self.not_before <= now
     }
-
-    /// Whether the task has ever been started.
-    pub(crate) fn has_started(&self) -> bool {
-        self.is_done || self.last_run > 0 || !self.runs.is_empty()
-    }
 }
--- a/crates/core/tests/jobs/order_delivery.rs
+++ b/crates/core/tests/jobs/order_delivery.rs
@@ -48,6 +48,12 @@
                 .note_start(key, order.task, order.run, outcome, at(now));
             return;
         }
+        if self.workers[index].is_refusing {
+            let outcome = StartOutcome::Unavailable;
+            self.dispatcher
+                .note_start(key, order.task, order.run, outcome, at(now));
+            return;
+        }
         let worker = &self.workers[index];
         let is_stale = worker
             .highest_runs
--- a/crates/core/tests/jobs/sim_worker.rs
+++ b/crates/core/tests/jobs/sim_worker.rs
@@ -25,6 +25,8 @@
     pub is_reachable: bool,
     /// Whether the platform's list includes the worker.
     pub is_listed: bool,
+    /// Whether the worker turns starts away.
+    pub is_refusing: bool,
     /// Whether calls to the worker stay unanswered without failing.
     pub is_hanging: bool,
     pub fence: u64,
@@ -52,6 +54,7 @@
             key: None,
             is_reachable: true,
             is_listed: true,
+            is_refusing: false,
             is_hanging: false,
             fence: 0,
             running: BTreeMap::new(),
--- a/crates/core/tests/record_order.rs
+++ b/crates/core/tests/record_order.rs
@@ -8,7 +8,8 @@
 
 use jobs::{JobWorld, at, job, step};
 use sesamedeal_core::jobs::{
-    JobId, JobPhase, JobRecord, JobSchedule, RecordBatch, StepRecord, WriteLimit,
+    JobId, JobPhase, JobRecord, JobSchedule, RecordBatch, StartOutcome, StepRecord, WorkerOrder,
+    WriteLimit,
 };
 
 /// Maximum number of rows in a write.
@@ -21,11 +22,26 @@
     for number in 0..count {
         world.submit(number, job(vec![step(2, 100)]));
     }
-    let orders = world.dispatcher.plan(at(world.now), world.now);
-    assert!(!orders.is_empty());
+    start_tasks(&mut world);
     world
 }
 
+/// Plans, and confirms all starts.
+fn start_tasks(world: &mut JobWorld) {
+    let now = at(world.now);
+    let orders = world.dispatcher.plan(now, world.now);
+    assert!(!orders.is_empty());
+    for order in orders {
+        let WorkerOrder::Start(key, order) = order else {
+            panic!("{order:?} is no start");
+        };
+        let outcome = StartOutcome::Started;
+        world
+            .dispatcher
+            .note_start(key, order.task, order.run, outcome, now);
+    }
+}
+
 /// Adds a scheduled job most of whose steps are done.
 fn add_large_job(world: &mut JobWorld, id: JobId) {
     let (occurrences, steps) = (128, 12);
@@ -111,7 +127,7 @@
         world.submit(number, job(vec![step(1, 100)]));
     }
     // The earlier ends are stored while the records of the new jobs still wait.
-    world.dispatcher.plan(at(world.now), world.now);
+    start_tasks(&mut world);
     let batch = world.dispatcher.take_records(ROWS, world.now);
     world.dispatcher.note_stored(&batch, at(world.now));
     assert!(world.dispatcher.has_records());
@@ -162,7 +178,7 @@
     for number in 0..40 {
         add_large_job(&mut world, JobId(number));
     }
-    world.dispatcher.plan(at(world.now), world.now);
+    start_tasks(&mut world);
     let limit = WriteLimit {
         rows: 72,
         bytes: 550_000,
