Store that a refused start of a suspect was no crash

Cause: the start of a task that is implicated in crashes is stored as a crash before it is sent. After a refusal nothing wrote the record again, so that a later owner read a crash that had not happened, until the worker answered it. Change: a refused start of a suspect makes its job's record due. Evidence: refused_starts::kept_crashes fails without the change (no record due) and passes with it. Conclusion: refused starts leave no trace in the budget of crashes.

--- a/crates/core/src/jobs/dispatcher/runs.rs
+++ b/crates/core/src/jobs/dispatcher/runs.rs
@@ -105,15 +105,15 @@
                     entry.progressed = now;
                 }
             }
-            StartOutcome::Fenced | StartOutcome::Refused => self.release(task, run, key),
+            StartOutcome::Fenced | StartOutcome::Refused => self.undo_refused(task, run, key),
             StartOutcome::TicketRefused => {
-                self.release(task, run, key);
+                self.undo_refused(task, run, key);
                 if let Some(cache) = self.tickets.get_mut(&task.step) {
                     cache.forget(key);
                 }
             }
             StartOutcome::Unavailable => {
-                self.release(task, run, key);
+                self.undo_refused(task, run, key);
                 if let Some(worker) = self.workers.get_mut(key) {
                     worker.health.quarantine(now, quarantine_time);
                 }
@@ -128,6 +128,14 @@
         }
     }
 
+    /// Releases a run that a worker has refused. The start of a suspect was stored as a crash.
+    fn undo_refused(&mut self, task: TaskName, run: u64, key: WorkerKey) {
+        self.release(task, run, key);
+        if self.suspects.contains_key(&task) {
+            self.dirty.insert(task.step.job, false);
+        }
+    }
+
     /// Marks a job as running, because a worker has begun one of its tasks.
     pub(super) fn mark_begun(&mut self, id: JobId) {
         if let Some(job) = self.jobs.get_mut(&id)
--- a/crates/core/tests/refused_starts.rs
+++ b/crates/core/tests/refused_starts.rs
@@ -4,9 +4,9 @@
 
 use std::collections::HashSet;
 
-use jobs::{JobWorld, WorldFaults, job, step};
+use jobs::{JobWorld, WorldFaults, at, job, step};
 use sesamedeal_core::ids::QueueName;
-use sesamedeal_core::jobs::{JobId, JobPhase};
+use sesamedeal_core::jobs::{JobId, JobPhase, StartOutcome, StepName, WorkerOrder};
 
 /// Rounds in 5 s, longer than a worker is left out after it has turned a start away.
 const QUARANTINE: usize = 100;
@@ -140,3 +140,46 @@
         assert_eq!(world.phase(id), JobPhase::Finished);
     }
 }
+
+/// Guards against a crash that a later owner counts although the worker has turned the start away:
+/// the start is stored as a crash before it is sent.
+#[test]
+fn kept_crashes() {
+    let mut world = JobWorld::new(2, 3);
+    world.run(2);
+    let id = world.submit(1, job(vec![step(1, 1_000)]));
+    let task = StepName {
+        job: id,
+        occurrence: 0,
+        step: 0,
+    }
+    .task(0);
+    world.make_deadly(task);
+    world.run(1);
+    let crashed = world.workers.iter().find(|worker| !worker.is_reachable);
+    let crashed = crashed.and_then(|worker| worker.key).unwrap();
+    world.dispatcher.note_unresponsive(crashed);
+    let order = loop {
+        world.now += 50;
+        let now = at(world.now);
+        let batch = world.dispatcher.take_records(72, world.now);
+        world.dispatcher.note_stored(&batch, now);
+        let order = world.dispatcher.plan(now, world.now).pop();
+        let batch = world.dispatcher.take_records(72, world.now);
+        world.dispatcher.note_stored(&batch, now);
+        if order.is_some() {
+            break order;
+        }
+    };
+    let Some(WorkerOrder::Start(key, order)) = order else {
+        panic!("{order:?} is no start");
+    };
+    let outcome = StartOutcome::Unavailable;
+    world
+        .dispatcher
+        .note_start(key, order.task, order.run, outcome, at(world.now));
+    let batch = world.dispatcher.take_records(72, world.now);
+    let crashes = batch.records.iter().flat_map(|(_, record)| &record.crashes);
+    let crashes: Vec<usize> = crashes.map(|entry| entry.crashes.len()).collect();
+    assert_eq!(crashes, [1]);
+}
