--- a/crates/core/src/jobs/dispatcher/hold_reports.rs
+++ b/crates/core/src/jobs/dispatcher/hold_reports.rs
@@ -33,6 +33,14 @@
         }
     }
 
+    /// Extends the recorded lease of a worker to the longest one that it grants from now on. Until it
+    /// sees a higher fence number, a worker that was started again takes the end of a lease on the
+    /// clock of its former life, and shortens that to the longest lease.
+    pub(super) fn extend_to_longest(&mut self, key: WorkerKey, now: TimePoint) {
+        let longest = self.policy.max_lease;
+        self.note_extension(key, longest, Duration::ZERO, now);
+    }
+
     /// Marks a worker that did not answer a hold call. It gets no new tasks until it answers one.
     pub fn note_unresponsive(&mut self, key: WorkerKey) {
         if let Some(entry) = self.workers.get_mut(key) {
@@ -41,15 +49,26 @@
         }
     }
 
-    /// Processes the hold report of a worker.
-    pub fn note_hold(&mut self, key: WorkerKey, report: &HoldReport, now: TimePoint) {
+    /// Processes the hold report of a worker, the answer to a call by its current link.
+    ///
+    /// Returns whether the worker was started again, so that calls to it must be set up again. Such a
+    /// report only shows the restart: until the new link is answered, calls to the former life of the
+    /// worker may still have an effect.
+    pub fn note_hold(&mut self, key: WorkerKey, report: &HoldReport, now: TimePoint) -> bool {
         let Some(entry) = self.workers.get_mut(key) else {
-            return;
+            return false;
         };
         if entry.boot.is_some_and(|boot| boot != report.boot) {
             self.reset_worker(key, report.boot, now);
+            self.renew_link(key);
+            let entry = &mut self.workers[key];
+            entry.set_boot(report.boot);
             // The worker is about to write its new entry.
-            self.workers[key].entry_limit = now.after(self.policy.max_capacity_age);
+            entry.entry_limit = now.after(self.policy.max_capacity_age);
+            return true;
+        }
+        if entry.list_requested.is_none() {
+            self.extend_to_longest(key, now);
         }
         let entry = &mut self.workers[key];
         let was_silent = entry.is_unresponsive || entry.list_requested.is_none();
@@ -73,6 +92,7 @@
         if report.ended.len() < MAX_LISTED_ENDS {
             self.resolve_absent_runs(key, report, now);
         }
+        false
     }
 
     fn note_running(&mut self, key: WorkerKey, report: &RunReport, now: TimePoint) {
@@ -128,7 +148,8 @@
             let has_other = !task.runs.is_empty();
             task.is_done || has_other
         });
-        let mut run = RunEntry::new(key, report.run, now);
+        let link = self.workers[key].link;
+        let mut run = RunEntry::new(key, report.run, link, now);
         run.state = RunState::Running;
         if is_ended || (is_redundant && !self.allows_copies(report)) {
             run.request_stop();
@@ -142,9 +163,11 @@
 
     /// Resolves runs that the report does not list.
     ///
-    /// A run is released if its start or stop was confirmed before the report was requested. If the
-    /// start had no answer before the request, the run is stopped.
+    /// A run is released if its start or stop was confirmed before the report was requested, or if it
+    /// was ordered by an earlier link and so cannot begin any more. If the start had no answer before
+    /// the request, the run is stopped.
     fn resolve_absent_runs(&mut self, key: WorkerKey, report: &HoldReport, now: TimePoint) {
+        let link = self.workers[key].link;
         let runs: Vec<_> = self.workers[key].runs.keys().copied().collect();
         for (task, run) in runs {
             let mut listed = report.running.iter();
@@ -156,6 +179,7 @@
             };
             let is_stopped = entry.is_stopping();
             let is_gone = match entry.state {
+                _ if entry.link < link => true,
                 RunState::Ordered => false,
                 RunState::Running => entry.since < report.sent,
                 RunState::Unconfirmed { since } => {
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -18,6 +18,7 @@
 mod suspects;
 mod unreachable_workers;
 mod waiting_steps;
+mod worker_links;
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
@@ -50,6 +51,9 @@
 pub struct JobDispatcher {
     policy: DispatchPolicy,
     rules: Arc<FleetRules>,
+    epoch: u64,
+    /// Number of the newest link to any worker.
+    last_link: u64,
     /// Run numbers of this epoch are greater than this.
     run_number_base: u64,
     takeover_time: TimePoint,
@@ -103,6 +107,8 @@
             inherited_lease_end: now.after(lease),
             policy,
             rules,
+            epoch,
+            last_link: 0,
             run_number_base: epoch.saturating_sub(1) * RUNS_PER_EPOCH,
             inherited_unreachable: HashMap::new(),
             jobs: HashMap::new(),
@@ -221,7 +227,11 @@
             entry.is_listed = true;
             // Calls to the worker are set up again, and none has been answered yet.
             entry.is_unresponsive |= is_moved || !was_listed;
-            return (key, is_restarted || is_moved || !was_listed);
+            let is_renewed = is_restarted || is_moved || !was_listed;
+            if is_renewed {
+                self.renew_link(key);
+            }
+            return (key, is_renewed);
         }
         let name = report.name.clone();
         let mut entry = WorkerEntry::new(report, self.inherited_lease_end);
@@ -229,6 +239,7 @@
         entry.is_published = self.inherited_unreachable.contains_key(&name);
         let key = self.workers.insert(entry);
         self.keys_by_name.insert(name, key);
+        self.renew_link(key);
         self.settle_instance(key, now);
         (key, true)
     }
--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -169,12 +169,13 @@
     }
 
     pub(super) fn start_run(&mut self, name: TaskName, run: u64, key: WorkerKey, now: TimePoint) {
+        let link = self.workers[key].link;
         let Some(task) = self.task_mut(name) else {
             return;
         };
         task.last_run = run;
         task.is_settled = true;
-        task.runs.push(RunEntry::new(key, run, now));
+        task.runs.push(RunEntry::new(key, run, link, now));
         let saved = task.saved.clone();
         self.allocate(name, run, key);
         let spec = self.jobs[&name.step.job].order.spec.clone();
--- a/crates/core/src/jobs/dispatcher/runs.rs
+++ b/crates/core/src/jobs/dispatcher/runs.rs
@@ -157,12 +157,14 @@
 
     /// Resets the state of a worker that was restarted as `boot`, and releases the runs that a list
     /// of an earlier boot has shown. Whether the others exist is known from the next lists, as the
-    /// new boot may have received their orders.
+    /// new boot may have received their orders. Calls to the earlier boot may also have granted it the
+    /// longest lease.
     pub(super) fn reset_worker(&mut self, key: WorkerKey, boot: u64, now: TimePoint) {
         self.implicate_runs(key, true);
         self.confirm_end(key);
         let ended = |run: &RunEntry| run.listed_boot.is_some_and(|listed| listed != boot);
         self.lose_runs(key, LossReason::Restarted, ended, now);
+        self.extend_to_longest(key, now);
         let entry = &mut self.workers[key];
         entry.forget_boot();
         entry.list_requested = None;
--- a/crates/core/src/jobs/run_entry.rs
+++ b/crates/core/src/jobs/run_entry.rs
@@ -33,6 +33,8 @@
 pub(crate) struct RunEntry {
     pub worker: WorkerKey,
     pub run: u64,
+    /// Link to the worker by which the run was ordered or adopted.
+    pub link: u64,
     pub state: RunState,
     /// Whether the run is to be stopped only because its start had no answer.
     pub is_revoked: bool,
@@ -57,10 +59,11 @@
 }
 
 impl RunEntry {
-    pub(crate) const fn new(worker: WorkerKey, run: u64, now: TimePoint) -> Self {
+    pub(crate) const fn new(worker: WorkerKey, run: u64, link: u64, now: TimePoint) -> Self {
         Self {
             worker,
             run,
+            link,
             state: RunState::Ordered,
             is_revoked: false,
             since: now,
--- a/crates/core/src/jobs/worker_entry.rs
+++ b/crates/core/src/jobs/worker_entry.rs
@@ -23,6 +23,9 @@
     pub renewed: TimePoint,
     /// Whether the platform's list still contains the worker.
     pub is_listed: bool,
+    /// Number of the current link. Once the worker has answered a call of it, calls of earlier links
+    /// have no effect any more.
+    pub link: u64,
     /// Boot of the worker at its last answer; none before its first answer in this epoch, and
     /// after the list showed a restart.
     pub boot: Option<u64>,
@@ -70,6 +73,7 @@
             report,
             renewed: TimePoint::ORIGIN,
             is_listed: true,
+            link: 0,
             boot: None,
             entry_limit: TimePoint::ORIGIN,
             ended_boots: VecDeque::new(),
--- /dev/null
+++ b/crates/core/tests/former_life.rs
@@ -0,0 +1,190 @@
+//! Calls that were meant for the former life of a worker, which was started again under its name.
+
+mod jobs;
+
+use jobs::{JobWorld, at, job, step};
+use sesamedeal_core::jobs::{JobPhase, StartOrder, StartOutcome, WorkerOrder, WorkerState};
+
+/// Rounds in a second.
+const SECOND: usize = 20;
+
+/// Number of tasks of a job.
+const TASKS: u16 = 4;
+
+/// A world of two workers, on the first of which lasting tasks have run for 3 s. The second one takes
+/// no tasks yet.
+fn world() -> JobWorld {
+    let mut world = JobWorld::new(2, 3);
+    world.workers[1].report.state = WorkerState::Draining;
+    world.list_workers();
+    world.run(2);
+    let mut spec = step(TASKS, 1_000);
+    spec.is_lasting = true;
+    world.submit(1, job(vec![spec]));
+    world.run(3 * SECOND);
+    assert_eq!(running(&world, 0), usize::from(TASKS));
+    world
+}
+
+fn running(world: &JobWorld, index: usize) -> usize {
+    world.workers[index].tasks().len()
+}
+
+fn assert_sound(world: &JobWorld) {
+    let violations = &world.violations;
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
+/// Starts the first worker again, as its answers or the list show first, and waits until it runs the
+/// tasks again. The second worker takes tasks from then on.
+fn restart(world: &mut JobWorld, is_listed_first: bool) {
+    world.restart(0);
+    if is_listed_first {
+        world.list_workers();
+    }
+    world.run(SECOND);
+    assert!(running(world, 0) >= usize::from(TASKS), "back after 1 s");
+    admit_second(world);
+}
+
+fn admit_second(world: &mut JobWorld) {
+    world.workers[1].report.state = WorkerState::Ready;
+    world.list_workers();
+}
+
+/// Guards against tasks that run twice when a worker is cut off after its return: a call that was
+/// meant for its former life extends its lease, on another clock, for longer than the owner knows.
+#[test]
+fn late_extension() {
+    for is_listed_first in [true, false] {
+        for delay in [0, 1, 2 * SECOND, 4 * SECOND] {
+            let mut world = world();
+            let fence = world.fence(0);
+            restart(&mut world, is_listed_first);
+            world.workers[0].is_reachable = false;
+            world.run(delay);
+            world.late_hold(0, fence, 0);
+            world.run(8 * SECOND);
+            assert_sound(&world);
+            assert_eq!(running(&world, 1), usize::from(TASKS), "the tasks run");
+        }
+    }
+}
+
+/// Guards against tasks that run twice because the lease was extended before the new life of the
+/// worker had answered, also under a later owner.
+#[test]
+fn early_extension() {
+    for is_owner_new in [false, true] {
+        let mut world = world();
+        let fence = world.fence(0);
+        world.restart(0);
+        world.late_hold(0, fence, 0);
+        if is_owner_new {
+            world.take_over();
+        }
+        for _ in 0..SECOND {
+            if running(&world, 0) == 0 {
+                world.run(1);
+            }
+        }
+        assert_eq!(running(&world, 0), usize::from(TASKS));
+        for run in world.workers[0].running.values_mut() {
+            run.lease_end = run.started + 6_000;
+        }
+        admit_second(&mut world);
+        world.workers[0].is_reachable = false;
+        world.run(8 * SECOND);
+        assert_sound(&world);
+        assert_eq!(running(&world, 1), usize::from(TASKS), "the tasks run");
+    }
+}
+
+/// Starts a job whose first start has no answer, and returns the order and the fence number.
+fn unanswered_start(world: &mut JobWorld) -> (StartOrder, u64) {
+    let mut spec = step(1, 1_000);
+    spec.is_lasting = true;
+    world.submit(2, job(vec![spec]));
+    let now = at(world.now);
+    let order = world.dispatcher.plan(now, world.now).pop();
+    let Some(WorkerOrder::Start(key, order)) = order else {
+        panic!("{order:?} is no start");
+    };
+    assert_eq!(Some(key), world.workers[0].key);
+    let outcome = StartOutcome::Unknown;
+    world
+        .dispatcher
+        .note_start(key, order.task, order.run, outcome, now);
+    (order, world.fence(0))
+}
+
+/// Guards against a start that the new life of a worker carries out after the task was started
+/// elsewhere: only the former life knew that it had been stopped.
+#[test]
+fn late_start() {
+    for settle in [0, 2 * SECOND] {
+        let mut world = world();
+        let (order, fence) = unanswered_start(&mut world);
+        world.run(settle);
+        restart(&mut world, true);
+        world.run(SECOND);
+        let starts = world.starts;
+        world.late_start(0, fence, &order);
+        world.run(SECOND);
+        assert_sound(&world);
+        assert_eq!(world.starts, starts);
+    }
+}
+
+/// Guards against a start that the new life of a worker has carried out before it answered, and that
+/// is not counted or is started a second time.
+#[test]
+fn early_start() {
+    let mut world = world();
+    let (order, fence) = unanswered_start(&mut world);
+    world.restart(0);
+    world.late_start(0, fence, &order);
+    let starts = world.starts;
+    world.list_workers();
+    world.run(2 * SECOND);
+    assert_sound(&world);
+    assert_eq!(world.starts, starts + usize::from(TASKS));
+    assert_eq!(running(&world, 0), usize::from(TASKS) + 1);
+}
+
+/// Guards against ends that the new life of a worker forgets, because a call has acknowledged those
+/// of its former life.
+#[test]
+fn late_acknowledgement() {
+    let mut world = world();
+    let fence = world.fence(0);
+    world.restart(0);
+    world.list_workers();
+    world.run(2);
+    let id = world.submit(2, job(vec![step(2, 1_000)]));
+    world.run(2);
+    world.workers[0].is_reachable = false;
+    for _ in 0..2 * SECOND {
+        world.round();
+        world.late_hold(0, fence, 50);
+    }
+    world.workers[0].is_reachable = true;
+    world.run(2 * SECOND);
+    assert_eq!(world.phase(id), JobPhase::Finished);
+    assert_sound(&world);
+}
+
+/// Guards against a worker that is of no use for long after its return, and against tasks that wait
+/// for the longest lease although the worker has answered for long.
+#[test]
+fn prompt_return() {
+    for is_listed_first in [true, false] {
+        let mut world = world();
+        restart(&mut world, is_listed_first);
+        world.run(4 * SECOND);
+        world.workers[0].is_reachable = false;
+        world.run(5 * SECOND);
+        assert_eq!(running(&world, 1), usize::from(TASKS), "after one lease");
+        assert_sound(&world);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/jobs/late_calls.rs
@@ -0,0 +1,55 @@
+use sesamedeal_core::jobs::{EndKind, StartOrder};
+
+use super::{JobWorld, SimRun};
+
+/// Longest lease that a worker grants, in milliseconds.
+const LONGEST_LEASE: u64 = 6_000;
+
+impl JobWorld {
+    /// Fence number of calls to a worker.
+    pub fn fence(&self, index: usize) -> u64 {
+        let key = self.workers[index].key.expect("the worker is listed");
+        self.dispatcher.fence(key)
+    }
+
+    /// Carries out a hold call that was meant for the former life of a worker. The end of its lease
+    /// is far in the future of the worker's clock.
+    pub fn late_hold(&mut self, index: usize, fence: u64, stored_end: u64) {
+        let now = self.now;
+        let worker = &mut self.workers[index];
+        if fence < worker.fence {
+            return;
+        }
+        worker.fence = fence;
+        for run in worker.running.values_mut() {
+            run.lease_end = run.lease_end.max(now + LONGEST_LEASE);
+        }
+        for end in worker.ended.iter().filter(|end| end.number <= stored_end) {
+            if end.kind == EndKind::Done {
+                self.acknowledged_done.insert(end.task);
+            }
+        }
+        worker.ended.retain(|end| end.number > stored_end);
+    }
+
+    /// Carries out a start order that was meant for the former life of a worker.
+    pub fn late_start(&mut self, index: usize, fence: u64, order: &StartOrder) {
+        let worker = &mut self.workers[index];
+        let highest = worker.highest_runs.get(&order.task);
+        if fence < worker.fence || highest.is_some_and(|run| order.run <= *run) {
+            return;
+        }
+        worker.fence = fence;
+        self.check_start(index, order);
+        let run = SimRun {
+            started: self.now,
+            ends: u64::MAX,
+            lease_end: self.now + LONGEST_LEASE,
+            fails: false,
+            is_alone: false,
+        };
+        let id = (order.task, order.run);
+        self.workers[index].running.insert(id, run);
+        self.starts += 1;
+    }
+}
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -6,6 +6,7 @@
 mod builders;
 mod capacities;
 mod crashes;
+mod late_calls;
 mod order_delivery;
 mod owner_changes;
 mod sim_worker;
@@ -213,8 +214,14 @@
             self.dispatcher.note_unresponsive(key);
             return;
         }
-        worker.fence = worker.fence.max(self.epoch);
-        if !self.dispatcher.is_published(key) {
+        let fence = self.dispatcher.fence(key);
+        if fence < worker.fence {
+            return;
+        }
+        worker.fence = fence;
+        // The first answer by a link shows the worker's clock.
+        let is_clock_known = worker.answered_fence == Some(fence);
+        if is_clock_known && !self.dispatcher.is_published(key) {
             self.dispatcher
                 .note_extension(key, LEASE, Duration::ZERO, at(now));
             for run in worker.running.values_mut() {
@@ -254,6 +261,7 @@
             running: running.collect(),
             ended: worker.ended.clone(),
         };
+        worker.answered_fence = Some(fence);
         self.dispatcher.note_hold(key, &report, at(now));
     }
 
--- a/crates/core/tests/jobs/order_delivery.rs
+++ b/crates/core/tests/jobs/order_delivery.rs
@@ -54,12 +54,13 @@
                 .note_start(key, order.task, order.run, outcome, at(now));
             return;
         }
+        let fence = self.dispatcher.fence(key);
         let worker = &self.workers[index];
         let is_stale = worker
             .highest_runs
             .get(&order.task)
             .is_some_and(|run| order.run <= *run);
-        if self.epoch < worker.fence || is_stale {
+        if fence < worker.fence || worker.answered_fence != Some(fence) || is_stale {
             let outcome = StartOutcome::Refused;
             self.dispatcher
                 .note_start(key, order.task, order.run, outcome, at(now));
@@ -81,7 +82,7 @@
         let is_alone = self.crashes.is_gang_broken(order.task, order.run);
         let is_long_running = self.step_of(order.task).is_lasting;
         let worker = &mut self.workers[index];
-        worker.fence = worker.fence.max(self.epoch);
+        worker.fence = fence;
         let run = SimRun {
             started: now,
             ends: if is_long_running {
@@ -127,7 +128,7 @@
     }
 
     /// Checks the invariants that hold whenever a worker starts a task.
-    fn check_start(&mut self, index: usize, order: &StartOrder) {
+    pub(super) fn check_start(&mut self, index: usize, order: &StartOrder) {
         let task = order.task;
         let mut problems = Vec::new();
         let mut used = self.step_of(task).worker_amount();
--- a/crates/core/tests/jobs/sim_worker.rs
+++ b/crates/core/tests/jobs/sim_worker.rs
@@ -30,6 +30,8 @@
     /// Whether calls to the worker stay unanswered without failing.
     pub is_hanging: bool,
     pub fence: u64,
+    /// Fence number of the last hold call that the worker has answered.
+    pub answered_fence: Option<u64>,
     pub running: BTreeMap<(TaskName, u64), SimRun>,
     pub ended: Vec<RunEnd>,
     pub next_end: u64,
@@ -57,6 +59,7 @@
             is_refusing: false,
             is_hanging: false,
             fence: 0,
+            answered_fence: None,
             running: BTreeMap::new(),
             ended: Vec::new(),
             next_end: 1,
--- a/crates/jobs/src/owner/call_sender.rs
+++ b/crates/jobs/src/owner/call_sender.rs
@@ -24,21 +24,16 @@
 }
 
 impl CallSender {
-    pub(crate) fn hold(
-        &self,
-        key: WorkerKey,
-        generation: u64,
-        request: HoldRequest,
-        limit: Duration,
-    ) {
+    pub(crate) fn hold(&self, key: WorkerKey, request: HoldRequest, limit: Duration) {
         let sender = self.clone();
         tokio::spawn(async move {
             let sent = BootClock.now();
+            let fence = request.fence;
             let answer = timeout(limit, (sender.workers.hold)(request)).await;
             let outcome = answer.unwrap_or_else(|_elapsed| Err(timeout_error()));
             let event = OwnerEvent::Held {
                 key,
-                generation,
+                fence,
                 sent,
                 outcome,
             };
@@ -62,12 +57,13 @@
                 }
             };
             if outcome == StartOutcome::Started {
-                info!(sender.logger, "start"; "task" => %task, "run" => run, "worker" => %worker, "epoch" => fence, "outcome" => ?outcome);
+                info!(sender.logger, "start"; "task" => %task, "run" => run, "worker" => %worker, "fence" => fence, "outcome" => ?outcome);
             } else {
-                warn!(sender.logger, "start"; "task" => %task, "run" => run, "worker" => %worker, "epoch" => fence, "outcome" => ?outcome);
+                warn!(sender.logger, "start"; "task" => %task, "run" => run, "worker" => %worker, "fence" => fence, "outcome" => ?outcome);
             }
             let event = OwnerEvent::Started {
                 key,
+                fence,
                 task,
                 run,
                 outcome,
@@ -79,7 +75,7 @@
     pub(crate) fn stop(&self, key: WorkerKey, semaphore: Arc<Semaphore>, request: StopRequest) {
         let sender = self.clone();
         tokio::spawn(async move {
-            let (task, run) = (request.task, request.run);
+            let (task, run, fence) = (request.task, request.run, request.fence);
             let worker = request.worker.name.clone();
             let call = || (sender.workers.stop)(request);
             let answer = sender.with_permit(&semaphore, call).await;
@@ -87,6 +83,7 @@
             if let Ok(Ok(accepted)) = answer {
                 let event = OwnerEvent::Stopped {
                     key,
+                    fence,
                     task,
                     run,
                     accepted,
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use sesamedeal_core::ids::InstanceName;
-use sesamedeal_core::jobs::{DispatchPolicy, JobDispatcher, UnreachableWorker};
+use sesamedeal_core::jobs::{DispatchPolicy, JobDispatcher, UnreachableWorker, WorkerKey};
 use sesamedeal_core::lease::InstanceCapacity;
 use sesamedeal_core::time::TimePoint;
 use slog::{Logger, info, warn};
@@ -133,6 +133,14 @@
         }
     }
 
+    /// Ends the ownership after a worker has refused a call because of its fence number, unless the
+    /// worker has meanwhile got a new link, which has a higher one.
+    fn handle_fenced(&mut self, key: WorkerKey, fence: u64) {
+        if self.links.is_current(key, fence) {
+            self.step_down("a worker has seen a later epoch");
+        }
+    }
+
     /// Yields the ownership to a much larger instance.
     pub(super) fn yield_to(&mut self, capacity: InstanceCapacity) {
         let Some(ended) = self.ended.take() else {
@@ -272,12 +280,13 @@
             OwnerEvent::Workers(event) => self.handle_worker_rows(event),
             OwnerEvent::Held {
                 key,
-                generation,
+                fence,
                 sent,
                 outcome,
-            } => self.handle_hold_result(key, generation, sent, outcome),
+            } => self.handle_hold_result(key, fence, sent, outcome),
             OwnerEvent::Started {
                 key,
+                fence,
                 task,
                 run,
                 outcome,
@@ -288,11 +297,12 @@
                 self.dispatcher
                     .note_start(key, task, run, outcome, BootClock.now());
                 if outcome == sesamedeal_core::jobs::StartOutcome::Fenced {
-                    self.step_down("a worker has seen a later epoch");
+                    self.handle_fenced(key, fence);
                 }
             }
             OwnerEvent::Stopped {
                 key,
+                fence,
                 task,
                 run,
                 accepted,
@@ -300,7 +310,7 @@
                 if accepted {
                     self.dispatcher.note_stop(key, task, run, BootClock.now());
                 } else {
-                    self.step_down("a worker has seen a later epoch");
+                    self.handle_fenced(key, fence);
                 }
             }
             OwnerEvent::Written {
--- a/crates/jobs/src/owner/owner_event.rs
+++ b/crates/jobs/src/owner/owner_event.rs
@@ -33,14 +33,15 @@
     /// A hold call to a worker ended.
     Held {
         key: WorkerKey,
-        /// Generation of the link. Answers to calls of a replaced link are ignored.
-        generation: u64,
+        /// Fence number of the call. Answers to calls of a replaced link are ignored.
+        fence: u64,
         sent: TimePoint,
         outcome: Result<HoldOutcome>,
     },
     /// A start order to a worker ended.
     Started {
         key: WorkerKey,
+        fence: u64,
         task: TaskName,
         run: u64,
         outcome: StartOutcome,
@@ -48,6 +49,7 @@
     /// A worker answered a stop order; `accepted` is false if the worker has fenced this owner off.
     Stopped {
         key: WorkerKey,
+        fence: u64,
         task: TaskName,
         run: u64,
         accepted: bool,
--- a/crates/jobs/src/owner/table_intake.rs
+++ b/crates/jobs/src/owner/table_intake.rs
@@ -77,8 +77,7 @@
         info!(self.parts.logger, "worker listed"; "worker" => %report.name, "instance" => report.instance.as_ref().map(ToString::to_string), "pool" => %report.pool, "state" => ?report.state, "boot" => report.boot, "row" => row.version);
         let (key, is_new) = self.dispatcher.set_worker(report, now);
         if is_new {
-            self.links
-                .open(key, self.parts.policy.max_concurrent_orders, now);
+            self.open_link(key, now);
         }
         Some(key)
     }
--- a/crates/jobs/src/owner/worker_calls.rs
+++ b/crates/jobs/src/owner/worker_calls.rs
@@ -31,7 +31,7 @@
             return;
         };
         let semaphore = Arc::clone(&link.semaphore);
-        let fence = self.parts.lease.epoch;
+        let fence = link.fence;
         let stop_request = |task, run| StopRequest {
             worker: worker.clone(),
             fence,
@@ -81,6 +81,12 @@
         Some((self.links.get(key)?, worker))
     }
 
+    pub(super) fn open_link(&mut self, key: WorkerKey, now: TimePoint) {
+        let fence = self.dispatcher.fence(key);
+        let max_orders = self.parts.policy.max_concurrent_orders;
+        self.links.open(key, fence, max_orders, now);
+    }
+
     /// Sends the hold calls that are due.
     pub(super) fn send_holds(&mut self, now: TimePoint) {
         let lease = self.lease_length();
@@ -112,19 +118,24 @@
             // A successor relies on this for all workers that were published as unreachable.
             let may_extend = !is_unresponsive && !self.dispatcher.is_published(key);
             let lease_end_ms = link.lease_end_ms(lease, now).filter(|_| may_extend);
+            // A worker that did not answer may have been started again, and has other ends then.
+            let stored_end = if is_unresponsive {
+                0
+            } else {
+                self.dispatcher.stored_end(key)
+            };
             let request = HoldRequest {
                 worker: WorkerAddress {
                     name: report.name.clone(),
                     address: report.address,
                 },
-                fence: self.parts.lease.epoch,
-                stored_end: self.dispatcher.stored_end(key),
+                fence: link.fence,
+                stored_end,
                 lease_end_ms,
                 wait,
             };
             link.is_calling = true;
-            self.sender
-                .hold(key, link.generation, request, wait + policy.hold_margin);
+            self.sender.hold(key, request, wait + policy.hold_margin);
             if lease_end_ms.is_some() {
                 self.dispatcher
                     .note_extension(key, lease, link.clock_age(now), now);
@@ -135,12 +146,12 @@
     pub(super) fn handle_hold_result(
         &mut self,
         key: WorkerKey,
-        generation: u64,
+        fence: u64,
         sent: TimePoint,
         outcome: Result<HoldOutcome>,
     ) {
         let now = BootClock.now();
-        let Some(link) = self.links.current(key, generation) else {
+        let Some(link) = self.links.current(key, fence) else {
             return;
         };
         link.is_calling = false;
@@ -153,8 +164,13 @@
                 link.clock = Some((report.clock_ms, now));
                 link.next_hold = sent.after(self.parts.policy.min_hold_interval).max(now);
                 link.store_deadline = now.after(STORE_WAIT);
-                self.log_ends(key, &report);
-                self.dispatcher.note_hold(key, &report, now);
+                let processed = self.dispatcher.processed_end(key);
+                if self.dispatcher.note_hold(key, &report, now) {
+                    info!(self.parts.logger, "worker restarted"; "worker" => self.dispatcher.worker(key).map(|worker| worker.name.to_string()), "boot" => report.boot);
+                    self.open_link(key, now);
+                } else {
+                    self.log_ends(key, &report, processed);
+                }
             }
             Ok(HoldOutcome::Fenced) => self.step_down("a worker has seen a later epoch"),
             Ok(HoldOutcome::Replaced) => {
@@ -174,9 +190,10 @@
         }
     }
 
-    pub(super) fn log_ends(&self, key: WorkerKey, report: &HoldReport) {
+    /// Logs and counts the ends that were new; `processed` is the number of the last known one.
+    fn log_ends(&self, key: WorkerKey, report: &HoldReport, processed: u64) {
         for end in &report.ended {
-            if end.number > self.dispatcher.processed_end(key) {
+            if end.number > processed {
                 let kind = format!("{:?}", end.kind);
                 self.parts.metrics.count_end(&kind.to_lowercase());
                 info!(self.parts.logger, "end"; "task" => %end.task, "run" => end.run, "worker" => self.dispatcher.worker(key).map(|worker| worker.name.to_string()), "number" => end.number, "kind" => kind);
--- a/crates/jobs/src/owner/worker_links.rs
+++ b/crates/jobs/src/owner/worker_links.rs
@@ -9,8 +9,8 @@
 /// State of the calls to one worker.
 #[derive(Debug, Clone)]
 pub(crate) struct WorkerLink {
-    /// Number of the link, which grows with each link that is opened.
-    pub generation: u64,
+    /// Fence number of the calls by this link. Later links to the worker have higher ones.
+    pub fence: u64,
     pub is_calling: bool,
     /// When the next hold call is due.
     pub next_hold: TimePoint,
@@ -43,15 +43,13 @@
 #[derive(Debug, Default)]
 pub(crate) struct WorkerLinks {
     links: HashMap<WorkerKey, WorkerLink>,
-    generation: u64,
 }
 
 impl WorkerLinks {
     /// Opens a new link to a worker, in place of an earlier one.
-    pub(crate) fn open(&mut self, key: WorkerKey, max_orders: usize, now: TimePoint) {
-        self.generation += 1;
+    pub(crate) fn open(&mut self, key: WorkerKey, fence: u64, max_orders: usize, now: TimePoint) {
         let link = WorkerLink {
-            generation: self.generation,
+            fence,
             is_calling: false,
             next_hold: now,
             store_deadline: now,
@@ -66,10 +64,15 @@
         self.links.get(&key)
     }
 
-    /// The link to a worker, unless it was replaced since `generation`.
-    pub(crate) fn current(&mut self, key: WorkerKey, generation: u64) -> Option<&mut WorkerLink> {
+    /// The link to a worker, unless it was replaced since the one with this fence number.
+    pub(crate) fn current(&mut self, key: WorkerKey, fence: u64) -> Option<&mut WorkerLink> {
         let link = self.links.get_mut(&key)?;
-        (link.generation == generation).then_some(link)
+        (link.fence == fence).then_some(link)
+    }
+
+    /// Whether calls to a worker carry this fence number.
+    pub(crate) fn is_current(&self, key: WorkerKey, fence: u64) -> bool {
+        self.get(key).is_some_and(|link| link.fence == fence)
     }
 
     pub(crate) fn remove(&mut self, key: WorkerKey) {
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -78,7 +78,7 @@
     /// Returns the epochs under which tasks were started.
     pub fn epochs(&self) -> HashSet<u64> {
         let starts = self.workers.starts.lock();
-        starts.iter().map(|(_, _, fence)| *fence).collect()
+        starts.iter().map(|(_, _, fence)| *fence >> 32).collect()
     }
 
     /// Waits until the wave is reported as finished. Returns the maintained instances without
--- a/crates/jobs/tests/ownership.rs
+++ b/crates/jobs/tests/ownership.rs
@@ -109,7 +109,7 @@
     let cluster = TestCluster::new(1);
     let node = cluster.node("entry-1");
     run_job(&node, 1).await;
-    cluster.workers.raise_fence(0, 3);
+    cluster.workers.raise_fence(0, 3 << 32);
     run_job(&node, 2).await;
     assert_eq!(cluster.epochs(), HashSet::from([1, 3]));
 }
