Store the crashes of a suspect again if the record was out of date

Cause: a task that is implicated in crashes starts once its crashes and the worker of its next start are stored. If that worker was started again while the record was being stored, the record no longer covered what was known, and nothing made it due again: the task waited for good. Change: a stored record that lacks anything makes the record due once more. Evidence: crash_series::restarted_meanwhile fails before (Queued after 5 s) and passes now. Conclusion: one way to a task that never starts is closed.

--- a/crates/core/src/jobs/dispatcher/suspects.rs
+++ b/crates/core/src/jobs/dispatcher/suspects.rs
@@ -94,20 +94,28 @@
         }
     }
 
-    /// Marks the crashes and planned starts that a stored record contains as stored.
+    /// Marks the crashes and planned starts that a stored record contains as stored. If it lacks any,
+    /// since a worker was started again meanwhile, the record is stored once more.
     pub(super) fn note_stored_crashes(&mut self, id: JobId, record: &JobRecord) {
         let is_truncated = record.crashes.len() >= MAX_STORED_SUSPECTS;
-        let tasks = self.histories(id).filter(|(task, history)| {
-            let presumed = self.presumed_crashes(**task, history);
+        let is_covered = |task: &TaskName, history: &CrashHistory| {
+            let presumed = self.presumed_crashes(*task, history);
             let mut stored = record.crashes.iter();
-            is_truncated || stored.any(|entry| entry.task == **task && entry.contains(&presumed))
-        });
-        let tasks: Vec<TaskName> = tasks.map(|(task, _)| *task).collect();
-        for task in tasks {
+            is_truncated || stored.any(|entry| entry.task == *task && entry.contains(&presumed))
+        };
+        let (covered, others): (Vec<_>, Vec<_>) = self
+            .histories(id)
+            .partition(|(task, history)| is_covered(task, history));
+        let has_others = !others.is_empty();
+        let covered: Vec<TaskName> = covered.into_iter().map(|(task, _)| *task).collect();
+        for task in covered {
             if let Some(history) = self.suspects.get_mut(&task) {
                 history.is_stored = true;
             }
         }
+        if has_others && !record.phase.is_final() {
+            self.dirty.insert(id, false);
+        }
     }
 
     /// Runs of a task that are starting.
--- a/crates/core/tests/crash_series.rs
+++ b/crates/core/tests/crash_series.rs
@@ -2,7 +2,7 @@
 
 mod jobs;
 
-use jobs::{JobWorld, WorldFaults, job, step};
+use jobs::{JobWorld, WorldFaults, at, job, step};
 use sesamedeal_core::jobs::JobPhase;
 
 /// Number of random histories of each kind.
@@ -119,3 +119,30 @@
     world.run(800);
     assert_eq!(world.phase(id), JobPhase::Finished);
 }
+
+/// Guards against a task that is never started again: the worker on which it was about to start was
+/// started again while that was being stored, so that the record did not show what was known by then.
+#[test]
+fn restarted_meanwhile() {
+    let mut world = JobWorld::new(2, 3);
+    world.run(2);
+    let id = world.submit(1, job(vec![step(1, 1_000)]));
+    world.run(1);
+    let crashed = world.busy_worker();
+    world.crash(crashed);
+    let planned = 1 - crashed;
+    let batch = loop {
+        world.round_without_write();
+        let batch = world.dispatcher.take_records(72, world.now);
+        let mut crashes = batch.records.iter().flat_map(|(_, record)| &record.crashes);
+        if crashes.any(|entry| entry.crashes.len() == 2) {
+            break batch;
+        }
+        world.dispatcher.note_stored(&batch, at(world.now));
+    };
+    world.restart(planned);
+    world.list_workers();
+    world.dispatcher.note_stored(&batch, at(world.now));
+    world.run(100);
+    assert_eq!(world.phase(id), JobPhase::Finished);
+}
