--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -91,6 +91,11 @@
     lost_runs: Vec<LostRun>,
     /// Tasks that were implicated in crashes of workers.
     suspects: BTreeMap<TaskName, CrashHistory>,
+    /// Numbers of suspects that are about to start on workers, in this round.
+    planned_starts: HashMap<WorkerKey, usize>,
+    /// Maximum numbers of suspects that start on a worker of each pool at the same time, in this
+    /// round.
+    suspect_limits: HashMap<PoolName, usize>,
     /// Tasks that were given up since they were last taken.
     abandoned_tasks: Vec<AbandonedTask>,
 }
@@ -130,6 +135,8 @@
             orders: Vec::new(),
             lost_runs: Vec::new(),
             suspects: BTreeMap::new(),
+            planned_starts: HashMap::new(),
+            suspect_limits: HashMap::new(),
             abandoned_tasks: Vec::new(),
         }
     }
--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -16,11 +16,13 @@
         self.reservations.start_round();
         self.drop_stale_plans();
         let mut pools = self.usable_workers(now);
+        let isolated = self.isolated_workers();
         for workers in pools.values_mut() {
-            workers.retain(|&key| self.is_capacity_current(key, now) && !self.is_isolated(key));
+            workers.retain(|key| !isolated.contains(key) && self.is_capacity_current(*key, now));
         }
         let mut waiting = self.waiting_steps(now);
         waiting.sort_by_key(|step| (step.key, step.name));
+        self.set_suspect_limits(&waiting, &pools);
         for step in waiting {
             let Some(workers) = pools.get_mut(&step.pool) else {
                 continue;
@@ -31,7 +33,8 @@
             let open = self.open_workers(&spec, &step.pool, workers, now);
             if step.is_suspect {
                 self.place_suspects(&step, &spec, team.as_ref(), &open, now);
-                workers.retain(|&key| !self.is_isolated(key));
+                let isolated = self.isolated_workers();
+                workers.retain(|key| !isolated.contains(key));
                 continue;
             }
             if spec.is_gang {
--- a/crates/core/src/jobs/dispatcher/suspect_starts.rs
+++ b/crates/core/src/jobs/dispatcher/suspect_starts.rs
@@ -1,18 +1,59 @@
 //! Placement of suspects: apart from each other, and alone after a second crash.
 
+use std::collections::{HashMap, HashSet};
+
 use super::JobDispatcher;
 use super::waiting_steps::WaitingStep;
-use crate::ids::TeamName;
-use crate::jobs::{StepName, StepSpec, TaskName, WorkerKey};
+use crate::ids::{PoolName, TeamName};
+use crate::jobs::{StepName, StepSpec, SuspectCounts, TaskName, WorkerKey};
 use crate::time::TimePoint;
 
 /// Number of startup crashes from which a task starts alone on its worker.
 const ISOLATED_CRASHES: usize = 2;
 
-/// Maximum number of suspects that start on a worker at the same time.
-const MAX_SUSPECTS_PER_WORKER: usize = 2;
+/// Number of suspects that start on a worker at the same time, unless many wait.
+const SUSPECTS_PER_WORKER: usize = 2;
+
+/// Number of turns for which suspects are planned on a worker. Each plan is stored before its start.
+const PLANNED_TURNS: usize = 4;
+
+/// Number of turns in which all waiting suspects of a pool start. A turn takes about half a second: a
+/// write, a start, and the time for which a task has to run.
+const SUSPECT_TURNS: usize = 8;
 
 impl JobDispatcher {
+    /// Numbers of the tasks that are implicated in crashes, by what holds them back.
+    #[must_use]
+    pub fn suspect_counts(&self) -> SuspectCounts {
+        let mut counts = SuspectCounts::default();
+        for history in self.suspects.values() {
+            counts.total += 1;
+            counts.unstored += usize::from(!history.is_stored);
+            counts.isolated += usize::from(history.startup_crashes() >= ISOLATED_CRASHES);
+            counts.planned += usize::from(history.planned_worker.is_some());
+            counts.exhausted += usize::from(history.is_exhausted());
+        }
+        counts
+    }
+
+    /// Sets how many suspects start on a worker at the same time. After crashes of many workers there
+    /// are too many suspects to start them two at a time.
+    pub(super) fn set_suspect_limits(
+        &mut self,
+        waiting: &[WaitingStep],
+        pools: &HashMap<PoolName, Vec<WorkerKey>>,
+    ) {
+        self.suspect_limits.clear();
+        for step in waiting.iter().filter(|step| step.is_suspect) {
+            let count = self.suspect_limits.entry(step.pool.clone()).or_default();
+            *count += step.indexes.len();
+        }
+        for (pool, count) in &mut self.suspect_limits {
+            let workers = pools.get(pool).map_or(0, Vec::len).max(1);
+            *count = count.div_ceil(workers * SUSPECT_TURNS);
+        }
+    }
+
     /// Whether a task may get a second run. One that may only start alone may not.
     pub(super) fn may_copy(&self, task: TaskName) -> bool {
         self.may_start_again(task) && self.startup_crashes(task) < ISOLATED_CRASHES
@@ -38,7 +79,8 @@
         groups.filter(|(indexes, _)| !indexes.is_empty()).collect()
     }
 
-    /// Drops the planned starts on workers that are gone or not in the pool of the task's queue.
+    /// Drops the planned starts on workers that are gone or not in the pool of the task's queue, and
+    /// counts the others.
     pub(super) fn drop_stale_plans(&mut self) {
         let planned = self.suspects.iter().filter_map(|(task, history)| {
             let key = history.planned_worker?;
@@ -50,6 +92,11 @@
                 history.planned_worker = None;
             }
         }
+        self.planned_starts.clear();
+        let planned = self.suspects.values();
+        for key in planned.filter_map(|history| history.planned_worker) {
+            *self.planned_starts.entry(key).or_default() += 1;
+        }
     }
 
     fn is_in_pool(&self, task: TaskName, key: WorkerKey) -> bool {
@@ -58,13 +105,16 @@
         pool.is_some() && pool == self.workers.get(key).map(|entry| &entry.report.pool)
     }
 
-    /// Whether a task that must start alone is starting on a worker, or is about to.
-    pub(super) fn is_isolated(&self, key: WorkerKey) -> bool {
-        let mut suspects = self.suspects.iter();
-        suspects.any(|(task, history)| {
-            history.startup_crashes() >= ISOLATED_CRASHES
-                && (history.planned_worker == Some(key) || self.is_starting_on(*task, key))
-        })
+    /// Returns the workers on which a task that must start alone is starting, or is about to.
+    pub(super) fn isolated_workers(&self) -> HashSet<WorkerKey> {
+        let suspects = self.suspects.iter();
+        let isolated =
+            suspects.filter(|(_, history)| history.startup_crashes() >= ISOLATED_CRASHES);
+        let workers = isolated.flat_map(|(task, history)| {
+            let starting = self.starting_runs(*task).map(|run| run.worker);
+            starting.chain(history.planned_worker)
+        });
+        workers.collect()
     }
 
     /// Whether a suspect is starting on a worker.
@@ -124,8 +174,9 @@
             } else {
                 self.place_suspect(tasks[0], spec, team, &quiet, now)
             };
-            if is_placed {
-                workers.retain(|&key| !self.is_isolated(key));
+            if is_placed && is_alone {
+                let isolated = self.isolated_workers();
+                workers.retain(|key| !isolated.contains(key));
             } else if is_alone {
                 // The other half is left to other tasks.
                 for &task in tasks.iter().take(candidates.len().div_ceil(2)) {
@@ -149,6 +200,9 @@
         let history = self.suspects.get_mut(&task);
         let planned = history.and_then(|history| history.planned_worker.take());
         if let Some(key) = planned {
+            if let Some(count) = self.planned_starts.get_mut(&key) {
+                *count -= 1;
+            }
             let is_alone = self.startup_crashes(task) >= ISOLATED_CRASHES;
             let is_usable = self
                 .workers
@@ -172,16 +226,22 @@
             history.planned_worker = Some(key);
             history.is_stored = false;
         }
+        *self.planned_starts.entry(key).or_default() += 1;
         self.dirty.insert(task.step.job, false);
         true
     }
 
-    /// Whether few enough tasks are starting on a worker for a suspect to start there.
+    /// Whether few enough tasks are starting on a worker, or are about to, for a suspect to start there.
     fn is_quiet(&self, key: WorkerKey, is_alone: bool) -> bool {
         if is_alone {
             return self.count_startups(key, 0) == 0;
         }
-        self.count_startups(key, 1) < MAX_SUSPECTS_PER_WORKER
+        let limit = self.suspect_limits.get(&self.workers[key].report.pool);
+        let limit = limit.map_or(SUSPECTS_PER_WORKER, |limit| {
+            (*limit).max(SUSPECTS_PER_WORKER)
+        });
+        let planned = self.planned_starts.get(&key).copied().unwrap_or(0);
+        planned < PLANNED_TURNS * limit && self.count_startups(key, 1) < limit
     }
 
     /// Returns the workers on which suspects may start, the emptiest first. Avoids the instances
--- a/crates/core/tests/crash_series.rs
+++ b/crates/core/tests/crash_series.rs
@@ -146,3 +146,28 @@
     world.run(100);
     assert_eq!(world.phase(id), JobPhase::Finished);
 }
+
+/// Time in which all workers are back, and all tasks start again and end, in rounds: 3.2 s, 7 s and
+/// 1.2 s. A task may wait for 3 s beside free capacity, from 4 s after the last disruption on.
+const RECOVERY: usize = 228;
+
+/// Guards against tasks that wait for each other's turn for long: all workers crash at once while many
+/// tasks start, and each of them may be the cause.
+#[test]
+fn all_workers() {
+    let mut world = JobWorld::new(4, 3);
+    world.run(2);
+    let mut spec = step(4, 100);
+    spec.amount.memory_mb = 10;
+    let ids: Vec<_> = (0..60)
+        .map(|id| world.submit(id, job(vec![spec.clone()])))
+        .collect();
+    world.run(1);
+    assert_eq!(world.starts, 240);
+    (0..4).for_each(|index| world.crash(index));
+    world.run(RECOVERY);
+    let open = ids.iter();
+    let open = open.filter(|id| world.phase(**id) != JobPhase::Finished);
+    assert_eq!(open.count(), 0);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -215,6 +215,10 @@
             return;
         }
         self.last_load_log = now;
+        let counts = self.dispatcher.suspect_counts();
+        if counts.total > 0 {
+            info!(self.parts.logger, "suspects"; "total" => counts.total, "unstored" => counts.unstored, "isolated" => counts.isolated, "planned" => counts.planned, "exhausted" => counts.exhausted);
+        }
         for (pool, load) in self.dispatcher.pool_loads(now) {
             info!(self.parts.logger, "pool load"; "pool" => %pool, "workers" => load.workers, "usable" => load.usable, "outdated" => load.outdated, "reserved" => load.reserved, "capacity" => load.capacity, "lasting" => load.long_running, "ending" => load.batch, "waiting" => load.waiting, "expected" => load.expected, "waiting_tasks" => load.waiting_tasks);
         }
