Count the start of a task as one crash when its worker is lost twice

Cause: an order without an answer is kept when its worker is started again, as the new life may carry it out. The crash of the worker counted, and the silence of its next life counted once more, with another boot; the record of a start under way did the same. Two starts made four crashes, and a task is given up after five. Change: a run that was ordered from the former life of a worker, and that the present one has not listed, is not implicated again. Evidence: crash_series::single_start fails before (2 crashes, 1 expected) and passes now; crashing_task and crash_series pass. Conclusion: a crash stands for a start.

--- a/crates/core/src/jobs/dispatcher/suspects.rs
+++ b/crates/core/src/jobs/dispatcher/suspects.rs
@@ -76,7 +76,8 @@
     /// Returns the crashes under a task, with one for each start that is planned or under way.
     fn presumed_crashes(&self, task: TaskName, history: &CrashHistory) -> TaskCrashes {
         let mut presumed = history.clone();
-        for run in self.starting_runs(task) {
+        let starting = self.starting_runs(task);
+        for run in starting.filter(|run| self.is_of_current_life(run)) {
             presumed.add(WorkerCrash {
                 is_run_confirmed: run.is_confirmed,
                 ..self.crash_of(run.worker)
@@ -138,12 +139,14 @@
     }
 
     /// Implicates the runs of a worker that does not answer or, if `is_lost` is true, that were lost
-    /// with it. Only runs that had just been started count before they are lost.
+    /// with it. Only runs that had just been started count before they are lost. Runs that were ordered
+    /// from the former life of the worker have been implicated when that ended.
     pub(super) fn implicate_runs(&mut self, key: WorkerKey, is_lost: bool) {
         let runs: Vec<_> = self.workers[key].runs.keys().copied().collect();
         let is_draining = self.workers[key].is_draining();
         for (task, run) in runs {
-            let Some(entry) = self.run_mut(task, run, key) else {
+            let run = self.run(task, run, key);
+            let Some(entry) = run.filter(|run| self.is_of_current_life(run)) else {
                 continue;
             };
             let (is_startup, is_confirmed) = (entry.is_starting(), entry.is_confirmed);
@@ -154,6 +157,12 @@
         }
     }
 
+    /// Whether a run was ordered from the current life of its worker or has been listed by it.
+    fn is_of_current_life(&self, run: &RunEntry) -> bool {
+        let worker = &self.workers[run.worker];
+        run.link >= worker.link || (run.listed_boot.is_some() && run.listed_boot == worker.boot)
+    }
+
     fn implicate(
         &mut self,
         task: TaskName,
--- a/crates/core/tests/crash_series.rs
+++ b/crates/core/tests/crash_series.rs
@@ -3,7 +3,7 @@
 mod jobs;
 
 use jobs::{JobWorld, WorldFaults, at, job, step};
-use sesamedeal_core::jobs::JobPhase;
+use sesamedeal_core::jobs::{JobPhase, StartOutcome, WorkerOrder};
 
 /// Number of random histories of each kind.
 const SEEDS: u64 = 24;
@@ -171,3 +171,28 @@
     assert_eq!(open.count(), 0);
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
+
+/// Guards against a task that is given up too soon: its start had no answer, and the crash of the worker
+/// and the silence of the next life of that worker counted as two crashes.
+#[test]
+fn single_start() {
+    let mut world = JobWorld::new(1, 3);
+    world.run(2);
+    world.submit(1, job(vec![step(1, 1_000)]));
+    let now = at(world.now);
+    let order = world.dispatcher.plan(now, world.now).pop();
+    let Some(WorkerOrder::Start(key, order)) = order else {
+        panic!("{order:?} is no start");
+    };
+    let outcome = StartOutcome::Unknown;
+    world
+        .dispatcher
+        .note_start(key, order.task, order.run, outcome, now);
+    world.restart(0);
+    world.list_workers();
+    world.dispatcher.note_unresponsive(key);
+    let batch = world.dispatcher.take_records(72, world.now);
+    let crashes = batch.records.iter().flat_map(|(_, record)| &record.crashes);
+    let crashes: Vec<usize> = crashes.map(|entry| entry.crashes.len()).collect();
+    assert_eq!(crashes, [1]);
+}
