Count on the longest lease when an order of an earlier link is answered (TWICE)

Cause: starts that were on their way when the worker went down were carried out by its new life 0.3 s after the list had shown it, and before it had answered the new link. Their end of the lease is of the former clock, so that the lease lasts 6 s from then on; the owner counted from the moment of the list, 0.27 s earlier. Change: an answer to such an order, or its time-out, extends the lease to the longest one from then on. Conclusion: what the owner hears of the new life counts, whatever call it comes by.

--- a/crates/core/src/jobs/dispatcher/runs.rs
+++ b/crates/core/src/jobs/dispatcher/runs.rs
@@ -93,6 +93,11 @@
         now: TimePoint,
     ) {
         let quarantine_time = self.policy.quarantine_time;
+        let may_be_started = matches!(outcome, StartOutcome::Started | StartOutcome::Unknown);
+        if may_be_started && self.is_superseded(task, run, key) {
+            // The new life of the worker may have carried out the order just now.
+            self.extend_to_longest(key, now);
+        }
         match outcome {
             StartOutcome::Started => {
                 self.mark_begun(task.step.job);
@@ -128,6 +133,13 @@
         }
     }
 
+    /// Whether a run was ordered by an earlier link to its worker.
+    fn is_superseded(&self, task: TaskName, run: u64, key: WorkerKey) -> bool {
+        let link = self.workers.get(key).map(|entry| entry.link);
+        self.run(task, run, key)
+            .is_some_and(|run| Some(run.link) < link)
+    }
+
     /// Releases a run that a worker has refused. The start of a suspect was stored as a crash.
     fn undo_refused(&mut self, task: TaskName, run: u64, key: WorkerKey) {
         self.release(task, run, key);
--- a/crates/core/tests/former_life.rs
+++ b/crates/core/tests/former_life.rs
@@ -100,8 +100,8 @@
     }
 }
 
-/// Starts a job whose first start has no answer, and returns the order and the fence number.
-fn unanswered_start(world: &mut JobWorld) -> (StartOrder, u64) {
+/// Orders the first start of a job, and returns the order and its fence number.
+fn order_start(world: &mut JobWorld) -> (StartOrder, u64) {
     let mut spec = step(1, 1_000);
     spec.is_lasting = true;
     world.submit(2, job(vec![spec]));
@@ -111,11 +111,43 @@
         panic!("{order:?} is no start");
     };
     assert_eq!(Some(key), world.workers[0].key);
-    let outcome = StartOutcome::Unknown;
+    (order, world.fence(0))
+}
+
+fn note_start(world: &mut JobWorld, order: &StartOrder, outcome: StartOutcome) {
+    let key = world.workers[0].key.unwrap();
+    let now = at(world.now);
     world
         .dispatcher
         .note_start(key, order.task, order.run, outcome, now);
-    (order, world.fence(0))
+}
+
+/// Orders the first start of a job, which has no answer, and returns the order and its fence number.
+fn unanswered_start(world: &mut JobWorld) -> (StartOrder, u64) {
+    let (order, fence) = order_start(world);
+    note_start(world, &order, StartOutcome::Unknown);
+    (order, fence)
+}
+
+/// Guards against a task that runs twice because its start, which was on its way when the worker was
+/// started again, reaches the new life before that has answered: it grants the longest lease from then
+/// on, while the worker is cut off.
+#[test]
+fn slow_order() {
+    for outcome in [StartOutcome::Started, StartOutcome::Unknown] {
+        let mut world = world();
+        let (order, fence) = order_start(&mut world);
+        world.workers[0].is_reachable = false;
+        world.restart(0);
+        world.list_workers();
+        world.run(SECOND / 2);
+        world.late_start(0, fence, &order);
+        note_start(&mut world, &order, outcome);
+        admit_second(&mut world);
+        world.run(8 * SECOND);
+        assert_sound(&world);
+        assert_eq!(running(&world, 1), usize::from(TASKS) + 1, "the tasks run");
+    }
 }
 
 /// Guards against a start that the new life of a worker carries out after the task was started
