Keep room for lasting tasks that are implicated in crashes (LOST)

Cause: a suspect that finds no room did not reserve a worker unless it has to start alone. When it found some, others took it while the planned start was being stored, in the same round or the next. Change: lasting suspects reserve a worker like other lasting tasks, and their planned worker is held for them, for 2 s at most if the store does not answer.

--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -15,6 +15,7 @@
     pub(super) fn place_waiting(&mut self, now: TimePoint) {
         self.reservations.start_round();
         self.drop_stale_plans();
+        self.hold_planned_workers(now);
         let mut pools = self.usable_workers(now);
         let isolated = self.isolated_workers();
         for workers in pools.values_mut() {
--- a/crates/core/src/jobs/dispatcher/reservations.rs
+++ b/crates/core/src/jobs/dispatcher/reservations.rs
@@ -138,6 +138,23 @@
         });
     }
 
+    /// Keeps the room for lasting tasks that are about to start on a worker, while that is being stored.
+    pub(super) fn hold_planned_workers(&mut self, now: TimePoint) {
+        for (task, key) in self.planned_lasting_tasks() {
+            self.hold_worker(task, key, now);
+        }
+    }
+
+    /// Keeps the room of a worker for a task that is about to start there.
+    pub(super) fn hold_worker(&mut self, task: TaskName, key: WorkerKey, now: TimePoint) {
+        let previous = self.reservations.previous.get(&key);
+        let previous = previous.copied().filter(|entry| entry.task == task);
+        let entry = previous.unwrap_or(Reservation { task, free_at: now });
+        if !entry.has_lapsed(now) {
+            self.reservations.current.insert(key, entry);
+        }
+    }
+
     /// Whether a task of the step could start on a worker once its batch tasks have ended.
     fn may_reserve(&self, key: WorkerKey, step: StepName, spec: &StepSpec) -> bool {
         let mut needed = self.lasting_use(key);
--- a/crates/core/src/jobs/dispatcher/suspect_starts.rs
+++ b/crates/core/src/jobs/dispatcher/suspect_starts.rs
@@ -99,6 +99,14 @@
         }
     }
 
+    /// Lasting tasks that are about to start, and their workers.
+    pub(super) fn planned_lasting_tasks(&self) -> Vec<(TaskName, WorkerKey)> {
+        let planned = self.suspects.iter();
+        let planned = planned.filter_map(|(task, history)| Some((*task, history.planned_worker?)));
+        let lasting = planned.filter(|(task, _)| self.is_long_running(*task));
+        lasting.collect()
+    }
+
     fn is_in_pool(&self, task: TaskName, key: WorkerKey) -> bool {
         let job = self.jobs.get(&task.step.job);
         let pool = job.and_then(|job| self.pool_of(&job.order.queue));
@@ -177,7 +185,7 @@
             if is_placed && is_alone {
                 let isolated = self.isolated_workers();
                 workers.retain(|key| !isolated.contains(key));
-            } else if is_alone {
+            } else if !is_placed && (is_alone || spec.is_lasting) {
                 // The other half is left to other tasks.
                 for &task in tasks.iter().take(candidates.len().div_ceil(2)) {
                     self.reserve_worker(task, spec, team, &candidates, now);
@@ -228,6 +236,9 @@
         }
         *self.planned_starts.entry(key).or_default() += 1;
         self.dirty.insert(task.step.job, false);
+        if spec.is_lasting {
+            self.hold_worker(task, key, now);
+        }
         true
     }
 
--- a/crates/core/tests/worker_reservations.rs
+++ b/crates/core/tests/worker_reservations.rs
@@ -227,3 +227,29 @@
     assert_eq!(world.starts, starts + 1);
     assert_eq!(world.phase(second), JobPhase::Finished);
 }
+
+/// Guards against a lasting task that never starts again in a crowded pool, because its worker crashed
+/// during its start: it waits for a write before its next start, and others take the room meanwhile.
+#[test]
+fn lasting_suspect() {
+    let mut world = JobWorld::new(2, 5);
+    world.run(2);
+    let id = world.submit(1, lasting(1, 4_000));
+    world.run(1);
+    let crashed = world.busy_worker();
+    world.crash(crashed);
+    // The worker is back after 3.2 s; 4 s later the time counts for which a task may wait.
+    let rounds = 64 + 80 + MAX_WAIT;
+    for round in 0..rounds {
+        // The store takes two rounds for each write.
+        if round % 3 == 0 {
+            let number = u64::try_from(round).unwrap();
+            world.submit(100 + number, job(vec![step(6, 1_000)]));
+            world.run(1);
+        } else {
+            world.round_without_write();
+        }
+    }
+    assert!(is_running(&world, id));
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
