--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -9,6 +9,7 @@
 mod pool_loads;
 mod records;
 mod relocation;
+mod relocation_targets;
 mod replacement;
 mod reservations;
 mod run_ends;
--- a/crates/core/src/jobs/dispatcher/relocation.rs
+++ b/crates/core/src/jobs/dispatcher/relocation.rs
@@ -118,10 +118,12 @@
         let leaving: Vec<WorkerKey> = leaving.map(|(key, _)| key).collect();
         for key in leaving {
             let is_draining = self.workers[key].report.state == WorkerState::Draining;
+            let may_wait = !is_draining && !self.workers[key].is_evacuating;
             let mut runs: Vec<_> = self.workers[key].runs.keys().copied().collect();
             runs.sort_unstable();
             for (name, run) in runs {
                 if self.should_stop(name, is_draining, now)
+                    && (!may_wait || self.has_target(name, key, now))
                     && let Some(entry) = self.run_mut(name, run, key)
                     && entry.state == RunState::Running
                 {
--- a/crates/core/src/jobs/maintenance_plan.rs
+++ b/crates/core/src/jobs/maintenance_plan.rs
@@ -86,25 +86,29 @@
 }
 
 /// Returns the next instance to evacuate while `busy` instances are evacuating or in maintenance,
-/// of at most `limit`.
+/// of at most `limit`. `may_leave` is asked in the order of preference whether the pool can do without
+/// an instance.
 #[must_use]
 pub fn next_candidate(
     limit: usize,
     busy: usize,
     candidates: &[MaintenanceCandidate],
+    may_leave: impl Fn(&MaintenanceCandidate) -> bool,
 ) -> Option<&MaintenanceCandidate> {
     if busy >= limit {
         return None;
     }
-    candidates
-        .iter()
+    let open = candidates.iter();
+    let mut open: Vec<&MaintenanceCandidate> = open
         .filter(|candidate| !candidate.is_evacuating && !candidate.is_last_usable)
-        .min_by_key(|candidate| {
-            (
-                candidate.is_unlisted,
-                candidate.is_blocked,
-                !candidate.has_long_running,
-                candidate.cpu_in_use,
-            )
-        })
+        .collect();
+    open.sort_by_key(|candidate| {
+        (
+            candidate.is_unlisted,
+            candidate.is_blocked,
+            !candidate.has_long_running,
+            candidate.cpu_in_use,
+        )
+    });
+    open.into_iter().find(|candidate| may_leave(candidate))
 }
--- a/crates/core/tests/disruption_budget.rs
+++ b/crates/core/tests/disruption_budget.rs
@@ -128,7 +128,7 @@
                 .dispatcher
                 .maintenance_candidate(&name, name.clone(), jobs::at(world.now));
         let candidates: Vec<_> = candidate.into_iter().collect();
-        if next_candidate(3, 0, &candidates).is_some() {
+        if next_candidate(3, 0, &candidates, |_| true).is_some() {
             world.dispatcher.set_evacuating(&name, true);
             evacuating.push(worker);
         }
@@ -150,5 +150,67 @@
         world
             .dispatcher
             .maintenance_candidate(&name, name.clone(), jobs::at(world.now));
-    assert!(next_candidate(1, 0, &[candidate.unwrap()]).is_some());
+    assert!(next_candidate(1, 0, &[candidate.unwrap()], |_| true).is_some());
+}
+
+/// Guards against waves that end nowhere: two of three workers of a pool were evacuated at once, the
+/// task that was stopped first had no room on the third one, and the disruption budget of its step
+/// kept the others from being stopped. Each worker is emptied in its turn.
+#[test]
+fn workers_in_turn() {
+    let mut world = JobWorld::new(3, 1);
+    let mut long_running = step(5, 500);
+    long_running.is_lasting = true;
+    long_running.disruption_budget = Some(1);
+    long_running.max_per_worker = Some(2);
+    world.submit(1, job(vec![long_running]));
+    world.run(SETTLE_ROUNDS);
+    let mut open = vec![0, 1, 2];
+    while !open.is_empty() {
+        let mut evacuating = Vec::new();
+        for &worker in &open {
+            let name = world.workers[worker].report.name.clone();
+            let now = jobs::at(world.now);
+            let candidate = world
+                .dispatcher
+                .maintenance_candidate(&name, name.clone(), now);
+            let candidates: Vec<_> = candidate.into_iter().collect();
+            let may_leave = |_: &_| world.dispatcher.can_spare(&name, now);
+            if next_candidate(3, 0, &candidates, may_leave).is_some() {
+                world.dispatcher.set_evacuating(&name, true);
+                evacuating.push(worker);
+            }
+        }
+        assert_eq!(evacuating.len(), 1, "at {} ms", world.now);
+        let worker = evacuating[0];
+        world.run(80);
+        assert!(world.workers[worker].tasks().is_empty(), "not emptied");
+        // The maintenance ends.
+        let name = world.workers[worker].report.name.clone();
+        world.restart(worker);
+        world.list_workers();
+        world.dispatcher.set_evacuating(&name, false);
+        world.run(60);
+        let running: usize = world
+            .workers
+            .iter()
+            .map(|worker| worker.tasks().len())
+            .sum();
+        assert_eq!(running, 5, "not at work within 3 s");
+        open.retain(|open| *open != worker);
+    }
+}
+
+/// Guards against a task that is stopped again and again: its worker waits for maintenance, and no
+/// other one has room for it, so that it starts there again.
+#[test]
+fn no_target() {
+    let mut world = spread_world(3);
+    let name = world.workers[0].report.name.clone();
+    world.dispatcher.set_maintenance_due(&name, true);
+    world.run(100);
+    assert_eq!(world.starts, 3, "stopped without room elsewhere");
+    evacuate(&mut world, 0);
+    world.run(20);
+    assert!(world.workers[0].tasks().is_empty(), "not emptied");
 }
--- a/crates/core/tests/maintenance_plan.rs
+++ b/crates/core/tests/maintenance_plan.rs
@@ -73,7 +73,9 @@
         candidate("lasting", false, true, 8_000),
     ];
     let mut order = Vec::new();
-    while let Some(next) = next_candidate(9, 0, &candidates).map(|next| next.instance.clone()) {
+    while let Some(next) =
+        next_candidate(9, 0, &candidates, |_| true).map(|next| next.instance.clone())
+    {
         candidates.retain(|candidate| candidate.instance != next);
         order.push(next.to_string());
     }
--- a/crates/jobs/src/owner/wave_runner.rs
+++ b/crates/jobs/src/owner/wave_runner.rs
@@ -161,7 +161,12 @@
                 age,
                 self.pool_scaler.has_shortage,
             );
-            let Some(candidate) = next_candidate(limit, unavailable, &candidates) else {
+            let may_leave = |candidate: &MaintenanceCandidate| {
+                let worker = self.worker_of(&candidate.instance);
+                worker.is_none_or(|worker| self.dispatcher.can_spare(&worker, now))
+            };
+            let candidate = next_candidate(limit, unavailable, &candidates, may_leave);
+            let Some(candidate) = candidate else {
                 return;
             };
             let name = candidate.instance.clone();
