--- a/crates/core/src/jobs/dispatcher/run_ends.rs
+++ b/crates/core/src/jobs/dispatcher/run_ends.rs
@@ -24,6 +24,11 @@
         }
         self.mark_begun(end.task.step.job);
         match end.kind {
+            EndKind::Done if self.is_long_running(end.task) => {
+                self.clear_suspect(end.task);
+                self.workers[key].health.record_success();
+                self.delay_restart(end.task, now);
+            }
             EndKind::Done => {
                 self.clear_suspect(end.task);
                 self.note_done(key, end.task);
--- a/crates/core/tests/job_ends.rs
+++ b/crates/core/tests/job_ends.rs
@@ -3,7 +3,7 @@
 mod jobs;
 
 use jobs::{JobWorld, WorldFaults, at, job, step};
-use sesamedeal_core::jobs::{JobPhase, JobRecord};
+use sesamedeal_core::jobs::{EndKind, JobPhase, JobRecord};
 
 /// Guards against a job of several steps that does not finish, or whose steps start out of order.
 #[test]
@@ -106,3 +106,32 @@
             .is_empty()
     );
 }
+
+/// Guards against a lasting task that is never started again, or a job that is shown as finished,
+/// because runs end as done: lasting tasks run until their job is cancelled.
+#[test]
+fn lasting_tasks() {
+    let mut world = JobWorld::new(2, 1);
+    let mut spec = step(3, 1_000);
+    spec.is_lasting = true;
+    let id = world.submit(1, job(vec![spec]));
+    for starts in [3, 6, 9] {
+        world.run(20);
+        assert_eq!(world.starts, starts);
+        for worker in &mut world.workers {
+            let runs: Vec<_> = worker.running.keys().copied().collect();
+            for (task, run) in runs {
+                worker.end(task, run, EndKind::Done);
+            }
+        }
+    }
+    world.run(20);
+    assert_eq!(world.phase(id), JobPhase::Running);
+    let running: usize = world
+        .workers
+        .iter()
+        .map(|worker| worker.tasks().len())
+        .sum();
+    assert_eq!(running, 3);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -231,6 +231,10 @@
         let stored = self.dispatcher.stored_end(key);
         for end in worker.ended.iter().filter(|end| end.number <= stored) {
             match end.kind {
+                // A lasting task is started again, however it ends.
+                EndKind::Done
+                    if self.stored[&end.task.step.job].0.steps[usize::from(end.task.step.step)]
+                        .is_lasting => {}
                 EndKind::Done => {
                     self.acknowledged_done.insert(end.task);
                 }
