--- a/crates/core/src/jobs/dispatcher/gangs.rs
+++ b/crates/core/src/jobs/dispatcher/gangs.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashMap;
 
+use compact_str::CompactString;
+
 use super::JobDispatcher;
 use super::waiting_steps::WaitingStep;
 use crate::ids::TeamName;
@@ -40,6 +42,21 @@
         self.try_place_gang(step, spec, team, workers, run, now)
     }
 
+    /// Task that keeps the saved progress of a task. All members of a gang start with the same
+    /// progress, and that of any of them is valid for all.
+    pub(super) fn progress_task(&self, name: TaskName) -> TaskName {
+        let is_gang = self.step_spec(name).is_some_and(|spec| spec.is_gang);
+        if is_gang { name.step.task(0) } else { name }
+    }
+
+    /// Keeps the progress that a worker has reported, unless there is none.
+    pub(super) fn note_progress(&mut self, name: TaskName, saved: &CompactString) {
+        let task = self.progress_task(name);
+        if let Some(task) = self.task_mut(task).filter(|_| !saved.is_empty()) {
+            task.saved.clone_from(saved);
+        }
+    }
+
     fn racks(&self, workers: &[WorkerKey]) -> Vec<Vec<WorkerKey>> {
         let mut racks: HashMap<&str, Vec<WorkerKey>> = HashMap::new();
         for &key in workers {
--- a/crates/core/src/jobs/dispatcher/hold_reports.rs
+++ b/crates/core/src/jobs/dispatcher/hold_reports.rs
@@ -104,14 +104,12 @@
             self.workers[key].has_unknown_runs = true;
             return;
         };
-        if !report.saved.is_empty() {
-            task.saved.clone_from(&report.saved);
-        }
         task.is_settled = true;
         let is_known = |entry: &RunEntry| entry.run == report.run && entry.worker == key;
         if !task.runs.iter().any(is_known) {
             self.adopt(key, report, now);
         }
+        self.note_progress(report.task, &report.saved);
         self.mark_begun(report.task.step.job);
         let Some(run) = self.run_mut(report.task, report.run, key) else {
             return;
--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -180,8 +180,9 @@
         task.last_run = run;
         task.is_settled = true;
         task.runs.push(RunEntry::new(key, run, link, now));
-        let saved = task.saved.clone();
         self.allocate(name, run, key);
+        let saved = self.task(self.progress_task(name));
+        let saved = saved.map(|task| task.saved.clone()).unwrap_or_default();
         let spec = self.jobs[&name.step.job].order.spec.clone();
         let order = StartOrder {
             task: name,
--- a/crates/core/src/jobs/dispatcher/run_ends.rs
+++ b/crates/core/src/jobs/dispatcher/run_ends.rs
@@ -19,9 +19,7 @@
             return;
         };
         task.last_run = task.last_run.max(end.run);
-        if !end.saved.is_empty() {
-            task.saved.clone_from(&end.saved);
-        }
+        self.note_progress(end.task, &end.saved);
         self.mark_begun(end.task.step.job);
         match end.kind {
             EndKind::Done if self.is_long_running(end.task) => {
