--- a/crates/core/src/jobs/dispatcher/relocation_targets.rs
+++ b/crates/core/src/jobs/dispatcher/relocation_targets.rs
@@ -21,9 +21,15 @@
     /// long-running tasks, and those that wait, have room on the other workers, or the disruption
     /// budgets of their steps cover those that do not. Otherwise none of these workers can be emptied.
     ///
-    /// A pool without other workers has to wait for the maintenance in any case.
+    /// `waiting` are the long-running tasks that wait. A pool without other workers has to wait for the
+    /// maintenance in any case.
     #[must_use]
-    pub fn can_spare(&self, name: &InstanceName, now: TimePoint) -> bool {
+    pub fn can_spare(
+        &self,
+        name: &InstanceName,
+        waiting: &HashMap<PoolName, Vec<TaskName>>,
+        now: TimePoint,
+    ) -> bool {
         let Some(key) = self.worker_key(name) else {
             return true;
         };
@@ -40,7 +46,7 @@
         let leaving = leaving.into_iter().filter(|(_, entry)| entry.is_evacuating);
         let leaving = leaving.map(|(key, _)| key).chain([key]);
         let mut tasks: Vec<TaskName> = leaving.flat_map(|key| self.lasting_tasks(key)).collect();
-        tasks.extend(self.waiting_lasting_tasks(pool, now));
+        tasks.extend(waiting.get(pool).into_iter().flatten());
         let staying = staying.into_iter().map(|(key, _)| key);
         self.are_covered(tasks, self.staying_workers(staying.collect()))
     }
@@ -87,16 +93,17 @@
         lasting.map(|(task, _)| *task).collect()
     }
 
-    fn waiting_lasting_tasks(&self, pool: &PoolName, now: TimePoint) -> Vec<TaskName> {
-        let steps = self.waiting_steps(now).into_iter();
-        let lasting = steps.filter(|step| {
-            step.pool == *pool && !step.is_copy && self.is_long_running(step.name.task(0))
-        });
-        let tasks = lasting.flat_map(|step| {
-            let indexes = step.indexes.into_iter();
-            indexes.map(move |index| step.name.task(index))
-        });
-        tasks.collect()
+    /// Long-running tasks that wait, by pool.
+    #[must_use]
+    pub fn waiting_long_running(&self, now: TimePoint) -> HashMap<PoolName, Vec<TaskName>> {
+        let mut waiting: HashMap<PoolName, Vec<TaskName>> = HashMap::new();
+        for step in self.waiting_steps(now) {
+            if !step.is_copy && self.is_long_running(step.name.task(0)) {
+                let tasks = step.indexes.iter().map(|index| step.name.task(*index));
+                waiting.entry(step.pool).or_default().extend(tasks);
+            }
+        }
+        waiting
     }
 
     /// Whether the tasks have room on the workers, or the budgets of their steps cover the others.
--- a/crates/core/tests/jobs/order_delivery.rs
+++ b/crates/core/tests/jobs/order_delivery.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use sesamedeal_core::ids::QueueName;
 use sesamedeal_core::jobs::{
     EndKind, StartOrder, StartOutcome, StepSpec, TaskName, WorkerKey, WorkerOrder,
 };
@@ -11,6 +12,28 @@
 const GANG_TIMEOUT: u64 = 3_000;
 
 impl JobWorld {
+    /// Plans and returns the starts, which are not delivered. Other orders are dropped.
+    pub fn plan_starts(&mut self) -> Vec<(WorkerKey, StartOrder)> {
+        let orders = self.dispatcher.plan(at(self.now), self.now).into_iter();
+        let starts = orders.filter_map(|order| match order {
+            WorkerOrder::Start(key, order) => Some((key, order)),
+            _ => None,
+        });
+        starts.collect()
+    }
+
+    pub fn answer_start(&mut self, key: WorkerKey, order: &StartOrder, outcome: StartOutcome) {
+        let now = at(self.now);
+        self.dispatcher
+            .note_start(key, order.task, order.run, outcome, now);
+    }
+
+    /// Number of jobs that wait.
+    pub fn pending(&self) -> u64 {
+        let counts = self.dispatcher.pending();
+        counts.get(&QueueName::new("queue")).copied().unwrap_or(0)
+    }
+
     pub(super) fn deliver(&mut self, order: WorkerOrder) {
         match order {
             WorkerOrder::Start(key, order) => self.deliver_start(key, &order),
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use sesamedeal_core::ids::InstanceName;
-use sesamedeal_core::jobs::{DispatchPolicy, JobDispatcher, UnreachableWorker, WorkerKey};
+use sesamedeal_core::jobs::{DispatchPolicy, JobDispatcher, UnreachableWorker};
 use sesamedeal_core::lease::InstanceCapacity;
 use sesamedeal_core::time::TimePoint;
 use slog::{Logger, info, warn};
@@ -133,14 +133,6 @@
         }
     }
 
-    /// Ends the ownership after a worker has refused a call because of its fence number, unless the
-    /// worker has meanwhile got a new link, which has a higher one.
-    fn handle_fenced(&mut self, key: WorkerKey, fence: u64) {
-        if self.links.is_current(key, fence) {
-            self.step_down("a worker has seen a later epoch");
-        }
-    }
-
     /// Yields the ownership to a much larger instance.
     pub(super) fn yield_to(&mut self, capacity: InstanceCapacity) {
         let Some(ended) = self.ended.take() else {
--- a/crates/jobs/src/owner/wave_runner.rs
+++ b/crates/jobs/src/owner/wave_runner.rs
@@ -1,3 +1,4 @@
+use std::cell::OnceCell;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -141,6 +142,7 @@
 
     /// Starts to evacuate instances, as many as the wave allows.
     fn evacuate_next(&mut self, wave: &MaintenanceWave, age: Option<Duration>, now: TimePoint) {
+        let waiting = OnceCell::new();
         loop {
             let progress = &self.wave_runner.waves[&wave.number];
             let is_open = |name: &&InstanceName| {
@@ -163,7 +165,8 @@
             );
             let may_leave = |candidate: &MaintenanceCandidate| {
                 let worker = self.worker_of(&candidate.instance);
-                worker.is_none_or(|worker| self.dispatcher.can_spare(&worker, now))
+                let waiting = waiting.get_or_init(|| self.dispatcher.waiting_long_running(now));
+                worker.is_none_or(|worker| self.dispatcher.can_spare(&worker, waiting, now))
             };
             let candidate = next_candidate(limit, unavailable, &candidates, may_leave);
             let Some(candidate) = candidate else {
--- a/crates/jobs/src/owner/worker_calls.rs
+++ b/crates/jobs/src/owner/worker_calls.rs
@@ -190,6 +190,14 @@
         }
     }
 
+    /// Ends the ownership after a worker has refused a call because of its fence number, unless the
+    /// worker has meanwhile got a new link, which has a higher one.
+    pub(super) fn handle_fenced(&mut self, key: WorkerKey, fence: u64) {
+        if self.links.is_current(key, fence) {
+            self.step_down("a worker has seen a later epoch");
+        }
+    }
+
     /// Logs and counts the ends that were new; `processed` is the number of the last known one.
     fn log_ends(&self, key: WorkerKey, report: &HoldReport, processed: u64) {
         for end in &report.ended {
