Look isolated workers up again only after a suspect that starts alone

Only a suspect that starts alone, or is about to, adds such a worker. Change: place_suspects says whether there was one. The workers that are left out are the same. Conclusion: no change of behaviour.

--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -33,9 +33,10 @@
             let team = job.order.team.clone();
             let open = self.open_workers(&spec, &step.pool, workers, now);
             if step.is_suspect {
-                self.place_suspects(&step, &spec, team.as_ref(), &open, now);
-                let isolated = self.isolated_workers();
-                workers.retain(|key| !isolated.contains(key));
+                if self.place_suspects(&step, &spec, team.as_ref(), &open, now) {
+                    let isolated = self.isolated_workers();
+                    workers.retain(|key| !isolated.contains(key));
+                }
                 continue;
             }
             if spec.is_gang {
--- a/crates/core/src/jobs/dispatcher/suspect_starts.rs
+++ b/crates/core/src/jobs/dispatcher/suspect_starts.rs
@@ -151,7 +151,8 @@
         starting.count()
     }
 
-    /// Starts suspects on workers on which few or no other tasks are starting.
+    /// Starts suspects on workers on which few or no other tasks are starting. Returns whether any of
+    /// them starts alone, or is about to, so that its worker takes no other tasks.
     pub(super) fn place_suspects(
         &mut self,
         step: &WaitingStep,
@@ -159,7 +160,8 @@
         team: Option<&TeamName>,
         workers: &[WorkerKey],
         now: TimePoint,
-    ) {
+    ) -> bool {
+        let mut is_any_alone = false;
         let mut workers = workers.to_vec();
         let groups: Vec<Vec<u16>> = if spec.is_gang {
             vec![step.indexes.clone()]
@@ -183,6 +185,7 @@
                 self.place_suspect(tasks[0], spec, team, &quiet, now)
             };
             if is_placed && is_alone {
+                is_any_alone = true;
                 let isolated = self.isolated_workers();
                 workers.retain(|key| !isolated.contains(key));
             } else if !is_placed && (is_alone || spec.is_lasting) {
@@ -193,6 +196,7 @@
                 workers.retain(|&key| !self.reservations.contains(key));
             }
         }
+        is_any_alone
     }
 
     /// Starts a suspect on the worker that was planned, once that is stored, or plans a start on one
