Evacuate an availability zone on request of the operator (stored jobs, EVAC)

Change: entry instances follow the requests in the table of operator requests; the owner passes the set of zones on before each planning round, and nothing more starts on their workers: no copies, gangs, restarts or planned starts of suspects. Their instances count neither as capacity of their pool nor as spare instances, so that pools get instances of other zones. A table that is read anew ends requests that were withdrawn meanwhile. Workers that say that they are still slow after their start are chosen last. A log line at each instance, at the owner, and the metric sesamedeal_evacuated_zones.

--- a/crates/cli/src/measure/pools/sim_instance.rs
+++ b/crates/cli/src/measure/pools/sim_instance.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use compact_str::CompactString;
 use sesamedeal_core::ids::{InstanceName, ZoneName};
@@ -99,6 +100,7 @@
                 self.number / RACK_SIZE
             ))],
             boot: self.boot,
+            warm_up: Duration::ZERO,
         }
     }
 
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -20,8 +20,9 @@
 mod unreachable_workers;
 mod waiting_steps;
 mod worker_links;
+mod zone_evacuation;
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -41,7 +42,7 @@
     DispatchPolicy, FleetRules, JobId, JobOrder, JobPhase, JobRecord, LostRun, ResourceAmount,
     StepName, TaskName, WorkerKey, WorkerOrder, WorkerReport,
 };
-use crate::ids::{InstanceName, PoolName, QueueName, TeamName};
+use crate::ids::{InstanceName, PoolName, QueueName, TeamName, ZoneName};
 use crate::time::TimePoint;
 
 /// Number of run numbers reserved for each task per epoch. The next epoch starts above them.
@@ -69,6 +70,8 @@
     workers: SlotMap<WorkerKey, WorkerEntry>,
     keys_by_name: HashMap<InstanceName, WorkerKey>,
     list_age: list_gap::ListAge,
+    /// Availability zones in which nothing more may start.
+    evacuated_zones: BTreeSet<ZoneName>,
     /// Newest worker of each instance.
     keys_by_instance: HashMap<InstanceName, WorkerKey>,
     /// Workers that have been up since the inventory was first read under this epoch, with their
@@ -122,6 +125,7 @@
             workers: SlotMap::with_key(),
             keys_by_name: HashMap::new(),
             list_age: list_gap::ListAge::default(),
+            evacuated_zones: BTreeSet::new(),
             keys_by_instance: HashMap::new(),
             inherited_workers: None,
             recent_arrivals: VecDeque::new(),
@@ -233,6 +237,8 @@
             let entry = &mut self.workers[key];
             entry.set_report(report);
             entry.is_listed = true;
+            entry.cold_until = now.after(entry.report.warm_up);
+            entry.is_zone_evacuated = self.evacuated_zones.contains(&entry.report.zone);
             // Calls to the worker are set up again, and none has been answered yet.
             entry.is_unresponsive |= is_moved || !was_listed;
             let is_renewed = is_restarted || is_moved || !was_listed;
@@ -243,6 +249,8 @@
         }
         let name = report.name.clone();
         let mut entry = WorkerEntry::new(report, self.inherited_lease_end);
+        entry.cold_until = now.after(entry.report.warm_up);
+        entry.is_zone_evacuated = self.evacuated_zones.contains(&entry.report.zone);
         // Until this owner stores its own publication, the previous owner's is in force.
         entry.is_published = self.inherited_unreachable.contains_key(&name);
         let key = self.workers.insert(entry);
--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -153,6 +153,7 @@
                 capacity: entry.report.capacity,
                 is_near: rack.is_some_and(|rack| labels.contains(rack)),
                 is_on_trial: entry.health.is_on_trial(),
+                is_cold: now < entry.cold_until,
                 is_maintenance_due: entry.is_maintenance_due,
             })
         });
--- a/crates/core/src/jobs/dispatcher/pool_loads.rs
+++ b/crates/core/src/jobs/dispatcher/pool_loads.rs
@@ -66,6 +66,11 @@
             load.usable += usize::from(entry.is_usable(now));
             load.outdated += usize::from(!self.is_capacity_current(key, now));
             load.reserved += usize::from(self.reservations.contains(key));
+            if entry.is_zone_evacuated {
+                // The pool has no room there, and its tasks there need none elsewhere.
+                load.evacuated += 1;
+                continue;
+            }
             load.capacity = load
                 .capacity
                 .saturating_add(entry.report.capacity.cpu_millis);
--- a/crates/core/src/jobs/pool_load.rs
+++ b/crates/core/src/jobs/pool_load.rs
@@ -5,6 +5,9 @@
     pub workers: usize,
     /// Number of listed workers that accept new tasks.
     pub usable: usize,
+    /// Number of listed workers in availability zones in which nothing more may start. They count for
+    /// none of the amounts of CPU.
+    pub evacuated: usize,
     /// Number of workers whose entries are too old, because of an outage, for a start to rely on their
     /// capacities.
     pub outdated: usize,
--- a/crates/core/src/jobs/worker_choice.rs
+++ b/crates/core/src/jobs/worker_choice.rs
@@ -22,6 +22,8 @@
     pub is_near: bool,
     /// Whether the worker is on trial after a quarantine.
     pub is_on_trial: bool,
+    /// Whether the worker is still slow after its start.
+    pub is_cold: bool,
     /// Whether the worker's instance waits for maintenance.
     pub is_maintenance_due: bool,
 }
@@ -35,6 +37,7 @@
     let fitting = offers.filter(|offer| amount.fits(offer.room));
     let best = fitting.min_by(|left, right| {
         let order = left.is_on_trial.cmp(&right.is_on_trial);
+        let order = order.then(left.is_cold.cmp(&right.is_cold));
         let order = order.then(
             (is_lasting && left.is_maintenance_due).cmp(&(is_lasting && right.is_maintenance_due)),
         );
--- a/crates/core/src/jobs/worker_entry.rs
+++ b/crates/core/src/jobs/worker_entry.rs
@@ -53,6 +53,11 @@
     /// Whether tasks are being moved away because the instance goes into maintenance or moves to
     /// another pool.
     pub is_evacuating: bool,
+    /// Whether the operator has asked to evacuate the worker's availability zone. What runs there
+    /// goes on, and nothing more starts.
+    pub is_zone_evacuated: bool,
+    /// Until when the worker is slow after its start.
+    pub cold_until: TimePoint,
     /// Whether the worker's instance waits for maintenance. Long-running tasks are moved away as
     /// their disruption budgets allow, and new tasks may still start.
     pub is_maintenance_due: bool,
@@ -86,6 +91,8 @@
             runs: HashMap::new(),
             health: HealthRecord::default(),
             is_evacuating: false,
+            is_zone_evacuated: false,
+            cold_until: TimePoint::ORIGIN,
             is_maintenance_due: false,
             has_unknown_runs: false,
             processed_end: 0,
@@ -156,6 +163,7 @@
             && !self.is_published
             && self.report.state == WorkerState::Ready
             && !self.is_evacuating
+            && !self.is_zone_evacuated
             && !self.has_unknown_runs
             && !self.health.is_quarantined(now)
     }
--- a/crates/core/src/jobs/worker_report.rs
+++ b/crates/core/src/jobs/worker_report.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use compact_str::CompactString;
 
@@ -35,4 +36,6 @@
     pub labels: Vec<CompactString>,
     /// Unix time of the worker's start, in milliseconds.
     pub boot: u64,
+    /// How much longer the worker is slow after its start.
+    pub warm_up: Duration,
 }
--- a/crates/core/tests/job_order.rs
+++ b/crates/core/tests/job_order.rs
@@ -60,6 +60,7 @@
         capacity: amount(32_000),
         is_near: false,
         is_on_trial: false,
+        is_cold: false,
         is_maintenance_due: false,
     }
 }
--- a/crates/core/tests/jobs/builders.rs
+++ b/crates/core/tests/jobs/builders.rs
@@ -69,6 +69,7 @@
         capacity: amount(8_000, 16_000),
         labels: vec![CompactString::from("rack-1")],
         boot,
+        warm_up: Duration::ZERO,
     }
 }
 
--- a/crates/jobs/src/feeds/intent_follower.rs
+++ b/crates/jobs/src/feeds/intent_follower.rs
@@ -1,8 +1,9 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
 use compact_str::CompactString;
+use sesamedeal_core::ids::ZoneName;
 use sesamedeal_core::jobs::MaintenanceWave;
 use sesamedeal_core::time::TimePoint;
 use slog::{Logger, info, warn};
@@ -10,7 +11,7 @@
 
 use super::{FollowTiming, TableFollower};
 use crate::ports::{IntentRow, RowPort, StorePort, StoreRow, StoreTable};
-use crate::{BootClock, DeploymentView, StoreHealth};
+use crate::{BootClock, DeploymentView, JobMetrics, StoreHealth};
 
 /// Capacity of the queue of table events.
 const EVENT_QUEUE_LEN: usize = 16;
@@ -20,7 +21,12 @@
 pub(crate) type WaveList =
     Arc<ArcSwap<BTreeMap<CompactString, (MaintenanceWave, Option<TimePoint>)>>>;
 
-/// Follows the table of the operator's intent and publishes the configuration and the waves.
+/// Evacuated availability zones, each with the time at which this instance saw the request written;
+/// `None` if the row existed before.
+pub(crate) type EvacuationList = Arc<ArcSwap<BTreeMap<ZoneName, Option<TimePoint>>>>;
+
+/// Follows the table of the operator's intent and publishes the configuration, the waves and the
+/// evacuated availability zones.
 #[derive(Debug)]
 pub(crate) struct IntentFollower {
     pub store: StorePort,
@@ -28,6 +34,8 @@
     pub rows: RowPort,
     pub view: DeploymentView,
     pub waves: WaveList,
+    pub evacuations: EvacuationList,
+    pub metrics: JobMetrics,
     /// Version of the configuration in force; notifies its receivers of changes.
     pub version: watch::Sender<u64>,
     pub logger: Logger,
@@ -47,6 +55,9 @@
         let follow = follower.run(sender);
         let process = async {
             while let Some(event) = events.recv().await {
+                if event.is_snapshot {
+                    self.replace_evacuations(&event.rows);
+                }
                 for row in &event.rows {
                     self.process_row(row, !event.is_snapshot);
                 }
@@ -58,6 +69,9 @@
     /// Processes a row; `is_new` is true if the row has just been written.
     fn process_row(&self, row: &StoreRow, is_new: bool) {
         if row.is_deleted {
+            if let Ok(IntentRow::Evacuation(zone)) = (self.rows.intent)(row) {
+                self.end_evacuation(&zone, row.version);
+            }
             return;
         }
         match (self.rows.intent)(row) {
@@ -69,6 +83,7 @@
                 }
             }
             Ok(IntentRow::Wave(wave)) => self.update_wave(row, wave, is_new),
+            Ok(IntentRow::Evacuation(zone)) => self.begin_evacuation(zone, row.version, is_new),
             Ok(IntentRow::Other) => {}
             Err(error) => {
                 warn!(self.logger, "skipped unusable row"; "problem" => %error, "row" => row.version);
@@ -85,4 +100,44 @@
         waves.insert(row.key.clone(), (wave, since));
         self.waves.store(Arc::new(waves));
     }
+
+    /// Ends the evacuations that a reading of the whole table does not show any more: they were taken
+    /// back while changes were missed.
+    fn replace_evacuations(&self, rows: &[StoreRow]) {
+        let requested = rows.iter().filter_map(|row| match (self.rows.intent)(row) {
+            Ok(IntentRow::Evacuation(zone)) if !row.is_deleted => Some(zone),
+            _ => None,
+        });
+        let requested: BTreeSet<ZoneName> = requested.collect();
+        let version = rows.iter().map(|row| row.version).max().unwrap_or(0);
+        let known = self.evacuations.load_full();
+        for zone in known.keys().filter(|zone| !requested.contains(*zone)) {
+            self.end_evacuation(zone, version);
+        }
+    }
+
+    fn begin_evacuation(&self, zone: ZoneName, version: u64, is_new: bool) {
+        let mut evacuations = self.evacuations.load().as_ref().clone();
+        if evacuations.contains_key(&zone) {
+            return;
+        }
+        info!(self.logger, "availability zone evacuated"; "zone" => %zone, "row" => version, "is_new" => is_new);
+        evacuations.insert(zone, is_new.then(|| BootClock.now()));
+        self.set_evacuations(evacuations);
+    }
+
+    fn end_evacuation(&self, zone: &ZoneName, version: u64) {
+        let mut evacuations = self.evacuations.load().as_ref().clone();
+        let Some(since) = evacuations.remove(zone) else {
+            return;
+        };
+        let age = since.map(|since| BootClock.now().since(since));
+        info!(self.logger, "availability zone reopened"; "zone" => %zone, "row" => version, "age_ms" => age.map(|age| age.as_millis()));
+        self.set_evacuations(evacuations);
+    }
+
+    fn set_evacuations(&self, evacuations: BTreeMap<ZoneName, Option<TimePoint>>) {
+        self.metrics.set_evacuated_zones(evacuations.len());
+        self.evacuations.store(Arc::new(evacuations));
+    }
 }
--- a/crates/jobs/src/feeds/mod.rs
+++ b/crates/jobs/src/feeds/mod.rs
@@ -7,5 +7,5 @@
 
 pub use feed_status::{FeedPhase, FeedSnapshot, FeedStatus};
 pub(crate) use follow_timing::FollowTiming;
-pub(crate) use intent_follower::{IntentFollower, WaveList};
+pub(crate) use intent_follower::{EvacuationList, IntentFollower, WaveList};
 pub(crate) use table_follower::{TableEvent, TableFollower, read_table};
--- a/crates/jobs/src/job_metrics.rs
+++ b/crates/jobs/src/job_metrics.rs
@@ -31,6 +31,7 @@
     open_jobs: IntGauge,
     abandoned_tasks: IntCounter,
     suspects: IntGauge,
+    evacuated_zones: IntGauge,
 }
 
 impl JobMetrics {
@@ -118,6 +119,10 @@
                 "sesamedeal_suspect_tasks",
                 "Tasks that are implicated in crashes of workers, at the owner",
             ),
+            evacuated_zones: gauge(
+                "sesamedeal_evacuated_zones",
+                "Availability zones in which nothing more may start, as known to this entry instance",
+            ),
             requests: histogram(
                 "sesamedeal_job_request_seconds",
                 "Time from the head of a request to its answer",
@@ -215,6 +220,11 @@
         self.suspects.set(i64::try_from(tasks).unwrap_or(i64::MAX));
     }
 
+    pub(crate) fn set_evacuated_zones(&self, zones: usize) {
+        let zones = i64::try_from(zones).unwrap_or(i64::MAX);
+        self.evacuated_zones.set(zones);
+    }
+
     pub(crate) fn count_store_failure(&self, kind: &str) {
         self.store_failures.with_label_values(&[kind]).inc();
     }
--- a/crates/jobs/src/job_node.rs
+++ b/crates/jobs/src/job_node.rs
@@ -64,6 +64,7 @@
         let metrics = JobMetrics::new();
         let heartbeat = HeartbeatView::default();
         let waves = Arc::new(ArcSwap::default());
+        let evacuations = Arc::new(ArcSwap::default());
         let (version, versions) = watch::channel(0);
         let (stopping, stopped) = watch::channel(false);
         let health = StoreHealth::default();
@@ -81,6 +82,8 @@
             rows: parts.rows,
             view: view.clone(),
             waves: Arc::clone(&waves),
+            evacuations: Arc::clone(&evacuations),
+            metrics: metrics.clone(),
             version,
             logger: logger.clone(),
         };
@@ -100,6 +103,7 @@
             peers: parts.peers,
             view: view.clone(),
             waves,
+            evacuations,
             heartbeat,
             metrics: metrics.clone(),
             logger,
--- a/crates/jobs/src/owner/mod.rs
+++ b/crates/jobs/src/owner/mod.rs
@@ -32,6 +32,7 @@
 mod wave_runner;
 mod worker_calls;
 mod worker_links;
+mod zone_evacuation;
 
 pub(crate) use heartbeat_view::HeartbeatView;
 pub(crate) use owner_event::OwnerEvent;
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -20,6 +20,7 @@
 use super::wave_runner::WaveRunner;
 use super::worker_links::WorkerLinks;
 use super::{HeartbeatView, OwnerEvent, OwnerPolicy};
+use crate::feeds::EvacuationList;
 use crate::ports::{AdvicePort, FleetPort, PeerPort, RowPort, StorePort};
 use crate::{BootClock, DeploymentView, JobMetrics, StoreHealth};
 
@@ -40,6 +41,7 @@
     pub peers: PeerPort,
     pub rows: RowPort,
     pub view: DeploymentView,
+    pub evacuations: EvacuationList,
     pub heartbeat: HeartbeatView,
     pub metrics: JobMetrics,
     pub logger: Logger,
@@ -156,6 +158,7 @@
         self.note_round(now);
         self.note_ages(now);
         self.update_rules();
+        self.update_evacuations(now);
         self.read_inventory(false, now);
         if self.is_loaded {
             let orders = self.dispatcher.plan(now, BootClock.unix_ms());
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -14,7 +14,7 @@
 use super::takeover_delay::TakeoverDelay;
 use super::takeover_kind::TakeoverKind;
 use super::{HeartbeatView, OwnerPolicy};
-use crate::feeds::{FeedStatus, FollowTiming, TableEvent, TableFollower, WaveList};
+use crate::feeds::{EvacuationList, FeedStatus, FollowTiming, TableEvent, TableFollower, WaveList};
 use crate::ports::{
     AdvicePort, FleetPort, HandOverOffer, PeerPort, RowPort, StorePort, StoreTable, WorkerPort,
 };
@@ -69,6 +69,7 @@
     pub(crate) peers: PeerPort,
     pub(crate) view: DeploymentView,
     pub(crate) waves: WaveList,
+    pub(crate) evacuations: EvacuationList,
     pub(crate) heartbeat: HeartbeatView,
     pub(crate) metrics: JobMetrics,
     pub(crate) logger: Logger,
--- a/crates/jobs/src/owner/ownership.rs
+++ b/crates/jobs/src/owner/ownership.rs
@@ -120,6 +120,7 @@
             peers: self.peers.clone(),
             rows: self.rows,
             view: self.view.clone(),
+            evacuations: Arc::clone(&self.evacuations),
             heartbeat: self.heartbeat.clone(),
             metrics: self.metrics.clone(),
             logger: logger.clone(),
--- a/crates/jobs/src/owner/pool_scaler.rs
+++ b/crates/jobs/src/owner/pool_scaler.rs
@@ -110,9 +110,13 @@
         };
         let states = self.pool_states(&spare_pool, now);
         let spare = self.idle_instances(&spare_pool);
+        let reports = self.inventory.reports.keys();
+        let evacuated = reports
+            .filter(|name| self.is_in_evacuated_zone(name))
+            .count();
         let fleet = FleetSize {
             spare: spare.len(),
-            total: self.inventory.reports.len(),
+            total: self.inventory.reports.len() - evacuated,
             capacity: self.dispatcher.worker_capacity(),
         };
         let changes = self.pool_scaler.planner.decide(&states, fleet, now);
@@ -163,13 +167,13 @@
         for (pool, load) in loads {
             let present = self.inventory.reports.values();
             let present = present.filter(|report| {
-                report.pool == pool && !self.pool_scaler.moves.contains_key(&report.name)
+                report.pool == pool
+                    && !self.pool_scaler.moves.contains_key(&report.name)
+                    && !self.is_in_evacuated_zone(&report.name)
             });
-            let arriving = self
-                .pool_scaler
-                .moves
-                .values()
-                .filter(|entry| entry.to == pool);
+            let moves = self.pool_scaler.moves.iter();
+            let arriving =
+                moves.filter(|(name, entry)| entry.to == pool && !self.is_in_evacuated_zone(name));
             let state = PoolState {
                 load,
                 instances: present.count() + arriving.count(),
@@ -180,14 +184,16 @@
         states
     }
 
-    /// Up instances of a pool that run nothing, and are neither moving nor chosen for maintenance.
+    /// Up instances of a pool that run nothing, are neither moving nor chosen for maintenance, and are
+    /// not in an evacuated availability zone.
     fn idle_instances(&self, pool: &PoolName) -> Vec<InstanceName> {
         let reports = self.inventory.reports.values();
         let idle = reports.filter(|report| {
             let is_free = report.pool == *pool
                 && report.state == InventoryState::Up
                 && !self.pool_scaler.moves.contains_key(&report.name)
-                && !self.is_evacuating(&report.name);
+                && !self.is_evacuating(&report.name)
+                && !self.is_in_evacuated_zone(&report.name);
             is_free && self.is_instance_empty(&report.name) == Some(true)
         });
         let mut names: Vec<InstanceName> = idle.map(|report| report.name.clone()).collect();
--- a/crates/jobs/src/ports/fleet_port.rs
+++ b/crates/jobs/src/ports/fleet_port.rs
@@ -1,6 +1,6 @@
 use std::fmt;
 
-use sesamedeal_core::ids::{InstanceName, PoolName};
+use sesamedeal_core::ids::{InstanceName, PoolName, ZoneName};
 
 use super::AsyncCall;
 
@@ -26,6 +26,8 @@
     pub pool: PoolName,
     /// State of the instance.
     pub state: InventoryState,
+    /// Availability zone of the instance.
+    pub zone: ZoneName,
     /// Worker that the instance runs, if any.
     pub worker: Option<InstanceName>,
 }
--- a/crates/jobs/src/ports/row_port.rs
+++ b/crates/jobs/src/ports/row_port.rs
@@ -1,4 +1,5 @@
 use bytes::Bytes;
+use sesamedeal_core::ids::ZoneName;
 use sesamedeal_core::jobs::{MaintenanceWave, WorkerReport};
 use snafu::Snafu;
 
@@ -22,6 +23,8 @@
     Deployment(Box<Deployment>),
     /// Maintenance wave.
     Wave(MaintenanceWave),
+    /// Request that nothing more starts in an availability zone, for as long as the row exists.
+    Evacuation(ZoneName),
     /// Row of a kind that this version does not support.
     Other,
 }
@@ -29,7 +32,7 @@
 /// Formats of the rows that are exchanged with the platform and the operator.
 #[derive(Debug, Clone, Copy)]
 pub struct RowPort {
-    /// Decodes a row of the operator's intent.
+    /// Decodes a row of the operator's intent. A deleted row has no value; only its kind is asked for.
     pub intent: fn(&StoreRow) -> Result<IntentRow, RowError>,
     /// Decodes an entry of the list of workers.
     pub worker: fn(&StoreRow) -> Result<WorkerReport, RowError>,
--- a/crates/jobs/tests/common/deployment.rs
+++ b/crates/jobs/tests/common/deployment.rs
@@ -30,6 +30,9 @@
             limit: 1,
         }));
     }
+    if let Some(zone) = row.key.strip_prefix("evacuate/") {
+        return Ok(IntentRow::Evacuation(ZoneName::new(zone)));
+    }
     Err(RowError {
         key: row.key.to_string(),
         reason: "unknown key".to_owned(),
@@ -59,6 +62,7 @@
         capacity: amount(8_000),
         labels: Vec::new(),
         boot,
+        warm_up: Duration::ZERO,
     })
 }
 
--- a/crates/jobs/tests/common/memory_fleet.rs
+++ b/crates/jobs/tests/common/memory_fleet.rs
@@ -4,7 +4,7 @@
 
 use futures::FutureExt;
 use parking_lot::Mutex;
-use sesamedeal_core::ids::{InstanceName, PoolName};
+use sesamedeal_core::ids::{InstanceName, PoolName, ZoneName};
 use sesamedeal_jobs::ports::{
     FleetPort, InstanceOrder, InstanceReport, InventoryState, OrderOutcome, StoreTable,
 };
@@ -120,6 +120,7 @@
                 } else {
                     InventoryState::Up
                 },
+                zone: ZoneName::new("zone"),
                 worker: Some(InstanceName::new(format!("worker-{number}"))),
             }
         });
