--- a/crates/core/src/jobs/dispatch_policy.rs
+++ b/crates/core/src/jobs/dispatch_policy.rs
@@ -10,6 +10,8 @@
     pub max_lease: Duration,
     /// Maximum fraction by which a worker's clock runs slow.
     pub max_clock_drift: f64,
+    /// Longest time after which a worker carries out a call that had no answer.
+    pub max_call_delay: Duration,
     /// Time after which a stop order is resent if the worker has not listed the end of the run.
     pub stop_repeat: Duration,
     /// Initial quarantine of a worker that was unavailable for a start, stalled a task or failed
@@ -66,6 +68,7 @@
             lease: Duration::from_millis(4_800),
             max_lease: Duration::from_secs(6),
             max_clock_drift: 0.02,
+            max_call_delay: Duration::from_secs(12),
             stop_repeat: Duration::from_millis(1_200),
             quarantine_time: Duration::from_secs(4),
             failure_limit: 3,
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -3,6 +3,7 @@
 mod demand_forecast;
 mod gangs;
 mod hold_reports;
+mod late_starts;
 mod list_gap;
 mod placement;
 mod planning;
--- a/crates/core/src/jobs/dispatcher/planning.rs
+++ b/crates/core/src/jobs/dispatcher/planning.rs
@@ -3,7 +3,7 @@
 
 use super::JobDispatcher;
 use crate::jobs::pace_control::pace_percent;
-use crate::jobs::run_entry::RunState;
+use crate::jobs::run_entry::{RunEntry, RunState};
 use crate::jobs::{LossReason, TaskName, WorkerKey, WorkerOrder};
 use crate::time::TimePoint;
 
@@ -39,19 +39,25 @@
     }
 
     /// Releases the runs of workers whose lease has expired, since a worker ends its runs when the
-    /// lease expires. Removes such workers if they are not listed.
+    /// lease expires. Removes such workers if they are not listed. Starts that the worker may still
+    /// carry out late are kept.
     fn expire_leases(&mut self, now: TimePoint) {
         let expired = self.workers.iter().filter(|(_, entry)| {
             entry.lease_end < now && (!entry.runs.is_empty() || !entry.is_listed)
         });
-        let expired: Vec<WorkerKey> = expired.map(|(key, _)| key).collect();
+        let expired = expired.map(|(key, _)| key);
+        let expired: Vec<WorkerKey> = expired
+            .filter(|key| self.has_expired_run(*key, now))
+            .collect();
         for key in expired {
+            let late_start = self.late_start_limit(key, now);
             if self.workers[key].is_unreachable() {
                 self.implicate_runs(key, true);
             }
-            self.lose_runs(key, LossReason::Expired, |_| true, now);
+            let has_ended = |run: &RunEntry| !late_start.includes(run);
+            self.lose_runs(key, LossReason::Expired, has_ended, now);
             let entry = &self.workers[key];
-            if !entry.is_listed {
+            if !entry.is_listed && entry.runs.is_empty() {
                 self.remove_worker(key);
             }
         }
--- a/crates/core/src/jobs/dispatcher/runs.rs
+++ b/crates/core/src/jobs/dispatcher/runs.rs
@@ -124,10 +124,11 @@
                 }
             }
             StartOutcome::Unknown => {
-                if let Some(entry) = self.run_mut(task, run, key)
-                    && entry.state == RunState::Ordered
-                {
-                    entry.state = RunState::Unconfirmed { since: now };
+                if let Some(entry) = self.run_mut(task, run, key) {
+                    entry.given_up = Some(now);
+                    if entry.state == RunState::Ordered {
+                        entry.state = RunState::Unconfirmed { since: now };
+                    }
                 }
             }
         }
--- a/crates/core/src/jobs/run_entry.rs
+++ b/crates/core/src/jobs/run_entry.rs
@@ -40,6 +40,8 @@
     pub is_revoked: bool,
     /// When the run was ordered, confirmed or adopted.
     pub since: TimePoint,
+    /// When the owner stopped waiting for the answer to the start order, if it has.
+    pub given_up: Option<TimePoint>,
     /// Whether the worker has confirmed the run, by its answer or in a list.
     pub is_confirmed: bool,
     /// Start of the worker in whose list of runs this one last appeared; none before that.
@@ -67,6 +69,7 @@
             state: RunState::Ordered,
             is_revoked: false,
             since: now,
+            given_up: None,
             is_confirmed: false,
             listed_boot: None,
             run_time: Duration::ZERO,
