Place tasks with a sorted index of each pool's workers

Cause: each placement compared all workers of its pool, also when the task fits on none, and each waiting step cloned its specification and team. Change: a planning round keeps the usable workers of a pool sorted in the order of choose_worker, by label where a step asks for one, with the largest free amounts and the amounts that fit nowhere; the order of a job is shared. Gangs and suspects still use the list of workers, and gangs are skipped when not even one member fits.

--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -19,6 +19,7 @@
 mod suspects;
 mod unreachable_workers;
 mod waiting_steps;
+mod worker_index;
 mod worker_links;
 mod zone_evacuation;
 
--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -1,13 +1,15 @@
 //! Placement of waiting tasks on workers.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use super::JobDispatcher;
+use super::waiting_steps::WaitingStep;
+use super::worker_index::WorkerIndex;
 use crate::ids::{PoolName, TeamName};
 use crate::jobs::run_entry::RunEntry;
 use crate::jobs::{
-    ResourceAmount, StartOrder, StepName, StepSpec, TaskName, WorkerKey, WorkerOffer, WorkerOrder,
-    choose_worker,
+    ResourceAmount, StartOrder, StepName, StepSpec, TaskName, WorkerKey, WorkerOrder, choose_worker,
 };
 use crate::time::TimePoint;
 
@@ -24,38 +26,86 @@
         let mut waiting = self.waiting_steps(now);
         waiting.sort_by_key(|step| (step.key, step.name));
         self.set_suspect_limits(&waiting, &pools);
+        let pools = pools.into_iter();
+        let mut pools: HashMap<PoolName, WorkerIndex> = pools
+            .map(|(pool, workers)| (pool, WorkerIndex::new(workers)))
+            .collect();
         for step in waiting {
             let Some(workers) = pools.get_mut(&step.pool) else {
                 continue;
             };
-            let job = &self.jobs[&step.name.job];
-            let spec = job.order.steps[usize::from(step.name.step)].clone();
-            let team = job.order.team.clone();
-            let open = self.open_workers(&spec, &step.pool, workers, now);
+            let order = Arc::clone(&self.jobs[&step.name.job].order);
+            let spec = &order.steps[usize::from(step.name.step)];
+            let team = order.team.as_ref();
             if step.is_suspect {
-                if self.place_suspects(&step, &spec, team.as_ref(), &open, now) {
+                let first = self.orders.len();
+                let open = self.open_workers(spec, &step.pool, workers.keys(), now);
+                let is_any_alone = self.place_suspects(&step, spec, team, &open, now);
+                self.update_index(workers, first, now);
+                if is_any_alone {
                     let isolated = self.isolated_workers();
-                    workers.retain(|key| !isolated.contains(key));
+                    workers.retain(|key| !isolated.contains(&key));
                 }
                 continue;
             }
             if spec.is_gang {
-                self.place_gang(&step, &spec, team.as_ref(), &open, now);
+                if !workers.is_full(spec.worker_amount(), &self.workers) {
+                    let first = self.orders.len();
+                    let open = self.open_workers(spec, &step.pool, workers.keys(), now);
+                    self.place_gang(&step, spec, team, &open, now);
+                    self.update_index(workers, first, now);
+                }
                 continue;
             }
             for &index in &step.indexes {
                 let task = step.name.task(index);
-                if step.is_copy {
-                    let others = self.other_workers(task, &open);
-                    self.place_task(task, &spec, team.as_ref(), &others, now);
+                let is_placed = self.place_indexed(task, &step, (spec, team), workers, now);
+                if step.is_copy || is_placed {
                     continue;
                 }
-                if !self.place_task(task, &spec, team.as_ref(), &open, now) {
-                    if spec.is_lasting {
-                        self.reserve_worker(task, &spec, team.as_ref(), workers, now);
-                    }
-                    break;
+                if spec.is_lasting {
+                    self.reserve_worker(task, spec, team, workers.keys(), now);
                 }
+                break;
+            }
+        }
+    }
+
+    /// Starts a task on the best open worker of its pool and returns true, or returns false if there
+    /// is none. A copy starts on a worker without a run of the task.
+    fn place_indexed(
+        &mut self,
+        task: TaskName,
+        step: &WaitingStep,
+        (spec, team): (&StepSpec, Option<&TeamName>),
+        workers: &mut WorkerIndex,
+        now: TimePoint,
+    ) -> bool {
+        if !self.is_within_limit(team, spec.amount) {
+            return false;
+        }
+        let needs_ticket = self.needs_ticket(step.name);
+        let runs = self.task(task).map_or(&[][..], |task| &task.runs);
+        let end = self.expected_end(spec, &step.pool, now);
+        let chosen = workers.select(spec, &self.workers, now, |key| {
+            self.is_open(key, end)
+                && !(step.is_copy && runs.iter().any(|run| run.worker == key))
+                && self.is_suitable(step.name, spec, key)
+                && (!needs_ticket || self.ticket(step.name, key, now).is_some())
+        });
+        let Some((position, key)) = chosen else {
+            return false;
+        };
+        self.start_next_run(task, key, now);
+        workers.update(position, &self.workers, now);
+        true
+    }
+
+    /// Sorts the workers in again that the orders from `first` on start tasks on.
+    fn update_index(&self, workers: &mut WorkerIndex, first: usize, now: TimePoint) {
+        for order in &self.orders[first..] {
+            if let WorkerOrder::Start(key, _) = order {
+                workers.update_key(*key, &self.workers, now);
             }
         }
     }
@@ -123,10 +173,14 @@
         let Some(key) = self.select_worker(task.step, spec, workers, now) else {
             return false;
         };
+        self.start_next_run(task, key, now);
+        true
+    }
+
+    fn start_next_run(&mut self, task: TaskName, key: WorkerKey, now: TimePoint) {
         let last = self.task(task).map_or(0, |entry| entry.last_run);
         let run = last.max(self.run_number_base) + 1;
         self.start_run(task, run, key, now);
-        true
     }
 
     pub(super) fn select_worker(
@@ -147,15 +201,8 @@
                 self.ticket(step, key, now)?;
             }
             let rack = spec.data_rack.as_ref();
-            Some(WorkerOffer {
-                key,
-                room: entry.room(),
-                capacity: entry.report.capacity,
-                is_near: rack.is_some_and(|rack| labels.contains(rack)),
-                is_on_trial: entry.health.is_on_trial(),
-                is_cold: now < entry.cold_until,
-                is_maintenance_due: entry.is_maintenance_due,
-            })
+            let is_near = rack.is_some_and(|rack| labels.contains(rack));
+            Some(entry.offer(key, is_near, now))
         });
         choose_worker(spec.worker_amount(), spec.is_lasting, offers)
     }
--- a/crates/core/src/jobs/dispatcher/reservations.rs
+++ b/crates/core/src/jobs/dispatcher/reservations.rs
@@ -79,12 +79,27 @@
         if self.reservations.current.is_empty() {
             return Cow::Borrowed(workers);
         }
-        let end = (!spec.is_lasting).then(|| now.after(self.estimated_time(spec, pool)));
+        let end = self.expected_end(spec, pool, now);
         let open = workers.iter().copied();
         open.filter(|key| self.reservations.is_open(*key, end))
             .collect()
     }
 
+    /// Whether a task that ends at `end`, if it ends, may start on a worker in spite of reservations.
+    pub(super) fn is_open(&self, key: WorkerKey, end: Option<TimePoint>) -> bool {
+        self.reservations.is_open(key, end)
+    }
+
+    /// When a task that starts now is expected to end; none for a long-running task.
+    pub(super) fn expected_end(
+        &self,
+        spec: &StepSpec,
+        pool: &PoolName,
+        now: TimePoint,
+    ) -> Option<TimePoint> {
+        (!spec.is_lasting).then(|| now.after(self.estimated_time(spec, pool)))
+    }
+
     /// Reserves the worker that is expected to have room for a task first, or keeps the reservation
     /// of the round before. Does nothing if the limit of the team rules the task out.
     pub(super) fn reserve_worker(
--- a/crates/core/src/jobs/job_entry.rs
+++ b/crates/core/src/jobs/job_entry.rs
@@ -1,3 +1,4 @@
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::task_entry::TaskEntry;
@@ -24,7 +25,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct JobEntry {
     pub id: JobId,
-    pub order: JobOrder,
+    pub order: Arc<JobOrder>,
     pub phase: JobPhase,
     /// Unix time of the end, in milliseconds; 0 while the job has not ended.
     pub ended_ms: u64,
@@ -44,7 +45,7 @@
         let critical_path = critical_path(&order.steps);
         let mut entry = Self {
             id,
-            order,
+            order: Arc::new(order),
             phase: record.phase,
             ended_ms: record.ended_ms,
             is_end_stored: false,
--- a/crates/core/src/jobs/resource_amount.rs
+++ b/crates/core/src/jobs/resource_amount.rs
@@ -32,6 +32,15 @@
         }
     }
 
+    /// Returns the larger amount of each resource.
+    pub(crate) fn max_each(self, other: Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.max(other.cpu_millis),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// Whether the amount of every resource is zero.
     #[must_use]
     pub fn is_zero(self) -> bool {
--- a/crates/core/src/jobs/worker_choice.rs
+++ b/crates/core/src/jobs/worker_choice.rs
@@ -28,6 +28,17 @@
     pub is_maintenance_due: bool,
 }
 
+/// Number of classes of workers, see [`WorkerOffer::class`].
+pub(crate) const WORKER_CLASSES: u8 = 8;
+
+impl<K> WorkerOffer<K> {
+    /// Class of the worker; those of a lower class are preferred.
+    pub(crate) const fn class(&self, is_lasting: bool) -> u8 {
+        let is_leaving = is_lasting && self.is_maintenance_due;
+        (self.is_on_trial as u8) << 2 | (self.is_cold as u8) << 1 | is_leaving as u8
+    }
+}
+
 /// Returns the key of the best worker in `offers`, or `None` if the task fits on none of them.
 pub fn choose_worker<K: Copy>(
     amount: ResourceAmount,
@@ -36,22 +47,23 @@
 ) -> Option<K> {
     let fitting = offers.filter(|offer| amount.fits(offer.room));
     let best = fitting.min_by(|left, right| {
-        let order = left.is_on_trial.cmp(&right.is_on_trial);
-        let order = order.then(left.is_cold.cmp(&right.is_cold));
-        let order = order.then(
-            (is_lasting && left.is_maintenance_due).cmp(&(is_lasting && right.is_maintenance_due)),
-        );
+        let order = left.class(is_lasting).cmp(&right.class(is_lasting));
         let order = order.then(right.is_near.cmp(&left.is_near));
-        order.then(free_fraction(is_lasting, left).total_cmp(&free_fraction(is_lasting, right)))
+        let free = |offer: &WorkerOffer<K>| free_fraction(is_lasting, offer.room, offer.capacity);
+        order.then(free(left).total_cmp(&free(right)))
     });
     best.map(|offer| offer.key)
 }
 
 /// Returns the free fraction of the resource that the tasks are packed by.
 #[expect(clippy::cast_precision_loss, reason = "amounts are far below 2^52")]
-fn free_fraction<K>(is_lasting: bool, offer: &WorkerOffer<K>) -> f64 {
+pub(crate) fn free_fraction(
+    is_lasting: bool,
+    room: ResourceAmount,
+    capacity: ResourceAmount,
+) -> f64 {
     if is_lasting {
-        return offer.room.memory_mb as f64 / offer.capacity.memory_mb.max(1) as f64;
+        return room.memory_mb as f64 / capacity.memory_mb.max(1) as f64;
     }
-    offer.room.cpu_millis as f64 / offer.capacity.cpu_millis.max(1) as f64
+    room.cpu_millis as f64 / capacity.cpu_millis.max(1) as f64
 }
--- a/crates/core/src/jobs/worker_entry.rs
+++ b/crates/core/src/jobs/worker_entry.rs
@@ -2,7 +2,9 @@
 
 use compact_str::CompactString;
 
-use super::{HealthRecord, JobId, ResourceAmount, TaskName, WorkerReport, WorkerState};
+use super::{
+    HealthRecord, JobId, ResourceAmount, TaskName, WorkerOffer, WorkerReport, WorkerState,
+};
 use crate::time::TimePoint;
 
 /// Maximum number of ended boots that are remembered per worker. The list is behind by a few restarts
@@ -178,6 +180,19 @@
         self.is_unresponsive || !self.is_listed
     }
 
+    /// Returns what the choice of a worker depends on.
+    pub(crate) fn offer<K>(&self, key: K, is_near: bool, now: TimePoint) -> WorkerOffer<K> {
+        WorkerOffer {
+            key,
+            room: self.room(),
+            capacity: self.report.capacity,
+            is_near,
+            is_on_trial: self.health.is_on_trial(),
+            is_cold: now < self.cold_until,
+            is_maintenance_due: self.is_maintenance_due,
+        }
+    }
+
     /// Returns the free capacity.
     pub(crate) fn room(&self) -> ResourceAmount {
         self.report.capacity.without(self.used)
