Walk runs and jobs in a planning round only where something can have changed

Cause: each round walked all tasks of all jobs for stop orders and all runs of all workers for stalls and paces, and computed each waiting step with several look-ups by name. Change: jobs with runs to stop are kept in a set (request_stop is must_use, so that a caller can't forget it); a worker's runs are checked for stalls when the first of them can have stalled; paces are adjusted on workers with fillers only; a step that fits on no worker is skipped before its limits are looked up; rules of the queue are looked up once a job, and uncertain tasks only for inherited jobs. Requests for tickets and the check of waves look at the jobs concerned only.

--- a/crates/core/src/jobs/dispatcher/advice.rs
+++ b/crates/core/src/jobs/dispatcher/advice.rs
@@ -24,8 +24,7 @@
             return Vec::new();
         }
         let mut requests = Vec::new();
-        let mut waiting = self.waiting_steps(now);
-        waiting.retain(|step| self.needs_ticket(step.name));
+        let mut waiting = self.waiting_steps_where(now, |_, rule| rule.advice.is_some());
         waiting.sort_by_key(|step| (step.key, step.name));
         let pools = self.usable_workers(now);
         for step in waiting {
--- a/crates/core/src/jobs/dispatcher/hold_reports.rs
+++ b/crates/core/src/jobs/dispatcher/hold_reports.rs
@@ -149,8 +149,9 @@
         let link = self.workers[key].link;
         let mut run = RunEntry::new(key, report.run, link, now);
         run.state = RunState::Running;
-        if is_ended || (is_redundant && !self.allows_copies(report)) {
-            run.request_stop();
+        let is_unwanted = is_ended || (is_redundant && !self.allows_copies(report));
+        if is_unwanted && run.request_stop() {
+            self.stopping_jobs.insert(report.task.step.job);
         }
         if let Some(task) = self.task_mut(report.task) {
             task.last_run = task.last_run.max(report.run);
@@ -176,13 +177,14 @@
                 continue;
             };
             let is_stopped = entry.is_stopping();
+            let mut is_revoked = false;
             let is_gone = match entry.state {
                 _ if entry.link < link => true,
                 RunState::Ordered => false,
                 RunState::Running => entry.since < report.sent,
                 RunState::Unconfirmed { since } => {
                     if since < report.sent {
-                        entry.revoke();
+                        is_revoked = entry.revoke();
                     }
                     false
                 }
@@ -190,6 +192,9 @@
                     confirmed.is_some_and(|confirmed| confirmed < report.sent)
                 }
             };
+            if is_revoked {
+                self.stopping_jobs.insert(task.step.job);
+            }
             if is_gone {
                 if !is_stopped {
                     self.note_loss(task, run, key, (LossReason::Absent, 1), now);
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -68,6 +68,8 @@
     inherited_unreachable: HashMap<InstanceName, unreachable_workers::InheritedRuns>,
     jobs: HashMap<JobId, JobEntry>,
     arrival_times: HashMap<JobId, TimePoint>,
+    /// Jobs that may have runs to stop. Their stop orders are sent in the planning rounds.
+    stopping_jobs: BTreeSet<JobId>,
     workers: SlotMap<WorkerKey, WorkerEntry>,
     keys_by_name: HashMap<InstanceName, WorkerKey>,
     list_age: list_gap::ListAge,
@@ -123,6 +125,7 @@
             inherited_unreachable: HashMap::new(),
             jobs: HashMap::new(),
             arrival_times: HashMap::new(),
+            stopping_jobs: BTreeSet::new(),
             workers: SlotMap::with_key(),
             keys_by_name: HashMap::new(),
             list_age: list_gap::ListAge::default(),
@@ -212,13 +215,17 @@
             return;
         };
         job.phase = phase;
+        let mut is_stopping = false;
         for occurrence in &mut job.occurrences {
             for task in occurrence.steps.iter_mut().flat_map(|step| &mut step.tasks) {
                 for run in &mut task.runs {
-                    run.request_stop();
+                    is_stopping |= run.request_stop();
                 }
             }
         }
+        if is_stopping {
+            self.stopping_jobs.insert(id);
+        }
         self.dirty.insert(id, true);
     }
 
--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -34,7 +34,7 @@
             let Some(workers) = pools.get_mut(&step.pool) else {
                 continue;
             };
-            let order = Arc::clone(&self.jobs[&step.name.job].order);
+            let order = Arc::clone(&step.order);
             let spec = &order.steps[usize::from(step.name.step)];
             let team = order.team.as_ref();
             if step.is_suspect {
@@ -57,6 +57,9 @@
                 }
                 continue;
             }
+            if !spec.is_lasting && workers.is_full(spec.worker_amount(), &self.workers) {
+                continue;
+            }
             for &index in &step.indexes {
                 let task = step.name.task(index);
                 let is_placed = self.place_indexed(task, &step, (spec, team), workers, now);
--- a/crates/core/src/jobs/dispatcher/planning.rs
+++ b/crates/core/src/jobs/dispatcher/planning.rs
@@ -1,10 +1,13 @@
 //! The periodic planning round: expires leases, stops stalled tasks, resends stop orders, adjusts
 //! the pace of fillers and starts waiting tasks.
 
+use std::time::Duration;
+
 use super::JobDispatcher;
+use crate::jobs::job_entry::JobEntry;
 use crate::jobs::pace_control::pace_percent;
 use crate::jobs::run_entry::RunState;
-use crate::jobs::{LossReason, TaskName, WorkerKey, WorkerOrder};
+use crate::jobs::{LossReason, StepName, TaskName, WorkerKey, WorkerOrder};
 use crate::time::TimePoint;
 
 impl JobDispatcher {
@@ -60,82 +63,75 @@
     /// Stops tasks that make no progress and quarantines their workers.
     fn stop_stalled(&mut self, now: TimePoint) {
         let mut stalled: Vec<(WorkerKey, TaskName, u64)> = Vec::new();
+        let mut checked: Vec<(WorkerKey, TimePoint)> = Vec::new();
         for (key, entry) in &self.workers {
             // Without a recent list, a stalled task cannot be told from an unresponsive worker.
             let is_fresh = entry
                 .list_requested
                 .is_some_and(|requested| now.since(requested) < self.policy.stall_floor);
-            if !is_fresh {
+            if !is_fresh || now <= entry.stall_check {
                 continue;
             }
+            // Runs that begin or make progress from now on do not stall before this.
+            let mut next_check = now.after(self.startup_limit().min(self.policy.stall_floor));
             for &(name, run) in entry.runs.keys() {
-                if self.is_stalled(key, name, run, now) {
+                let Some(stall) = self.stall_time(key, name, run) else {
+                    continue;
+                };
+                if now > stall {
                     stalled.push((key, name, run));
+                } else {
+                    next_check = next_check.min(stall);
                 }
             }
+            checked.push((key, next_check));
+        }
+        for (key, next_check) in checked {
+            self.workers[key].stall_check = next_check;
         }
         let quarantine_time = self.policy.quarantine_time;
         for (key, name, run) in stalled {
-            if let Some(entry) = self.run_mut(name, run, key) {
-                entry.request_stop();
+            if let Some(entry) = self.run_mut(name, run, key)
+                && entry.request_stop()
+            {
+                self.stopping_jobs.insert(name.step.job);
             }
             self.workers[key].health.quarantine(now, quarantine_time);
         }
     }
 
-    fn is_stalled(&self, key: WorkerKey, name: TaskName, run: u64, now: TimePoint) -> bool {
-        let Some(task) = self.task(name) else {
-            return false;
-        };
-        let mut runs = task.runs.iter();
-        let entry = runs.find(|entry| entry.run == run && entry.worker == key);
-        let Some(entry) = entry else {
-            return false;
-        };
+    /// Time that a long-running task may take to start up.
+    fn startup_limit(&self) -> Duration {
+        self.policy.stall_floor.mul_f64(self.policy.stall_factor)
+    }
+
+    /// Time after which a run counts as stalled if it makes no progress; none if it does not yet run,
+    /// or cannot stall.
+    fn stall_time(&self, key: WorkerKey, name: TaskName, run: u64) -> Option<TimePoint> {
+        let entry = self.run(name, run, key)?;
         if entry.state != RunState::Running || entry.pace < 100 {
-            return false;
+            return None;
         }
-        let job = &self.jobs[&name.step.job];
-        let spec = &job.order.steps[usize::from(name.step.step)];
+        let spec = self.step_spec(name)?;
         if spec.is_filler || spec.is_gang {
-            return false;
+            return None;
         }
         if spec.is_lasting {
             // Below 100 %, a long-running task is still starting up.
-            let limit = self.policy.stall_floor.mul_f64(self.policy.stall_factor);
-            return entry.percent < 100.0 && now.since(entry.progressed) > limit;
+            let limit = self.startup_limit();
+            return (entry.percent < 100.0).then(|| entry.progressed.after(limit));
         }
-        now.since(entry.progressed) > self.policy.stall_floor
+        Some(entry.progressed.after(self.policy.stall_floor))
     }
 
     fn resend_stops(&mut self, now: TimePoint) {
         let mut due = Vec::new();
         let repeat = self.policy.stop_repeat;
-        for job in self.jobs.values_mut() {
-            let id = job.id;
-            for occurrence in &mut job.occurrences {
-                for (step, entry) in occurrence.steps.iter_mut().enumerate() {
-                    for (index, task) in entry.tasks.iter_mut().enumerate() {
-                        for run in &mut task.runs {
-                            let RunState::Stopping { sent, .. } = &mut run.state else {
-                                continue;
-                            };
-                            if sent.is_some_and(|sent| now.since(sent) < repeat) {
-                                continue;
-                            }
-                            *sent = Some(now);
-                            let step = crate::jobs::StepName {
-                                job: id,
-                                occurrence: occurrence.number,
-                                step: u16::try_from(step).unwrap_or(u16::MAX),
-                            };
-                            let name = step.task(u16::try_from(index).unwrap_or(u16::MAX));
-                            due.push(WorkerOrder::Stop(run.worker, name, run.run));
-                        }
-                    }
-                }
-            }
-        }
+        let jobs = &mut self.jobs;
+        self.stopping_jobs.retain(|id| {
+            let job = jobs.get_mut(id);
+            job.is_some_and(|job| job_stops(job, repeat, now, &mut due))
+        });
         self.orders.extend(due);
     }
 
@@ -143,7 +139,8 @@
     /// tail latency nears its target.
     fn adjust_paces(&mut self, now: TimePoint) {
         let mut changes = Vec::new();
-        for (key, entry) in &self.workers {
+        let with_fillers = self.workers.iter().filter(|(_, entry)| entry.fillers > 0);
+        for (key, entry) in with_fillers {
             let mut load: f64 = 0.0;
             let mut fillers = Vec::new();
             for &(name, number) in entry.runs.keys() {
@@ -180,3 +177,36 @@
         }
     }
 }
+
+/// Adds the stop orders of a job that are due, and returns whether the job has runs to stop.
+fn job_stops(
+    job: &mut JobEntry,
+    repeat: Duration,
+    now: TimePoint,
+    due: &mut Vec<WorkerOrder>,
+) -> bool {
+    let mut is_stopping = false;
+    for occurrence in &mut job.occurrences {
+        for (entry, step) in occurrence.steps.iter_mut().zip(0..) {
+            for (task, index) in entry.tasks.iter_mut().zip(0..) {
+                for run in &mut task.runs {
+                    let RunState::Stopping { sent, .. } = &mut run.state else {
+                        continue;
+                    };
+                    is_stopping = true;
+                    if sent.is_some_and(|sent| now.since(sent) < repeat) {
+                        continue;
+                    }
+                    *sent = Some(now);
+                    let step = StepName {
+                        job: job.id,
+                        occurrence: occurrence.number,
+                        step,
+                    };
+                    due.push(WorkerOrder::Stop(run.worker, step.task(index), run.run));
+                }
+            }
+        }
+    }
+    is_stopping
+}
--- a/crates/core/src/jobs/dispatcher/relocation.rs
+++ b/crates/core/src/jobs/dispatcher/relocation.rs
@@ -126,8 +126,9 @@
                     && (!may_wait || self.has_target(name, key, now))
                     && let Some(entry) = self.run_mut(name, run, key)
                     && entry.state == RunState::Running
+                    && entry.request_stop()
                 {
-                    entry.request_stop();
+                    self.stopping_jobs.insert(name.step.job);
                 }
             }
         }
--- a/crates/core/src/jobs/dispatcher/relocation_targets.rs
+++ b/crates/core/src/jobs/dispatcher/relocation_targets.rs
@@ -97,7 +97,11 @@
     #[must_use]
     pub fn waiting_long_running(&self, now: TimePoint) -> HashMap<PoolName, Vec<TaskName>> {
         let mut waiting: HashMap<PoolName, Vec<TaskName>> = HashMap::new();
-        for step in self.waiting_steps(now) {
+        let steps = self.waiting_steps_where(now, |job, _| {
+            let mut specs = job.order.steps.iter();
+            specs.any(|spec| spec.is_lasting)
+        });
+        for step in steps {
             if !step.is_copy && self.is_long_running(step.name.task(0)) {
                 let tasks = step.indexes.iter().map(|index| step.name.task(*index));
                 waiting.entry(step.pool).or_default().extend(tasks);
--- a/crates/core/src/jobs/dispatcher/run_ends.rs
+++ b/crates/core/src/jobs/dispatcher/run_ends.rs
@@ -76,6 +76,7 @@
         let Some(step) = job.step_mut(name.step.occurrence, name.step.step) else {
             return;
         };
+        let mut is_stopping = false;
         for (index, task) in step.tasks.iter_mut().enumerate() {
             let is_affected = is_gang || index == usize::from(name.index);
             if !is_affected || task.is_done {
@@ -86,7 +87,7 @@
             for run in &mut task.runs {
                 // The other members of a gang end on their own.
                 if !is_gang {
-                    run.request_stop();
+                    is_stopping |= run.request_stop();
                 }
             }
         }
@@ -94,6 +95,9 @@
             job.phase = JobPhase::Finished;
         }
         let has_ended = job.phase.is_final();
+        if is_stopping {
+            self.stopping_jobs.insert(name.step.job);
+        }
         self.dirty.insert(name.step.job, has_ended);
     }
 
--- a/crates/core/src/jobs/dispatcher/runs.rs
+++ b/crates/core/src/jobs/dispatcher/runs.rs
@@ -21,6 +21,7 @@
             return;
         }
         entry.used += spec.worker_amount();
+        entry.fillers += usize::from(spec.is_filler);
         if let Some(team) = &job.order.team {
             *self.team_usage.entry(team.clone()).or_default() += spec.amount;
         }
@@ -39,6 +40,7 @@
         };
         let spec = &job.order.steps[usize::from(task.step.step)];
         entry.used -= spec.worker_amount();
+        entry.fillers = entry.fillers.saturating_sub(usize::from(spec.is_filler));
         if let Some(team) = &job.order.team
             && let Some(usage) = self.team_usage.get_mut(team)
         {
--- a/crates/core/src/jobs/dispatcher/waiting_steps.rs
+++ b/crates/core/src/jobs/dispatcher/waiting_steps.rs
@@ -1,12 +1,13 @@
 //! Steps with tasks that wait for room on a worker, and the keys by which they are sorted.
 
 use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::JobDispatcher;
 use crate::ids::{PoolName, TeamName};
-use crate::jobs::job_entry::JobEntry;
-use crate::jobs::{PriorityKey, QueueRule, StepName, TaskName};
+use crate::jobs::job_entry::{JobEntry, OccurrenceEntry};
+use crate::jobs::{JobOrder, PriorityKey, QueueRule, StepName, TaskName};
 use crate::time::TimePoint;
 
 /// Longest objective of a job. Longer ones are not told apart.
@@ -16,6 +17,8 @@
 pub(super) struct WaitingStep {
     pub(super) key: PriorityKey,
     pub(super) name: StepName,
+    /// Job of the step.
+    pub(super) order: Arc<JobOrder>,
     pub(super) pool: PoolName,
     pub(super) indexes: Vec<u16>,
     /// Whether the tasks already have a run, which is slow or may be lost.
@@ -68,6 +71,17 @@
     }
 
     pub(super) fn waiting_steps(&self, now: TimePoint) -> Vec<WaitingStep> {
+        self.waiting_steps_where(now, |_, _| true)
+    }
+
+    /// Returns the waiting steps of the jobs for which `is_included` is true, given the job and the
+    /// rule of its queue.
+    pub(super) fn waiting_steps_where(
+        &self,
+        now: TimePoint,
+        is_included: impl Fn(&JobEntry, &QueueRule) -> bool,
+    ) -> Vec<WaitingStep> {
+        let settled = UncertainTasks::default();
         let mut uncertain: HashMap<&PoolName, UncertainTasks<'_>> = HashMap::new();
         let over_share = self.teams_over_share();
         let mut waiting = Vec::new();
@@ -75,18 +89,24 @@
             if job.phase.is_final() {
                 continue;
             }
-            let Some(pool) = self.pool_of(&job.order.queue) else {
+            let Some(rule) = self.rules.queues.get(&job.order.queue) else {
                 continue;
             };
+            if !is_included(job, rule) {
+                continue;
+            }
             let is_over_share = job
                 .order
                 .team
                 .as_ref()
                 .is_some_and(|team| over_share.get(team).copied().unwrap_or(false));
-            let uncertain = uncertain
-                .entry(pool)
-                .or_insert_with(|| self.uncertain_tasks(pool, now));
-            self.add_waiting_steps(job, pool, (is_over_share, uncertain), now, &mut waiting);
+            let uncertain = if job.is_inherited {
+                let tasks = || self.uncertain_tasks(&rule.pool, now);
+                uncertain.entry(&rule.pool).or_insert_with(tasks)
+            } else {
+                &settled
+            };
+            self.add_waiting_steps(job, rule, (is_over_share, uncertain), now, &mut waiting);
         }
         waiting
     }
@@ -94,12 +114,12 @@
     fn add_waiting_steps(
         &self,
         job: &JobEntry,
-        pool: &PoolName,
+        rule: &QueueRule,
         (is_over_share, uncertain): (bool, &UncertainTasks<'_>),
         now: TimePoint,
         waiting: &mut Vec<WaitingStep>,
     ) {
-        let attempts = self.rules.queues[&job.order.queue].attempts;
+        let has_suspects = self.suspects() > 0;
         for occurrence in &job.occurrences {
             for (number, step) in occurrence.steps.iter().enumerate() {
                 let number = u16::try_from(number).unwrap_or(u16::MAX);
@@ -112,42 +132,53 @@
                     step: number,
                 };
                 let spec = &job.order.steps[usize::from(number)];
-                let tasks = step.tasks.iter().enumerate().filter(|(index, task)| {
-                    let index = u16::try_from(*index).unwrap_or(u16::MAX);
+                let mut indexes: Vec<u16> = Vec::new();
+                for (task, index) in step.tasks.iter().zip(0..) {
+                    if !task.is_waiting(now) {
+                        continue;
+                    }
                     let failures = u32::try_from(task.failed_runs.len()).unwrap_or(u32::MAX);
                     let is_safe = !job.is_inherited
                         || task.is_settled
                         || spec.allows_copies
                         || !uncertain.contains(name.task(index));
-                    task.is_waiting(now) && failures < attempts && is_safe
-                });
-                let indexes: Vec<u16> = tasks
-                    .map(|(index, _)| u16::try_from(index).unwrap_or(u16::MAX))
-                    .filter(|index| self.may_start_again(name.task(*index)))
-                    .collect();
-                let expected = self.expected_run_time(step, spec, pool);
-                let copies = step.tasks.iter().enumerate();
-                let copies = copies.filter(|(_, task)| {
-                    expected.is_some_and(|expected| self.needs_copy(task, expected, now))
-                });
-                let copies: Vec<u16> = copies
-                    .map(|(index, _)| u16::try_from(index).unwrap_or(u16::MAX))
-                    .filter(|index| self.may_copy(name.task(*index)))
-                    .collect();
+                    if failures < rule.attempts
+                        && is_safe
+                        && (!has_suspects || self.may_start_again(name.task(index)))
+                    {
+                        if indexes.is_empty() {
+                            indexes.reserve_exact(step.remaining);
+                        }
+                        indexes.push(index);
+                    }
+                }
+                let mut copies: Vec<u16> = Vec::new();
+                if let Some(expected) = self.expected_run_time(step, spec, &rule.pool) {
+                    let slow = step.tasks.iter().zip(0..);
+                    let slow = slow.filter(|(task, _)| self.needs_copy(task, expected, now));
+                    let slow = slow.map(|(_, index)| index);
+                    copies.extend(slow.filter(|index| self.may_copy(name.task(*index))));
+                }
                 for (indexes, is_copy) in [(copies, true), (indexes, false)] {
                     if indexes.is_empty() {
                         continue;
                     }
                     let is_last = is_copy || is_over_share;
-                    let mut key = self.priority_key(job, occurrence.number, is_last, now);
+                    let mut key = self.priority_key(job, rule, occurrence, is_last, now);
                     if spec.is_lasting && !is_copy {
                         key = key.with_long_running();
                     }
-                    for (indexes, is_suspect) in self.split_suspects(name, spec, indexes) {
+                    let groups = if has_suspects {
+                        self.split_suspects(name, spec, indexes)
+                    } else {
+                        vec![(indexes, false)]
+                    };
+                    for (indexes, is_suspect) in groups {
                         waiting.push(WaitingStep {
                             key,
                             name,
-                            pool: pool.clone(),
+                            order: Arc::clone(&job.order),
+                            pool: rule.pool.clone(),
                             indexes,
                             is_copy,
                             is_suspect,
@@ -161,11 +192,11 @@
     fn priority_key(
         &self,
         job: &JobEntry,
-        occurrence: u32,
+        rule: &QueueRule,
+        occurrence: &OccurrenceEntry,
         is_over_share: bool,
         now: TimePoint,
     ) -> PriorityKey {
-        let rule = &self.rules.queues[&job.order.queue];
         let objective = objective(job.critical_path, rule);
         let age = self.arrival_times.get(&job.id);
         let age = age.map_or(Duration::ZERO, |&arrived| now.since(arrived));
@@ -210,12 +241,9 @@
 }
 
 /// Estimated run time of the longest chain of dependent steps that are not done.
-fn remaining_critical_path(job: &JobEntry, occurrence: u32) -> Duration {
-    let Some(entry) = job.occurrence(occurrence) else {
-        return job.critical_path;
-    };
-    let mut ends: Vec<Duration> = Vec::with_capacity(entry.steps.len());
-    for (step, spec) in entry.steps.iter().zip(&job.order.steps) {
+fn remaining_critical_path(job: &JobEntry, occurrence: &OccurrenceEntry) -> Duration {
+    let mut ends: Vec<Duration> = Vec::with_capacity(occurrence.steps.len());
+    for (step, spec) in occurrence.steps.iter().zip(&job.order.steps) {
         let run_time = if step.remaining == 0 {
             Duration::ZERO
         } else {
--- a/crates/core/src/jobs/run_entry.rs
+++ b/crates/core/src/jobs/run_entry.rs
@@ -88,10 +88,13 @@
         matches!(self.state, RunState::Stopping { .. })
     }
 
-    /// Revokes a start that had no answer. If the run turns out to exist, it is kept.
-    pub(crate) const fn revoke(&mut self) {
-        self.request_stop();
+    /// Revokes a start that had no answer. If the run turns out to exist, it is kept. Returns whether
+    /// the run was not being stopped before.
+    #[must_use = "the job of a run to stop belongs in `JobDispatcher::stopping_jobs`"]
+    pub(crate) const fn revoke(&mut self) -> bool {
+        let is_new = self.request_stop();
         self.is_revoked = true;
+        is_new
     }
 
     /// Whether a revoked start may still be kept: no stop of it is confirmed.
@@ -106,14 +109,17 @@
             )
     }
 
-    /// Marks the run to be stopped. Does nothing if it is already being stopped.
-    pub(crate) const fn request_stop(&mut self) {
+    /// Marks the run to be stopped. Returns false if it is already being stopped.
+    #[must_use = "the job of a run to stop belongs in `JobDispatcher::stopping_jobs`"]
+    pub(crate) const fn request_stop(&mut self) -> bool {
         self.is_revoked = false;
-        if !self.is_stopping() {
-            self.state = RunState::Stopping {
-                sent: None,
-                confirmed: None,
-            };
+        if self.is_stopping() {
+            return false;
         }
+        self.state = RunState::Stopping {
+            sent: None,
+            confirmed: None,
+        };
+        true
     }
 }
--- a/crates/core/src/jobs/worker_entry.rs
+++ b/crates/core/src/jobs/worker_entry.rs
@@ -51,6 +51,10 @@
     pub used: ResourceAmount,
     /// Runs that exist or may exist, by task and run number.
     pub runs: HashMap<(TaskName, u64), ()>,
+    /// Number of these runs that are fillers.
+    pub fillers: usize,
+    /// Time until which none of these runs can have stalled.
+    pub stall_check: TimePoint,
     pub health: HealthRecord,
     /// Whether tasks are being moved away because the instance goes into maintenance or moves to
     /// another pool.
@@ -91,6 +95,8 @@
             lease_end,
             used: ResourceAmount::default(),
             runs: HashMap::new(),
+            fillers: 0,
+            stall_check: TimePoint::ORIGIN,
             health: HealthRecord::default(),
             is_evacuating: false,
             is_zone_evacuated: false,
