--- a/crates/core/src/jobs/worker_entry.rs
+++ b/crates/core/src/jobs/worker_entry.rs
@@ -2,7 +2,9 @@
 
 use compact_str::CompactString;
 
-use super::{HealthRecord, JobId, ResourceAmount, TaskName, WorkerReport, WorkerState};
+use super::{
+    HealthRecord, JobId, ResourceAmount, TaskName, WorkerOffer, WorkerReport, WorkerState,
+};
 use crate::time::TimePoint;
 
 /// Maximum number of ended boots that are remembered per worker. The list is behind by a few restarts
@@ -49,6 +51,10 @@
     pub used: ResourceAmount,
     /// Runs that exist or may exist, by task and run number.
     pub runs: HashMap<(TaskName, u64), ()>,
+    /// Number of these runs that are fillers.
+    pub fillers: usize,
+    /// Time until which none of these runs can have stalled.
+    pub stall_check: TimePoint,
     pub health: HealthRecord,
     /// Whether tasks are being moved away because the instance goes into maintenance or moves to
     /// another pool.
@@ -89,6 +95,8 @@
             lease_end,
             used: ResourceAmount::default(),
             runs: HashMap::new(),
+            fillers: 0,
+            stall_check: TimePoint::ORIGIN,
             health: HealthRecord::default(),
             is_evacuating: false,
             is_zone_evacuated: false,
@@ -178,6 +186,19 @@
         self.is_unresponsive || !self.is_listed
     }
 
+    /// Returns what the choice of a worker depends on.
+    pub(crate) fn offer<K>(&self, key: K, is_near: bool, now: TimePoint) -> WorkerOffer<K> {
+        WorkerOffer {
+            key,
+            room: self.room(),
+            capacity: self.report.capacity,
+            is_near,
+            is_on_trial: self.health.is_on_trial(),
+            is_cold: now < self.cold_until,
+            is_maintenance_due: self.is_maintenance_due,
+        }
+    }
+
     /// Returns the free capacity.
     pub(crate) fn room(&self) -> ResourceAmount {
         self.report.capacity.without(self.used)
