Lend idle instances, and give the first surge an equal share at once

Change: instances that ran nothing for 1 s while nothing waited in their pool go to pools that lack some, and count against the pool's own deficit. As long as no surge has ended, a surge gets a multiple of an equal share of all instances at its onset.

--- a/crates/core/src/jobs/pool_history.rs
+++ b/crates/core/src/jobs/pool_history.rs
@@ -19,6 +19,8 @@
     at: TimePoint,
     /// For running and waiting work, or for the work expected if that is more.
     instances: usize,
+    /// Instances that ran nothing while nothing waited.
+    idle: usize,
 }
 
 /// Surge in progress.
@@ -79,6 +81,11 @@
         self.needs.push_back(SizeNeed {
             at: now,
             instances: self.expected.max(current),
+            idle: if load.waiting_tasks > 0 {
+                0
+            } else {
+                state.idle
+            },
         });
         while self
             .needs
@@ -136,6 +143,19 @@
         let sizes = recent.map(|need| need.instances);
         sizes.max().unwrap_or(0)
     }
+
+    /// Number of instances that have run nothing for all of the last `time`, although the expected
+    /// work may need them; zero if the record is shorter than that.
+    pub(super) fn least_idle(&self, time: Duration, now: TimePoint) -> usize {
+        let is_covered = self
+            .needs
+            .front()
+            .is_some_and(|need| now.since(need.at) >= time);
+        let needs = self.needs.iter();
+        let recent = needs.filter(|need| now.since(need.at) <= time);
+        let least = recent.map(|need| need.idle).min();
+        least.filter(|_| is_covered).unwrap_or(0)
+    }
 }
 
 /// Returns the number of instances for `used` thousandths of a core plus headroom.
--- a/crates/core/src/jobs/scaling_planner.rs
+++ b/crates/core/src/jobs/scaling_planner.rs
@@ -107,20 +107,32 @@
         let mut surpluses: Vec<PoolSurplus> = Vec::new();
         for (pool, state) in pools {
             let reserve = self.reserve(pool, next.contains(&pool), equal_share, now);
-            let deficit = self.deficit(pool, state, reserve);
-            if deficit.needed == 0 {
-                surpluses.push(self.surplus(pool, state, reserve, may_switch_off, now));
+            let deficit = self.deficit(pool, state, reserve, now);
+            let mut surplus = self.surplus(pool, state, reserve, may_switch_off, now);
+            if deficit.needed > 0 {
+                // It may lend what is idle, although it expects more work.
+                surplus.unneeded = 0;
+                surplus.unused = 0;
             }
+            surpluses.push(surplus);
             deficits.push(deficit);
         }
         distribute(deficits, surpluses, fleet.spare)
     }
 
     /// Returns what a pool lacks, which may be nothing.
-    fn deficit(&self, pool: &PoolName, state: &PoolState, reserve: usize) -> PoolDeficit {
+    fn deficit(
+        &self,
+        pool: &PoolName,
+        state: &PoolState,
+        reserve: usize,
+        now: TimePoint,
+    ) -> PoolDeficit {
         let least = self.policy.min_instances;
-        let needed = self.history[pool].expected().max(least);
-        let needed = needed.saturating_sub(state.instances);
+        let history = &self.history[pool];
+        let idle = history.least_idle(self.policy.idle_time, now);
+        let needed = history.expected().max(least);
+        let needed = needed.saturating_sub(state.instances + idle);
         PoolDeficit {
             pool: pool.clone(),
             needed,
@@ -128,7 +140,7 @@
         }
     }
 
-    /// Returns what a pool that lacks no instances for its work can give away.
+    /// Returns what a pool can give away if it lacks no instances for its work.
     fn surplus(
         &self,
         pool: &PoolName,
@@ -149,10 +161,12 @@
         } else {
             0
         };
+        let idle = self.history[pool].least_idle(self.policy.idle_time, now);
+        let lent = idle.min(free(self.policy.min_instances));
         PoolSurplus {
             pool: pool.clone(),
             unneeded,
-            reserved: free(recent) - unneeded,
+            reserved: free(recent).max(lent) - unneeded,
             unused,
         }
     }
@@ -184,6 +198,7 @@
         match usual {
             Some(size) if is_onset => part_of(size, self.policy.onset_share),
             Some(size) if is_next => part_of(size, self.policy.reserve_share),
+            None if is_onset => part_of(equal_share, self.policy.first_onset_share),
             None if is_next => part_of(equal_share, self.policy.first_reserve_share),
             _ => 0,
         }
--- a/crates/core/src/jobs/size_change.rs
+++ b/crates/core/src/jobs/size_change.rs
@@ -29,7 +29,8 @@
     pub pool: PoolName,
     /// Instances that the pool does not need at present, without its reserve.
     pub unneeded: usize,
-    /// Instances in reserve. Only a pool that needs them for expected work gets them.
+    /// Instances in reserve, or idle for so long that the forecast for them was wrong. Only a pool that
+    /// needs them for expected work gets them.
     pub reserved: usize,
     /// Unneeded instances that have been without work for so long that they can be switched off.
     pub unused: usize,
@@ -49,7 +50,7 @@
         let mut lacking = deficit.needed;
         let pool = &deficit.pool;
         take_unneeded(pool, &mut lacking, &mut surpluses, &mut spare, &mut changes);
-        for surplus in &mut surpluses {
+        for surplus in surpluses.iter_mut().filter(|surplus| surplus.pool != *pool) {
             let from = Some(surplus.pool.clone());
             let reserved = &mut surplus.reserved;
             take(from, pool, &mut lacking, reserved, &mut changes);
--- a/crates/core/tests/pool_scaling.rs
+++ b/crates/core/tests/pool_scaling.rs
@@ -241,3 +241,50 @@
         "grows without limit: {changes:?}"
     );
 }
+
+/// Guards against tasks that wait in a small pool while instances of another one run nothing for
+/// seconds, because more work is expected there than comes.
+#[test]
+fn idle_is_lent() {
+    let mut planner = ScalingPlanner::new(ScalingPolicy::default());
+    let mut expecting = state(30, 10, 600_000, 0);
+    expecting.load.expected = 1_500_000;
+    let mut short = state(4, 0, 128_000, 100_000);
+    short.load.waiting_tasks = 20;
+    let states = [("a", expecting), ("b", short)];
+    let first = decide(&mut planner, &states, 0, 0);
+    assert_eq!(moved(&first, Some("b")), 0, "not idle for long yet");
+    decide(&mut planner, &states, 0, 1);
+    let later = decide(&mut planner, &states, 0, 2);
+    assert!(moved(&later, Some("b")) >= 3, "{later:?}");
+    assert_eq!(moved(&later, Some("a")), 0, "{later:?}");
+}
+
+/// Guards against idle instances that leave a pool in which tasks wait, for a label or a team's limit.
+#[test]
+fn waiting_keeps_idle() {
+    let mut planner = ScalingPlanner::new(ScalingPolicy::default());
+    let mut expecting = state(30, 10, 600_000, 50_000);
+    expecting.load.expected = 1_000_000;
+    expecting.load.waiting_tasks = 5;
+    let states = [("a", expecting), ("b", state(4, 0, 128_000, 100_000))];
+    for second in 0..4 {
+        let changes = decide(&mut planner, &states, 0, second);
+        assert_eq!(moved(&changes, Some("b")), 0, "{changes:?}");
+    }
+}
+
+/// Guards against a first surge of a day that meets pools at their reserve and grows only as fast as
+/// the forecast, since no surge has shown its size yet.
+#[test]
+fn first_surge() {
+    let mut planner = ScalingPlanner::new(ScalingPolicy::default());
+    let quiet = state(6, 6, 0, 0);
+    let states = [
+        ("a", state(6, 0, 192_000, 80_000)),
+        ("b", quiet),
+        ("c", quiet),
+    ];
+    let changes = decide(&mut planner, &states, 30, 0);
+    assert!(moved(&changes, Some("a")) >= 6, "{changes:?}");
+}
