Let a task wait for its preferred rack as long as that is expected to pay

Cause: a task takes the spread factor times as long off the rack that holds its data, and so does a gang that is not on one rack. Placement took any worker with room, even if the rack had room 100 ms later, and the slower run kept its capacity from others.

Change: before a task starts off its preferred rack, and before a gang is spread, the dispatcher weighs the expected time until the rack has room (after the tasks that wait for it already) against the run time saved, the capacity that the slower run holds, and the slack of the job. A wait lasts at most the time saved and 2 s, holds nothing, and is not repeated for a run. Settings spreadFactor and placementWait; log lines and a metric by outcome.

Tests of core, jobs and adapter pass.

--- a/crates/core/src/jobs/dispatch_policy.rs
+++ b/crates/core/src/jobs/dispatch_policy.rs
@@ -47,6 +47,9 @@
     pub forecast_horizon: Duration,
     /// How long the record of an ended job remains available to callers.
     pub ended_retention: Duration,
+    /// Multiple of the run time of a task off the rack that holds its data, and of a gang that
+    /// prefers one rack and is not on one. At 1 or below, no task waits for a rack.
+    pub spread_factor: f64,
 }
 
 impl DispatchPolicy {
@@ -80,6 +83,7 @@
             min_pace_interval: Duration::from_millis(400),
             forecast_horizon: Duration::from_millis(1_800),
             ended_retention: Duration::from_secs(240),
+            spread_factor: 1.0,
         }
     }
 }
--- a/crates/core/src/jobs/dispatcher/gangs.rs
+++ b/crates/core/src/jobs/dispatcher/gangs.rs
@@ -12,7 +12,7 @@
 
 impl JobDispatcher {
     /// Starts all tasks of a gang and returns true, or starts none. If the step prefers one rack,
-    /// tries each rack first.
+    /// tries each rack first, and may wait for one.
     pub(super) fn place_gang(
         &mut self,
         step: &WaitingStep,
@@ -39,6 +39,9 @@
                 return true;
             }
         }
+        if self.gang_waits(step, spec, team, workers, now) {
+            return false;
+        }
         self.try_place_gang(step, spec, team, workers, run, now)
     }
 
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -5,8 +5,10 @@
 mod hold_reports;
 mod list_gap;
 mod placement;
+mod placement_wait;
 mod planning;
 mod pool_loads;
+mod rack_outlooks;
 mod records;
 mod relocation;
 mod relocation_targets;
@@ -83,6 +85,7 @@
     tickets: HashMap<StepName, TicketCache>,
     advice_backlog: AdviceBacklog,
     reservations: reservations::ReservationTable,
+    placement_waits: placement_wait::PlacementWaits,
     /// Jobs whose end is stored. A read of the job table that overlaps with the end of a job may
     /// still return the job as open.
     ended_jobs: HashSet<JobId>,
@@ -134,6 +137,7 @@
             tickets: HashMap::new(),
             advice_backlog: AdviceBacklog::default(),
             reservations: reservations::ReservationTable::default(),
+            placement_waits: placement_wait::PlacementWaits::default(),
             ended_jobs: HashSet::new(),
             expiry_queue: VecDeque::new(),
             dirty: RecordQueue::default(),
--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -109,6 +109,8 @@
                 && within(used.accelerators, amount.accelerators, limit.accelerators))
     }
 
+    /// Starts a task on one of `workers`, or lets it wait for its preferred rack. Returns false if
+    /// there is no room for it or its team is at its limit.
     pub(super) fn place_task(
         &mut self,
         task: TaskName,
@@ -123,6 +125,9 @@
         let Some(key) = self.select_worker(task.step, spec, workers, now) else {
             return false;
         };
+        if self.waits_for_rack(task, spec, key, workers, now) {
+            return true;
+        }
         let last = self.task(task).map_or(0, |entry| entry.last_run);
         let run = last.max(self.run_number_base) + 1;
         self.start_run(task, run, key, now);
--- a/crates/core/src/jobs/dispatcher/reservations.rs
+++ b/crates/core/src/jobs/dispatcher/reservations.rs
@@ -197,18 +197,10 @@
     /// leave enough.
     fn wait_time(&self, key: WorkerKey, amount: ResourceAmount, now: TimePoint) -> Duration {
         let entry = &self.workers[key];
-        let runs = entry.runs.keys().filter_map(|&(task, number)| {
-            let spec = self.step_spec(task)?;
-            let run = self.run(task, number, key)?;
-            let time = self.remaining_time(run, spec, &entry.report.pool, now);
-            (!is_lasting(run, spec)).then(|| (time, spec.worker_amount()))
-        });
-        let mut runs: Vec<(Duration, ResourceAmount)> = runs.collect();
-        runs.sort_unstable_by_key(|(time, _)| *time);
         let mut needed = entry.used;
         needed += amount;
         let mut wait = Duration::ZERO;
-        for (time, freed) in runs {
+        for (time, freed) in self.expected_releases(key, now) {
             if needed.fits(entry.report.capacity) {
                 break;
             }
@@ -218,6 +210,25 @@
         wait
     }
 
+    /// Returns the expected times until the batch tasks of a worker end, in ascending order, and the
+    /// resources that they free.
+    pub(super) fn expected_releases(
+        &self,
+        key: WorkerKey,
+        now: TimePoint,
+    ) -> Vec<(Duration, ResourceAmount)> {
+        let entry = &self.workers[key];
+        let runs = entry.runs.keys().filter_map(|&(task, number)| {
+            let spec = self.step_spec(task)?;
+            let run = self.run(task, number, key)?;
+            let time = self.remaining_time(run, spec, &entry.report.pool, now);
+            (!is_lasting(run, spec)).then(|| (time, spec.worker_amount()))
+        });
+        let mut runs: Vec<(Duration, ResourceAmount)> = runs.collect();
+        runs.sort_unstable_by_key(|(time, _)| *time);
+        runs
+    }
+
     /// Expected time until a run of a batch task ends. One that has no progress and has run for
     /// longer than expected may take as long again.
     fn remaining_time(
--- a/crates/core/src/jobs/dispatcher/waiting_steps.rs
+++ b/crates/core/src/jobs/dispatcher/waiting_steps.rs
@@ -201,7 +201,7 @@
 }
 
 /// Returns the time within which a job should end after its acceptance.
-fn objective(critical_path: Duration, rule: &QueueRule) -> Duration {
+pub(super) fn objective(critical_path: Duration, rule: &QueueRule) -> Duration {
     let stretched = critical_path.as_secs_f64() * rule.stretch.max(0.0);
     Duration::try_from_secs_f64(stretched)
         .unwrap_or(MAX_OBJECTIVE)
@@ -210,7 +210,7 @@
 }
 
 /// Estimated run time of the longest chain of dependent steps that are not done.
-fn remaining_critical_path(job: &JobEntry, occurrence: u32) -> Duration {
+pub(super) fn remaining_critical_path(job: &JobEntry, occurrence: u32) -> Duration {
     let Some(entry) = job.occurrence(occurrence) else {
         return job.critical_path;
     };
--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -20,8 +20,10 @@
 mod lost_run;
 mod maintenance_plan;
 mod pace_control;
+mod placement_wait;
 mod pool_history;
 mod pool_load;
+mod rack_outlook;
 mod record_queue;
 mod reserved_worker;
 mod resource_amount;
@@ -59,6 +61,7 @@
     MaintenanceCandidate, MaintenanceWave, evacuation_limit, next_candidate,
 };
 pub use pace_control::pace_percent;
+pub use placement_wait::{MAX_PLACEMENT_WAIT, PlacementWait, WaitOutcome, WaitOutlook};
 pub use pool_load::PoolLoad;
 pub use reserved_worker::ReservedWorker;
 pub use resource_amount::ResourceAmount;
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -9,6 +9,7 @@
 mod late_calls;
 mod order_delivery;
 mod owner_changes;
+mod run_times;
 mod sim_worker;
 mod world_faults;
 
@@ -25,6 +26,7 @@
 };
 
 pub use builders::{amount, at, job, rules, step, worker_report};
+pub use run_times::{RunTimes, first_task, near_job};
 pub use sim_worker::{SimRun, SimWorker};
 pub use world_faults::WorldFaults;
 
@@ -52,6 +54,7 @@
     done_tasks: HashSet<TaskName>,
     acknowledged_failures: HashMap<TaskName, u32>,
     pub crashes: crashes::CrashLog,
+    pub run_times: RunTimes,
     /// Whether the store takes no writes and shows no changes.
     pub is_store_silent: bool,
     /// Begin and end of the last outage of the store.
@@ -83,6 +86,7 @@
             done_tasks: HashSet::new(),
             acknowledged_failures: HashMap::new(),
             crashes: crashes::CrashLog::default(),
+            run_times: RunTimes::default(),
             is_store_silent: false,
             outage: None,
             list_read: 10_000,
--- a/crates/core/tests/jobs/order_delivery.rs
+++ b/crates/core/tests/jobs/order_delivery.rs
@@ -103,6 +103,7 @@
             return;
         }
         let is_alone = self.crashes.is_gang_broken(order.task, order.run);
+        let length = self.run_length(index, order, length);
         let is_long_running = self.step_of(order.task).is_lasting;
         let worker = &mut self.workers[index];
         worker.fence = fence;
@@ -120,6 +121,7 @@
             is_alone,
         };
         worker.running.insert((order.task, order.run), run);
+        self.slow_spread_gang(order);
         self.starts += 1;
         let outcome = if is_answer_lost {
             StartOutcome::Unknown
--- a/crates/core/tests/jobs/owner_changes.rs
+++ b/crates/core/tests/jobs/owner_changes.rs
@@ -3,7 +3,7 @@
 use sesamedeal_core::ids::PoolName;
 use sesamedeal_core::jobs::{EndKind, FleetRules};
 
-use super::{JobWorld, at, dispatcher};
+use super::{JobWorld, at};
 
 impl JobWorld {
     /// Sends the jobs to another pool.
@@ -31,8 +31,7 @@
     pub fn take_over(&mut self) {
         self.epoch += 1;
         let published = self.published.clone();
-        let mut next =
-            dispatcher(&self.rules, self.epoch, self.now).with_unreachable_workers(published);
+        let mut next = self.next_dispatcher().with_unreachable_workers(published);
         if let Some((start, end)) = self.outage {
             next = next.with_outage(at(start), at(end));
         }
--- a/crates/jobs/src/job_metrics.rs
+++ b/crates/jobs/src/job_metrics.rs
@@ -19,6 +19,7 @@
     starts: IntCounterVec,
     ends: IntCounterVec,
     lost_runs: IntCounterVec,
+    placement_waits: IntCounterVec,
     store_failures: IntCounterVec,
     requests: Histogram,
     count_ages: Histogram,
@@ -98,6 +99,11 @@
                 "Runs that ended without a report, by how this is known",
                 "reason",
             ),
+            placement_waits: counter(
+                "sesamedeal_placement_waits_total",
+                "Waits of tasks for their preferred rack by outcome",
+                "outcome",
+            ),
             store_failures: counter(
                 "sesamedeal_job_store_failures_total",
                 "Failed writes of the owner by kind",
@@ -212,6 +218,10 @@
         self.lost_runs.with_label_values(&[reason]).inc();
     }
 
+    pub(crate) fn count_placement_wait(&self, outcome: &str) {
+        self.placement_waits.with_label_values(&[outcome]).inc();
+    }
+
     pub(crate) fn count_abandoned_task(&self) {
         self.abandoned_tasks.inc();
     }
--- a/crates/jobs/src/owner/mod.rs
+++ b/crates/jobs/src/owner/mod.rs
@@ -26,6 +26,7 @@
 mod takeover;
 mod takeover_delay;
 mod takeover_kind;
+mod wait_log;
 mod wave_inventory;
 mod wave_orders;
 mod wave_progress;
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -167,6 +167,7 @@
             }
             self.log_losses();
             self.log_reservations();
+            self.log_placement_waits(now);
             self.log_abandoned_tasks();
             self.request_advice(now);
             self.send_holds(now);
