Bound waits for preferred racks after a takeover, and shorten their tests

Cause: a new owner that read the stored jobs late could have let a task wait a second time, since its 2 s counted from the takeover. The check whether a gang fits elsewhere simulated all workers of the pool for each member.

Change: tasks of inherited jobs wait only after the owner has started them once. A gang is checked in one pass over the workers that ends as soon as it fits.

--- a/crates/core/src/jobs/dispatcher/placement_wait.rs
+++ b/crates/core/src/jobs/dispatcher/placement_wait.rs
@@ -12,7 +12,7 @@
 use super::rack_outlooks::PoolOutlook;
 use super::waiting_steps::{WaitingStep, objective, remaining_critical_path};
 use crate::ids::{PoolName, TeamName};
-use crate::jobs::placement_wait::{MAX_PLACEMENT_WAIT, PlacementWait, WaitOutcome, WaitOutlook};
+use crate::jobs::placement_wait::{PlacementWait, WaitOutcome, WaitOutlook};
 use crate::jobs::{StepName, StepSpec, TaskName, WorkerKey};
 use crate::time::TimePoint;
 
@@ -65,7 +65,7 @@
         };
         if spec.is_gang
             || self.workers[key].report.labels.contains(rack)
-            || !self.may_wait(task, spec, now)
+            || !self.may_wait(task, spec)
         {
             return false;
         }
@@ -91,7 +91,7 @@
     ) -> bool {
         let task = step.name.task(0);
         if !spec.prefers_one_rack
-            || !self.may_wait(task, spec, now)
+            || !self.may_wait(task, spec)
             || !self.fits_gang(step.name, spec, team, workers, now)
         {
             return false;
@@ -110,9 +110,9 @@
     }
 
     /// Whether the rules allow a wait at all. Suspects, copies and long-running tasks never wait,
-    /// nor do tasks with saved progress, whose remaining run time is not known. Tasks that may have
-    /// waited under the previous owner do not wait again for the longest time of a wait.
-    fn may_wait(&self, name: TaskName, spec: &StepSpec, now: TimePoint) -> bool {
+    /// nor do tasks with saved progress, whose remaining run time is not known. Tasks of inherited
+    /// jobs may have waited under the previous owner, and wait only after this one has started them.
+    fn may_wait(&self, name: TaskName, spec: &StepSpec) -> bool {
         let factor = self.policy.spread_factor;
         if !(factor > 1.0 && factor.is_finite()) || spec.is_lasting {
             return false;
@@ -120,12 +120,16 @@
         let (Some(job), Some(task)) = (self.jobs.get(&name.step.job), self.task(name)) else {
             return false;
         };
-        let is_overlap = job.is_inherited && now.since(self.takeover_time) < MAX_PLACEMENT_WAIT;
-        let saved = self.task(self.progress_task(name));
-        !is_overlap
-            && task.runs.is_empty()
-            && saved.is_none_or(|task| task.saved.is_empty())
-            && (0..spec.count).all(|index| !self.suspects.contains_key(&name.step.task(index)))
+        let last = if spec.is_gang {
+            spec.count.saturating_sub(1)
+        } else {
+            name.index
+        };
+        let mut members = name.index..=last;
+        task.runs.is_empty()
+            && (!job.is_inherited || task.is_settled)
+            && task.saved.is_empty()
+            && !members.any(|index| self.suspects.contains_key(&name.step.task(index)))
     }
 
     /// Begins or continues the wait of a task or gang for a rack, or returns false if it does not pay.
--- a/crates/core/src/jobs/dispatcher/rack_outlooks.rs
+++ b/crates/core/src/jobs/dispatcher/rack_outlooks.rs
@@ -67,19 +67,14 @@
         let Some(keys) = outlook.keys_by_label.get(rack) else {
             return;
         };
-        let workers = keys.iter().map(|&key| self.rack_worker(key, true, now));
+        let workers = keys.iter().map(|&key| self.rack_worker(key, now));
         let workers = workers.collect();
         outlook.racks.insert(rack.clone(), RackOutlook { workers });
     }
 
-    /// Returns the outlook of a worker, with the expected ends of its tasks if `has_releases`.
-    fn rack_worker(&self, key: WorkerKey, has_releases: bool, now: TimePoint) -> RackWorker {
+    fn rack_worker(&self, key: WorkerKey, now: TimePoint) -> RackWorker {
         let entry = &self.workers[key];
-        let releases = if has_releases {
-            self.expected_releases(key, now)
-        } else {
-            Vec::new()
-        };
+        let releases = self.expected_releases(key, now);
         RackWorker::new(key, entry.report.capacity, entry.used, releases)
     }
 
@@ -145,12 +140,24 @@
         if !self.is_within_limit_beside(team, others, spec.amount) {
             return false;
         }
-        let workers = workers.iter();
-        let workers = workers.map(|&key| self.rack_worker(key, false, now));
-        let present = RackOutlook {
-            workers: workers.collect(),
-        };
-        self.find_place(&present, step, spec, now).is_some()
+        let needs_ticket = self.needs_ticket(step);
+        let max = spec.max_per_worker.unwrap_or(u16::MAX);
+        let mut missing = spec.count;
+        for &key in workers {
+            let is_allowed = self.is_suitable(step, spec, key)
+                && (!needs_ticket || self.ticket(step, key, now).is_some());
+            let mut room = self.workers[key].room();
+            let mut open = if is_allowed { max } else { 0 };
+            while open > 0 && missing > 0 && spec.worker_amount().fits(room) {
+                room -= spec.worker_amount();
+                open -= 1;
+                missing -= 1;
+            }
+            if missing == 0 {
+                return true;
+            }
+        }
+        false
     }
 
     /// Label that names the rack of a worker.
