Make decisions on waits for racks cheaper

Cause: each decision computed the slack of the job also for waits that had begun, whose limit is fixed, and checked properties of workers that do not change within a round. Open waits were settled twice per round.

Change: slack is computed when a wait begins; cold workers and those on trial are left out when the outlook of a rack is made; waits are settled when the owner takes the outcomes.

Result: same placements in the tests.

--- a/crates/core/src/jobs/dispatcher/placement_wait.rs
+++ b/crates/core/src/jobs/dispatcher/placement_wait.rs
@@ -161,10 +161,12 @@
             expected,
             near_time,
             spread_factor: self.policy.spread_factor,
-            slack_ms: self.slack_ms(task.step, now),
             occupancy,
         };
-        let limit = known_end.map_or_else(|| weighed.limit(), |until| until.since(now));
+        let limit = known_end.map_or_else(
+            || weighed.limit(self.slack_ms(task.step, now)),
+            |until| until.since(now),
+        );
         if !weighed.pays_off(limit) {
             return false;
         }
@@ -183,7 +185,7 @@
         true
     }
 
-    /// Objective of a job less its expected end, in milliseconds.
+    /// Objective of a job less its expected end if it goes on now, in milliseconds.
     fn slack_ms(&self, step: StepName, now: TimePoint) -> i64 {
         let Some(job) = self.jobs.get(&step.job) else {
             return 0;
@@ -200,7 +202,7 @@
     }
 
     /// Ends the waits of tasks that have started or no longer wait for a start.
-    pub(super) fn settle_waits(&mut self, now: TimePoint) {
+    fn settle_waits(&mut self, now: TimePoint) {
         let mut open = std::mem::take(&mut self.placement_waits.open);
         open.retain(|&name, wait| {
             let outcome = self.wait_outcome(name, wait, now);
--- a/crates/core/src/jobs/dispatcher/rack_outlooks.rs
+++ b/crates/core/src/jobs/dispatcher/rack_outlooks.rs
@@ -29,7 +29,6 @@
         now: TimePoint,
     ) {
         if self.placement_waits.round != Some(now) {
-            self.settle_waits(now);
             self.placement_waits.round = Some(now);
             self.placement_waits.pools.clear();
         }
@@ -67,8 +66,11 @@
         let Some(keys) = outlook.keys_by_label.get(rack) else {
             return;
         };
-        let workers = keys.iter().map(|&key| self.rack_worker(key, now));
-        let workers = workers.collect();
+        let warm = keys.iter().copied().filter(|key| {
+            let entry = &self.workers[*key];
+            !entry.health.is_on_trial() && now >= entry.cold_until
+        });
+        let workers = warm.map(|key| self.rack_worker(key, now)).collect();
         outlook.racks.insert(rack.clone(), RackOutlook { workers });
     }
 
@@ -88,14 +90,10 @@
     ) -> Option<RackPlace> {
         let needs_ticket = self.needs_ticket(step);
         let in_use = |key: WorkerKey| {
-            let entry = &self.workers[key];
             let is_open = !self.reservations.contains(key)
-                && !self.is_denied(step, key)
-                && !entry.health.is_on_trial()
-                && now >= entry.cold_until
                 && self.is_suitable(step, spec, key)
                 && (!needs_ticket || self.ticket(step, key, now).is_some());
-            is_open.then_some(entry.used)
+            is_open.then(|| self.workers[key].used)
         };
         if spec.is_gang {
             let max = spec.max_per_worker.unwrap_or(u16::MAX);
--- a/crates/core/src/jobs/placement_wait.rs
+++ b/crates/core/src/jobs/placement_wait.rs
@@ -85,9 +85,6 @@
     pub near_time: Duration,
     /// Multiple of the run time elsewhere.
     pub spread_factor: f64,
-    /// Objective of the job less its expected end if the task started on the rack now, in
-    /// milliseconds; negative if the job is late.
-    pub slack_ms: i64,
     /// Share of the pool's processor capacity that is in use, from 0 to 1.
     pub occupancy: f64,
 }
@@ -103,11 +100,14 @@
     /// Returns the longest time that the task may wait: the run time saved, at most
     /// [`MAX_PLACEMENT_WAIT`], and only as long as a run elsewhere can still meet the objective. If
     /// only a run on the rack can meet it, the wait cannot make that worse.
+    ///
+    /// `slack_ms` is the objective of the job less its expected end if the task started on the rack
+    /// now, in milliseconds; negative if the job is late.
     #[must_use]
-    pub fn limit(&self) -> Duration {
+    pub fn limit(&self, slack_ms: i64) -> Duration {
         let saving = self.saving();
         let limit = saving.min(MAX_PLACEMENT_WAIT);
-        let slack = u64::try_from(self.slack_ms).map_or(Duration::ZERO, Duration::from_millis);
+        let slack = u64::try_from(slack_ms).map_or(Duration::ZERO, Duration::from_millis);
         match slack.checked_sub(saving) {
             Some(left) => limit.min(left.saturating_sub(ROUND_MARGIN)),
             None => limit,
