--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -6,8 +6,10 @@
 mod late_starts;
 mod list_gap;
 mod placement;
+mod placement_wait;
 mod planning;
 mod pool_loads;
+mod rack_outlooks;
 mod records;
 mod relocation;
 mod relocation_targets;
@@ -87,6 +89,7 @@
     tickets: HashMap<StepName, TicketCache>,
     advice_backlog: AdviceBacklog,
     reservations: reservations::ReservationTable,
+    placement_waits: placement_wait::PlacementWaits,
     /// Jobs whose end is stored. A read of the job table that overlaps with the end of a job may
     /// still return the job as open.
     ended_jobs: HashSet<JobId>,
@@ -139,6 +142,7 @@
             tickets: HashMap::new(),
             advice_backlog: AdviceBacklog::default(),
             reservations: reservations::ReservationTable::default(),
+            placement_waits: placement_wait::PlacementWaits::default(),
             ended_jobs: HashSet::new(),
             expiry_queue: VecDeque::new(),
             dirty: RecordQueue::default(),
--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -74,8 +74,9 @@
         }
     }
 
-    /// Starts a task on the best open worker of its pool and returns true, or returns false if there
-    /// is none. A copy starts on a worker without a run of the task.
+    /// Starts a task on the best open worker of its pool, or lets it wait for its preferred rack.
+    /// Returns false if no worker is open to it or its team is at its limit. A copy starts on a worker
+    /// without a run of the task.
     fn place_indexed(
         &mut self,
         task: TaskName,
@@ -99,6 +100,9 @@
         let Some((position, key)) = chosen else {
             return false;
         };
+        if self.waits_for_rack(task, spec, key, workers.keys(), now) {
+            return true;
+        }
         self.start_next_run(task, key, now);
         workers.update(position, &self.workers, now);
         true
@@ -162,6 +166,8 @@
                 && within(used.accelerators, amount.accelerators, limit.accelerators))
     }
 
+    /// Starts a task on one of `workers`. Returns false if there is no room for it or its team is at
+    /// its limit.
     pub(super) fn place_task(
         &mut self,
         task: TaskName,
--- a/crates/core/src/jobs/dispatcher/waiting_steps.rs
+++ b/crates/core/src/jobs/dispatcher/waiting_steps.rs
@@ -232,7 +232,7 @@
 }
 
 /// Returns the time within which a job should end after its acceptance.
-fn objective(critical_path: Duration, rule: &QueueRule) -> Duration {
+pub(super) fn objective(critical_path: Duration, rule: &QueueRule) -> Duration {
     let stretched = critical_path.as_secs_f64() * rule.stretch.max(0.0);
     Duration::try_from_secs_f64(stretched)
         .unwrap_or(MAX_OBJECTIVE)
@@ -241,7 +241,7 @@
 }
 
 /// Estimated run time of the longest chain of dependent steps that are not done.
-fn remaining_critical_path(job: &JobEntry, occurrence: &OccurrenceEntry) -> Duration {
+pub(super) fn remaining_critical_path(job: &JobEntry, occurrence: &OccurrenceEntry) -> Duration {
     let mut ends: Vec<Duration> = Vec::with_capacity(occurrence.steps.len());
     for (step, spec) in occurrence.steps.iter().zip(&job.order.steps) {
         let run_time = if step.remaining == 0 {
--- a/crates/core/tests/jobs/order_delivery.rs
+++ b/crates/core/tests/jobs/order_delivery.rs
@@ -103,6 +103,7 @@
             return;
         }
         let is_alone = self.crashes.is_gang_broken(order.task, order.run);
+        let length = self.run_length(index, order, length);
         let is_long_running = self.step_of(order.task).is_lasting;
         let worker = &mut self.workers[index];
         worker.fence = fence;
