Zone evacuation in the fleet state, the scheduler and the controller

Cause: on the product's own interface no request names an availability zone. Change: changes EvacuateZone and ReopenZone with the time of the request; a state without a request keeps its stored form. The scheduler starts nothing more on workers of an evacuated zone, lends none of their slots and counts them neither as capacity nor as sources of loans; attempts go on, jobs that only they fit wait. The controller leaves their instances out of the plan of moves.

--- a/crates/core/src/control/move_control.rs
+++ b/crates/core/src/control/move_control.rs
@@ -81,7 +81,8 @@
         });
     }
 
-    /// Completes the moves whose start is settled, and removes empty pools that are closing.
+    /// Completes the moves whose start is settled, and removes empty pools that are closing. A move
+    /// from the spare pool is cancelled if the zone of its instance is evacuated meanwhile.
     pub(super) fn finish_moves(&mut self) {
         let state = self.input.state;
         for (name, instance) in &state.instances {
@@ -91,7 +92,10 @@
             if self.step.settled < instance.since || self.is_touched(name) {
                 continue;
             }
-            if state.pools.contains_key(target) && !state.closing.contains(target) {
+            let is_spare = state.spare_pool() == Some(&instance.pool);
+            let is_cancelled = is_spare && state.is_evacuated(&instance.zone);
+            if state.pools.contains_key(target) && !state.closing.contains(target) && !is_cancelled
+            {
                 self.assign(name, instance, target);
             } else {
                 self.set_state(name, instance, InstanceState::Active);
--- a/crates/core/src/fleet/apply_change.rs
+++ b/crates/core/src/fleet/apply_change.rs
@@ -85,6 +85,8 @@
             | FleetChange::SetWaveMember { .. }
             | FleetChange::FinishWave { .. }
             | FleetChange::RemoveWave { .. } => self.apply_wave(change),
+            FleetChange::EvacuateZone { zone, requested } => self.evacuate_zone(zone, *requested),
+            FleetChange::ReopenZone { zone } => self.reopen_zone(zone),
         }
     }
 
--- a/crates/core/src/fleet/apply_limits.rs
+++ b/crates/core/src/fleet/apply_limits.rs
@@ -23,6 +23,8 @@
     pub const SHEET_ROWS: usize = 20_000;
     /// Maximum number of waves, including finished ones.
     pub const WAVES: usize = 64;
+    /// Maximum number of evacuated availability zones.
+    pub const EVACUATIONS: usize = 256;
     /// Maximum number of changes in one record.
     pub const CHANGES: usize = 50_000;
     /// Maximum number of slots per instance.
--- a/crates/core/src/fleet/fleet_change.rs
+++ b/crates/core/src/fleet/fleet_change.rs
@@ -5,7 +5,7 @@
     DayTime, InstanceRecord, InstanceState, KeyRecord, MemberStep, PoolRecord, QueueRecord,
     SessionView, SheetRow, TeamRecord,
 };
-use crate::ids::{InstanceName, KeyId, PoolName, QueueName, TeamName, WaveName};
+use crate::ids::{InstanceName, KeyId, PoolName, QueueName, TeamName, WaveName, ZoneName};
 
 /// A change to the replicated state.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -157,4 +157,17 @@
         /// Name of the wave.
         wave: WaveName,
     },
+    /// Requests that nothing more starts in an availability zone. Has no effect if it is requested
+    /// already.
+    EvacuateZone {
+        /// Name of the availability zone.
+        zone: ZoneName,
+        /// Time of the request.
+        requested: DayTime,
+    },
+    /// Withdraws the request to evacuate an availability zone. Has no effect if there is none.
+    ReopenZone {
+        /// Name of the availability zone.
+        zone: ZoneName,
+    },
 }
--- a/crates/core/src/fleet/fleet_state.rs
+++ b/crates/core/src/fleet/fleet_state.rs
@@ -5,10 +5,12 @@
 use super::apply_change::RecordApplier;
 use super::state_index::StateIndex;
 use super::{
-    ApplyError, ApplyLimits, ChangeRecord, InstanceRecord, KeyRecord, PoolCount, PoolRecord,
-    QueueRecord, SessionView, SheetRecord, TeamRecord, WaveRecord,
+    ApplyError, ApplyLimits, ChangeRecord, EvacuationRecord, InstanceRecord, KeyRecord, PoolCount,
+    PoolRecord, QueueRecord, SessionView, SheetRecord, TeamRecord, WaveRecord,
+};
+use crate::ids::{
+    Generation, InstanceName, KeyId, PoolName, QueueName, TeamName, WaveName, ZoneName,
 };
-use crate::ids::{Generation, InstanceName, KeyId, PoolName, QueueName, TeamName, WaveName};
 
 /// Replicated state of the fleet at one generation.
 ///
@@ -39,6 +41,10 @@
     /// Maintenance waves by name.
     #[serde(default)]
     pub waves: BTreeMap<WaveName, WaveRecord>,
+    /// Availability zones in which nothing more may start. Left out when empty, so that a state
+    /// without a request has the form that earlier versions write.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub evacuations: BTreeMap<ZoneName, EvacuationRecord>,
     #[serde(skip)]
     pub(super) index: StateIndex,
 }
@@ -57,7 +63,8 @@
     /// Applies a record atomically. On an error, the state is unchanged.
     ///
     /// The cost is proportional to the size of the record. The first call after deserialization
-    /// also scans the whole state to build the index.
+    /// also scans the whole state to build the index, and a request to evacuate or reopen a zone may
+    /// scan the instances.
     ///
     /// # Errors
     ///
@@ -110,6 +117,12 @@
         })
     }
 
+    /// Whether nothing more may start in an availability zone.
+    #[must_use]
+    pub fn is_evacuated(&self, zone: &ZoneName) -> bool {
+        self.evacuations.contains_key(zone)
+    }
+
     /// Returns the name of the spare pool, if there is one.
     #[must_use]
     pub fn spare_pool(&self) -> Option<&PoolName> {
--- a/crates/core/src/fleet/state_entry.rs
+++ b/crates/core/src/fleet/state_entry.rs
@@ -1,10 +1,10 @@
 use std::collections::BTreeMap;
 
 use super::{
-    FleetState, InstanceRecord, KeyRecord, MemberStep, PoolRecord, QueueRecord, SessionView,
-    SheetRecord, TeamRecord, WaveRecord, WaveStatus,
+    EvacuationRecord, FleetState, InstanceRecord, KeyRecord, MemberStep, PoolRecord, QueueRecord,
+    SessionView, SheetRecord, TeamRecord, WaveRecord, WaveStatus,
 };
-use crate::ids::{InstanceName, KeyId, PoolName, QueueName, TeamName, WaveName};
+use crate::ids::{InstanceName, KeyId, PoolName, QueueName, TeamName, WaveName, ZoneName};
 
 /// Value of one entry of the state. `None` means that the entry is absent.
 ///
@@ -25,6 +25,7 @@
     Wave(WaveName, Option<WaveRecord>),
     WaveStatus(WaveName, WaveStatus),
     WaveMember(WaveName, InstanceName, MemberStep),
+    Evacuation(ZoneName, Option<EvacuationRecord>),
 }
 
 impl FleetState {
@@ -70,6 +71,10 @@
                 StateEntry::WaveStatus(name, old)
             }
             StateEntry::WaveMember(wave, name, step) => self.swap_member(wave, name, step),
+            StateEntry::Evacuation(zone, record) => {
+                let old = swap(&mut self.evacuations, &zone, record);
+                StateEntry::Evacuation(zone, old)
+            }
         }
     }
 
--- a/crates/core/src/moves/day_demand.rs
+++ b/crates/core/src/moves/day_demand.rs
@@ -118,7 +118,8 @@
 
     /// Returns the number of instances per pool, in the order of `pools`.
     ///
-    /// A moving instance counts for its target pool. A failed instance does not count.
+    /// A moving instance counts for its target pool. A failed instance and one in an evacuated zone
+    /// do not count, so that their pools get other instances.
     #[must_use]
     pub fn count_instances(&self, state: &FleetState) -> Vec<u32> {
         let pool_indices: BTreeMap<&PoolName, usize> = self.pools.iter().zip(0..).collect();
@@ -126,6 +127,7 @@
         for instance in state.instances.values() {
             let pool = match &instance.state {
                 InstanceState::Failed => continue,
+                _ if state.is_evacuated(&instance.zone) => continue,
                 InstanceState::Moving { target } => target,
                 _ => &instance.pool,
             };
--- a/crates/core/src/moves/instance_roster.rs
+++ b/crates/core/src/moves/instance_roster.rs
@@ -20,7 +20,7 @@
 
 impl<'a> InstanceRoster<'a> {
     /// Groups the instances by pool and zone. Only active instances can be moved, but the others
-    /// count for the balance.
+    /// count for the balance. Instances of evacuated zones stay where they are and do not count.
     pub(super) fn new(state: &'a FleetState, pools: &[PoolName]) -> Self {
         let pool_indices: BTreeMap<&PoolName, usize> = pools.iter().zip(0..).collect();
         let mut roster = Self {
@@ -29,6 +29,7 @@
         for (name, instance) in &state.instances {
             let pool = match &instance.state {
                 InstanceState::Failed => continue,
+                _ if state.is_evacuated(&instance.zone) => continue,
                 InstanceState::Moving { target } => target,
                 _ => &instance.pool,
             };
--- a/crates/core/src/placement/worker_record.rs
+++ b/crates/core/src/placement/worker_record.rs
@@ -34,6 +34,8 @@
     pub(crate) quarantined: bool,
     /// Whether the worker is draining, rebooting or moving in the fleet state.
     pub(crate) planned_outage: bool,
+    /// Whether nothing more may start in the worker's availability zone.
+    pub(crate) zone_evacuated: bool,
     /// Whether the worker is no longer in the fleet state.
     pub(crate) removed: bool,
     /// Time of the newest report that the worker is leaving.
@@ -54,12 +56,18 @@
         slots_for(self.cores, self.memory_mb, self.slots, requirements)
     }
 
+    /// Whether the worker counts as capacity of its pool: the fleet state allows new work on it, and
+    /// its availability zone is not evacuated.
+    pub(crate) const fn is_usable(&self) -> bool {
+        self.active && !self.zone_evacuated
+    }
+
     /// Whether the state of the worker allows placing a job on it, regardless of free slots.
     pub(crate) fn takes_work(&self, now: TimePoint) -> bool {
         let is_blocked = self.health.quarantined
             && (self.account.in_use > 0 || self.health.trial_at.is_none_or(|at| at > now));
         let is_reserved = self.reserved_until.is_some_and(|until| until > now);
-        self.active && !self.removed && self.leaving.is_none() && !is_blocked && !is_reserved
+        self.is_usable() && !self.removed && self.leaving.is_none() && !is_blocked && !is_reserved
     }
 
     /// Returns the state that placement reads, as of `now`.
--- a/crates/core/src/scheduler/borrowing.rs
+++ b/crates/core/src/scheduler/borrowing.rs
@@ -223,7 +223,7 @@
                     .owners
                     .into_iter()
                     .flatten()
-                    .filter(|_| record.active)
+                    .filter(|_| record.is_usable())
             })
         };
         let total = owners().filter(|owner| *owner != self.session).count();
--- a/crates/core/src/scheduler/extra_exchange.rs
+++ b/crates/core/src/scheduler/extra_exchange.rs
@@ -50,8 +50,8 @@
             if self.missing_slots(PoolIndex::with_position(position)) > 0 {
                 let records = entry.workers.iter();
                 let records = records.map(|worker| &self.fleet.workers[worker.at()]);
-                let active = records.filter(|record| record.active);
-                lenders.extend(active.flat_map(|record| record.owners.iter().flatten()));
+                let usable = records.filter(|record| record.is_usable());
+                lenders.extend(usable.flat_map(|record| record.owners.iter().flatten()));
             }
             if let Some((worker, _)) = entry.reserved {
                 let record = &self.fleet.workers[worker.at()];
--- a/crates/core/src/scheduler/lending.rs
+++ b/crates/core/src/scheduler/lending.rs
@@ -186,7 +186,8 @@
             }
             self.fleet.pools[pool.at()].reserved = None;
         }
-        if !self.may_dispatch() {
+        // A peer that does not know of the evacuation yet asks for the worker in vain.
+        if !self.may_dispatch() || self.fleet.workers[worker.at()].zone_evacuated {
             return;
         }
         let until = now.after(REQUEST_LIFETIME);
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -28,6 +28,7 @@
 mod timers;
 mod usage_report;
 mod worker_update;
+mod zone_evacuation;
 
 pub use attempt_outcome::{AttemptOutcome, FinishOutcome};
 pub(crate) use index::{FlowIndex, KeyIndex, PoolIndex, TeamIndex, WorkerIndex};
--- a/crates/core/src/scheduler/preemption.rs
+++ b/crates/core/src/scheduler/preemption.rs
@@ -52,7 +52,7 @@
                     && attempt.idempotent
                     && !attempt.finished
                     && !attempt.stopping
-                    && self.fleet.workers[attempt.worker.at()].active
+                    && self.fleet.workers[attempt.worker.at()].is_usable()
                     && self
                         .jobs
                         .get(attempt.job)
--- a/crates/core/src/scheduler/releasing.rs
+++ b/crates/core/src/scheduler/releasing.rs
@@ -104,7 +104,7 @@
         if let Some((_, flow)) = reserved {
             if usable {
                 self.unblock_waiting(pool, Some(flow), now);
-            } else if record.account.free() == 0 && record.active && record.leaving.is_none() {
+            } else if record.account.free() == 0 && record.is_usable() && record.leaving.is_none() {
                 // Keeps the reservation, because the slots in use become free later.
             } else {
                 entry.reserved = None;
--- a/crates/core/src/scheduler/worker_update.rs
+++ b/crates/core/src/scheduler/worker_update.rs
@@ -35,6 +35,8 @@
             }
             let worker = found.unwrap_or_else(|| self.add_worker(name, record));
             order.push(worker);
+            let is_evacuated = state.is_evacuated(&record.zone);
+            self.update_evacuation(worker, is_evacuated, scope, now);
             self.update_worker(worker, record, found.is_none(), scope, now);
         }
         for worker in known {
@@ -68,7 +70,7 @@
             if !shapes.contains(&shape) {
                 shapes.push(shape);
             }
-            if record.active {
+            if record.is_usable() {
                 slots += record.slots;
             }
         }
@@ -99,6 +101,7 @@
             active: false,
             quarantined: false,
             planned_outage: false,
+            zone_evacuated: false,
             removed: false,
             leaving: None,
             reserved_until: None,
