Zone evacuation: waiting jobs, commands, status, log lines and a metric

Cause: the fleet state knew evacuated zones, but no command wrote them. A job that fits only on workers of the zone stood first in its queue until its deadline and held up the smaller jobs of its team. Change: such jobs are parked outside the order of their queue and return to its front when a worker is open to them. The commands zone evacuate, zone reopen and zone list; status shows zones and the age of each request, also for entry instances of earlier versions, whose answers have no zones; a log line per request at each entry instance and the metric sesamedeal_evacuated_zones. The scheduler's fuzz tests evacuate and reopen the zone, and their world checks each dispatch.

--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -11,6 +11,7 @@
 mod operator_args;
 mod sheet_args;
 mod submit_args;
+mod zone_args;
 
 use std::net::SocketAddr;
 
@@ -33,6 +34,7 @@
     SheetApplyArgs, SheetArgs, SheetCheckArgs, SheetCommand, SheetPlanArgs,
 };
 pub(crate) use submit_args::SubmitArgs;
+pub(crate) use zone_args::{ZoneArgs, ZoneCommand};
 
 /// Fleet capacity and maintenance manager: commands for operators and callers.
 #[derive(Debug, FromArgs)]
@@ -58,6 +60,7 @@
     Sheet(SheetArgs),
     Status(StatusArgs),
     Submit(SubmitArgs),
+    Zone(ZoneArgs),
 }
 
 /// Address that an entry instance listens on by default.
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -16,6 +16,7 @@
 mod sheet_report;
 mod status;
 mod submit;
+mod zone;
 
 pub(crate) use config::config;
 pub(crate) use demo::demo;
@@ -30,3 +31,4 @@
 pub(crate) use sheet::sheet;
 pub(crate) use status::status;
 pub(crate) use submit::submit;
+pub(crate) use zone::zone;
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -1,6 +1,7 @@
 use sesamedeal_wire::admin::{SessionStatus, StatusReply};
 
 use super::pool::print_pools;
+use super::zone::request;
 use crate::args::StatusArgs;
 use crate::error::Result;
 use crate::operator_client::OperatorClient;
@@ -46,6 +47,11 @@
     if let Some(wave) = &status.wave {
         print_line(&format!("maintenance: {wave}"));
     }
+    for zone in &status.zones {
+        if let Some(request) = request(zone) {
+            print_line(&format!("zone {}: {request}", zone.zone));
+        }
+    }
     print_line("");
     let rows: Vec<[String; 6]> = status.sessions.iter().map(session_row).collect();
     let titles = ["session", "address", "zone", "state", "applied", "quiesced"];
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -35,5 +35,6 @@
         SesameCommand::Sheet(args) => commands::sheet(args).await,
         SesameCommand::Status(args) => commands::status(args).await,
         SesameCommand::Submit(args) => commands::submit(args).await,
+        SesameCommand::Zone(args) => commands::zone(args).await,
     }
 }
--- a/crates/core/src/queue/flow_record.rs
+++ b/crates/core/src/queue/flow_record.rs
@@ -29,6 +29,11 @@
     pub(crate) normal: JobList,
     /// Jobs queued at this entry instance.
     pub(crate) queued: u32,
+    /// Jobs that fit only on workers in evacuated zones, in no order. They do not count as queued,
+    /// because no slot that becomes free helps them.
+    pub(crate) parked: JobList,
+    /// Length of `parked`.
+    pub(crate) parked_jobs: u32,
     /// Slots held by this entry instance.
     pub(crate) held: u32,
     /// Time constant of the exponential decay of usage, in seconds.
@@ -62,6 +67,8 @@
             urgent: JobList::default(),
             normal: JobList::default(),
             queued: 0,
+            parked: JobList::default(),
+            parked_jobs: 0,
             held: 0,
             decay_s,
             usage: UsageMeter::default(),
--- a/crates/core/src/scheduler/admission.rs
+++ b/crates/core/src/scheduler/admission.rs
@@ -58,6 +58,7 @@
             deadline: spec.deadline,
             submitted: now,
             queued: false,
+            parked: false,
             abandoned: false,
             has_preempted: false,
             links: JobLinks::default(),
@@ -108,6 +109,9 @@
         job.queued = true;
         let urgent = job.urgent;
         let index = job.flow;
+        if self.park(key) {
+            return;
+        }
         let flow = &mut self.flows[index.at()];
         let list = if urgent {
             &mut flow.urgent
@@ -132,6 +136,10 @@
     pub(super) fn dequeue(&mut self, key: JobKey, now: TimePoint) {
         let job = &mut self.jobs[key];
         job.queued = false;
+        if std::mem::take(&mut job.parked) {
+            self.unpark(key);
+            return;
+        }
         let index = job.flow;
         let urgent = job.urgent;
         let flow = &mut self.flows[index.at()];
@@ -199,13 +207,14 @@
             let refusal = JobRefusal::new(ResultCode::WaitTooLong);
             return Err(refusal.with_retry_after(RETRY_AFTER.1));
         }
-        if flow.position == NOT_LISTED {
+        let ahead = flow.queued as usize;
+        let is_full = ahead + flow.parked_jobs as usize >= self.policy.max_queued;
+        if flow.position == NOT_LISTED && !is_full {
             return Ok(());
         }
-        let ahead = flow.queued as usize;
         let left = deadline.since(now);
         let wait = self.estimate_wait(index, ahead + 1, now);
-        if ahead >= self.policy.max_queued {
+        if is_full {
             let refusal = JobRefusal::new(ResultCode::QueueFull);
             return Err(refusal.with_retry_after(bounded(wait / 2)));
         }
--- a/crates/core/src/scheduler/fleet_update.rs
+++ b/crates/core/src/scheduler/fleet_update.rs
@@ -51,6 +51,7 @@
         self.mark_conflicting(&scope);
         for pool in std::mem::take(&mut scope.pools) {
             self.update_pool(pool);
+            self.sort_waiting(pool, now);
         }
         self.update_keys(state, now);
         if scope.reallocates_all {
--- a/crates/core/src/scheduler/job_record.rs
+++ b/crates/core/src/scheduler/job_record.rs
@@ -17,6 +17,9 @@
     pub(crate) deadline: TimePoint,
     pub(crate) submitted: TimePoint,
     pub(crate) queued: bool,
+    /// Whether the job waits outside the order of its queue, because it fits only on workers in
+    /// evacuated zones.
+    pub(crate) parked: bool,
     /// Whether the caller cancelled the job while an attempt was running.
     pub(crate) abandoned: bool,
     /// Whether a running task was preempted for this job.
--- a/crates/core/src/scheduler/outcome.rs
+++ b/crates/core/src/scheduler/outcome.rs
@@ -98,7 +98,7 @@
     /// Queues a job again for another worker if its caller still waits, another worker of the pool
     /// can run it and the retry budget allows it. Returns whether it did.
     ///
-    /// A job that has not run waits for workers of an evacuated zone too, as a new job does. After a
+    /// A job that fits only on workers in evacuated zones waits for them, as a new one does. After a
     /// run, the outcome that is known is better than a wait that may be in vain.
     fn requeue(
         &mut self,
@@ -117,16 +117,17 @@
             return false;
         }
         let job = &self.jobs[key];
-        let pool = self.flows[job.flow.at()].pool;
+        let pool = &self.fleet.pools[self.flows[job.flow.at()].pool.at()];
         let has_run = matches!(
             reason,
             RetryReason::Failed | RetryReason::Lost | RetryReason::BadAnswer
         );
-        let other = self.fleet.pools[pool.at()].workers.iter().any(|worker| {
+        let waits = !has_run && pool.fits_only_evacuated(job.requirements);
+        let other = pool.workers.iter().any(|worker| {
             let record = &self.fleet.workers[worker.at()];
             !job.tried.contains(worker)
                 && record.active
-                && !(has_run && record.zone_evacuated)
+                && (waits || !record.zone_evacuated)
                 && record.leaving.is_none()
                 && record.slots_for(job.requirements).is_some()
         });
--- a/crates/core/src/scheduler/pool_entry.rs
+++ b/crates/core/src/scheduler/pool_entry.rs
@@ -74,6 +74,8 @@
     pub(crate) workers: Vec<WorkerIndex>,
     /// Distinct cores, memory and slots of the workers.
     pub(crate) shapes: Vec<(u32, u32, u32)>,
+    /// The same of the workers outside evacuated zones.
+    pub(crate) open_shapes: Vec<(u32, u32, u32)>,
     /// Flow by team.
     pub(crate) flows: Vec<Option<FlowIndex>>,
     /// Backlogged flows with their sort keys.
@@ -107,6 +109,7 @@
             max_unavailable: 0,
             workers: Vec::new(),
             shapes: Vec::new(),
+            open_shapes: Vec::new(),
             flows: Vec::new(),
             backlog: Vec::new(),
             backlogged_weight: 0.0,
@@ -124,9 +127,19 @@
 
     /// Whether a job fits on any worker of the pool.
     pub(crate) fn fits(&self, requirements: JobRequirements) -> bool {
-        self.shapes.iter().any(|(cores, memory_mb, slots)| {
-            slots_for(*cores, *memory_mb, *slots, requirements).is_some_and(|units| units <= *slots)
-        })
+        fits_any(&self.shapes, requirements)
+    }
+
+    /// Whether evacuated zones have workers of sizes that no other zone has.
+    pub(crate) const fn has_evacuated_shapes(&self) -> bool {
+        self.open_shapes.len() < self.shapes.len()
+    }
+
+    /// Whether a job fits only on workers in evacuated zones.
+    pub(crate) fn fits_only_evacuated(&self, requirements: JobRequirements) -> bool {
+        self.has_evacuated_shapes()
+            && !fits_any(&self.open_shapes, requirements)
+            && self.fits(requirements)
     }
 
     /// Whether another attempt would exceed the slots that this entry instance is entitled to.
@@ -136,3 +149,9 @@
         f64::from(self.held) + 0.75 > self.entitlement + 0.5
     }
 }
+
+fn fits_any(shapes: &[(u32, u32, u32)], requirements: JobRequirements) -> bool {
+    shapes.iter().any(|(cores, memory_mb, slots)| {
+        slots_for(*cores, *memory_mb, *slots, requirements).is_some_and(|units| units <= *slots)
+    })
+}
--- a/crates/core/src/scheduler/preemption.rs
+++ b/crates/core/src/scheduler/preemption.rs
@@ -10,7 +10,11 @@
     /// Moves an urgent job that has waited for half the start limit to the front of its pool, and
     /// preempts a running task when no slot is free.
     pub(super) fn promote_urgent(&mut self, key: JobKey, now: TimePoint) {
-        let Some(job) = self.jobs.get_mut(key).filter(|job| job.queued) else {
+        let Some(job) = self
+            .jobs
+            .get_mut(key)
+            .filter(|job| job.queued && !job.parked)
+        else {
             return;
         };
         let index = job.flow;
--- a/crates/core/src/scheduler/usage_report.rs
+++ b/crates/core/src/scheduler/usage_report.rs
@@ -54,11 +54,12 @@
     pub fn usage_report(&self) -> UsageReport {
         let mut report = UsageReport::default();
         for flow in &self.flows {
-            if flow.queued > 0 || flow.held > 0 {
+            let queued = flow.queued + flow.parked_jobs;
+            if queued > 0 || flow.held > 0 {
                 report.flows.push(FlowUsage {
                     pool: self.fleet.pools[flow.pool.at()].name.clone(),
                     team: self.fleet.teams[flow.team.at()].name.clone(),
-                    queued: flow.queued,
+                    queued,
                     held: flow.held,
                 });
             }
--- a/crates/core/src/scheduler/worker_update.rs
+++ b/crates/core/src/scheduler/worker_update.rs
@@ -63,6 +63,7 @@
     pub(super) fn update_pool(&mut self, pool: PoolIndex) {
         let entry = &self.fleet.pools[pool.at()];
         let mut shapes = Vec::new();
+        let mut open_shapes = Vec::new();
         let mut slots = 0;
         for worker in &entry.workers {
             let record = &self.fleet.workers[worker.at()];
@@ -70,12 +71,16 @@
             if !shapes.contains(&shape) {
                 shapes.push(shape);
             }
+            if !record.zone_evacuated && !open_shapes.contains(&shape) {
+                open_shapes.push(shape);
+            }
             if record.is_usable() {
                 slots += record.slots;
             }
         }
         let entry = &mut self.fleet.pools[pool.at()];
         entry.shapes = shapes;
+        entry.open_shapes = open_shapes;
         entry.slots = slots;
     }
 
--- a/crates/core/tests/scheduling/fuzz_step.rs
+++ b/crates/core/tests/scheduling/fuzz_step.rs
@@ -64,6 +64,9 @@
     RestoreWorker {
         worker: usize,
     },
+    SetZone {
+        is_open: bool,
+    },
     Withdraw {
         team: usize,
     },
@@ -134,6 +137,7 @@
             .prop_map(|(worker, state)| Step::SetWorker { worker, state }),
         1 => (0..3_usize).prop_map(|worker| Step::RemoveWorker { worker }),
         1 => (0..3_usize).prop_map(|worker| Step::RestoreWorker { worker }),
+        2 => prop::bool::weighted(0.75).prop_map(|is_open| Step::SetZone { is_open }),
         1 => (0..30_usize).prop_map(|team| Step::Withdraw { team }),
         10 => node.clone().prop_map(|node| Step::Apply { node }),
         5 => Just(Step::ApplyAll),
@@ -240,6 +244,8 @@
             name: worker_name(worker),
             instance: super::worker("main"),
         }),
+        Step::SetZone { is_open: true } => world.change(super::reopen("zone-1")),
+        Step::SetZone { is_open: false } => world.change(super::evacuate("zone-1", 0)),
         Step::Withdraw { team } => {
             if let Some(name) = TEAMS.get(team) {
                 world.change(FleetChange::WithdrawKey {
--- a/crates/core/tests/scheduling/mod.rs
+++ b/crates/core/tests/scheduling/mod.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use sesamedeal_core::fleet::{
-    FleetState, InstanceRecord, InstanceState, KeyRecord, PoolRecord, SessionView, TeamRecord,
+    DayTime, FleetChange, FleetState, InstanceRecord, InstanceState, KeyRecord, PoolRecord,
+    SessionView, TeamRecord,
 };
 use sesamedeal_core::ids::{
     Generation, ImageName, InstanceName, KeyId, PoolName, RackName, RequestId, SessionId, TeamName,
@@ -39,6 +40,21 @@
     }
 }
 
+/// Returns the request to evacuate a zone at a second of a day.
+pub fn evacuate(zone: &str, second: u32) -> FleetChange {
+    FleetChange::EvacuateZone {
+        zone: ZoneName::new(zone),
+        requested: DayTime::new(1_000, second),
+    }
+}
+
+/// Returns the withdrawal of the request to evacuate a zone.
+pub fn reopen(zone: &str) -> FleetChange {
+    FleetChange::ReopenZone {
+        zone: ZoneName::new(zone),
+    }
+}
+
 /// Returns a state of generation 1 with one pool `main`, the teams with share and limit, and the
 /// sessions 1 to `sessions`.
 pub fn fleet(workers: usize, teams: &[(&str, u32, u32)], sessions: u64) -> FleetState {
--- a/crates/core/tests/scheduling/world.rs
+++ b/crates/core/tests/scheduling/world.rs
@@ -266,6 +266,7 @@
         let worker = &state.instances[&order.worker];
         assert!(used <= worker.slots, "{used} slots of {}", order.worker);
         assert!(worker.state.is_active(), "{} is not active", order.worker);
+        assert!(!state.is_evacuated(&worker.zone), "{}", worker.zone);
         if let Some(key) = key {
             assert!(!state.keys[&key].withdrawn, "{key} is withdrawn");
         }
--- a/crates/core/tests/scheduling/world_recovery.rs
+++ b/crates/core/tests/scheduling/world_recovery.rs
@@ -62,6 +62,7 @@
             self.change(FleetChange::PutInstance { name, instance });
             self.set_worker(worker, InstanceState::Active);
         }
+        self.change(super::reopen("zone-1"));
         let id = KeyId::new("key-new");
         let mut key = self.states[1].keys.values().next().unwrap().clone();
         key.team = TeamName::new("two");
--- a/crates/daemon/src/admin/control_metrics.rs
+++ b/crates/daemon/src/admin/control_metrics.rs
@@ -1,4 +1,4 @@
-use prometheus::{Encoder, IntCounterVec, Opts, Registry, TextEncoder};
+use prometheus::{Encoder, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 
 use crate::entry_context::EntryContext;
 
@@ -23,6 +23,13 @@
     let help = "Calls of the table service";
     let name = "sesamedeal_store_calls_total";
     add(&registry, name, help, &["kind"], &calls);
+    let zones = context.keeper.state().evacuations.len();
+    let help = "Availability zones in which this entry instance starts nothing more";
+    let gauge = IntGauge::new("sesamedeal_evacuated_zones", help);
+    let gauge = gauge.expect("metric names are constants and valid");
+    gauge.set(i64::try_from(zones).unwrap_or(i64::MAX));
+    let registered = registry.register(Box::new(gauge));
+    registered.expect("each metric is registered once");
     // Writing to memory fails only on a metric family without values, which is left out.
     drop(TextEncoder::new().encode(&registry.gather(), &mut text));
     text
--- a/crates/daemon/src/admin/status_report.rs
+++ b/crates/daemon/src/admin/status_report.rs
@@ -2,11 +2,14 @@
 use std::sync::atomic::Ordering;
 
 use compact_str::CompactString;
-use sesamedeal_core::fleet::{FleetState, MemberStep, WaveStatus};
-use sesamedeal_core::ids::PoolName;
+use sesamedeal_core::fleet::{DayTime, FleetState, InstanceRecord, MemberStep, WaveStatus};
+use sesamedeal_core::ids::{PoolName, ZoneName};
 use sesamedeal_core::membership::{SessionRecord, SessionState};
-use sesamedeal_wire::admin::{InstanceStatus, PoolStatus, SessionStatus, StatusReply};
+use sesamedeal_wire::admin::{
+    EvacuationStatus, InstanceStatus, PoolStatus, SessionStatus, StatusReply, ZoneStatus,
+};
 
+use crate::clock::day_time;
 use crate::entry_context::EntryContext;
 use crate::session::session_rows;
 
@@ -27,6 +30,7 @@
         sessions: sessions.into_iter().map(session_status).collect(),
         pools: pools(&state),
         instances: instances(&state),
+        zones: zones(&state, day_time(context.settings.utc_offset_minutes)),
         wave: waves(&state),
     }
 }
@@ -52,7 +56,7 @@
     for instance in state.instances.values() {
         let (members, available) = counts.entry(&instance.pool).or_default();
         *members += 1;
-        *available += u32::from(instance.state.is_active());
+        *available += u32::from(takes_work(state, instance));
     }
     let pools = state.pools.iter().map(|(name, pool)| {
         let (members, available) = counts.get(name).copied().unwrap_or_default();
@@ -83,6 +87,36 @@
     instances.collect()
 }
 
+/// Availability zones by name, with the age of each request to evacuate one.
+fn zones(state: &FleetState, now: DayTime) -> Vec<ZoneStatus> {
+    let evacuated = state.evacuations.keys().map(|zone| (zone, (0, 0)));
+    let mut counts: BTreeMap<&ZoneName, (u32, u32)> = evacuated.collect();
+    for instance in state.instances.values() {
+        let (members, available) = counts.entry(&instance.zone).or_default();
+        *members += 1;
+        *available += u32::from(takes_work(state, instance));
+    }
+    let zones = counts
+        .into_iter()
+        .map(|(zone, (instances, available))| ZoneStatus {
+            zone: zone.clone(),
+            instances,
+            available,
+            evacuation: state
+                .evacuations
+                .get(zone)
+                .map(|evacuation| EvacuationStatus {
+                    requested: evacuation.requested,
+                    age_s: now.seconds_since(evacuation.requested),
+                }),
+        });
+    zones.collect()
+}
+
+fn takes_work(state: &FleetState, instance: &InstanceRecord) -> bool {
+    instance.state.is_active() && !state.is_evacuated(&instance.zone)
+}
+
 /// State of the unfinished waves, if there are any.
 fn waves(state: &FleetState) -> Option<CompactString> {
     let waves = state.waves.iter().filter_map(|(name, wave)| {
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -218,7 +218,13 @@
         Arc::clone(&view),
         path.evidence(),
     );
-    let keeper = StateKeeper::new(view, gate.clone(), dispatcher.clone(), logger.clone());
+    let keeper = StateKeeper::new(
+        view,
+        gate.clone(),
+        dispatcher.clone(),
+        logger.clone(),
+        settings.utc_offset_minutes,
+    );
     let context = EntryContext {
         session,
         instance,
--- a/crates/daemon/src/store/state_keeper.rs
+++ b/crates/daemon/src/store/state_keeper.rs
@@ -9,6 +9,7 @@
 use xtra::Address;
 
 use super::EvidenceGate;
+use crate::clock::day_time;
 use crate::dispatch::{ApplyState, DispatchActor};
 
 /// The state that the entry instance acts under.
@@ -22,6 +23,8 @@
     gate: EvidenceGate,
     dispatcher: Address<DispatchActor>,
     logger: Logger,
+    /// Difference of local time, in which requests are timed, from UTC, in minutes.
+    utc_offset_minutes: i32,
     /// States come from the store and from peers; one source at a time installs.
     order: Mutex<()>,
 }
@@ -32,6 +35,7 @@
         gate: EvidenceGate,
         dispatcher: Address<DispatchActor>,
         logger: Logger,
+        utc_offset_minutes: i32,
     ) -> Self {
         Self {
             view,
@@ -39,6 +43,7 @@
             gate,
             dispatcher,
             logger,
+            utc_offset_minutes,
             order: Mutex::new(()),
         }
     }
@@ -97,11 +102,31 @@
         };
         // An actor that has ended needs no state.
         drop(self.dispatcher.send(apply).await);
-        self.view.store(state);
+        let known = self.view.swap(Arc::clone(&state));
+        self.log_evacuations(&known, &state);
         self.gate.record_applied(generation);
         info!(self.logger, "generation in force"; "generation" => generation.0);
     }
 
+    /// Logs the requests to evacuate availability zones that the new state adds or withdraws.
+    fn log_evacuations(&self, known: &FleetState, state: &FleetState) {
+        let now = day_time(self.utc_offset_minutes);
+        for (zone, evacuation) in &state.evacuations {
+            if !known.is_evacuated(zone) {
+                info!(self.logger, "starting nothing more in an availability zone";
+                    "zone" => %zone, "generation" => state.generation.0,
+                    "age_s" => now.seconds_since(evacuation.requested));
+            }
+        }
+        for (zone, evacuation) in &known.evacuations {
+            if !state.is_evacuated(zone) {
+                info!(self.logger, "starting tasks in an availability zone again";
+                    "zone" => %zone, "generation" => state.generation.0,
+                    "age_s" => now.seconds_since(evacuation.requested));
+            }
+        }
+    }
+
     async fn note_settled(&self, settled: Generation) {
         let settled = settled.min(self.view.load().generation);
         if self.settled.fetch_max(settled.0, Ordering::AcqRel) < settled.0 {
--- a/crates/wire/src/admin/mod.rs
+++ b/crates/wire/src/admin/mod.rs
@@ -10,4 +10,6 @@
 pub use history_reply::HistoryReply;
 pub use in_force_reply::InForceReply;
 pub use plan_context::PlanContext;
-pub use status_reply::{InstanceStatus, PoolStatus, SessionStatus, StatusReply};
+pub use status_reply::{
+    EvacuationStatus, InstanceStatus, PoolStatus, SessionStatus, StatusReply, ZoneStatus,
+};
--- a/crates/wire/src/admin/status_reply.rs
+++ b/crates/wire/src/admin/status_reply.rs
@@ -1,5 +1,6 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
+use sesamedeal_core::fleet::DayTime;
 use sesamedeal_core::ids::{Generation, InstanceName, PoolName, RackName, SessionId, ZoneName};
 
 /// Answer to `GET /status`.
@@ -25,6 +26,9 @@
     pub pools: Vec<PoolStatus>,
     /// Instances of the pools.
     pub instances: Vec<InstanceStatus>,
+    /// Availability zones that have instances or are evacuated.
+    #[serde(default)]
+    pub zones: Vec<ZoneStatus>,
     /// State of the maintenance wave, if there is one.
     pub wave: Option<CompactString>,
 }
@@ -79,3 +83,25 @@
     /// Rack.
     pub rack: RackName,
 }
+
+/// An availability zone.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ZoneStatus {
+    /// Name of the availability zone.
+    pub zone: ZoneName,
+    /// Number of its instances.
+    pub instances: u32,
+    /// Number of its instances that take work.
+    pub available: u32,
+    /// Request that nothing more starts there, if there is one.
+    pub evacuation: Option<EvacuationStatus>,
+}
+
+/// Request that nothing more starts in an availability zone.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct EvacuationStatus {
+    /// Time of the request.
+    pub requested: DayTime,
+    /// Age of the request, in seconds.
+    pub age_s: u64,
+}
