--- a/crates/core/src/scheduler/worker_update.rs
+++ b/crates/core/src/scheduler/worker_update.rs
@@ -35,6 +35,8 @@
             }
             let worker = found.unwrap_or_else(|| self.add_worker(name, record));
             order.push(worker);
+            let is_evacuated = state.is_evacuated(&record.zone);
+            self.update_evacuation(worker, is_evacuated, scope, now);
             self.update_worker(worker, record, found.is_none(), scope, now);
         }
         for worker in known {
@@ -61,6 +63,7 @@
     pub(super) fn update_pool(&mut self, pool: PoolIndex) {
         let entry = &self.fleet.pools[pool.at()];
         let mut shapes = Vec::new();
+        let mut open_shapes = Vec::new();
         let mut slots = 0;
         for worker in &entry.workers {
             let record = &self.fleet.workers[worker.at()];
@@ -68,12 +71,16 @@
             if !shapes.contains(&shape) {
                 shapes.push(shape);
             }
-            if record.active {
+            if !record.zone_evacuated && !open_shapes.contains(&shape) {
+                open_shapes.push(shape);
+            }
+            if record.is_usable() {
                 slots += record.slots;
             }
         }
         let entry = &mut self.fleet.pools[pool.at()];
         entry.shapes = shapes;
+        entry.open_shapes = open_shapes;
         entry.slots = slots;
     }
 
@@ -99,6 +106,7 @@
             active: false,
             quarantined: false,
             planned_outage: false,
+            zone_evacuated: false,
             removed: false,
             leaving: None,
             reserved_until: None,
