Zone evacuation: test the bound of parked jobs

Cause: no test limited the jobs that wait for an evacuated zone. Change: a test of max_queued with parked jobs and a cancelled one. Measured: core evacuated_zone passes (5 tests). Conclusion: parked jobs stay within max_queued.

--- a/crates/core/tests/evacuated_zone.rs
+++ b/crates/core/tests/evacuated_zone.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use scheduling::{at, dispatches, evacuate, job, reopen, scheduler};
+use sesamedeal_core::code::ResultCode;
 use sesamedeal_core::control::ControlPolicy;
 use sesamedeal_core::fleet::{
     DayTime, FleetChange, FleetState, InstanceState, MemberStep, SessionView,
@@ -91,6 +92,24 @@
     assert_eq!(started[0].worker.as_str(), "worker-1", "used at once");
 }
 
+/// Guards against jobs without bound that wait for an evacuated zone, and against a cancelled one that
+/// still counts.
+#[test]
+fn full_queue() {
+    let mut state = two_zones();
+    apply(&mut state, vec![evacuate("zone-1", 0)]).unwrap();
+    let mut scheduler = scheduler(&state);
+    let mut large = job("one", at(0));
+    large.cores = 64;
+    let first = scheduler.submit(large.clone(), at(0)).unwrap();
+    let more = (0..1_000).map_while(|_| scheduler.submit(large.clone(), at(0)).ok());
+    assert_eq!(more.count(), 999);
+    scheduler.cancel(first, at(0));
+    assert!(scheduler.submit(large.clone(), at(0)).is_ok());
+    let refusal = scheduler.submit(large, at(0)).unwrap_err();
+    assert_eq!(refusal.code, ResultCode::QueueFull);
+}
+
 /// Guards against starts by an entry instance that joins late, and against loans that let one start
 /// a large job in the zone before it has the request. The world checks each dispatch.
 #[test]
