Give up writes that span an unresponsive partition, and read the others sooner

Cause: the owner's writes span partitions and fail as a whole. A write that spans a partition without an answer took 0.9 s to fail, and the next one was sent before the check had found the partition, so that ends in all partitions were stored after 0.9 + 0.12 + 0.9 s. Heartbeats waited too, longer than the expiry of 2 s. While changes of the job table do not come, each read of its partitions waited 0.9 s for the unresponsive ones.

Change: a write without an answer after 0.2 s (0.1 s while a partition is unreachable, or three times the last response time) requests a check. A write that spans an unreachable partition is given up and its records are written again without it; the sequence row makes a late effect of it a conflict. Reads of the job table wait for the last partitions as the check does, and the follow call after a read of only some partitions is limited to 0.25 s instead of 0.55 s.

--- a/crates/jobs/src/feeds/follow_timing.rs
+++ b/crates/jobs/src/feeds/follow_timing.rs
@@ -28,6 +28,9 @@
     first_retry: Duration,
     /// Time limit of further retries.
     next_retry: Duration,
+    /// Minimum time limit of a retry after only some partitions of the table could be read. Changes
+    /// in these are found by reading them again until the follow call is answered.
+    partial_retry: Duration,
     /// Whether the table is read after a failed follow call. The store can fail to deliver changes
     /// while it still answers reads.
     pub reads_on_failure: bool,
@@ -41,6 +44,7 @@
         min_margin: Duration::from_millis(600),
         first_retry: Duration::from_millis(500),
         next_retry: Duration::from_millis(900),
+        partial_retry: Duration::from_millis(900),
         reads_on_failure: false,
     };
 
@@ -51,6 +55,7 @@
         min_margin: Duration::from_millis(250),
         first_retry: Duration::from_millis(550),
         next_retry: Duration::from_millis(550),
+        partial_retry: Duration::from_millis(250),
         reads_on_failure: true,
     };
 
@@ -65,15 +70,17 @@
     /// `failures` the number of calls that have failed since its last answer.
     ///
     /// A retry does not wait for a change, so that a store that has returned answers it at once.
+    /// `is_partial` tells whether some partitions have been read since the last failure.
     pub(crate) fn request(
         &self,
         table: StoreTable,
         after: u64,
         response_time: Duration,
-        failures: u32,
+        (failures, is_partial): (u32, bool),
     ) -> FollowRequest {
         let (wait, min_margin) = match failures {
             0 => (self.wait, self.min_margin),
+            _ if is_partial => (Duration::ZERO, self.partial_retry),
             1 => (Duration::ZERO, self.first_retry),
             _ => (Duration::ZERO, self.next_retry),
         };
--- a/crates/jobs/src/feeds/table_follower.rs
+++ b/crates/jobs/src/feeds/table_follower.rs
@@ -6,9 +6,9 @@
 use sesamedeal_store::{Result, backoff_delay};
 use slog::{Logger, debug, info, warn};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
-use super::{FeedPhase, FeedStatus, FollowTiming};
+use super::{AnswerDeadline, FeedPhase, FeedStatus, FollowTiming};
 use crate::ports::{
     FollowPage, FollowRequest, RowPartition, RowRange, StorePort, StorePosition, StoreRow,
     StoreTable,
@@ -18,6 +18,25 @@
 /// Maximum pause after a failed call.
 pub(super) const MAX_PAUSE: Duration = Duration::from_millis(400);
 
+/// Maximum time for fewer than half of the partitions of a table to be read. Each call without an
+/// answer fails after 0.9 s, and a slow store needs several calls for a large partition.
+const MAX_READ_TIME: Duration = Duration::from_secs(10);
+
+/// Multiple of the time in which half of the partitions are read, for the others, and for each failed
+/// call.
+const ANSWER_MARGIN_FACTOR: u32 = 2;
+
+/// Outcome of reading the partitions of a table of which at least one has answered.
+#[derive(Debug)]
+struct PartialRead {
+    /// Version of the store to follow from.
+    position: u64,
+    /// Time until the first partition was read.
+    response_time: Duration,
+    /// Whether all partitions were read.
+    is_complete: bool,
+}
+
 /// Rows that a follower has received.
 #[derive(Debug)]
 pub(crate) struct TableEvent {
@@ -47,14 +66,16 @@
         // Last response time of the store, without the wait for a change.
         let mut response_time = Duration::ZERO;
         let mut failures: u32 = 0;
+        let mut is_partial = false;
         let mut lost_at = Instant::now();
         while !events.is_closed() {
             let result = match position {
                 None => self.read(&mut response_time, &events).await,
                 Some(after) => {
+                    let attempt = (failures, is_partial);
                     let request = self
                         .timing
-                        .request(self.table, after, response_time, failures);
+                        .request(self.table, after, response_time, attempt);
                     self.follow(request, &mut response_time, &events).await
                 }
             };
@@ -65,6 +86,7 @@
                     if failures > 0 {
                         info!(self.logger, "store reachable again"; "table" => ?self.table, "failures" => failures, "lost_ms" => lost_at.elapsed().as_millis());
                         failures = 0;
+                        is_partial = false;
                     }
                     if next.is_none() {
                         warn!(self.logger, "store no longer has the changes; reading the whole table"; "table" => ?self.table, "after" => position);
@@ -80,10 +102,14 @@
                     self.status.record_failure();
                     if self.timing.reads_on_failure
                         && let Some(after) = position
-                        && self.read_partitions(after, &mut position, &events).await
+                        && let Some(read) = self.read_partitions(after, failures, &events).await
                     {
+                        position = Some(read.position);
+                        response_time = read.response_time;
+                        is_partial = !read.is_complete;
                         continue;
                     }
+                    is_partial = false;
                     let delay = backoff_delay(failures - 1, rand::random());
                     self.status.enter(FeedPhase::Paused);
                     sleep(delay.min(MAX_PAUSE)).await;
@@ -128,45 +154,66 @@
     }
 
     /// Reads the partitions concurrently and sends the rows of each when they arrive, so that an
-    /// unresponsive partition delays only its own rows. Returns whether at least one partition was
-    /// read. The position advances only if all were read.
+    /// unresponsive partition delays only its own rows. Returns `None` if no partition was read. The
+    /// position advances only if all were read.
+    ///
+    /// The time for the last partitions grows with the number of failures, so that one that takes
+    /// longer than the others is read at last.
     async fn read_partitions(
         &self,
         after: u64,
-        position: &mut Option<u64>,
+        failures: u32,
         events: &mpsc::Sender<TableEvent>,
-    ) -> bool {
+    ) -> Option<PartialRead> {
+        let start = Instant::now();
         let partitions = RowPartition::all(self.table, self.store.has_partitions);
         let mut reads: FuturesUnordered<_> = partitions
             .map(|partition| read_partition(&self.store, self.table, partition))
             .collect();
-        let mut earliest: Option<StorePosition> = None;
-        let mut failed = 0;
         let count = reads.len();
-        while let Some(result) = reads.next().await {
+        let factor = ANSWER_MARGIN_FACTOR.saturating_mul(failures);
+        let mut wait = AnswerDeadline::new(count, MAX_READ_TIME, factor);
+        let mut earliest: Option<StorePosition> = None;
+        let mut response_time = Duration::ZERO;
+        let (mut answered, mut failed) = (0, 0);
+        while let Ok(Some(result)) = timeout_at(wait.deadline(), reads.next()).await {
             // A failure is recorded only if all partitions have failed: the store is not down if
             // some partitions answer.
-            if result.is_ok() || failed + 1 == count {
+            failed += usize::from(result.is_err());
+            if result.is_ok() || failed == count {
                 self.health.record(&result);
             }
             match result {
                 Ok((rows, first)) => {
+                    if answered == 0 {
+                        response_time = start.elapsed();
+                    }
+                    answered += 1;
+                    wait.note_answer();
                     self.send(events, rows, false, None).await;
                     earliest = Some(earlier(earliest, first));
                 }
                 Err(error) => {
                     debug!(self.logger, "failed to read a partition"; "table" => ?self.table, "error" => %error);
-                    failed += 1;
                 }
             }
         }
-        if failed > 0 {
-            info!(self.logger, "table read in part"; "table" => ?self.table, "after" => after, "partitions" => count, "failed" => failed);
-        } else if let Some(earliest) = earliest {
-            *position = Some(earliest.version.max(after));
+        let earliest = earliest?;
+        let is_complete = answered == count;
+        if is_complete {
             self.send(events, Vec::new(), false, Some(earliest)).await;
+        } else {
+            info!(self.logger, "table read in part"; "table" => ?self.table, "after" => after, "partitions" => count, "failed" => count - answered);
         }
-        failed < count
+        Some(PartialRead {
+            position: if is_complete {
+                earliest.version.max(after)
+            } else {
+                after
+            },
+            response_time,
+            is_complete,
+        })
     }
 
     async fn send(
--- a/crates/jobs/src/job_metrics.rs
+++ b/crates/jobs/src/job_metrics.rs
@@ -32,6 +32,7 @@
     abandoned_tasks: IntCounter,
     suspects: IntGauge,
     evacuated_zones: IntGauge,
+    unreachable_partitions: IntGauge,
 }
 
 impl JobMetrics {
@@ -123,6 +124,10 @@
                 "sesamedeal_evacuated_zones",
                 "Availability zones in which nothing more may start, as known to this entry instance",
             ),
+            unreachable_partitions: gauge(
+                "sesamedeal_unreachable_partitions",
+                "Partitions of the store that do not answer, at the owner",
+            ),
             requests: histogram(
                 "sesamedeal_job_request_seconds",
                 "Time from the head of a request to its answer",
@@ -225,6 +230,11 @@
         self.evacuated_zones.set(zones);
     }
 
+    pub(crate) fn set_unreachable_partitions(&self, partitions: usize) {
+        let partitions = i64::try_from(partitions).unwrap_or(i64::MAX);
+        self.unreachable_partitions.set(partitions);
+    }
+
     pub(crate) fn count_store_failure(&self, kind: &str) {
         self.store_failures.with_label_values(&[kind]).inc();
     }
--- a/crates/jobs/src/owner/hand_over.rs
+++ b/crates/jobs/src/owner/hand_over.rs
@@ -84,6 +84,12 @@
         self.last_failure = Some(now);
     }
 
+    /// Records a write that failed only because a partition does not answer. It does not count as a
+    /// failure of this owner: others cannot reach the partition either.
+    pub(super) const fn note_partition_failure(&mut self, now: TimePoint) {
+        self.last_failure = Some(now);
+    }
+
     /// Whether a write has failed recently.
     pub(super) fn has_failed(&self, now: TimePoint) -> bool {
         self.last_failure
--- a/crates/jobs/src/owner/job_intake.rs
+++ b/crates/jobs/src/owner/job_intake.rs
@@ -62,6 +62,10 @@
     }
 
     fn load_job(&mut self, id: JobId, row: &StoreRow, dispatcher: &mut JobDispatcher) {
+        if dispatcher.phase(id).is_some() {
+            // Partitions are read again and again while changes do not come.
+            return;
+        }
         let order: JobOrder = match decode(&row.value) {
             Ok(order) => order,
             Err(error) => {
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -313,11 +313,13 @@
                 }
             }
             OwnerEvent::Written {
-                batch,
+                number,
                 sent,
                 outcome,
-            } => self.handle_write_result(&batch, sent, outcome),
-            OwnerEvent::PartitionsChecked(closed) => self.handle_partition_check(closed),
+            } => self.handle_write_result(number, sent, outcome),
+            OwnerEvent::PartitionsChecked(report) => {
+                self.handle_partition_check(report, BootClock.now());
+            }
             OwnerEvent::Inventory { sent, outcome } => self.handle_inventory(sent, outcome),
             OwnerEvent::MaintenanceOrdered {
                 wave,
--- a/crates/jobs/src/owner/owner_event.rs
+++ b/crates/jobs/src/owner/owner_event.rs
@@ -1,14 +1,12 @@
-use std::collections::BTreeSet;
-
-use sesamedeal_core::jobs::{AdviceRequest, RecordBatch, StartOutcome, TaskName, WorkerKey};
+use sesamedeal_core::jobs::{AdviceRequest, StartOutcome, TaskName, WorkerKey};
 use sesamedeal_core::time::TimePoint;
 use sesamedeal_store::Result;
 
 use super::hand_over::SuccessorSearch;
+use super::partition_check::PartitionReport;
 use crate::feeds::TableEvent;
 use crate::ports::{
-    AdviceAnswer, HoldOutcome, InstanceReport, OfferOutcome, OrderOutcome, RowPartition,
-    TransactOutcome,
+    AdviceAnswer, HoldOutcome, InstanceReport, OfferOutcome, OrderOutcome, TransactOutcome,
 };
 
 /// Events that the owner handles.
@@ -56,12 +54,13 @@
     },
     /// A write of records ended.
     Written {
-        batch: RecordBatch,
+        /// Number of the write. Answers to writes that were given up are ignored.
+        number: u64,
         sent: TimePoint,
         outcome: Result<TransactOutcome>,
     },
-    /// A check found these partitions of the store unreachable.
-    PartitionsChecked(BTreeSet<RowPartition>),
+    /// A check of the partitions of the store ended.
+    PartitionsChecked(PartitionReport),
     /// A read of the inventory ended.
     Inventory {
         sent: TimePoint,
--- a/crates/jobs/src/owner/owner_loop.rs
+++ b/crates/jobs/src/owner/owner_loop.rs
@@ -272,6 +272,7 @@
         self.metrics.set_epoch(lease.epoch);
         let larger = self.run_owner(lease.clone(), heartbeat, kind, logger).await;
         self.metrics.set_epoch(0);
+        self.metrics.set_unreachable_partitions(0);
         // The rows that were read before are stale; the follower delivers the current ones.
         let row = self.epoch_row(lease.epoch, larger.unwrap_or(lease.largest));
         *rows = OwnerRows {
--- a/crates/jobs/src/owner/owner_writes.rs
+++ b/crates/jobs/src/owner/owner_writes.rs
@@ -5,13 +5,13 @@
 use sesamedeal_core::jobs::RecordBatch;
 use sesamedeal_core::time::TimePoint;
 use sesamedeal_store::{PlatformError, Result};
-use slog::{info, warn};
+use slog::{debug, info, warn};
 
 use super::OwnerEvent;
 use super::owner_actor::OwnerActor;
 use super::record_writer::{EXPIRED_PER_WRITE, ROWS_PER_WRITE};
 use crate::BootClock;
-use crate::ports::TransactOutcome;
+use crate::ports::{RowPut, TransactOutcome};
 use crate::row_codec::HeartbeatRow;
 
 /// Pause after a failed write.
@@ -20,10 +20,11 @@
 impl OwnerActor {
     /// Writes changed records, or renews the ownership.
     pub(super) fn write(&mut self, now: TimePoint) {
-        if self.writer.is_writing || now < self.write_after {
+        self.writer.note_lateness(now);
+        self.check_partitions(now);
+        if self.writer.is_writing() || now < self.write_after {
             return;
         }
-        self.check_partitions(now);
         let is_writable = self.writer.partitions.writable_jobs();
         let is_heartbeat_due = now.since(self.writer.heartbeat_sent) >= self.parts.policy.renewal;
         let has_interval_passed =
@@ -55,12 +56,10 @@
         } else {
             self.dispatcher.take_expired(EXPIRED_PER_WRITE, now)
         };
-        let change = self.writer.build_change(&batch, &expired, heartbeat);
-        self.writer.is_writing = true;
-        self.writer.sent = now;
+        let (number, change) = self.writer.build_change(batch, &expired, heartbeat, now);
         let call = (self.parts.store.transact)(change);
         self.spawn_call(call, move |outcome| OwnerEvent::Written {
-            batch,
+            number,
             sent: now,
             outcome,
         });
@@ -94,18 +93,20 @@
 
     pub(super) fn handle_write_result(
         &mut self,
-        batch: &RecordBatch,
+        number: u64,
         sent: TimePoint,
         outcome: Result<TransactOutcome>,
     ) {
-        self.writer.is_writing = false;
+        let Some((batch, rows)) = self.writer.end_write(number) else {
+            debug!(self.parts.logger, "answer to a write that was given up"; "write" => number, "outcome" => ?outcome);
+            return;
+        };
         match outcome {
             Ok(TransactOutcome::Committed { version }) => {
-                self.writer.commit(version, sent);
+                self.writer.commit(version, sent, BootClock.now());
                 self.hand_over.note_renewal(sent);
-                let rows = self.writer.take_in_flight();
                 self.confirm_claims(&rows);
-                self.dispatcher.note_stored(batch, BootClock.now());
+                self.dispatcher.note_stored(&batch, BootClock.now());
                 self.dispatcher.note_published(&self.published_unreachable);
                 let rows = std::mem::take(&mut self.intake.deferred_rows);
                 self.intake.apply_rows(rows, &mut self.dispatcher);
@@ -117,21 +118,17 @@
                     }
                 }
             }
-            Ok(TransactOutcome::Conflict { rows }) => {
-                self.dispatcher.requeue_records(batch);
-                self.writer.requeue_rows();
-                self.writer.heartbeat_sent = TimePoint::ORIGIN;
+            Ok(TransactOutcome::Conflict { rows: current }) => {
+                self.requeue(&batch, rows);
                 self.parts.metrics.count_store_failure("conflict");
-                if !self.writer.resolve_conflict(&rows) {
+                if !self.writer.resolve_conflict(&current) {
                     self.step_down("the epoch row has changed");
                 }
             }
             Err(error) => {
-                self.dispatcher.requeue_records(batch);
-                self.writer.requeue_rows();
-                self.writer.heartbeat_sent = TimePoint::ORIGIN;
+                self.requeue(&batch, rows);
                 self.write_after = BootClock.now().after(WRITE_RETRY);
-                self.writer.partitions.note_failure();
+                self.writer.partitions.request();
                 self.check_partitions(BootClock.now());
                 self.hand_over.note_failure(BootClock.now());
                 let kind = match error {
@@ -144,4 +141,24 @@
             }
         }
     }
+
+    /// Gives up the write in flight if it spans a partition that does not answer. If it takes effect
+    /// all the same, the next one conflicts with it and is repeated.
+    pub(super) fn abandon_write(&mut self, now: TimePoint) {
+        let age = now.since(self.writer.sent);
+        let Some((batch, rows)) = self.writer.abandon_write() else {
+            return;
+        };
+        self.requeue(&batch, rows);
+        self.hand_over.note_partition_failure(now);
+        self.parts.metrics.count_store_failure("partition");
+        warn!(self.parts.logger, "write given up: it spans a partition that does not answer"; "jobs" => batch.records.len(), "age_ms" => age.as_millis());
+    }
+
+    /// Queues what a write that has failed contained.
+    fn requeue(&mut self, batch: &RecordBatch, rows: Vec<RowPut>) {
+        self.dispatcher.requeue_records(batch);
+        self.writer.requeue_rows(rows);
+        self.writer.heartbeat_sent = TimePoint::ORIGIN;
+    }
 }
--- a/crates/jobs/src/owner/record_writer.rs
+++ b/crates/jobs/src/owner/record_writer.rs
@@ -1,10 +1,13 @@
+use std::collections::BTreeSet;
+use std::time::Duration;
+
 use bytes::Bytes;
 use sesamedeal_core::jobs::{JobId, RecordBatch, WriteLimit};
 use sesamedeal_core::time::TimePoint;
 
 use super::owner_lease::OwnerLease;
 use super::partition_check::PartitionCheck;
-use crate::ports::{RowChange, RowCondition, RowName, RowPut, StoreRow, StoreTable};
+use crate::ports::{RowChange, RowCondition, RowName, RowPartition, RowPut, StoreRow, StoreTable};
 use crate::row_codec::{
     EPOCH_KEY, HEARTBEAT_KEY, HeartbeatRow, SEQUENCE_KEY, cancel_key, encode, job_key,
 };
@@ -22,15 +25,42 @@
 /// Maximum number of expired records removed in one write.
 pub(crate) const EXPIRED_PER_WRITE: usize = 8;
 
+/// Time without an answer after which a write counts as late. A write usually takes about 10 ms.
+const MIN_LATE_TIME: Duration = Duration::from_millis(200);
+
+/// The same while a partition is unreachable, since more may follow.
+const MIN_LATE_TIME_IN_OUTAGE: Duration = Duration::from_millis(100);
+
+/// Multiple of the time of the last answered write after which a write counts as late. A slow store
+/// takes 60 times as long.
+const LATE_FACTOR: u32 = 3;
+
+/// Write that has not been answered.
+#[derive(Debug)]
+struct InFlightWrite {
+    batch: RecordBatch,
+    /// Queued rows that are part of the write.
+    rows: Vec<RowPut>,
+    /// Partitions that the write spans.
+    partitions: BTreeSet<RowPartition>,
+    /// Whether it has been noted as late.
+    is_late: bool,
+}
+
 /// State of the owner's writes, of which at most one is in flight.
 ///
 /// Each write replaces the sequence row on condition of its version. An unanswered write that is
-/// performed late then fails, because the next one has replaced the row.
+/// performed late then fails, because the next one has replaced the row. For the same reason a write
+/// can be given up before its time-out, once it is known to span a partition that does not answer.
 #[derive(Debug)]
 pub(crate) struct RecordWriter {
     lease: OwnerLease,
     sequence: u64,
-    pub is_writing: bool,
+    /// Number of the last write.
+    number: u64,
+    in_flight: Option<InFlightWrite>,
+    /// Time that the last answered write took.
+    response_time: Duration,
     /// When the last write was sent.
     pub sent: TimePoint,
     /// When the last heartbeat was sent.
@@ -40,26 +70,25 @@
     has_committed: bool,
     /// Rows to add to the next write.
     queued_rows: Vec<RowPut>,
-    /// Queued rows that are part of the write in flight.
-    in_flight_rows: Vec<RowPut>,
     /// Reachability of the partitions that store the records.
     pub partitions: PartitionCheck,
 }
 
 impl RecordWriter {
     /// `sequence` is the version of the sequence row; 0 if there is none.
-    pub(crate) const fn new(lease: OwnerLease, sequence: u64, now: TimePoint) -> Self {
+    pub(crate) fn new(lease: OwnerLease, sequence: u64, now: TimePoint) -> Self {
         Self {
             lease,
             sequence,
-            is_writing: false,
+            number: 0,
+            in_flight: None,
+            response_time: Duration::ZERO,
             sent: now,
             heartbeat_sent: TimePoint::ORIGIN,
             renewals: 0,
             has_committed: false,
             queued_rows: Vec::new(),
-            in_flight_rows: Vec::new(),
-            partitions: PartitionCheck::new(),
+            partitions: PartitionCheck::default(),
         }
     }
 
@@ -83,14 +112,50 @@
         }
     }
 
-    /// Takes the queued rows of the write that has just taken effect.
-    pub(crate) fn take_in_flight(&mut self) -> Vec<RowPut> {
-        std::mem::take(&mut self.in_flight_rows)
+    /// Whether a write has not been answered yet.
+    pub(crate) const fn is_writing(&self) -> bool {
+        self.in_flight.is_some()
+    }
+
+    /// Ends write `number` and returns its batch and its queued rows, or `None` if it was given up
+    /// before.
+    pub(crate) fn end_write(&mut self, number: u64) -> Option<(RecordBatch, Vec<RowPut>)> {
+        if number != self.number {
+            return None;
+        }
+        let write = self.in_flight.take()?;
+        Some((write.batch, write.rows))
+    }
+
+    /// Gives up the write in flight if it spans a partition that does not answer, and returns its
+    /// batch and its queued rows.
+    pub(crate) fn abandon_write(&mut self) -> Option<(RecordBatch, Vec<RowPut>)> {
+        let write = self
+            .in_flight
+            .take_if(|write| self.partitions.is_any_unreachable(&write.partitions))?;
+        Some((write.batch, write.rows))
+    }
+
+    /// Requests a check of the partitions if the write in flight has become late.
+    pub(crate) fn note_lateness(&mut self, now: TimePoint) {
+        let minimum = if self.partitions.has_unreachable() {
+            MIN_LATE_TIME_IN_OUTAGE
+        } else {
+            MIN_LATE_TIME
+        };
+        let limit = minimum.max(self.response_time * LATE_FACTOR);
+        let Some(write) = &mut self.in_flight else {
+            return;
+        };
+        if !write.is_late && now.since(self.sent) >= limit {
+            write.is_late = true;
+            self.partitions.request();
+        }
     }
 
     /// Queues the rows of a failed write again, unless newer values are queued.
-    pub(crate) fn requeue_rows(&mut self) {
-        for entry in std::mem::take(&mut self.in_flight_rows) {
+    pub(crate) fn requeue_rows(&mut self, rows: Vec<RowPut>) {
+        for entry in rows {
             if !self.queued_rows.iter().any(|other| other.row == entry.row) {
                 self.queued_rows.push(entry);
             }
@@ -101,10 +166,11 @@
     /// expired records that a failed write leaves behind.
     pub(crate) fn build_change(
         &mut self,
-        batch: &RecordBatch,
+        batch: RecordBatch,
         expired: &[JobId],
         heartbeat: Option<HeartbeatRow>,
-    ) -> RowChange {
+        now: TimePoint,
+    ) -> (u64, RowChange) {
         let mut change = RowChange {
             conditions: vec![
                 condition(StoreTable::Owner, EPOCH_KEY, self.lease.version),
@@ -143,13 +209,24 @@
                 .deletes
                 .push(RowName::new(StoreTable::State, job_key(*id)));
         }
-        self.in_flight_rows = std::mem::take(&mut self.queued_rows);
-        change.puts.extend(self.in_flight_rows.iter().cloned());
-        change
+        let rows = std::mem::take(&mut self.queued_rows);
+        change.puts.extend(rows.iter().cloned());
+        let written = change.puts.iter().map(|put| &put.row);
+        let written = written.chain(&change.deletes);
+        self.number += 1;
+        self.sent = now;
+        self.in_flight = Some(InFlightWrite {
+            batch,
+            rows,
+            partitions: written.map(|row| row.partition).collect(),
+            is_late: false,
+        });
+        (self.number, change)
     }
 
     /// Records that a write sent at `sent` has taken effect.
-    pub(crate) fn commit(&mut self, version: u64, sent: TimePoint) {
+    pub(crate) fn commit(&mut self, version: u64, sent: TimePoint, now: TimePoint) {
+        self.response_time = now.since(sent);
         self.sequence = version;
         self.has_committed = true;
         self.lease.renew(sent);
--- a/crates/jobs/tests/common/memory_store.rs
+++ b/crates/jobs/tests/common/memory_store.rs
@@ -38,8 +38,10 @@
     pub withholds_changes: Arc<AtomicBool>,
     /// Tables whose reads and follow requests get no answer.
     pub unresponsive_tables: Arc<Mutex<HashSet<StoreTable>>>,
-    /// Partition of job rows whose reads and changes get no answer.
-    pub unresponsive_partition: Arc<Mutex<Option<RowPartition>>>,
+    /// Partitions of job rows whose reads and changes get no answer.
+    pub unresponsive_partitions: Arc<Mutex<HashSet<RowPartition>>>,
+    /// Whether changes that span unresponsive partitions take effect, although they get no answer.
+    pub applies_unanswered: Arc<AtomicBool>,
     /// State that reads return instead of the current one.
     old_state: Arc<Mutex<Option<StoreState>>>,
     /// Additional latency of writes to the owner table: the epoch and the heartbeat.
@@ -74,7 +76,8 @@
             loses_answers: Arc::default(),
             withholds_changes: Arc::default(),
             unresponsive_tables: Arc::default(),
-            unresponsive_partition: Arc::default(),
+            unresponsive_partitions: Arc::default(),
+            applies_unanswered: Arc::default(),
             old_state: Arc::default(),
             owner_delay: Arc::default(),
             transactions: Arc::default(),
@@ -95,6 +98,9 @@
                     store.fail_if_unresponsive().await?;
                     store.delay_owner(&change).await;
                     if store.touches_unresponsive_partition(&change) {
+                        if store.applies_unanswered.load(Ordering::Acquire) {
+                            drop(store.transact(&change));
+                        }
                         return no_answer(CALL_DEADLINE).await;
                     }
                     store.transact(&change)
@@ -186,7 +192,10 @@
 
     /// Times out with `NoAnswer` if the table or the partition of a read is unresponsive.
     async fn fail_read_if_unresponsive(&self, range: &RowRange) -> Result<()> {
-        let is_unresponsive = *self.unresponsive_partition.lock() == Some(range.partition);
+        let is_unresponsive = self
+            .unresponsive_partitions
+            .lock()
+            .contains(&range.partition);
         if is_unresponsive || self.is_unresponsive_table(range.table) {
             return no_answer(CALL_DEADLINE).await;
         }
@@ -194,10 +203,10 @@
     }
 
     fn touches_unresponsive_partition(&self, change: &RowChange) -> bool {
-        let unresponsive = *self.unresponsive_partition.lock();
+        let unresponsive = self.unresponsive_partitions.lock();
         let puts = change.puts.iter().map(|put| &put.row);
         let mut rows = puts.chain(&change.deletes);
-        unresponsive.is_some() && rows.any(|row| Some(row.partition) == unresponsive)
+        rows.any(|row| unresponsive.contains(&row.partition))
     }
 
     async fn delay_owner(&self, change: &RowChange) {
--- a/crates/jobs/tests/owner_lag.rs
+++ b/crates/jobs/tests/owner_lag.rs
@@ -84,7 +84,11 @@
     run_job(&node, 1).await;
     let partition = |id: u64| RowPartition::of(StoreTable::Job, &JobId(id).to_string());
     let unresponsive = partition(10);
-    *cluster.store.unresponsive_partition.lock() = Some(unresponsive);
+    cluster
+        .store
+        .unresponsive_partitions
+        .lock()
+        .insert(unresponsive);
     cluster
         .store
         .withholds_changes
