--- a/crates/jobs/src/owner/ownership.rs
+++ b/crates/jobs/src/owner/ownership.rs
@@ -62,6 +62,7 @@
             .map(|heartbeat| heartbeat.out_of_reach.clone())
             .unwrap_or_default();
         let unread = unread_partitions(self.store.has_partitions);
+        self.metrics.set_unread_partitions(unread.count());
         let mut dispatcher = JobDispatcher::new(self.dispatch.clone(), rules, lease.epoch, now)
             .with_takeover_overlap(overlap)
             .with_arrival_overlap(kind.arrival_overlap(&self.policy))
