--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -15,7 +15,7 @@
 use sesamedeal_core::ids::{InstanceName, QueueName, TeamName};
 use sesamedeal_core::jobs::{DispatchPolicy, JobId, JobOrder, JobPhase, ResourceAmount, StepSpec};
 use sesamedeal_core::lease::InstanceCapacity;
-use sesamedeal_jobs::ports::{RowPort, StorePort, StoreTable};
+use sesamedeal_jobs::ports::{RowPartition, RowPort, StorePort, StoreTable};
 use sesamedeal_jobs::{
     JobNode, NodeParts, OwnerPolicy, StatusOutcome, SubmitOutcome, WatcherList, peer_port,
 };
@@ -197,6 +197,11 @@
     }
 }
 
+/// Returns the partition that stores a job.
+pub fn partition(id: u64) -> RowPartition {
+    RowPartition::of(StoreTable::State, &JobId(id).to_string())
+}
+
 pub async fn submit(node: &JobNode, id: u64, order: &JobOrder) -> SubmitOutcome {
     let deadline = Instant::now() + Duration::from_secs(2);
     node.api().submit(JobId(id), order, deadline).await
