--- a/crates/core/src/jobs/dispatcher/hold_reports.rs
+++ b/crates/core/src/jobs/dispatcher/hold_reports.rs
@@ -140,7 +140,7 @@
     }
 
     /// Adopts a run that a previous owner started.
-    fn adopt(&mut self, key: WorkerKey, report: &RunReport, now: TimePoint) {
+    pub(super) fn adopt(&mut self, key: WorkerKey, report: &RunReport, now: TimePoint) {
         let is_ended = self.jobs[&report.task.step.job].phase.is_final();
         let is_redundant = self.task(report.task).is_some_and(|task| {
             let has_other = !task.runs.is_empty();
--- a/crates/core/src/jobs/dispatcher/unreachable_workers.rs
+++ b/crates/core/src/jobs/dispatcher/unreachable_workers.rs
@@ -51,6 +51,7 @@
         for (key, entry) in &self.workers {
             let name = &entry.report.name;
             let mut tasks: HashSet<TaskName> = entry.runs.keys().map(|(task, _)| *task).collect();
+            tasks.extend(self.unread_tasks(key));
             let is_known = entry.list_requested.is_some() || have_leases_expired;
             let lease_end = match self.inherited_unreachable.get(name) {
                 _ if is_known && !entry.is_unreachable() => continue,
--- a/crates/jobs/src/feeds/intent_follower.rs
+++ b/crates/jobs/src/feeds/intent_follower.rs
@@ -48,6 +48,7 @@
             store: self.store.clone(),
             table: StoreTable::Intent,
             timing: FollowTiming::RELAXED,
+            start: None,
             health: self.health.clone(),
             status: self.view.feed().clone(),
             logger: self.logger.clone(),
@@ -101,8 +102,8 @@
         self.waves.store(Arc::new(waves));
     }
 
-    /// Ends the evacuations that a reading of the whole table does not show any more: they were taken
-    /// back while changes were missed.
+    /// Takes the evacuations from a reading of the whole table, before its configuration is in force.
+    /// Requests that it does not show were withdrawn while changes were missed.
     fn replace_evacuations(&self, rows: &[StoreRow]) {
         let requested = rows.iter().filter_map(|row| match (self.rows.intent)(row) {
             Ok(IntentRow::Evacuation(zone)) if !row.is_deleted => Some(zone),
@@ -114,6 +115,9 @@
         for zone in known.keys().filter(|zone| !requested.contains(*zone)) {
             self.end_evacuation(zone, version);
         }
+        for zone in requested {
+            self.begin_evacuation(zone, version, false);
+        }
     }
 
     fn begin_evacuation(&self, zone: ZoneName, version: u64, is_new: bool) {
--- a/crates/jobs/src/job_metrics.rs
+++ b/crates/jobs/src/job_metrics.rs
@@ -34,6 +34,8 @@
     abandoned_tasks: IntCounter,
     suspects: IntGauge,
     evacuated_zones: IntGauge,
+    unreachable_partitions: IntGauge,
+    unread_partitions: IntGauge,
 }
 
 impl JobMetrics {
@@ -130,6 +132,14 @@
                 "sesamedeal_evacuated_zones",
                 "Availability zones in which nothing more may start, as known to this entry instance",
             ),
+            unreachable_partitions: gauge(
+                "sesamedeal_unreachable_partitions",
+                "Partitions of the store that do not answer, at the owner",
+            ),
+            unread_partitions: gauge(
+                "sesamedeal_unread_partitions",
+                "Partitions of the store whose jobs the owner has not read since its takeover",
+            ),
             requests: histogram(
                 "sesamedeal_job_request_seconds",
                 "Time from the head of a request to its answer",
@@ -252,6 +262,16 @@
         self.evacuated_zones.set(zones);
     }
 
+    pub(crate) fn set_unreachable_partitions(&self, partitions: usize) {
+        let partitions = i64::try_from(partitions).unwrap_or(i64::MAX);
+        self.unreachable_partitions.set(partitions);
+    }
+
+    pub(crate) fn set_unread_partitions(&self, partitions: usize) {
+        let partitions = i64::try_from(partitions).unwrap_or(i64::MAX);
+        self.unread_partitions.set(partitions);
+    }
+
     pub(crate) fn count_store_failure(&self, kind: &str) {
         self.store_failures.with_label_values(&[kind]).inc();
     }
--- a/crates/jobs/tests/zone_evacuation.rs
+++ b/crates/jobs/tests/zone_evacuation.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use common::{TestCluster, TestNode, job, run_job, submit, wait_finished, wait_until};
+use sesamedeal_jobs::SubmitOutcome;
 use sesamedeal_jobs::ports::StoreTable;
 use tokio::time::sleep;
 
@@ -118,7 +119,11 @@
     wait_noted(&node, 1.0).await;
     sleep(Duration::from_millis(50)).await;
     let before = starts(&cluster);
-    submit(&node, 2, &job(1, false)).await;
+    // Right after the outage the instance may still refuse jobs.
+    wait_until("a job is accepted", async || {
+        submit(&node, 2, &job(1, false)).await == SubmitOutcome::Accepted
+    })
+    .await;
     sleep(START_TIME).await;
     assert_eq!(starts(&cluster), before, "started in the zone");
     cluster.store.delete(StoreTable::Intent, REQUEST);
