Defer jobs while demand exceeds the capacity of a pool or a team

Cause: least slack first without admission serves each job of a backlog just when it is too late.

Change: every 50 ms the owner plans which waiting jobs are deferred (Moore and Hodgson, steps in order of their latest start, most work per value first). The plan counts pools without their long-running tasks, and limits of teams, uses the run times that the pool's ratio corrects, and keeps a reserve for their deviation from the estimates. A drawn share of the large jobs is served in any case. The class and the slack of the priority key come from the plan only in a pool or for a team that is overloaded.

--- a/crates/core/src/jobs/dispatch_policy.rs
+++ b/crates/core/src/jobs/dispatch_policy.rs
@@ -47,6 +47,8 @@
     pub forecast_horizon: Duration,
     /// How long the record of an ended job remains available to callers.
     pub ended_retention: Duration,
+    /// Whether jobs are deferred while demand exceeds capacity, so that the others end in time.
+    pub defers_overload: bool,
 }
 
 impl DispatchPolicy {
@@ -80,6 +82,7 @@
             min_pace_interval: Duration::from_millis(400),
             forecast_horizon: Duration::from_millis(1_800),
             ended_retention: Duration::from_secs(240),
+            defers_overload: true,
         }
     }
 }
--- a/crates/core/src/jobs/dispatcher/demand_forecast.rs
+++ b/crates/core/src/jobs/dispatcher/demand_forecast.rs
@@ -105,7 +105,7 @@
 }
 
 /// Expected remaining time of a run, from its progress if it is known well enough.
-fn remaining_time(run: &RunEntry, estimate: Duration, now: TimePoint) -> Duration {
+pub(super) fn remaining_time(run: &RunEntry, estimate: Duration, now: TimePoint) -> Duration {
     if run.percent >= MIN_PROGRESS && run.progressed > run.since {
         let per_percent = run.progressed.since(run.since).as_secs_f64() / run.percent;
         let left = Duration::from_secs_f64(per_percent * (100.0 - run.percent).max(0.0));
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -4,6 +4,8 @@
 mod gangs;
 mod hold_reports;
 mod list_gap;
+mod overload;
+mod overload_demand;
 mod placement;
 mod planning;
 mod pool_loads;
@@ -29,6 +31,7 @@
 use slotmap::SlotMap;
 
 pub use abandoned_tasks::AbandonedTask;
+pub use overload::OverloadChange;
 pub use records::{CoveredEnd, RecordBatch, WriteLimit};
 
 use super::advice_backlog::AdviceBacklog;
@@ -83,6 +86,7 @@
     tickets: HashMap<StepName, TicketCache>,
     advice_backlog: AdviceBacklog,
     reservations: reservations::ReservationTable,
+    overload: overload::OverloadState,
     /// Jobs whose end is stored. A read of the job table that overlaps with the end of a job may
     /// still return the job as open.
     ended_jobs: HashSet<JobId>,
@@ -134,6 +138,7 @@
             tickets: HashMap::new(),
             advice_backlog: AdviceBacklog::default(),
             reservations: reservations::ReservationTable::default(),
+            overload: overload::OverloadState::default(),
             ended_jobs: HashSet::new(),
             expiry_queue: VecDeque::new(),
             dirty: RecordQueue::default(),
@@ -190,6 +195,7 @@
             job.open_occurrence();
         }
         self.note_arrival(&job.order, arrived);
+        self.overload.note_job(&job.order);
         self.jobs.insert(id, job);
         self.arrival_times.insert(id, arrived);
         true
--- a/crates/core/src/jobs/dispatcher/waiting_steps.rs
+++ b/crates/core/src/jobs/dispatcher/waiting_steps.rs
@@ -175,7 +175,8 @@
             age
         };
         let remaining = remaining_critical_path(job, occurrence);
-        PriorityKey::new(is_over_share, rule.priority, age, remaining, objective)
+        let key = PriorityKey::new(is_over_share, rule.priority, age, remaining, objective);
+        self.overload.planned_key(job.id, key)
     }
 
     /// Returns, for each team with runs, whether it uses more than its share of the processor
@@ -201,7 +202,7 @@
 }
 
 /// Returns the time within which a job should end after its acceptance.
-fn objective(critical_path: Duration, rule: &QueueRule) -> Duration {
+pub(super) fn objective(critical_path: Duration, rule: &QueueRule) -> Duration {
     let stretched = critical_path.as_secs_f64() * rule.stretch.max(0.0);
     Duration::try_from_secs_f64(stretched)
         .unwrap_or(MAX_OBJECTIVE)
--- a/crates/core/src/jobs/job_priority.rs
+++ b/crates/core/src/jobs/job_priority.rs
@@ -66,6 +66,18 @@
         }
     }
 
+    /// Returns the key in the class and with the slack that the plan of an overloaded pool gives.
+    ///
+    /// A job that cannot end in time comes after all jobs that can, also those of teams which use
+    /// more than their fair share.
+    #[must_use]
+    pub fn with_plan(mut self, class: UrgencyClass, slack_ms: i64) -> Self {
+        self.is_over_share |= class != UrgencyClass::InTime;
+        self.class = class;
+        self.slack_ms = slack_ms;
+        self
+    }
+
     /// Returns the same key for long-running tasks.
     #[must_use]
     pub const fn with_long_running(mut self) -> Self {
--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -19,9 +19,11 @@
 mod job_record;
 mod lost_run;
 mod maintenance_plan;
+mod overload_plan;
 mod pace_control;
 mod pool_history;
 mod pool_load;
+mod queue_sizes;
 mod record_queue;
 mod reserved_worker;
 mod resource_amount;
@@ -45,14 +47,16 @@
 
 pub use crash_history::{TaskCrashes, WorkerCrash};
 pub use dispatch_policy::DispatchPolicy;
-pub use dispatcher::{AbandonedTask, CoveredEnd, JobDispatcher, RecordBatch, WriteLimit};
+pub use dispatcher::{
+    AbandonedTask, CoveredEnd, JobDispatcher, OverloadChange, RecordBatch, WriteLimit,
+};
 pub use fleet_rules::{AdviceRule, FleetRules, PoolRule, QueueRule, TeamRule};
 pub use health_record::HealthRecord;
 pub use hold_report::{EndKind, HoldReport, RunEnd, RunReport};
 pub use job_id::JobId;
 pub use job_order::{JobOrder, JobSchedule};
 pub use job_phase::JobPhase;
-pub use job_priority::{PriorityKey, UrgencyClass};
+pub use job_priority::{PriorityKey, USEFUL_MULTIPLE, UrgencyClass};
 pub use job_record::{JobRecord, StepRecord};
 pub use lost_run::{LossReason, LostRun};
 pub use maintenance_plan::{
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -7,6 +7,7 @@
 mod capacities;
 mod crashes;
 mod late_calls;
+pub mod load_run;
 mod order_delivery;
 mod owner_changes;
 mod sim_worker;
@@ -21,7 +22,7 @@
 use rand_pcg::Pcg64Mcg;
 use sesamedeal_core::jobs::{
     DispatchPolicy, EndKind, FleetRules, HoldReport, JobDispatcher, JobId, JobOrder, JobPhase,
-    JobRecord, ResourceAmount, RunReport, TaskName, UnreachableWorker, WorkerOrder,
+    JobRecord, ResourceAmount, RunReport, StepName, TaskName, UnreachableWorker, WorkerOrder,
 };
 
 pub use builders::{amount, at, job, rules, step, worker_report};
@@ -52,6 +53,8 @@
     done_tasks: HashSet<TaskName>,
     acknowledged_failures: HashMap<TaskName, u32>,
     pub crashes: crashes::CrashLog,
+    /// Run times of the tasks of steps, in milliseconds. Other tasks run for a random time.
+    pub lengths: HashMap<StepName, u64>,
     /// Whether the store takes no writes and shows no changes.
     pub is_store_silent: bool,
     /// Begin and end of the last outage of the store.
@@ -83,6 +86,7 @@
             done_tasks: HashSet::new(),
             acknowledged_failures: HashMap::new(),
             crashes: crashes::CrashLog::default(),
+            lengths: HashMap::new(),
             is_store_silent: false,
             outage: None,
             list_read: 10_000,
@@ -97,6 +101,13 @@
         self
     }
 
+    /// Replaces the dispatcher by a new one with other rules and another policy.
+    pub fn reset_dispatcher(&mut self, rules: Arc<FleetRules>, policy: DispatchPolicy) {
+        self.dispatcher = JobDispatcher::new(policy, Arc::clone(&rules), self.epoch, at(self.now));
+        self.rules = rules;
+        self.list_workers();
+    }
+
     pub fn submit(&mut self, id: u64, order: JobOrder) -> JobId {
         let id = JobId(id);
         self.stored.insert(id, (order.clone(), JobRecord::new()));
--- a/crates/core/tests/jobs/order_delivery.rs
+++ b/crates/core/tests/jobs/order_delivery.rs
@@ -53,6 +53,10 @@
         let is_answer_lost = self.chance(self.faults.lost_starts);
         let fails = self.chance(self.faults.failures);
         let length = self.random.random_range(200..1_200);
+        let length = self
+            .lengths
+            .get(&order.task.step)
+            .map_or(length, |known| *known);
         let now = self.now;
         self.dispatcher
             .note_extension(key, LEASE, Duration::ZERO, at(now));
