Reject jobs that cannot end while their result is of use; settings, docs, cost

Cause: a job that cannot end within three times its objective takes part in the competition until then. A plan of 2,000 waiting jobs took 2.7 ms, and 5% of the deferred jobs were deferred more than twice.

Change: the owner publishes per queue of an overloaded pool what an entry instance needs (heartbeat row, field overloads); the API rejects a job before anything is stored, with 503 and a retry-after, and accepts when in doubt. Settings table [scheduling], log lines, metrics, docs/design/overload.md. The plan uses short sort keys and fewer look-ups, and is made less often with many jobs.

--- a/crates/core/src/jobs/dispatch_policy.rs
+++ b/crates/core/src/jobs/dispatch_policy.rs
@@ -49,6 +49,9 @@
     pub ended_retention: Duration,
     /// Whether jobs are deferred while demand exceeds capacity, so that the others end in time.
     pub defers_overload: bool,
+    /// Whether entry instances reject jobs that cannot end while their result is of use. Needs
+    /// `defers_overload`.
+    pub rejects_overload: bool,
 }
 
 impl DispatchPolicy {
@@ -83,6 +86,7 @@
             forecast_horizon: Duration::from_millis(1_800),
             ended_retention: Duration::from_secs(240),
             defers_overload: true,
+            rejects_overload: true,
         }
     }
 }
--- a/crates/core/src/jobs/dispatcher/overload.rs
+++ b/crates/core/src/jobs/dispatcher/overload.rs
@@ -10,17 +10,22 @@
 use compact_str::{CompactString, format_compact};
 
 use super::JobDispatcher;
-use super::overload_demand::{DemandGroup, declared_work};
-use crate::ids::QueueName;
+use super::overload_demand::DemandGroup;
+use super::overload_wait::PoolWait;
+use crate::ids::{PoolName, QueueName};
 use crate::jobs::job_entry::JobEntry;
 use crate::jobs::overload_plan::{OverloadPlan, PlanCapacity};
 use crate::jobs::queue_sizes::QueueSizes;
 use crate::jobs::{JobId, JobOrder, PriorityKey, UrgencyClass};
 use crate::time::TimePoint;
 
-/// Interval between two plans. A job that arrives in between keeps its natural place.
+/// Minimum interval between two plans. A job that arrives in between keeps its natural place.
 const PLAN_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Additional bound of the interval, for each job of the plan. A plan of 2,000 jobs takes about
+/// 2.3 ms (`overload_cost`), and so at most about 1% of the owner's time.
+const INTERVAL_PER_JOB: Duration = Duration::from_micros(100);
+
 /// Time without deferred jobs after which a pool is no longer overloaded, so that the order does not
 /// change with each plan.
 const RELEASE_TIME: Duration = Duration::from_millis(500);
@@ -63,13 +68,11 @@
     slack_ms: i64,
     /// Whether the job could end in time if it started at once.
     is_reachable: bool,
-    /// Whether its pool or team is overloaded, so that the plan counts.
-    is_active: bool,
 }
 
 impl PlannedJob {
     fn is_deferred(&self) -> bool {
-        self.is_active && self.is_reachable && self.class != UrgencyClass::InTime
+        self.is_reachable && self.class != UrgencyClass::InTime
     }
 }
 
@@ -78,16 +81,19 @@
 pub(super) struct OverloadState {
     /// When the next plan is due.
     due: TimePoint,
+    /// Jobs of the overloaded pools and teams.
     jobs: HashMap<JobId, PlannedJob>,
     overloads: BTreeMap<CompactString, Overload>,
-    queues: HashMap<QueueName, QueueSizes>,
+    pub queues: HashMap<QueueName, QueueSizes>,
     changes: Vec<OverloadChange>,
+    /// Work ahead of a new job, of each overloaded pool.
+    pub waits: BTreeMap<PoolName, PoolWait>,
 }
 
 impl OverloadState {
     /// Records the size of a job that has arrived.
     pub(super) fn note_job(&mut self, order: &JobOrder) {
-        let work = declared_work(order);
+        let work = order.batch_work();
         if work > 0 {
             let sizes = self.queues.entry(order.queue.clone()).or_default();
             sizes.record(work);
@@ -96,7 +102,7 @@
 
     /// Returns the key of a job, in the place that the plan gives if its pool or team is overloaded.
     pub(super) fn planned_key(&self, job: JobId, key: PriorityKey) -> PriorityKey {
-        let planned = self.jobs.get(&job).filter(|planned| planned.is_active);
+        let planned = self.jobs.get(&job);
         planned.map_or(key, |planned| {
             key.with_plan(planned.class, planned.slack_ms)
         })
@@ -107,10 +113,11 @@
         self.jobs.get(&job).is_some_and(PlannedJob::is_deferred)
     }
 
-    pub(super) fn work_per_value(&self, job: &JobEntry, remaining: u64, total: u64) -> u64 {
+    /// Remaining work relative to the value of a job, and whether it is served in any case.
+    pub(super) fn rank(&self, job: &JobEntry, remaining: u64, total: u64) -> (u64, bool) {
         let sizes = self.queues.get(&job.order.queue);
-        sizes.map_or(remaining, |sizes| {
-            sizes.work_per_value(job.id, remaining, total)
+        sizes.map_or((remaining, false), |sizes| {
+            sizes.rank(job.id, remaining, total)
         })
     }
 
@@ -182,7 +189,6 @@
                 None => true,
             };
             if planned.is_reachable
-                && planned.is_active
                 && let Some(sizes) = self.queues.get_mut(&planned.queue)
             {
                 sizes.record_outcome(is_served);
@@ -212,8 +218,10 @@
             return;
         }
         let mut state = std::mem::take(&mut self.overload);
-        state.due = now.after(PLAN_INTERVAL);
         let mut demand = self.waiting_demand(&state, now);
+        let jobs = u32::try_from(demand.plan.jobs.len()).unwrap_or(u32::MAX);
+        let interval = INTERVAL_PER_JOB.saturating_mul(jobs);
+        state.due = now.after(interval.max(PLAN_INTERVAL));
         let plan = &mut demand.plan;
         let reachable: Vec<bool> = plan
             .classes
@@ -233,24 +241,26 @@
                 }
             }
         }
-        let jobs = plan.jobs.iter().enumerate().map(|(number, job)| {
+        state.waits = demand.pool_waits(&active);
+        let plan = &demand.plan;
+        let jobs = plan.jobs.iter().enumerate();
+        let jobs = jobs.filter(|(number, _)| active[*number]);
+        let jobs = jobs.map(|(number, job)| {
             let class = plan.classes[number];
             let end = match class {
                 UrgencyClass::InTime => job.due_ms,
                 UrgencyClass::Late | UrgencyClass::TooLate => job.limit_ms,
             };
+            let factor = if job.rank.is_optional {
+                1
+            } else {
+                LARGE_PATH_FACTOR
+            };
             let planned = PlannedJob {
                 queue: self.jobs[&job.id].order.queue.clone(),
                 class,
-                slack_ms: end.saturating_sub(job.path_ms.saturating_mul(
-                    if job.rank.work_per_value > 0 {
-                        1
-                    } else {
-                        LARGE_PATH_FACTOR
-                    },
-                )),
+                slack_ms: end.saturating_sub(job.path_ms.saturating_mul(factor)),
                 is_reachable: reachable[number],
-                is_active: active[number],
             };
             (job.id, planned)
         });
--- a/crates/core/src/jobs/dispatcher/overload_demand.rs
+++ b/crates/core/src/jobs/dispatcher/overload_demand.rs
@@ -4,14 +4,12 @@
 use std::time::Duration;
 
 use super::JobDispatcher;
-use super::demand_forecast::remaining_time;
 use super::overload::OverloadState;
-use super::waiting_steps::objective;
 use crate::ids::{PoolName, TeamName};
+use crate::jobs::USEFUL_MULTIPLE;
 use crate::jobs::estimate_ratio::EstimateRatio;
-use crate::jobs::job_entry::{JobEntry, OccurrenceEntry};
-use crate::jobs::overload_plan::{DeferralRank, OverloadPlan, PlanCapacity, PlanJob, PlanStage};
-use crate::jobs::{JobOrder, StepSpec, USEFUL_MULTIPLE};
+use crate::jobs::job_entry::JobEntry;
+use crate::jobs::overload_plan::{DeferralRank, OverloadPlan, PlanCapacity, PlanJob};
 use crate::time::TimePoint;
 
 /// Share of a job's work that has to be done or running for the job to count as started: one task
@@ -33,15 +31,17 @@
     /// CPU of all tasks of the group, and the sum of CPU times run time, for the mean run time.
     cpu: u64,
     cpu_time: u64,
+    /// Ratio of actual to declared run times of a pool.
+    pub ratio: EstimateRatio,
 }
 
 impl DemandGroup {
-    fn add_tasks(&mut self, cpu: u64, time_ms: u64) {
+    pub(super) fn add_tasks(&mut self, cpu: u64, time_ms: u64) {
         self.cpu = self.cpu.saturating_add(cpu);
         self.cpu_time = self.cpu_time.saturating_add(cpu.saturating_mul(time_ms));
     }
 
-    fn add_run(&mut self, cpu: u64, left_ms: u64, time_ms: u64) {
+    pub(super) fn add_run(&mut self, cpu: u64, left_ms: u64, time_ms: u64) {
         let capacity = &mut self.capacity;
         capacity.used = capacity.used.saturating_add(cpu);
         capacity.running_work = capacity
@@ -50,11 +50,31 @@
         self.add_tasks(cpu, time_ms);
     }
 
-    fn add_lasting(&mut self, cpu: u64) {
+    pub(super) fn add_lasting(&mut self, cpu: u64) {
         self.capacity.cpu = self.capacity.cpu.saturating_sub(cpu);
     }
 }
 
+/// Demand of a team in a pool.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct TeamShare {
+    number: usize,
+    /// Waiting and running work, in core milliseconds.
+    pub work: u64,
+    /// Whether this is more than the team's share.
+    pub is_over: bool,
+}
+
+impl TeamShare {
+    const fn new(number: usize) -> Self {
+        Self {
+            number,
+            work: 0,
+            is_over: false,
+        }
+    }
+}
+
 /// Demand of all waiting jobs.
 #[derive(Debug, Default)]
 pub(super) struct WaitingDemand<'a> {
@@ -62,17 +82,10 @@
     pub pools: BTreeMap<&'a PoolName, DemandGroup>,
     /// Teams with a limit.
     pub teams: BTreeMap<&'a TeamName, DemandGroup>,
-    /// Waiting and running work of each team in each pool, in core milliseconds.
-    shares: HashMap<(&'a PoolName, &'a TeamName), u64>,
-}
-
-/// What is left to do of an occurrence of a job.
-#[derive(Debug, Default)]
-struct LeftWork {
-    stages: Vec<PlanStage>,
-    path_ms: u64,
-    waiting: u64,
-    running: u64,
+    /// Demand of each team in each pool.
+    pub shares: HashMap<(&'a PoolName, &'a TeamName), TeamShare>,
+    /// Number of the share of each job of the plan; none for jobs without a team.
+    job_shares: Vec<Option<usize>>,
 }
 
 impl JobDispatcher {
@@ -88,22 +101,26 @@
             let cpu = &mut group.capacity.cpu;
             *cpu = cpu.saturating_add(entry.report.capacity.cpu_millis);
         }
+        for (pool, group) in &mut demand.pools {
+            let ratio = self.estimate_ratios.get(*pool);
+            group.ratio = ratio.cloned().unwrap_or_default();
+        }
         for (team, rule) in &self.rules.teams {
             if rule.limit.cpu_millis > 0 {
                 let group = demand.teams.entry(team).or_default();
                 group.capacity.cpu = rule.limit.cpu_millis;
             }
         }
-        for job in self.jobs.values().filter(|job| !job.phase.is_final()) {
+        let open = self.jobs.values().filter(|job| !job.phase.is_final());
+        let mut open: Vec<&JobEntry> = open.collect();
+        // The plan of the same jobs is to be the same.
+        open.sort_unstable_by_key(|job| job.id);
+        for job in open {
             self.add_job_demand(&mut demand, job, state, now);
         }
         let mut widest = MARGIN_PERCENT.0;
-        for (pool, group) in &mut demand.pools {
-            let deviation = self
-                .estimate_ratios
-                .get(*pool)
-                .map(EstimateRatio::deviation);
-            group.capacity.margin_percent = margin_percent(deviation.unwrap_or_default());
+        for group in demand.pools.values_mut() {
+            group.capacity.margin_percent = margin_percent(group.ratio.deviation());
             widest = widest.max(group.capacity.margin_percent);
         }
         for group in demand.teams.values_mut() {
@@ -131,16 +148,24 @@
             pools,
             teams,
             shares,
+            job_shares,
         } = demand;
         let Some(pool) = pools.get_mut(&rule.pool) else {
             return;
         };
         let team_name = job.order.team.as_ref();
         let mut team = team_name.and_then(|team| teams.get_mut(team));
+        let share = team_name.map(|team| {
+            let next = shares.len();
+            let entry = shares.entry((&rule.pool, team));
+            let entry = entry.or_insert_with(|| TeamShare::new(next));
+            (entry.number, entry)
+        });
+        let (number, share) = share.unzip();
         let mut work: u64 = 0;
         for occurrence in &job.occurrences {
             let groups = (&mut *pool, team.as_deref_mut());
-            let left = self.left_work(job, occurrence, &rule.pool, groups, now);
+            let left = self.left_work(job, occurrence, groups, now);
             let left_total = left.waiting.saturating_add(left.running);
             work = work.saturating_add(left_total);
             if left.waiting == 0 {
@@ -158,17 +183,20 @@
             groups.for_each(|group| group.members.push(plan.jobs.len()));
             let arrived = self.arrival_times.get(&job.id);
             let age = arrived.map_or(Duration::ZERO, |&arrived| now.since(arrived));
-            let objective = objective(job.critical_path, rule);
-            let total = declared_work(&job.order);
+            let objective = rule.objective(job.critical_path);
+            let total = job.order.batch_work();
             let begun = left
                 .running
                 .saturating_add(total.saturating_sub(left_total));
+            let (work_per_value, is_kept) = state.rank(job, left.waiting, total);
             let rank = DeferralRank {
                 is_fresh: begun < total / STARTED_SHARE,
                 is_over_share: false,
                 priority: rule.priority,
-                work_per_value: state.work_per_value(job, left.waiting, total),
+                is_optional: !is_kept,
+                work_per_value,
             };
+            job_shares.push(number);
             let begin = plan.stages.len();
             plan.stages.extend(left.stages);
             plan.add(PlanJob {
@@ -181,86 +209,10 @@
                 stages: begin..plan.stages.len(),
             });
         }
-        if let Some(team) = team_name {
-            let share = shares.entry((&rule.pool, team)).or_default();
-            *share = share.saturating_add(work);
+        if let Some(share) = share {
+            share.work = share.work.saturating_add(work);
         }
     }
-
-    /// Returns what is left of an occurrence, and counts its runs for its pool and team.
-    fn left_work(
-        &self,
-        job: &JobEntry,
-        occurrence: &OccurrenceEntry,
-        pool_name: &PoolName,
-        (pool, mut team): (&mut DemandGroup, Option<&mut DemandGroup>),
-        now: TimePoint,
-    ) -> LeftWork {
-        let mut left = LeftWork::default();
-        let mut tails: Vec<u64> = vec![0; occurrence.steps.len()];
-        let steps = occurrence.steps.iter().zip(&job.order.steps).enumerate();
-        for (number, (entry, spec)) in steps.rev() {
-            if entry.remaining == 0 {
-                continue;
-            }
-            let cpu = spec.worker_amount().cpu_millis;
-            let estimate = self.estimated_time(spec, pool_name);
-            let time_ms = whole_millis(estimate);
-            let mut waiting: u64 = 0;
-            let mut longest = 0;
-            for task in entry.tasks.iter().filter(|task| !task.is_done) {
-                if task.runs.is_empty() {
-                    waiting += 1;
-                }
-                for run in &task.runs {
-                    if spec.is_lasting || spec.is_filler {
-                        if self.workers[run.worker].is_usable(now) {
-                            pool.add_lasting(cpu);
-                        }
-                        if let Some(team) = &mut team {
-                            team.add_lasting(spec.amount.cpu_millis);
-                        }
-                        continue;
-                    }
-                    let run_left = whole_millis(remaining_time(run, estimate, now));
-                    longest = longest.max(run_left);
-                    let work = cpu.saturating_mul(run_left) / 1_000;
-                    left.running = left.running.saturating_add(work);
-                    if self.workers[run.worker].is_usable(now) {
-                        pool.add_run(cpu, run_left, time_ms);
-                    }
-                    if let Some(team) = &mut team {
-                        team.add_run(cpu, run_left, time_ms);
-                    }
-                }
-            }
-            if waiting > 0 && !spec.is_lasting {
-                longest = time_ms;
-            }
-            tails[number] = tails[number].saturating_add(longest);
-            left.path_ms = left.path_ms.max(tails[number]);
-            for &earlier in &spec.after {
-                let tail = tails[number];
-                if let Some(earlier) = tails.get_mut(usize::from(earlier)) {
-                    *earlier = tail.max(*earlier);
-                }
-            }
-            if waiting > 0 && !spec.is_lasting && cpu > 0 {
-                let cpu = cpu.saturating_mul(waiting);
-                pool.add_tasks(cpu, time_ms);
-                if let Some(team) = &mut team {
-                    team.add_tasks(cpu, time_ms);
-                }
-                let work = cpu.saturating_mul(time_ms) / 1_000;
-                left.waiting = left.waiting.saturating_add(work);
-                left.stages.push(PlanStage {
-                    tail_ms: i64::try_from(tails[number]).unwrap_or(i64::MAX),
-                    work,
-                });
-            }
-        }
-        left
-    }
 }
 
 impl WaitingDemand<'_> {
@@ -271,23 +223,39 @@
             let rule = dispatcher.rules.teams.get(team);
             rule.map_or(1.0, |rule| rule.weight.max(f64::EPSILON))
         };
-        for ((pool, team), work) in self.shares.iter().filter(|(_, work)| **work > 0) {
+        let demanding = self.shares.iter().filter(|(_, share)| share.work > 0);
+        for ((pool, team), share) in demanding {
             let total = totals.entry(pool).or_default();
-            total.0 += u128::from(*work);
+            total.0 += u128::from(share.work);
             total.1 += weight(team);
         }
-        for job in &mut self.plan.jobs {
-            let order = &dispatcher.jobs[&job.id].order;
-            let (Some(pool), Some(team)) = (dispatcher.pool_of(&order.queue), &order.team) else {
-                continue;
-            };
-            let work = self.shares.get(&(pool, team)).copied().unwrap_or(0);
+        for ((pool, team), share) in &mut self.shares {
             let (total, weights) = totals.get(pool).copied().unwrap_or_default();
             #[expect(clippy::cast_precision_loss, reason = "amounts are far below 2^52")]
-            let is_over = work as f64 * weights > total as f64 * weight(team);
-            job.rank.is_over_share = is_over;
+            let is_over = share.work as f64 * weights > total as f64 * weight(team);
+            share.is_over = is_over;
+        }
+        let mut is_over = vec![false; self.shares.len()];
+        for share in self.shares.values() {
+            is_over[share.number] = share.is_over;
+        }
+        for (job, share) in self.plan.jobs.iter_mut().zip(&self.job_shares) {
+            job.rank.is_over_share = share.is_some_and(|number| is_over[number]);
         }
     }
+
+    /// Teams whose jobs are the first to be deferred in a pool: those over their share, or its only
+    /// team.
+    pub(super) fn over_share_teams(&self, pool: &PoolName) -> Vec<TeamName> {
+        let teams = self.shares.iter().filter(|((name, _), _)| *name == pool);
+        let teams: Vec<_> = teams.filter(|(_, share)| share.work > 0).collect();
+        let is_single = teams.len() == 1;
+        let over = teams.into_iter();
+        let over = over.filter(|(_, share)| share.is_over || is_single);
+        let mut names: Vec<TeamName> = over.map(|((_, team), _)| (*team).clone()).collect();
+        names.sort_unstable();
+        names
+    }
 }
 
 /// Reserve for run times that exceed their estimates, in percent of these.
@@ -300,21 +268,6 @@
     percent.clamp(MARGIN_PERCENT.0, MARGIN_PERCENT.1)
 }
 
-/// Declared work of the batch tasks of a job, in core milliseconds.
-pub(super) fn declared_work(order: &JobOrder) -> u64 {
-    let work = |spec: &StepSpec| {
-        let cpu = spec.worker_amount().cpu_millis;
-        let cpu = cpu.saturating_mul(u64::from(spec.count));
-        cpu.saturating_mul(whole_millis(spec.estimate)) / 1_000
-    };
-    let batch = order.steps.iter().filter(|spec| !spec.is_lasting);
-    batch.map(work).fold(0, u64::saturating_add)
-}
-
-fn whole_millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn millis(time: Duration) -> i64 {
     i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
 }
--- a/crates/core/src/jobs/dispatcher/waiting_steps.rs
+++ b/crates/core/src/jobs/dispatcher/waiting_steps.rs
@@ -6,12 +6,9 @@
 use super::JobDispatcher;
 use crate::ids::{PoolName, TeamName};
 use crate::jobs::job_entry::JobEntry;
-use crate::jobs::{PriorityKey, QueueRule, StepName, TaskName};
+use crate::jobs::{PriorityKey, StepName, TaskName};
 use crate::time::TimePoint;
 
-/// Longest objective of a job. Longer ones are not told apart.
-const MAX_OBJECTIVE: Duration = Duration::from_secs(1_000_000);
-
 /// Tasks of a step that wait for room.
 pub(super) struct WaitingStep {
     pub(super) key: PriorityKey,
@@ -166,7 +163,7 @@
         now: TimePoint,
     ) -> PriorityKey {
         let rule = &self.rules.queues[&job.order.queue];
-        let objective = objective(job.critical_path, rule);
+        let objective = rule.objective(job.critical_path);
         let age = self.arrival_times.get(&job.id);
         let age = age.map_or(Duration::ZERO, |&arrived| now.since(arrived));
         let age = if job.order.schedule.is_some() {
@@ -201,15 +198,6 @@
     }
 }
 
-/// Returns the time within which a job should end after its acceptance.
-pub(super) fn objective(critical_path: Duration, rule: &QueueRule) -> Duration {
-    let stretched = critical_path.as_secs_f64() * rule.stretch.max(0.0);
-    Duration::try_from_secs_f64(stretched)
-        .unwrap_or(MAX_OBJECTIVE)
-        .saturating_add(rule.slack)
-        .min(MAX_OBJECTIVE)
-}
-
 /// Estimated run time of the longest chain of dependent steps that are not done.
 fn remaining_critical_path(job: &JobEntry, occurrence: u32) -> Duration {
     let Some(entry) = job.occurrence(occurrence) else {
--- a/crates/core/src/jobs/estimate_ratio.rs
+++ b/crates/core/src/jobs/estimate_ratio.rs
@@ -64,4 +64,9 @@
     pub(super) fn apply(&self, work: u64) -> u64 {
         scaled(work, self.value())
     }
+
+    /// Declared work that corresponds to an amount of corrected work.
+    pub(super) fn revert(&self, work: u64) -> u64 {
+        scaled(work, 1.0 / self.value())
+    }
 }
--- a/crates/core/src/jobs/fleet_rules.rs
+++ b/crates/core/src/jobs/fleet_rules.rs
@@ -4,6 +4,9 @@
 use super::ResourceAmount;
 use crate::ids::{PoolName, QueueName, TeamName};
 
+/// Longest objective of a job. Longer ones are not told apart.
+const MAX_OBJECTIVE: Duration = Duration::from_secs(1_000_000);
+
 /// Scheduling rules of a queue.
 #[derive(Debug, Clone)]
 pub struct QueueRule {
@@ -21,6 +24,19 @@
     pub advice: Option<AdviceRule>,
 }
 
+impl QueueRule {
+    /// Returns the time within which a job with the given critical path should end after its
+    /// acceptance.
+    #[must_use]
+    pub fn objective(&self, critical_path: Duration) -> Duration {
+        let stretched = critical_path.as_secs_f64() * self.stretch.max(0.0);
+        Duration::try_from_secs_f64(stretched)
+            .unwrap_or(MAX_OBJECTIVE)
+            .saturating_add(self.slack)
+            .min(MAX_OBJECTIVE)
+    }
+}
+
 /// Time that the policy service takes to decide about a step of a queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AdviceRule {
--- a/crates/core/src/jobs/job_entry.rs
+++ b/crates/core/src/jobs/job_entry.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use super::task_entry::TaskEntry;
-use super::{JobId, JobOrder, JobPhase, JobRecord, StepRecord, StepSpec};
+use super::{JobId, JobOrder, JobPhase, JobRecord, StepRecord};
 
 /// Tasks of a step within one occurrence of a job.
 #[derive(Debug, Clone)]
@@ -41,7 +41,7 @@
 
 impl JobEntry {
     pub(crate) fn new(id: JobId, order: JobOrder, record: JobRecord, is_inherited: bool) -> Self {
-        let critical_path = critical_path(&order.steps);
+        let critical_path = order.critical_path();
         let mut entry = Self {
             id,
             order,
@@ -178,12 +178,3 @@
         records
     }
 }
-
-/// Returns the declared run time of the critical path through `steps`.
-fn critical_path(steps: &[StepSpec]) -> Duration {
-    let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
-    for step in steps {
-        ends.push(step.earliest_start(&ends).saturating_add(step.estimate));
-    }
-    ends.into_iter().max().unwrap_or_default()
-}
--- a/crates/core/src/jobs/job_order.rs
+++ b/crates/core/src/jobs/job_order.rs
@@ -61,6 +61,28 @@
         self.schedule.map_or(1, |schedule| schedule.count)
     }
 
+    /// Declared run time of the longest chain of steps.
+    #[must_use]
+    pub fn critical_path(&self) -> Duration {
+        let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            ends.push(step.earliest_start(&ends).saturating_add(step.estimate));
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+
+    /// Declared work of the batch tasks, in core milliseconds.
+    pub(super) fn batch_work(&self) -> u64 {
+        let work = |spec: &StepSpec| {
+            let cpu = spec.worker_amount().cpu_millis;
+            let cpu = cpu.saturating_mul(u64::from(spec.count));
+            let time = u64::try_from(spec.estimate.as_millis()).unwrap_or(u64::MAX);
+            cpu.saturating_mul(time) / 1_000
+        };
+        let batch = self.steps.iter().filter(|spec| !spec.is_lasting);
+        batch.map(work).fold(0, u64::saturating_add)
+    }
+
     /// Checks that the job can be run.
     ///
     /// # Errors
--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -23,6 +23,7 @@
 mod pace_control;
 mod pool_history;
 mod pool_load;
+mod queue_overload;
 mod queue_sizes;
 mod record_queue;
 mod reserved_worker;
@@ -64,6 +65,8 @@
 };
 pub use pace_control::pace_percent;
 pub use pool_load::PoolLoad;
+pub use queue_overload::QueueOverload;
+pub use queue_sizes::QueueScale;
 pub use reserved_worker::ReservedWorker;
 pub use resource_amount::ResourceAmount;
 pub use retry_delay::retry_delay;
--- a/crates/core/src/jobs/overload_plan.rs
+++ b/crates/core/src/jobs/overload_plan.rs
@@ -14,14 +14,14 @@
 
 /// Factor on the work per value of a job that the round before deferred, in percent. It keeps two
 /// jobs of about the same rank from taking turns.
-const DEFERRED_RANK_PERCENT: u64 = 125;
+const DEFERRED_RANK_PERCENT: u64 = 150;
 
 /// Factor on the work of a job that the round before deferred, in percent. The job is resumed only
 /// once there is that much more room than it needs.
 const DEFERRED_WORK_PERCENT: u64 = 110;
 
 /// Order in which jobs are deferred; the largest is first.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy)]
 pub(super) struct DeferralRank {
     /// Whether little of the job's work is done or running, so that little of it would be lost.
     pub is_fresh: bool,
@@ -29,8 +29,9 @@
     pub is_over_share: bool,
     /// Priority of the queue; 0 is the highest.
     pub priority: u32,
-    /// Remaining work relative to the value of the job, in core milliseconds; 0 if the job is one of
-    /// the large jobs that are served in any case.
+    /// Whether the job is not one of the large jobs that are served in any case.
+    pub is_optional: bool,
+    /// Remaining work relative to the value of the job, in core milliseconds.
     pub work_per_value: u64,
 }
 
@@ -153,44 +154,49 @@
         prior: u64,
         capacity: &PlanCapacity,
     ) -> Vec<usize> {
-        let mut entries: Vec<(u32, i64, JobId, usize, u64)> = Vec::new();
+        // Short keys, since most of the time of a plan goes into sorting.
+        let mut entries: Vec<(u64, u32, u32)> = Vec::with_capacity(candidates.len() * 2);
         for &number in candidates {
             let job = &self.jobs[number];
             let end = match class {
                 UrgencyClass::InTime => job.due_ms,
                 UrgencyClass::Late | UrgencyClass::TooLate => job.limit_ms,
             };
-            for stage in &self.stages[job.stages.clone()] {
-                let work = if job.was_deferred {
-                    percent(stage.work, DEFERRED_WORK_PERCENT)
-                } else {
-                    stage.work
-                };
-                let slack = end.saturating_sub(stage.tail_ms);
-                let margin = stage.tail_ms.saturating_mul(capacity.margin_percent) / 100;
+            for stage in job.stages.clone() {
+                let tail = self.stages[stage].tail_ms;
+                let slack = end.saturating_sub(tail);
+                let margin = tail.saturating_mul(capacity.margin_percent) / 100;
                 let latest_start = slack - margin.min(slack.max(0) * 2 / 3);
-                entries.push((job.rank.priority, latest_start, job.id, number, work));
+                let key = start_key(job.rank.priority, latest_start);
+                entries.push((key, short(stage), short(number)));
             }
         }
         entries.sort_unstable();
         let mut counted: Vec<u64> = vec![0; self.jobs.len()];
         let mut is_excess = vec![false; self.jobs.len()];
-        let mut ranked: BinaryHeap<(DeferralRank, JobId, usize)> = BinaryHeap::new();
+        let mut ranked: BinaryHeap<(u64, u32)> = BinaryHeap::with_capacity(candidates.len());
         let mut excess = Vec::new();
         let mut sum = prior;
-        for (_, latest_start, id, number, work) in entries {
+        for (key, stage, short_number) in entries {
+            let number = short_number as usize;
             if is_excess[number] {
                 continue;
             }
+            let job = &self.jobs[number];
+            let mut work = self.stages[stage as usize].work.max(1);
+            if job.was_deferred {
+                work = percent(work, DEFERRED_WORK_PERCENT);
+            }
             if counted[number] == 0 {
-                ranked.push((self.rank(number), id, number));
+                ranked.push((job.rank.key(job.was_deferred), short_number));
             }
-            counted[number] = counted[number].saturating_add(work.max(1));
-            sum = sum.saturating_add(work.max(1));
-            let startable = capacity.startable(latest_start);
+            counted[number] = counted[number].saturating_add(work);
+            sum = sum.saturating_add(work);
+            let startable = capacity.startable(latest_start(key));
             while signed(sum) > startable
-                && let Some((_, _, last)) = ranked.pop()
+                && let Some((_, last)) = ranked.pop()
             {
+                let last = last as usize;
                 is_excess[last] = true;
                 excess.push(last);
                 sum = sum.saturating_sub(counted[last]);
@@ -198,14 +204,43 @@
         }
         excess
     }
+}
 
-    fn rank(&self, number: usize) -> DeferralRank {
-        let job = &self.jobs[number];
-        let mut rank = job.rank;
-        if job.was_deferred {
-            rank.work_per_value = percent(rank.work_per_value, DEFERRED_RANK_PERCENT);
-        }
-        rank
+/// Bits of a key for the latest start or the work per value, below those that count first.
+const KEY_BITS: u32 = 48;
+
+/// Key by which steps are sorted: the priority of the queue, and then the latest start. Both are
+/// bounded far beyond what occurs.
+fn start_key(priority: u32, latest_start_ms: i64) -> u64 {
+    let half = 1_i64 << (KEY_BITS - 1);
+    let biased = latest_start_ms.clamp(-half, half - 1) + half;
+    u64::from(priority.min(0xffff)) << KEY_BITS | biased.unsigned_abs()
+}
+
+/// Latest start of a key, in milliseconds.
+fn latest_start(key: u64) -> i64 {
+    let biased = key & ((1 << KEY_BITS) - 1);
+    signed(biased) - (1 << (KEY_BITS - 1))
+}
+
+fn short(index: usize) -> u32 {
+    u32::try_from(index).unwrap_or(u32::MAX)
+}
+
+impl DeferralRank {
+    /// Key by which jobs are deferred; the largest is first.
+    fn key(self, was_deferred: bool) -> u64 {
+        let work = if was_deferred {
+            percent(self.work_per_value, DEFERRED_RANK_PERCENT)
+        } else {
+            self.work_per_value
+        };
+        let flag = |is_set: bool, bit: u32| u64::from(is_set) << bit;
+        flag(self.is_fresh, 63)
+            | flag(self.is_over_share, 62)
+            | u64::from(self.priority.min(0x1fff)) << (KEY_BITS + 1)
+            | flag(self.is_optional, KEY_BITS)
+            | work.min((1 << KEY_BITS) - 1)
     }
 }
 
--- a/crates/core/tests/jobs/load_run.rs
+++ b/crates/core/tests/jobs/load_run.rs
@@ -83,6 +83,11 @@
     }
 }
 
+/// Id of the job that arrives as number `number`, spread as if callers chose it at random.
+pub fn job_id(number: usize) -> JobId {
+    JobId((number as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15))
+}
+
 /// Load on the queues `queue-N`, each with a pool `pool-N` of its own.
 pub struct LoadRun {
     pub world: JobWorld,
@@ -210,8 +215,7 @@
         while self.world.now < start + length {
             let now = self.world.now - start;
             while let Some(job) = self.jobs.get(next).filter(|job| job.arrives <= now) {
-                // Spread over the numbers, as callers choose them at random.
-                let id = JobId((next as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+                let id = job_id(next);
                 for (step, length) in job.lengths.iter().enumerate() {
                     let name = StepName {
                         job: id,
@@ -233,7 +237,7 @@
             deferred = current;
             let now = self.world.now - start;
             open.retain(|&number| {
-                let id = JobId((number as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+                let id = job_id(number);
                 let is_done = self.world.phase(id) == JobPhase::Finished;
                 if is_done {
                     self.jobs[number].ended = Some(now);
--- a/crates/jobs/src/api/job_api.rs
+++ b/crates/jobs/src/api/job_api.rs
@@ -8,6 +8,7 @@
 
 use super::{CancelOutcome, StatusOutcome, SubmitOutcome};
 use crate::BootClock;
+use crate::DeploymentView;
 use crate::StoreHealth;
 use crate::job_metrics::JobMetrics;
 use crate::owner::HeartbeatView;
@@ -31,6 +32,9 @@
     pub(crate) store: StorePort,
     pub(crate) health: StoreHealth,
     pub(crate) heartbeat: HeartbeatView,
+    pub(crate) view: DeploymentView,
+    /// Whether jobs are rejected that cannot end while their result is of use.
+    pub(crate) rejects_overload: bool,
     pub(crate) metrics: JobMetrics,
     pub(crate) logger: Logger,
 }
@@ -42,6 +46,13 @@
     /// If that is still unknown at `deadline`, the outcome is `Unknown`: the job must not be
     /// reported as refused, because it may be stored.
     pub async fn submit(&self, id: JobId, order: &JobOrder, deadline: Instant) -> SubmitOutcome {
+        if let Some(retry_after) = self.overload_rejection(id, order)
+            && self.is_absent(id).await
+        {
+            let outcome = SubmitOutcome::Overloaded { retry_after };
+            self.metrics.count_submission(outcome);
+            return outcome;
+        }
         let value = match encode_job(order) {
             Ok(value) => value,
             Err(error) => {
@@ -108,6 +119,14 @@
         }
     }
 
+    /// Whether the store has no job with this id. An earlier submission may have stored it, and a
+    /// rejection says that the job never runs.
+    async fn is_absent(&self, id: JobId) -> bool {
+        let result = self.read_state(id).await;
+        self.health.record(&result);
+        matches!(result, Ok(None))
+    }
+
     /// Reads the phase of a job from the store.
     pub async fn status(&self, id: JobId, deadline: Instant) -> StatusOutcome {
         let mut attempts = 0;
--- a/crates/jobs/src/api/mod.rs
+++ b/crates/jobs/src/api/mod.rs
@@ -2,6 +2,7 @@
 
 mod job_api;
 mod outcomes;
+mod overload_check;
 
 pub use job_api::JobApi;
 pub use outcomes::{CancelOutcome, StatusOutcome, SubmitOutcome};
--- a/crates/jobs/src/api/outcomes.rs
+++ b/crates/jobs/src/api/outcomes.rs
@@ -12,6 +12,11 @@
         /// Delay before the caller should retry.
         retry_after: Duration,
     },
+    /// The job is not stored and never runs, since it could not end while its result is of use.
+    Overloaded {
+        /// Delay after which capacity is expected.
+        retry_after: Duration,
+    },
     /// The job may be stored now or later.
     Unknown,
     /// The job is too large to be stored.
--- a/crates/jobs/src/job_metrics.rs
+++ b/crates/jobs/src/job_metrics.rs
@@ -32,6 +32,8 @@
     abandoned_tasks: IntCounter,
     suspects: IntGauge,
     evacuated_zones: IntGauge,
+    deferred_jobs: IntGauge,
+    overload_rejections: IntCounterVec,
 }
 
 impl JobMetrics {
@@ -119,6 +121,15 @@
                 "sesamedeal_suspect_tasks",
                 "Tasks that are implicated in crashes of workers, at the owner",
             ),
+            deferred_jobs: gauge(
+                "sesamedeal_deferred_jobs",
+                "Jobs that are deferred because demand exceeds capacity, at the owner",
+            ),
+            overload_rejections: counter(
+                "sesamedeal_overload_rejections_total",
+                "Jobs rejected because they could not have ended while of use",
+                "queue",
+            ),
             evacuated_zones: gauge(
                 "sesamedeal_evacuated_zones",
                 "Availability zones in which nothing more may start, as known to this entry instance",
@@ -159,6 +170,7 @@
         let label = match outcome {
             SubmitOutcome::Accepted => "accepted",
             SubmitOutcome::Refused { .. } => "refused",
+            SubmitOutcome::Overloaded { .. } => "overloaded",
             SubmitOutcome::Unknown => "unknown",
             SubmitOutcome::TooLarge => "too-large",
         };
@@ -220,6 +232,15 @@
         self.suspects.set(i64::try_from(tasks).unwrap_or(i64::MAX));
     }
 
+    pub(crate) fn set_deferred_jobs(&self, jobs: usize) {
+        self.deferred_jobs
+            .set(i64::try_from(jobs).unwrap_or(i64::MAX));
+    }
+
+    pub(crate) fn count_overload_rejection(&self, queue: &str) {
+        self.overload_rejections.with_label_values(&[queue]).inc();
+    }
+
     pub(crate) fn set_evacuated_zones(&self, zones: usize) {
         let zones = i64::try_from(zones).unwrap_or(i64::MAX);
         self.evacuated_zones.set(zones);
--- a/crates/jobs/src/job_node.rs
+++ b/crates/jobs/src/job_node.rs
@@ -72,6 +72,8 @@
             store: store.clone(),
             health: health.clone(),
             heartbeat: heartbeat.clone(),
+            view: view.clone(),
+            rejects_overload: parts.dispatch.rejects_overload,
             metrics: metrics.clone(),
             logger: logger.clone(),
         };
--- a/crates/jobs/src/owner/heartbeat_view.rs
+++ b/crates/jobs/src/owner/heartbeat_view.rs
@@ -2,6 +2,7 @@
 
 use arc_swap::ArcSwap;
 use sesamedeal_core::ids::QueueName;
+use sesamedeal_core::jobs::QueueOverload;
 
 use crate::ports::StorePosition;
 use crate::row_codec::HeartbeatRow;
@@ -38,4 +39,13 @@
             counted: heartbeat.counted,
         })
     }
+
+    /// What the owner last published about an overloaded queue, and the position of the job table
+    /// that this is based on.
+    pub(crate) fn overload(&self, queue: &QueueName) -> Option<(QueueOverload, StorePosition)> {
+        let current = self.current.load();
+        let heartbeat = current.as_ref().as_ref().filter(|row| row.is_loaded)?;
+        let overload = heartbeat.overloads.iter().find(|row| row.queue == *queue)?;
+        Some((overload.clone(), heartbeat.counted?))
+    }
 }
--- a/crates/jobs/src/owner/mod.rs
+++ b/crates/jobs/src/owner/mod.rs
@@ -7,6 +7,7 @@
 mod heartbeat_view;
 mod inventory_view;
 mod job_intake;
+mod overload_report;
 mod owner_actor;
 mod owner_event;
 mod owner_health;
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -168,6 +168,7 @@
             self.log_losses();
             self.log_reservations();
             self.log_abandoned_tasks();
+            self.log_overloads();
             self.request_advice(now);
             self.send_holds(now);
             self.run_waves(now);
--- a/crates/jobs/src/owner/owner_writes.rs
+++ b/crates/jobs/src/owner/owner_writes.rs
@@ -89,6 +89,7 @@
             is_loaded: self.is_loaded,
             has_failed: self.hand_over.has_failed(BootClock.now()),
             surges_ms: self.surges_ms(),
+            overloads: self.overloads(),
         }
     }
 
--- a/crates/jobs/src/owner/pool_scaler.rs
+++ b/crates/jobs/src/owner/pool_scaler.rs
@@ -186,7 +186,7 @@
 
     /// Up instances of a pool that run nothing, are neither moving nor chosen for maintenance, and are
     /// not in an evacuated availability zone.
-    fn idle_instances(&self, pool: &PoolName) -> Vec<InstanceName> {
+    pub(super) fn idle_instances(&self, pool: &PoolName) -> Vec<InstanceName> {
         let reports = self.inventory.reports.values();
         let idle = reports.filter(|report| {
             let is_free = report.pool == *pool
--- a/crates/jobs/src/row_codec.rs
+++ b/crates/jobs/src/row_codec.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use sesamedeal_core::ids::{InstanceName, PoolName, QueueName, SessionId};
-use sesamedeal_core::jobs::{JobId, JobOrder, UnreachableWorker};
+use sesamedeal_core::jobs::{JobId, JobOrder, QueueOverload, UnreachableWorker};
 use sesamedeal_core::lease::InstanceCapacity;
 use sesamedeal_wire::codec::{self, CodecError};
 
@@ -69,6 +69,9 @@
     /// Time since the start of the last surge of each pool, in milliseconds.
     #[serde(default)]
     pub surges_ms: Vec<(PoolName, u64)>,
+    /// Queues of overloaded pools. Rows of older owners have none, so that no job is rejected.
+    #[serde(default)]
+    pub overloads: Vec<QueueOverload>,
 }
 
 /// Progress of a maintenance wave.
