--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -7,6 +7,7 @@
 mod capacities;
 mod crashes;
 mod late_calls;
+pub mod load_planner;
 pub mod load_run;
 mod order_delivery;
 mod owner_changes;
--- a/crates/core/tests/overload_order.rs
+++ b/crates/core/tests/overload_order.rs
@@ -10,7 +10,8 @@
 use std::sync::Arc;
 
 use jobs::amount;
-use jobs::load_run::{FULL_RATE, LoadJob, LoadRun, WORKERS, planned_in_time, size_shares};
+use jobs::load_planner::{planned_in_time, size_shares};
+use jobs::load_run::{FULL_RATE, LoadJob, LoadRun, WORKERS};
 use sesamedeal_core::ids::TeamName;
 
 const POOL_CPU: u64 = 16_000 * WORKERS as u64;
