--- a/crates/core/src/jobs/dispatch_policy.rs
+++ b/crates/core/src/jobs/dispatch_policy.rs
@@ -52,6 +52,11 @@
     /// Multiple of the run time of a task off the rack that holds its data, and of a gang that
     /// prefers one rack and is not on one. At 1 or below, no task waits for a rack.
     pub spread_factor: f64,
+    /// Whether jobs are deferred while demand exceeds capacity, so that the others end in time.
+    pub defers_overload: bool,
+    /// Whether entry instances reject jobs that cannot end while their result is of use. Needs
+    /// `defers_overload`.
+    pub rejects_overload: bool,
 }
 
 impl DispatchPolicy {
@@ -87,6 +92,8 @@
             forecast_horizon: Duration::from_millis(1_800),
             ended_retention: Duration::from_secs(240),
             spread_factor: 1.0,
+            defers_overload: true,
+            rejects_overload: true,
         }
     }
 }
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -4,7 +4,11 @@
 mod gangs;
 mod hold_reports;
 mod late_starts;
+mod left_work;
 mod list_gap;
+mod overload;
+mod overload_demand;
+mod overload_wait;
 mod placement;
 mod placement_wait;
 mod planning;
@@ -34,6 +38,7 @@
 use slotmap::SlotMap;
 
 pub use abandoned_tasks::AbandonedTask;
+pub use overload::OverloadChange;
 pub use records::{CoveredEnd, RecordBatch, WriteLimit};
 
 use super::advice_backlog::AdviceBacklog;
@@ -91,6 +96,7 @@
     advice_backlog: AdviceBacklog,
     reservations: reservations::ReservationTable,
     placement_waits: placement_wait::PlacementWaits,
+    overload: overload::OverloadState,
     /// Jobs whose end is stored. A read of the job table that overlaps with the end of a job may
     /// still return the job as open.
     ended_jobs: HashSet<JobId>,
@@ -145,6 +151,7 @@
             advice_backlog: AdviceBacklog::default(),
             reservations: reservations::ReservationTable::default(),
             placement_waits: placement_wait::PlacementWaits::default(),
+            overload: overload::OverloadState::default(),
             ended_jobs: HashSet::new(),
             expiry_queue: VecDeque::new(),
             dirty: RecordQueue::default(),
@@ -202,6 +209,7 @@
             job.open_occurrence();
         }
         self.note_arrival(&job.order, arrived);
+        self.overload.note_job(&job.order);
         self.jobs.insert(id, job);
         self.arrival_times.insert(id, arrived);
         true
--- a/crates/core/src/jobs/dispatcher/placement_wait.rs
+++ b/crates/core/src/jobs/dispatcher/placement_wait.rs
@@ -10,7 +10,7 @@
 
 use super::JobDispatcher;
 use super::rack_outlooks::PoolOutlook;
-use super::waiting_steps::{WaitingStep, objective, remaining_critical_path};
+use super::waiting_steps::{WaitingStep, remaining_critical_path};
 use crate::ids::{PoolName, TeamName};
 use crate::jobs::placement_wait::{PlacementWait, WaitOutcome, WaitOutlook};
 use crate::jobs::{StepName, StepSpec, TaskName, WorkerKey};
@@ -202,7 +202,7 @@
         });
         let end = age.saturating_add(remaining);
         let millis = |time: Duration| i64::try_from(time.as_millis()).unwrap_or(i64::MAX);
-        millis(objective(job.critical_path, rule)).saturating_sub(millis(end))
+        millis(rule.objective(job.critical_path)).saturating_sub(millis(end))
     }
 
     /// Ends the waits of tasks that have started or no longer wait for a start.
--- a/crates/core/src/jobs/dispatcher/waiting_steps.rs
+++ b/crates/core/src/jobs/dispatcher/waiting_steps.rs
@@ -10,9 +10,6 @@
 use crate::jobs::{JobOrder, PriorityKey, QueueRule, StepName, TaskName};
 use crate::time::TimePoint;
 
-/// Longest objective of a job. Longer ones are not told apart.
-const MAX_OBJECTIVE: Duration = Duration::from_secs(1_000_000);
-
 /// Tasks of a step that wait for room.
 pub(super) struct WaitingStep {
     pub(super) key: PriorityKey,
@@ -197,7 +194,7 @@
         is_over_share: bool,
         now: TimePoint,
     ) -> PriorityKey {
-        let objective = objective(job.critical_path, rule);
+        let objective = rule.objective(job.critical_path);
         let age = self.arrival_times.get(&job.id);
         let age = age.map_or(Duration::ZERO, |&arrived| now.since(arrived));
         let age = if job.order.schedule.is_some() {
@@ -206,7 +203,8 @@
             age
         };
         let remaining = remaining_critical_path(job, occurrence);
-        PriorityKey::new(is_over_share, rule.priority, age, remaining, objective)
+        let key = PriorityKey::new(is_over_share, rule.priority, age, remaining, objective);
+        self.overload.planned_key(job.id, key)
     }
 
     /// Returns, for each team with runs, whether it uses more than its share of the processor
@@ -231,15 +229,6 @@
     }
 }
 
-/// Returns the time within which a job should end after its acceptance.
-pub(super) fn objective(critical_path: Duration, rule: &QueueRule) -> Duration {
-    let stretched = critical_path.as_secs_f64() * rule.stretch.max(0.0);
-    Duration::try_from_secs_f64(stretched)
-        .unwrap_or(MAX_OBJECTIVE)
-        .saturating_add(rule.slack)
-        .min(MAX_OBJECTIVE)
-}
-
 /// Estimated run time of the longest chain of dependent steps that are not done.
 pub(super) fn remaining_critical_path(job: &JobEntry, occurrence: &OccurrenceEntry) -> Duration {
     let mut ends: Vec<Duration> = Vec::with_capacity(occurrence.steps.len());
--- a/crates/jobs/src/job_metrics.rs
+++ b/crates/jobs/src/job_metrics.rs
@@ -36,6 +36,8 @@
     evacuated_zones: IntGauge,
     unreachable_partitions: IntGauge,
     unread_partitions: IntGauge,
+    deferred_jobs: IntGauge,
+    overload_rejections: IntCounterVec,
 }
 
 impl JobMetrics {
@@ -128,6 +130,15 @@
                 "sesamedeal_suspect_tasks",
                 "Tasks that are implicated in crashes of workers, at the owner",
             ),
+            deferred_jobs: gauge(
+                "sesamedeal_deferred_jobs",
+                "Jobs that are deferred because demand exceeds capacity, at the owner",
+            ),
+            overload_rejections: counter(
+                "sesamedeal_overload_rejections_total",
+                "Jobs rejected because they could not have ended while of use",
+                "queue",
+            ),
             evacuated_zones: gauge(
                 "sesamedeal_evacuated_zones",
                 "Availability zones in which nothing more may start, as known to this entry instance",
@@ -176,6 +187,7 @@
         let label = match outcome {
             SubmitOutcome::Accepted => "accepted",
             SubmitOutcome::Refused { .. } => "refused",
+            SubmitOutcome::Overloaded { .. } => "overloaded",
             SubmitOutcome::Unknown => "unknown",
             SubmitOutcome::TooLarge => "too-large",
         };
@@ -257,6 +269,15 @@
         self.suspects.set(i64::try_from(tasks).unwrap_or(i64::MAX));
     }
 
+    pub(crate) fn set_deferred_jobs(&self, jobs: usize) {
+        self.deferred_jobs
+            .set(i64::try_from(jobs).unwrap_or(i64::MAX));
+    }
+
+    pub(crate) fn count_overload_rejection(&self, queue: &str) {
+        self.overload_rejections.with_label_values(&[queue]).inc();
+    }
+
     pub(crate) fn set_evacuated_zones(&self, zones: usize) {
         let zones = i64::try_from(zones).unwrap_or(i64::MAX);
         self.evacuated_zones.set(zones);
