Keep the order within capacity unless a deployment asks for the other

Change: DispatchPolicy defers and rejects only if asked, as the adapter does; tests of overload and the runtime's tests ask for it.

--- a/crates/core/src/jobs/dispatch_policy.rs
+++ b/crates/core/src/jobs/dispatch_policy.rs
@@ -92,8 +92,8 @@
             forecast_horizon: Duration::from_millis(1_800),
             ended_retention: Duration::from_secs(240),
             spread_factor: 1.0,
-            defers_overload: true,
-            rejects_overload: true,
+            defers_overload: false,
+            rejects_overload: false,
         }
     }
 }
--- a/crates/core/tests/jobs/load_run.rs
+++ b/crates/core/tests/jobs/load_run.rs
@@ -141,6 +141,7 @@
             error,
             policy: DispatchPolicy {
                 defers_overload: is_deferring,
+                rejects_overload: is_deferring,
                 ..DispatchPolicy::default()
             },
         }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -140,7 +140,11 @@
                 },
             },
             policy: OwnerPolicy::default(),
-            dispatch: DispatchPolicy::default(),
+            dispatch: DispatchPolicy {
+                defers_overload: true,
+                rejects_overload: true,
+                ..DispatchPolicy::default()
+            },
             peers,
             logger,
         });
