Decode each row of the operator's requests once

Cause: a reading of the whole table was decoded twice, the configuration included, since evacuations were taken from it before the other rows; and a request that is already known copied the list of evacuations. Change: the rows of an event are decoded once and processed with the evacuations first. Behaviour is the same.

--- a/crates/jobs/src/feeds/intent_follower.rs
+++ b/crates/jobs/src/feeds/intent_follower.rs
@@ -9,8 +9,8 @@
 use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, watch};
 
-use super::{FollowTiming, TableFollower};
-use crate::ports::{IntentRow, RowPort, StorePort, StoreRow, StoreTable};
+use super::{FollowTiming, TableEvent, TableFollower};
+use crate::ports::{IntentRow, RowError, RowPort, StorePort, StoreRow, StoreTable};
 use crate::{BootClock, DeploymentView, JobMetrics, StoreHealth};
 
 /// Capacity of the queue of table events.
@@ -56,26 +56,36 @@
         let follow = follower.run(sender);
         let process = async {
             while let Some(event) = events.recv().await {
-                if event.is_snapshot {
-                    self.replace_evacuations(&event.rows);
-                }
-                for row in &event.rows {
-                    self.process_row(row, !event.is_snapshot);
-                }
+                self.process_event(&event);
             }
         };
         tokio::join!(follow, process);
     }
 
+    /// Processes the rows of an event. Requests to evacuate a zone come first, so that they hold when
+    /// the configuration is in force, without which nothing starts.
+    fn process_event(&self, event: &TableEvent) {
+        let intents = event.rows.iter().map(|row| (row, (self.rows.intent)(row)));
+        let (evacuations, others): (Vec<_>, Vec<_>) =
+            intents.partition(|(_, intent)| matches!(intent, Ok(IntentRow::Evacuation(_))));
+        if event.is_snapshot {
+            let versions = event.rows.iter().map(|row| row.version);
+            self.end_withdrawn(&evacuations, versions.max().unwrap_or(0));
+        }
+        for (row, intent) in evacuations.into_iter().chain(others) {
+            self.process_row(row, intent, !event.is_snapshot);
+        }
+    }
+
     /// Processes a row; `is_new` is true if the row has just been written.
-    fn process_row(&self, row: &StoreRow, is_new: bool) {
+    fn process_row(&self, row: &StoreRow, intent: Result<IntentRow, RowError>, is_new: bool) {
         if row.is_deleted {
-            if let Ok(IntentRow::Evacuation(zone)) = (self.rows.intent)(row) {
+            if let Ok(IntentRow::Evacuation(zone)) = intent {
                 self.end_evacuation(&zone, row.version);
             }
             return;
         }
-        match (self.rows.intent)(row) {
+        match intent {
             Ok(IntentRow::Deployment(deployment)) => {
                 let version = deployment.version;
                 if self.view.update_if_newer(*deployment) {
@@ -102,29 +112,26 @@
         self.waves.store(Arc::new(waves));
     }
 
-    /// Takes the evacuations from a reading of the whole table, before its configuration is in force.
-    /// Requests that it does not show were withdrawn while changes were missed.
-    fn replace_evacuations(&self, rows: &[StoreRow]) {
-        let requested = rows.iter().filter_map(|row| match (self.rows.intent)(row) {
+    /// Ends the evacuations that a reading of the whole table does not show: they were withdrawn while
+    /// changes were missed.
+    fn end_withdrawn(&self, shown: &[(&StoreRow, Result<IntentRow, RowError>)], version: u64) {
+        let requested = shown.iter().filter_map(|(row, intent)| match intent {
             Ok(IntentRow::Evacuation(zone)) if !row.is_deleted => Some(zone),
             _ => None,
         });
-        let requested: BTreeSet<ZoneName> = requested.collect();
-        let version = rows.iter().map(|row| row.version).max().unwrap_or(0);
+        let requested: BTreeSet<&ZoneName> = requested.collect();
         let known = self.evacuations.load_full();
-        for zone in known.keys().filter(|zone| !requested.contains(*zone)) {
+        for zone in known.keys().filter(|zone| !requested.contains(zone)) {
             self.end_evacuation(zone, version);
         }
-        for zone in requested {
-            self.begin_evacuation(zone, version, false);
-        }
     }
 
     fn begin_evacuation(&self, zone: ZoneName, version: u64, is_new: bool) {
-        let mut evacuations = self.evacuations.load().as_ref().clone();
-        if evacuations.contains_key(&zone) {
+        let known = self.evacuations.load();
+        if known.contains_key(&zone) {
             return;
         }
+        let mut evacuations = known.as_ref().clone();
         info!(self.logger, "availability zone evacuated"; "zone" => %zone, "row" => version, "is_new" => is_new);
         evacuations.insert(zone, is_new.then(|| BootClock.now()));
         self.set_evacuations(evacuations);
