Log which boot lost a run and whether a list had shown it

Cause: the log of an incident (a task that ran twice) could not tell a lease that was reckoned too short from a restart of the worker that was not noticed. Conclusion: the hypotheses can be told apart from one log.

--- a/crates/core/src/jobs/dispatcher/runs.rs
+++ b/crates/core/src/jobs/dispatcher/runs.rs
@@ -221,19 +221,21 @@
         (reason, lost_together): (LossReason, usize),
         now: TimePoint,
     ) {
-        let worker = self.workers[key].report.name.clone();
-        let Some(entry) = self.run_mut(task, run, key) else {
+        let worker = &self.workers[key];
+        let Some(entry) = self.run(task, run, key) else {
             return;
         };
-        let age = now.since(entry.since);
-        self.lost_runs.push(LostRun {
+        let lost = LostRun {
             task,
             run,
-            worker,
+            worker: worker.report.name.clone(),
             reason,
-            age,
+            boot: worker.boot,
+            was_listed: entry.listed_boot.is_some(),
+            age: now.since(entry.since),
             lost_together,
-        });
+        };
+        self.lost_runs.push(lost);
     }
 }
 
--- a/crates/core/src/jobs/lost_run.rs
+++ b/crates/core/src/jobs/lost_run.rs
@@ -29,6 +29,10 @@
     pub worker: InstanceName,
     /// How the end is known.
     pub reason: LossReason,
+    /// Boot of the worker at its last answer before the loss, if there was one.
+    pub boot: Option<u64>,
+    /// Whether a list of the worker has shown the run.
+    pub was_listed: bool,
     /// Time since the run was ordered, confirmed or adopted.
     pub age: Duration,
     /// Number of runs that were lost with the worker, this one included.
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -186,7 +186,7 @@
         for lost in self.dispatcher.take_lost_runs() {
             let reason = format!("{:?}", lost.reason);
             self.parts.metrics.count_lost_run(&reason.to_lowercase());
-            info!(self.parts.logger, "run lost"; "task" => %lost.task, "run" => lost.run, "worker" => %lost.worker, "reason" => reason, "age_ms" => lost.age.as_millis(), "lost_together" => lost.lost_together);
+            info!(self.parts.logger, "run lost"; "task" => %lost.task, "run" => lost.run, "worker" => %lost.worker, "reason" => reason, "boot" => lost.boot, "was_listed" => lost.was_listed, "age_ms" => lost.age.as_millis(), "lost_together" => lost.lost_together);
         }
     }
 
