Show that a task runs twice after an unnoticed restart of its worker

A worker that was started again under its name and took a start before the owner knew grants the longest lease; the owner counts on an ordinary one.

--- a/crates/core/tests/former_life.rs
+++ b/crates/core/tests/former_life.rs
@@ -2,7 +2,9 @@
 
 mod jobs;
 
-use jobs::{JobWorld, job, step};
+use std::time::Duration;
+
+use jobs::{JobWorld, LEASE, at, job, step};
 use sesamedeal_core::jobs::{JobPhase, StartOrder, StartOutcome, WorkerState};
 
 /// Rounds in a second.
@@ -262,3 +264,38 @@
         assert_sound(&world);
     }
 }
+
+/// Guards against a task that runs twice because the owner counts on an ordinary lease: its worker was
+/// started again unnoticed, took the start for its former life, on another clock, and granted the
+/// longest lease before it was cut off.
+#[test]
+fn unnoticed_restart() {
+    for outcome in [StartOutcome::Started, StartOutcome::Unknown] {
+        for is_owner_new in [false, true] {
+            let mut world = world();
+            let (order, fence) = order_start(&mut world);
+            grant_lease(&mut world);
+            world.workers[0].outdated_entry = Some(world.workers[0].report.clone());
+            world.restart(0);
+            world.late_start(0, fence, &order);
+            answer(&mut world, &order, outcome);
+            world.workers[0].is_reachable = false;
+            admit_second(&mut world);
+            if is_owner_new {
+                world.run(SECOND);
+                world.take_over();
+            }
+            world.run(8 * SECOND);
+            assert_sound(&world);
+            assert_eq!(running(&world, 1), usize::from(TASKS) + 1, "the tasks run");
+        }
+    }
+}
+
+/// Extends the lease of the first worker, as the owner does with each start and hold call.
+fn grant_lease(world: &mut JobWorld) {
+    let key = world.workers[0].key.unwrap();
+    world
+        .dispatcher
+        .note_extension(key, LEASE, Duration::ZERO, at(world.now));
+}
