Count starts that no list has shown for the longest lease

Cause: the end of a lease in a call is a time on the worker's clock. A worker that was started again under its name has another clock, on which that time is far ahead, and shortens it to the longest lease (6 s). Until the owner knows of the restart it sends such calls and counts on the lease that it asked for (4.8 s). If the worker is cut off before it has answered a hold call, the owner starts the tasks elsewhere up to 1.2 s too early. Change: note_extension also keeps the end of the longest lease. A run that no list has shown counts until then; a run that a list has shown ended with the restart, or is on the life whose clock the owner knows, and counts as before. The publication for a successor holds the later of the two. The simulation grants the longest lease to calls whose clock is that of a former life.

--- a/crates/core/src/jobs/dispatcher/hold_reports.rs
+++ b/crates/core/src/jobs/dispatcher/hold_reports.rs
@@ -28,8 +28,12 @@
         now: TimePoint,
     ) {
         let lease = self.policy.longest_lease(lease, clock_age);
+        let longest = self
+            .policy
+            .longest_lease(self.policy.max_lease, Duration::ZERO);
         if let Some(entry) = self.workers.get_mut(key) {
             entry.lease_end = entry.lease_end.max(now.after(lease));
+            entry.unnoticed_lease_end = entry.unnoticed_lease_end.max(now.after(longest));
         }
     }
 
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -3,7 +3,7 @@
 mod demand_forecast;
 mod gangs;
 mod hold_reports;
-mod late_starts;
+mod late_runs;
 mod left_work;
 mod list_gap;
 mod overload;
--- a/crates/core/src/jobs/dispatcher/planning.rs
+++ b/crates/core/src/jobs/dispatcher/planning.rs
@@ -44,8 +44,8 @@
     }
 
     /// Releases the runs of workers whose lease has expired, since a worker ends its runs when the
-    /// lease expires. Removes such workers if they are not listed. Starts that the worker may still
-    /// carry out late are kept.
+    /// lease expires. Removes such workers if they are not listed. Runs that may outlast the lease are
+    /// kept.
     fn expire_leases(&mut self, now: TimePoint) {
         let expired = self.workers.iter().filter(|(_, entry)| {
             entry.lease_end < now && (!entry.runs.is_empty() || !entry.is_listed)
@@ -55,11 +55,11 @@
             .filter(|key| self.has_expired_run(*key, now))
             .collect();
         for key in expired {
-            let late_start = self.late_start_limit(key, now);
+            let limit = self.late_run_limit(key);
             if self.workers[key].is_unreachable() {
                 self.implicate_runs(key, true);
             }
-            let has_ended = |run: &RunEntry| !late_start.includes(run);
+            let has_ended = |run: &RunEntry| !limit.includes(run, now);
             self.lose_runs(key, LossReason::Expired, has_ended, now);
             let entry = &self.workers[key];
             if !entry.is_listed && entry.runs.is_empty() {
--- a/crates/core/src/jobs/dispatcher/unreachable_workers.rs
+++ b/crates/core/src/jobs/dispatcher/unreachable_workers.rs
@@ -55,7 +55,7 @@
             let is_known = entry.list_requested.is_some() || have_leases_expired;
             let lease_end = match self.inherited_unreachable.get(name) {
                 _ if is_known && !entry.is_unreachable() => continue,
-                _ if is_known => self.latest_end(key, now),
+                _ if is_known => self.latest_end(key),
                 Some(inherited) => {
                     tasks.extend(&inherited.tasks);
                     inherited.lease_end
--- a/crates/core/src/jobs/worker_entry.rs
+++ b/crates/core/src/jobs/worker_entry.rs
@@ -46,8 +46,13 @@
     pub list_requested: Option<TimePoint>,
     /// When the newest list of runs was received.
     pub list_received: Option<TimePoint>,
-    /// Latest expiry of any lease granted by this or a previous owner.
+    /// Latest expiry of any lease granted by this or a previous owner, provided that the worker has not
+    /// been started again unnoticed.
     pub lease_end: TimePoint,
+    /// Latest expiry of a lease if the worker has been started again unnoticed. The calls of the owner
+    /// then name the end of a lease on the clock of the former life, and the worker shortens that to
+    /// the longest lease.
+    pub unnoticed_lease_end: TimePoint,
     /// Resources reserved for runs that exist or may exist.
     pub used: ResourceAmount,
     /// Runs that exist or may exist, by task and run number.
@@ -97,6 +102,7 @@
             list_requested: None,
             list_received: None,
             lease_end,
+            unnoticed_lease_end: lease_end,
             used: ResourceAmount::default(),
             runs: HashMap::new(),
             fillers: 0,
--- a/crates/core/tests/former_life.rs
+++ b/crates/core/tests/former_life.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use jobs::{JobWorld, LEASE, at, job, step};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use sesamedeal_core::jobs::{JobPhase, StartOrder, StartOutcome, WorkerState};
 
 /// Rounds in a second.
@@ -299,3 +301,37 @@
         .dispatcher
         .note_extension(key, LEASE, Duration::ZERO, at(world.now));
 }
+
+/// Guards against tasks that run twice when workers are started again and cut off in series, at any
+/// moment between two answers, and the list shows the restarts only afterwards.
+#[test]
+fn unnoticed_series() {
+    for seed in 0..24 {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let mut world = JobWorld::new(3, seed);
+        for number in 0..8 {
+            let mut spec = step(1, 1_000);
+            spec.is_lasting = true;
+            let index = random.random_range(0..3);
+            let entry = world.workers[index].report.clone();
+            world.workers[index].outdated_entry = Some(entry);
+            world.workers[index].is_hanging = true;
+            world.restart(index);
+            world.run(random.random_range(0..10));
+            world.submit(number, job(vec![spec]));
+            world.run(random.random_range(0..10));
+            world.workers[index].is_hanging = false;
+            world.workers[index].is_reachable = false;
+            if random.random_bool(0.2) {
+                world.take_over();
+            }
+            world.run(random.random_range(4 * SECOND..8 * SECOND));
+            world.workers[index].is_reachable = true;
+            world.workers[index].outdated_entry = None;
+            world.list_workers();
+            world.run(2 * SECOND);
+        }
+        let violations = &world.violations;
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    }
+}
--- a/crates/core/tests/jobs/late_calls.rs
+++ b/crates/core/tests/jobs/late_calls.rs
@@ -1,10 +1,8 @@
 use sesamedeal_core::jobs::{EndKind, StartOrder};
 
+use super::sim_worker::LONGEST_LEASE;
 use super::{JobWorld, SimRun};
 
-/// Longest lease that a worker grants, in milliseconds.
-const LONGEST_LEASE: u64 = 6_000;
-
 impl JobWorld {
     /// Fence number of calls to a worker.
     pub fn fence(&self, index: usize) -> u64 {
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -37,7 +37,7 @@
 pub const ATTEMPTS: u32 = 3;
 
 /// Lease that the simulated owner requests from workers.
-pub const LEASE: Duration = Duration::from_millis(4_800);
+pub const LEASE: Duration = Duration::from_millis(sim_worker::LEASE);
 
 pub struct JobWorld {
     pub now: u64,
@@ -217,8 +217,9 @@
         if is_clock_known && !self.dispatcher.is_published(key) {
             self.dispatcher
                 .note_extension(key, LEASE, Duration::ZERO, at(now));
+            let lease_end = worker.lease_end(now);
             for run in worker.running.values_mut() {
-                run.lease_end = run.lease_end.max(now + 4_800);
+                run.lease_end = run.lease_end.max(lease_end);
             }
         }
         let stored = self.dispatcher.stored_end(key);
@@ -245,6 +246,7 @@
             ended: worker.ended.clone(),
         };
         worker.answered_fence = Some(fence);
+        worker.answered_boot = Some(report.boot);
         self.dispatcher.note_report(key, &report, at(now));
     }
 
--- a/crates/core/tests/jobs/order_delivery.rs
+++ b/crates/core/tests/jobs/order_delivery.rs
@@ -120,7 +120,7 @@
             } else {
                 now + length
             },
-            lease_end: now + 4_800,
+            lease_end: worker.lease_end(now),
             fails: fails && !is_long_running,
             is_alone,
         };
--- a/crates/core/tests/jobs/sim_worker.rs
+++ b/crates/core/tests/jobs/sim_worker.rs
@@ -6,6 +6,12 @@
 
 use super::{amount, worker_report};
 
+/// Lease that the simulated owner requests from workers, in milliseconds.
+pub const LEASE: u64 = 4_800;
+
+/// Longest lease that a worker grants, in milliseconds.
+pub const LONGEST_LEASE: u64 = 6_000;
+
 /// A run on a simulated worker. Times are in milliseconds.
 #[derive(Debug, Clone)]
 pub struct SimRun {
@@ -32,6 +38,8 @@
     pub fence: u64,
     /// Fence number of the last hold call that the worker has answered.
     pub answered_fence: Option<u64>,
+    /// Boot that has answered it. The owner knows the clock of this boot.
+    pub answered_boot: Option<u64>,
     pub running: BTreeMap<(TaskName, u64), SimRun>,
     pub ended: Vec<RunEnd>,
     pub next_end: u64,
@@ -60,6 +68,7 @@
             is_hanging: false,
             fence: 0,
             answered_fence: None,
+            answered_boot: None,
             running: BTreeMap::new(),
             ended: Vec::new(),
             next_end: 1,
@@ -97,6 +106,13 @@
         }
     }
 
+    /// Returns the end of a lease that the owner grants now. The owner names a time on the clock of
+    /// the boot that has answered, which is far in the future of a later boot's clock.
+    pub fn lease_end(&self, now: u64) -> u64 {
+        let is_clock_known = self.answered_boot == Some(self.report.boot);
+        now + if is_clock_known { LEASE } else { LONGEST_LEASE }
+    }
+
     /// Returns the worker's entry in the list.
     pub fn entry(&self) -> WorkerReport {
         self.outdated_entry.as_ref().unwrap_or(&self.report).clone()
