Take the entry of an earlier boot for an older one

What callers would see: tasks that run twice on a worker that was started again twice within a moment, if the entry of the boot in between is written late. Cause: a list entry counted as a restart if its boot was unknown, also when a later boot had answered. Found while looking for facts of a former life that outlive an unnoticed restart; not seen in a run. Change: an entry shows a restart only if its boot is later than the one that answers. A restart that the entry does not show is shown by the next answer. Measured: worker_restart::unseen_boot failed before (8 starts for 4 tasks); the tests of worker_restart, former_life, job_takeover, job_fuzz, crash_series and crashing_task pass. Conclusion: boots are numbered by the time of their start, so that they are in order unless a clock steps back; then the runs wait for an answer or their lease.

--- a/crates/core/src/jobs/worker_entry.rs
+++ b/crates/core/src/jobs/worker_entry.rs
@@ -121,10 +121,11 @@
     }
 
     /// Whether the boot of a list entry shows a restart that is not known yet. The list may be
-    /// behind the worker's answers, which show a restart as well.
+    /// behind the worker's answers, which show a restart as well, and the entry of a boot that never
+    /// answered may be written late. Boots are numbered by the time of their start.
     pub(crate) fn is_restart(&self, listed: u64) -> bool {
         listed != self.report.boot
-            && self.boot != Some(listed)
+            && self.boot.is_none_or(|answered| listed > answered)
             && !self.ended_boots.contains(&listed)
     }
 
--- a/crates/core/tests/worker_restart.rs
+++ b/crates/core/tests/worker_restart.rs
@@ -112,6 +112,24 @@
     assert_undisturbed(&world);
 }
 
+/// Guards against the second start of tasks after the list shows an entry of a boot that ended before
+/// it could answer, because its write was late.
+#[test]
+fn unseen_boot() {
+    let mut world = world();
+    world.restart(0);
+    let second = world.workers[0].report.clone();
+    world.restart(0);
+    list_and_plan(&mut world, None);
+    world.run(2);
+    run_job(&mut world);
+    for entry in [Some(second), None] {
+        list_and_plan(&mut world, entry);
+        world.run(5);
+    }
+    assert_undisturbed(&world);
+}
+
 /// Guards against the second start of tasks whose worker has another address.
 #[test]
 fn other_address() {
