Count the way of a call to a worker in the longest lease

Cause: after an unnoticed restart the worker grants the longest lease from the moment at which it carries out the call, not from that at which it was sent. The run lapsed 6.057 s after a start that was 0.08 s on its way; the owner counted 6.122 s from sending. Change: the longest lease counts from the end of the time that a call may be on its way (0.9 s, the time-out of an order). That time is a setting of DispatchPolicy now, which the time-out of orders is taken from. Measured: former_life::unnoticed_restart, with a start that is 0.9 s on its way, failed before; it and the tests of worker_restart, job_leases and job_takeover pass. Conclusion: a start that no list has shown counts for 7.02 s after the last call to a worker that answers nothing, and for 4.9 s otherwise.

--- a/crates/core/src/jobs/dispatch_policy.rs
+++ b/crates/core/src/jobs/dispatch_policy.rs
@@ -10,6 +10,9 @@
     pub max_lease: Duration,
     /// Maximum fraction by which a worker's clock runs slow.
     pub max_clock_drift: f64,
+    /// Time within which a worker carries out a call on its way, and has to answer an order. Connections
+    /// open within 0.8 s.
+    pub call_time: Duration,
     /// Longest time after which a worker carries out a call that had no answer.
     pub max_call_delay: Duration,
     /// Time after which a stop order is resent if the worker has not listed the end of the run.
@@ -68,6 +71,11 @@
             .saturating_add(lag)
             .div_f64(1.0 - self.max_clock_drift)
     }
+
+    /// Longest time for which a lease lasts from the moment at which a worker grants it.
+    pub(crate) fn longest_grant(&self) -> Duration {
+        self.longest_lease(self.max_lease, Duration::ZERO)
+    }
 }
 
 impl Default for DispatchPolicy {
@@ -76,6 +84,7 @@
             lease: Duration::from_millis(4_800),
             max_lease: Duration::from_secs(6),
             max_clock_drift: 0.02,
+            call_time: Duration::from_millis(900),
             max_call_delay: Duration::from_secs(12),
             stop_repeat: Duration::from_millis(1_200),
             quarantine_time: Duration::from_secs(4),
--- a/crates/core/src/jobs/dispatcher/hold_reports.rs
+++ b/crates/core/src/jobs/dispatcher/hold_reports.rs
@@ -28,12 +28,12 @@
         now: TimePoint,
     ) {
         let lease = self.policy.longest_lease(lease, clock_age);
-        let longest = self
-            .policy
-            .longest_lease(self.policy.max_lease, Duration::ZERO);
+        let longest = self.policy.longest_grant();
+        let carried_out = now.after(self.policy.call_time);
         if let Some(entry) = self.workers.get_mut(key) {
             entry.lease_end = entry.lease_end.max(now.after(lease));
-            entry.unnoticed_lease_end = entry.unnoticed_lease_end.max(now.after(longest));
+            let unnoticed = carried_out.after(longest);
+            entry.unnoticed_lease_end = entry.unnoticed_lease_end.max(unnoticed);
         }
     }
 
@@ -41,8 +41,11 @@
     /// sees a higher fence number, a worker that was started again takes the end of a lease on the
     /// clock of its former life, and shortens that to the longest lease.
     pub(super) fn extend_to_longest(&mut self, key: WorkerKey, now: TimePoint) {
-        let longest = self.policy.max_lease;
-        self.note_extension(key, longest, Duration::ZERO, now);
+        let lease_end = now.after(self.policy.longest_grant());
+        if let Some(entry) = self.workers.get_mut(key) {
+            entry.lease_end = entry.lease_end.max(lease_end);
+            entry.unnoticed_lease_end = entry.unnoticed_lease_end.max(lease_end);
+        }
     }
 
     /// Marks a worker that did not answer a hold call. It gets no new tasks until it answers one.
--- a/crates/core/src/jobs/dispatcher/late_runs.rs
+++ b/crates/core/src/jobs/dispatcher/late_runs.rs
@@ -44,12 +44,11 @@
 impl JobDispatcher {
     pub(super) fn late_run_limit(&self, key: WorkerKey) -> LateRunLimit {
         let entry = &self.workers[key];
-        let lease = self.policy.max_lease;
-        let lease = self.policy.longest_lease(lease, Duration::ZERO);
+        let longest = self.policy.longest_grant();
         LateRunLimit {
             unnoticed_lease_end: entry.unnoticed_lease_end,
             open_link: entry.list_requested.is_none().then_some(entry.link),
-            late_start_time: self.policy.max_call_delay.saturating_add(lease),
+            late_start_time: self.policy.max_call_delay.saturating_add(longest),
         }
     }
 
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -124,7 +124,7 @@
     #[must_use]
     pub fn new(policy: DispatchPolicy, rules: Arc<FleetRules>, epoch: u64, now: TimePoint) -> Self {
         // Workers shorten a longer lease by their own clock, however old the reading was.
-        let lease = policy.longest_lease(policy.max_lease, Duration::ZERO);
+        let lease = policy.longest_grant();
         Self {
             takeover_time: now,
             overlap_end: now,
--- a/crates/core/src/jobs/worker_entry.rs
+++ b/crates/core/src/jobs/worker_entry.rs
@@ -50,8 +50,8 @@
     /// been started again unnoticed.
     pub lease_end: TimePoint,
     /// Latest expiry of a lease if the worker has been started again unnoticed. The calls of the owner
-    /// then name the end of a lease on the clock of the former life, and the worker shortens that to
-    /// the longest lease.
+    /// then name the end of a lease on the clock of the former life, and the worker grants the longest
+    /// lease from the moment at which it carries them out.
     pub unnoticed_lease_end: TimePoint,
     /// Resources reserved for runs that exist or may exist.
     pub used: ResourceAmount,
--- a/crates/core/tests/former_life.rs
+++ b/crates/core/tests/former_life.rs
@@ -12,6 +12,9 @@
 /// Rounds in a second.
 const SECOND: usize = 20;
 
+/// Rounds in the time within which a worker answers an order.
+const ORDER_TIME: usize = 18;
+
 /// Number of tasks of a job.
 const TASKS: u16 = 4;
 
@@ -273,13 +276,16 @@
 #[test]
 fn unnoticed_restart() {
     for outcome in [StartOutcome::Started, StartOutcome::Unknown] {
-        for is_owner_new in [false, true] {
+        for (is_owner_new, transit) in [(false, 0), (true, 0), (false, ORDER_TIME)] {
             let mut world = world();
             let (order, fence) = order_start(&mut world);
             grant_lease(&mut world);
             world.workers[0].outdated_entry = Some(world.workers[0].report.clone());
+            world.workers[0].is_hanging = true;
             world.restart(0);
+            world.run(transit);
             world.late_start(0, fence, &order);
+            world.workers[0].is_hanging = false;
             answer(&mut world, &order, outcome);
             world.workers[0].is_reachable = false;
             admit_second(&mut world);
--- a/crates/jobs/src/owner/owner_policy.rs
+++ b/crates/jobs/src/owner/owner_policy.rs
@@ -26,8 +26,6 @@
     pub idle_wait: Duration,
     /// Time beyond the wait within which a worker has to answer a hold call.
     pub hold_margin: Duration,
-    /// Time within which a worker has to answer an order.
-    pub order_timeout: Duration,
     /// Minimum interval between two writes of records.
     pub min_write_interval: Duration,
     /// Maximum number of concurrent orders to one worker.
@@ -54,7 +52,6 @@
             start_wait: Duration::from_millis(200),
             idle_wait: Duration::from_millis(1_900),
             hold_margin: Duration::from_millis(900),
-            order_timeout: Duration::from_millis(900),
             min_write_interval: Duration::from_millis(40),
             max_concurrent_orders: 4,
             wave_period: Duration::from_millis(100),
--- a/crates/jobs/src/owner/ownership.rs
+++ b/crates/jobs/src/owner/ownership.rs
@@ -89,7 +89,7 @@
         let sender = CallSender {
             workers: self.workers.clone(),
             owner: address.clone(),
-            order_timeout: self.policy.order_timeout,
+            order_timeout: self.dispatch.call_time,
             logger: logger.clone(),
         };
         let intake = JobIntake {
