Send no further starts to a worker that answers nothing

What callers would see: a lasting task whose worker is gone starts elsewhere 9.8 s after the crash, where it has to within 9 s (6 s after its last run, and 3 s more): a sum on paper, not a run. Cause: a hold call to an idle worker may take 2.8 s to fail. Until then starts are sent to it, and each counts for 7.02 s where no list has shown it. Change: once a start was given up and the worker has answered nothing since it was ordered, the worker gets no tasks until it answers. The last start is then sent 0.9 s after the crash at the latest, and the task starts elsewhere within 7.95 s. Measured: silent_worker::no_further_start failed before; the tests of former_life, worker_restart, job_leases, job_takeover, job_fuzz, worker_health and refused_starts pass.

--- a/crates/core/src/jobs/dispatcher/hold_reports.rs
+++ b/crates/core/src/jobs/dispatcher/hold_reports.rs
@@ -78,6 +78,7 @@
             self.extend_to_longest(key, now);
         }
         let entry = &mut self.workers[key];
+        entry.last_answer = now;
         let was_silent = entry.is_unresponsive || entry.list_requested.is_none();
         if was_silent {
             let name = entry.report.name.clone();
--- a/crates/core/src/jobs/worker_entry.rs
+++ b/crates/core/src/jobs/worker_entry.rs
@@ -38,6 +38,10 @@
     ended_boots: VecDeque<u64>,
     /// Whether the worker did not answer the last hold call.
     pub is_unresponsive: bool,
+    /// When the worker last answered a hold call or an order.
+    pub last_answer: TimePoint,
+    /// When the newest start was ordered that was given up without an answer.
+    pub unanswered_start: Option<TimePoint>,
     /// Whether the owner has published the worker as unreachable. The worker gets no new tasks
     /// until the owner has published otherwise, so that the next owner has the full list of tasks
     /// that may run on it.
@@ -98,6 +102,8 @@
             entry_limit: TimePoint::ORIGIN,
             ended_boots: VecDeque::new(),
             is_unresponsive: false,
+            last_answer: TimePoint::ORIGIN,
+            unanswered_start: None,
             is_published: false,
             list_requested: None,
             list_received: None,
@@ -180,6 +186,7 @@
             && self.list_requested.is_some()
             && (self.is_entry_current() || now < self.entry_limit)
             && !self.is_unresponsive
+            && !self.is_silent()
             && !self.is_published
             && self.report.state == WorkerState::Ready
             && !self.is_evacuating
@@ -189,6 +196,14 @@
             && !self.health.is_quarantined(now)
     }
 
+    /// Whether the worker has answered nothing since a start was ordered that was given up. A hold call
+    /// may take seconds longer to fail, and each further start would extend the time for which the
+    /// tasks of a lost worker have to wait.
+    fn is_silent(&self) -> bool {
+        self.unanswered_start
+            .is_some_and(|ordered| ordered >= self.last_answer)
+    }
+
     /// Whether the worker is about to shut down.
     pub(crate) fn is_draining(&self) -> bool {
         self.report.state == WorkerState::Draining
