Count calls of the previous owner that are on their way

What callers would see: a task that runs twice after a takeover, if a start that the previous owner sent just before reaches a worker that was started again unnoticed and is cut off before it answers the new owner. The new owner counted the longest lease from the takeover. Found by summing up the waits. Change: inherited leases last 0.9 s longer, the time for which a call may be on its way, for workers that have not answered the new owner and are not published; once a worker has answered, its lease counts as before.

--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -123,8 +123,9 @@
     /// Creates a dispatcher for the ownership epoch `epoch`, which counts from 1.
     #[must_use]
     pub fn new(policy: DispatchPolicy, rules: Arc<FleetRules>, epoch: u64, now: TimePoint) -> Self {
-        // Workers shorten a longer lease by their own clock, however old the reading was.
-        let lease = policy.longest_grant();
+        // Calls of the previous owner may be on their way. Workers shorten a longer lease by their own
+        // clock, however old the reading was.
+        let lease = policy.call_time.saturating_add(policy.longest_grant());
         Self {
             takeover_time: now,
             overlap_end: now,
@@ -273,7 +274,11 @@
             return (key, is_renewed);
         }
         let name = report.name.clone();
-        let mut entry = WorkerEntry::new(report, self.inherited_lease_end);
+        // Calls of the previous owner that are on their way extend a lease only after an unnoticed
+        // restart; otherwise they name its end on the clock of the worker.
+        let lease_end = self.inherited_lease_end.before(self.policy.call_time);
+        let mut entry = WorkerEntry::new(report, lease_end);
+        entry.unnoticed_lease_end = self.inherited_lease_end;
         entry.cold_until = now.after(entry.report.warm_up);
         entry.is_zone_evacuated = self.evacuated_zones.contains(&entry.report.zone);
         // Until this owner stores its own publication, the previous owner's is in force.
--- a/crates/core/tests/former_life.rs
+++ b/crates/core/tests/former_life.rs
@@ -300,6 +300,24 @@
     }
 }
 
+/// Guards against a task that runs twice because its start, which the previous owner sent just before
+/// the takeover, reaches a worker that has been started again and has not answered the new owner.
+#[test]
+fn call_beside_takeover() {
+    let mut world = world();
+    let (order, fence) = order_start(&mut world);
+    world.workers[0].outdated_entry = Some(world.workers[0].report.clone());
+    world.workers[0].is_reachable = false;
+    world.restart(0);
+    world.take_over();
+    admit_second(&mut world);
+    world.run(ORDER_TIME);
+    world.late_start(0, fence, &order);
+    world.run(8 * SECOND);
+    assert_sound(&world);
+    assert_eq!(running(&world, 1), usize::from(TASKS) + 1, "the tasks run");
+}
+
 /// Extends the lease of the first worker, as the owner does with each start and hold call.
 fn grant_lease(world: &mut JobWorld) {
     let key = world.workers[0].key.unwrap();
