Share what several places of the dispatcher worked out on their own

Cause: read-through of the change. The test of a worker for a step (suitable, and a ticket if one is needed) stood in four places; the slack of a job was computed beside its priority key; two functions took the rack from a worker's labels; both branches of set_worker applied the list entry; two functions extended the same two lease ends; the answer to a start was recorded by a function with the parameters of its only caller. The sizes of jobs were recorded for an order that is switched off. Change: allowed_workers, natural_key (which slack_ms takes its value from), rack_of, note_entry, WorkerEntry::extend_lease and WorkerEntry::note_start. Job sizes are recorded only if the order of overload is on, which alone uses them.

--- a/crates/core/src/jobs/dispatcher/gangs.rs
+++ b/crates/core/src/jobs/dispatcher/gangs.rs
@@ -63,7 +63,7 @@
     fn racks(&self, workers: &[WorkerKey]) -> Vec<Vec<WorkerKey>> {
         let mut racks: HashMap<&str, Vec<WorkerKey>> = HashMap::new();
         for &key in workers {
-            if let Some(rack) = self.workers[key].report.labels.last() {
+            if let Some(rack) = self.rack_of(key) {
                 racks.entry(rack.as_str()).or_default().push(key);
             }
         }
--- a/crates/core/src/jobs/dispatcher/hold_reports.rs
+++ b/crates/core/src/jobs/dispatcher/hold_reports.rs
@@ -31,9 +31,7 @@
         let longest = self.policy.longest_grant();
         let carried_out = now.after(self.policy.call_time);
         if let Some(entry) = self.workers.get_mut(key) {
-            entry.lease_end = entry.lease_end.max(now.after(lease));
-            let unnoticed = carried_out.after(longest);
-            entry.unnoticed_lease_end = entry.unnoticed_lease_end.max(unnoticed);
+            entry.extend_lease(now.after(lease), carried_out.after(longest));
         }
     }
 
@@ -43,8 +41,7 @@
     pub(super) fn extend_to_longest(&mut self, key: WorkerKey, now: TimePoint) {
         let lease_end = now.after(self.policy.longest_grant());
         if let Some(entry) = self.workers.get_mut(key) {
-            entry.lease_end = entry.lease_end.max(lease_end);
-            entry.unnoticed_lease_end = entry.unnoticed_lease_end.max(lease_end);
+            entry.extend_lease(lease_end, lease_end);
         }
     }
 
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -210,7 +210,9 @@
             job.open_occurrence();
         }
         self.note_arrival(&job.order, arrived);
-        self.overload.note_job(&job.order);
+        if self.policy.defers_overload {
+            self.overload.note_job(&job.order);
+        }
         self.jobs.insert(id, job);
         self.arrival_times.insert(id, arrived);
         true
@@ -263,10 +265,9 @@
             let entry = &mut self.workers[key];
             entry.set_report(report);
             entry.is_listed = true;
-            entry.cold_until = now.after(entry.report.warm_up);
-            entry.is_zone_evacuated = self.evacuated_zones.contains(&entry.report.zone);
             // Calls to the worker are set up again, and none has been answered yet.
             entry.is_unresponsive |= is_moved || !was_listed;
+            self.note_entry(key, now);
             let is_renewed = is_restarted || is_moved || !was_listed;
             if is_renewed {
                 self.renew_link(key);
@@ -279,17 +280,23 @@
         let lease_end = self.inherited_lease_end.before(self.policy.call_time);
         let mut entry = WorkerEntry::new(report, lease_end);
         entry.unnoticed_lease_end = self.inherited_lease_end;
-        entry.cold_until = now.after(entry.report.warm_up);
-        entry.is_zone_evacuated = self.evacuated_zones.contains(&entry.report.zone);
         // Until this owner stores its own publication, the previous owner's is in force.
         entry.is_published = self.inherited_unreachable.contains_key(&name);
         let key = self.workers.insert(entry);
         self.keys_by_name.insert(name, key);
+        self.note_entry(key, now);
         self.renew_link(key);
         self.settle_instance(key, now);
         (key, true)
     }
 
+    /// Applies the list entry of a worker to what its use depends on.
+    fn note_entry(&mut self, key: WorkerKey, now: TimePoint) {
+        let entry = &mut self.workers[key];
+        entry.cold_until = now.after(entry.report.warm_up);
+        entry.is_zone_evacuated = self.evacuated_zones.contains(&entry.report.zone);
+    }
+
     /// Marks a worker as no longer in the platform's list. Its runs stay allocated until they are
     /// resolved or their lease has expired.
     pub fn unlist_worker(&mut self, name: &InstanceName) -> Option<WorkerKey> {
--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -88,15 +88,16 @@
         if !self.is_within_limit(team, spec.amount) {
             return false;
         }
-        let needs_ticket = self.needs_ticket(step.name);
         let runs = self.task(task).map_or(&[][..], |task| &task.runs);
         let end = self.expected_end(spec, &step.pool, now);
-        let chosen = workers.select(spec, &self.workers, now, |key| {
-            self.is_open(key, end)
-                && !(step.is_copy && runs.iter().any(|run| run.worker == key))
-                && self.is_suitable(step.name, spec, key)
-                && (!needs_ticket || self.ticket(step.name, key, now).is_some())
-        });
+        let chosen = {
+            let is_allowed = self.allowed_workers(step.name, spec, now);
+            workers.select(spec, &self.workers, now, |key| {
+                self.is_open(key, end)
+                    && !(step.is_copy && runs.iter().any(|run| run.worker == key))
+                    && is_allowed(key)
+            })
+        };
         let Some((position, key)) = chosen else {
             return false;
         };
@@ -200,23 +201,32 @@
         workers: &[WorkerKey],
         now: TimePoint,
     ) -> Option<WorkerKey> {
-        let needs_ticket = self.needs_ticket(step);
-        let offers = workers.iter().filter_map(|&key| {
+        let is_allowed = self.allowed_workers(step, spec, now);
+        let allowed = workers.iter().copied().filter(|&key| is_allowed(key));
+        let offers = allowed.map(|key| {
             let entry = &self.workers[key];
-            let labels = &entry.report.labels;
-            if !self.is_suitable(step, spec, key) {
-                return None;
-            }
-            if needs_ticket {
-                self.ticket(step, key, now)?;
-            }
             let rack = spec.data_rack.as_ref();
-            let is_near = rack.is_some_and(|rack| labels.contains(rack));
-            Some(entry.offer(key, is_near, now))
+            let is_near = rack.is_some_and(|rack| entry.report.labels.contains(rack));
+            entry.offer(key, is_near, now)
         });
         choose_worker(spec.worker_amount(), spec.is_lasting, offers)
     }
 
+    /// Returns a filter for the workers on which tasks of a step may start if there is room: those
+    /// that are suitable, and for which there is a ticket if the step needs one.
+    pub(super) fn allowed_workers<'a>(
+        &'a self,
+        step: StepName,
+        spec: &'a StepSpec,
+        now: TimePoint,
+    ) -> impl Fn(WorkerKey) -> bool + 'a {
+        let needs_ticket = self.needs_ticket(step);
+        move |key| {
+            self.is_suitable(step, spec, key)
+                && (!needs_ticket || self.ticket(step, key, now).is_some())
+        }
+    }
+
     /// Whether a worker has the label that the step requires and runs fewer of its tasks than
     /// allowed on one worker.
     pub(super) fn is_suitable(&self, step: StepName, spec: &StepSpec, key: WorkerKey) -> bool {
--- a/crates/core/src/jobs/dispatcher/placement_wait.rs
+++ b/crates/core/src/jobs/dispatcher/placement_wait.rs
@@ -10,7 +10,7 @@
 
 use super::JobDispatcher;
 use super::rack_outlooks::PoolOutlook;
-use super::waiting_steps::{WaitingStep, remaining_critical_path};
+use super::waiting_steps::WaitingStep;
 use crate::ids::{PoolName, TeamName};
 use crate::jobs::placement_wait::{PlacementWait, WaitOutcome, WaitOutlook};
 use crate::jobs::{StepName, StepSpec, TaskName, WorkerKey};
@@ -187,22 +187,12 @@
 
     /// Objective of a job less its expected end if it goes on now, in milliseconds.
     fn slack_ms(&self, step: StepName, now: TimePoint) -> i64 {
-        let Some(job) = self.jobs.get(&step.job) else {
-            return 0;
-        };
-        let Some(rule) = self.rules.queues.get(&job.order.queue) else {
-            return 0;
-        };
-        let arrived = self.arrival_times.get(&step.job);
-        let arrived = arrived.filter(|_| job.order.schedule.is_none());
-        let age = arrived.map_or(Duration::ZERO, |&arrived| now.since(arrived));
-        let occurrence = job.occurrence(step.occurrence);
-        let remaining = occurrence.map_or(job.critical_path, |occurrence| {
-            remaining_critical_path(job, occurrence)
+        let key = self.jobs.get(&step.job).and_then(|job| {
+            let rule = self.rules.queues.get(&job.order.queue)?;
+            let occurrence = job.occurrence(step.occurrence)?;
+            Some(self.natural_key(job, rule, occurrence, false, now))
         });
-        let end = age.saturating_add(remaining);
-        let millis = |time: Duration| i64::try_from(time.as_millis()).unwrap_or(i64::MAX);
-        millis(rule.objective(job.critical_path)).saturating_sub(millis(end))
+        key.map_or(0, |key| key.slack_ms)
     }
 
     /// Ends the waits of tasks that have started or no longer wait for a start.
--- a/crates/core/src/jobs/dispatcher/rack_outlooks.rs
+++ b/crates/core/src/jobs/dispatcher/rack_outlooks.rs
@@ -88,11 +88,9 @@
         spec: &StepSpec,
         now: TimePoint,
     ) -> Option<RackPlace> {
-        let needs_ticket = self.needs_ticket(step);
+        let is_allowed = self.allowed_workers(step, spec, now);
         let in_use = |key: WorkerKey| {
-            let is_open = !self.reservations.contains(key)
-                && self.is_suitable(step, spec, key)
-                && (!needs_ticket || self.ticket(step, key, now).is_some());
+            let is_open = !self.reservations.contains(key) && is_allowed(key);
             is_open.then(|| self.workers[key].used)
         };
         if spec.is_gang {
@@ -138,14 +136,12 @@
         if !self.is_within_limit_beside(team, others, spec.amount) {
             return false;
         }
-        let needs_ticket = self.needs_ticket(step);
+        let is_allowed = self.allowed_workers(step, spec, now);
         let max = spec.max_per_worker.unwrap_or(u16::MAX);
         let mut missing = spec.count;
         for &key in workers {
-            let is_allowed = self.is_suitable(step, spec, key)
-                && (!needs_ticket || self.ticket(step, key, now).is_some());
             let mut room = self.workers[key].room();
-            let mut open = if is_allowed { max } else { 0 };
+            let mut open = if is_allowed(key) { max } else { 0 };
             while open > 0 && missing > 0 && spec.worker_amount().fits(room) {
                 room -= spec.worker_amount();
                 open -= 1;
--- a/crates/core/src/jobs/dispatcher/runs.rs
+++ b/crates/core/src/jobs/dispatcher/runs.rs
@@ -100,7 +100,10 @@
             // The new life of the worker may have carried out the order just now.
             self.extend_to_longest(key, now);
         }
-        self.note_start_answer(key, task, run, outcome, now);
+        let ordered = self.run(task, run, key).map(|run| run.since);
+        if let Some(entry) = self.workers.get_mut(key) {
+            entry.note_start(outcome, ordered, now);
+        }
         match outcome {
             StartOutcome::Started => {
                 self.mark_begun(task.step.job);
@@ -137,31 +140,6 @@
         }
     }
 
-    /// Records when the worker answered, or which start it did not answer.
-    fn note_start_answer(
-        &mut self,
-        key: WorkerKey,
-        task: TaskName,
-        run: u64,
-        outcome: StartOutcome,
-        now: TimePoint,
-    ) {
-        let ordered = self.run(task, run, key).map(|run| run.since);
-        if let Some(entry) = self.workers.get_mut(key) {
-            match outcome {
-                StartOutcome::Unknown => {
-                    entry.unanswered_start = entry.unanswered_start.max(ordered);
-                }
-                // The worker may not have been reached.
-                StartOutcome::Unavailable => {}
-                StartOutcome::Started
-                | StartOutcome::Fenced
-                | StartOutcome::Refused
-                | StartOutcome::TicketRefused => entry.last_answer = now,
-            }
-        }
-    }
-
     /// Whether a run was ordered by an earlier link to its worker.
     fn is_superseded(&self, task: TaskName, run: u64, key: WorkerKey) -> bool {
         let link = self.workers.get(key).map(|entry| entry.link);
--- a/crates/core/src/jobs/dispatcher/waiting_steps.rs
+++ b/crates/core/src/jobs/dispatcher/waiting_steps.rs
@@ -161,7 +161,8 @@
                         continue;
                     }
                     let is_last = is_copy || is_over_share;
-                    let mut key = self.priority_key(job, rule, occurrence, is_last, now);
+                    let key = self.natural_key(job, rule, occurrence, is_last, now);
+                    let mut key = self.overload.planned_key(job.id, key);
                     if spec.is_lasting && !is_copy {
                         key = key.with_long_running();
                     }
@@ -186,7 +187,8 @@
         }
     }
 
-    fn priority_key(
+    /// Key of a job in the place that it has without a plan of an overloaded pool.
+    pub(super) fn natural_key(
         &self,
         job: &JobEntry,
         rule: &QueueRule,
@@ -203,8 +205,7 @@
             age
         };
         let remaining = remaining_critical_path(job, occurrence);
-        let key = PriorityKey::new(is_over_share, rule.priority, age, remaining, objective);
-        self.overload.planned_key(job.id, key)
+        PriorityKey::new(is_over_share, rule.priority, age, remaining, objective)
     }
 
     /// Returns, for each team with runs, whether it uses more than its share of the processor
--- a/crates/core/src/jobs/worker_entry.rs
+++ b/crates/core/src/jobs/worker_entry.rs
@@ -3,8 +3,8 @@
 use compact_str::CompactString;
 
 use super::{
-    HealthRecord, JobId, ResourceAmount, RunReport, TaskName, WorkerOffer, WorkerReport,
-    WorkerState,
+    HealthRecord, JobId, ResourceAmount, RunReport, StartOutcome, TaskName, WorkerOffer,
+    WorkerReport, WorkerState,
 };
 use crate::time::TimePoint;
 
@@ -196,6 +196,31 @@
             && !self.health.is_quarantined(now)
     }
 
+    /// Extends the recorded lease to `lease_end`, and to `unnoticed_end` if the worker has been started
+    /// again unnoticed.
+    pub(crate) fn extend_lease(&mut self, lease_end: TimePoint, unnoticed_end: TimePoint) {
+        self.lease_end = self.lease_end.max(lease_end);
+        self.unnoticed_lease_end = self.unnoticed_lease_end.max(unnoticed_end);
+    }
+
+    /// Records the answer to a start that was ordered at `ordered`, or that it had none.
+    pub(crate) fn note_start(
+        &mut self,
+        outcome: StartOutcome,
+        ordered: Option<TimePoint>,
+        now: TimePoint,
+    ) {
+        match outcome {
+            StartOutcome::Unknown => self.unanswered_start = self.unanswered_start.max(ordered),
+            // The worker may not have been reached.
+            StartOutcome::Unavailable => {}
+            StartOutcome::Started
+            | StartOutcome::Fenced
+            | StartOutcome::Refused
+            | StartOutcome::TicketRefused => self.last_answer = now,
+        }
+    }
+
     /// Whether the worker has answered nothing since a start was ordered that was given up. A hold call
     /// may take seconds longer to fail, and each further start would extend the time for which the
     /// tasks of a lost worker have to wait.
