Share the probe of a partition and the conversion of gauges

Cause: read-through of the change. Three places built the range that reads the first row of a partition, and the setters of five gauges converted counts. Change: RowRange::first_row and set_count; the count of unlogged waits is a subtraction. Conclusion: no change of behaviour.

--- a/crates/jobs/src/job_metrics.rs
+++ b/crates/jobs/src/job_metrics.rs
@@ -266,12 +266,11 @@
     }
 
     pub(crate) fn set_suspects(&self, tasks: usize) {
-        self.suspects.set(i64::try_from(tasks).unwrap_or(i64::MAX));
+        set_count(&self.suspects, tasks);
     }
 
     pub(crate) fn set_deferred_jobs(&self, jobs: usize) {
-        self.deferred_jobs
-            .set(i64::try_from(jobs).unwrap_or(i64::MAX));
+        set_count(&self.deferred_jobs, jobs);
     }
 
     pub(crate) fn count_overload_rejection(&self, queue: &str) {
@@ -279,18 +278,15 @@
     }
 
     pub(crate) fn set_evacuated_zones(&self, zones: usize) {
-        let zones = i64::try_from(zones).unwrap_or(i64::MAX);
-        self.evacuated_zones.set(zones);
+        set_count(&self.evacuated_zones, zones);
     }
 
     pub(crate) fn set_unreachable_partitions(&self, partitions: usize) {
-        let partitions = i64::try_from(partitions).unwrap_or(i64::MAX);
-        self.unreachable_partitions.set(partitions);
+        set_count(&self.unreachable_partitions, partitions);
     }
 
     pub(crate) fn set_unread_partitions(&self, partitions: usize) {
-        let partitions = i64::try_from(partitions).unwrap_or(i64::MAX);
-        self.unread_partitions.set(partitions);
+        set_count(&self.unread_partitions, partitions);
     }
 
     pub(crate) fn count_store_failure(&self, kind: &str) {
@@ -308,7 +304,7 @@
     }
 
     pub(crate) fn set_open_jobs(&self, jobs: usize) {
-        self.open_jobs.set(i64::try_from(jobs).unwrap_or(i64::MAX));
+        set_count(&self.open_jobs, jobs);
     }
 
     /// Renders all metrics in the Prometheus text format.
@@ -322,6 +318,10 @@
     }
 }
 
+fn set_count(gauge: &IntGauge, count: usize) {
+    gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+}
+
 impl Default for JobMetrics {
     fn default() -> Self {
         Self::new()
--- a/crates/jobs/src/owner/hand_over.rs
+++ b/crates/jobs/src/owner/hand_over.rs
@@ -3,7 +3,6 @@
 
 use std::time::Duration;
 
-use compact_str::CompactString;
 use sesamedeal_core::time::TimePoint;
 use sesamedeal_store::Result;
 use slog::info;
@@ -207,12 +206,7 @@
 
 /// Whether the store answers this process within [`OWN_READ_TIMEOUT`].
 async fn can_read(store: &StorePort) -> bool {
-    let range = RowRange {
-        table: StoreTable::Owner,
-        partition: RowPartition::MAIN,
-        from: CompactString::default(),
-        limit: Some(1),
-    };
+    let range = RowRange::first_row(StoreTable::Owner, RowPartition::MAIN);
     matches!(
         timeout(OWN_READ_TIMEOUT, (store.read)(range)).await,
         Ok(Ok(_))
--- a/crates/jobs/src/owner/partition_check.rs
+++ b/crates/jobs/src/owner/partition_check.rs
@@ -1,7 +1,6 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use compact_str::CompactString;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use sesamedeal_core::jobs::JobId;
@@ -155,12 +154,7 @@
     let mut reads: FuturesUnordered<_> = partitions
         .iter()
         .map(|&partition| async move {
-            let range = RowRange {
-                table: StoreTable::State,
-                partition,
-                from: CompactString::default(),
-                limit: Some(1),
-            };
+            let range = RowRange::first_row(StoreTable::State, partition);
             let result = (store.read)(range).await;
             // A partition that returns an old state answers.
             let is_answered = matches!(result, Ok(_) | Err(PlatformError::Outdated { .. }));
--- a/crates/jobs/src/owner/partition_loader.rs
+++ b/crates/jobs/src/owner/partition_loader.rs
@@ -1,6 +1,5 @@
 use std::time::Duration;
 
-use compact_str::CompactString;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use sesamedeal_store::Result;
@@ -101,12 +100,7 @@
         let mut ticks = interval(PROBE_PERIOD);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            let range = RowRange {
-                table: StoreTable::State,
-                partition,
-                from: CompactString::default(),
-                limit: Some(1),
-            };
+            let range = RowRange::first_row(StoreTable::State, partition);
             tokio::select! {
                 Some(result) = probes.next() => {
                     let result: Result<_> = result;
--- a/crates/jobs/src/owner/wait_log.rs
+++ b/crates/jobs/src/owner/wait_log.rs
@@ -21,11 +21,8 @@
                 info!(self.parts.logger, "wait for rack"; "task" => %wait.task, "outcome" => outcome, "time_ms" => wait.outcome.time().as_millis() as u64);
             }
         }
-        if let Some(more) = waits
-            .len()
-            .checked_sub(MAX_WAIT_LINES)
-            .filter(|more| *more > 0)
-        {
+        let more = waits.len().saturating_sub(MAX_WAIT_LINES);
+        if more > 0 {
             info!(self.parts.logger, "more waits for racks"; "begun_or_ended" => more);
         }
     }
--- a/crates/jobs/src/ports/store_port.rs
+++ b/crates/jobs/src/ports/store_port.rs
@@ -119,6 +119,18 @@
     pub limit: Option<u32>,
 }
 
+impl RowRange {
+    /// First row of a partition, for calls that only find out whether the store answers.
+    pub(crate) fn first_row(table: StoreTable, partition: RowPartition) -> Self {
+        Self {
+            table,
+            partition,
+            from: CompactString::default(),
+            limit: Some(1),
+        }
+    }
+}
+
 /// Version of the store, with the time at which the store was at that version.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StorePosition {
