Store a job's record in as many rows as it needs

Cause: the record of a repeated job with 1,536 steps passes 64 KiB once runs have failed, and encoding it panicked. Each owner took the next epoch, loaded the job and panicked again: 131 panics in half a minute, at the line of build_change that encodes records, 65,638 to 68,230 bytes.

Change: a record is split into rows below 60 KiB that are written in one change and joined when read; the rows count within the limits of a write. Done tasks, failed runs and crashes are all kept. A record that no write carries ends its job, with a log line, and not the owner.

--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -104,6 +104,9 @@
     expiry_queue: VecDeque<(TimePoint, JobId)>,
     /// Jobs whose records are not stored yet.
     dirty: RecordQueue,
+    /// Jobs that have ended because their record exceeds a write, with its size, since they were last
+    /// taken.
+    oversized_jobs: Vec<(JobId, usize)>,
     orders: Vec<WorkerOrder>,
     /// Runs that were lost since they were last taken.
     lost_runs: Vec<LostRun>,
@@ -156,6 +159,7 @@
             ended_jobs: HashSet::new(),
             expiry_queue: VecDeque::new(),
             dirty: RecordQueue::default(),
+            oversized_jobs: Vec::new(),
             orders: Vec::new(),
             lost_runs: Vec::new(),
             suspects: BTreeMap::new(),
--- a/crates/core/src/jobs/dispatcher/records.rs
+++ b/crates/core/src/jobs/dispatcher/records.rs
@@ -1,7 +1,7 @@
 //! Batches of job records for the store.
 
 use super::JobDispatcher;
-use crate::jobs::{JobId, JobRecord, WorkerKey};
+use crate::jobs::{JobId, JobPhase, JobRecord, MAX_RECORD_BYTES, WorkerKey};
 use crate::time::TimePoint;
 
 /// Number of rows that storing an ended job takes in a write: its record is put, its order and a
@@ -13,7 +13,7 @@
 pub struct WriteLimit {
     /// Maximum number of rows.
     pub rows: usize,
-    /// Size of the encoded records, in bytes, from which no further record is added.
+    /// Maximum size of the encoded records, in bytes. A single record may be larger.
     pub bytes: usize,
 }
 
@@ -55,26 +55,26 @@
         is_writable: impl Fn(JobId) -> bool,
     ) -> RecordBatch {
         let mut batch = RecordBatch::default();
-        let mut left = limit.rows;
-        let mut size: usize = 0;
-        while left >= ROWS_PER_END
-            && size < limit.bytes
+        let mut left = limit;
+        while left.rows >= ROWS_PER_END
+            && left.bytes > 0
             && let Some(id) = self.dirty.pop(&is_writable)
         {
-            let Some(job) = self.jobs.get_mut(&id) else {
+            let Some(record) = self.final_record(id, unix_ms) else {
                 continue;
             };
-            if job.phase.is_final() && job.ended_ms == 0 {
-                job.ended_ms = unix_ms;
+            let (rows, bytes) = (record_rows(&record), record.size_bound());
+            let fits = rows <= left.rows && bytes <= left.bytes;
+            if !fits && !batch.records.is_empty() {
+                self.dirty.put_back(id, record.phase.is_final());
+                break;
             }
-            left -= if job.phase.is_final() {
-                ROWS_PER_END
-            } else {
-                1
-            };
-            let record = self.record(id);
-            size += record.as_ref().map_or(0, JobRecord::size_bound);
-            batch.records.extend(record.map(|record| (id, record)));
+            left.rows = left.rows.saturating_sub(rows);
+            left.bytes = left.bytes.saturating_sub(bytes);
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.stored_rows = job.stored_rows.max(record.row_count());
+            }
+            batch.records.push((id, record));
         }
         for (key, entry) in &self.workers {
             let covered = entry.unstored_ends.iter();
@@ -92,6 +92,28 @@
         batch
     }
 
+    /// Returns the record of a job with the time of its end. A job whose record exceeds a write ends as
+    /// failed, since neither its progress nor that of other jobs could be stored otherwise.
+    fn final_record(&mut self, id: JobId, unix_ms: u64) -> Option<JobRecord> {
+        let size = self.record(id)?.size_bound();
+        if size > MAX_RECORD_BYTES {
+            self.end_job(id, JobPhase::Failed);
+            self.dirty.remove(id);
+            self.oversized_jobs.push((id, size));
+        }
+        let job = self.jobs.get_mut(&id)?;
+        if job.phase.is_final() && job.ended_ms == 0 {
+            job.ended_ms = unix_ms;
+        }
+        self.record(id)
+    }
+
+    /// Takes the jobs that have ended since the last call because their record exceeds a write, with
+    /// the upper bounds of its size, in bytes.
+    pub fn take_oversized_jobs(&mut self) -> Vec<(JobId, usize)> {
+        std::mem::take(&mut self.oversized_jobs)
+    }
+
     /// Whether the unstored records for which `is_writable` is true may need more than `rows` rows,
     /// assuming that all their jobs have ended.
     #[must_use]
@@ -186,3 +208,12 @@
         }
     }
 }
+
+/// Number of rows that a record takes in a write, including those that are deleted.
+fn record_rows(record: &JobRecord) -> usize {
+    if record.phase.is_final() {
+        ROWS_PER_END + record.stored_rows.saturating_sub(1)
+    } else {
+        record.row_count()
+    }
+}
--- a/crates/core/src/jobs/job_entry.rs
+++ b/crates/core/src/jobs/job_entry.rs
@@ -38,6 +38,8 @@
     pub next_occurrence: u32,
     /// Declared run time of the critical path through the steps.
     pub critical_path: Duration,
+    /// Number of rows that the record may have in the store.
+    pub stored_rows: usize,
 }
 
 impl JobEntry {
@@ -53,6 +55,7 @@
             occurrences: Vec::new(),
             next_occurrence: 0,
             critical_path,
+            stored_rows: record.stored_rows,
         };
         for step in record.steps {
             entry.restore(&step);
@@ -78,7 +81,7 @@
         }
         for (index, runs) in &record.failed {
             if let Some(task) = step.tasks.get_mut(usize::from(*index)) {
-                task.failed_runs.clone_from(runs);
+                task.failed_runs.extend(runs);
             }
         }
     }
@@ -151,6 +154,7 @@
             ended_ms: self.ended_ms,
             steps,
             crashes: Vec::new(),
+            stored_rows: self.stored_rows,
         }
     }
 
--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -61,7 +61,7 @@
 pub use job_order::{JobOrder, JobSchedule};
 pub use job_phase::JobPhase;
 pub use job_priority::{PriorityKey, USEFUL_MULTIPLE, UrgencyClass};
-pub use job_record::{JobRecord, StepRecord};
+pub use job_record::{JobRecord, MAX_RECORD_BYTES, MAX_RECORD_ROW_BYTES, StepRecord};
 pub use lost_run::{LossReason, LostRun};
 pub use maintenance_plan::{
     MaintenanceCandidate, MaintenanceWave, evacuation_limit, next_candidate,
--- a/crates/core/src/jobs/record_queue.rs
+++ b/crates/core/src/jobs/record_queue.rs
@@ -38,6 +38,22 @@
         None
     }
 
+    /// Puts a job that was taken back to the front of its queue.
+    pub(super) fn put_back(&mut self, id: JobId, has_ended: bool) {
+        if !self.members.insert(id) {
+            return;
+        }
+        if has_ended {
+            self.ended.push_front(id);
+        } else {
+            self.changed.push_front(id);
+        }
+    }
+
+    pub(super) fn remove(&mut self, id: JobId) {
+        self.members.remove(&id);
+    }
+
     /// Returns the number of jobs for which `is_writable` is true.
     pub(super) fn count_writable(&self, is_writable: impl Fn(JobId) -> bool) -> usize {
         self.members.iter().filter(|id| is_writable(**id)).count()
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -13,6 +13,7 @@
 mod owner_changes;
 mod run_times;
 mod sim_worker;
+mod stored_rows;
 mod world_faults;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -31,6 +32,7 @@
 pub use owner_changes::partition_of;
 pub use run_times::{RunTimes, first_task, near_job};
 pub use sim_worker::{SimRun, SimWorker};
+pub use stored_rows::read_back;
 pub use world_faults::WorldFaults;
 
 /// Number of failed runs of a task after which its job fails.
@@ -262,8 +264,10 @@
             return;
         }
         for (id, record) in &batch.records {
-            if let Some(entry) = self.stored.get_mut(id) {
-                entry.1 = record.clone();
+            match (self.stored.get_mut(id), read_back(record)) {
+                (Some(entry), Ok(record)) => entry.1 = record,
+                (_, Err(problem)) => self.violations.push(format!("{id}: {problem}")),
+                (None, Ok(_)) => {}
             }
         }
         self.dispatcher.note_stored(&batch, at(self.now));
--- a/crates/jobs/src/owner/owner_writes.rs
+++ b/crates/jobs/src/owner/owner_writes.rs
@@ -44,6 +44,7 @@
             BootClock.unix_ms(),
             &is_writable,
         );
+        self.log_large_records(&batch);
         let heartbeat = is_heartbeat_due.then(|| self.heartbeat());
         if let Some(heartbeat) = &heartbeat {
             self.dispatcher.note_publishing(&heartbeat.out_of_reach);
@@ -158,6 +159,19 @@
         warn!(self.parts.logger, "write given up: it spans a partition that does not answer"; "jobs" => batch.records.len(), "age_ms" => age.as_millis());
     }
 
+    /// Logs the records that take more rows than before, and the jobs whose record exceeds a write.
+    fn log_large_records(&mut self, batch: &RecordBatch) {
+        for (id, record) in &batch.records {
+            let rows = record.row_count();
+            if rows > record.stored_rows.max(1) {
+                info!(self.parts.logger, "record grown to several rows"; "job" => %id, "rows" => rows, "max_bytes" => record.size_bound());
+            }
+        }
+        for (id, size) in self.dispatcher.take_oversized_jobs() {
+            warn!(self.parts.logger, "job ended: its record exceeds a write"; "job" => %id, "max_bytes" => size);
+        }
+    }
+
     /// Queues what a write that has failed contained.
     fn requeue(&mut self, batch: &RecordBatch, rows: Vec<RowPut>) {
         self.dispatcher.requeue_records(batch);
--- a/crates/jobs/src/owner/record_writer.rs
+++ b/crates/jobs/src/owner/record_writer.rs
@@ -9,7 +9,7 @@
 use super::partition_check::PartitionCheck;
 use crate::ports::{RowChange, RowCondition, RowName, RowPartition, RowPut, StoreRow, StoreTable};
 use crate::row_codec::{
-    EPOCH_KEY, HEARTBEAT_KEY, HeartbeatRow, SEQUENCE_KEY, cancel_key, encode, job_key,
+    EPOCH_KEY, HEARTBEAT_KEY, HeartbeatRow, SEQUENCE_KEY, cancel_key, encode, job_key, record_key,
 };
 
 /// Maximum number of job records in one write. With two conditions, the heartbeat, the sequence
@@ -17,9 +17,9 @@
 /// entries of the store.
 pub(crate) const ROWS_PER_WRITE: usize = 72;
 
-/// Size of the records in one write, in bytes, from which no further one is added. A write stays
-/// below the limit of 1 MB of the store, with a further record of 64 KiB and a heartbeat of that
-/// size, as the store's encoding adds a third.
+/// Maximum size of the records in one write, in bytes, unless a single one is larger. With a heartbeat
+/// and other rows of 64 KiB, a write stays below the limit of 1 MB of the store, as the store's
+/// encoding adds a third.
 const BYTES_PER_WRITE: usize = 550_000;
 
 /// Maximum number of expired records removed in one write.
@@ -189,9 +189,17 @@
             change.puts.push(put(row, encode(&heartbeat)));
         }
         for (id, record) in &batch.records {
-            let row = RowName::new(StoreTable::State, job_key(*id));
-            change.puts.push(put(row, encode(record)));
+            let rows = record.clone().into_rows();
+            let used = rows.len();
+            for (number, row) in rows.iter().enumerate() {
+                let name = RowName::new(StoreTable::State, record_key(*id, number));
+                change.puts.push(put(name, encode(row)));
+            }
             if record.phase.is_final() {
+                for number in used..record.stored_rows {
+                    let name = RowName::new(StoreTable::State, record_key(*id, number));
+                    change.deletes.push(name);
+                }
                 change
                     .deletes
                     .push(RowName::new(StoreTable::Job, job_key(*id)));
--- a/crates/jobs/src/owner/stored_states.rs
+++ b/crates/jobs/src/owner/stored_states.rs
@@ -10,35 +10,43 @@
 use crate::BootClock;
 use crate::feeds::read_table;
 use crate::ports::{StoreRow, StoreTable};
-use crate::row_codec::decode;
+use crate::row_codec::{decode, parse_record_key};
 
 /// States of open jobs, and ended jobs with their end times.
 pub(super) type StoredStates = (HashMap<JobId, JobRecord>, Vec<(JobId, TimePoint)>);
 
-/// Decodes rows of the state table. Unusable rows are skipped.
+/// Decodes rows of the state table and joins the rows of each record. Unusable rows are skipped.
 pub(super) fn decode_states<'a>(
     rows: impl Iterator<Item = &'a StoreRow>,
     logger: &Logger,
 ) -> StoredStates {
-    let mut states = HashMap::new();
+    let mut states: HashMap<JobId, JobRecord> = HashMap::new();
+    let mut further = Vec::new();
     let mut ended = Vec::new();
     for row in rows {
-        let id = row.key.parse::<JobId>();
-        match (id, decode::<JobRecord>(&row.value)) {
-            (Ok(id), Ok(record)) if record.phase.is_final() => {
+        let name = parse_record_key(&row.key);
+        match (name, decode::<JobRecord>(&row.value)) {
+            (Some((id, 0)), Ok(record)) if record.phase.is_final() => {
                 ended.push((id, BootClock.time_of(record.ended_ms)));
             }
-            (Ok(id), Ok(record)) => {
+            (Some((id, 0)), Ok(mut record)) => {
+                record.stored_rows = 1;
                 states.insert(id, record);
             }
+            (Some((id, _)), Ok(record)) => further.push((id, record)),
             (_, Err(error)) => {
-                warn!(logger, "skipped unusable row"; "key" => %row.key, "error" => %error);
+                warn!(logger, "skipped unusable row"; "key" => %row.key, "row" => row.version, "error" => %error);
             }
-            (Err(problem), _) => {
-                warn!(logger, "skipped unusable row"; "key" => %row.key, "error" => problem);
+            (None, _) => {
+                warn!(logger, "skipped unusable row"; "key" => %row.key, "row" => row.version, "error" => "not a key of a record");
             }
         }
     }
+    for (id, record) in further {
+        if let Some(state) = states.get_mut(&id) {
+            state.add_row(record);
+        }
+    }
     (states, ended)
 }
 
--- a/crates/jobs/src/row_codec.rs
+++ b/crates/jobs/src/row_codec.rs
@@ -83,6 +83,22 @@
     pub claimed: Vec<InstanceName>,
 }
 
+/// Key of a row of the state table: the record of a job, or a further row of it.
+pub(crate) fn record_key(id: JobId, row: usize) -> String {
+    match row {
+        0 => job_key(id),
+        _ => format!("{id}.{row}"),
+    }
+}
+
+/// Returns the job and the number of a row of the state table.
+pub(crate) fn parse_record_key(key: &str) -> Option<(JobId, usize)> {
+    match key.split_once('.') {
+        Some((id, row)) => Some((id.parse().ok()?, row.parse().ok()?)),
+        None => Some((key.parse().ok()?, 0)),
+    }
+}
+
 /// Key of a row of the job table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum JobKey {
@@ -112,9 +128,14 @@
 /// grow.
 const MAX_JOB_BYTES: usize = 48 * 1024;
 
+/// Encodes a row of bounded content.
 pub(crate) fn encode<T: Serialize>(content: &T) -> Bytes {
+    encode_row(content).expect("rows of ownership and state are below the size limit")
+}
+
+/// Encodes a row. Fails if it is larger than 64 KiB.
+pub(crate) fn encode_row<T: Serialize>(content: &T) -> Result<Bytes, CodecError> {
     codec::encode(content, MAX_ROW_BYTES)
-        .expect("rows of ownership and state are below the size limit")
 }
 
 pub(crate) fn decode<T: DeserializeOwned>(value: &[u8]) -> Result<T, CodecError> {
