Limit the parts of the heartbeat and the progress of waves in bytes

Change: each part has a limit; together they stay below a row. The count of a queue that is left out is unknown and not zero; a successor waits for the leases of workers that are left out, as it does for any that are not published. The progress of a wave holds the instances of the operator's list only, whose row has the same limit, and a wave whose progress exceeds a row all the same stands still in place of the owner.

--- a/crates/jobs/src/owner/heartbeat_view.rs
+++ b/crates/jobs/src/owner/heartbeat_view.rs
@@ -28,11 +28,15 @@
         self.current.store(Arc::new(Some(row)));
     }
 
-    /// Number of waiting jobs of a queue; none while no owner is known.
+    /// Number of waiting jobs of a queue; none while no owner is known, or if its heartbeat leaves the
+    /// queue out.
     pub(crate) fn pending(&self, queue: &QueueName) -> Option<WaitingCount> {
         let current = self.current.load();
         let heartbeat = current.as_ref().as_ref()?;
         let row = heartbeat.pending.iter().find(|(name, _)| name == queue);
+        if row.is_none() && heartbeat.is_pending_partial {
+            return None;
+        }
         Some(WaitingCount {
             jobs: row.map_or(0, |(_, count)| *count),
             epoch: heartbeat.epoch,
--- a/crates/jobs/src/owner/job_intake.rs
+++ b/crates/jobs/src/owner/job_intake.rs
@@ -34,6 +34,8 @@
     pub deferred_partitions: Vec<LoadedPartition>,
     /// Waiting jobs by queue, as published by the previous owner.
     pub previous_pending: Vec<(QueueName, u64)>,
+    /// Whether the previous owner left queues out.
+    pub is_previous_pending_partial: bool,
     /// Unreachable workers, as published by the previous owner.
     pub previous_unreachable: Vec<UnreachableWorker>,
     /// How long ago the last surge of each pool began, in milliseconds, as published by the
--- a/crates/jobs/src/owner/mod.rs
+++ b/crates/jobs/src/owner/mod.rs
@@ -4,6 +4,7 @@
 mod advice_calls;
 mod call_sender;
 mod hand_over;
+mod heartbeat_limits;
 mod heartbeat_view;
 mod inventory_view;
 mod job_intake;
--- a/crates/jobs/src/owner/owner_writes.rs
+++ b/crates/jobs/src/owner/owner_writes.rs
@@ -67,6 +67,15 @@
     }
 
     pub(super) fn heartbeat(&self) -> HeartbeatRow {
+        let mut heartbeat = self.full_heartbeat();
+        let cut = heartbeat.limit_size();
+        if !cut.is_empty() {
+            warn!(self.parts.logger, "heartbeat cut to its limits"; "workers" => cut.workers, "queues" => cut.queues, "overloads" => cut.overloads, "pools" => cut.pools);
+        }
+        heartbeat
+    }
+
+    fn full_heartbeat(&self) -> HeartbeatRow {
         HeartbeatRow {
             epoch: self.parts.lease.epoch,
             renewals: 0,
@@ -80,6 +89,7 @@
             } else {
                 self.intake.previous_pending.clone()
             },
+            is_pending_partial: !self.is_complete() && self.intake.is_previous_pending_partial,
             counted: if self.is_complete() {
                 self.intake.position
             } else {
--- a/crates/jobs/src/owner/ownership.rs
+++ b/crates/jobs/src/owner/ownership.rs
@@ -102,6 +102,9 @@
                 .as_ref()
                 .map(|heartbeat| heartbeat.pending.clone())
                 .unwrap_or_default(),
+            is_previous_pending_partial: heartbeat
+                .as_ref()
+                .is_some_and(|heartbeat| heartbeat.is_pending_partial),
             previous_unreachable: out_of_reach,
             previous_surges: heartbeat
                 .as_ref()
--- a/crates/jobs/src/owner/wave_orders.rs
+++ b/crates/jobs/src/owner/wave_orders.rs
@@ -1,10 +1,11 @@
 //! Maintenance orders, their answers, and the stored progress of waves.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use sesamedeal_core::ids::InstanceName;
 use sesamedeal_store::Result;
-use slog::{info, warn};
+use slog::{error, info, warn};
 
 use super::OwnerEvent;
 use super::owner_actor::OwnerActor;
@@ -15,7 +16,7 @@
 use crate::ports::{
     InstanceOrder, OrderOutcome, RowChange, RowCondition, RowName, StoreTable, TransactOutcome,
 };
-use crate::row_codec::{WaveRow, encode};
+use crate::row_codec::{WaveRow, encode_row};
 
 /// Pause after an order that was not accepted.
 const ORDER_RETRY: Duration = Duration::from_millis(400);
@@ -84,12 +85,30 @@
             names.sort();
             names
         };
+        // Instances that the operator has taken out of the wave are left out, so that the progress is
+        // no larger than the operator's list.
+        let requested = self.wave_runner.requested.load();
+        let entry = requested.values().find(|(entry, _)| entry.number == wave);
+        let listed: Option<HashSet<&InstanceName>> =
+            entry.map(|(entry, _)| entry.instances.iter().collect());
+        let is_stored = |name: &&InstanceName| {
+            let is_listed = listed.as_ref().is_none_or(|listed| listed.contains(name));
+            is_listed || progress.under_maintenance.contains_key(*name)
+        };
         let content = WaveRow {
-            done: sorted(progress.done.iter().collect()),
+            done: sorted(progress.done.iter().filter(is_stored).collect()),
             claimed: sorted(progress.claimed.keys().collect()),
         };
-        let row = RowName::new(StoreTable::Writer, wave_key(wave));
-        self.writer.queue_row(put(row, encode(&content)));
+        match encode_row(&content) {
+            Ok(value) => {
+                let row = RowName::new(StoreTable::Writer, wave_key(wave));
+                self.writer.queue_row(put(row, value));
+            }
+            // Claims that are not stored are not ordered.
+            Err(error) => {
+                error!(self.parts.logger, "wave stands still: its progress exceeds a row"; "wave" => wave, "done" => content.done.len(), "claimed" => content.claimed.len(), "error" => %error);
+            }
+        }
     }
 
     pub(super) fn write_status(&mut self, wave: u64, is_finished: bool) {
--- a/crates/jobs/src/row_codec.rs
+++ b/crates/jobs/src/row_codec.rs
@@ -51,6 +51,9 @@
     pub out_of_reach: Vec<UnreachableWorker>,
     /// Number of jobs for which no task has started, by queue.
     pub pending: Vec<(QueueName, u64)>,
+    /// Whether queues with waiting jobs are left out of `pending`.
+    #[serde(default)]
+    pub is_pending_partial: bool,
     /// Position of the job table at which `pending` was counted. Every job accepted before this
     /// position is counted until one of its tasks starts.
     #[serde(default)]
