Tell a worker that has answered from one whose list is whole

Cause: a worker lists 500 ends at a time. list_requested meant both "has answered" and "all its runs are known", so that tasks whose ends stood on a later page counted as never started. In the logs the successor starts exactly tasks 500 to 899, 25 ms after the worker's first answer.

Change: the two facts are kept apart. While a worker's list is not whole, inherited tasks of its pool that no list has shown wait, it is not published, and suspects that may have ended there are not given up; until its lease has passed. Nothing starts on a worker whose newest list is cut short, so that a whole one follows. Log: the number of ends in "worker reached", and lines for lists that are cut short and whole again.

--- a/crates/core/src/jobs/dispatcher/abandoned_tasks.rs
+++ b/crates/core/src/jobs/dispatcher/abandoned_tasks.rs
@@ -90,7 +90,7 @@
         let is_open = |crash: &WorkerCrash| match self.keys_by_name.get(&crash.worker) {
             Some(&key) => {
                 let entry = &self.workers[key];
-                entry.list_requested.is_none() && now <= entry.unnoticed_lease_end
+                !entry.is_list_whole && now <= entry.unnoticed_lease_end
             }
             None => now <= self.inherited_lease_end,
         };
--- a/crates/core/src/jobs/dispatcher/hold_reports.rs
+++ b/crates/core/src/jobs/dispatcher/hold_reports.rs
@@ -7,7 +7,9 @@
 use crate::jobs::{HoldReport, LossReason, RunReport, WorkerKey, WorkerOrder};
 use crate::time::TimePoint;
 
-/// Maximum number of run ends in one report. A report with this many may be truncated.
+/// Maximum number of run ends in one report. A report with this many may be cut short; the next one
+/// follows once these ends are acknowledged. Meanwhile nothing starts on the worker, so that it runs out
+/// of ends.
 const MAX_LISTED_ENDS: usize = 500;
 
 /// Time for which a long-running task has to run to prove that its worker is sound. A task that a
@@ -94,7 +96,11 @@
         for run in &report.running {
             self.note_running(key, run, now);
         }
-        if report.ended.len() < MAX_LISTED_ENDS {
+        let is_cut = report.ended.len() >= MAX_LISTED_ENDS;
+        let entry = &mut self.workers[key];
+        entry.is_list_cut = is_cut;
+        entry.is_list_whole |= !is_cut;
+        if !is_cut {
             self.resolve_absent_runs(key, report, now);
         }
         false
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -347,6 +347,13 @@
         self.processed_end(key) > self.stored_end(key)
     }
 
+    /// Whether the newest list of a worker was cut short. Nothing starts there until one includes all
+    /// ends.
+    #[must_use]
+    pub fn is_list_cut(&self, key: WorkerKey) -> bool {
+        self.workers.get(key).is_some_and(|entry| entry.is_list_cut)
+    }
+
     /// Whether a worker has no runs, not even unconfirmed ones. An unknown worker is idle.
     #[must_use]
     pub fn is_idle(&self, key: WorkerKey) -> bool {
--- a/crates/core/src/jobs/dispatcher/relocation.rs
+++ b/crates/core/src/jobs/dispatcher/relocation.rs
@@ -46,7 +46,10 @@
             .filter(|entry| entry.is_listed && entry.report.instance.as_ref() == Some(instance));
         let mut is_idle = true;
         for entry in by_inventory.into_iter().chain(on_instance) {
-            entry.list_requested?;
+            // Ends that no list has shown yet would be lost with the instance.
+            if entry.list_requested.is_none() || entry.is_list_cut {
+                return None;
+            }
             is_idle &=
                 entry.runs.is_empty() && !entry.has_unknown_runs && entry.unread_runs.is_empty();
         }
--- a/crates/core/src/jobs/dispatcher/runs.rs
+++ b/crates/core/src/jobs/dispatcher/runs.rs
@@ -187,6 +187,8 @@
         let entry = &mut self.workers[key];
         entry.forget_boot();
         entry.list_requested = None;
+        entry.is_list_whole = false;
+        entry.is_list_cut = false;
         entry.list_received = None;
         entry.is_evacuating = false;
         entry.has_unknown_runs = false;
--- a/crates/core/src/jobs/dispatcher/unreachable_workers.rs
+++ b/crates/core/src/jobs/dispatcher/unreachable_workers.rs
@@ -5,6 +5,7 @@
 
 use super::JobDispatcher;
 use crate::ids::{InstanceName, PoolName};
+use crate::jobs::worker_entry::WorkerEntry;
 use crate::jobs::{TaskName, UnreachableWorker, WorkerKey};
 use crate::time::TimePoint;
 
@@ -42,23 +43,26 @@
     /// Returns the unreachable workers to publish for a successor.
     ///
     /// Omits workers beyond the limits of a heartbeat; a successor then waits for all leases of their
-    /// pools. Until the inherited leases have expired, also omits a worker that has not answered this owner,
-    /// unless the previous owner published the tasks that may run on it.
+    /// pools. Also omits a worker whose runs are not all known, unless the previous owner published the
+    /// tasks that may run on it.
     #[must_use]
     pub fn unreachable_workers(&self, now: TimePoint) -> Vec<UnreachableWorker> {
-        let have_leases_expired = now >= self.inherited_lease_end;
         let mut rows = Vec::new();
         for (key, entry) in &self.workers {
             let name = &entry.report.name;
             let mut tasks: HashSet<TaskName> = entry.runs.keys().map(|(task, _)| *task).collect();
             tasks.extend(self.unread_tasks(key));
-            let is_known = entry.list_requested.is_some() || have_leases_expired;
+            let is_known = !self.may_lack_runs(entry, now);
             let lease_end = match self.inherited_unreachable.get(name) {
                 _ if is_known && !entry.is_unreachable() => continue,
                 _ if is_known => self.latest_end(key),
                 Some(inherited) => {
                     tasks.extend(&inherited.tasks);
-                    inherited.lease_end
+                    if entry.is_list_cut {
+                        inherited.lease_end.max(self.latest_end(key))
+                    } else {
+                        inherited.lease_end
+                    }
                 }
                 None => continue,
             };
@@ -86,6 +90,17 @@
         rows
     }
 
+    /// Whether a worker may have runs of a previous owner, or ends of such runs, that no list has shown.
+    /// Ends on a later page of a list count until the lease of the worker has expired.
+    pub(super) fn may_lack_runs(&self, entry: &WorkerEntry, now: TimePoint) -> bool {
+        let lease_end = if entry.is_list_cut {
+            self.inherited_lease_end.max(entry.lease_end)
+        } else {
+            self.inherited_lease_end
+        };
+        !entry.is_list_whole && now < lease_end
+    }
+
     /// Records the workers that the inventory shows as up, with their pools.
     ///
     /// Workers that first appear in a later inventory run no tasks of a previous owner.
--- a/crates/core/src/jobs/dispatcher/waiting_steps.rs
+++ b/crates/core/src/jobs/dispatcher/waiting_steps.rs
@@ -47,16 +47,15 @@
             includes_all: now < self.inherited_lease_end && self.may_have_unlisted_worker(pool),
             ..UncertainTasks::default()
         };
-        let silent = self.workers.values();
-        for entry in silent.filter(|entry| entry.list_requested.is_none()) {
+        for entry in self.workers.values().filter(|entry| !entry.is_list_whole) {
+            let has_lease = self.may_lack_runs(entry, now);
             match self.inherited_unreachable.get(&entry.report.name) {
                 // Its tasks may be of queues that have moved to this pool.
-                Some(runs) if now < runs.lease_end => uncertain.published.push(&runs.tasks),
-                Some(_) => {}
-                None => {
-                    let is_in_pool = entry.report.pool == *pool;
-                    uncertain.includes_all |= is_in_pool && now < self.inherited_lease_end;
+                Some(runs) if now < runs.lease_end || (has_lease && entry.is_list_cut) => {
+                    uncertain.published.push(&runs.tasks);
                 }
+                Some(_) => {}
+                None => uncertain.includes_all |= has_lease && entry.report.pool == *pool,
             }
         }
         for (name, runs) in &self.inherited_unreachable {
--- a/crates/core/src/jobs/worker_entry.rs
+++ b/crates/core/src/jobs/worker_entry.rs
@@ -48,6 +48,11 @@
     pub is_published: bool,
     /// When the hold call was sent that returned the newest list of runs.
     pub list_requested: Option<TimePoint>,
+    /// Whether a list has included all ends since the worker first answered. Until then, ends of runs of a
+    /// previous owner may be missing.
+    pub is_list_whole: bool,
+    /// Whether the newest list was cut short, so that it may lack ends.
+    pub is_list_cut: bool,
     /// When the newest list of runs was received.
     pub list_received: Option<TimePoint>,
     /// Latest expiry of any lease granted by this or a previous owner, provided that the worker has not
@@ -106,6 +111,8 @@
             unanswered_start: None,
             is_published: false,
             list_requested: None,
+            is_list_whole: false,
+            is_list_cut: false,
             list_received: None,
             lease_end,
             unnoticed_lease_end: lease_end,
@@ -183,7 +190,8 @@
     /// Whether the worker accepts new tasks.
     pub(crate) fn is_usable(&self, now: TimePoint) -> bool {
         self.is_listed
-            && self.list_requested.is_some()
+            && self.is_list_whole
+            && !self.is_list_cut
             && (self.is_entry_current() || now < self.entry_limit)
             && !self.is_unresponsive
             && !self.is_silent()
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -245,7 +245,7 @@
             clock_ms: now,
             boot: worker.report.boot,
             running: running.collect(),
-            ended: worker.ended.clone(),
+            ended: worker.listed_ends(),
         };
         worker.answered_fence = Some(fence);
         worker.answered_boot = Some(report.boot);
--- a/crates/core/tests/jobs/sim_worker.rs
+++ b/crates/core/tests/jobs/sim_worker.rs
@@ -12,6 +12,9 @@
 /// Longest lease that a worker grants, in milliseconds.
 pub const LONGEST_LEASE: u64 = 6_000;
 
+/// Maximum number of ends in a list.
+const LISTED_ENDS: usize = 500;
+
 /// A run on a simulated worker. Times are in milliseconds.
 #[derive(Debug, Clone)]
 pub struct SimRun {
@@ -82,6 +85,11 @@
         }
     }
 
+    /// Ends that the worker lists.
+    pub fn listed_ends(&self) -> Vec<RunEnd> {
+        self.ended.iter().take(LISTED_ENDS).cloned().collect()
+    }
+
     /// Ends the worker with all its runs.
     pub fn crash(&mut self, now: u64) {
         self.crashed = Some(now);
--- a/crates/jobs/src/owner/worker_calls.rs
+++ b/crates/jobs/src/owner/worker_calls.rs
@@ -158,18 +158,20 @@
         match outcome {
             Ok(HoldOutcome::Held(report)) => {
                 if link.failures > 0 || link.clock.is_none() {
-                    info!(self.parts.logger, "worker reached"; "worker" => self.dispatcher.worker(key).map(|worker| worker.name.to_string()), "failures" => link.failures, "boot" => report.boot, "running" => report.running.len());
+                    info!(self.parts.logger, "worker reached"; "worker" => self.dispatcher.worker(key).map(|worker| worker.name.to_string()), "failures" => link.failures, "boot" => report.boot, "running" => report.running.len(), "ended" => report.ended.len());
                 }
                 link.failures = 0;
                 link.clock = Some((report.clock_ms, now));
                 link.next_hold = sent.after(self.parts.policy.min_hold_interval).max(now);
                 link.store_deadline = now.after(STORE_WAIT);
                 let processed = self.dispatcher.processed_end(key);
+                let was_cut = self.dispatcher.is_list_cut(key);
                 if self.dispatcher.note_report(key, &report, now) {
                     info!(self.parts.logger, "worker restarted"; "worker" => self.dispatcher.worker(key).map(|worker| worker.name.to_string()), "boot" => report.boot);
                     self.open_link(key, now);
                 } else {
                     self.log_ends(key, &report, processed);
+                    self.log_list_cut(key, &report, was_cut);
                 }
             }
             Ok(HoldOutcome::Fenced) => self.step_down("a worker has seen a later epoch"),
@@ -210,6 +212,22 @@
         }
     }
 
+    /// Logs that the list of a worker has been cut short, or includes all ends again.
+    fn log_list_cut(&self, key: WorkerKey, report: &HoldReport, was_cut: bool) {
+        let is_cut = self.dispatcher.is_list_cut(key);
+        if is_cut == was_cut {
+            return;
+        }
+        let worker = self.dispatcher.worker(key);
+        let worker = worker.map(|worker| worker.name.as_str());
+        let message = if is_cut {
+            "list of ends cut short"
+        } else {
+            "list of ends whole again"
+        };
+        info!(self.parts.logger, "{}", message; "worker" => worker, "ended" => report.ended.len(), "last" => report.ended.last().map(|end| end.number), "stored" => self.dispatcher.stored_end(key));
+    }
+
     /// Closes the links to workers that the dispatcher no longer tracks.
     pub(super) fn close_links(&mut self) {
         let gone: Vec<WorkerKey> = self
