Create the occurrence that a listed run or an end is about

Cause: an occurrence was created by the next planning round only. An end that was kept until its job was read met none and was dropped, and a listed run was taken for one of a job that has ended and stopped. In the logs the ends are listed 3 s before the job is loaded, and the tasks start again in the round after that. The same happened when the first lists came before the first round, and with a previous owner whose clock was ahead.

Change: a listed run, an end or a stored crash creates its occurrence, within the schedule. Its tasks start only when it is due by the owner's own clock. Log: "kept ends and runs processed", with the number of those of unknown tasks.

Tests, virtual time, failed before and pass now: early_facts::kept_ends and first_lists (8 starts in place of 4), kept_runs (4 runs stopped), clock_ahead (8 starts in place of 5). unknown_tasks passed before and passes: runs of ended and unknown jobs are stopped.

--- a/crates/core/src/jobs/dispatcher/demand_forecast.rs
+++ b/crates/core/src/jobs/dispatcher/demand_forecast.rs
@@ -36,7 +36,7 @@
             };
             let ratio = self.estimate_ratios.get(pool).unwrap_or(&default_ratio);
             let total = expected.entry(pool).or_default();
-            for occurrence in &job.occurrences {
+            for occurrence in job.due() {
                 let cpu = occurrence_use(job, occurrence, ratio, horizon, now);
                 *total = total.saturating_add(cpu);
             }
--- a/crates/core/src/jobs/dispatcher/hold_reports.rs
+++ b/crates/core/src/jobs/dispatcher/hold_reports.rs
@@ -4,7 +4,7 @@
 
 use super::JobDispatcher;
 use crate::jobs::run_entry::{RunEntry, RunState};
-use crate::jobs::{HoldReport, LossReason, RunReport, WorkerKey, WorkerOrder};
+use crate::jobs::{HoldReport, LossReason, RunReport, TaskName, WorkerKey, WorkerOrder};
 use crate::time::TimePoint;
 
 /// Maximum number of run ends in one report. A report with this many may be cut short; the next one
@@ -89,6 +89,7 @@
         entry.list_requested = entry.list_requested.max(Some(report.sent));
         entry.list_received = Some(now);
         let processed_end = entry.processed_end;
+        self.open_listed(report);
         for end in report.ended.iter().filter(|end| end.number > processed_end) {
             self.note_end(key, end, now);
         }
@@ -106,6 +107,21 @@
         false
     }
 
+    /// Creates the occurrences of the tasks that a report lists. A previous owner has started these
+    /// tasks, before this owner has planned for the first time or by a clock that is ahead.
+    pub(super) fn open_listed(&mut self, report: &HoldReport) {
+        let ended = report.ended.iter().map(|end| end.task);
+        for task in report.running.iter().map(|run| run.task).chain(ended) {
+            self.open_occurrence_of(task);
+        }
+    }
+
+    pub(super) fn open_occurrence_of(&mut self, task: TaskName) {
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            job.open_through(task.step.occurrence);
+        }
+    }
+
     fn note_running(&mut self, key: WorkerKey, report: &RunReport, now: TimePoint) {
         let boot = self.workers[key].boot;
         let Some(task) = self.task_mut(report.task) else {
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -40,6 +40,7 @@
 pub use abandoned_tasks::AbandonedTask;
 pub use overload::OverloadChange;
 pub use records::{CoveredEnd, RecordBatch, WriteLimit};
+pub use unread_jobs::KeptFacts;
 
 use super::advice_backlog::AdviceBacklog;
 use super::crash_history::CrashHistory;
@@ -209,7 +210,12 @@
         }
         let may_be_started = is_inherited || arrived < self.overlap_end;
         self.load_crashes(id, &record.crashes);
+        let crashes = record.crashes.iter();
+        let last_crashed = crashes.map(|entry| entry.task.step.occurrence).max();
         let mut job = JobEntry::new(id, order, record, may_be_started);
+        if let Some(occurrence) = last_crashed {
+            job.open_through(occurrence);
+        }
         if job.order.schedule.is_none() && job.occurrences.is_empty() {
             job.open_occurrence();
         }
--- a/crates/core/src/jobs/dispatcher/overload_demand.rs
+++ b/crates/core/src/jobs/dispatcher/overload_demand.rs
@@ -163,7 +163,7 @@
         });
         let (number, share) = share.unzip();
         let mut work: u64 = 0;
-        for occurrence in &job.occurrences {
+        for occurrence in job.due() {
             let groups = (&mut *pool, team.as_deref_mut());
             let left = self.left_work(job, occurrence, groups, now);
             let left_total = left.waiting.saturating_add(left.running);
--- a/crates/core/src/jobs/dispatcher/planning.rs
+++ b/crates/core/src/jobs/dispatcher/planning.rs
@@ -32,14 +32,7 @@
     fn open_due_occurrences(&mut self, unix_ms: u64) {
         let early = u64::try_from(self.policy.early_start.as_millis()).unwrap_or(0);
         for job in self.jobs.values_mut() {
-            let Some(schedule) = job.order.schedule else {
-                continue;
-            };
-            while job.next_occurrence < schedule.count
-                && schedule.due_ms(job.next_occurrence) <= unix_ms.saturating_add(early)
-            {
-                job.open_occurrence();
-            }
+            job.open_due(unix_ms.saturating_add(early));
         }
     }
 
--- a/crates/core/src/jobs/dispatcher/unread_jobs.rs
+++ b/crates/core/src/jobs/dispatcher/unread_jobs.rs
@@ -32,6 +32,17 @@
     use_bound: Option<ResourceAmount>,
 }
 
+/// Numbers of ends and runs that were kept until their job was read.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct KeptFacts {
+    /// Ends.
+    pub ends: usize,
+    /// Runs of the newest lists.
+    pub runs: usize,
+    /// Those of either kind whose task is not known. Such ends are dropped, and such runs stopped.
+    pub unknown: usize,
+}
+
 impl JobDispatcher {
     /// Starts with the jobs of some partitions missing. Until [`Self::note_partition_read`], runs of
     /// their jobs are left alone.
@@ -66,6 +77,7 @@
         if self.unread.partitions.count() == 0 || !self.workers.contains_key(key) {
             return self.note_hold(key, report, now);
         }
+        self.open_listed(report);
         let runs = report.running.iter().cloned();
         let (unread, running): (Vec<_>, Vec<_>) =
             runs.partition(|run| self.is_unread(run.task.step.job));
@@ -115,10 +127,10 @@
     }
 
     /// Ends the special treatment of a partition whose jobs have been added. Adopts their listed runs
-    /// and processes their ends.
-    pub fn note_partition_read(&mut self, number: u16, now: TimePoint) {
+    /// and processes their ends. Returns how many there were.
+    pub fn note_partition_read(&mut self, number: u16, now: TimePoint) -> KeptFacts {
         if !self.unread.partitions.remove(number) {
-            return;
+            return KeptFacts::default();
         }
         let partitions = &self.unread.partitions;
         let (kept, ends): (Vec<_>, Vec<_>) = std::mem::take(&mut self.unread.ends)
@@ -133,6 +145,17 @@
             entry.unread_runs = kept;
             runs.extend(read.into_iter().map(|run| (key, run)));
         }
+        let ended = ends.iter().map(|(_, end)| end.task);
+        let listed: Vec<TaskName> = runs.iter().map(|(_, run)| run.task).chain(ended).collect();
+        let mut facts = KeptFacts {
+            ends: ends.len(),
+            runs: runs.len(),
+            unknown: 0,
+        };
+        for task in listed {
+            self.open_occurrence_of(task);
+            facts.unknown += usize::from(self.task(task).is_none());
+        }
         for (key, end) in ends {
             self.process_kept_end(key, &end, now);
         }
@@ -140,6 +163,7 @@
             self.adopt_listed(key, &run, now);
         }
         self.update_use_bound();
+        facts
     }
 
     /// Processes an end that was reported before its job was read.
--- a/crates/core/src/jobs/dispatcher/waiting_steps.rs
+++ b/crates/core/src/jobs/dispatcher/waiting_steps.rs
@@ -116,7 +116,7 @@
         waiting: &mut Vec<WaitingStep>,
     ) {
         let has_suspects = self.suspects() > 0;
-        for occurrence in &job.occurrences {
+        for occurrence in job.due() {
             for (number, step) in occurrence.steps.iter().enumerate() {
                 let number = u16::try_from(number).unwrap_or(u16::MAX);
                 if step.remaining == 0 || !job.is_step_ready(occurrence.number, number) {
--- a/crates/core/src/jobs/job_entry.rs
+++ b/crates/core/src/jobs/job_entry.rs
@@ -36,6 +36,9 @@
     pub occurrences: Vec<OccurrenceEntry>,
     /// Number of the next occurrence to create.
     pub next_occurrence: u32,
+    /// Number of occurrences whose time has come by the clock of this owner. Tasks of the others are
+    /// known because a previous owner has started them, and no further ones start.
+    pub due_occurrences: u32,
     /// Declared run time of the critical path through the steps.
     pub critical_path: Duration,
     /// Number of rows that the record may have in the store.
@@ -45,6 +48,7 @@
 impl JobEntry {
     pub(crate) fn new(id: JobId, order: JobOrder, record: JobRecord, is_inherited: bool) -> Self {
         let critical_path = order.critical_path();
+        let due_occurrences = u32::from(order.schedule.is_none());
         let mut entry = Self {
             id,
             order: Arc::new(order),
@@ -54,6 +58,7 @@
             is_inherited,
             occurrences: Vec::new(),
             next_occurrence: 0,
+            due_occurrences,
             critical_path,
             stored_rows: record.stored_rows,
         };
@@ -64,11 +69,7 @@
     }
 
     fn restore(&mut self, record: &StepRecord) {
-        while self.next_occurrence <= record.occurrence
-            && self.next_occurrence < self.order.occurrences()
-        {
-            self.open_occurrence();
-        }
+        self.open_through(record.occurrence);
         let Some(step) = self.step_mut(record.occurrence, record.step) else {
             return;
         };
@@ -86,6 +87,32 @@
         }
     }
 
+    /// Creates the occurrences up to `number`, as far as the job has them.
+    pub(crate) fn open_through(&mut self, number: u32) {
+        while self.next_occurrence <= number && self.next_occurrence < self.order.occurrences() {
+            self.open_occurrence();
+        }
+    }
+
+    /// Creates the scheduled occurrences that are due at `unix_ms`, in Unix milliseconds.
+    pub(crate) fn open_due(&mut self, unix_ms: u64) {
+        let Some(schedule) = self.order.schedule else {
+            return;
+        };
+        while self.due_occurrences < schedule.count
+            && schedule.due_ms(self.due_occurrences) <= unix_ms
+        {
+            self.open_through(self.due_occurrences);
+            self.due_occurrences += 1;
+        }
+    }
+
+    /// Occurrences whose time has come.
+    pub(crate) fn due(&self) -> &[OccurrenceEntry] {
+        let due = usize::try_from(self.due_occurrences).unwrap_or(usize::MAX);
+        &self.occurrences[..due.min(self.occurrences.len())]
+    }
+
     /// Creates the next occurrence with all its tasks.
     pub(crate) fn open_occurrence(&mut self) {
         let steps = self.order.steps.iter().map(|step| StepEntry {
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -59,6 +59,8 @@
     pub run_times: RunTimes,
     /// Run times of the tasks of steps, in milliseconds. Other tasks run for a random time.
     pub lengths: HashMap<StepName, u64>,
+    /// How far the Unix clock of the owner is ahead, in milliseconds.
+    pub clock_ahead: u64,
     /// Whether the store takes no writes and shows no changes.
     pub is_store_silent: bool,
     /// Begin and end of the last outage of the store.
@@ -94,6 +96,7 @@
             crashes: crashes::CrashLog::default(),
             run_times: RunTimes::default(),
             lengths: HashMap::new(),
+            clock_ahead: 0,
             is_store_silent: false,
             outage: None,
             list_read: 10_000,
@@ -187,7 +190,8 @@
 
     /// Plans and delivers the orders.
     pub fn plan(&mut self) {
-        let orders = self.dispatcher.plan(at(self.now), self.now);
+        let unix_ms = self.now + self.clock_ahead;
+        let orders = self.dispatcher.plan(at(self.now), unix_ms);
         self.crashes
             .abandoned
             .extend(self.dispatcher.take_abandoned_tasks());
--- a/crates/jobs/src/owner/job_intake.rs
+++ b/crates/jobs/src/owner/job_intake.rs
@@ -99,7 +99,10 @@
         self.load_rows(rows, is_late, dispatcher);
         let now = BootClock.now();
         for number in numbers {
-            dispatcher.note_partition_read(number, now);
+            let facts = dispatcher.note_partition_read(number, now);
+            if facts.ends + facts.runs > 0 {
+                info!(self.logger, "kept ends and runs processed"; "partition" => number, "ends" => facts.ends, "runs" => facts.runs, "unknown" => facts.unknown);
+            }
         }
     }
 
