Keep reports of unknown jobs until the job table is complete

Change: the owner tells the dispatcher up to when all accepted jobs are known, from the position of the job table. A report of an unknown job counts as one of a job that has not been read until that passes the time of the first report; then its runs are stopped and its ends forgotten as before.

Tests, virtual time: late_jobs::late_ends (ends forgotten) and late_runs (runs stopped) fail without the call and pass with it; unknown_job fails without it too, in its first assertion, and ended_job is the other side: such runs are stopped, and their ends acknowledged.

--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -3,6 +3,7 @@
 mod demand_forecast;
 mod gangs;
 mod hold_reports;
+mod late_jobs;
 mod late_runs;
 mod left_work;
 mod list_gap;
@@ -121,6 +122,7 @@
     /// Tasks that were given up since they were last taken.
     abandoned_tasks: Vec<AbandonedTask>,
     unread: unread_jobs::UnreadJobs,
+    late_jobs: late_jobs::LateJobs,
 }
 
 impl JobDispatcher {
@@ -168,6 +170,7 @@
             suspect_limits: HashMap::new(),
             abandoned_tasks: Vec::new(),
             unread: unread_jobs::UnreadJobs::default(),
+            late_jobs: late_jobs::LateJobs::default(),
         }
     }
 
--- a/crates/core/src/jobs/dispatcher/planning.rs
+++ b/crates/core/src/jobs/dispatcher/planning.rs
@@ -13,6 +13,7 @@
 impl JobDispatcher {
     /// Runs a planning round and returns the orders to send.
     pub fn plan(&mut self, now: TimePoint, unix_ms: u64) -> Vec<WorkerOrder> {
+        self.take_up_late_jobs(now);
         self.open_due_occurrences(unix_ms);
         self.expire_leases(now);
         self.expire_unread_runs(now);
--- a/crates/core/src/jobs/dispatcher/records.rs
+++ b/crates/core/src/jobs/dispatcher/records.rs
@@ -79,8 +79,9 @@
         for (key, entry) in &self.workers {
             let covered = entry.unstored_ends.iter();
             // A worker forgets an acknowledged end, which counts only once its job is read.
-            let covered =
-                covered.take_while(|(_, job)| !self.dirty.contains(job) && !self.is_unread(*job));
+            let covered = covered.take_while(|(_, job)| {
+                !self.dirty.contains(job) && !self.is_unread(*job) && !self.has_kept_end(*job)
+            });
             if let Some(&(number, _)) = covered.last() {
                 batch.ends.push(CoveredEnd {
                     worker: key,
--- a/crates/core/src/jobs/dispatcher/unread_jobs.rs
+++ b/crates/core/src/jobs/dispatcher/unread_jobs.rs
@@ -5,7 +5,7 @@
 //! resources and the team of the run, are unknown: its worker gets no new tasks, and teams keep room
 //! for it within their limits. Its end is kept until the job is read, and not acknowledged before.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use super::JobDispatcher;
@@ -66,15 +66,40 @@
         workers.map(|entry| entry.unread_runs.len()).sum()
     }
 
-    /// Whether the job is missing because its partition has not been read.
+    /// Whether the job may be missing because its partition has not been read, or because it was
+    /// accepted only lately.
     pub(super) fn is_unread(&self, job: JobId) -> bool {
-        self.unread.partitions.contains(job) && !self.jobs.contains_key(&job)
+        let may_be_missing = self.unread.partitions.contains(job) || self.late_jobs.may_arrive(job);
+        may_be_missing && !self.jobs.contains_key(&job)
+    }
+
+    /// Whether an end of the job is kept until the job is read.
+    pub(super) fn has_kept_end(&self, job: JobId) -> bool {
+        let mut kept = self.unread.ends.iter();
+        kept.any(|(_, end)| end.task.step.job == job)
+    }
+
+    /// Drops the kept ends of jobs that do not exist.
+    pub(super) fn drop_kept_ends(&mut self) {
+        let kept = std::mem::take(&mut self.unread.ends).into_iter();
+        let kept = kept.filter(|(_, end)| {
+            let job = end.task.step.job;
+            self.is_unread(job) || self.jobs.contains_key(&job)
+        });
+        self.unread.ends = kept.collect();
     }
 
     /// Processes the hold report of a worker as [`Self::note_hold`] does, and keeps what it says
     /// about jobs that have not been read.
     pub fn note_report(&mut self, key: WorkerKey, report: &HoldReport, now: TimePoint) -> bool {
-        if self.unread.partitions.count() == 0 || !self.workers.contains_key(key) {
+        self.note_late_jobs(report, now);
+        let ended = report.ended.iter().map(|end| end.task);
+        let mut tasks = report.running.iter().map(|run| run.task).chain(ended);
+        let had_runs = self.unread_tasks(key).next().is_some();
+        let has_unread = self.unread.partitions.count() > 0
+            || had_runs
+            || tasks.any(|task| self.is_unread(task.step.job));
+        if !has_unread || !self.workers.contains_key(key) {
             return self.note_hold(key, report, now);
         }
         self.open_listed(report);
@@ -97,7 +122,6 @@
             self.workers[key].unread_runs.clear();
             return true;
         }
-        let had_runs = !self.workers[key].unread_runs.is_empty();
         let has_runs = !unread.is_empty();
         self.workers[key].unread_runs = unread;
         for (team, amount) in adopted {
@@ -132,16 +156,24 @@
         if !self.unread.partitions.remove(number) {
             return KeptFacts::default();
         }
-        let partitions = &self.unread.partitions;
-        let (kept, ends): (Vec<_>, Vec<_>) = std::mem::take(&mut self.unread.ends)
+        let kept = self.unread.ends.iter().map(|(_, end)| end.task);
+        let listed = self.workers.keys().flat_map(|key| self.unread_tasks(key));
+        let jobs = kept.chain(listed).map(|task| task.step.job);
+        let read: HashSet<JobId> = jobs.filter(|job| !self.is_unread(*job)).collect();
+        self.take_up(|job| read.contains(&job), now)
+    }
+
+    /// Adopts the listed runs and processes the ends of the jobs for which `is_read` is true.
+    pub(super) fn take_up(&mut self, is_read: impl Fn(JobId) -> bool, now: TimePoint) -> KeptFacts {
+        let (ends, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut self.unread.ends)
             .into_iter()
-            .partition(|(_, end)| partitions.contains(end.task.step.job));
+            .partition(|(_, end)| is_read(end.task.step.job));
         self.unread.ends = kept;
         let mut runs = Vec::new();
         for (key, entry) in &mut self.workers {
-            let (kept, read): (Vec<_>, Vec<_>) = std::mem::take(&mut entry.unread_runs)
+            let (read, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut entry.unread_runs)
                 .into_iter()
-                .partition(|run| partitions.contains(run.task.step.job));
+                .partition(|run| is_read(run.task.step.job));
             entry.unread_runs = kept;
             runs.extend(read.into_iter().map(|run| (key, run)));
         }
--- a/crates/jobs/src/owner/owner_actor.rs
+++ b/crates/jobs/src/owner/owner_actor.rs
@@ -160,6 +160,7 @@
         self.update_evacuations(now);
         self.read_inventory(false, now);
         if self.is_loaded {
+            self.note_complete_jobs(now);
             let orders = self.dispatcher.plan(now, BootClock.unix_ms());
             for order in orders {
                 self.send_order(order, now);
--- a/crates/jobs/src/owner/owner_health.rs
+++ b/crates/jobs/src/owner/owner_health.rs
@@ -85,6 +85,13 @@
         self.note_list_age(now);
     }
 
+    /// Records up to when all accepted jobs are known.
+    pub(super) fn note_complete_jobs(&mut self, now: TimePoint) {
+        if let Some(age) = self.intake_age(now) {
+            self.dispatcher.note_jobs_complete(now.before(age), now);
+        }
+    }
+
     /// Records the age of the job table as processed, and whether intake is late.
     fn note_intake_age(&mut self, now: TimePoint) {
         let Some(age) = self.intake_age(now) else {
