Give up reads of the store that make no progress, not long ones

Cause: each call had a fixed limit of 0.9 s, whatever the answer weighs. An answer that was arriving was cut off and asked for again as a whole.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -31,5 +31,5 @@
 pub use platform_settings::PlatformSettings;
 pub use retry_budget::RetryBudget;
 pub use table_writer::WithdrawOutcome;
-pub use transport::{CallTransport, PlatformCall, PlatformReply};
+pub use transport::{AnswerLimits, CallTransport, PlatformCall, PlatformReply};
 pub use typed_rows::{PutCondition, TypedRow, row_put};
--- a/crates/store/src/transport.rs
+++ b/crates/store/src/transport.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use http_body_util::{BodyExt, Full, Limited};
@@ -16,6 +16,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use sesamedeal_wire::message_size::{request_size, response_size};
+use tokio::time::timeout;
 
 use crate::error::{PlatformError, Result};
 
@@ -37,6 +38,18 @@
     pub headers: HeaderMap,
     /// Body, empty if there is none.
     pub body: Bytes,
+    /// Limits of the time without progress of the answer; none if only the caller gives up.
+    pub answer_limits: Option<AnswerLimits>,
+}
+
+/// Limits of the time without progress of an answer. An answer that keeps arriving over a slow link
+/// takes as long as it needs.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerLimits {
+    /// Time from the call until the head of the answer arrives.
+    pub head: Duration,
+    /// Time from one part of the body to the next one.
+    pub part: Duration,
 }
 
 impl PlatformCall {
@@ -48,6 +61,17 @@
             path,
             headers: HeaderMap::new(),
             body,
+            answer_limits: None,
+        }
+    }
+
+    /// The same call with limits of the time without progress.
+    #[must_use]
+    pub fn with_answer_limits(self, limits: AnswerLimits) -> Self {
+        let answer_limits = Some(limits);
+        Self {
+            answer_limits,
+            ..self
         }
     }
 
@@ -167,11 +191,13 @@
     let uri = call_uri(authority, call.path).map_err(|error| PlatformError::Unreachable {
         reason: error.to_string(),
     })?;
+    let limits = call.answer_limits;
     let mut request = Request::new(Full::new(call.body));
     *request.method_mut() = call.method;
     *request.uri_mut() = uri;
     *request.headers_mut() = call.headers;
-    let response = http.request(request).await.map_err(|error| {
+    let response = within(limits.map(|limits| limits.head), http.request(request)).await?;
+    let response = response.map_err(|error| {
         let reason = error.to_string();
         if error.is_connect() {
             PlatformError::Unreachable { reason }
@@ -180,17 +206,32 @@
         }
     })?;
     let (parts, body) = response.into_parts();
-    let body = Limited::new(body, MAX_ANSWER_BYTES);
-    let body = body
-        .collect()
-        .await
-        .map_err(|error| PlatformError::NoAnswer {
+    let mut body = Limited::new(body, MAX_ANSWER_BYTES);
+    let mut received = BytesMut::new();
+    while let Some(frame) = within(limits.map(|limits| limits.part), body.frame()).await? {
+        let frame = frame.map_err(|error| PlatformError::NoAnswer {
             reason: error.to_string(),
         })?;
-    let body = body.to_bytes();
+        if let Ok(data) = frame.into_data() {
+            received.extend_from_slice(&data);
+        }
+    }
+    let body = received.freeze();
     Ok(PlatformReply {
         status: parts.status.as_u16(),
         size: response_size(parts.status, &parts.headers, body.len()),
         body,
     })
 }
+
+/// Waits for a part of an answer, for at most `limit`.
+async fn within<T>(limit: Option<Duration>, part: impl Future<Output = T>) -> Result<T> {
+    let Some(limit) = limit else {
+        return Ok(part.await);
+    };
+    timeout(limit, part)
+        .await
+        .map_err(|_elapsed| PlatformError::NoAnswer {
+            reason: format!("nothing arrived for {} ms", limit.as_millis()),
+        })
+}
