Run accepted jobs to their end after their route is removed

Cause: waiting steps were looked up in the newest rules only. A removed team had no start either, and a removed queue any number of attempts.

The owner keeps the last rules of removed queues and teams with open jobs; a later owner takes those of the job.

Tests, virtual time: removed_rules::{same_owner,next_owner,attempts_limit, team_limit} fail without the change (jobs stay Running or Queued) and pass with it; later_rules is the other side. accepted_rules::stored_order.

--- a/crates/cli/src/measure/pools/sim_job.rs
+++ b/crates/cli/src/measure/pools/sim_job.rs
@@ -126,6 +126,7 @@
             spec: CompactString::default(),
             steps: order_steps,
             schedule: None,
+            rules: None,
         },
         run_ms,
     }
@@ -152,6 +153,7 @@
             ..StepSpec::default()
         }],
         schedule: None,
+        rules: None,
     }
 }
 
--- a/crates/core/benches/overload_cost.rs
+++ b/crates/core/benches/overload_cost.rs
@@ -64,6 +64,7 @@
         spec: CompactString::default(),
         steps: vec![step(Vec::new()), step(vec![0])],
         schedule: None,
+        rules: None,
     }
 }
 
--- a/crates/core/benches/round_cost.rs
+++ b/crates/core/benches/round_cost.rs
@@ -54,6 +54,7 @@
         spec: CompactString::from(r#"{"kind":"bench","input":"0123456789abcdef"}"#),
         steps,
         schedule: None,
+        rules: None,
     }
 }
 
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -18,6 +18,7 @@
 mod records;
 mod relocation;
 mod relocation_targets;
+mod removed_rules;
 mod replacement;
 mod reservations;
 mod run_ends;
@@ -190,11 +191,6 @@
         self
     }
 
-    /// Replaces the rules of queues, pools and teams.
-    pub fn set_rules(&mut self, rules: Arc<FleetRules>) {
-        self.rules = rules;
-    }
-
     /// Adds a job and returns true, or returns false if the job has ended or is already known.
     ///
     /// `is_inherited` is true if the previous owner may have started tasks of the job before the
@@ -212,6 +208,7 @@
             return false;
         }
         let may_be_started = is_inherited || arrived < self.overlap_end;
+        self.keep_accepted_rules(&order);
         self.load_crashes(id, &record.crashes);
         let crashes = record.crashes.iter();
         let last_crashed = crashes.map(|entry| entry.task.step.occurrence).max();
--- a/crates/core/src/jobs/fleet_rules.rs
+++ b/crates/core/src/jobs/fleet_rules.rs
@@ -1,6 +1,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
 use super::ResourceAmount;
 use crate::ids::{PoolName, QueueName, TeamName};
 
@@ -8,7 +11,8 @@
 const MAX_OBJECTIVE: Duration = Duration::from_secs(1_000_000);
 
 /// Scheduling rules of a queue.
-#[derive(Debug, Clone)]
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct QueueRule {
     /// Pool whose workers run the queue's jobs.
     pub pool: PoolName,
@@ -19,8 +23,10 @@
     /// Completion objective of a job, as a multiple of the run time of its critical path.
     pub stretch: f64,
     /// Time added to the stretched run time to get the objective.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub slack: Duration,
     /// Set if a task needs a ticket from the policy service to start.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub advice: Option<AdviceRule>,
 }
 
@@ -38,11 +44,14 @@
 }
 
 /// Time that the policy service takes to decide about a step of a queue.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[serde_as]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdviceRule {
     /// Time for each call.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub decide_time: Duration,
     /// Additional time for each worker in a call.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub worker_time: Duration,
 }
 
@@ -64,7 +73,7 @@
 }
 
 /// Rules of a team.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct TeamRule {
     /// Fair-share weight of the team when a pool is full.
     pub weight: f64,
@@ -72,6 +81,17 @@
     pub limit: ResourceAmount,
 }
 
+/// Rules of the queue and the team of a job when it was accepted. They apply if a later configuration
+/// has removed the queue or the team.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct OrderRules {
+    /// Rules of the queue.
+    pub queue: QueueRule,
+    /// Rules of the team; none on a queue that needs no key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub team: Option<TeamRule>,
+}
+
 /// Part of the configuration that job scheduling depends on.
 #[derive(Debug, Clone, Default)]
 pub struct FleetRules {
@@ -84,3 +104,15 @@
     /// Teams by name.
     pub teams: HashMap<TeamName, TeamRule>,
 }
+
+impl FleetRules {
+    /// Returns the rules for a job of `queue` and `team` that is accepted now, or `None` if the queue
+    /// does not exist.
+    #[must_use]
+    pub fn order_rules(&self, queue: &QueueName, team: Option<&TeamName>) -> Option<OrderRules> {
+        Some(OrderRules {
+            queue: self.queues.get(queue)?.clone(),
+            team: team.and_then(|team| self.teams.get(team)).copied(),
+        })
+    }
+}
--- a/crates/core/src/jobs/job_order.rs
+++ b/crates/core/src/jobs/job_order.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use super::StepSpec;
+use super::{OrderRules, StepSpec};
 use crate::ids::{QueueName, TeamName};
 
 /// Maximum number of tasks of a job over all occurrences. The owner keeps all of them in memory.
@@ -52,6 +52,9 @@
     /// Schedule of a repeated job; none for a job that runs once.
     #[serde(default)]
     pub schedule: Option<JobSchedule>,
+    /// Rules at the acceptance of the job; none if it was accepted by an older version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rules: Option<OrderRules>,
 }
 
 impl JobOrder {
--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -54,7 +54,7 @@
 pub use dispatcher::{
     AbandonedTask, CoveredEnd, JobDispatcher, KeptFacts, OverloadChange, RecordBatch, WriteLimit,
 };
-pub use fleet_rules::{AdviceRule, FleetRules, PoolRule, QueueRule, TeamRule};
+pub use fleet_rules::{AdviceRule, FleetRules, OrderRules, PoolRule, QueueRule, TeamRule};
 pub use health_record::HealthRecord;
 pub use hold_report::{EndKind, HoldReport, RunEnd, RunReport};
 pub use job_id::JobId;
--- a/crates/core/tests/jobs/builders.rs
+++ b/crates/core/tests/jobs/builders.rs
@@ -37,6 +37,7 @@
         spec: CompactString::from("spec"),
         steps,
         schedule: None,
+        rules: None,
     }
 }
 
--- a/crates/core/tests/jobs/owner_changes.rs
+++ b/crates/core/tests/jobs/owner_changes.rs
@@ -25,6 +25,22 @@
         self.dispatcher.set_rules(Arc::clone(&self.rules));
     }
 
+    /// Removes all queues and teams, and returns the rules before that.
+    pub fn remove_rules(&mut self) -> Arc<FleetRules> {
+        let mut rules = FleetRules::clone(&self.rules);
+        rules.queues.clear();
+        rules.teams.clear();
+        let before = std::mem::replace(&mut self.rules, Arc::new(rules));
+        self.dispatcher.set_rules(Arc::clone(&self.rules));
+        before
+    }
+
+    /// Replaces the rules.
+    pub fn set_rules(&mut self, rules: Arc<FleetRules>) {
+        self.rules = rules;
+        self.dispatcher.set_rules(Arc::clone(&self.rules));
+    }
+
     /// Starts a worker again under its name. It knows nothing of before.
     pub fn restart(&mut self, index: usize) {
         let worker = &mut self.workers[index];
--- a/crates/jobs/src/api/job_api.rs
+++ b/crates/jobs/src/api/job_api.rs
@@ -53,7 +53,15 @@
             self.metrics.count_submission(outcome);
             return outcome;
         }
-        let value = match encode_job(order) {
+        let rules = self.view.load().map(|deployment| {
+            let team = order.team.as_ref();
+            deployment.rules.order_rules(&order.queue, team)
+        });
+        let accepted = JobOrder {
+            rules: rules.flatten(),
+            ..order.clone()
+        };
+        let value = match encode_job(&accepted) {
             Ok(value) => value,
             Err(error) => {
                 info!(self.logger, "submission"; "job" => %id, "queue" => %order.queue, "error" => %error);
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -198,6 +198,7 @@
             ..StepSpec::default()
         }],
         schedule: None,
+        rules: None,
     }
 }
 
