Count inherited runs without a list against the limit of their team

Cause: the account of a team held adopted runs only. Runs on a worker that the successor could not reach were not in it, although the previous owner had published them.

Change: until the list of a worker is whole or its lease has passed, its published tasks count for their teams, and on workers of which nothing was published the waiting inherited tasks, up to the capacity of these workers; both within what the adopted runs leave of the limit.

--- a/crates/core/src/jobs/dispatcher/hold_reports.rs
+++ b/crates/core/src/jobs/dispatcher/hold_reports.rs
@@ -185,6 +185,7 @@
             task.runs.push(run);
         }
         self.allocate(report.task, report.run, key);
+        self.note_adopted(report.task);
     }
 
     /// Resolves runs that the report does not list.
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -3,6 +3,7 @@
 mod demand_forecast;
 mod gangs;
 mod hold_reports;
+mod inherited_use;
 mod late_jobs;
 mod late_runs;
 mod left_work;
@@ -95,6 +96,8 @@
     recent_arrivals: VecDeque<pool_loads::WorkArrival>,
     estimate_ratios: HashMap<PoolName, EstimateRatio>,
     team_usage: HashMap<TeamName, ResourceAmount>,
+    /// What teams may use on workers that this owner has no list of, in this round.
+    inherited_use: HashMap<TeamName, ResourceAmount>,
     tickets: HashMap<StepName, TicketCache>,
     advice_backlog: AdviceBacklog,
     reservations: reservations::ReservationTable,
@@ -155,6 +158,7 @@
             recent_arrivals: VecDeque::new(),
             estimate_ratios: HashMap::new(),
             team_usage: HashMap::new(),
+            inherited_use: HashMap::new(),
             tickets: HashMap::new(),
             advice_backlog: AdviceBacklog::default(),
             reservations: reservations::ReservationTable::default(),
--- a/crates/core/src/jobs/dispatcher/placement.rs
+++ b/crates/core/src/jobs/dispatcher/placement.rs
@@ -160,6 +160,7 @@
         let mut used = self.team_usage.get(team).copied().unwrap_or_default();
         used += reserved;
         used += self.unread_use(team);
+        used += self.inherited_use.get(team).copied().unwrap_or_default();
         let within = |used: u64, more: u64, limit: u64| limit == 0 || used + more <= limit;
         let limit = rule.limit;
         used.is_zero()
--- a/crates/core/src/jobs/dispatcher/planning.rs
+++ b/crates/core/src/jobs/dispatcher/planning.rs
@@ -22,6 +22,7 @@
         self.relocate(now);
         self.resend_stops(now);
         self.adjust_paces(now);
+        self.update_inherited_use(now);
         self.plan_overload(now);
         self.place_waiting(now);
         self.remove_ended_jobs();
--- a/crates/core/src/jobs/dispatcher/unread_jobs.rs
+++ b/crates/core/src/jobs/dispatcher/unread_jobs.rs
@@ -106,10 +106,6 @@
         let runs = report.running.iter().cloned();
         let (unread, running): (Vec<_>, Vec<_>) =
             runs.partition(|run| self.is_unread(run.task.step.job));
-        let adopted: Vec<_> = running
-            .iter()
-            .filter_map(|run| self.adopted_amount(key, run))
-            .collect();
         let known = HoldReport {
             running,
             ended: report.ended.clone(),
@@ -124,9 +120,6 @@
         }
         let has_runs = !unread.is_empty();
         self.workers[key].unread_runs = unread;
-        for (team, amount) in adopted {
-            *self.unread.adopted.entry(team).or_default() += amount;
-        }
         for end in report.ended.iter().filter(|end| end.number > processed_end) {
             if self.is_unread(end.task.step.job) {
                 self.unread.ends.push((key, end.clone()));
@@ -138,16 +131,14 @@
         false
     }
 
-    /// Team and resources of a run that the next report makes this owner adopt.
-    fn adopted_amount(
-        &self,
-        key: WorkerKey,
-        run: &RunReport,
-    ) -> Option<(TeamName, ResourceAmount)> {
-        let is_new = self.task(run.task).is_some() && self.run(run.task, run.run, key).is_none();
-        let team = self.jobs.get(&run.task.step.job)?.order.team.clone()?;
-        let amount = self.step_spec(run.task)?.amount;
-        is_new.then_some((team, amount))
+    /// Records the resources of a run that this owner adopts.
+    pub(super) fn note_adopted(&mut self, task: TaskName) {
+        let team = self.jobs.get(&task.step.job);
+        let team = team.and_then(|job| job.order.team.clone());
+        let amount = self.step_spec(task).map(|spec| spec.amount);
+        if let (Some(team), Some(amount)) = (team, amount) {
+            *self.unread.adopted.entry(team).or_default() += amount;
+        }
     }
 
     /// Ends the special treatment of a partition whose jobs have been added. Adopts their listed runs
@@ -216,7 +207,6 @@
     /// Adopts a run that the newest list of its worker shows.
     fn adopt_listed(&mut self, key: WorkerKey, report: &RunReport, now: TimePoint) {
         let boot = self.workers[key].boot;
-        let adopted = self.adopted_amount(key, report);
         if self.task(report.task).is_none() {
             // The job has ended.
             let stop = WorkerOrder::Stop(key, report.task, report.run);
@@ -234,9 +224,6 @@
         }
         self.note_progress(report.task, &report.saved);
         self.mark_begun(report.task.step.job);
-        if let Some((team, amount)) = adopted {
-            *self.unread.adopted.entry(team).or_default() += amount;
-        }
     }
 
     /// Forgets the unread runs of workers whose lease has expired, since a worker ends its runs then.
@@ -275,9 +262,15 @@
     /// limit of its time for them and the adopted runs together, so those of the team use at most what
     /// the adopted ones leave of it.
     pub(super) fn unread_use(&self, team: &TeamName) -> ResourceAmount {
-        let Some(bound) = self.unread.use_bound else {
-            return ResourceAmount::default();
-        };
+        let bound = self.unread.use_bound;
+        bound.map_or_else(ResourceAmount::default, |bound| {
+            self.left_of_limit(team, bound)
+        })
+    }
+
+    /// The part of `bound` that a team may use beside its adopted runs, under the limit of the previous
+    /// owner.
+    pub(super) fn left_of_limit(&self, team: &TeamName, bound: ResourceAmount) -> ResourceAmount {
         let adopted = self.unread.adopted.get(team).copied().unwrap_or_default();
         let rule = self.unread.inherited_rules.teams.get(team);
         let limit = rule.map(|rule| rule.limit).unwrap_or_default();
--- a/crates/core/src/jobs/resource_amount.rs
+++ b/crates/core/src/jobs/resource_amount.rs
@@ -41,6 +41,15 @@
         }
     }
 
+    /// Returns the smaller amount of each resource.
+    pub(crate) fn min_each(self, other: Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.min(other.cpu_millis),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// Whether the amount of every resource is zero.
     #[must_use]
     pub fn is_zero(self) -> bool {
