Wait for silent workers of the pool in which a job was accepted

Cause: without a publication a new owner waited for the silent workers of the present pool only.

Its inherited tasks wait for silent workers there too; other jobs do not.

Test, virtual time: job_takeover::moved_unpublished failed before (6 starts in place of 4) and passes now; a job of the new pool does not wait in it.

--- a/crates/core/src/jobs/dispatcher/inherited_use.rs
+++ b/crates/core/src/jobs/dispatcher/inherited_use.rs
@@ -68,10 +68,9 @@
         let open = self.jobs.values().filter(|job| !job.phase.is_final());
         for job in open.filter(|job| job.is_inherited) {
             let team = job.order.team.as_ref().filter(|team| self.has_limit(team));
-            let pool = self.pool_of(&job.order.queue);
-            if let (Some(team), Some(pool)) = (team, pool)
-                && hidden.contains_key(pool)
-            {
+            let pools = [self.pool_of(&job.order.queue), job.accepted_pool()];
+            let mut pools = pools.into_iter().flatten();
+            if let (Some(team), Some(pool)) = (team, pools.find(|pool| hidden.contains_key(pool))) {
                 let sum = sums.entry((team, pool)).or_default();
                 *sum += unsettled_use(job, counted, now);
             }
--- a/crates/core/src/jobs/dispatcher/waiting_steps.rs
+++ b/crates/core/src/jobs/dispatcher/waiting_steps.rs
@@ -40,11 +40,12 @@
 }
 
 impl JobDispatcher {
-    /// Returns the tasks that a previous owner may have started in a pool and of which this owner
-    /// has no report.
-    fn uncertain_tasks(&self, pool: &PoolName, now: TimePoint) -> UncertainTasks<'_> {
+    /// Returns the tasks that a previous owner may have started in one of `pools` and of which this
+    /// owner has no report.
+    fn uncertain_tasks(&self, pools: [&PoolName; 2], now: TimePoint) -> UncertainTasks<'_> {
+        let has_unlisted = || pools.iter().any(|pool| self.may_have_unlisted_worker(pool));
         let mut uncertain = UncertainTasks {
-            includes_all: now < self.inherited_lease_end && self.may_have_unlisted_worker(pool),
+            includes_all: now < self.inherited_lease_end && has_unlisted(),
             ..UncertainTasks::default()
         };
         for entry in self.workers.values().filter(|entry| !entry.is_list_whole) {
@@ -55,7 +56,7 @@
                     uncertain.published.push(&runs.tasks);
                 }
                 Some(_) => {}
-                None => uncertain.includes_all |= has_lease && entry.report.pool == *pool,
+                None => uncertain.includes_all |= has_lease && pools.contains(&&entry.report.pool),
             }
         }
         for (name, runs) in &self.inherited_unreachable {
@@ -78,7 +79,7 @@
         is_included: impl Fn(&JobEntry, &QueueRule) -> bool,
     ) -> Vec<WaitingStep> {
         let settled = UncertainTasks::default();
-        let mut uncertain: HashMap<&PoolName, UncertainTasks<'_>> = HashMap::new();
+        let mut uncertain: HashMap<[&PoolName; 2], UncertainTasks<'_>> = HashMap::new();
         let over_share = self.teams_over_share();
         let mut waiting = Vec::new();
         for job in self.jobs.values() {
@@ -97,8 +98,9 @@
                 .as_ref()
                 .is_some_and(|team| over_share.get(team).copied().unwrap_or(false));
             let uncertain = if job.is_inherited {
-                let tasks = || self.uncertain_tasks(&rule.pool, now);
-                uncertain.entry(&rule.pool).or_insert_with(tasks)
+                let pools = [&rule.pool, job.accepted_pool().unwrap_or(&rule.pool)];
+                let tasks = || self.uncertain_tasks(pools, now);
+                uncertain.entry(pools).or_insert_with(tasks)
             } else {
                 &settled
             };
--- a/crates/core/src/jobs/job_entry.rs
+++ b/crates/core/src/jobs/job_entry.rs
@@ -3,6 +3,7 @@
 
 use super::task_entry::TaskEntry;
 use super::{JobId, JobOrder, JobPhase, JobRecord, StepRecord};
+use crate::ids::PoolName;
 
 /// Tasks of a step within one occurrence of a job.
 #[derive(Debug, Clone)]
@@ -165,6 +166,11 @@
                 .all(|entry| entry.steps.iter().all(|step| step.remaining == 0))
     }
 
+    /// Pool of the job's queue when the job was accepted, from which the queue may have moved since.
+    pub(crate) fn accepted_pool(&self) -> Option<&PoolName> {
+        self.order.rules.as_ref().map(|rules| &rules.queue.pool)
+    }
+
     /// Whether no worker has begun a task of the job, as far as is known.
     pub(crate) fn is_unstarted(&self) -> bool {
         self.phase == JobPhase::Queued
--- a/crates/core/tests/job_takeover.rs
+++ b/crates/core/tests/job_takeover.rs
@@ -2,9 +2,9 @@
 
 mod jobs;
 
-use jobs::{JobWorld, at, job, starts, step};
+use jobs::{JobWorld, at, job, rules, starts, step};
 use sesamedeal_core::ids::PoolName;
-use sesamedeal_core::jobs::{JobPhase, WorkerOrder};
+use sesamedeal_core::jobs::{JobPhase, ResourceAmount, WorkerOrder};
 
 fn long_running(count: u16) -> sesamedeal_core::jobs::StepSpec {
     let mut step = step(count, 500);
@@ -293,3 +293,32 @@
     assert_eq!(world.starts, 4, "not started after the lease");
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
+
+/// Guards against the same if the previous owner has published nothing about the worker, and against tasks
+/// of another pool that wait for it.
+#[test]
+fn moved_unpublished() {
+    let mut world = JobWorld::new(2, 1);
+    world.workers[0].report.pool = PoolName::new("other");
+    world.list_workers();
+    let mut order = job(vec![long_running(2)]);
+    order.rules = rules(ResourceAmount::default()).order_rules(&order.queue, order.team.as_ref());
+    world.submit(1, order);
+    world.run(10);
+    assert_eq!(world.workers[1].tasks().len(), 2);
+    world.workers[1].is_reachable = false;
+    world.move_queue("other");
+    let mut order = job(vec![long_running(2)]);
+    order.rules = rules(ResourceAmount::default()).order_rules(&order.queue, order.team.as_ref());
+    order.rules.as_mut().unwrap().queue.pool = PoolName::new("other");
+    world.submit(2, order);
+    world.take_over();
+    world.run(20);
+    assert_eq!(
+        world.starts, 4,
+        "started while the lease may last, or waits"
+    );
+    world.run(140);
+    assert_eq!(world.starts, 6, "not started after the lease");
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
