--- a/crates/core/src/jobs/dispatcher/removed_rules.rs
+++ b/crates/core/src/jobs/dispatcher/removed_rules.rs
@@ -17,18 +17,26 @@
             let team = order.team.as_ref();
             let rule = team.and_then(|team| known.teams.get(team));
             keep_team(&mut self.rules, order, rule.copied());
+            keep_accepted_rules(&mut self.rules, order);
         }
     }
 
-    /// Applies the rules at the acceptance of a job if its queue or team has been removed since.
+    /// Applies the rules at the acceptance of a job if its queue or team has been removed since. Nothing
+    /// applies before the first configuration is known.
     pub(super) fn keep_accepted_rules(&mut self, order: &JobOrder) {
-        if let Some(accepted) = &order.rules {
-            keep_queue(&mut self.rules, order, Some(&accepted.queue));
-            keep_team(&mut self.rules, order, accepted.team);
+        if self.rules.version > 0 {
+            keep_accepted_rules(&mut self.rules, order);
         }
     }
 }
 
+fn keep_accepted_rules(rules: &mut Arc<FleetRules>, order: &JobOrder) {
+    if let Some(accepted) = &order.rules {
+        keep_queue(rules, order, Some(&accepted.queue));
+        keep_team(rules, order, accepted.team);
+    }
+}
+
 fn keep_queue(rules: &mut Arc<FleetRules>, order: &JobOrder, rule: Option<&QueueRule>) {
     if rules.queues.contains_key(&order.queue) {
         return;
--- a/crates/core/tests/removed_rules.rs
+++ b/crates/core/tests/removed_rules.rs
@@ -120,3 +120,20 @@
     assert_eq!(world.phase(late), JobPhase::Queued, "has no queue");
     assert!(world.dispatcher.phase(JobId(1)).is_none());
 }
+
+/// Guards against tasks that start before the owner knows a configuration, under rules that it may have
+/// replaced.
+#[test]
+fn no_configuration() {
+    let mut world = JobWorld::new(2, 1);
+    world.set_rules(Arc::default());
+    let id = world.submit(1, accepted(&rules(amount(0, 0))));
+    world.run(40);
+    assert_eq!(world.starts, 0);
+    world.set_rules(Arc::new(FleetRules {
+        version: 2,
+        ..FleetRules::default()
+    }));
+    world.run(80);
+    assert_eq!(world.phase(id), JobPhase::Finished);
+}
