Store where the suspects of a gang start before it starts

Cause: a single suspect starts on a worker that was planned and stored before, so that the next owner presumes the crash. A gang started at once, and its crash was forgotten if the owner changed before the next write: in the trace the crash is at 19.25 s and the takeover at 19.30 s.

Change: workers are found for the whole gang, those of its suspects are stored, and the gang starts there.

Tests, virtual time: crashing_task::stored_gang failed before (one crash known of two) and passes now. gang_progress::same_progress expected the start after one write; it asserts now that nothing starts before the plan is stored, and the same progress after that, so that it is as strict.

--- a/crates/core/src/jobs/dispatcher/gangs.rs
+++ b/crates/core/src/jobs/dispatcher/gangs.rs
@@ -24,25 +24,63 @@
         if step.indexes.len() < usize::from(spec.count) {
             return false;
         }
-        let last = step.indexes.iter().filter_map(|&index| {
-            let task = self.task(step.name.task(index))?;
-            Some(task.last_run)
-        });
-        let run = last.max().unwrap_or(0).max(self.run_number_base) + 1;
         let racks = if spec.prefers_one_rack {
             self.racks(workers)
         } else {
             Vec::new()
         };
+        let free = HashMap::new();
         for rack in &racks {
-            if self.try_place_gang(step, spec, team, rack, run, now) {
+            if self.try_place_gang(step, spec, team, (rack, &free), now) {
                 return true;
             }
         }
         if self.gang_waits(step, spec, team, workers, now) {
             return false;
         }
-        self.try_place_gang(step, spec, team, workers, run, now)
+        self.try_place_gang(step, spec, team, (workers, &free), now)
+    }
+
+    /// Number of the next run of a gang, whose members share it.
+    fn next_gang_run(&self, step: &WaitingStep) -> u64 {
+        let last = step.indexes.iter().filter_map(|&index| {
+            let task = self.task(step.name.task(index))?;
+            Some(task.last_run)
+        });
+        last.max().unwrap_or(0).max(self.run_number_base) + 1
+    }
+
+    /// Finds workers for all tasks of a gang, without starting any. Returns none if there is no room for
+    /// all.
+    pub(super) fn plan_gang(
+        &mut self,
+        step: &WaitingStep,
+        spec: &StepSpec,
+        team: Option<&TeamName>,
+        workers: &[WorkerKey],
+        now: TimePoint,
+    ) -> HashMap<TaskName, WorkerKey> {
+        let orders = self.orders.len();
+        let last_runs: Vec<(TaskName, u64)> = self.last_runs(step);
+        if !self.place_gang(step, spec, team, workers, now) {
+            return HashMap::new();
+        }
+        self.orders.truncate(orders);
+        let run = self.next_gang_run(step) - 1;
+        let mut planned = HashMap::new();
+        for (task, last_run) in last_runs {
+            let runs = self.task(task).map_or(&[][..], |task| &task.runs);
+            let key = runs.iter().find(|entry| entry.run == run);
+            planned.extend(key.map(|entry| (task, entry.worker)));
+            self.undo_start(task, run, last_run);
+        }
+        planned
+    }
+
+    fn last_runs(&self, step: &WaitingStep) -> Vec<(TaskName, u64)> {
+        let tasks = step.indexes.iter().map(|&index| step.name.task(index));
+        let last = tasks.map(|task| (task, self.task(task).map_or(0, |entry| entry.last_run)));
+        last.collect()
     }
 
     /// Task that keeps the saved progress of a task. All members of a gang start with the same
@@ -72,19 +110,22 @@
         racks.into_iter().map(|(_, workers)| workers).collect()
     }
 
-    fn try_place_gang(
+    /// Starts all tasks of a gang and returns true, or starts none. Tasks with a planned worker start
+    /// there, and others on any of the workers.
+    pub(super) fn try_place_gang(
         &mut self,
         step: &WaitingStep,
         spec: &StepSpec,
         team: Option<&TeamName>,
-        workers: &[WorkerKey],
-        run: u64,
+        (workers, planned): (&[WorkerKey], &HashMap<TaskName, WorkerKey>),
         now: TimePoint,
     ) -> bool {
+        let run = self.next_gang_run(step);
         let mut placed: Vec<(TaskName, u64)> = Vec::new();
         let orders = self.orders.len();
         for &index in &step.indexes {
             let task = step.name.task(index);
+            let workers = planned.get(&task).map_or(workers, std::slice::from_ref);
             let key = self
                 .is_within_limit(team, spec.amount)
                 .then(|| self.select_worker(step.name, spec, workers, now))
--- a/crates/core/tests/crashing_task.rs
+++ b/crates/core/tests/crashing_task.rs
@@ -38,6 +38,40 @@
     (world, first_task(id))
 }
 
+/// Guards against a crash under a gang that the next owner does not know, because the start was not
+/// stored before it: the gang crashed a sixth worker.
+#[test]
+fn stored_gang() {
+    let mut world = JobWorld::new(6, 1);
+    let mut spec = step(4, 1_500);
+    spec.is_gang = true;
+    let id = world.submit(99, job(vec![spec]));
+    world.make_deadly(first_task(id));
+    while world.crashes.count(first_task(id)) < 1 {
+        world.run(1);
+    }
+    world.run(2);
+    for crashes in 2..=5 {
+        while world.crashes.count(first_task(id)) < crashes && world.now < 200_000 {
+            world.run(1);
+        }
+        // The next owner takes over before the crash is stored.
+        world.take_over();
+        let (_, record) = &world.stored[&id];
+        let known = record
+            .crashes
+            .iter()
+            .find(|entry| entry.task == first_task(id));
+        let known = known.map_or(0, |entry| entry.crashes.len());
+        if world.phase(id) != JobPhase::Failed {
+            assert_eq!(known, usize::try_from(crashes).unwrap(), "not stored");
+        }
+    }
+    world.run(600);
+    assert_eq!(world.phase(id), JobPhase::Failed);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
 fn check(kind: &str, order: &JobOrder, faults: WorldFaults) {
     for seed in 0..SEEDS {
         let (world, task) = play(order.clone(), faults, seed);
--- a/crates/core/tests/gang_progress.rs
+++ b/crates/core/tests/gang_progress.rs
@@ -75,8 +75,9 @@
             report(&mut world, index, Vec::new(), Vec::new());
         }
     }
-    let batch = world.dispatcher.take_records(72, world.now);
-    world.dispatcher.note_stored(&batch, at(world.now));
+    store_records(&mut world);
+    assert!(plan_starts(&mut world).is_empty(), "the plan is not stored");
+    store_records(&mut world);
     let again = plan_starts(&mut world);
     let saved: Vec<&str> = again
         .iter()
@@ -84,3 +85,8 @@
         .collect();
     assert_eq!(saved, ["newest", "newest"]);
 }
+
+fn store_records(world: &mut JobWorld) {
+    let batch = world.dispatcher.take_records(72, world.now);
+    world.dispatcher.note_stored(&batch, at(world.now));
+}
