--- a/crates/core/src/jobs/dispatcher/records.rs
+++ b/crates/core/src/jobs/dispatcher/records.rs
@@ -96,12 +96,18 @@
     /// Returns the record of a job with the time of its end. A job whose record exceeds a write ends as
     /// failed, since neither its progress nor that of other jobs could be stored otherwise.
     fn final_record(&mut self, id: JobId, unix_ms: u64) -> Option<JobRecord> {
-        let size = self.record(id)?.size_bound();
-        if size > MAX_RECORD_BYTES {
-            self.end_job(id, JobPhase::Failed);
-            self.dirty.remove(id);
-            self.oversized_jobs.push((id, size));
+        let record = self.dated_record(id, unix_ms)?;
+        let size = record.size_bound();
+        if size <= MAX_RECORD_BYTES {
+            return Some(record);
         }
+        self.end_job(id, JobPhase::Failed);
+        self.dirty.remove(id);
+        self.oversized_jobs.push((id, size));
+        self.dated_record(id, unix_ms)
+    }
+
+    fn dated_record(&mut self, id: JobId, unix_ms: u64) -> Option<JobRecord> {
         let job = self.jobs.get_mut(&id)?;
         if job.phase.is_final() && job.ended_ms == 0 {
             job.ended_ms = unix_ms;
