--- a/crates/core/tests/early_facts.rs
+++ b/crates/core/tests/early_facts.rs
@@ -38,14 +38,6 @@
     step.task(index)
 }
 
-fn running(world: &JobWorld) -> usize {
-    world
-        .workers
-        .iter()
-        .map(|worker| worker.running.len())
-        .sum()
-}
-
 fn stopped(world: &JobWorld) -> usize {
     let ends = world.workers.iter().flat_map(|worker| &worker.ended);
     ends.filter(|end| end.kind == EndKind::Stopped).count()
@@ -59,7 +51,7 @@
     world.run(1);
     world.take_over_without([partition_of(JobId(REPEATED))]);
     world.run(60);
-    assert_eq!(running(&world), 0);
+    assert_eq!(world.running(), 0);
     world.read_partition(partition_of(JobId(REPEATED)));
     world.run(60);
     assert_eq!(world.starts, usize::from(TASKS), "ran again");
@@ -76,7 +68,7 @@
     world.run(2);
     world.take_over_without([partition_of(JobId(REPEATED))]);
     world.run(1);
-    assert_eq!(running(&world), usize::from(TASKS));
+    assert_eq!(world.running(), usize::from(TASKS));
     world.read_partition(partition_of(JobId(REPEATED)));
     world.run(2);
     assert_eq!(stopped(&world), 0);
@@ -91,7 +83,7 @@
     world.run(2);
     world.take_over();
     world.run(1);
-    assert_eq!(running(&world), usize::from(TASKS));
+    assert_eq!(world.running(), usize::from(TASKS));
     world.run(60);
     assert_eq!(world.starts, usize::from(TASKS), "ran again");
     assert!(world.violations.is_empty(), "{:?}", world.violations);
@@ -144,7 +136,7 @@
         world.workers[0].running.insert((task, 50), run);
     }
     world.run(4);
-    assert_eq!(running(&world), 0, "not stopped");
+    assert_eq!(world.running(), 0, "not stopped");
     world.run(20);
     assert!(world.workers.iter().all(|worker| worker.ended.is_empty()));
 }
--- a/crates/core/tests/inherited_limits.rs
+++ b/crates/core/tests/inherited_limits.rs
@@ -31,20 +31,12 @@
     world.submit(id, job(vec![step]));
 }
 
-fn running(world: &JobWorld) -> usize {
-    world
-        .workers
-        .iter()
-        .map(|worker| worker.running.len())
-        .sum()
-}
-
 /// Runs for `rounds` rounds and returns the most tasks that ran at the same time.
 fn most_running(world: &mut JobWorld, rounds: usize) -> usize {
     let mut most = 0;
     for _ in 0..rounds {
         world.run(1);
-        most = most.max(running(world));
+        most = most.max(world.running());
     }
     most
 }
@@ -100,7 +92,7 @@
     let mut world = limited_world();
     world.take_over();
     world.run(2);
-    assert_eq!(running(&world), LIMIT);
+    assert_eq!(world.running(), LIMIT);
     assert_eq!(most_running(&mut world, 300), LIMIT);
     assert_eq!(world.phase(JobId(1)), JobPhase::Finished);
 }
--- a/crates/core/tests/jobs/mod.rs
+++ b/crates/core/tests/jobs/mod.rs
@@ -133,6 +133,12 @@
         self.stored[&id].1.phase
     }
 
+    /// Number of runs on all workers.
+    pub fn running(&self) -> usize {
+        let workers = self.workers.iter();
+        workers.map(|worker| worker.running.len()).sum()
+    }
+
     /// Returns the index of the first worker that runs a task.
     pub fn busy_worker(&self) -> usize {
         let mut workers = self.workers.iter();
--- a/crates/core/tests/late_jobs.rs
+++ b/crates/core/tests/late_jobs.rs
@@ -36,14 +36,6 @@
         .add_job(JobId(LATE), order, record, false, now);
 }
 
-fn running(world: &JobWorld) -> usize {
-    world
-        .workers
-        .iter()
-        .map(|worker| worker.running.len())
-        .sum()
-}
-
 fn ended(world: &JobWorld) -> usize {
     world.workers.iter().map(|worker| worker.ended.len()).sum()
 }
@@ -53,7 +45,7 @@
 fn late_ends() {
     let mut world = late_world();
     world.run(60);
-    assert_eq!((running(&world), ended(&world)), (0, 4), "forgotten");
+    assert_eq!((world.running(), ended(&world)), (0, 4), "forgotten");
     receive(&mut world);
     world.run(4);
     assert_eq!(world.phase(JobId(LATE)), JobPhase::Finished);
@@ -67,7 +59,7 @@
 fn late_runs() {
     let mut world = late_world();
     world.run(1);
-    assert_eq!(running(&world), 4, "stopped");
+    assert_eq!(world.running(), 4, "stopped");
     receive(&mut world);
     world.run(60);
     assert_eq!(world.phase(JobId(LATE)), JobPhase::Finished);
@@ -81,12 +73,12 @@
 fn unknown_job() {
     let mut world = late_world();
     world.run(1);
-    assert_eq!(running(&world), 4);
+    assert_eq!(world.running(), 4);
     for _ in 0..10 {
         complete(&mut world);
         world.run(1);
     }
-    assert_eq!(running(&world), 0, "not stopped");
+    assert_eq!(world.running(), 0, "not stopped");
     assert_eq!(ended(&world), 0, "not acknowledged");
     let other = world.submit(2, job(vec![step(4, 1_000)]));
     world.run(60);
@@ -108,5 +100,5 @@
     world.dispatcher.schedule_expiry(JobId(LATE), now);
     world.dispatcher.note_jobs_complete(now, now);
     world.run(2);
-    assert_eq!(running(&world), 0);
+    assert_eq!(world.running(), 0);
 }
--- a/crates/core/tests/removed_rules.rs
+++ b/crates/core/tests/removed_rules.rs
@@ -24,14 +24,6 @@
     }
 }
 
-fn running(world: &JobWorld) -> usize {
-    world
-        .workers
-        .iter()
-        .map(|worker| worker.running.len())
-        .sum()
-}
-
 /// Guards against an accepted job that never goes on once a configuration has removed its queue and its
 /// team, also over several configurations.
 #[test]
@@ -95,7 +87,7 @@
     let mut most = 0;
     for round in 0..400 {
         world.run(1);
-        most = most.max(running(&world));
+        most = most.max(world.running());
         if round == 20 {
             world.take_over();
         }
