--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -25,6 +25,7 @@
 mod run_ends;
 mod runs;
 mod speculative_copies;
+mod suspect_plans;
 mod suspect_starts;
 mod suspects;
 mod unreachable_workers;
@@ -43,7 +44,7 @@
 pub use abandoned_tasks::AbandonedTask;
 pub use overload::OverloadChange;
 pub use records::{CoveredEnd, RecordBatch, WriteLimit};
-pub use unread_jobs::KeptFacts;
+pub use unread_jobs::KeptCounts;
 
 use super::advice_backlog::AdviceBacklog;
 use super::crash_history::CrashHistory;
--- a/crates/core/src/jobs/dispatcher/unread_jobs.rs
+++ b/crates/core/src/jobs/dispatcher/unread_jobs.rs
@@ -34,7 +34,7 @@
 
 /// Numbers of ends and runs that were kept until their job was read.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct KeptFacts {
+pub struct KeptCounts {
     /// Ends.
     pub ends: usize,
     /// Runs of the newest lists.
@@ -143,9 +143,9 @@
 
     /// Ends the special treatment of a partition whose jobs have been added. Adopts their listed runs
     /// and processes their ends. Returns how many there were.
-    pub fn note_partition_read(&mut self, number: u16, now: TimePoint) -> KeptFacts {
+    pub fn note_partition_read(&mut self, number: u16, now: TimePoint) -> KeptCounts {
         if !self.unread.partitions.remove(number) {
-            return KeptFacts::default();
+            return KeptCounts::default();
         }
         let kept = self.unread.ends.iter().map(|(_, end)| end.task);
         let listed = self.workers.keys().flat_map(|key| self.unread_tasks(key));
@@ -155,7 +155,11 @@
     }
 
     /// Adopts the listed runs and processes the ends of the jobs for which `is_read` is true.
-    pub(super) fn take_up(&mut self, is_read: impl Fn(JobId) -> bool, now: TimePoint) -> KeptFacts {
+    pub(super) fn take_up(
+        &mut self,
+        is_read: impl Fn(JobId) -> bool,
+        now: TimePoint,
+    ) -> KeptCounts {
         let (ends, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut self.unread.ends)
             .into_iter()
             .partition(|(_, end)| is_read(end.task.step.job));
@@ -170,14 +174,14 @@
         }
         let ended = ends.iter().map(|(_, end)| end.task);
         let listed: Vec<TaskName> = runs.iter().map(|(_, run)| run.task).chain(ended).collect();
-        let mut facts = KeptFacts {
+        let mut counts = KeptCounts {
             ends: ends.len(),
             runs: runs.len(),
             unknown: 0,
         };
         for task in listed {
             self.open_occurrence_of(task);
-            facts.unknown += usize::from(self.task(task).is_none());
+            counts.unknown += usize::from(self.task(task).is_none());
         }
         for (key, end) in ends {
             self.process_kept_end(key, &end, now);
@@ -186,7 +190,7 @@
             self.adopt_listed(key, &run, now);
         }
         self.update_use_bound();
-        facts
+        counts
     }
 
     /// Processes an end that was reported before its job was read.
--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -52,7 +52,7 @@
 pub use crash_history::{TaskCrashes, WorkerCrash};
 pub use dispatch_policy::DispatchPolicy;
 pub use dispatcher::{
-    AbandonedTask, CoveredEnd, JobDispatcher, KeptFacts, OverloadChange, RecordBatch, WriteLimit,
+    AbandonedTask, CoveredEnd, JobDispatcher, KeptCounts, OverloadChange, RecordBatch, WriteLimit,
 };
 pub use fleet_rules::{AdviceRule, FleetRules, OrderRules, PoolRule, QueueRule, TeamRule};
 pub use health_record::HealthRecord;
--- a/crates/jobs/src/owner/job_intake.rs
+++ b/crates/jobs/src/owner/job_intake.rs
@@ -99,9 +99,9 @@
         self.load_rows(rows, is_late, dispatcher);
         let now = BootClock.now();
         for number in numbers {
-            let facts = dispatcher.note_partition_read(number, now);
-            if facts.ends + facts.runs > 0 {
-                info!(self.logger, "kept ends and runs processed"; "partition" => number, "ends" => facts.ends, "runs" => facts.runs, "unknown" => facts.unknown);
+            let counts = dispatcher.note_partition_read(number, now);
+            if counts.ends + counts.runs > 0 {
+                info!(self.logger, "kept ends and runs processed"; "partition" => number, "ends" => counts.ends, "runs" => counts.runs, "unknown" => counts.unknown);
             }
         }
     }
