--- a/crates/core/src/jobs/dispatcher/late_jobs.rs
+++ b/crates/core/src/jobs/dispatcher/late_jobs.rs
@@ -1,4 +1,4 @@
-//! Jobs that a worker reports before this owner has received them: a previous owner may have started a
+//! Jobs that a worker reports before this owner has received them. A previous owner may have started a
 //! job that was accepted after this owner had read the table.
 //!
 //! Until the table is known to be complete up to the first report, the job may still arrive. Meanwhile
--- a/crates/core/tests/early_facts.rs
+++ b/crates/core/tests/early_facts.rs
@@ -1,4 +1,4 @@
-//! Ends and runs that a new owner hears of before it has the occurrence that they are about.
+//! Ends and runs that workers report before the owner has created their occurrence.
 
 mod jobs;
 
