Take out what the change does twice, without a change of behaviour

Found on reading the whole change: - A record that fits into a row was copied and split for each write; `rows` borrows it, and one condition tells when it is split. - `open_listed` ran twice for a report with unread jobs; the first call was left over. The tasks of a report are one method, where three places chained them. - Occurrences of stored crashes are created where those of stored steps are, in JobEntry::new, and not by the caller. - Workers whose list is whole are passed over before their name is looked up.

No assertion has changed.

--- a/crates/core/src/jobs/dispatcher/hold_reports.rs
+++ b/crates/core/src/jobs/dispatcher/hold_reports.rs
@@ -109,9 +109,8 @@
 
     /// Creates the occurrences of the tasks that a report lists. A previous owner has started these
     /// tasks, before this owner has planned for the first time or by a clock that is ahead.
-    pub(super) fn open_listed(&mut self, report: &HoldReport) {
-        let ended = report.ended.iter().map(|end| end.task);
-        for task in report.running.iter().map(|run| run.task).chain(ended) {
+    fn open_listed(&mut self, report: &HoldReport) {
+        for task in report.tasks() {
             self.open_occurrence_of(task);
         }
     }
--- a/crates/core/src/jobs/dispatcher/inherited_use.rs
+++ b/crates/core/src/jobs/dispatcher/inherited_use.rs
@@ -86,8 +86,8 @@
     fn hidden_capacities(&self, now: TimePoint) -> HashMap<&PoolName, HiddenCapacity> {
         let mut hidden: HashMap<&PoolName, HiddenCapacity> = HashMap::new();
         for entry in self.workers.values() {
-            let is_published = self.inherited_unreachable.contains_key(&entry.report.name);
-            if is_published || !self.may_lack_runs(entry, now) {
+            let name = &entry.report.name;
+            if !self.may_lack_runs(entry, now) || self.inherited_unreachable.contains_key(name) {
                 continue;
             }
             let capacity = hidden.entry(&entry.report.pool).or_default();
--- a/crates/core/src/jobs/dispatcher/late_jobs.rs
+++ b/crates/core/src/jobs/dispatcher/late_jobs.rs
@@ -49,9 +49,7 @@
         if self.late_jobs.complete_until.is_none() {
             return;
         }
-        let ended = report.ended.iter().map(|end| end.task);
-        let tasks = report.running.iter().map(|run| run.task).chain(ended);
-        for job in tasks.map(|task| task.step.job) {
+        for job in report.tasks().map(|task| task.step.job) {
             if !self.jobs.contains_key(&job) && !self.ended_jobs.contains(&job) {
                 self.late_jobs.reported.entry(job).or_insert(now);
             }
--- a/crates/core/src/jobs/dispatcher/mod.rs
+++ b/crates/core/src/jobs/dispatcher/mod.rs
@@ -215,12 +215,7 @@
         let may_be_started = is_inherited || arrived < self.overlap_end;
         self.keep_accepted_rules(&order);
         self.load_crashes(id, &record.crashes);
-        let crashes = record.crashes.iter();
-        let last_crashed = crashes.map(|entry| entry.task.step.occurrence).max();
         let mut job = JobEntry::new(id, order, record, may_be_started);
-        if let Some(occurrence) = last_crashed {
-            job.open_through(occurrence);
-        }
         if job.order.schedule.is_none() && job.occurrences.is_empty() {
             job.open_occurrence();
         }
--- a/crates/core/src/jobs/dispatcher/unread_jobs.rs
+++ b/crates/core/src/jobs/dispatcher/unread_jobs.rs
@@ -93,16 +93,13 @@
     /// about jobs that have not been read.
     pub fn note_report(&mut self, key: WorkerKey, report: &HoldReport, now: TimePoint) -> bool {
         self.note_late_jobs(report, now);
-        let ended = report.ended.iter().map(|end| end.task);
-        let mut tasks = report.running.iter().map(|run| run.task).chain(ended);
         let had_runs = self.unread_tasks(key).next().is_some();
         let has_unread = self.unread.partitions.count() > 0
             || had_runs
-            || tasks.any(|task| self.is_unread(task.step.job));
+            || report.tasks().any(|task| self.is_unread(task.step.job));
         if !has_unread || !self.workers.contains_key(key) {
             return self.note_hold(key, report, now);
         }
-        self.open_listed(report);
         let runs = report.running.iter().cloned();
         let (unread, running): (Vec<_>, Vec<_>) =
             runs.partition(|run| self.is_unread(run.task.step.job));
--- a/crates/core/src/jobs/hold_report.rs
+++ b/crates/core/src/jobs/hold_report.rs
@@ -64,3 +64,11 @@
     /// Ended runs that the owner has not acknowledged yet.
     pub ended: Vec<RunEnd>,
 }
+
+impl HoldReport {
+    /// Tasks of the listed runs and ends.
+    pub(crate) fn tasks(&self) -> impl Iterator<Item = TaskName> {
+        let running = self.running.iter().map(|run| run.task);
+        running.chain(self.ended.iter().map(|end| end.task))
+    }
+}
--- a/crates/core/src/jobs/job_entry.rs
+++ b/crates/core/src/jobs/job_entry.rs
@@ -66,6 +66,9 @@
         for step in record.steps {
             entry.restore(&step);
         }
+        for crashed in record.crashes {
+            entry.open_through(crashed.task.step.occurrence);
+        }
         entry
     }
 
--- a/crates/core/src/jobs/job_record.rs
+++ b/crates/core/src/jobs/job_record.rs
@@ -1,3 +1,5 @@
+use std::borrow::Cow;
+
 use serde::{Deserialize, Serialize};
 
 use super::{JobPhase, TaskCrashes};
@@ -121,7 +123,14 @@
     /// row of an earlier version is replaced when the record shrinks. That of an ended job takes
     /// one.
     #[must_use]
-    pub fn into_rows(self) -> Vec<Self> {
+    pub fn rows(&self) -> Cow<'_, [Self]> {
+        if self.size_bound() <= MAX_RECORD_ROW_BYTES && self.stored_rows <= 1 {
+            return Cow::Borrowed(std::slice::from_ref(self));
+        }
+        Cow::Owned(self.clone().split())
+    }
+
+    fn split(self) -> Vec<Self> {
         let empty = Self {
             phase: self.phase,
             ended_ms: self.ended_ms,
@@ -162,10 +171,7 @@
     /// Number of rows in which the record is stored.
     #[must_use]
     pub fn row_count(&self) -> usize {
-        if self.size_bound() <= MAX_RECORD_ROW_BYTES && self.stored_rows <= 1 {
-            return 1;
-        }
-        self.clone().into_rows().len()
+        self.rows().len()
     }
 
     /// Adds the content of a further row of the same record.
--- a/crates/core/tests/jobs/stored_rows.rs
+++ b/crates/core/tests/jobs/stored_rows.rs
@@ -6,8 +6,8 @@
 /// Returns a record as a new owner reads it back from the store. Fails if a row is too large.
 pub fn read_back(record: &JobRecord) -> Result<JobRecord, String> {
     let mut read: Option<JobRecord> = None;
-    for row in record.clone().into_rows() {
-        let encoded = rmp_serde::to_vec_named(&row).map_err(|error| error.to_string())?;
+    for row in record.rows().iter() {
+        let encoded = rmp_serde::to_vec_named(row).map_err(|error| error.to_string())?;
         if encoded.len() > ROW_BYTES {
             return Err(format!("a row of {} bytes", encoded.len()));
         }
--- a/crates/jobs/src/api/job_api.rs
+++ b/crates/jobs/src/api/job_api.rs
@@ -53,12 +53,12 @@
             self.metrics.count_submission(outcome);
             return outcome;
         }
-        let rules = self.view.load().map(|deployment| {
+        let rules = self.view.load().and_then(|deployment| {
             let team = order.team.as_ref();
             deployment.rules.order_rules(&order.queue, team)
         });
         let accepted = JobOrder {
-            rules: rules.flatten(),
+            rules,
             ..order.clone()
         };
         let value = match encode_job(&accepted) {
--- a/crates/jobs/src/owner/record_writer.rs
+++ b/crates/jobs/src/owner/record_writer.rs
@@ -189,7 +189,7 @@
             change.puts.push(put(row, encode(&heartbeat)));
         }
         for (id, record) in &batch.records {
-            let rows = record.clone().into_rows();
+            let rows = record.rows();
             let used = rows.len();
             for (number, row) in rows.iter().enumerate() {
                 let name = RowName::new(StoreTable::State, record_key(*id, number));
